--- /dev/null
+++ b/crates/consensus/src/membership.rs
@@ -0,0 +1,94 @@
+//! Who takes part in the group.
+
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
+use std::fmt;
+
+/// Identity of a member's disk. A member whose disk is lost draws a new one.
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+pub struct MemberId(pub u64);
+
+impl fmt::Display for MemberId {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(formatter, "m{:x}", self.0)
+    }
+}
+
+/// What others need to know to reach a member.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct MemberInfo {
+    /// Declared name, the same before and after a disk was lost.
+    pub name: String,
+    /// Internal address, `ip:port`.
+    pub address: String,
+}
+
+/// Voters and learners.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Membership {
+    /// Members whose votes and acknowledgements count.
+    pub voters: BTreeMap<MemberId, MemberInfo>,
+    /// Members that receive the log and do not count.
+    pub learners: BTreeMap<MemberId, MemberInfo>,
+}
+
+/// One step from a membership to the next; only one is under way at a time (thesis §4.1).
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum MembershipChange {
+    /// Adds a learner.
+    AddLearner(MemberId, MemberInfo),
+    /// Turns a learner into a voter.
+    Promote(MemberId),
+    /// Removes a voter or learner.
+    Remove(MemberId),
+}
+
+impl Membership {
+    /// Smallest number of voters that any two decisions share.
+    pub fn quorum(&self) -> usize {
+        self.voters.len() / 2 + 1
+    }
+
+    /// Whether the member takes part at all.
+    pub fn contains(&self, id: MemberId) -> bool {
+        self.voters.contains_key(&id) || self.learners.contains_key(&id)
+    }
+
+    /// All members but `own`.
+    pub fn others(&self, own: MemberId) -> Vec<MemberId> {
+        let all = self.voters.keys().chain(self.learners.keys());
+        all.copied().filter(|id| *id != own).collect()
+    }
+
+    /// What is known of a member.
+    pub fn info(&self, id: MemberId) -> Option<&MemberInfo> {
+        self.voters.get(&id).or_else(|| self.learners.get(&id))
+    }
+
+    /// The membership after a change, or `None` when the change makes no sense here.
+    pub fn changed(&self, change: &MembershipChange) -> Option<Membership> {
+        let mut next = self.clone();
+        match change {
+            MembershipChange::AddLearner(id, info) => {
+                if self.contains(*id) {
+                    return None;
+                }
+                next.learners.insert(*id, info.clone());
+            }
+            MembershipChange::Promote(id) => {
+                let info = next.learners.remove(id)?;
+                next.voters.insert(*id, info);
+            }
+            MembershipChange::Remove(id) => {
+                let was_learner = next.learners.remove(id).is_some();
+                let was_voter = next.voters.remove(id).is_some();
+                if !(was_learner || was_voter) || next.voters.is_empty() {
+                    return None;
+                }
+            }
+        }
+        Some(next)
+    }
+}
--- /dev/null
+++ b/crates/consensus/src/replication.rs
@@ -0,0 +1,317 @@
+//! Replication: appends, commitment and snapshots.
+
+use crate::log::{Entry, Index, Payload, Snapshot, SnapshotMeta, Term};
+use crate::membership::MemberId;
+use crate::message::Message;
+use crate::progress::SnapshotProgress;
+use crate::replica::{Replica, Role};
+use topazmount_types::Time;
+
+impl Replica {
+    /// Sends every follower what it lacks; a heartbeat where it lacks nothing.
+    pub fn broadcast_append(&mut self) {
+        for id in self.membership.others(self.id) {
+            self.send_append(id);
+        }
+    }
+
+    /// Sends proposals that followers have not been sent yet. Called once per batch, so that many
+    /// proposals share one message and one sync.
+    pub fn flush_proposals(&mut self) {
+        if self.role != Role::Leader {
+            return;
+        }
+        let last = self.log.last_index();
+        for id in self.membership.others(self.id) {
+            let behind = self
+                .progress
+                .get(&id)
+                .is_some_and(|progress| progress.next <= last);
+            if behind {
+                self.send_append(id);
+            }
+        }
+    }
+
+    fn send_append(&mut self, to: MemberId) {
+        let Some(progress) = self.progress.get(&to) else {
+            return;
+        };
+        let previous_index = progress.next - 1;
+        let Some(previous_term) = self.log.term(previous_index) else {
+            self.send_snapshot(to);
+            return;
+        };
+        if progress.snapshot.is_some() {
+            self.send_snapshot(to);
+            return;
+        }
+        let entries = self.log.slice(progress.next, self.config.max_append_bytes);
+        let sent = entries.len() as u64;
+        let message = Message::Append {
+            previous_index,
+            previous_term,
+            entries,
+            commit: self.commit,
+            sent_at: self.now,
+        };
+        self.send(to, message);
+        if let Some(progress) = self.progress.get_mut(&to) {
+            progress.next += sent;
+        }
+    }
+
+    pub(crate) fn on_append(
+        &mut self,
+        from: MemberId,
+        previous: (Index, Term),
+        entries: Vec<Entry>,
+        commit: Index,
+        sent_at: Time,
+    ) {
+        let (previous_index, previous_term) = previous;
+        let covered = previous_index < self.log.first_index() - 1;
+        let matches = covered || self.log.term(previous_index) == Some(previous_term);
+        if !matches {
+            let index = self.log.last_index().min(previous_index.saturating_sub(1));
+            let hint = index.max(self.commit);
+            self.send(
+                from,
+                Message::AppendReply {
+                    accepted: false,
+                    index: hint,
+                    sent_at,
+                },
+            );
+            return;
+        }
+        let last_new = previous_index + entries.len() as u64;
+        self.append_entries(entries);
+        // Only what the message vouches for may be committed, never an older tail (thesis §3.5).
+        self.commit = self.commit.max(commit.min(last_new));
+        let index = last_new.max(self.commit);
+        self.send(
+            from,
+            Message::AppendReply {
+                accepted: true,
+                index,
+                sent_at,
+            },
+        );
+    }
+
+    fn append_entries(&mut self, entries: Vec<Entry>) {
+        let mut changed = false;
+        for entry in entries {
+            if entry.index < self.log.first_index() {
+                continue;
+            }
+            match self.log.term(entry.index) {
+                Some(term) if term == entry.term => continue,
+                Some(_) => self.truncate_log(entry.index),
+                None => {}
+            }
+            changed = true;
+            self.push_entry(entry);
+        }
+        if changed {
+            self.refresh_membership();
+        }
+    }
+
+    pub(crate) fn on_append_reply(
+        &mut self,
+        from: MemberId,
+        accepted: bool,
+        index: Index,
+        sent_at: Time,
+    ) {
+        if self.role != Role::Leader {
+            return;
+        }
+        let last = self.log.last_index();
+        let Some(progress) = self.progress.get_mut(&from) else {
+            return;
+        };
+        progress.acknowledge(sent_at);
+        if accepted {
+            progress.matched = progress.matched.max(index.min(last));
+            progress.next = progress.next.max(progress.matched + 1);
+            let matched = progress.matched;
+            progress
+                .snapshot
+                .take_if(|snapshot| snapshot.index <= matched);
+            self.advance_commit();
+        } else {
+            progress.next = (index + 1).clamp(progress.matched + 1, last + 1);
+            self.send_append(from);
+        }
+    }
+
+    /// Commits what a quorum holds, if it is of the leader's own term (thesis §3.6.2).
+    pub(crate) fn advance_commit(&mut self) {
+        let mut matched: Vec<Index> = self
+            .membership
+            .voters
+            .keys()
+            .map(|id| match self.progress.get(id) {
+                Some(progress) => progress.matched,
+                None if *id == self.id => self.persisted(),
+                None => 0,
+            })
+            .collect();
+        matched.sort_unstable_by(|left, right| right.cmp(left));
+        let Some(&index) = matched.get(self.membership.quorum() - 1) else {
+            return;
+        };
+        let own_term = self.log.term(index) == Some(self.hard_state.term);
+        if index > self.commit && own_term {
+            self.commit = index;
+            self.leave_if_removed();
+        }
+    }
+
+    /// A leader that is no longer a voter steps down once that is committed (thesis §4.2.2).
+    fn leave_if_removed(&mut self) {
+        let removed = !self.membership.voters.contains_key(&self.id);
+        if removed && self.membership_index <= self.commit {
+            self.broadcast_append();
+            self.become_follower(self.hard_state.term, None);
+        }
+    }
+
+    fn send_snapshot(&mut self, to: MemberId) {
+        let snapshot = self.snapshot.clone();
+        let Some(progress) = self.progress.get_mut(&to) else {
+            return;
+        };
+        let index = snapshot.meta.index;
+        let current = progress
+            .snapshot
+            .take()
+            .filter(|current| current.index == index);
+        let current = current.unwrap_or(SnapshotProgress { index, received: 0 });
+        let start = current.received as usize;
+        let end = (start + self.config.snapshot_chunk_bytes).min(snapshot.data.len());
+        progress.snapshot = Some(current);
+        let message = Message::Snapshot {
+            meta: snapshot.meta,
+            offset: start as u64,
+            chunk: snapshot.data[start..end].to_vec(),
+            done: end == snapshot.data.len(),
+            sent_at: self.now,
+        };
+        self.send(to, message);
+    }
+
+    pub(crate) fn on_snapshot(
+        &mut self,
+        from: MemberId,
+        meta: SnapshotMeta,
+        piece: (u64, Vec<u8>, bool),
+        sent_at: Time,
+    ) {
+        let (offset, chunk, done) = piece;
+        let index = meta.index;
+        if index <= self.commit {
+            let message = Message::AppendReply {
+                accepted: true,
+                index: self.commit,
+                sent_at,
+            };
+            self.send(from, message);
+            return;
+        }
+        if self.log.term(index) == Some(meta.term) {
+            // A late snapshot must not cut entries after it that were acknowledged (thesis §5.1).
+            self.commit = index;
+            self.send(
+                from,
+                Message::AppendReply {
+                    accepted: true,
+                    index,
+                    sent_at,
+                },
+            );
+            return;
+        }
+        let received = self.collect_chunk(&meta, offset, &chunk);
+        if done && received == offset + chunk.len() as u64 {
+            let data = self
+                .incoming
+                .take()
+                .map(|(_, data)| data)
+                .unwrap_or_default();
+            self.install_snapshot(Snapshot {
+                meta,
+                data: data.into(),
+            });
+            self.send(
+                from,
+                Message::AppendReply {
+                    accepted: true,
+                    index,
+                    sent_at,
+                },
+            );
+            return;
+        }
+        self.send(
+            from,
+            Message::SnapshotReply {
+                index,
+                received,
+                sent_at,
+            },
+        );
+    }
+
+    /// Adds a piece if it continues what is here; returns the bytes received so far.
+    fn collect_chunk(&mut self, meta: &SnapshotMeta, offset: u64, chunk: &[u8]) -> u64 {
+        let is_same = self
+            .incoming
+            .as_ref()
+            .is_some_and(|(partial, _)| partial.meta == *meta);
+        if !is_same {
+            let partial = Snapshot {
+                meta: meta.clone(),
+                data: Vec::new().into(),
+            };
+            self.incoming = Some((partial, Vec::new()));
+        }
+        let Some((_, data)) = &mut self.incoming else {
+            return 0;
+        };
+        if data.len() as u64 == offset {
+            data.extend_from_slice(chunk);
+        }
+        data.len() as u64
+    }
+
+    pub(crate) fn on_snapshot_reply(
+        &mut self,
+        from: MemberId,
+        index: Index,
+        received: u64,
+        sent_at: Time,
+    ) {
+        if self.role != Role::Leader {
+            return;
+        }
+        let Some(progress) = self.progress.get_mut(&from) else {
+            return;
+        };
+        progress.acknowledge(sent_at);
+        if let Some(current) = &mut progress.snapshot {
+            if current.index == index {
+                current.received = received;
+                self.send_snapshot(from);
+            }
+        }
+    }
+
+    /// Whether an entry is a command, for drivers that count.
+    pub fn is_command(entry: &Entry) -> bool {
+        matches!(entry.payload, Payload::Command(_))
+    }
+}
--- /dev/null
+++ b/crates/consensus/src/wal.rs
@@ -0,0 +1,260 @@
+//! The durable log: segments of checksummed records, and two snapshots.
+//!
+//! A segment begins at each snapshot. The newest two snapshots and every segment since the older
+//! one are kept, so that a damaged newest snapshot falls back to the one before it without losing
+//! an entry. Files: `snapshot-<generation>` and `log-<generation>`, generations in hexadecimal.
+
+use crate::disk::{Disk, DiskError};
+use crate::log::{Entry, Log, Snapshot};
+use crate::ready::{HardState, Ready};
+use crate::record::{Ending, Record, decode_all, encode, frame, unframe};
+use thiserror::Error;
+
+const SNAPSHOT_PREFIX: &str = "snapshot-";
+const LOG_PREFIX: &str = "log-";
+/// Snapshots kept.
+const KEPT_SNAPSHOTS: usize = 2;
+
+/// What a disk holds of the replicated log.
+#[derive(Clone, Debug, Default)]
+pub struct Recovered {
+    /// Term and vote.
+    pub hard_state: HardState,
+    /// Newest whole snapshot.
+    pub snapshot: Snapshot,
+    /// Entries after it.
+    pub log: Log,
+}
+
+/// Why a disk's state can't be used.
+#[derive(Clone, Debug, Error, PartialEq, Eq)]
+pub enum WalError {
+    /// The disk failed.
+    #[error(transparent)]
+    Disk(#[from] DiskError),
+    /// Durable data is damaged. The member must be given an empty folder and join anew.
+    #[error("durable state is damaged: {0}")]
+    Corrupt(String),
+}
+
+/// The durable log over a disk.
+pub struct Wal<D> {
+    disk: D,
+    generation: u64,
+    hard_state: HardState,
+}
+
+impl<D: Disk> Wal<D> {
+    /// Opens the log and reads everything. A torn tail is cut off; the result of an empty folder is
+    /// the default.
+    ///
+    /// # Errors
+    /// [`WalError::Corrupt`] when acknowledged entries may be lost.
+    pub fn open(mut disk: D) -> Result<(Self, Recovered), WalError> {
+        let names = disk.list()?;
+        let snapshot_generations = generations(&names, SNAPSHOT_PREFIX);
+        let log_generations = generations(&names, LOG_PREFIX);
+        let (base, snapshot) = newest_snapshot(&disk, &snapshot_generations)?;
+        let mut hard_state = HardState::default();
+        let mut entries: Vec<Entry> = Vec::new();
+        let needed: Vec<u64> = log_generations
+            .into_iter()
+            .filter(|generation| *generation >= base)
+            .collect();
+        for (position, generation) in needed.iter().enumerate() {
+            let is_last = position + 1 == needed.len();
+            let records = read_segment(&mut disk, *generation, is_last)?;
+            replay(records, &mut hard_state, &mut entries);
+        }
+        let log = join(&snapshot, entries)?;
+        let newest = snapshot_generations.last().copied().unwrap_or(0);
+        let generation = needed.last().copied().unwrap_or(base).max(newest);
+        let mut wal = Wal {
+            disk,
+            generation,
+            hard_state,
+        };
+        let recovered = Recovered {
+            hard_state,
+            snapshot,
+            log,
+        };
+        if generation != base {
+            // Makes a fallback, or an interrupted change of segment, whole again.
+            wal.write_generation(&recovered.snapshot, &all_entries(&recovered.log))?;
+        }
+        Ok((wal, recovered))
+    }
+
+    /// The disk.
+    pub fn disk(&self) -> &D {
+        &self.disk
+    }
+
+    /// The disk, for files beside the log.
+    pub fn disk_mut(&mut self) -> &mut D {
+        &mut self.disk
+    }
+
+    /// Makes a new group's or a learner's first state durable.
+    ///
+    /// # Errors
+    /// Any failure of the disk.
+    pub fn initialize(&mut self, recovered: &Recovered) -> Result<(), WalError> {
+        self.hard_state = recovered.hard_state;
+        self.write_generation(&recovered.snapshot, &all_entries(&recovered.log))
+    }
+
+    /// Makes a batch durable with one sync.
+    ///
+    /// # Errors
+    /// Any failure of the disk; the member must then stop.
+    pub fn persist(&mut self, ready: &Ready) -> Result<(), WalError> {
+        if let Some(hard_state) = ready.hard_state {
+            self.hard_state = hard_state;
+        }
+        if let Some(snapshot) = &ready.snapshot {
+            return self.write_generation(snapshot, &ready.entries);
+        }
+        if !ready.must_sync() {
+            return Ok(());
+        }
+        let mut bytes = Vec::new();
+        if let Some(hard_state) = ready.hard_state {
+            bytes.extend(encode(&Record::HardState(hard_state)));
+        }
+        for entry in &ready.entries {
+            bytes.extend(encode(&Record::Entry(entry.clone())));
+        }
+        let name = log_name(self.generation);
+        self.disk.append(&name, &bytes)?;
+        self.disk.sync(&name)?;
+        Ok(())
+    }
+
+    /// Makes a snapshot of the own state durable and starts a segment with the entries after it.
+    ///
+    /// # Errors
+    /// Any failure of the disk.
+    pub fn save_snapshot(&mut self, snapshot: &Snapshot, after: &[Entry]) -> Result<(), WalError> {
+        self.write_generation(snapshot, after)
+    }
+
+    /// Order matters: the segment is durable before the snapshot that makes recovery read it, and
+    /// old files go only after both are.
+    fn write_generation(&mut self, snapshot: &Snapshot, after: &[Entry]) -> Result<(), WalError> {
+        let generation = self.generation + 1;
+        let mut segment = encode(&Record::HardState(self.hard_state));
+        for entry in after {
+            segment.extend(encode(&Record::Entry(entry.clone())));
+        }
+        self.disk.replace(&log_name(generation), &segment)?;
+        let payload = rmp_serde::to_vec(snapshot).expect("a snapshot is plain data");
+        self.disk
+            .replace(&snapshot_name(generation), &frame(&payload))?;
+        self.generation = generation;
+        self.remove_old()
+    }
+
+    fn remove_old(&mut self) -> Result<(), WalError> {
+        let names = self.disk.list()?;
+        let snapshots = generations(&names, SNAPSHOT_PREFIX);
+        let kept = snapshots.len().saturating_sub(KEPT_SNAPSHOTS);
+        let Some(&oldest) = snapshots.get(kept) else {
+            return Ok(());
+        };
+        let old = |generation: &u64| *generation < oldest;
+        for generation in snapshots.iter().copied().filter(old) {
+            self.disk.remove(&snapshot_name(generation))?;
+        }
+        for generation in generations(&names, LOG_PREFIX)
+            .into_iter()
+            .filter(|g| old(g))
+        {
+            self.disk.remove(&log_name(generation))?;
+        }
+        Ok(())
+    }
+}
+
+fn snapshot_name(generation: u64) -> String {
+    format!("{SNAPSHOT_PREFIX}{generation:016x}")
+}
+
+fn log_name(generation: u64) -> String {
+    format!("{LOG_PREFIX}{generation:016x}")
+}
+
+fn generations(names: &[String], prefix: &str) -> Vec<u64> {
+    let mut found: Vec<u64> = names
+        .iter()
+        .filter_map(|name| name.strip_prefix(prefix))
+        .filter_map(|digits| u64::from_str_radix(digits, 16).ok())
+        .collect();
+    found.sort_unstable();
+    found
+}
+
+fn newest_snapshot<D: Disk>(disk: &D, found: &[u64]) -> Result<(u64, Snapshot), WalError> {
+    for generation in found.iter().rev() {
+        let bytes = disk.read(&snapshot_name(*generation))?.unwrap_or_default();
+        let snapshot = unframe(&bytes).and_then(|(payload, _)| rmp_serde::from_slice(payload).ok());
+        if let Some(snapshot) = snapshot {
+            return Ok((*generation, snapshot));
+        }
+    }
+    if found.is_empty() {
+        return Ok((0, Snapshot::default()));
+    }
+    Err(WalError::Corrupt("no snapshot is whole".to_owned()))
+}
+
+fn read_segment<D: Disk>(
+    disk: &mut D,
+    generation: u64,
+    is_last: bool,
+) -> Result<Vec<Record>, WalError> {
+    let name = log_name(generation);
+    let bytes = disk.read(&name)?.unwrap_or_default();
+    let (records, ending) = decode_all(&bytes);
+    match ending {
+        Ending::Clean => {}
+        Ending::Torn(position) if is_last => disk.replace(&name, &bytes[..position])?,
+        Ending::Torn(_) | Ending::Corrupt => return Err(WalError::Corrupt(name)),
+    }
+    Ok(records)
+}
+
+fn replay(records: Vec<Record>, hard_state: &mut HardState, entries: &mut Vec<Entry>) {
+    for record in records {
+        match record {
+            Record::HardState(newer) => *hard_state = newer,
+            Record::Entry(entry) => {
+                let cut = entries.partition_point(|earlier| earlier.index < entry.index);
+                entries.truncate(cut);
+                entries.push(entry);
+            }
+        }
+    }
+}
+
+/// Entries after the snapshot, which must follow it and one another without a gap.
+fn join(snapshot: &Snapshot, entries: Vec<Entry>) -> Result<Log, WalError> {
+    let index = snapshot.meta.index;
+    let after: Vec<Entry> = entries
+        .into_iter()
+        .filter(|entry| entry.index > index)
+        .collect();
+    let mut expected = index + 1;
+    for entry in &after {
+        if entry.index != expected {
+            return Err(WalError::Corrupt(format!("entry {expected} is missing")));
+        }
+        expected += 1;
+    }
+    Ok(Log::new(index, snapshot.meta.term, after))
+}
+
+fn all_entries(log: &Log) -> Vec<Entry> {
+    log.range(log.first_index(), log.last_index())
+}
--- /dev/null
+++ b/crates/control/src/lib.rs
@@ -0,0 +1,21 @@
+//! What the replicated log is applied to, and one control member around it.
+//!
+//! [`ControlState`] is the state machine: configuration revisions and the ledger of calls that may
+//! run at most once. [`Member`] joins it with the log: it takes requests and peer messages, makes
+//! state durable through a [`Disk`](topazmount_consensus::Disk), and says what to send. It opens no
+//! socket and reads no clock.
+
+mod configuration;
+mod ledger;
+mod member;
+mod protocol;
+mod repair;
+mod state;
+
+pub use configuration::{Configuration, ConfigurationUpdate, HistoryRow};
+pub use ledger::{ActionResult, ClaimId, ClaimOutcome, Ledger, LookupOutcome};
+pub use member::{Founding, Member, MemberError, MemberInput, MemberOutput, MemberSettings, Token};
+pub use protocol::{
+    ChangeReply, ChangeRequest, Frame, MemberStatus, NodeReport, Request, RequestNumber, Response,
+};
+pub use state::{Command, ControlState, Reply, TimedCommand};
--- /dev/null
+++ b/crates/control/src/member.rs
@@ -0,0 +1,444 @@
+//! One control member: log, disk, state machine and the requests that wait for them.
+
+use crate::protocol::{ChangeReply, ChangeRequest, MemberStatus, NodeReport, Request, Response};
+use crate::state::{Command, ControlState, Reply, TimedCommand};
+use std::collections::BTreeMap;
+use std::time::Duration;
+use thiserror::Error;
+use topazmount_consensus::{
+    Config, Disk, DiskError, Entry, Envelope, Index, MemberId, MemberInfo, Membership, Payload,
+    Recovered, Replica, Role, Term, Wal, WalError,
+};
+use topazmount_settings::{Declarations, SourceFiles};
+use topazmount_types::{Digest, ErrorKind, NodeId, Refusal, Time};
+
+/// File that holds the member's identity.
+const IDENTITY_FILE: &str = "identity";
+/// Applied entries between two snapshots.
+const ENTRIES_PER_SNAPSHOT: u64 = 4_000;
+/// Time after which a node that no longer asks is left out of the status.
+const NODE_REPORT_RETENTION: Duration = Duration::from_secs(60);
+
+/// Names the requester of an answer; chosen by the driver.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Token(pub u64);
+
+/// Who this member is and how it behaves.
+#[derive(Clone, Debug)]
+pub struct MemberSettings {
+    /// Name and address.
+    pub info: MemberInfo,
+    /// Timing of the log.
+    pub consensus: Config,
+    /// Seed of timeouts, and of the identity when the disk is empty.
+    pub seed: u64,
+}
+
+/// What forms a new group; every founding member must be given the same.
+#[derive(Clone, Debug)]
+pub struct Founding {
+    /// All founding members.
+    pub members: Vec<MemberInfo>,
+    /// Configuration of revision 1.
+    pub source: SourceFiles,
+}
+
+/// Why a member can't go on.
+#[derive(Debug, Error)]
+pub enum MemberError {
+    /// Its durable state failed.
+    #[error(transparent)]
+    Wal(#[from] WalError),
+    /// Its disk failed.
+    #[error(transparent)]
+    Disk(#[from] DiskError),
+    /// A snapshot or entry can't be read.
+    #[error("replicated state can't be decoded: {0}")]
+    Decode(String),
+}
+
+/// Something that happened.
+#[derive(Clone, Debug)]
+pub enum MemberInput {
+    /// Time passed.
+    Tick,
+    /// A peer's message and the address that the peer listens at.
+    Peer(String, Envelope),
+    /// A request that wants an answer.
+    Request(Token, Request),
+    /// The requester is gone.
+    Gone(Token),
+    /// Hand over leadership before a planned stop.
+    HandOver,
+}
+
+/// Something to do.
+#[derive(Clone, Debug, PartialEq)]
+pub enum MemberOutput {
+    /// Send a message to a member at this address.
+    Send(String, Envelope),
+    /// Answer a request.
+    Respond(Token, Response),
+}
+
+struct Waiting {
+    token: Token,
+    term: Term,
+}
+
+/// A control member.
+pub struct Member<D> {
+    settings: MemberSettings,
+    pub(crate) replica: Replica,
+    wal: Wal<D>,
+    state: ControlState,
+    waiting: BTreeMap<Index, Waiting>,
+    nodes: BTreeMap<NodeId, NodeReport>,
+    /// Where peers were last heard from: a joining member does not know the membership yet.
+    peer_addresses: BTreeMap<MemberId, String>,
+    snapshot_at: Index,
+    outputs: Vec<MemberOutput>,
+}
+
+impl<D: Disk> Member<D> {
+    /// Opens the disk. An empty one starts a founding member when `founding` is given, else a
+    /// process that must ask to join.
+    ///
+    /// # Errors
+    /// [`MemberError`] when the durable state can't be used.
+    pub fn open(
+        disk: D,
+        settings: MemberSettings,
+        founding: Option<&Founding>,
+        now: Time,
+    ) -> Result<Self, MemberError> {
+        let (mut wal, mut recovered) = Wal::open(disk)?;
+        let id = match read_identity(wal.disk())? {
+            Some(id) => id,
+            None => {
+                let id = first_identity(&settings, founding);
+                recovered = first_state(founding);
+                wal.initialize(&recovered)?;
+                // Last, so that an interrupted start begins anew.
+                wal.disk_mut().replace(IDENTITY_FILE, &id.0.to_le_bytes())?;
+                id
+            }
+        };
+        let snapshot_at = recovered.snapshot.meta.index;
+        let seed = settings.seed;
+        let replica = Replica::new(id, settings.consensus.clone(), recovered, seed, now);
+        let mut member = Member {
+            settings,
+            replica,
+            wal,
+            state: ControlState::default(),
+            waiting: BTreeMap::new(),
+            nodes: BTreeMap::new(),
+            peer_addresses: BTreeMap::new(),
+            snapshot_at,
+            outputs: Vec::new(),
+        };
+        member.drain_ready()?;
+        Ok(member)
+    }
+
+    /// The log's state machine.
+    pub fn replica(&self) -> &Replica {
+        &self.replica
+    }
+
+    /// Replicated state as applied here.
+    pub fn state(&self) -> &ControlState {
+        &self.state
+    }
+
+    /// The disk.
+    pub fn disk(&self) -> &D {
+        self.wal.disk()
+    }
+
+    /// Identity, name and address.
+    pub fn identity(&self) -> (MemberId, &MemberInfo) {
+        (self.replica.id(), &self.settings.info)
+    }
+
+    /// Whether this process must still ask to join.
+    pub fn must_join(&self) -> bool {
+        !self.replica.membership().contains(self.replica.id())
+    }
+
+    /// Next moment at which [`MemberInput::Tick`] has something to do.
+    pub fn next_wakeup(&self) -> Time {
+        self.replica.next_wakeup()
+    }
+
+    /// Takes a batch of inputs with one sync, and says what to do.
+    ///
+    /// # Errors
+    /// [`MemberError`] when the disk failed; the process must stop.
+    pub fn step(
+        &mut self,
+        now: Time,
+        inputs: impl IntoIterator<Item = MemberInput>,
+    ) -> Result<Vec<MemberOutput>, MemberError> {
+        for input in inputs {
+            match input {
+                MemberInput::Tick => self.tick(now),
+                MemberInput::Peer(address, envelope) => {
+                    self.peer_addresses.insert(envelope.from, address);
+                    self.replica.step(now, envelope);
+                }
+                MemberInput::Request(token, request) => self.on_request(now, token, request),
+                MemberInput::Gone(token) => self.waiting.retain(|_, w| w.token != token),
+                MemberInput::HandOver => {
+                    self.replica.transfer_leadership(now);
+                }
+            }
+        }
+        self.replica.flush_proposals();
+        self.drain_ready()?;
+        self.refuse_if_deposed();
+        Ok(std::mem::take(&mut self.outputs))
+    }
+
+    fn tick(&mut self, now: Time) {
+        self.replica.tick(now);
+        if self.replica.has_lease(now) {
+            self.repair_membership(now);
+        }
+    }
+
+    fn on_request(&mut self, now: Time, token: Token, request: Request) {
+        let response = match request {
+            Request::Ledger(command) => return self.propose(now, token, command),
+            Request::Change(change) => return self.propose_change(now, token, change),
+            Request::Lookup(key) => self.as_leader(now, |state| {
+                Response::Lookup(state.ledger.lookup(now.max(state.time), key))
+            }),
+            Request::Source => self.as_leader(now, |state| {
+                let configuration = &state.configuration;
+                Response::Source(configuration.revision(), configuration.source().clone())
+            }),
+            Request::Fetch {
+                node,
+                name,
+                zone,
+                have,
+            } => {
+                let report = NodeReport {
+                    name,
+                    zone,
+                    revision: have,
+                    heard_at: now,
+                };
+                self.nodes.insert(node, report);
+                Response::Update(self.state.configuration.update_since(have))
+            }
+            Request::History => Response::History(self.state.configuration.history()),
+            Request::Status => Response::Status(Box::new(self.status(now))),
+            Request::Join(id, info) => self.on_join(now, id, info),
+        };
+        self.outputs.push(MemberOutput::Respond(token, response));
+    }
+
+    /// Answers from the applied state if this member may vouch for it.
+    fn as_leader(&self, now: Time, answer: impl Fn(&ControlState) -> Response) -> Response {
+        if self.replica.has_lease(now) {
+            answer(&self.state)
+        } else {
+            self.not_leader()
+        }
+    }
+
+    pub(crate) fn not_leader(&self) -> Response {
+        let leader = self.replica.leader().filter(|id| *id != self.replica.id());
+        let membership = self.replica.membership();
+        Response::NotLeader(leader.and_then(|id| membership.info(id).cloned()))
+    }
+
+    fn propose_change(&mut self, now: Time, token: Token, change: ChangeRequest) {
+        if let Err(problems) = Declarations::parse(&change.source) {
+            let refusal = Refusal::new(ErrorKind::InvalidRequest, problems.to_string());
+            self.outputs
+                .push(MemberOutput::Respond(token, Response::Refused(refusal)));
+            return;
+        }
+        let ChangeRequest {
+            expected,
+            request,
+            source,
+        } = change;
+        self.propose(
+            now,
+            token,
+            Command::Configure {
+                expected,
+                request,
+                source,
+            },
+        );
+    }
+
+    fn propose(&mut self, now: Time, token: Token, command: Command) {
+        let at = now.max(self.state.time);
+        let timed = TimedCommand { at, command };
+        let bytes = rmp_serde::to_vec(&timed).expect("a command is plain data");
+        match self.replica.propose(bytes) {
+            Ok(index) => {
+                let term = self.replica.term();
+                self.waiting.insert(index, Waiting { token, term });
+            }
+            Err(_) => {
+                let response = self.not_leader();
+                self.outputs.push(MemberOutput::Respond(token, response));
+            }
+        }
+    }
+
+    fn drain_ready(&mut self) -> Result<(), MemberError> {
+        while let Some(ready) = self.replica.ready() {
+            self.wal.persist(&ready)?;
+            for envelope in &ready.messages {
+                self.send(envelope.clone());
+            }
+            if let Some(snapshot) = &ready.restore {
+                self.restore(&snapshot.data)?;
+                self.snapshot_at = snapshot.meta.index;
+            }
+            for entry in &ready.committed {
+                self.apply(entry)?;
+            }
+            self.replica.advance(&ready);
+        }
+        self.snapshot_if_due()
+    }
+
+    fn send(&mut self, envelope: Envelope) {
+        let declared = self
+            .replica
+            .membership()
+            .info(envelope.to)
+            .map(|info| &info.address);
+        let address = declared.or_else(|| self.peer_addresses.get(&envelope.to));
+        if let Some(address) = address {
+            self.outputs
+                .push(MemberOutput::Send(address.clone(), envelope));
+        }
+    }
+
+    fn restore(&mut self, data: &[u8]) -> Result<(), MemberError> {
+        if data.is_empty() {
+            self.state = ControlState::default();
+            return Ok(());
+        }
+        self.state =
+            rmp_serde::from_slice(data).map_err(|error| MemberError::Decode(error.to_string()))?;
+        Ok(())
+    }
+
+    fn apply(&mut self, entry: &Entry) -> Result<(), MemberError> {
+        let Payload::Command(bytes) = &entry.payload else {
+            return Ok(());
+        };
+        let timed: TimedCommand =
+            rmp_serde::from_slice(bytes).map_err(|error| MemberError::Decode(error.to_string()))?;
+        let reply = self.state.apply(timed);
+        if let Some(waiting) = self.waiting.remove(&entry.index) {
+            let response = if waiting.term == entry.term {
+                response_of(reply)
+            } else {
+                self.not_leader()
+            };
+            self.outputs
+                .push(MemberOutput::Respond(waiting.token, response));
+        }
+        Ok(())
+    }
+
+    /// Requests that wait on a member that no longer leads are answered at once; their commands
+    /// are safe to send again to the next leader.
+    fn refuse_if_deposed(&mut self) {
+        if self.replica.role() == Role::Leader || self.waiting.is_empty() {
+            return;
+        }
+        for waiting in std::mem::take(&mut self.waiting).into_values() {
+            let response = self.not_leader();
+            self.outputs
+                .push(MemberOutput::Respond(waiting.token, response));
+        }
+    }
+
+    fn snapshot_if_due(&mut self) -> Result<(), MemberError> {
+        let applied = self.replica.applied();
+        if applied < self.snapshot_at + ENTRIES_PER_SNAPSHOT {
+            return Ok(());
+        }
+        let data = rmp_serde::to_vec(&self.state).expect("the state is plain data");
+        let snapshot = self.replica.compact(data);
+        let after = self.replica.entries_after(applied);
+        self.wal.save_snapshot(&snapshot, &after)?;
+        self.snapshot_at = applied;
+        Ok(())
+    }
+
+    fn status(&mut self, now: Time) -> MemberStatus {
+        self.nodes
+            .retain(|_, report| now < report.heard_at + NODE_REPORT_RETENTION);
+        MemberStatus {
+            id: self.replica.id(),
+            name: self.settings.info.name.clone(),
+            is_leader: self.replica.has_lease(now),
+            term: self.replica.term(),
+            applied: self.replica.applied(),
+            membership: self.replica.membership().clone(),
+            revision: self.state.configuration.revision(),
+            ledger_keys: self.state.ledger.len() as u64,
+            nodes: self.nodes.values().cloned().collect(),
+            now,
+        }
+    }
+}
+
+fn response_of(reply: Reply) -> Response {
+    match reply {
+        Reply::Configured(revision) => Response::Change(ChangeReply::Accepted(revision)),
+        Reply::Conflict(revision) => Response::Change(ChangeReply::Conflict(revision)),
+        other => Response::Ledger(other),
+    }
+}
+
+fn read_identity<D: Disk>(disk: &D) -> Result<Option<MemberId>, DiskError> {
+    let bytes = disk.read(IDENTITY_FILE)?;
+    let bytes = bytes.and_then(|bytes| <[u8; 8]>::try_from(bytes).ok());
+    Ok(bytes.map(|bytes| MemberId(u64::from_le_bytes(bytes))))
+}
+
+/// Founding members' identities follow from their names, so that all agree on them; any other
+/// empty disk gets an identity that nobody had before.
+fn first_identity(settings: &MemberSettings, founding: Option<&Founding>) -> MemberId {
+    match founding {
+        Some(_) => founding_identity(&settings.info),
+        None => MemberId(Digest::of(&settings.seed.to_le_bytes()).prefix()),
+    }
+}
+
+fn founding_identity(info: &MemberInfo) -> MemberId {
+    MemberId(Digest::of_parts(&[b"founding member", info.name.as_bytes()]).prefix())
+}
+
+fn first_state(founding: Option<&Founding>) -> Recovered {
+    let Some(founding) = founding else {
+        return Recovered::default();
+    };
+    let voters = founding
+        .members
+        .iter()
+        .map(|info| (founding_identity(info), info.clone()));
+    let membership = Membership {
+        voters: voters.collect(),
+        learners: BTreeMap::new(),
+    };
+    let state = ControlState::founding(founding.source.clone());
+    let data = rmp_serde::to_vec(&state).expect("the state is plain data");
+    Replica::bootstrap_state(membership, data)
+}
--- /dev/null
+++ b/crates/control/src/protocol.rs
@@ -0,0 +1,136 @@
+//! Messages between nodes, operators and control members.
+
+use crate::configuration::{ConfigurationUpdate, HistoryRow};
+use crate::ledger::LookupOutcome;
+use crate::state::{Command, Reply};
+use serde::{Deserialize, Serialize};
+use topazmount_consensus::{Envelope, Index, MemberId, MemberInfo, Membership, Term};
+use topazmount_settings::SourceFiles;
+use topazmount_types::{ActionKey, Digest, NodeId, Refusal, Revision, Time};
+
+/// Numbers a request on one connection.
+pub type RequestNumber = u64;
+
+/// One frame on a connection to a control member.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Frame {
+    /// Between members: the sender's listening address and its message.
+    Peer(String, Envelope),
+    /// From a node, an operator or a joining member.
+    Request(RequestNumber, Request),
+    /// Answer to the request of that number on the same connection.
+    Response(RequestNumber, Response),
+}
+
+/// What a member can be asked.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Request {
+    /// A command on the ledger; answered by the leader only.
+    Ledger(Command),
+    /// A change of configuration; answered by the leader only.
+    Change(ChangeRequest),
+    /// What is known of a key; answered by the leader only.
+    Lookup(ActionKey),
+    /// A node reports its revision and asks for a newer one; answered by any member.
+    Fetch {
+        /// Node.
+        node: NodeId,
+        /// Its name.
+        name: String,
+        /// Its zone.
+        zone: String,
+        /// Revision that it has in force.
+        have: Revision,
+    },
+    /// All configuration texts; answered by the leader only.
+    Source,
+    /// Accepted changes; answered by any member.
+    History,
+    /// State of the member; answered by any member.
+    Status,
+    /// A process with an empty disk asks to become a member; answered by the leader only.
+    Join(MemberId, MemberInfo),
+}
+
+/// A change of configuration.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ChangeRequest {
+    /// Revision that the operator saw.
+    pub expected: Revision,
+    /// Hash of the operator's request identifier.
+    pub request: Digest,
+    /// New texts.
+    pub source: SourceFiles,
+}
+
+/// Answer to a change.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum ChangeReply {
+    /// Accepted as this revision.
+    Accepted(Revision),
+    /// The configuration is at this revision instead of the expected one.
+    Conflict(Revision),
+}
+
+/// A node as a member last heard of it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct NodeReport {
+    /// Name.
+    pub name: String,
+    /// Zone.
+    pub zone: String,
+    /// Revision in force there.
+    pub revision: Revision,
+    /// When it asked last, on the member's clock.
+    pub heard_at: Time,
+}
+
+/// A member's view of itself and the group.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct MemberStatus {
+    /// Identity.
+    pub id: MemberId,
+    /// Name.
+    pub name: String,
+    /// Whether it leads with a valid lease.
+    pub is_leader: bool,
+    /// Term.
+    pub term: Term,
+    /// Last applied entry.
+    pub applied: Index,
+    /// Membership.
+    pub membership: Membership,
+    /// Newest configuration that it applied.
+    pub revision: Revision,
+    /// Keys in the ledger.
+    pub ledger_keys: u64,
+    /// Nodes that report to it.
+    pub nodes: Vec<NodeReport>,
+    /// Its clock.
+    pub now: Time,
+}
+
+/// What a member answers.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Response {
+    /// Result of a ledger command.
+    Ledger(Reply),
+    /// Result of a change.
+    Change(ChangeReply),
+    /// What is known of a key.
+    Lookup(LookupOutcome),
+    /// What the node lacks.
+    Update(ConfigurationUpdate),
+    /// All texts and their revision.
+    Source(Revision, SourceFiles),
+    /// Accepted changes, newest first.
+    History(Vec<HistoryRow>),
+    /// State of the member.
+    Status(Box<MemberStatus>),
+    /// The process is a member or on its way to be one.
+    Joining,
+    /// Ask this member instead, or any other when none is named.
+    NotLeader(Option<MemberInfo>),
+    /// Refused, with the reason.
+    Refused(Refusal),
+}
--- /dev/null
+++ b/crates/routing/src/router.rs
@@ -0,0 +1,507 @@
+//! Candidates of a request, the decision among them, and what is learned from its outcome.
+
+use crate::cache_view::CacheView;
+use crate::candidate::{Candidate, RouteRequest};
+use crate::home::rendezvous_weight;
+use crate::replica::{LoadReport, ReplicaDescription, ReplicaState};
+use crate::share::PolicyTable;
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use std::collections::{BTreeMap, HashMap};
+use std::time::Duration;
+use topazmount_types::{Incarnation, ReplicaId, TenantId, Time, WeightsVersion, ZoneId};
+
+/// Depths, in blocks, at which a prefix has a home.
+const HOME_DEPTHS: [usize; 7] = [1, 2, 4, 8, 16, 32, 64];
+/// Chance assumed that a home of any depth holds its prefix, before anything was observed.
+const INITIAL_HOME_CHANCE: f64 = 0.5;
+/// Weight of a new observation in that chance.
+const HOME_CHANCE_GAIN: f64 = 0.05;
+/// Tenants whose chances are kept; beyond it all are forgotten and learned anew.
+const MAX_HOME_CHANCES: usize = 8_192;
+/// Replicas sampled beside homes and holders, so that nodes do not all see the same idle one.
+const SAMPLES: usize = 4;
+/// Report age shown when there is no report.
+const NO_REPORT_AGE_MS: f64 = 1e9;
+/// Smallest queue for which an observed time to first token says something of the prefill rate.
+const IDLE_TOKENS: f64 = 1.0;
+/// Fewest uncached tokens for the same.
+const RATE_TOKENS: u32 = 500;
+
+/// Parameters of a router.
+#[derive(Clone, Debug)]
+pub struct RouterSettings {
+    /// The node's zone.
+    pub zone: ZoneId,
+    /// Tokens in a block.
+    pub block_tokens: u32,
+    /// One-way delay between zones.
+    pub zone_delay: Duration,
+    /// Blocks remembered in the cache view.
+    pub cache_blocks: usize,
+    /// Requests of this node in flight at one replica.
+    pub concurrency: u32,
+    /// Most candidates shown to a policy.
+    pub candidate_limit: usize,
+}
+
+impl Default for RouterSettings {
+    fn default() -> Self {
+        RouterSettings {
+            zone: ZoneId::default(),
+            block_tokens: 1_000,
+            zone_delay: Duration::ZERO,
+            cache_blocks: 100_000,
+            concurrency: 64,
+            candidate_limit: 32,
+        }
+    }
+}
+
+/// Perfect, instant knowledge; in the lab only, as an upper bound.
+pub trait Oracle {
+    /// Prompt tokens that the replica's cache holds now.
+    fn cached_tokens(&self, replica: ReplicaId, request: &RouteRequest<'_>) -> u32;
+    /// Prompt tokens that wait there now.
+    fn waiting_tokens(&self, replica: ReplicaId) -> f64;
+}
+
+/// Where a request goes.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Target {
+    /// Replica.
+    pub replica: ReplicaId,
+    /// Uncached prompt tokens expected there.
+    pub expected_prefill: u32,
+    /// Leading blocks that the cache view promised, and their age.
+    pub promised: Option<(u32, Duration)>,
+    /// Whether nothing was believed to wait there.
+    pub was_idle: bool,
+    /// Which home depths had this replica as first home: bit per place in the list of depths.
+    pub home_depths: u8,
+}
+
+/// Outcome of a decision.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Decision {
+    /// Go there.
+    Go(Target),
+    /// Every available replica has as much of this node's work as it may.
+    Saturated,
+    /// No replica that could serve it is available.
+    NoReplica,
+}
+
+/// What an engine said of a request that it accepted and ended.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Outcome {
+    /// Incarnation that served it.
+    pub incarnation: Incarnation,
+    /// Prompt tokens found in cache.
+    pub cached_tokens: u32,
+}
+
+/// A node's knowledge of replicas, and its choice among them.
+pub struct Router {
+    settings: RouterSettings,
+    replicas: Vec<ReplicaState>,
+    slots: HashMap<ReplicaId, u32>,
+    cache: CacheView,
+    home_chance: BTreeMap<(TenantId, u8), f64>,
+    rng: ChaCha8Rng,
+    scratch: Scratch,
+}
+
+/// Buffers kept between decisions.
+#[derive(Default)]
+struct Scratch {
+    candidates: Vec<Candidate>,
+    promised: Vec<(u32, Duration)>,
+    expected: Vec<f64>,
+    home_depths: Vec<u8>,
+    eligible: Vec<u32>,
+}
+
+impl Router {
+    /// A router that knows no replica yet.
+    pub fn new(settings: RouterSettings, seed: u64) -> Self {
+        Router {
+            cache: CacheView::new(settings.cache_blocks),
+            settings,
+            replicas: Vec::new(),
+            slots: HashMap::new(),
+            home_chance: BTreeMap::new(),
+            rng: ChaCha8Rng::seed_from_u64(seed),
+            scratch: Scratch::default(),
+        }
+    }
+
+    /// Changes parameters; the size of the cache view stays.
+    pub fn set_settings(&mut self, settings: RouterSettings) {
+        self.settings = settings;
+    }
+
+    /// Replaces the declared replicas; what is known of those that stay is kept.
+    pub fn set_replicas(&mut self, mut descriptions: Vec<ReplicaDescription>) {
+        descriptions.sort_by_key(|description| description.id);
+        let mut known: HashMap<ReplicaId, ReplicaState> = std::mem::take(&mut self.replicas)
+            .into_iter()
+            .map(|state| (state.description.id, state))
+            .collect();
+        let ids_before: Vec<ReplicaId> = {
+            let mut ids: Vec<_> = self.slots.iter().map(|(id, slot)| (*slot, *id)).collect();
+            ids.sort_unstable();
+            ids.into_iter().map(|(_, id)| id).collect()
+        };
+        self.replicas = descriptions
+            .into_iter()
+            .map(|description| match known.remove(&description.id) {
+                Some(state) => ReplicaState {
+                    description,
+                    ..state
+                },
+                None => ReplicaState::new(description),
+            })
+            .collect();
+        let ids: Vec<ReplicaId> = self
+            .replicas
+            .iter()
+            .map(|state| state.description.id)
+            .collect();
+        if ids != ids_before {
+            // The view names replicas by position; what it holds would now point elsewhere.
+            self.cache = CacheView::new(self.settings.cache_blocks);
+        }
+        self.slots = ids.into_iter().zip(0..).collect();
+    }
+
+    /// Replicas, in the order of their identifiers.
+    pub fn replicas(&self) -> &[ReplicaState] {
+        &self.replicas
+    }
+
+    /// One replica's state.
+    pub fn replica(&self, id: ReplicaId) -> Option<&ReplicaState> {
+        self.slots
+            .get(&id)
+            .map(|slot| &self.replicas[*slot as usize])
+    }
+
+    /// One replica's state, to note evidence.
+    pub fn replica_mut(&mut self, id: ReplicaId) -> Option<&mut ReplicaState> {
+        self.slots
+            .get(&id)
+            .map(|slot| &mut self.replicas[*slot as usize])
+    }
+
+    /// Blocks in the cache view.
+    pub fn cached_blocks(&self) -> usize {
+        self.cache.len()
+    }
+
+    /// Decides where a request goes. `exclude` names replicas that were tried already.
+    pub fn decide(
+        &mut self,
+        request: &RouteRequest<'_>,
+        now: Time,
+        exclude: &[ReplicaId],
+        policies: &mut PolicyTable,
+        policy: usize,
+        oracle: Option<&dyn Oracle>,
+    ) -> Decision {
+        let serving = |state: &&ReplicaState| {
+            state.description.models.contains(&request.model)
+                && state.is_available(request.weights, now)
+                && !exclude.contains(&state.description.id)
+        };
+        if !self.replicas.iter().any(|state| serving(&state)) {
+            return Decision::NoReplica;
+        }
+        let mut scratch = std::mem::take(&mut self.scratch);
+        self.estimate_caches(request, now, &mut scratch);
+        self.collect_eligible(request, now, exclude, oracle.is_some(), &mut scratch);
+        self.build_candidates(request, now, oracle, &mut scratch);
+        let chosen = policies.choose(policy, request, &scratch.candidates);
+        let decision = match chosen.and_then(|position| scratch.candidates.get(position)) {
+            Some(candidate) => Decision::Go(self.target(request, candidate, &scratch, now)),
+            None => Decision::Saturated,
+        };
+        self.scratch = scratch;
+        decision
+    }
+
+    /// Expected cached blocks of every replica: promised by the view, or by being a home.
+    fn estimate_caches(&self, request: &RouteRequest<'_>, now: Time, scratch: &mut Scratch) {
+        let count = self.replicas.len();
+        scratch.promised.clear();
+        scratch.promised.resize(count, (0, Duration::ZERO));
+        scratch.expected.clear();
+        scratch.expected.resize(count, 0.0);
+        scratch.home_depths.clear();
+        scratch.home_depths.resize(count, 0);
+        let incarnation_of = |slot: u32| self.replicas[slot as usize].incarnation;
+        let promised = &mut scratch.promised;
+        self.cache
+            .holders(request.blocks, now, incarnation_of, |slot, depth, age| {
+                // A chain is evicted from its end, so a gap in the view ends what counts.
+                let (blocks, _) = promised[slot as usize];
+                if blocks as usize + 1 == depth {
+                    promised[slot as usize] = (depth as u32, age);
+                }
+            });
+        for (slot, (blocks, age)) in scratch.promised.iter().enumerate() {
+            if *age <= self.replicas[slot].retention {
+                scratch.expected[slot] = f64::from(*blocks);
+            }
+        }
+        self.add_homes(request, now, scratch);
+    }
+
+    fn add_homes(&self, request: &RouteRequest<'_>, now: Time, scratch: &mut Scratch) {
+        let depths = HOME_DEPTHS.iter().enumerate();
+        for (level, depth) in depths.take_while(|(_, depth)| **depth <= request.blocks.len()) {
+            let key = request.blocks[depth - 1];
+            let Some(slot) = self.home(key, request, now) else {
+                return;
+            };
+            scratch.home_depths[slot] |= 1 << level;
+            let chance = self.home_chance(request.tenant, level as u8);
+            let expected = chance * *depth as f64;
+            scratch.expected[slot] = scratch.expected[slot].max(expected);
+        }
+    }
+
+    fn home(&self, key: u64, request: &RouteRequest<'_>, now: Time) -> Option<usize> {
+        let serving = self.replicas.iter().enumerate().filter(|(_, state)| {
+            state.description.models.contains(&request.model)
+                && state.is_available(request.weights, now)
+        });
+        let best = serving.max_by_key(|(_, state)| rendezvous_weight(key, state.description.id));
+        best.map(|(slot, _)| slot)
+    }
+
+    fn home_chance(&self, tenant: TenantId, level: u8) -> f64 {
+        self.home_chance
+            .get(&(tenant, level))
+            .copied()
+            .unwrap_or(INITIAL_HOME_CHANCE)
+    }
+
+    /// Replicas worth looking at: homes, holders and a few samples; all where there are few.
+    fn collect_eligible(
+        &mut self,
+        request: &RouteRequest<'_>,
+        now: Time,
+        exclude: &[ReplicaId],
+        all: bool,
+        scratch: &mut Scratch,
+    ) {
+        scratch.eligible.clear();
+        for (slot, state) in self.replicas.iter().enumerate() {
+            let may_serve = state.description.models.contains(&request.model)
+                && state.in_flight < self.settings.concurrency
+                && state.is_available(request.weights, now)
+                && !exclude.contains(&state.description.id);
+            if may_serve {
+                scratch.eligible.push(slot as u32);
+            }
+        }
+        let limit = self.settings.candidate_limit;
+        if all || scratch.eligible.len() <= limit {
+            return;
+        }
+        let rng = &mut self.rng;
+        let is_known = |slot: &u32| scratch.expected[*slot as usize] > 0.0;
+        let (mut known, others): (Vec<u32>, Vec<u32>) =
+            scratch.eligible.iter().partition(|slot| is_known(slot));
+        known.truncate(limit.saturating_sub(SAMPLES));
+        let samples = SAMPLES.min(others.len());
+        known.extend((0..samples).map(|_| others[rng.random_range(0..others.len())]));
+        known.sort_unstable();
+        known.dedup();
+        scratch.eligible = known;
+    }
+
+    fn build_candidates(
+        &self,
+        request: &RouteRequest<'_>,
+        now: Time,
+        oracle: Option<&dyn Oracle>,
+        scratch: &mut Scratch,
+    ) {
+        let deepest = request.blocks.last().copied().unwrap_or(request.sequence);
+        let block_tokens = f64::from(self.settings.block_tokens);
+        scratch.candidates.clear();
+        for (position, slot) in scratch.eligible.iter().enumerate() {
+            let state = &self.replicas[*slot as usize];
+            let id = state.description.id;
+            let expected = scratch.expected[*slot as usize] * block_tokens;
+            let (cached, waiting) = match oracle {
+                Some(oracle) => (
+                    f64::from(oracle.cached_tokens(id, request)),
+                    oracle.waiting_tokens(id),
+                ),
+                None => (expected, state.waiting_tokens(now)),
+            };
+            let is_local = state.description.zone == self.settings.zone;
+            let delay = if is_local {
+                Duration::ZERO
+            } else {
+                self.settings.zone_delay
+            };
+            let uncached = (f64::from(request.prompt_tokens) - cached).max(0.0);
+            let per_token_ms = 1_000.0 / state.prefill_rate;
+            let age = state
+                .load_at
+                .map(|at| now.since(at).as_secs_f64() * 1_000.0);
+            scratch.candidates.push(Candidate {
+                replica: id,
+                position: position as u32,
+                is_local,
+                in_flight: state.in_flight,
+                reported_running: state.load.running,
+                reported_waiting_tokens: state.load.waiting_tokens,
+                report_age_ms: age.unwrap_or(NO_REPORT_AGE_MS),
+                cached_tokens: cached as u32,
+                home_rank: 0,
+                queue_ms: waiting * per_token_ms,
+                prefill_ms: uncached * per_token_ms,
+                network_ms: 2.0 * delay.as_secs_f64() * 1_000.0,
+            });
+        }
+        rank_homes(deepest, &mut scratch.candidates);
+    }
+
+    fn target(
+        &self,
+        request: &RouteRequest<'_>,
+        candidate: &Candidate,
+        scratch: &Scratch,
+        now: Time,
+    ) -> Target {
+        let slot = self.slots[&candidate.replica] as usize;
+        let (blocks, age) = scratch.promised[slot];
+        Target {
+            replica: candidate.replica,
+            expected_prefill: request
+                .prompt_tokens
+                .saturating_sub(candidate.cached_tokens),
+            promised: (blocks > 0).then_some((blocks, age)),
+            was_idle: self.replicas[slot].waiting_tokens(now) < IDLE_TOKENS,
+            home_depths: scratch.home_depths[slot],
+        }
+    }
+
+    /// Notes that a request was sent to its target.
+    pub fn sent(&mut self, target: &Target, now: Time) {
+        if let Some(state) = self.replica_mut(target.replica) {
+            state.in_flight += 1;
+            state.pending_prefill += target.expected_prefill;
+            state.breaker.sent(now);
+        }
+    }
+
+    /// Notes an engine's incarnation and load, as each of its answers tells.
+    pub fn heard(
+        &mut self,
+        replica: ReplicaId,
+        incarnation: Incarnation,
+        load: Option<LoadReport>,
+        now: Time,
+    ) {
+        let Some(state) = self.replica_mut(replica) else {
+            return;
+        };
+        state.observe_incarnation(incarnation);
+        if let Some(load) = load {
+            state.observe_load(load, now);
+        }
+    }
+
+    /// Notes the first token of a request, `wait` after it was sent.
+    pub fn first_token(&mut self, target: &Target, wait: Duration) {
+        let round_trip = self.settings.zone_delay * 2;
+        if let Some(state) = self.replica_mut(target.replica) {
+            state.pending_prefill = state
+                .pending_prefill
+                .saturating_sub(target.expected_prefill);
+            state.breaker.succeeded();
+            if target.was_idle && target.expected_prefill >= RATE_TOKENS {
+                let took = wait.saturating_sub(round_trip);
+                state.observe_prefill(target.expected_prefill, took);
+            }
+        }
+    }
+
+    /// Notes the end of a request, however it ended.
+    pub fn ended(&mut self, target: &Target, had_first_token: bool) {
+        if let Some(state) = self.replica_mut(target.replica) {
+            state.in_flight = state.in_flight.saturating_sub(1);
+            if !had_first_token {
+                let pending = state.pending_prefill;
+                state.pending_prefill = pending.saturating_sub(target.expected_prefill);
+                state.breaker.abandoned();
+            }
+        }
+    }
+
+    /// Learns from what an engine said of its cache when it computed the prompt.
+    pub fn learn(
+        &mut self,
+        request: &RouteRequest<'_>,
+        target: &Target,
+        outcome: &Outcome,
+        now: Time,
+    ) {
+        let Some(&slot) = self.slots.get(&target.replica) else {
+            return;
+        };
+        let block_tokens = self.settings.block_tokens;
+        let found = (outcome.cached_tokens / block_tokens) as usize;
+        if let Some((blocks, age)) = target.promised {
+            let state = &mut self.replicas[slot as usize];
+            let kept = found >= blocks as usize;
+            state.observe_retention(age, kept);
+        }
+        self.learn_homes(request, target.home_depths, found);
+        let missing = &request.blocks[found.min(request.blocks.len())..];
+        self.cache.forget(missing, slot);
+        // Whatever was missing has been computed there now.
+        self.cache
+            .learn(request.blocks, slot, outcome.incarnation, now);
+    }
+
+    fn learn_homes(&mut self, request: &RouteRequest<'_>, home_depths: u8, found: usize) {
+        if self.home_chance.len() >= MAX_HOME_CHANCES * HOME_DEPTHS.len() {
+            self.home_chance.clear();
+        }
+        for (level, depth) in HOME_DEPTHS.iter().enumerate() {
+            if home_depths & (1 << level) == 0 {
+                continue;
+            }
+            let key = (request.tenant, level as u8);
+            let chance = self.home_chance.entry(key).or_insert(INITIAL_HOME_CHANCE);
+            let hit = f64::from(u8::from(found >= *depth));
+            *chance += HOME_CHANCE_GAIN * (hit - *chance);
+        }
+    }
+
+    /// Notes that a replica lacks the weights that a request needs.
+    pub fn lacks_weights(&mut self, replica: ReplicaId, weights: WeightsVersion, now: Time) {
+        if let Some(state) = self.replica_mut(replica) {
+            state.refuse_weights(weights, now);
+        }
+    }
+}
+
+fn rank_homes(key: u64, candidates: &mut [Candidate]) {
+    let mut order: Vec<(u64, usize)> = candidates
+        .iter()
+        .enumerate()
+        .map(|(position, candidate)| (rendezvous_weight(key, candidate.replica), position))
+        .collect();
+    order.sort_unstable_by(|left, right| right.cmp(left));
+    for (rank, (_, position)) in order.into_iter().enumerate() {
+        candidates[position].home_rank = rank as u32;
+    }
+}
--- /dev/null
+++ b/crates/settings/src/lib.rs
@@ -0,0 +1,20 @@
+//! Declarations and process settings in TOML, checked as a whole into typed values.
+//!
+//! Everything that an operator writes passes through this crate once, at the edge. All problems of
+//! a folder are found in one pass, and each names file, key and remedy. Only [`read_folder`] and
+//! [`read_process_file`] touch the disk.
+
+mod declarations;
+mod process;
+mod reader;
+mod source;
+
+pub use declarations::{
+    Application, Declarations, Engine, Limits, Model, Network, PolicyDeclaration, PolicyShare,
+    Replica, Routing, Service, Tenant, WeightsStore, Zone, api_key_hash,
+};
+pub use process::{
+    ControlSettings, NodeSettings, Overrides, Peer, parse_control, parse_node, read_process_file,
+};
+pub use reader::{Problem, Problems};
+pub use source::{ApplyDeltaError, FileDelta, MAIN_FILE, SourceFiles, read_folder};
--- /dev/null
+++ b/crates/topazmount/src/control_process.rs
@@ -0,0 +1,400 @@
+//! The control process: a thread that runs the member, and tasks that move frames.
+
+use crate::Executor;
+use crate::clock::Clock;
+use crate::control_client::ControlClient;
+use crate::file_disk::FileDisk;
+use crate::frames::{self, FrameReader, FrameWriter};
+use async_channel::{Receiver, Sender};
+use async_net::{TcpListener, TcpStream};
+use eyre::{Result, WrapErr};
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+use topazmount_consensus::{Config, Envelope, MemberInfo};
+use topazmount_control::{
+    Founding, Frame, Member, MemberInput, MemberOutput, MemberSettings, Request, Response, Token,
+};
+use topazmount_settings::{ControlSettings, SourceFiles};
+use topazmount_wire::ClusterKey;
+
+/// Messages that wait for a peer; older ones are resent by the log anyway.
+const PEER_QUEUE: usize = 256;
+/// Answers that wait on one connection.
+const ANSWER_QUEUE: usize = 1_024;
+/// Pause between two requests to join.
+const JOIN_INTERVAL: Duration = Duration::from_millis(500);
+/// Pause after a failed connection to a peer.
+const PEER_PAUSE: Duration = Duration::from_millis(100);
+/// Longest wait of the member's thread.
+const MAX_WAIT: Duration = Duration::from_millis(50);
+/// Inputs taken into one batch, which shares one sync.
+const MAX_BATCH: usize = 512;
+/// Time for leadership to pass on when the process stops.
+const HAND_OVER: Duration = Duration::from_millis(400);
+
+/// What a control process needs beyond its settings.
+pub struct ControlOptions {
+    /// Settings.
+    pub settings: ControlSettings,
+    /// Form a new group instead of joining one; only with an empty data folder.
+    pub form_group: bool,
+    /// Texts of revision 1 of a new group.
+    pub source: SourceFiles,
+    /// Key of the deployment.
+    pub key: ClusterKey,
+}
+
+struct Connection {
+    answers: Sender<Frame>,
+    number: u64,
+}
+
+struct Shared {
+    inputs: Sender<MemberInput>,
+    waiting: Mutex<Waiting>,
+}
+
+#[derive(Default)]
+struct Waiting {
+    next_token: u64,
+    connections: HashMap<Token, Connection>,
+}
+
+/// A running control process.
+pub struct ControlHandle {
+    inputs: Sender<MemberInput>,
+    /// Where it listens.
+    pub address: SocketAddr,
+    thread: Option<std::thread::JoinHandle<()>>,
+}
+
+impl ControlHandle {
+    /// Hands over leadership and stops.
+    pub async fn stop(mut self) {
+        let _ = self.inputs.send(MemberInput::HandOver).await;
+        async_io::Timer::after(HAND_OVER).await;
+        self.inputs.close();
+        if let Some(thread) = self.thread.take() {
+            let _ = thread.join();
+        }
+    }
+}
+
+/// Starts the member's thread and the listener.
+///
+/// # Errors
+/// When the address can't be bound or the durable state can't be used.
+pub async fn start(executor: &Executor, options: ControlOptions) -> Result<ControlHandle> {
+    let ControlOptions {
+        settings,
+        form_group,
+        source,
+        key,
+    } = options;
+    let listener = TcpListener::bind(settings.internal_address)
+        .await
+        .wrap_err_with(|| format!("listening at {}", settings.internal_address))?;
+    let address = listener.local_addr()?;
+    let info = MemberInfo {
+        name: settings.name.clone(),
+        address: address.to_string(),
+    };
+    let clock = Clock::start();
+    let member = open_member(&settings, info.clone(), form_group, source, clock)?;
+    log::info!(
+        "control: {} listens at {address} as {}.",
+        info.name,
+        member.identity().0
+    );
+
+    let (inputs, receiver) = async_channel::unbounded();
+    let shared = Arc::new(Shared {
+        inputs: inputs.clone(),
+        waiting: Mutex::default(),
+    });
+    let peers = Peers {
+        executor: executor.clone(),
+        own: info.address,
+        key: key.clone(),
+    };
+    let thread = std::thread::Builder::new()
+        .name("control".to_owned())
+        .spawn({
+            let shared = shared.clone();
+            let runner = Runner {
+                member,
+                clock,
+                peers,
+                queues: HashMap::new(),
+                shared,
+            };
+            let joining = settings
+                .initial_members
+                .iter()
+                .map(|peer| peer.address)
+                .collect();
+            move || runner.run(&receiver, joining)
+        })?;
+    let accepting = accept_loop(executor.clone(), listener, key, shared);
+    executor.spawn(accepting).detach();
+    Ok(ControlHandle {
+        inputs,
+        address,
+        thread: Some(thread),
+    })
+}
+
+fn open_member(
+    settings: &ControlSettings,
+    info: MemberInfo,
+    form_group: bool,
+    source: SourceFiles,
+    clock: Clock,
+) -> Result<Member<FileDisk>> {
+    let members = settings.initial_members.iter().map(|peer| MemberInfo {
+        name: peer.name.clone(),
+        address: peer.address.to_string(),
+    });
+    let founding = form_group.then(|| Founding {
+        members: members.collect(),
+        source,
+    });
+    let member_settings = MemberSettings {
+        info,
+        consensus: Config::default(),
+        seed: rand::random(),
+    };
+    let disk = FileDisk::open(&settings.data_folder)?;
+    Member::open(disk, member_settings, founding.as_ref(), clock.now())
+        .wrap_err("opening the data folder")
+}
+
+struct Peers {
+    executor: Executor,
+    own: String,
+    key: ClusterKey,
+}
+
+struct Runner {
+    member: Member<FileDisk>,
+    clock: Clock,
+    peers: Peers,
+    queues: HashMap<String, Sender<Envelope>>,
+    shared: Arc<Shared>,
+}
+
+impl Runner {
+    fn run(mut self, inputs: &Receiver<MemberInput>, joining: Vec<SocketAddr>) {
+        let mut next_join = self.clock.now();
+        loop {
+            let Some(batch) = next_batch(inputs, self.wait()) else {
+                break;
+            };
+            let now = self.clock.now();
+            let ticked = batch.into_iter().chain([MemberInput::Tick]);
+            let outputs = match self.member.step(now, ticked) {
+                Ok(outputs) => outputs,
+                Err(error) => {
+                    // Serving on after a failed sync could forget what was promised.
+                    log::error!("control: stops: {error}.");
+                    break;
+                }
+            };
+            for output in outputs {
+                self.perform(output);
+            }
+            if self.member.must_join() && now >= next_join {
+                next_join = now + JOIN_INTERVAL;
+                self.ask_to_join(&joining);
+            }
+        }
+        log::info!("control: stopped.");
+    }
+
+    fn wait(&self) -> Duration {
+        let wakeup = self.member.next_wakeup();
+        wakeup.since(self.clock.now()).min(MAX_WAIT)
+    }
+
+    fn perform(&mut self, output: MemberOutput) {
+        match output {
+            MemberOutput::Send(address, envelope) => {
+                let peers = &self.peers;
+                let queue = self
+                    .queues
+                    .entry(address)
+                    .or_insert_with_key(|address| peers.open_queue(address));
+                // A full queue drops the message; the log sends it again.
+                let _ = queue.try_send(envelope);
+            }
+            MemberOutput::Respond(token, response) => self.respond(token, response),
+        }
+    }
+
+    fn respond(&self, token: Token, response: Response) {
+        let connection = self
+            .shared
+            .waiting
+            .lock()
+            .unwrap()
+            .connections
+            .remove(&token);
+        if let Some(connection) = connection {
+            let frame = Frame::Response(connection.number, response);
+            let _ = connection.answers.try_send(frame);
+        }
+    }
+
+    fn ask_to_join(&self, addresses: &[SocketAddr]) {
+        let (id, info) = self.member.identity();
+        for address in addresses {
+            if address.to_string() == info.address {
+                continue;
+            }
+            let client = ControlClient::new(&self.peers.executor, *address, self.peers.key.clone());
+            client.send(Request::Join(id, info.clone()), |_| {});
+        }
+    }
+}
+
+/// Waits for inputs and takes all that are there; `None` when the process stops.
+fn next_batch(inputs: &Receiver<MemberInput>, wait: Duration) -> Option<Vec<MemberInput>> {
+    let first = async_io::block_on(futures_lite::future::or(
+        async { inputs.recv().await.map(Some) },
+        async {
+            async_io::Timer::after(wait).await;
+            Ok(None)
+        },
+    ));
+    let mut batch: Vec<MemberInput> = first.ok()?.into_iter().collect();
+    while batch.len() < MAX_BATCH {
+        match inputs.try_recv() {
+            Ok(input) => batch.push(input),
+            Err(_) => break,
+        }
+    }
+    Some(batch)
+}
+
+impl Peers {
+    /// A queue whose task keeps a connection to the peer.
+    fn open_queue(&self, address: &str) -> Sender<Envelope> {
+        let (sender, receiver) = async_channel::bounded(PEER_QUEUE);
+        if let Ok(address) = address.parse() {
+            let task = send_to_peer(address, self.own.clone(), self.key.clone(), receiver);
+            self.executor.spawn(task).detach();
+        }
+        sender
+    }
+}
+
+async fn send_to_peer(
+    address: SocketAddr,
+    own: String,
+    key: ClusterKey,
+    queue: Receiver<Envelope>,
+) {
+    let mut writer: Option<FrameWriter> = None;
+    while let Ok(envelope) = queue.recv().await {
+        if writer.is_none() {
+            writer = match frames::connect(address, &key).await {
+                Ok((writer, _)) => Some(writer),
+                Err(_) => {
+                    async_io::Timer::after(PEER_PAUSE).await;
+                    while queue.try_recv().is_ok() {}
+                    None
+                }
+            };
+        }
+        if let Some(open) = &mut writer {
+            if open
+                .send(&Frame::Peer(own.clone(), envelope))
+                .await
+                .is_err()
+            {
+                writer = None;
+            }
+        }
+    }
+}
+
+async fn accept_loop(
+    executor: Executor,
+    listener: TcpListener,
+    key: ClusterKey,
+    shared: Arc<Shared>,
+) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, peer)) => {
+                let serving = serve(executor.clone(), stream, peer, key.clone(), shared.clone());
+                executor.spawn(serving).detach();
+            }
+            Err(error) => {
+                log::warn!("control: accepting failed: {error}.");
+                async_io::Timer::after(PEER_PAUSE).await;
+            }
+        }
+        if shared.inputs.is_closed() {
+            return;
+        }
+    }
+}
+
+async fn serve(
+    executor: Executor,
+    stream: TcpStream,
+    peer: SocketAddr,
+    key: ClusterKey,
+    shared: Arc<Shared>,
+) {
+    let (writer, mut reader) = match frames::accept(stream, &key).await {
+        Ok(halves) => halves,
+        Err(error) => {
+            log::warn!("link: {peer} refused: {error}.");
+            return;
+        }
+    };
+    let (answers, queue) = async_channel::bounded(ANSWER_QUEUE);
+    let _writing = executor.spawn(write_answers(writer, queue));
+    let reason = read_requests(&mut reader, &answers, &shared).await;
+    log::debug!("link: {peer} closed: {reason}.");
+}
+
+async fn write_answers(mut writer: FrameWriter, queue: Receiver<Frame>) {
+    while let Ok(frame) = queue.recv().await {
+        if writer.send(&frame).await.is_err() {
+            return;
+        }
+    }
+}
+
+async fn read_requests(
+    reader: &mut FrameReader,
+    answers: &Sender<Frame>,
+    shared: &Shared,
+) -> eyre::Report {
+    loop {
+        let input = match reader.receive::<Frame>().await {
+            Ok(Frame::Peer(address, envelope)) => MemberInput::Peer(address, envelope),
+            Ok(Frame::Request(number, request)) => {
+                let connection = Connection {
+                    answers: answers.clone(),
+                    number,
+                };
+                let mut waiting = shared.waiting.lock().unwrap();
+                waiting.next_token += 1;
+                let token = Token(waiting.next_token);
+                waiting.connections.insert(token, connection);
+                MemberInput::Request(token, request)
+            }
+            Ok(Frame::Response(..)) => return eyre::eyre!("a response that nobody asked for"),
+            Err(error) => return error,
+        };
+        if shared.inputs.send(input).await.is_err() {
+            return eyre::eyre!("the process is stopping");
+        }
+    }
+}
--- /dev/null
+++ b/crates/topazmount/src/frames.rs
@@ -0,0 +1,112 @@
+//! Frames over a TCP stream: greeting, then sealed frames in both directions.
+
+use async_net::TcpStream;
+use eyre::{Result, WrapErr, eyre};
+use futures_lite::{AsyncReadExt, AsyncWriteExt};
+use serde::{Serialize, de::DeserializeOwned};
+use std::net::SocketAddr;
+use std::time::Duration;
+use topazmount_wire::{
+    ClusterKey, HELLO_LENGTH, Hello, LENGTH_PREFIX, Opener, Role, Sealer, decode_payload,
+    encode_payload, frame_length, session_keys,
+};
+
+/// Time for a peer to accept a connection and greet.
+pub const GREETING_TIMEOUT: Duration = Duration::from_millis(1_000);
+
+/// Sending half.
+pub struct FrameWriter {
+    stream: TcpStream,
+    sealer: Sealer,
+}
+
+/// Receiving half.
+pub struct FrameReader {
+    stream: TcpStream,
+    opener: Opener,
+}
+
+impl FrameWriter {
+    /// Sends one value.
+    ///
+    /// # Errors
+    /// When the value is too large or the connection broke.
+    pub async fn send<T: Serialize>(&mut self, value: &T) -> Result<()> {
+        let frame = self.sealer.seal(&encode_payload(value)?)?;
+        self.stream.write_all(&frame).await?;
+        Ok(())
+    }
+}
+
+impl FrameReader {
+    /// Receives one value.
+    ///
+    /// # Errors
+    /// When the connection broke, or the peer broke the protocol; the connection must be dropped.
+    pub async fn receive<T: DeserializeOwned>(&mut self) -> Result<T> {
+        let mut prefix = [0u8; LENGTH_PREFIX];
+        self.stream.read_exact(&mut prefix).await?;
+        let mut frame = vec![0u8; frame_length(prefix)?];
+        self.stream.read_exact(&mut frame).await?;
+        Ok(decode_payload(self.opener.open(&frame)?)?)
+    }
+}
+
+/// Connects to a peer and greets it.
+///
+/// # Errors
+/// When the peer does not answer in time or speaks another protocol.
+pub async fn connect(address: SocketAddr, key: &ClusterKey) -> Result<(FrameWriter, FrameReader)> {
+    within(GREETING_TIMEOUT, async {
+        let stream = TcpStream::connect(address).await?;
+        greet(stream, key, Role::Client).await
+    })
+    .await
+    .wrap_err_with(|| format!("connecting to {address}"))
+}
+
+/// Greets a peer that connected.
+///
+/// # Errors
+/// When the peer does not greet in time or speaks another protocol.
+pub async fn accept(stream: TcpStream, key: &ClusterKey) -> Result<(FrameWriter, FrameReader)> {
+    within(GREETING_TIMEOUT, greet(stream, key, Role::Server)).await
+}
+
+async fn greet(
+    mut stream: TcpStream,
+    key: &ClusterKey,
+    role: Role,
+) -> Result<(FrameWriter, FrameReader)> {
+    stream.set_nodelay(true)?;
+    let own = Hello::new(rand::random());
+    stream.write_all(&own.encode()).await?;
+    let mut bytes = [0u8; HELLO_LENGTH];
+    stream.read_exact(&mut bytes).await?;
+    let peer = Hello::decode(&bytes)?;
+    let (client, server) = match role {
+        Role::Client => (own, peer),
+        Role::Server => (peer, own),
+    };
+    let (sealer, opener) = session_keys(key, role, &client, &server);
+    let reader = FrameReader {
+        stream: stream.clone(),
+        opener,
+    };
+    Ok((FrameWriter { stream, sealer }, reader))
+}
+
+/// Runs a future with a time limit.
+///
+/// # Errors
+/// The future's own, or that the time is up.
+pub async fn within<T>(
+    limit: Duration,
+    future: impl std::future::Future<Output = Result<T>>,
+) -> Result<T> {
+    futures_lite::future::or(future, async {
+        async_io::Timer::after(limit).await;
+        Err(eyre!("no answer within {limit:?}"))
+    })
+    .await
+}
--- /dev/null
+++ b/crates/types/src/error.rs
@@ -0,0 +1,179 @@
+//! The closed list of error kinds and the table from kind to answer.
+//!
+//! `docs/ERRORS.md` repeats the table for callers; a test compares the two.
+
+use serde::{Deserialize, Serialize};
+use std::time::Duration;
+
+/// What an answer says about whether the request ran at a back end.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum RunState {
+    /// No byte was handed to a back end, or the back end itself said that it did not accept.
+    NotRun,
+    /// A back end ran it, wholly or in part.
+    Ran,
+    /// It was handed over and the outcome can't be told.
+    Unknown,
+}
+
+impl RunState {
+    /// The word used in answers.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            RunState::NotRun => "not_run",
+            RunState::Ran => "ran",
+            RunState::Unknown => "unknown",
+        }
+    }
+}
+
+/// Row of the table from kind to answer.
+struct Answer {
+    name: &'static str,
+    status: u16,
+    run: RunState,
+    retry_after_seconds: Option<u64>,
+    exit_status: u8,
+}
+
+macro_rules! error_kinds {
+    ($($(#[doc = $doc:literal])* $kind:ident => $name:literal, $status:literal, $run:ident, $retry:expr, $exit:literal;)*) => {
+        /// Every kind of error that a caller or an operator can be answered with.
+        #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+        #[serde(rename_all = "snake_case")]
+        pub enum ErrorKind { $($(#[doc = $doc])* $kind,)* }
+
+        impl ErrorKind {
+            /// All kinds, in the order of the table.
+            pub const ALL: &'static [ErrorKind] = &[$(ErrorKind::$kind,)*];
+
+            fn answer(self) -> Answer {
+                match self { $(ErrorKind::$kind => Answer {
+                    name: $name,
+                    status: $status,
+                    run: RunState::$run,
+                    retry_after_seconds: $retry,
+                    exit_status: $exit,
+                },)* }
+            }
+
+            /// What the kind means, for `docs/ERRORS.md`.
+            pub fn meaning(self) -> &'static str {
+                match self { $(ErrorKind::$kind => concat!($($doc),*).trim_ascii(),)* }
+            }
+        }
+    };
+}
+
+error_kinds! {
+    /// The request is malformed: bad JSON, wrong types, missing or absurd values.
+    InvalidRequest => "invalid_request", 400, NotRun, None, 2;
+    /// The API key is missing or unknown.
+    Unauthenticated => "unauthenticated", 401, NotRun, None, 2;
+    /// A policy program refused the request.
+    RefusedByPolicy => "refused_by_policy", 403, NotRun, None, 1;
+    /// No such path, model, service or operation, or no record of the key.
+    NotFound => "not_found", 404, NotRun, None, 2;
+    /// The path does not take this method.
+    MethodNotAllowed => "method_not_allowed", 405, NotRun, None, 2;
+    /// The caller sent its header or body too slowly.
+    CallerTooSlow => "caller_too_slow", 408, NotRun, None, 1;
+    /// The idempotency key was used before with a different request.
+    KeyReused => "key_reused", 409, NotRun, None, 1;
+    /// The call with this key is still running; ask again later.
+    InProgress => "in_progress", 409, Unknown, Some(1), 1;
+    /// The configuration moved on since the revision that the change expected.
+    RevisionConflict => "revision_conflict", 409, NotRun, None, 1;
+    /// The call with this key ran, and its result is no longer kept.
+    ResultExpired => "result_expired", 410, Ran, None, 1;
+    /// The body or the prompt exceeds its bound.
+    TooLarge => "too_large", 413, NotRun, None, 2;
+    /// The tenant has used its share; other tenants are served.
+    TenantLimit => "tenant_limit", 429, NotRun, Some(1), 1;
+    /// The request header exceeds its bound.
+    HeaderTooLarge => "header_too_large", 431, NotRun, None, 2;
+    /// A fault of the router itself.
+    Internal => "internal", 500, Unknown, None, 1;
+    /// The call was handed over and its outcome can't be told; it won't be run again.
+    OutcomeUnknown => "outcome_unknown", 502, Unknown, None, 1;
+    /// The stream broke off and no other replica could complete it.
+    AnswerIncomplete => "answer_incomplete", 502, Ran, Some(1), 1;
+    /// The back end answered with an error.
+    BackendFailed => "backend_failed", 502, Ran, Some(1), 1;
+    /// More work is waiting than can be served in time.
+    Overloaded => "overloaded", 503, NotRun, Some(2), 1;
+    /// The process is stopping and takes no new work.
+    Draining => "draining", 503, NotRun, Some(1), 1;
+    /// No live replica can serve the request now.
+    NoReplica => "no_replica", 503, NotRun, Some(1), 1;
+    /// The control group could not record the call in time.
+    LedgerUnavailable => "ledger_unavailable", 503, NotRun, Some(1), 1;
+    /// The deadline passed before a replica accepted the request.
+    DeadlineExceeded => "deadline_exceeded", 504, NotRun, Some(1), 1;
+}
+
+impl ErrorKind {
+    /// The word used in answers and metrics.
+    pub fn name(self) -> &'static str {
+        self.answer().name
+    }
+
+    /// HTTP status.
+    pub fn status(self) -> u16 {
+        self.answer().status
+    }
+
+    /// Run state given when the request's own state does not say otherwise.
+    pub fn run(self) -> RunState {
+        self.answer().run
+    }
+
+    /// Shortest time after which a later try can help, if one can.
+    pub fn retry_after(self) -> Option<Duration> {
+        self.answer().retry_after_seconds.map(Duration::from_secs)
+    }
+
+    /// Exit status of a command that ends with this error.
+    pub fn exit_status(self) -> u8 {
+        self.answer().exit_status
+    }
+}
+
+/// A terminal answer other than success.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize, thiserror::Error)]
+#[error("{}: {message}", kind.name())]
+pub struct Refusal {
+    /// Kind, which fixes the status.
+    pub kind: ErrorKind,
+    /// One sentence for the caller; never prompt text or keys.
+    pub message: String,
+    /// Whether the request ran.
+    pub run: RunState,
+    /// When a later try can help.
+    pub retry_after: Option<Duration>,
+}
+
+impl Refusal {
+    /// A refusal with the kind's own run state and retry time.
+    pub fn new(kind: ErrorKind, message: impl Into<String>) -> Self {
+        Refusal {
+            kind,
+            message: message.into(),
+            run: kind.run(),
+            retry_after: kind.retry_after(),
+        }
+    }
+
+    /// Replaces the run state.
+    pub fn with_run(mut self, run: RunState) -> Self {
+        self.run = run;
+        self
+    }
+
+    /// Replaces the time after which a later try can help.
+    pub fn with_retry_after(mut self, retry_after: Duration) -> Self {
+        self.retry_after = Some(retry_after);
+        self
+    }
+}
--- /dev/null
+++ b/crates/types/src/lib.rs
@@ -0,0 +1,17 @@
+//! Identifiers, time, the closed list of error kinds and request shapes.
+//!
+//! Every other crate depends on this one and it depends on none of them. It performs no I/O and
+//! reads no clock.
+
+mod error;
+mod identifier;
+mod request;
+mod time;
+
+pub use error::{ErrorKind, Refusal, RunState};
+pub use identifier::{
+    ActionKey, AttemptId, Digest, Incarnation, ModelId, NodeId, ReplicaId, RequestId, Revision,
+    TenantId, WeightsVersion, ZoneId,
+};
+pub use request::{ActionCall, ChatRequest, Priority, Usage};
+pub use time::Time;
--- /dev/null
+++ b/crates/types/src/time.rs
@@ -0,0 +1,72 @@
+//! Time as the cores see it: microseconds since an origin that the driver chooses.
+//!
+//! Real processes count from the Unix epoch so that ledger times survive restarts; the simulator
+//! counts from the start of a run.
+
+use serde::{Deserialize, Serialize};
+use std::fmt;
+use std::ops::{Add, Sub};
+use std::time::Duration;
+
+/// Microseconds in one second.
+const MICROS_PER_SECOND: u64 = 1_000_000;
+/// Microseconds in one millisecond.
+const MICROS_PER_MILLI: u64 = 1_000;
+
+/// A moment in microseconds since the driver's origin.
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+pub struct Time(pub u64);
+
+impl Time {
+    /// The driver's origin.
+    pub const ZERO: Time = Time(0);
+    /// A moment that is never reached.
+    pub const NEVER: Time = Time(u64::MAX);
+
+    /// The moment `millis` milliseconds after the origin.
+    pub const fn from_millis(millis: u64) -> Self {
+        Time(millis * MICROS_PER_MILLI)
+    }
+
+    /// The moment `seconds` seconds after the origin.
+    pub const fn from_secs(seconds: u64) -> Self {
+        Time(seconds * MICROS_PER_SECOND)
+    }
+
+    /// Microseconds since the origin.
+    pub const fn as_micros(self) -> u64 {
+        self.0
+    }
+
+    /// Seconds since the origin, with fractions.
+    pub fn as_secs_f64(self) -> f64 {
+        self.0 as f64 / MICROS_PER_SECOND as f64
+    }
+
+    /// Time elapsed since `earlier`, or zero when `earlier` lies ahead.
+    pub fn since(self, earlier: Time) -> Duration {
+        Duration::from_micros(self.0.saturating_sub(earlier.0))
+    }
+}
+
+impl Add<Duration> for Time {
+    type Output = Time;
+    fn add(self, duration: Duration) -> Time {
+        Time(self.0.saturating_add(duration.as_micros() as u64))
+    }
+}
+
+impl Sub<Duration> for Time {
+    type Output = Time;
+    fn sub(self, duration: Duration) -> Time {
+        Time(self.0.saturating_sub(duration.as_micros() as u64))
+    }
+}
+
+impl fmt::Display for Time {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(formatter, "{:.6}s", self.as_secs_f64())
+    }
+}
--- /dev/null
+++ b/crates/wire/src/session.rs
@@ -0,0 +1,202 @@
+//! Keyed authentication of frames on one connection.
+
+use thiserror::Error;
+
+/// Protocol version; a peer with another one is refused.
+const VERSION: u8 = 1;
+/// Bytes of the tag.
+const TAG_LENGTH: usize = 16;
+/// Bytes of the length prefix.
+pub const LENGTH_PREFIX: usize = 4;
+/// Largest frame after its length prefix, in bytes. A configuration snapshot must fit.
+pub const MAX_FRAME: usize = 8 * 1024 * 1024;
+/// Bytes of a [`Hello`].
+pub const HELLO_LENGTH: usize = MAGIC.len() + 1 + NONCE_LENGTH;
+
+const MAGIC: &[u8; 4] = b"TPZM";
+const NONCE_LENGTH: usize = 16;
+const DERIVE_CONTEXT: &str = "topazmount 2026 frame session key";
+
+/// Why a frame or a peer was refused.
+#[derive(Debug, Error, PartialEq, Eq)]
+pub enum FrameError {
+    /// The peer does not speak this protocol or version.
+    #[error("peer speaks another protocol or version")]
+    Version,
+    /// The frame is longer than [`MAX_FRAME`] or shorter than its own header.
+    #[error("frame length {0} is out of range")]
+    Length(usize),
+    /// The tag does not match: another key, a replayed or an altered frame.
+    #[error("frame authentication failed")]
+    Authentication,
+    /// The payload is not one value of the expected type.
+    #[error("payload is malformed: {0}")]
+    Payload(String),
+}
+
+/// Secret shared by all processes of one deployment.
+#[derive(Clone)]
+pub struct ClusterKey([u8; 32]);
+
+impl ClusterKey {
+    /// Derives the key from the text of the key file.
+    pub fn from_text(text: &str) -> Self {
+        ClusterKey(*blake3::hash(text.trim().as_bytes()).as_bytes())
+    }
+}
+
+/// Which side of the connection a process is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Role {
+    /// The side that connected.
+    Client,
+    /// The side that accepted.
+    Server,
+}
+
+/// First bytes that each side sends: protocol, version and a fresh nonce.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Hello {
+    nonce: [u8; NONCE_LENGTH],
+}
+
+impl Hello {
+    /// A greeting with the given random nonce.
+    pub fn new(nonce: [u8; NONCE_LENGTH]) -> Self {
+        Hello { nonce }
+    }
+
+    /// Bytes to send.
+    pub fn encode(&self) -> [u8; HELLO_LENGTH] {
+        let mut bytes = [0u8; HELLO_LENGTH];
+        bytes[..4].copy_from_slice(MAGIC);
+        bytes[4] = VERSION;
+        bytes[5..].copy_from_slice(&self.nonce);
+        bytes
+    }
+
+    /// Reads the peer's greeting.
+    ///
+    /// # Errors
+    /// [`FrameError::Version`] for any other protocol.
+    pub fn decode(bytes: &[u8; HELLO_LENGTH]) -> Result<Self, FrameError> {
+        if &bytes[..4] != MAGIC || bytes[4] != VERSION {
+            return Err(FrameError::Version);
+        }
+        let mut nonce = [0u8; NONCE_LENGTH];
+        nonce.copy_from_slice(&bytes[5..]);
+        Ok(Hello { nonce })
+    }
+}
+
+/// Seals outgoing frames of one direction.
+pub struct Sealer {
+    key: [u8; 32],
+    sequence: u64,
+}
+
+/// Opens incoming frames of one direction.
+pub struct Opener {
+    key: [u8; 32],
+    sequence: u64,
+}
+
+/// Derives both directions' keys of a connection.
+pub fn session_keys(
+    cluster: &ClusterKey,
+    role: Role,
+    client: &Hello,
+    server: &Hello,
+) -> (Sealer, Opener) {
+    let to_server = direction_key(cluster, client, server, b"to-server");
+    let to_client = direction_key(cluster, client, server, b"to-client");
+    let (out, inward) = match role {
+        Role::Client => (to_server, to_client),
+        Role::Server => (to_client, to_server),
+    };
+    (
+        Sealer {
+            key: out,
+            sequence: 0,
+        },
+        Opener {
+            key: inward,
+            sequence: 0,
+        },
+    )
+}
+
+fn direction_key(cluster: &ClusterKey, client: &Hello, server: &Hello, label: &[u8]) -> [u8; 32] {
+    let mut hasher = blake3::Hasher::new_derive_key(DERIVE_CONTEXT);
+    hasher.update(&cluster.0);
+    hasher.update(&client.nonce);
+    hasher.update(&server.nonce);
+    hasher.update(label);
+    *hasher.finalize().as_bytes()
+}
+
+fn tag(key: &[u8; 32], sequence: u64, payload: &[u8]) -> blake3::Hash {
+    let mut hasher = blake3::Hasher::new_keyed(key);
+    hasher.update(&sequence.to_le_bytes());
+    hasher.update(payload);
+    hasher.finalize()
+}
+
+impl Sealer {
+    /// Wraps a payload into a whole frame, length prefix included.
+    ///
+    /// # Errors
+    /// [`FrameError::Length`] when the payload exceeds [`MAX_FRAME`].
+    pub fn seal(&mut self, payload: &[u8]) -> Result<Vec<u8>, FrameError> {
+        let length = 1 + TAG_LENGTH + payload.len();
+        if length > MAX_FRAME {
+            return Err(FrameError::Length(length));
+        }
+        let tag = tag(&self.key, self.sequence, payload);
+        self.sequence += 1;
+        let mut frame = Vec::with_capacity(LENGTH_PREFIX + length);
+        frame.extend_from_slice(&(length as u32).to_le_bytes());
+        frame.push(VERSION);
+        frame.extend_from_slice(&tag.as_bytes()[..TAG_LENGTH]);
+        frame.extend_from_slice(payload);
+        Ok(frame)
+    }
+}
+
+impl Opener {
+    /// Checks a frame that follows its length prefix and returns its payload.
+    ///
+    /// # Errors
+    /// [`FrameError`] says what is wrong; the connection must then be closed.
+    pub fn open<'a>(&mut self, frame: &'a [u8]) -> Result<&'a [u8], FrameError> {
+        if frame.len() < 1 + TAG_LENGTH {
+            return Err(FrameError::Length(frame.len()));
+        }
+        if frame[0] != VERSION {
+            return Err(FrameError::Version);
+        }
+        let (received, payload) = frame[1..].split_at(TAG_LENGTH);
+        let expected = tag(&self.key, self.sequence, payload);
+        let difference = received
+            .iter()
+            .zip(&expected.as_bytes()[..TAG_LENGTH])
+            .fold(0u8, |difference, (left, right)| difference | (left ^ right));
+        if difference != 0 {
+            return Err(FrameError::Authentication);
+        }
+        self.sequence += 1;
+        Ok(payload)
+    }
+}
+
+/// Reads a length prefix.
+///
+/// # Errors
+/// [`FrameError::Length`] when the frame would exceed [`MAX_FRAME`] or can't hold its header.
+pub fn frame_length(prefix: [u8; LENGTH_PREFIX]) -> Result<usize, FrameError> {
+    let length = u32::from_le_bytes(prefix) as usize;
+    if !(1 + TAG_LENGTH..=MAX_FRAME).contains(&length) {
+        return Err(FrameError::Length(length));
+    }
+    Ok(length)
+}
