--- a/crates/lab/src/cli.rs
+++ b/crates/lab/src/cli.rs
@@ -3,6 +3,7 @@
 use bpaf::Bpaf;
 use std::net::SocketAddr;
 use std::path::PathBuf;
+use std::str::FromStr;
 
 /// What to do.
 #[derive(Clone, Debug, Bpaf)]
@@ -40,11 +41,54 @@
         #[bpaf(positional("DIR"))]
         deployment: PathBuf,
     },
+    /// Run failures on a virtual clock and judge what must always hold
+    #[bpaf(command)]
+    Simulate {
+        /// Scenario: a fault, several joined with +, "calm", or "all"; "list" shows the names
+        #[bpaf(argument("NAME"), fallback("all".to_owned()))]
+        scenario: String,
+        /// Seeds, first and last
+        #[bpaf(argument("A..B"), fallback(SeedRange { first: 1, last: 1 }))]
+        seeds: SeedRange,
+        /// Tell on standard error what happens
+        trace: bool,
+        /// Print one JSON object a scenario
+        json: bool,
+        /// Deployment folder
+        #[bpaf(positional("DIR"))]
+        deployment: PathBuf,
+    },
     /// Run one stand-in; a fleet starts these
     #[bpaf(command("stand-in"))]
     StandIn(#[bpaf(external(stand_in))] StandIn),
 }
 
+/// Seeds from the first to the last.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct SeedRange {
+    /// First.
+    pub first: u64,
+    /// Last.
+    pub last: u64,
+}
+
+impl FromStr for SeedRange {
+    type Err = String;
+
+    /// Reads `A..B`, both included, or one seed.
+    fn from_str(text: &str) -> Result<Self, String> {
+        let (first, last) = text.split_once("..").unwrap_or((text, text));
+        let number = |part: &str| {
+            part.trim().parse::<u64>().map_err(|_| format!("\"{part}\" is not a seed"))
+        };
+        let (first, last) = (number(first)?, number(last)?);
+        if first > last {
+            return Err(format!("{first} is after {last}; write the smaller seed first"));
+        }
+        Ok(SeedRange { first, last })
+    }
+}
+
 /// Stand-ins.
 #[derive(Clone, Debug, Bpaf)]
 pub enum StandIn {
--- a/crates/lab/src/command.rs
+++ b/crates/lab/src/command.rs
@@ -5,6 +5,7 @@
 use crate::engine::EngineParameters;
 use crate::fleet::{self, Fleet, FleetOptions, LISTENING, address_or_any};
 use crate::local;
+use crate::simulate;
 use crate::standin::{application, engine, machines};
 use eyre::Result;
 use futures_lite::{FutureExt, StreamExt};
@@ -32,6 +33,9 @@
         Command::Fleet { nodes_per_zone, deployment } => {
             run_fleet(nodes_per_zone, deployment).await
         }
+        Command::Simulate { scenario, seeds, trace, json, deployment } => {
+            simulate::run(&deployment, &scenario, seeds, trace, json)
+        }
         Command::StandIn(stand_in) => run_stand_in(&executor, stand_in).await,
     }
 }
--- a/crates/lab/src/embedded.rs
+++ b/crates/lab/src/embedded.rs
@@ -157,6 +157,7 @@
             name: node_name(zone),
             zone: zone.to_owned(),
             callers_address: address,
+            data_folder: None,
             declarations: self.deployment.to_owned(),
             cluster_key_file: self.key_file.to_owned(),
             control: self.peers.clone(),
--- a/crates/lab/src/fleet.rs
+++ b/crates/lab/src/fleet.rs
@@ -222,7 +222,9 @@
 
     fn node_settings(&self, name: &str, zone: &str, address: SocketAddr) -> String {
         let mut text = format!(
-            "name = \"{name}\"\nzone = \"{zone}\"\ncallers_address = \"{address}\"\n{}",
+            "name = \"{name}\"\nzone = \"{zone}\"\ncallers_address = \"{address}\"\n\
+             data_folder = \"{}\"\n{}",
+            self.data_folder(name).display(),
             self.common_settings(),
         );
         for member in self.peers() {
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -7,4 +7,8 @@
 pub mod engine;
 pub mod fleet;
 pub mod local;
+pub mod parallel;
+pub mod sim;
+pub mod simulate;
 pub mod standin;
+pub mod workload;
--- /dev/null
+++ b/crates/lab/src/sim/callers.rs
@@ -0,0 +1,474 @@
+//! Callers: what they ask, when they ask again, and what they check of their answers.
+
+use crate::engine::{answer_length, token_text};
+use crate::sim::checks::{ANSWER_SLACK, Checks, Invariant};
+use crate::sim::network::Transfer;
+use crate::sim::packet::{Answer, Packet, Place, Question};
+use crate::sim::plant::Plant;
+use crate::sim::record::{Outcome, Record};
+use crate::sim::world::{Event, World};
+use crate::workload::{Arrival, Class, PromptPath, Work};
+use rand::Rng;
+use std::sync::Arc;
+use std::time::Duration;
+use topazmount_control::{ActionResult, LookupOutcome};
+use topazmount_types::{
+    ActionCall, ActionKey, ChatRequest, Digest, Endpoint, ErrorKind, Refusal, RequestId, RunState,
+    TenantId, Time,
+};
+
+/// Most tries of a completion.
+const CHAT_TRIES: u32 = 4;
+/// Most tries of an at-most-once call.
+const ACTION_TRIES: u32 = 10;
+/// Chance that a caller sends a call to two nodes at once.
+const TWIN_CHANCE: f64 = 0.1;
+/// Chance that a caller goes away in the middle of its answer.
+const LEAVE_CHANCE: f64 = 0.01;
+/// Pause before an at-most-once call is sent again, in milliseconds.
+const RESEND_MS: std::ops::Range<u64> = 200..1_500;
+/// Characters of one token of the engine model.
+const TOKEN_CHARACTERS: usize = 6;
+
+/// One thing that a caller wants.
+struct Operation {
+    arrival: Arrival,
+    tries: u32,
+    /// The first result of a call that any try was given.
+    result: Option<ActionResult>,
+    is_done: bool,
+}
+
+/// One request for it.
+struct Ask {
+    operation: usize,
+    node: usize,
+    node_run: Option<u64>,
+    zone: usize,
+    sent_at: Time,
+    prompt: Digest,
+    max_tokens: u32,
+    /// Tokens received.
+    position: u32,
+    first_token: Option<Time>,
+    last_token: Option<Time>,
+    longest_pause: Duration,
+    is_open: bool,
+    /// An engine or application began to run it.
+    has_run: bool,
+    /// It was answered that nothing ran.
+    said_not_run: bool,
+}
+
+/// All callers.
+#[derive(Default)]
+pub struct Callers {
+    /// The next arrival, already drawn.
+    pub upcoming: Option<Arrival>,
+    operations: Vec<Operation>,
+    asks: Vec<Ask>,
+}
+
+impl Callers {
+    fn ask(&self, request: RequestId) -> Option<&Ask> {
+        self.asks.get(request.0 as usize)
+    }
+
+    /// Digest of a request's prompt.
+    pub fn prompt_of(&self, request: RequestId) -> Digest {
+        self.ask(request).map(|ask| ask.prompt).unwrap_or_default()
+    }
+
+    /// Zone of a request's caller.
+    pub fn zone_of(&self, request: RequestId) -> usize {
+        self.ask(request).map_or(0, |ask| ask.zone)
+    }
+
+    /// Open requests at a node.
+    pub fn open_asks_at(&self, node: usize) -> Vec<RequestId> {
+        let open = self.asks.iter().enumerate().filter(|(_, ask)| ask.is_open && ask.node == node);
+        open.map(|(number, _)| RequestId(number as u64)).collect()
+    }
+
+    /// Notes that an engine or application began to run a request.
+    pub fn note_run(&mut self, now: Time, request: RequestId, checks: &mut Checks) {
+        let Some(ask) = self.asks.get_mut(request.0 as usize) else { return };
+        ask.has_run = true;
+        if ask.said_not_run {
+            let detail = format!("{request} ran after its caller was told that it did not");
+            checks.violated(now, Invariant::TrueNotRun, detail);
+        }
+    }
+
+    /// Requests that have no answer.
+    pub fn open(&self) -> usize {
+        self.asks.iter().filter(|ask| ask.is_open).count()
+    }
+}
+
+impl World {
+    pub(crate) fn begin_operation(&mut self, arrival: Arrival) {
+        self.totals.operations += 1;
+        let number = self.callers.operations.len();
+        let zone = arrival.zone;
+        let is_action = matches!(arrival.work, Work::Action { .. });
+        let operation = Operation { arrival, tries: 0, result: None, is_done: false };
+        self.callers.operations.push(operation);
+        self.send_ask(number, zone);
+        if is_action && self.rng.random_bool(TWIN_CHANCE) {
+            let other = self.other_zone(zone);
+            self.send_ask(number, other);
+        }
+    }
+
+    fn other_zone(&mut self, zone: usize) -> usize {
+        let zones = self.declarations.zones.len();
+        (zone + self.rng.random_range(1..zones.max(2))) % zones
+    }
+
+    /// A node of a zone that callers there can reach.
+    fn node_in(&mut self, zone: usize) -> usize {
+        let copy = self.rng.random_range(0..self.settings.nodes_per_zone);
+        zone + copy * self.declarations.zones.len()
+    }
+
+    fn send_ask(&mut self, operation: usize, zone: usize) {
+        let arrival = self.callers.operations[operation].arrival.clone();
+        self.callers.operations[operation].tries += 1;
+        self.totals.asks += 1;
+        let tenant = self.declarations.tenants[arrival.tenant].id;
+        let request = RequestId(self.callers.asks.len() as u64);
+        let (question, prompt, max_tokens) = match &arrival.work {
+            Work::Chat { class, path, max_tokens, session } => {
+                let (chat, prompt) = self.chat(tenant, *class, path, *max_tokens, *session);
+                (Question::Chat(Box::new(chat)), prompt, *max_tokens)
+            }
+            Work::Action { key, body } => {
+                let call = self.call(tenant, key, body, arrival.deadline);
+                (Question::Action(Box::new(call)), Digest::default(), 0)
+            }
+        };
+        let node = self.node_in(zone);
+        let place = Place::Node(node);
+        self.callers.asks.push(Ask {
+            operation,
+            node,
+            node_run: self.processes.run(place),
+            zone: arrival.zone,
+            sent_at: self.now,
+            prompt,
+            max_tokens,
+            position: 0,
+            first_token: None,
+            last_token: None,
+            longest_pause: Duration::ZERO,
+            is_open: true,
+            has_run: false,
+            said_not_run: false,
+        });
+        self.trace(|| format!("caller asks node {node} {request} for operation {operation}"));
+        self.send(Place::Caller(arrival.zone), place, Packet::Ask(request, question));
+        let due = self.now + arrival.deadline + ANSWER_SLACK;
+        self.schedule.push(due, Event::CallerCheck(request));
+    }
+
+    fn chat(
+        &mut self,
+        tenant: TenantId,
+        class: Class,
+        path: &PromptPath,
+        max_tokens: u32,
+        session: u64,
+    ) -> (ChatRequest, Digest) {
+        let model = self.declarations.models[0].clone();
+        let hashed_tenant =
+            if self.is_planted(Plant::SharedHashes) { TenantId::default() } else { tenant };
+        let block_tokens = self.declarations.block_tokens;
+        let prompt = path.prompt(hashed_tenant, model.id, model.weights, block_tokens);
+        let chat = ChatRequest {
+            endpoint: Endpoint::Chat,
+            tenant,
+            model: model.id,
+            weights: model.weights,
+            priority: class.shape().priority,
+            stream: true,
+            prompt_tokens: prompt.tokens,
+            max_tokens,
+            blocks: prompt.blocks.into(),
+            session,
+            body: Arc::from("{}"),
+            deadline: Duration::from_secs(30),
+        };
+        (chat, prompt.digest)
+    }
+
+    fn call(&self, tenant: TenantId, key: &str, body: &str, deadline: Duration) -> ActionCall {
+        let mix = &self.settings.traffic.mix;
+        ActionCall {
+            tenant,
+            key: Digest::of(key.as_bytes()),
+            key_text: Arc::from(key),
+            service: Arc::from(mix.service),
+            operation: Arc::from(mix.operation),
+            body: Arc::from(body),
+            deadline,
+        }
+    }
+
+    pub(crate) fn caller_receives(&mut self, transfer: Transfer) {
+        let Packet::Answer(request, answer) = transfer.packet else { return };
+        let is_open = self.callers.ask(request).is_some_and(|ask| ask.is_open);
+        let is_broken = matches!(answer, Answer::Broken | Answer::NotConnected);
+        if !is_open {
+            if !is_broken {
+                let detail = format!("{request} was answered after its end");
+                self.checks.violated(self.now, Invariant::OneAnswer, detail);
+            }
+            return;
+        }
+        match answer {
+            Answer::Text(text) => self.take_text(request, &text),
+            Answer::Finish(_, usage, _) => self.take_finish(request, usage.cached_tokens),
+            Answer::Refuse(refusal) => self.take_refusal(request, &refusal),
+            Answer::Action(result, _) => self.take_result(request, result),
+            Answer::Lookup(outcome) => self.take_lookup(request, outcome),
+            Answer::Broken => self.take_broken(request, transfer.from),
+            Answer::NotConnected => {
+                self.close(request, Outcome::Broken);
+                self.ask_again(request, Duration::ZERO);
+            }
+        }
+    }
+
+    fn take_text(&mut self, request: RequestId, text: &str) {
+        if self.is_planted(Plant::LostText) && self.rng.random_bool(0.001) {
+            return;
+        }
+        let is_crossed = self.is_planted(Plant::CrossedText) && self.rng.random_bool(0.001);
+        let now = self.now;
+        let Some(ask) = self.callers.asks.get_mut(request.0 as usize) else { return };
+        let tokens = (text.len() / TOKEN_CHARACTERS) as u32;
+        let prompt = if is_crossed { Digest::default() } else { ask.prompt };
+        let expected: String =
+            (ask.position..ask.position + tokens).map(|at| token_text(prompt, at)).collect();
+        ask.position += tokens;
+        if let Some(last) = ask.last_token.replace(now) {
+            ask.longest_pause = ask.longest_pause.max(now.since(last));
+        }
+        ask.first_token.get_or_insert(now);
+        let leaves = ask.position == 2;
+        if expected != text {
+            let detail = format!("{request} got text that is not its own at {}", ask.position);
+            self.checks.violated(now, Invariant::OwnAnswer, detail);
+        }
+        if leaves && self.rng.random_bool(LEAVE_CHANCE) {
+            self.leave(request);
+        }
+    }
+
+    /// The caller closes the connection in the middle of its answer.
+    fn leave(&mut self, request: RequestId) {
+        let Some(ask) = self.callers.asks.get_mut(request.0 as usize) else { return };
+        ask.is_open = false;
+        let (zone, node, run) = (ask.zone, Place::Node(ask.node), ask.node_run);
+        let operation = ask.operation;
+        self.callers.operations[operation].is_done = true;
+        self.send_to_run(Place::Caller(zone), node, run, Packet::Leave(request));
+    }
+
+    fn take_finish(&mut self, request: RequestId, cached_tokens: u32) {
+        let Some(ask) = self.callers.ask(request) else { return };
+        let expected = answer_length(ask.prompt).min(ask.max_tokens);
+        let position = ask.position;
+        if position != expected {
+            let detail = format!("{request} ended with {position} of {expected} tokens");
+            self.checks.violated(self.now, Invariant::WholeStreams, detail);
+        }
+        self.close_with(request, Outcome::Answered, cached_tokens);
+    }
+
+    fn take_refusal(&mut self, request: RequestId, refusal: &Refusal) {
+        let now = self.now;
+        self.trace(|| format!("caller of {request} is refused: {}", refusal.kind.name()));
+        let Some(ask) = self.callers.asks.get_mut(request.0 as usize) else { return };
+        if refusal.run == RunState::NotRun {
+            ask.said_not_run = true;
+            if ask.has_run {
+                let detail = format!("{request} ran and was refused as not run");
+                self.checks.violated(now, Invariant::TrueNotRun, detail);
+            }
+        }
+        self.close(request, Outcome::Refused(refusal.kind));
+        let wait = refusal.retry_after.unwrap_or_default();
+        match refusal.kind {
+            ErrorKind::KeyReused | ErrorKind::ResultExpired => {
+                let detail = format!("{request} was refused with {}", refusal.kind.name());
+                self.checks.violated(now, Invariant::Durability, detail);
+            }
+            _ => self.ask_again(request, wait),
+        }
+    }
+
+    fn take_result(&mut self, request: RequestId, result: ActionResult) {
+        let now = self.now;
+        self.close(request, Outcome::Answered);
+        let Some(number) = self.callers.ask(request).map(|ask| ask.operation) else { return };
+        let operation = &mut self.callers.operations[number];
+        operation.is_done = true;
+        let first = operation.result.get_or_insert_with(|| result.clone());
+        if *first != result {
+            let detail = format!("{request} got another result than an earlier try");
+            self.checks.violated(now, Invariant::Durability, detail);
+        }
+        let Work::Action { key, .. } = &operation.arrival.work else { return };
+        let key = key.clone();
+        let is_own = result.body.contains(&format!("\"{key}\""));
+        if !is_own || self.applications.runs(&key) == 0 {
+            let detail = format!("{request} got a result that is not its own");
+            self.checks.violated(now, Invariant::OwnAnswer, detail);
+        }
+        if self.rng.random_bool(TWIN_CHANCE) {
+            self.look_up(request);
+        }
+    }
+
+    /// Asks another node what became of a call that was answered.
+    fn look_up(&mut self, request: RequestId) {
+        let Some(ask) = self.callers.ask(request) else { return };
+        let (operation, zone) = (ask.operation, ask.zone);
+        let arrival = &self.callers.operations[operation].arrival;
+        let Work::Action { key, .. } = &arrival.work else { return };
+        let tenant = self.declarations.tenants[arrival.tenant].id;
+        let key = ActionKey { tenant, key: Digest::of(key.as_bytes()) };
+        let other = self.other_zone(zone);
+        let node = self.node_in(other);
+        let request = RequestId(self.callers.asks.len() as u64);
+        let place = Place::Node(node);
+        self.callers.asks.push(Ask {
+            operation,
+            node,
+            node_run: self.processes.run(place),
+            zone,
+            sent_at: self.now,
+            prompt: Digest::default(),
+            max_tokens: 0,
+            position: 0,
+            first_token: None,
+            last_token: None,
+            longest_pause: Duration::ZERO,
+            is_open: true,
+            has_run: false,
+            said_not_run: false,
+        });
+        self.send(Place::Caller(zone), place, Packet::Ask(request, Question::Lookup(key)));
+    }
+
+    fn take_lookup(&mut self, request: RequestId, outcome: LookupOutcome) {
+        let now = self.now;
+        let Some(ask) = self.callers.asks.get_mut(request.0 as usize) else { return };
+        ask.is_open = false;
+        let known = &self.callers.operations[ask.operation].result;
+        let is_true = match outcome {
+            LookupOutcome::Finished(result) => known.as_ref() == Some(&result),
+            // The result was given to the caller before it could be recorded.
+            LookupOutcome::InProgress | LookupOutcome::Unknown => true,
+            LookupOutcome::Absent | LookupOutcome::Expired => false,
+        };
+        if !is_true {
+            let detail = format!("{request}: a call that was answered is not known any more");
+            self.checks.violated(now, Invariant::Durability, detail);
+        }
+    }
+
+    fn take_broken(&mut self, request: RequestId, from: Place) {
+        if let Place::Node(node) = from
+            && self.nodes[node].is_stopping
+        {
+            let detail = format!("{request} was cut by the planned stop of node {node}");
+            self.checks.violated(self.now, Invariant::CleanStop, detail);
+        }
+        self.close(request, Outcome::Broken);
+        self.ask_again(request, Duration::ZERO);
+    }
+
+    fn close(&mut self, request: RequestId, outcome: Outcome) {
+        self.close_with(request, outcome, 0);
+    }
+
+    fn close_with(&mut self, request: RequestId, outcome: Outcome, cached_tokens: u32) {
+        let now = self.now;
+        let Some(ask) = self.callers.asks.get_mut(request.0 as usize) else { return };
+        ask.is_open = false;
+        let operation = &mut self.callers.operations[ask.operation];
+        let Work::Chat { class, path, .. } = &operation.arrival.work else { return };
+        let tokens = path.labels.len() as u32 * self.declarations.block_tokens + path.tail_tokens;
+        operation.is_done |= outcome == Outcome::Answered;
+        self.records.push(Record {
+            class: *class,
+            tenant: operation.arrival.tenant,
+            sent_at: ask.sent_at,
+            first_token: ask.first_token.map(|at| at.since(ask.sent_at)),
+            longest_pause: ask.longest_pause,
+            took: now.since(ask.sent_at),
+            prompt_tokens: tokens,
+            cached_tokens,
+            outcome,
+        });
+    }
+
+    fn ask_again(&mut self, request: RequestId, wait: Duration) {
+        let Some(ask) = self.callers.ask(request) else { return };
+        let number = ask.operation;
+        let operation = &self.callers.operations[number];
+        let is_action = matches!(operation.arrival.work, Work::Action { .. });
+        let tries = if is_action { ACTION_TRIES } else { CHAT_TRIES };
+        if operation.is_done || operation.tries >= tries {
+            return;
+        }
+        let pause = match is_action {
+            true => Duration::from_millis(self.rng.random_range(RESEND_MS)),
+            false => Duration::from_millis(self.rng.random_range(5..50)),
+        };
+        self.schedule.push(self.now + wait + pause, Event::CallerRetry(number));
+    }
+
+    pub(crate) fn retry_operation(&mut self, number: usize) {
+        if self.callers.operations[number].is_done {
+            return;
+        }
+        let zone = self.callers.operations[number].arrival.zone;
+        let other = self.other_zone(zone);
+        let zone = if self.rng.random_bool(0.5) { zone } else { other };
+        self.send_ask(number, zone);
+    }
+
+    /// A request must have its answer by now, unless its node was kept from giving it.
+    pub(crate) fn check_answered(&mut self, request: RequestId) {
+        let Some(ask) = self.callers.ask(request) else { return };
+        if !ask.is_open {
+            return;
+        }
+        let node = Place::Node(ask.node);
+        if self.processes.is_undisturbed_since(node, ask.sent_at) {
+            let sent_at = ask.sent_at;
+            let detail = format!("{request} of {sent_at} has no answer after its deadline");
+            self.checks.violated(self.now, Invariant::OneAnswer, detail);
+        } else if self.now < self.settings.until {
+            let again = self.now + ANSWER_SLACK * 4;
+            self.schedule.push(again, Event::CallerCheck(request));
+        }
+    }
+
+    /// When all is over, every request must have ended.
+    pub(crate) fn final_checks(&mut self) {
+        for number in 0..self.engines.len() {
+            self.count_computed(number);
+        }
+        let open = self.callers.open();
+        let is_settled = self.settings.until > self.settings.traffic_until + Duration::from_secs(40);
+        if open > 0 && is_settled {
+            let detail = format!("{open} requests never ended");
+            self.checks.violated(self.now, Invariant::OneAnswer, detail);
+        }
+    }
+}
--- /dev/null
+++ b/crates/lab/src/sim/members.rs
@@ -0,0 +1,273 @@
+//! Control members: the product's member over a simulated disk.
+
+use crate::sim::checks::Invariant;
+use crate::sim::network::Transfer;
+use crate::sim::packet::{Packet, Place};
+use crate::sim::plant::Plant;
+use crate::sim::world::{Event, World};
+use rand::Rng;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+use topazmount_consensus::{Config, MemberInfo, MemoryDisk};
+use topazmount_control::{
+    Founding, Member, MemberInput, MemberOutput, MemberSettings, Request, Token,
+};
+use topazmount_node::NodeInput;
+use topazmount_types::Time;
+
+/// Time of one sync.
+const SYNC_TIME: Duration = Duration::from_micros(800);
+/// Pause between two requests to join.
+const JOIN_INTERVAL: Duration = Duration::from_millis(500);
+/// Shortest pause between two looks at a member's timer.
+const MIN_TICK: Duration = Duration::from_millis(1);
+/// Unsynced bytes that a crash may leave behind.
+const MAX_TORN: usize = 200;
+
+/// A member.
+pub struct SimMember {
+    member: Option<Member<MemoryDisk>>,
+    /// The disk while the member is down.
+    disk: MemoryDisk,
+    timer_at: Time,
+    waiting: HashMap<Token, Transfer>,
+    next_token: u64,
+    join_at: Time,
+}
+
+impl SimMember {
+    /// The member, while it is up.
+    pub fn member(&self) -> Option<&Member<MemoryDisk>> {
+        self.member.as_ref()
+    }
+}
+
+fn info(number: usize) -> MemberInfo {
+    MemberInfo { name: format!("control-{}", number + 1), address: address(number).to_string() }
+}
+
+fn address(number: usize) -> SocketAddr {
+    SocketAddr::from(([10, 0, 0, number as u8 + 1], 7_000))
+}
+
+impl World {
+    pub(crate) fn build_members(&mut self, zones: usize) {
+        for number in 0..self.settings.members {
+            self.network.place(Place::Member(number), number % zones);
+            self.members.push(SimMember {
+                member: None,
+                disk: MemoryDisk::default(),
+                timer_at: Time::NEVER,
+                waiting: HashMap::new(),
+                next_token: 0,
+                join_at: Time::ZERO,
+            });
+        }
+        let members = (0..self.settings.members).map(info).collect();
+        let founding = Founding { members, source: self.settings.source.clone() };
+        for number in 0..self.settings.members {
+            self.open_member(number, Some(&founding));
+        }
+    }
+
+    pub(crate) fn member_addresses(&self) -> Vec<SocketAddr> {
+        (0..self.settings.members).map(address).collect()
+    }
+
+    /// Starts a member from its disk; one with an empty disk asks to join.
+    pub(crate) fn start_member(&mut self, number: usize) {
+        self.open_member(number, None);
+    }
+
+    fn open_member(&mut self, number: usize, founding: Option<&Founding>) {
+        if self.processes.run(Place::Member(number)).is_some() {
+            return;
+        }
+        let settings = MemberSettings {
+            info: info(number),
+            consensus: Config::default(),
+            seed: self.rng.random(),
+        };
+        let disk = std::mem::take(&mut self.members[number].disk);
+        let member = match Member::open(disk, settings, founding, self.now) {
+            Ok(member) => member,
+            Err(error) => {
+                let detail = format!("member {number} can't start: {error}");
+                self.checks.violated(self.now, Invariant::Durability, detail);
+                return;
+            }
+        };
+        let run = self.processes.start(Place::Member(number));
+        self.trace(|| format!("member {number} starts as {}", member.identity().0));
+        let simulated = &mut self.members[number];
+        simulated.member = Some(member);
+        simulated.waiting.clear();
+        simulated.timer_at = self.now;
+        simulated.join_at = self.now;
+        self.schedule.push(self.now, Event::MemberTimer(number, run));
+    }
+
+    /// Ends a member; `loses_disk` when its machine does not come back.
+    pub(crate) fn stop_member(&mut self, number: usize, loses_disk: bool) {
+        let place = Place::Member(number);
+        if self.processes.run(place).is_none() {
+            return;
+        }
+        self.trace(|| format!("member {number} ends"));
+        let torn = self.rng.random_range(0..MAX_TORN);
+        let simulated = &mut self.members[number];
+        let Some(member) = simulated.member.take() else { return };
+        simulated.disk = member.disk().clone();
+        simulated.disk.crash(torn);
+        if loses_disk || self.settings.plant == Some(Plant::LostSyncs) {
+            simulated.disk = MemoryDisk::default();
+        }
+        self.processes.stop(place, false);
+    }
+
+    /// The member that leads with a valid lease.
+    pub(crate) fn leader(&self) -> Option<usize> {
+        (0..self.members.len()).find(|number| self.holds_lease(*number))
+    }
+
+    fn holds_lease(&self, number: usize) -> bool {
+        let member = self.members[number].member();
+        self.processes.is_running(Place::Member(number))
+            && member.is_some_and(|member| member.replica().has_lease(self.now))
+    }
+
+    pub(crate) fn on_member_timer(&mut self, number: usize, run: u64) {
+        let place = Place::Member(number);
+        if self.processes.run(place) != Some(run) {
+            return;
+        }
+        if self.processes.is_frozen(place) {
+            self.processes.hold(place, Event::MemberTimer(number, run));
+            return;
+        }
+        if self.now >= self.members[number].timer_at {
+            self.members[number].timer_at = Time::NEVER;
+            self.ask_to_join(number);
+            self.step_member(number, MemberInput::Tick);
+        }
+    }
+
+    fn ask_to_join(&mut self, number: usize) {
+        let simulated = &mut self.members[number];
+        let Some(member) = simulated.member.as_ref() else { return };
+        if !member.must_join() || self.now < simulated.join_at {
+            return;
+        }
+        simulated.join_at = self.now + JOIN_INTERVAL;
+        let (id, info) = member.identity();
+        let request = Request::Join(id, info.clone());
+        for other in (0..self.members.len()).filter(|other| *other != number) {
+            let packet = Packet::Control(0, Box::new(request.clone()));
+            self.send(Place::Member(number), Place::Member(other), packet);
+        }
+    }
+
+    pub(crate) fn member_receives(&mut self, number: usize, transfer: Transfer) {
+        let input = match &transfer.packet {
+            Packet::Peer(address, envelope) => {
+                MemberInput::Peer(address.clone(), (**envelope).clone())
+            }
+            Packet::Control(_, request) => {
+                let request = (**request).clone();
+                let simulated = &mut self.members[number];
+                simulated.next_token += 1;
+                let token = Token(simulated.next_token);
+                simulated.waiting.insert(token, transfer);
+                MemberInput::Request(token, request)
+            }
+            _ => return,
+        };
+        self.step_member(number, input);
+    }
+
+    fn step_member(&mut self, number: usize, input: MemberInput) {
+        let now = self.now;
+        let simulated = &mut self.members[number];
+        let Some(member) = &mut simulated.member else { return };
+        let syncs = member.disk().syncs;
+        let outputs = match member.step(now, [input]) {
+            Ok(outputs) => outputs,
+            Err(error) => {
+                let detail = format!("member {number} stopped: {error}");
+                self.checks.violated(now, Invariant::Durability, detail);
+                return;
+            }
+        };
+        let delay = SYNC_TIME * (member.disk().syncs - syncs) as u32;
+        let mut wakeup = member.next_wakeup().max(now + MIN_TICK);
+        if member.must_join() {
+            wakeup = wakeup.min(simulated.join_at.max(now + MIN_TICK));
+        }
+        if wakeup < simulated.timer_at {
+            simulated.timer_at = wakeup;
+            let run = self.processes.run(Place::Member(number)).unwrap_or_default();
+            self.schedule.push(wakeup, Event::MemberTimer(number, run));
+        }
+        for output in outputs {
+            self.member_output(number, output, delay);
+        }
+        self.check_leaders();
+    }
+
+    fn member_output(&mut self, number: usize, output: MemberOutput, delay: Duration) {
+        let place = Place::Member(number);
+        match output {
+            MemberOutput::Send(to, envelope) => {
+                let target = (0..self.members.len()).find(|other| address(*other).to_string() == to);
+                let Some(target) = target else { return };
+                self.totals.control_messages += 1;
+                let packet = Packet::Peer(address(number).to_string(), Box::new(envelope));
+                self.send_later(delay, place, Place::Member(target), None, packet);
+            }
+            MemberOutput::Respond(token, response) => {
+                let Some(asked) = self.members[number].waiting.remove(&token) else { return };
+                let Packet::Control(request, _) = asked.packet else { return };
+                self.totals.control_messages += 1;
+                let packet = match asked.from {
+                    Place::Node(_) => {
+                        Packet::Input(Box::new(NodeInput::Control(request, Ok(response))))
+                    }
+                    Place::Operator => Packet::Reply(request, Box::new(response)),
+                    _ => return,
+                };
+                self.send_later(delay, place, asked.from, Some(asked.from_run), packet);
+            }
+        }
+    }
+
+    fn send_later(
+        &mut self,
+        delay: Duration,
+        from: Place,
+        to: Place,
+        to_run: Option<u64>,
+        packet: Packet,
+    ) {
+        let at = self.network.arrival(self.now + delay, from, to, &mut self.rng);
+        let from_run = self.processes.run(from).unwrap_or_default();
+        let transfer = Transfer { from, from_run, to, to_run, sent_at: self.now, packet };
+        if self.network.is_cut(from, to) {
+            self.network.hold(transfer);
+        } else {
+            self.schedule.push(at, Event::Deliver(Box::new(transfer)));
+        }
+    }
+
+    fn check_leaders(&mut self) {
+        let mut holders: Vec<usize> =
+            (0..self.members.len()).filter(|number| self.holds_lease(*number)).collect();
+        if self.is_planted(Plant::DoubledLease) && !holders.is_empty() {
+            holders.push(holders[0]);
+        }
+        if holders.len() > 1 {
+            let detail = format!("members {holders:?} hold the lease at once");
+            self.checks.violated(self.now, Invariant::OneLeader, detail);
+        }
+    }
+}
--- a/crates/node/src/configuration.rs
+++ b/crates/node/src/configuration.rs
@@ -7,7 +7,7 @@
 use topazmount_types::Revision;
 
 /// Texts, their revision and what they declare.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct InForce {
     /// Revision; 0 for the seed.
     pub revision: Revision,
@@ -27,6 +27,14 @@
         Ok(InForce { revision: Revision(0), source, declarations })
     }
 
+    /// The configuration that an earlier run of the process kept.
+    ///
+    /// # Errors
+    /// Every problem of the texts.
+    pub fn kept(revision: Revision, source: SourceFiles) -> Result<Self, Problems> {
+        Ok(InForce { revision, ..InForce::seed(source)? })
+    }
+
     /// The configuration after an update; `None` when there is nothing newer.
     ///
     /// # Errors
--- a/crates/node/src/io.rs
+++ b/crates/node/src/io.rs
@@ -1,12 +1,12 @@
 //! What goes into a node's core and what comes out.
 
+use crate::configuration::InForce;
 use std::sync::Arc;
 use std::time::Duration;
 use topazmount_control::{ActionResult, LookupOutcome, Request, RequestNumber, Response};
 use topazmount_routing::{Evidence, LoadReport};
 use topazmount_types::{
-    ActionCall, ActionKey, AttemptId, ChatRequest, Incarnation, Refusal, ReplicaId, RequestId,
-    Usage,
+    ActionCall, ActionKey, AttemptId, ChatRequest, Incarnation, Refusal, ReplicaId, RequestId, Revision, Usage,
 };
 
 /// Why a completion ended.
@@ -163,6 +163,8 @@
     Control(RequestNumber, Result<Response, ControlFailure>),
     /// The platform's list of machines.
     Machines(Vec<MachineEntry>),
+    /// The configuration of this revision is durable.
+    Kept(Revision),
     /// Take no new requests and end when all are answered.
     Drain,
 }
@@ -227,6 +229,8 @@
     },
     /// Read the platform's list of machines.
     ReadMachines,
+    /// Make a configuration durable, then say so with [`NodeInput::Kept`].
+    Keep(Box<InForce>),
     /// The declarations changed: another revision is in force.
     Configured,
     /// All work is done after a drain.
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -22,7 +22,7 @@
 };
 use topazmount_settings::{Declarations, Replica};
 use topazmount_types::{
-    AttemptId, ErrorKind, Incarnation, ModelId, NodeId, Refusal, RequestId, Time, ZoneId,
+    AttemptId, ErrorKind, Incarnation, ModelId, NodeId, Refusal, RequestId, Revision, Time, ZoneId,
 };
 
 /// Mean time between two fetches of the configuration.
@@ -52,6 +52,10 @@
     pub(crate) settings: NodeSettingsCore,
     pub(crate) id: NodeId,
     pub(crate) in_force: InForce,
+    /// Newer configuration that is not yet durable.
+    pending: Option<InForce>,
+    /// Deltas did not lead to the announced texts: ask for all of them.
+    needs_full: bool,
     pub(crate) engines: Router,
     pub(crate) applications: Router,
     pub(crate) policies: PolicyTable,
@@ -112,6 +116,8 @@
             has_drained: false,
             oracle: None,
             in_force: seed,
+            pending: None,
+            needs_full: false,
             settings,
             rng,
         };
@@ -195,6 +201,7 @@
                 let routers = [&mut self.engines, &mut self.applications];
                 self.machines.apply(&entries, routers);
             }
+            NodeInput::Kept(revision) => self.on_kept(revision),
             NodeInput::Drain => self.is_draining = true,
         }
         self.dispatch_waiting();
@@ -277,7 +284,7 @@
             node: self.id,
             name: self.settings.name.clone(),
             zone: self.settings.zone.clone(),
-            have: self.in_force.revision,
+            have: if self.needs_full { Revision(0) } else { self.in_force.revision },
         };
         self.ask_control(self.now + FETCH_INTERVAL * 2, Purpose::Fetch, request);
     }
@@ -312,23 +319,30 @@
         match self.in_force.updated(update) {
             Ok(None) => {}
             Ok(Some(next)) => {
-                log::info!("node: configuration {} is in force.", next.revision);
-                self.in_force = next;
-                self.put_in_force();
-                self.counters.configured += 1;
-                self.outputs.push(NodeOutput::Configured);
-                // Reports the new revision soon, so that the status is fresh.
-                self.fetch_at = self.now;
+                self.needs_full = false;
+                self.pending = Some(next.clone());
+                self.outputs.push(NodeOutput::Keep(Box::new(next)));
             }
             Err(reason) => {
                 log::warn!("node: configuration update refused: {reason}.");
                 self.counters.bad_updates += 1;
-                // Asks for everything next time.
-                self.in_force.revision.0 = 0;
+                self.needs_full = true;
             }
         }
     }
 
+    /// Puts a configuration in force once it is durable: a restart can't go back behind it then.
+    fn on_kept(&mut self, revision: Revision) {
+        let Some(next) = self.pending.take_if(|next| next.revision == revision) else { return };
+        log::info!("node: configuration {revision} is in force.");
+        self.in_force = next;
+        self.put_in_force();
+        self.counters.configured += 1;
+        self.outputs.push(NodeOutput::Configured);
+        // Reports the new revision soon, so that the status is fresh.
+        self.fetch_at = self.now;
+    }
+
     /// Takes the declarations in force into use in every part.
     fn put_in_force(&mut self) {
         let declarations = self.in_force.declarations.clone();
--- a/crates/settings/src/process.rs
+++ b/crates/settings/src/process.rs
@@ -23,6 +23,9 @@
     pub zone: String,
     /// Where callers connect.
     pub callers_address: SocketAddr,
+    /// Folder in which the newest configuration is kept over restarts; without it a restart begins
+    /// with `declarations`.
+    pub data_folder: Option<PathBuf>,
     /// Deployment folder that a node starts from when nobody else answers.
     pub declarations: PathBuf,
     /// File that holds the cluster key.
@@ -84,6 +87,7 @@
         name: root.string("name"),
         zone: overridden(&root, "zone", flags.zone.clone()),
         callers_address: overridden_address(&root, "callers_address", flags.address),
+        data_folder: root.optional_string("data_folder").map(PathBuf::from),
         declarations: root.string("declarations").into(),
         cluster_key_file: root.string("cluster_key_file").into(),
         control: read_peers(&root, "control"),
--- /dev/null
+++ b/crates/topazmount/src/configuration_file.rs
@@ -0,0 +1,48 @@
+//! The newest configuration of a node on disk, so that a restart never goes back behind it.
+
+use crate::file_disk::FileDisk;
+use eyre::Result;
+use std::path::Path;
+use topazmount_consensus::Disk;
+use topazmount_node::InForce;
+use topazmount_settings::SourceFiles;
+use topazmount_types::{Digest, Revision};
+use topazmount_wire::{decode_payload, encode_payload};
+
+/// File in the node's data folder.
+const FILE: &str = "configuration";
+
+/// Puts a configuration in place, synced, all or nothing.
+///
+/// # Errors
+/// When the disk fails.
+pub fn save(folder: &Path, configuration: &InForce) -> Result<()> {
+    let digest = configuration.source.digest();
+    let bytes = encode_payload(&(configuration.revision, digest, &configuration.source))?;
+    FileDisk::open(folder)?.replace(FILE, &bytes)?;
+    Ok(())
+}
+
+/// The kept configuration, or `seed` where there is none or it can't be used.
+///
+/// # Errors
+/// When the seed has problems and nothing else can be used, or the disk fails.
+pub fn load(folder: Option<&Path>, seed: SourceFiles) -> Result<InForce> {
+    let Some(folder) = folder else { return Ok(InForce::seed(seed)?) };
+    let Some(bytes) = FileDisk::open(folder)?.read(FILE)? else {
+        return Ok(InForce::seed(seed)?);
+    };
+    match decode(&bytes) {
+        Some(configuration) => Ok(configuration),
+        None => {
+            log::warn!("node: the kept configuration can't be used; starting from the seed.");
+            Ok(InForce::seed(seed)?)
+        }
+    }
+}
+
+fn decode(bytes: &[u8]) -> Option<InForce> {
+    let (revision, digest, source): (Revision, Digest, SourceFiles) = decode_payload(bytes).ok()?;
+    let is_whole = source.digest() == digest;
+    is_whole.then(|| InForce::kept(revision, source).ok()).flatten()
+}
--- a/crates/topazmount/src/lib.rs
+++ b/crates/topazmount/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod chat_api;
 pub mod cli;
 pub mod clock;
+pub mod configuration_file;
 pub mod control_client;
 pub mod control_process;
 pub mod engine_client;
--- a/crates/topazmount/src/node_process.rs
+++ b/crates/topazmount/src/node_process.rs
@@ -3,6 +3,7 @@
 use crate::Executor;
 use crate::callers;
 use crate::clock::Clock;
+use crate::configuration_file;
 use crate::control_client::ControlClient;
 use crate::engine_client;
 use crate::http_pool::{HttpPool, connect};
@@ -12,6 +13,7 @@
 use eyre::{Result, WrapErr};
 use std::collections::HashMap;
 use std::net::SocketAddr;
+use std::path::PathBuf;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
@@ -75,6 +77,7 @@
     pub executor: Executor,
     /// Clock of the core.
     pub clock: Clock,
+    data_folder: Option<PathBuf>,
     controls: Vec<ControlClient>,
     pool: HttpPool,
     connections: AtomicUsize,
@@ -133,7 +136,7 @@
 /// When the address can't be bound or the declarations have problems.
 pub async fn start(executor: &Executor, options: NodeOptions) -> Result<NodeHandle> {
     let NodeOptions { settings, source, key, tenant_share } = options;
-    let seed = InForce::seed(source)?;
+    let seed = configuration_file::load(settings.data_folder.as_deref(), source)?;
     let listener = TcpListener::bind(settings.callers_address)
         .await
         .wrap_err_with(|| format!("listening at {}", settings.callers_address))?;
@@ -161,6 +164,7 @@
         }),
         executor: executor.clone(),
         clock,
+        data_folder: settings.data_folder,
         controls,
         pool: HttpPool::default(),
         connections: AtomicUsize::new(0),
@@ -290,6 +294,7 @@
                 });
             }
             NodeOutput::ReadMachines => self.read_machines(inner),
+            NodeOutput::Keep(configuration) => self.keep(*configuration),
             NodeOutput::Configured => {}
             NodeOutput::Drained => drop(self.drained.0.try_send(())),
         }
@@ -302,6 +307,24 @@
         }
     }
 
+    /// Makes a configuration durable away from the core's lock.
+    fn keep(self: &Arc<Self>, configuration: InForce) {
+        let process = self.clone();
+        let keeping = async move {
+            let revision = configuration.revision;
+            let folder = process.data_folder.clone();
+            let saved = blocking::unblock(move || match folder {
+                Some(folder) => configuration_file::save(&folder, &configuration),
+                None => Ok(()),
+            });
+            match saved.await {
+                Ok(()) => process.feed(NodeInput::Kept(revision)),
+                Err(error) => log::error!("node: configuration {revision} not kept: {error}."),
+            }
+        };
+        self.executor.spawn(keeping).detach();
+    }
+
     fn read_machines(self: &Arc<Self>, inner: &Inner) {
         let Some(address) = inner.core.in_force().declarations.machine_list else {
             return;
