--- a/crates/consensus/src/election.rs
+++ b/crates/consensus/src/election.rs
@@ -31,7 +31,12 @@
             match envelope.message {
                 Message::Append { sent_at, .. } | Message::Snapshot { sent_at, .. } => {
                     let index = self.log.last_index();
-                    let reply = Message::AppendReply { accepted: false, index, sent_at };
+                    let reply = Message::AppendReply {
+                        accepted: false,
+                        index,
+                        previous_index: index,
+                        sent_at,
+                    };
                     self.send(envelope.from, reply);
                 }
                 Message::PreVote { .. } => {
--- a/crates/consensus/src/message.rs
+++ b/crates/consensus/src/message.rs
@@ -67,6 +67,8 @@
         accepted: bool,
         /// If accepted, last entry known to match; else where the leader should try next.
         index: Index,
+        /// Echo of the append's previous entry, by which the leader tells late rejections.
+        previous_index: Index,
         /// Echo of the append's time.
         sent_at: Time,
     },
--- a/crates/consensus/src/progress.rs
+++ b/crates/consensus/src/progress.rs
@@ -10,6 +10,9 @@
     pub matched: Index,
     /// Next entry to send.
     pub next: Index,
+    /// Whether it is not known where the follower's log parts from the leader's: one append at a
+    /// time is sent then, and none in advance of its answer.
+    pub is_probing: bool,
     /// Newest leader time that the follower echoed.
     pub acknowledged_at: Option<Time>,
     /// Snapshot being sent: its place and the bytes that arrived.
@@ -25,7 +28,28 @@
 
 impl Progress {
     pub(crate) fn new(next: Index) -> Self {
-        Progress { matched: 0, next, acknowledged_at: None, snapshot: None }
+        Progress { matched: 0, next, is_probing: true, acknowledged_at: None, snapshot: None }
+    }
+
+    /// Takes an accepted append that reached up to `index`.
+    pub(crate) fn accept(&mut self, index: Index) {
+        self.matched = self.matched.max(index);
+        self.next = if self.is_probing { self.matched + 1 } else { self.next.max(index + 1) };
+        self.is_probing = false;
+        let matched = self.matched;
+        self.snapshot.take_if(|snapshot| snapshot.index <= matched);
+    }
+
+    /// Takes a rejected append whose previous entry was `previous`; the follower asks to go on
+    /// after `hint`. Returns whether that says anything new: a late rejection does not.
+    pub(crate) fn reject(&mut self, previous: Index, hint: Index) -> bool {
+        let is_late = previous <= self.matched || (self.is_probing && previous + 1 != self.next);
+        if is_late {
+            return false;
+        }
+        self.is_probing = true;
+        self.next = (hint + 1).clamp(self.matched + 1, previous.max(self.matched + 1));
+        true
     }
 
     /// Notes that the follower answered something sent at `sent_at`.
--- a/crates/consensus/src/replica.rs
+++ b/crates/consensus/src/replica.rs
@@ -350,8 +350,9 @@
                 self.follow(from);
                 self.on_append(from, (previous_index, previous_term), entries, commit, sent_at);
             }
-            Message::AppendReply { accepted, index, sent_at } => {
-                self.on_append_reply(from, accepted, index, sent_at);
+            Message::AppendReply { accepted, index, previous_index, sent_at } => {
+                let rejected = (!accepted).then_some(previous_index);
+                self.on_append_reply(from, rejected, index, sent_at);
             }
             Message::Snapshot { meta, offset, chunk, done, sent_at } => {
                 self.follow(from);
--- a/crates/consensus/src/replication.rs
+++ b/crates/consensus/src/replication.rs
@@ -23,8 +23,10 @@
         }
         let last = self.log.last_index();
         for id in self.membership.others(self.id) {
-            let behind = self.progress.get(&id).is_some_and(|progress| progress.next <= last);
-            if behind {
+            let progress = self.progress.get(&id);
+            let is_behind =
+                progress.is_some_and(|progress| progress.next <= last && !progress.is_probing);
+            if is_behind {
                 self.send_append(id);
             }
         }
@@ -53,7 +55,9 @@
             sent_at: self.now,
         };
         self.send(to, message);
-        if let Some(progress) = self.progress.get_mut(&to) {
+        if let Some(progress) = self.progress.get_mut(&to)
+            && !progress.is_probing
+        {
             progress.next += sent;
         }
     }
@@ -72,7 +76,9 @@
         if !matches {
             let index = self.log.last_index().min(previous_index.saturating_sub(1));
             let hint = index.max(self.commit);
-            self.send(from, Message::AppendReply { accepted: false, index: hint, sent_at });
+            let reply =
+                Message::AppendReply { accepted: false, index: hint, previous_index, sent_at };
+            self.send(from, reply);
             return;
         }
         let last_new = previous_index + entries.len() as u64;
@@ -80,7 +86,12 @@
         // Only what the message vouches for may be committed, never an older tail (thesis §3.5).
         self.commit = self.commit.max(commit.min(last_new));
         let index = last_new.max(self.commit);
-        self.send(from, Message::AppendReply { accepted: true, index, sent_at });
+        self.accept(from, index, sent_at);
+    }
+
+    fn accept(&mut self, from: MemberId, index: Index, sent_at: Time) {
+        let reply = Message::AppendReply { accepted: true, index, previous_index: index, sent_at };
+        self.send(from, reply);
     }
 
     fn append_entries(&mut self, entries: Vec<Entry>) {
@@ -102,10 +113,11 @@
         }
     }
 
+    /// Takes the answer to an append; `rejected` is its previous entry when it did not match.
     pub(crate) fn on_append_reply(
         &mut self,
         from: MemberId,
-        accepted: bool,
+        rejected: Option<Index>,
         index: Index,
         sent_at: Time,
     ) {
@@ -117,14 +129,17 @@
             return;
         };
         progress.acknowledge(sent_at);
-        if accepted {
-            progress.matched = progress.matched.max(index.min(last));
-            progress.next = progress.next.max(progress.matched + 1);
-            let matched = progress.matched;
-            progress.snapshot.take_if(|snapshot| snapshot.index <= matched);
+        let must_send = match rejected {
+            Some(previous) => progress.reject(previous, index),
+            None => {
+                progress.accept(index.min(last));
+                progress.next <= last
+            }
+        };
+        if rejected.is_none() {
             self.advance_commit();
-        } else {
-            progress.next = (index + 1).clamp(progress.matched + 1, last + 1);
+        }
+        if must_send {
             self.send_append(from);
         }
     }
@@ -192,21 +207,20 @@
         let (offset, chunk, done) = piece;
         let index = meta.index;
         if index <= self.commit {
-            let message = Message::AppendReply { accepted: true, index: self.commit, sent_at };
-            self.send(from, message);
+            self.accept(from, self.commit, sent_at);
             return;
         }
         if self.log.term(index) == Some(meta.term) {
             // A late snapshot must not cut entries after it that were acknowledged (thesis §5.1).
             self.commit = index;
-            self.send(from, Message::AppendReply { accepted: true, index, sent_at });
+            self.accept(from, index, sent_at);
             return;
         }
         let received = self.collect_chunk(&meta, offset, &chunk);
         if done && received == offset + chunk.len() as u64 {
             let data = self.incoming.take().map(|(_, data)| data).unwrap_or_default();
             self.install_snapshot(Snapshot { meta, data: data.into() });
-            self.send(from, Message::AppendReply { accepted: true, index, sent_at });
+            self.accept(from, index, sent_at);
             return;
         }
         self.send(from, Message::SnapshotReply { index, received, sent_at });
--- a/crates/lab/src/sim/callers.rs
+++ b/crates/lab/src/sim/callers.rs
@@ -476,7 +476,8 @@
             self.count_computed(number);
         }
         let open = self.callers.open();
-        let is_settled = self.settings.until > self.settings.traffic_until + Duration::from_secs(40);
+        let is_settled =
+            self.settings.until > self.settings.traffic_until + Duration::from_secs(40);
         if open > 0 && is_settled {
             let detail = format!("{open} requests never ended");
             self.checks.violated(self.now, Invariant::OneAnswer, detail);
--- a/crates/lab/src/sim/engines.rs
+++ b/crates/lab/src/sim/engines.rs
@@ -1,6 +1,8 @@
 //! Engines: the engine model behind simulated connections, and the judge of cache truth.
 
-use crate::engine::{EngineCore, EngineEvent, EngineRefusal, Job, JobId, answer_length, token_text};
+use crate::engine::{
+    EngineCore, EngineEvent, EngineRefusal, Job, JobId, answer_length, token_text,
+};
 use crate::sim::checks::{Invariant, LEAVING_LIMIT};
 use crate::sim::network::Transfer;
 use crate::sim::packet::{Packet, Place};
@@ -152,7 +154,8 @@
             Packet::Cancel(attempt) => {
                 let engine = &mut self.engines[number];
                 let found = engine.attempts.iter().find(|(_, known)| {
-                    (known.node, known.node_run, known.attempt) == (node, transfer.from_run, attempt)
+                    (known.node, known.node_run, known.attempt)
+                        == (node, transfer.from_run, attempt)
                 });
                 if let Some(job) = found.map(|(job, _)| *job) {
                     engine.attempts.remove(&job);
@@ -221,16 +224,19 @@
         }
         engine.attempts.insert(attempt.job, attempt);
         if leaving_for.is_some_and(|time| time > LEAVING_LIMIT) {
-            let detail = format!("engine {number} got work {leaving_for:?} after it began to leave");
+            let detail =
+                format!("engine {number} got work {leaving_for:?} after it began to leave");
             self.checks.violated(now, Invariant::NoWorkForLeaving, detail);
         }
     }
 
     /// Prompt tokens that the best live engine holds.
     fn longest_held(&self, blocks: &[u64]) -> u32 {
-        let live = self.engines.iter().enumerate().filter(|(number, _)| {
-            self.processes.run(Place::Engine(*number)).is_some()
-        });
+        let live = self
+            .engines
+            .iter()
+            .enumerate()
+            .filter(|(number, _)| self.processes.run(Place::Engine(*number)).is_some());
         let held = live.map(|(_, engine)| engine.core().cache().prefix_length(blocks)).max();
         held.unwrap_or(0) as u32 * self.declarations.block_tokens
     }
--- a/crates/lab/src/sim/members.rs
+++ b/crates/lab/src/sim/members.rs
@@ -219,7 +219,8 @@
         let place = Place::Member(number);
         match output {
             MemberOutput::Send(to, envelope) => {
-                let target = (0..self.members.len()).find(|other| address(*other).to_string() == to);
+                let target =
+                    (0..self.members.len()).find(|other| address(*other).to_string() == to);
                 let Some(target) = target else { return };
                 self.totals.control_messages += 1;
                 let packet = Packet::Peer(address(number).to_string(), Box::new(envelope));
@@ -270,7 +271,8 @@
         let reaches_majority = |member: usize| {
             let reached = (0..count).filter(|other| {
                 let is_self = *other == member;
-                is_running(*other) && (is_self || is_linked(Place::Member(member), Place::Member(*other)))
+                is_running(*other)
+                    && (is_self || is_linked(Place::Member(member), Place::Member(*other)))
             });
             reached.count() > count / 2
         };
--- a/crates/lab/src/sim/nodes.rs
+++ b/crates/lab/src/sim/nodes.rs
@@ -198,7 +198,10 @@
                 let to = Place::Engine(engine);
                 let run = self.processes.run(to).unwrap_or_default();
                 self.trace(|| {
-                    format!("node {number} sends {} as {} to engine {engine}", dispatch.request, dispatch.attempt)
+                    format!(
+                        "node {number} sends {} as {} to engine {engine}",
+                        dispatch.request, dispatch.attempt
+                    )
                 });
                 self.nodes[number].attempts.insert(dispatch.attempt, (to, run));
                 self.open_and_send(place, to, Packet::Submit(Box::new(dispatch)));
@@ -206,7 +209,9 @@
             NodeOutput::DispatchAction { attempt, request, replica, call } => {
                 let Some(application) = self.applications.number_of(replica) else { return };
                 let to = Place::Application(application);
-                self.trace(|| format!("node {number} calls application {application} for {request}"));
+                self.trace(|| {
+                    format!("node {number} calls application {application} for {request}")
+                });
                 let call = Packet::Call(attempt, request, Box::new((*call).clone()));
                 self.open_and_send(place, to, call);
             }
--- a/crates/lab/src/sim/operators.rs
+++ b/crates/lab/src/sim/operators.rs
@@ -81,13 +81,16 @@
         };
         let member = Place::Member(change.member);
         self.send(Place::Operator, member, Packet::Control(asked, Box::new(request)));
-        self.schedule.push(self.now + ANSWER_TIMEOUT, Event::OperatorWake(number));
+        self.schedule.push(self.now + ANSWER_TIMEOUT, Event::OperatorWake(number, asked));
     }
 
     /// Tries the next member when the one asked has not answered.
-    pub(crate) fn wake_operator(&mut self, number: usize) {
+    pub(crate) fn wake_operator(&mut self, number: usize, asked: u64) {
         let members = self.members.len();
         let change = &mut self.operators.changes[number];
+        if change.asked != asked {
+            return;
+        }
         change.member = (change.member + 1) % members;
         self.ask_member(number);
     }
@@ -107,8 +110,7 @@
             // The wake-up that is already scheduled tries the next member.
             _ => {
                 let pause = Duration::from_millis(self.rng.random_range(0..PAUSE_MS));
-                self.operators.changes[number].asked = 0;
-                self.schedule.push(self.now + pause, Event::OperatorWake(number));
+                self.schedule.push(self.now + pause, Event::OperatorWake(number, asked));
             }
         }
     }
--- a/crates/lab/src/sim/oracle.rs
+++ b/crates/lab/src/sim/oracle.rs
@@ -14,10 +14,7 @@
 
 impl EngineOracle {
     /// An oracle over these engines.
-    pub fn new(
-        engines: HashMap<ReplicaId, Arc<Mutex<EngineCore>>>,
-        block_tokens: u32,
-    ) -> Self {
+    pub fn new(engines: HashMap<ReplicaId, Arc<Mutex<EngineCore>>>, block_tokens: u32) -> Self {
         EngineOracle { engines, block_tokens }
     }
 }
--- a/crates/lab/src/sim/scenario.rs
+++ b/crates/lab/src/sim/scenario.rs
@@ -51,9 +51,7 @@
         if name == "calm" {
             return Some(Scenario { kinds: Vec::new() });
         }
-        let kind = |part: &str| {
-            FaultKind::ALL.iter().copied().find(|kind| kind.as_str() == part)
-        };
+        let kind = |part: &str| FaultKind::ALL.iter().copied().find(|kind| kind.as_str() == part);
         let kinds: Option<Vec<FaultKind>> = name.split('+').map(kind).collect();
         kinds.map(|kinds| Scenario { kinds })
     }
--- a/crates/lab/src/sim/world.rs
+++ b/crates/lab/src/sim/world.rs
@@ -86,8 +86,8 @@
     Later(crate::sim::faults::Later),
     /// The next regular change of the configuration.
     OperatorChange,
-    /// An operator's task is looked at again.
-    OperatorWake(usize),
+    /// An operator's task is looked at again, if nothing came of the request of this number.
+    OperatorWake(usize, u64),
     /// All nodes must have this revision, accepted at the time, by now.
     CheckConfiguration(Revision, Time),
 }
@@ -271,7 +271,7 @@
                     self.schedule.push(self.now + pause, Event::OperatorChange);
                 }
             }
-            Event::OperatorWake(task) => self.wake_operator(task),
+            Event::OperatorWake(task, asked) => self.wake_operator(task, asked),
             Event::CheckConfiguration(revision, since) => {
                 self.check_configuration(revision, since);
             }
--- a/crates/lab/src/simulate.rs
+++ b/crates/lab/src/simulate.rs
@@ -3,7 +3,9 @@
 use crate::cli::SeedRange;
 use crate::local;
 use crate::parallel;
-use crate::sim::{Scenario, ScenarioReport, ScenarioSettings, run_scenario, scenario_names, scenarios};
+use crate::sim::{
+    Scenario, ScenarioReport, ScenarioSettings, run_scenario, scenario_names, scenarios,
+};
 use eyre::{Result, eyre};
 use serde_json::json;
 use std::path::Path;
--- a/crates/lab/src/workload/traffic.rs
+++ b/crates/lab/src/workload/traffic.rs
@@ -143,9 +143,8 @@
     }
 
     fn factor(&self) -> f64 {
-        let active = self.settings.bursts.iter().filter(|(from, to, _)| {
-            (*from..*to).contains(&self.now)
-        });
+        let active =
+            self.settings.bursts.iter().filter(|(from, to, _)| (*from..*to).contains(&self.now));
         active.map(|(_, _, factor)| factor).product()
     }
 
--- a/crates/node/src/io.rs
+++ b/crates/node/src/io.rs
@@ -6,7 +6,8 @@
 use topazmount_control::{ActionResult, LookupOutcome, Request, RequestNumber, Response};
 use topazmount_routing::{Evidence, LoadReport};
 use topazmount_types::{
-    ActionCall, ActionKey, AttemptId, ChatRequest, Incarnation, Refusal, ReplicaId, RequestId, Revision, Usage,
+    ActionCall, ActionKey, AttemptId, ChatRequest, Incarnation, Refusal, ReplicaId, RequestId,
+    Revision, Usage,
 };
 
 /// Why a completion ended.
