Planted violations: each judge is shown to catch its own

Cause: a judge that can't fail proves nothing. Prompts of all tenants now begin with the same text: before, no prompt was shared between tenants, so the judge of cache truth had nothing to see (its test failed first).

--- a/crates/consensus/src/memory_disk.rs
+++ b/crates/consensus/src/memory_disk.rs
@@ -29,6 +29,14 @@
         self.files.retain(|_, file| !file.content.is_empty());
     }
 
+    /// Loses the last bytes of each file though they were synced, as a disk that lies does.
+    pub fn lose_synced(&mut self, bytes: usize) {
+        for file in self.files.values_mut() {
+            file.content.truncate(file.content.len().saturating_sub(bytes).max(1));
+            file.synced = file.content.len();
+        }
+    }
+
     /// Flips the bits of one byte of a file, if it is that long; returns whether it was.
     pub fn damage(&mut self, name: &str, position: usize) -> bool {
         let byte = self.files.get_mut(name).and_then(|file| file.content.get_mut(position));
--- a/crates/lab/src/sim/members.rs
+++ b/crates/lab/src/sim/members.rs
@@ -25,6 +25,9 @@
 /// Unsynced bytes that a crash may leave behind.
 const MAX_TORN: usize = 200;
 
+/// Synced bytes that a planted violation loses.
+const LOST_BYTES: usize = 20_000;
+
 /// A member.
 pub struct SimMember {
     member: Option<Member<MemoryDisk>>,
@@ -120,8 +123,10 @@
         let Some(member) = simulated.member.take() else { return };
         simulated.disk = member.disk().clone();
         simulated.disk.crash(torn);
-        if loses_disk || self.settings.plant == Some(Plant::LostSyncs) {
+        if loses_disk {
             simulated.disk = MemoryDisk::default();
+        } else if self.settings.plant == Some(Plant::LostSyncs) {
+            simulated.disk.lose_synced(LOST_BYTES);
         }
         self.processes.stop(place, false);
     }
--- a/crates/lab/src/sim/operators.rs
+++ b/crates/lab/src/sim/operators.rs
@@ -3,6 +3,7 @@
 use crate::sim::checks::CONFIGURATION_LIMIT;
 use crate::sim::network::Transfer;
 use crate::sim::packet::{Packet, Place};
+use crate::sim::plant::Plant;
 use crate::sim::world::{Event, World};
 use rand::Rng;
 use std::time::Duration;
@@ -122,6 +123,12 @@
         }
         change.is_done = true;
         let Some((expected, _)) = change.wanted else { return };
+        let reply = match reply {
+            ChangeReply::Conflict(at) if self.settings.plant == Some(Plant::TwoWinners) => {
+                ChangeReply::Accepted(at)
+            }
+            reply => reply,
+        };
         if let ChangeReply::Accepted(revision) = reply {
             change.accepted = Some(revision);
             let request = change.request;
--- a/crates/lab/src/sim/plant.rs
+++ b/crates/lab/src/sim/plant.rs
@@ -28,11 +28,13 @@
     WithheldUpdates,
     /// Two members are told that they hold the lease.
     DoubledLease,
+    /// Operators are told that a refused change was accepted.
+    TwoWinners,
 }
 
 impl Plant {
     /// All of them.
-    pub const ALL: [Plant; 12] = [
+    pub const ALL: [Plant; 13] = [
         Plant::CallDeliveredTwice,
         Plant::CrossedText,
         Plant::LostText,
@@ -45,5 +47,6 @@
         Plant::LostSyncs,
         Plant::WithheldUpdates,
         Plant::DoubledLease,
+        Plant::TwoWinners,
     ];
 }
--- a/crates/lab/src/workload/traffic.rs
+++ b/crates/lab/src/workload/traffic.rs
@@ -224,17 +224,20 @@
         let spread = u64::from(high - low + 1);
         let subject_blocks = low + (label(&[7, class_number, tenant, subject]) % spread) as u32;
         let mut labels = Vec::new();
-        let mut push = |count: u32, kind: &[u64]| {
+        // What all prompts of a class begin with is the same text for all tenants: caches must not
+        // share it all the same.
+        let everybody = u64::MAX;
+        let mut push = |owner: u64, count: u32, kind: &[u64]| {
             for number in 0..count {
-                let mut parts = vec![seed, tenant, u64::from(number)];
+                let mut parts = vec![seed, owner, u64::from(number)];
                 parts.extend_from_slice(kind);
                 labels.push(label(&parts));
             }
         };
-        push(shape.common_blocks, &[1]);
-        push(shape.topic_blocks, &[2, class_number, topic]);
-        push(subject_blocks, &[3, class_number, subject]);
-        push(turn * shape.turn_blocks, &[4, class_number, subject]);
+        push(everybody, shape.common_blocks, &[1]);
+        push(tenant, shape.topic_blocks, &[2, class_number, topic]);
+        push(tenant, subject_blocks, &[3, class_number, subject]);
+        push(tenant, turn * shape.turn_blocks, &[4, class_number, subject]);
         let (low, high) = shape.tail_tokens;
         PromptPath {
             labels,
