--- a/crates/lab/src/cli.rs
+++ b/crates/lab/src/cli.rs
@@ -58,11 +58,47 @@
         #[bpaf(positional("DIR"))]
         deployment: PathBuf,
     },
+    /// Compare policies on the same seeded traffic, on a virtual clock
+    #[bpaf(command)]
+    Experiment(#[bpaf(external(experiment_flags))] ExperimentFlags),
     /// Run one stand-in; a fleet starts these
     #[bpaf(command("stand-in"))]
     StandIn(#[bpaf(external(stand_in))] StandIn),
 }
 
+/// What to compare.
+#[derive(Clone, Debug, Bpaf)]
+pub struct ExperimentFlags {
+    /// Policies, separated by commas: "built-in", "upper-bound", a name in policies/ or a file
+    #[bpaf(argument("A,B"))]
+    pub policies: String,
+    /// Seeds, first and last; the same traffic for each policy
+    #[bpaf(argument("A..B"), fallback(SeedRange { first: 1, last: 10 }))]
+    pub seeds: SeedRange,
+    /// Shares of the deployment's capacity, separated by commas
+    #[bpaf(argument("X,Y"), fallback("0.5,0.8,0.95".to_owned()))]
+    pub loads: String,
+    /// What happens in mid-run, separated by commas: crash, shift, herd, or none
+    #[bpaf(argument("WHAT"), fallback("none".to_owned()))]
+    pub events: String,
+    /// Capacity in requests a second; measured with the upper bound when it is not given
+    #[bpaf(argument("RATE"))]
+    pub capacity: Option<f64>,
+    /// A trace of requests to replay instead of the deployment's mix (JSON lines, docs/POLICIES.md)
+    #[bpaf(argument("FILE"))]
+    pub trace: Option<PathBuf>,
+    /// Skip malformed lines of the trace and count them, instead of refusing the file
+    pub skip_malformed: bool,
+    /// Folder for report.json and report.html; must not exist
+    #[bpaf(argument("FOLDER"))]
+    pub out: PathBuf,
+    /// Print one JSON object a policy and load
+    pub json: bool,
+    /// Deployment folder
+    #[bpaf(positional("DIR"))]
+    pub deployment: PathBuf,
+}
+
 /// Seeds from the first to the last.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct SeedRange {
--- a/crates/lab/src/command.rs
+++ b/crates/lab/src/command.rs
@@ -3,6 +3,7 @@
 use crate::cli::{Command, StandIn};
 use crate::embedded;
 use crate::engine::EngineParameters;
+use crate::experiment;
 use crate::fleet::{self, Fleet, FleetOptions, LISTENING, address_or_any};
 use crate::local;
 use crate::simulate;
@@ -36,6 +37,7 @@
         Command::Simulate { scenario, seeds, trace, json, deployment } => {
             simulate::run(&deployment, &scenario, seeds, trace, json)
         }
+        Command::Experiment(flags) => experiment::run(&flags),
         Command::StandIn(stand_in) => run_stand_in(&executor, stand_in).await,
     }
 }
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod command;
 pub mod embedded;
 pub mod engine;
+pub mod experiment;
 pub mod fleet;
 pub mod local;
 pub mod parallel;
--- a/crates/lab/src/local.rs
+++ b/crates/lab/src/local.rs
@@ -59,28 +59,72 @@
 /// # Errors
 /// When the declarations can't be rewritten; they were checked before.
 pub fn relocate(source: &SourceFiles, addresses: &Addresses) -> Result<SourceFiles> {
-    let text = source.0.get(MAIN_FILE).ok_or_else(|| eyre!("{MAIN_FILE} is missing"))?;
-    let mut table: toml::Table = toml::from_str(text)?;
-    for section in sections(&mut table, "engine") {
-        set_address(section, addresses);
-    }
-    for application in sections(&mut table, "application") {
-        for section in sections(application, "replica") {
+    rewritten(source, |table| {
+        for section in sections(table, "engine") {
             set_address(section, addresses);
         }
-    }
-    for tenant in sections(&mut table, "tenant") {
-        let name = tenant.get("name").and_then(toml::Value::as_str).unwrap_or_default();
-        let hash = api_key_hash(&lab_key(name));
-        tenant.insert("api_key_hash".to_owned(), hash.into());
-    }
-    match addresses.machines {
-        Some(address) => table.insert("machine_list".to_owned(), address.to_string().into()),
-        None => table.remove("machine_list"),
-    };
-    let mut relocated = source.clone();
-    relocated.0.insert(MAIN_FILE.to_owned(), toml::to_string(&table)?);
-    Ok(relocated)
+        for application in sections(table, "application") {
+            for section in sections(application, "replica") {
+                set_address(section, addresses);
+            }
+        }
+        for tenant in sections(table, "tenant") {
+            let name = tenant.get("name").and_then(toml::Value::as_str).unwrap_or_default();
+            let hash = api_key_hash(&lab_key(name));
+            tenant.insert("api_key_hash".to_owned(), hash.into());
+        }
+        match addresses.machines {
+            Some(address) => table.insert("machine_list".to_owned(), address.to_string().into()),
+            None => table.remove("machine_list"),
+        };
+    })
+}
+
+/// The deployment with one policy program that decides everything.
+///
+/// # Errors
+/// When the declarations can't be rewritten.
+pub fn with_policy(source: &SourceFiles, name: &str, program: &str) -> Result<SourceFiles> {
+    let file = format!("policies/{name}.rhai");
+    let policy = [("name", name), ("file", &file)];
+    let share = [("policy", toml::Value::from(name)), ("share", toml::Value::from(1.0))];
+    let mut routing = toml::Table::new();
+    routing.insert("share".to_owned(), vec![table_of(share)].into());
+    let mut next = rewritten(source, |table| {
+        let policy = policy.map(|(key, value)| (key, toml::Value::from(value)));
+        table.insert("policy".to_owned(), vec![table_of(policy)].into());
+        table.insert("routing".to_owned(), routing.into());
+    })?;
+    next.0.insert(file, program.to_owned());
+    Ok(next)
+}
+
+/// The deployment with rates so high that no tenant reaches them; for measures of routing alone.
+///
+/// # Errors
+/// When the declarations can't be rewritten.
+pub fn without_tenant_limits(source: &SourceFiles) -> Result<SourceFiles> {
+    const PLENTY: i64 = 1_000_000_000;
+    rewritten(source, |table| {
+        for tenant in sections(table, "tenant") {
+            tenant.insert("rate_tokens_per_second".to_owned(), PLENTY.into());
+            tenant.insert("burst_tokens".to_owned(), PLENTY.into());
+        }
+    })
+}
+
+fn table_of<const N: usize>(pairs: [(&str, toml::Value); N]) -> toml::Value {
+    let pairs = pairs.into_iter().map(|(key, value)| (key.to_owned(), value));
+    toml::Value::Table(pairs.collect())
+}
+
+fn rewritten(source: &SourceFiles, change: impl FnOnce(&mut toml::Table)) -> Result<SourceFiles> {
+    let text = source.0.get(MAIN_FILE).ok_or_else(|| eyre!("{MAIN_FILE} is missing"))?;
+    let mut table: toml::Table = toml::from_str(text)?;
+    change(&mut table);
+    let mut next = source.clone();
+    next.0.insert(MAIN_FILE.to_owned(), toml::to_string(&table)?);
+    Ok(next)
 }
 
 fn sections<'a>(
--- a/crates/lab/src/sim/callers.rs
+++ b/crates/lab/src/sim/callers.rs
@@ -472,9 +472,6 @@
 
     /// When all is over, every request must have ended.
     pub(crate) fn final_checks(&mut self) {
-        for number in 0..self.engines.len() {
-            self.count_computed(number);
-        }
         let open = self.callers.open();
         let is_settled =
             self.settings.until > self.settings.traffic_until + Duration::from_secs(40);
--- a/crates/lab/src/sim/engines.rs
+++ b/crates/lab/src/sim/engines.rs
@@ -10,6 +10,7 @@
 use crate::sim::world::{Event, World};
 use std::collections::{BTreeMap, HashMap};
 use std::sync::{Arc, Mutex, MutexGuard};
+use std::time::Duration;
 use topazmount_node::{AttemptFailure, Dispatch, FinishReason, NodeInput, RefusalCause};
 use topazmount_settings::Engine;
 use topazmount_types::{
@@ -17,6 +18,9 @@
     WeightsVersion,
 };
 
+/// Pause between two signs of life to a request that waits.
+const KEEP_ALIVE: Duration = Duration::from_millis(400);
+
 /// Whom a block was computed for.
 type Origin = (TenantId, ModelId, WeightsVersion);
 
@@ -53,6 +57,11 @@
 }
 
 impl SimEngine {
+    /// Prompt tokens computed by the newest run, and of those, for attempts thrown away.
+    pub fn computed_tokens(&self) -> (u64, u64) {
+        self.core().computed_tokens()
+    }
+
     fn core(&self) -> MutexGuard<'_, EngineCore> {
         self.core.lock().expect("the simulator has one thread")
     }
@@ -137,7 +146,7 @@
 
     /// Adds what an engine computed so far to the sums.
     pub(crate) fn count_computed(&mut self, number: usize) {
-        let (computed, cancelled) = self.engines[number].core().computed_tokens();
+        let (computed, cancelled) = self.engines[number].computed_tokens();
         self.totals.computed_tokens += computed;
         self.totals.discarded_tokens += cancelled;
     }
@@ -222,7 +231,10 @@
         for block in attempt.blocks.iter() {
             engine.origins.entry(*block).or_insert(attempt.origin);
         }
-        engine.attempts.insert(attempt.job, attempt);
+        let job = attempt.job;
+        engine.attempts.insert(job, attempt);
+        let run = self.processes.run(Place::Engine(number)).unwrap_or_default();
+        self.schedule.push(now + KEEP_ALIVE, Event::KeepAlive(number, run, job));
         if leaving_for.is_some_and(|time| time > LEAVING_LIMIT) {
             let detail =
                 format!("engine {number} got work {leaving_for:?} after it began to leave");
@@ -241,6 +253,26 @@
         held.unwrap_or(0) as u32 * self.declarations.block_tokens
     }
 
+    /// As the real stand-in does with comments in its stream, until there is a token.
+    pub(crate) fn keep_alive(&mut self, number: usize, run: u64, job: JobId) {
+        let place = Place::Engine(number);
+        if self.processes.run(place) != Some(run) {
+            return;
+        }
+        if self.processes.is_frozen(place) {
+            self.processes.hold(place, Event::KeepAlive(number, run, job));
+            return;
+        }
+        let Some(attempt) = self.engines[number].attempts.get(&job) else { return };
+        if attempt.has_token {
+            return;
+        }
+        let waiting = NodeInput::Waiting(attempt.attempt);
+        let (node, node_run) = (attempt.node, attempt.node_run);
+        self.tell_node(number, node, node_run, waiting);
+        self.schedule.push(self.now + KEEP_ALIVE, Event::KeepAlive(number, run, job));
+    }
+
     fn schedule_engine(&mut self, number: usize) {
         let next = self.engines[number].core().next_wakeup();
         let engine = &mut self.engines[number];
--- a/crates/lab/src/sim/scenario.rs
+++ b/crates/lab/src/sim/scenario.rs
@@ -137,6 +137,7 @@
             shift_at: Some(Time::from_secs(10)),
             bursts: vec![(Time::from_secs(12), Time::from_secs(14), 3.0)],
             flood: None,
+            replay: None,
         },
         traffic_until: TRAFFIC_UNTIL,
         until: UNTIL,
@@ -147,6 +148,7 @@
         plant: settings.plant,
         has_oracle: false,
         is_traced: settings.is_traced,
+        warm_up: Time::ZERO,
     }
 }
 
--- a/crates/lab/src/sim/world.rs
+++ b/crates/lab/src/sim/world.rs
@@ -1,6 +1,6 @@
 //! The simulated world: its parts, and which part takes which event.
 
-use crate::engine::EngineParameters;
+use crate::engine::{EngineParameters, JobId};
 use crate::sim::applications::Applications;
 use crate::sim::callers::Callers;
 use crate::sim::checks::Checks;
@@ -57,6 +57,8 @@
     pub has_oracle: bool,
     /// Whether to tell on standard error what happens.
     pub is_traced: bool,
+    /// Sums up to then are kept apart, for reports that leave the warm-up out.
+    pub warm_up: Time,
 }
 
 /// Something that happens at a time.
@@ -70,6 +72,8 @@
     NodeTimer(usize, u64),
     /// An engine's iteration may end, of this run.
     EngineTimer(usize, u64),
+    /// An engine tells a waiting request that it is still there: engine, run, job.
+    KeepAlive(usize, u64, JobId),
     /// A member's timer, of this run.
     MemberTimer(usize, u64),
     /// An application has done a call: replica, run, position in its list.
@@ -127,6 +131,8 @@
     pub records: Vec<Record>,
     /// Sums.
     pub totals: Totals,
+    /// Sums at the end of the warm-up.
+    pub totals_at_warm_up: Totals,
     pub(crate) declarations: Arc<Declarations>,
     pub(crate) seed_configuration: InForce,
     pub(crate) schedule: Schedule<Event>,
@@ -159,6 +165,7 @@
             checks: Checks::default(),
             records: Vec::new(),
             totals: Totals::default(),
+            totals_at_warm_up: Totals::default(),
             schedule: Schedule::default(),
             rng: ChaCha8Rng::seed_from_u64(settings.seed),
             network,
@@ -216,7 +223,7 @@
     }
 
     fn schedule_arrival(&mut self) {
-        let arrival = self.traffic.next();
+        let Some(arrival) = self.traffic.next() else { return };
         if arrival.at < self.settings.traffic_until {
             self.schedule.push(arrival.at, Event::Arrival);
             self.callers.upcoming = Some(arrival);
@@ -229,6 +236,9 @@
             if at > self.settings.until {
                 break;
             }
+            if at >= self.settings.warm_up && self.now < self.settings.warm_up {
+                self.totals_at_warm_up = self.totals_now();
+            }
             self.now = at;
             self.totals.events += 1;
             self.handle(event);
@@ -237,6 +247,22 @@
         self.final_checks();
     }
 
+    /// Sums so far, with what running engines have computed.
+    pub fn totals_now(&self) -> Totals {
+        let mut totals = self.totals;
+        for engine in &self.engines {
+            let (computed, discarded) = engine.computed_tokens();
+            totals.computed_tokens += computed;
+            totals.discarded_tokens += discarded;
+        }
+        totals
+    }
+
+    /// Prompt tokens that each engine's newest run has computed.
+    pub fn computed_by_engine(&self) -> Vec<u64> {
+        self.engines.iter().map(|engine| engine.computed_tokens().0).collect()
+    }
+
     fn handle(&mut self, event: Event) {
         match event {
             Event::Arrival => {
@@ -248,6 +274,7 @@
             Event::Deliver(transfer) => self.deliver(*transfer),
             Event::NodeTimer(node, run) => self.on_node_timer(node, run),
             Event::EngineTimer(engine, run) => self.on_engine_timer(engine, run),
+            Event::KeepAlive(engine, run, job) => self.keep_alive(engine, run, job),
             Event::MemberTimer(member, run) => self.on_member_timer(member, run),
             Event::CallDone(application, run, call) => self.on_call_done(application, run, call),
             Event::CallerRetry(operation) => self.retry_operation(operation),
--- a/crates/lab/src/workload/classes.rs
+++ b/crates/lab/src/workload/classes.rs
@@ -18,6 +18,15 @@
 }
 
 impl Class {
+    /// All classes.
+    pub const ALL: [Class; 5] = [
+        Class::UnderwritingReview,
+        Class::SupportTag,
+        Class::CheckoutApproval,
+        Class::DrawingMatch,
+        Class::StockLookup,
+    ];
+
     /// Name in reports.
     pub fn as_str(self) -> &'static str {
         match self {
--- a/crates/lab/src/workload/mod.rs
+++ b/crates/lab/src/workload/mod.rs
@@ -6,8 +6,10 @@
 
 mod classes;
 mod prompt;
+mod trace;
 mod traffic;
 
 pub use classes::{Class, ClassShape, Mix};
 pub use prompt::{Prompt, PromptPath};
+pub use trace::{Trace, read_trace};
 pub use traffic::{Arrival, Traffic, TrafficSettings, Work};
--- a/crates/lab/src/workload/traffic.rs
+++ b/crates/lab/src/workload/traffic.rs
@@ -5,6 +5,7 @@
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use std::collections::HashMap;
+use std::sync::Arc;
 use std::time::Duration;
 use topazmount_settings::Declarations;
 use topazmount_types::{Digest, Time};
@@ -33,6 +34,8 @@
     pub bursts: Vec<(Time, Time, f64)>,
     /// A tenant that floods: its number, and the factor on its share.
     pub flood: Option<(usize, f64)>,
+    /// Arrivals to replay in place of the mix.
+    pub replay: Option<Arc<Vec<Arrival>>>,
 }
 
 /// What arrives.
@@ -129,7 +132,13 @@
     }
 
     /// The next arrival.
-    pub fn next(&mut self) -> Arrival {
+    #[allow(clippy::should_implement_trait)]
+    pub fn next(&mut self) -> Option<Arrival> {
+        if let Some(replay) = &self.settings.replay {
+            let arrival = replay.get(self.count as usize).cloned();
+            self.count += 1;
+            return arrival;
+        }
         let rate = self.settings.rate * self.factor();
         let gap = -self.rng.random_range(f64::EPSILON..1.0f64).ln() / rate;
         self.now = self.now + Duration::from_secs_f64(gap);
@@ -139,7 +148,7 @@
         let is_action = self.rng.random_bool(self.settings.mix.actions);
         let work = if is_action { self.action() } else { self.chat(tenant) };
         let deadline = if is_action { ACTION_DEADLINE } else { DEADLINE };
-        Arrival { at: self.now, zone, tenant, work, deadline }
+        Some(Arrival { at: self.now, zone, tenant, work, deadline })
     }
 
     fn factor(&self) -> f64 {
