Routing: one prefill rate for all replicas; bounded holder lists no longer hide deep holders

Cause: with a rate per replica a few samples made some look fast and they drew all work; in the cache view a replica missing from the bounded list of a hot shallow block was ignored at depth.

--- a/crates/routing/src/replica.rs
+++ b/crates/routing/src/replica.rs
@@ -5,10 +5,6 @@
 use topazmount_admission::{Breaker, BreakerSettings, BreakerState};
 use topazmount_types::{Incarnation, ModelId, ReplicaId, Time, WeightsVersion, ZoneId};
 
-/// Weight of a new observation in the smoothed prefill rate.
-const RATE_GAIN: f64 = 0.1;
-/// Rate assumed before anything was observed, in tokens a second.
-const INITIAL_PREFILL_RATE: f64 = 8_000.0;
 /// Retention assumed before an eviction was observed.
 const INITIAL_RETENTION: Duration = Duration::from_secs(60);
 /// A weights refusal counts this long; the replica may have loaded them since.
@@ -65,8 +61,6 @@
     pub load_at: Option<Time>,
     /// This node's pending prefill there when the report came, already counted in it.
     pub pending_at_load: u32,
-    /// Smoothed prefill rate in tokens a second.
-    pub prefill_rate: f64,
     /// Age up to which cached blocks are usually still found.
     pub retention: Duration,
     /// Breaker.
@@ -87,7 +81,6 @@
             load: LoadReport::default(),
             load_at: None,
             pending_at_load: 0,
-            prefill_rate: INITIAL_PREFILL_RATE,
             retention: INITIAL_RETENTION,
             breaker: Breaker::default(),
             lacks_weights: None,
@@ -129,15 +122,6 @@
         self.pending_at_load = self.pending_prefill;
     }
 
-    /// Notes how long `tokens` took to prefill.
-    pub fn observe_prefill(&mut self, tokens: u32, took: Duration) {
-        if tokens == 0 || took.is_zero() {
-            return;
-        }
-        let rate = f64::from(tokens) / took.as_secs_f64();
-        self.prefill_rate += RATE_GAIN * (rate - self.prefill_rate);
-    }
-
     /// Notes that blocks of this age were found, or were not.
     pub fn observe_retention(&mut self, age: Duration, found: bool) {
         const SHRINK: f64 = 0.8;
@@ -162,10 +146,11 @@
     }
 
     /// Prompt tokens believed to wait there: the report, aged, and this node's own since then.
-    pub fn waiting_tokens(&self, now: Time) -> f64 {
+    /// `rate` is the prefill rate in tokens a second.
+    pub fn waiting_tokens(&self, now: Time, rate: f64) -> f64 {
         let own = f64::from(self.pending_prefill);
         let Some(at) = self.load_at else { return own };
-        let drained = now.since(at).as_secs_f64() * self.prefill_rate;
+        let drained = now.since(at).as_secs_f64() * rate;
         let reported = f64::from(self.load.waiting_tokens);
         let others = (reported - f64::from(self.pending_at_load) - drained).max(0.0);
         others + own
--- a/crates/routing/src/router.rs
+++ b/crates/routing/src/router.rs
@@ -21,6 +21,10 @@
 const MAX_HOME_CHANCES: usize = 8_192;
 /// Replicas sampled beside homes and holders, so that nodes do not all see the same idle one.
 const SAMPLES: usize = 4;
+/// Weight of a new observation in the smoothed prefill rate.
+const RATE_GAIN: f64 = 0.05;
+/// Rate assumed before anything was observed, in tokens a second.
+const INITIAL_PREFILL_RATE: f64 = 8_000.0;
 /// Report age shown when there is no report.
 const NO_REPORT_AGE_MS: f64 = 1e9;
 /// Smallest queue for which an observed time to first token says something of the prefill rate.
@@ -108,6 +112,9 @@
     slots: HashMap<ReplicaId, u32>,
     cache: CacheView,
     home_chance: BTreeMap<(TenantId, u8), f64>,
+    /// Smoothed prefill rate of all replicas, in tokens a second. One for each replica was tried:
+    /// few samples made some look fast, and they drew all work to them.
+    prefill_rate: f64,
     rng: ChaCha8Rng,
     scratch: Scratch,
 }
@@ -131,6 +138,7 @@
             replicas: Vec::new(),
             slots: HashMap::new(),
             home_chance: BTreeMap::new(),
+            prefill_rate: INITIAL_PREFILL_RATE,
             rng: ChaCha8Rng::seed_from_u64(seed),
             scratch: Scratch::default(),
         }
@@ -231,11 +239,9 @@
         let incarnation_of = |slot: u32| self.replicas[slot as usize].incarnation;
         let promised = &mut scratch.promised;
         self.cache.holders(request.blocks, now, incarnation_of, |slot, depth, age| {
-            // A chain is evicted from its end, so a gap in the view ends what counts.
-            let (blocks, _) = promised[slot as usize];
-            if blocks as usize + 1 == depth {
-                promised[slot as usize] = (depth as u32, age);
-            }
+            // A chain is evicted from its end, so who holds a deep block holds those before it. It
+            // may be missing from their lists, which are bounded.
+            promised[slot as usize] = (depth as u32, age);
         });
         for (slot, (blocks, age)) in scratch.promised.iter().enumerate() {
             if *age <= self.replicas[slot].retention {
@@ -325,12 +331,12 @@
                 Some(oracle) => {
                     (f64::from(oracle.cached_tokens(id, request)), oracle.waiting_tokens(id))
                 }
-                None => (expected, state.waiting_tokens(now)),
+                None => (expected, state.waiting_tokens(now, self.prefill_rate)),
             };
             let is_local = state.description.zone == self.settings.zone;
             let delay = if is_local { Duration::ZERO } else { self.settings.zone_delay };
             let uncached = (f64::from(request.prompt_tokens) - cached).max(0.0);
-            let per_token_ms = 1_000.0 / state.prefill_rate;
+            let per_token_ms = 1_000.0 / self.prefill_rate;
             let age = state.load_at.map(|at| now.since(at).as_secs_f64() * 1_000.0);
             scratch.candidates.push(Candidate {
                 replica: id,
@@ -363,7 +369,7 @@
             replica: candidate.replica,
             expected_prefill: request.prompt_tokens.saturating_sub(candidate.cached_tokens),
             promised: (blocks > 0).then_some((blocks, age)),
-            was_idle: self.replicas[slot].waiting_tokens(now) < IDLE_TOKENS,
+            was_idle: self.replicas[slot].waiting_tokens(now, self.prefill_rate) < IDLE_TOKENS,
             home_depths: scratch.home_depths[slot],
         }
     }
@@ -402,11 +408,19 @@
             state.breaker.succeeded();
             if target.was_idle && target.expected_prefill >= RATE_TOKENS {
                 let took = wait.saturating_sub(round_trip);
-                state.observe_prefill(target.expected_prefill, took);
+                self.observe_prefill(target.expected_prefill, took);
             }
         }
     }
 
+    /// Notes how long `tokens` took to prefill.
+    fn observe_prefill(&mut self, tokens: u32, took: Duration) {
+        if !took.is_zero() {
+            let rate = f64::from(tokens) / took.as_secs_f64();
+            self.prefill_rate += RATE_GAIN * (rate - self.prefill_rate);
+        }
+    }
+
     /// Notes the end of a request, however it ended.
     pub fn ended(&mut self, target: &Target, had_first_token: bool) {
         if let Some(state) = self.replica_mut(target.replica) {
