Routing: nested home sets: prefixes that share their first blocks meet on the same replicas

Cause: homes of each depth were drawn among all replicas, so subjects of one topic were spread and every replica had to hold every topic; 640 topic blocks do not fit in 400. Change: three homes for the first four blocks, deeper homes among these; a home counts as holding its prefix with a chance of at least 0.8, since all nodes look there first.

--- a/crates/routing/src/router.rs
+++ b/crates/routing/src/router.rs
@@ -15,6 +15,14 @@
 const HOME_DEPTHS: [usize; 7] = [1, 2, 4, 8, 16, 32, 64];
 /// Chance assumed that a home of any depth holds its prefix, before anything was observed.
 const INITIAL_HOME_CHANCE: f64 = 0.5;
+/// Least chance assumed: a home that lost its prefix is still the place to compute it again, since
+/// every node looks there first.
+const LEAST_HOME_CHANCE: f64 = 0.8;
+/// Depth in blocks of what many prompts share; deeper homes are chosen among the homes of this
+/// depth, so that prompts that share it meet.
+const SHARED_DEPTH: usize = 4;
+/// Homes of a prefix of the shared depth or less: a hot one needs more than one replica.
+const SHARED_HOMES: usize = 3;
 /// Weight of a new observation in that chance.
 const HOME_CHANCE_GAIN: f64 = 0.05;
 /// Tenants whose chances are kept; beyond it all are forgotten and learned anew.
@@ -252,30 +260,47 @@
     }
 
     fn add_homes(&self, request: &RouteRequest<'_>, now: Time, scratch: &mut Scratch) {
+        let Some(shared) = request.blocks.len().checked_sub(1) else { return };
+        let shared_key = request.blocks[shared.min(SHARED_DEPTH - 1)];
+        let homes = self.shared_homes(shared_key, request, now);
         let depths = HOME_DEPTHS.iter().enumerate();
         for (level, depth) in depths.take_while(|(_, depth)| **depth <= request.blocks.len()) {
+            let expected = self.home_chance(request.tenant, level as u8) * *depth as f64;
             let key = request.blocks[depth - 1];
-            let Some(slot) = self.home(key, request, now) else {
-                return;
-            };
-            scratch.home_depths[slot] |= 1 << level;
-            let chance = self.home_chance(request.tenant, level as u8);
-            let expected = chance * *depth as f64;
-            scratch.expected[slot] = scratch.expected[slot].max(expected);
+            let deep_home = homes.iter().max_by_key(|slot| {
+                rendezvous_weight(key, self.replicas[**slot].description.id)
+            });
+            for slot in &homes {
+                if *depth <= SHARED_DEPTH || Some(slot) == deep_home {
+                    scratch.home_depths[*slot] |= 1 << level;
+                    scratch.expected[*slot] = scratch.expected[*slot].max(expected);
+                }
+            }
         }
     }
 
-    fn home(&self, key: u64, request: &RouteRequest<'_>, now: Time) -> Option<usize> {
+    /// Homes of a shared prefix: the replicas with the highest weights.
+    fn shared_homes(&self, key: u64, request: &RouteRequest<'_>, now: Time) -> Vec<usize> {
         let serving = self.replicas.iter().enumerate().filter(|(_, state)| {
             state.description.models.contains(&request.model)
                 && state.is_available(request.weights, now)
         });
-        let best = serving.max_by_key(|(_, state)| rendezvous_weight(key, state.description.id));
-        best.map(|(slot, _)| slot)
+        let weight =
+            |(slot, state): (usize, &ReplicaState)| (rendezvous_weight(key, state.description.id), slot);
+        let mut weighted: Vec<(u64, usize)> = serving.map(weight).collect();
+        let count = SHARED_HOMES.min(weighted.len());
+        if count < weighted.len() {
+            weighted.select_nth_unstable_by(count, |left, right| right.cmp(left));
+        }
+        weighted.into_iter().take(count).map(|(_, slot)| slot).collect()
     }
 
     fn home_chance(&self, tenant: TenantId, level: u8) -> f64 {
-        self.home_chance.get(&(tenant, level)).copied().unwrap_or(INITIAL_HOME_CHANCE)
+        self.home_chance
+            .get(&(tenant, level))
+            .copied()
+            .unwrap_or(INITIAL_HOME_CHANCE)
+            .max(LEAST_HOME_CHANCE)
     }
 
     /// Replicas worth looking at: homes, holders and a few samples; all where there are few.
