--- a/crates/routing/src/built_in.rs
+++ b/crates/routing/src/built_in.rs
@@ -4,7 +4,7 @@
 
 /// Weight of the work that a choice makes, over the time that the caller waits for it. Prefill of
 /// what another replica holds delays everybody behind it, so it counts more than once.
-const PREFILL_WEIGHT: f64 = 1.5;
+const PREFILL_WEIGHT: f64 = 8.0;
 
 /// Position in `candidates` of the best one; `None` when there are none.
 pub fn choose(candidates: &[Candidate]) -> Option<usize> {
