--- a/crates/lab/src/local.rs
+++ b/crates/lab/src/local.rs
@@ -88,12 +88,13 @@
     let file = format!("policies/{name}.rhai");
     let policy = [("name", name), ("file", &file)];
     let share = [("policy", toml::Value::from(name)), ("share", toml::Value::from(1.0))];
-    let mut routing = toml::Table::new();
-    routing.insert("share".to_owned(), vec![table_of(share)].into());
     let mut next = rewritten(source, |table| {
         let policy = policy.map(|(key, value)| (key, toml::Value::from(value)));
         table.insert("policy".to_owned(), vec![table_of(policy)].into());
-        table.insert("routing".to_owned(), routing.into());
+        let routing = table.entry("routing").or_insert_with(|| toml::Table::new().into());
+        if let Some(routing) = routing.as_table_mut() {
+            routing.insert("share".to_owned(), vec![table_of(share)].into());
+        }
     })?;
     next.0.insert(file, program.to_owned());
     Ok(next)
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -360,6 +360,7 @@
             block_tokens: declarations.block_tokens,
             zone_delay: declarations.network.zone_delay,
             concurrency: declarations.limits.engine_concurrency,
+            shared_depth: declarations.routing.shared_blocks,
             ..RouterSettings::default()
         };
         self.engines.set_settings(router.clone());
--- a/crates/routing/src/router.rs
+++ b/crates/routing/src/router.rs
@@ -18,9 +18,6 @@
 /// Least chance assumed: a home that lost its prefix is still the place to compute it again, since
 /// every node looks there first.
 const LEAST_HOME_CHANCE: f64 = 0.8;
-/// Depth in blocks of what many prompts share; deeper homes are chosen among the homes of this
-/// depth, so that prompts that share it meet.
-const SHARED_DEPTH: usize = 4;
 /// Homes of a prefix of the shared depth or less: a hot one needs more than one replica.
 const SHARED_HOMES: usize = 3;
 /// Weight of a new observation in that chance.
@@ -53,6 +50,9 @@
     pub cache_blocks: usize,
     /// Requests of this node in flight at one replica.
     pub concurrency: u32,
+    /// Depth in blocks of what many prompts share; deeper homes are chosen among the homes of this
+    /// depth, so that prompts that share it meet.
+    pub shared_depth: usize,
     /// Most candidates shown to a policy.
     pub candidate_limit: usize,
 }
@@ -65,6 +65,7 @@
             zone_delay: Duration::ZERO,
             cache_blocks: 100_000,
             concurrency: 64,
+            shared_depth: 4,
             candidate_limit: 32,
         }
     }
@@ -261,7 +262,7 @@
 
     fn add_homes(&self, request: &RouteRequest<'_>, now: Time, scratch: &mut Scratch) {
         let Some(shared) = request.blocks.len().checked_sub(1) else { return };
-        let shared_key = request.blocks[shared.min(SHARED_DEPTH - 1)];
+        let shared_key = request.blocks[shared.min(self.settings.shared_depth - 1)];
         let homes = self.shared_homes(shared_key, request, now);
         let depths = HOME_DEPTHS.iter().enumerate();
         for (level, depth) in depths.take_while(|(_, depth)| **depth <= request.blocks.len()) {
@@ -271,7 +272,7 @@
                 rendezvous_weight(key, self.replicas[**slot].description.id)
             });
             for slot in &homes {
-                if *depth <= SHARED_DEPTH || Some(slot) == deep_home {
+                if *depth <= self.settings.shared_depth || Some(slot) == deep_home {
                     scratch.home_depths[*slot] |= 1 << level;
                     scratch.expected[*slot] = scratch.expected[*slot].max(expected);
                 }
--- a/crates/settings/src/declarations.rs
+++ b/crates/settings/src/declarations.rs
@@ -161,6 +161,8 @@
     pub shares: Vec<PolicyShare>,
     /// Policies that are evaluated and not obeyed.
     pub shadows: Vec<String>,
+    /// Blocks that many prompts of a tenant begin with; such prompts meet on the same replicas.
+    pub shared_blocks: usize,
 }
 
 /// A policy's share of the traffic.
@@ -514,8 +516,9 @@
     for shadow in &shadows {
         check_reference(&section, "shadows", shadow, &known);
     }
+    let shared_blocks = section.integer("shared_blocks", 4, 1..=64) as usize;
     section.finish();
-    Routing { shares, shadows }
+    Routing { shares, shadows, shared_blocks }
 }
 
 fn read_policies(root: &Reader<'_>, source: &SourceFiles) -> Vec<PolicyDeclaration> {
