--- a/crates/lab/src/cli.rs
+++ b/crates/lab/src/cli.rs
@@ -61,6 +61,18 @@
     /// Compare policies on the same seeded traffic, on a virtual clock
     #[bpaf(command)]
     Experiment(#[bpaf(external(experiment_flags))] ExperimentFlags),
+    /// Measure what each role costs, as slopes over sizes (docs/CAPACITY.md)
+    #[bpaf(command)]
+    Scale {
+        /// Hollow nodes of the joint run
+        #[bpaf(argument("N"), fallback(100))]
+        nodes: usize,
+        /// Hollow replicas of the joint run
+        #[bpaf(argument("M"), fallback(400))]
+        replicas: usize,
+        /// Print one JSON object a line
+        json: bool,
+    },
     /// Run one stand-in; a fleet starts these
     #[bpaf(command("stand-in"))]
     StandIn(#[bpaf(external(stand_in))] StandIn),
--- a/crates/lab/src/command.rs
+++ b/crates/lab/src/command.rs
@@ -6,6 +6,7 @@
 use crate::experiment;
 use crate::fleet::{self, Fleet, FleetOptions, LISTENING, address_or_any};
 use crate::local;
+use crate::scale;
 use crate::simulate;
 use crate::standin::{application, engine, machines};
 use eyre::Result;
@@ -38,6 +39,10 @@
             simulate::run(&deployment, &scenario, seeds, trace, json)
         }
         Command::Experiment(flags) => experiment::run(&flags),
+        Command::Scale { nodes, replicas, json } => {
+            scale::run(nodes, replicas, json);
+            Ok(0)
+        }
         Command::StandIn(stand_in) => run_stand_in(&executor, stand_in).await,
     }
 }
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod fleet;
 pub mod local;
 pub mod parallel;
+pub mod scale;
 pub mod sim;
 pub mod simulate;
 pub mod standin;
