Control: the log carries what a change alters, not all texts

Change: the leader turns a change into deltas against the revision that its author saw; they are applied under the same compare-and-set.

--- a/crates/control/src/configuration.rs
+++ b/crates/control/src/configuration.rs
@@ -76,6 +76,12 @@
         &self.source
     }
 
+    /// What the log must carry for a change whose author saw `expected`. For another revision than
+    /// the newest there is nothing to carry: such a change is a resend or a conflict.
+    pub fn deltas_for(&self, expected: Revision, next: &SourceFiles) -> Vec<FileDelta> {
+        if expected == self.revision { self.source.deltas_to(next) } else { Vec::new() }
+    }
+
     /// Takes a change whose author saw `expected`; a resend of an accepted request gets the first
     /// answer.
     ///
@@ -86,7 +92,7 @@
         at: Time,
         expected: Revision,
         request: Digest,
-        next: SourceFiles,
+        deltas: Vec<FileDelta>,
     ) -> Result<Revision, Revision> {
         if let Some(earlier) = self.changes.iter().find(|change| change.request == request) {
             return Ok(earlier.revision);
@@ -94,8 +100,12 @@
         if expected != self.revision {
             return Err(self.revision);
         }
+        let mut next = self.source.clone();
+        // They were made from the texts of the expected revision, which these are.
+        if next.apply(&deltas).is_err() {
+            return Err(self.revision);
+        }
         let revision = Revision(self.revision.0 + 1);
-        let deltas = self.source.deltas_to(&next);
         let digest = next.digest();
         self.changes.push_back(Change { revision, request, at, digest, deltas });
         if self.changes.len() > KEPT_REVISIONS {
--- a/crates/control/src/member.rs
+++ b/crates/control/src/member.rs
@@ -254,7 +254,8 @@
             return;
         }
         let ChangeRequest { expected, request, source } = change;
-        self.propose(now, token, Command::Configure { expected, request, source });
+        let deltas = self.state.configuration.deltas_for(expected, &source);
+        self.propose(now, token, Command::Configure { expected, request, deltas });
     }
 
     fn propose(&mut self, now: Time, token: Token, command: Command) {
--- a/crates/control/src/state.rs
+++ b/crates/control/src/state.rs
@@ -4,7 +4,7 @@
 use crate::ledger::{ActionResult, ClaimId, ClaimOutcome, Ledger};
 use serde::{Deserialize, Serialize};
 use std::time::Duration;
-use topazmount_settings::SourceFiles;
+use topazmount_settings::{FileDelta, SourceFiles};
 use topazmount_types::{ActionKey, Digest, Revision, Time};
 
 /// A change to the state.
@@ -16,8 +16,9 @@
         expected: Revision,
         /// Tells a resend from another change.
         request: Digest,
-        /// New texts.
-        source: SourceFiles,
+        /// What changes in the texts of that revision. All texts would make the log grow by
+        /// megabytes with each change.
+        deltas: Vec<FileDelta>,
     },
     /// Claims a key.
     Claim {
@@ -99,8 +100,8 @@
         let now = self.time;
         self.ledger.expire(now);
         match timed.command {
-            Command::Configure { expected, request, source } => {
-                match self.configuration.apply(now, expected, request, source) {
+            Command::Configure { expected, request, deltas } => {
+                match self.configuration.apply(now, expected, request, deltas) {
                     Ok(revision) => Reply::Configured(revision),
                     Err(revision) => Reply::Conflict(revision),
                 }
--- a/crates/lab/src/experiment/html.rs
+++ b/crates/lab/src/experiment/html.rs
@@ -83,7 +83,8 @@
          <th>attempts thrown away<th>all computed</tr>",
     );
     for cell in cells {
-        let sum = |of: fn(&crate::experiment::Measures) -> u64| cell.runs.iter().map(of).sum::<u64>();
+        let sum =
+            |of: fn(&crate::experiment::Measures) -> u64| cell.runs.iter().map(of).sum::<u64>();
         write!(
             page,
             "<tr><td>{}<td>{}<td>{}<td>{}</tr>",
--- a/crates/routing/src/router.rs
+++ b/crates/routing/src/router.rs
@@ -268,9 +268,9 @@
         for (level, depth) in depths.take_while(|(_, depth)| **depth <= request.blocks.len()) {
             let expected = self.home_chance(request.tenant, level as u8) * *depth as f64;
             let key = request.blocks[depth - 1];
-            let deep_home = homes.iter().max_by_key(|slot| {
-                rendezvous_weight(key, self.replicas[**slot].description.id)
-            });
+            let deep_home = homes
+                .iter()
+                .max_by_key(|slot| rendezvous_weight(key, self.replicas[**slot].description.id));
             for slot in &homes {
                 if *depth <= self.settings.shared_depth || Some(slot) == deep_home {
                     scratch.home_depths[*slot] |= 1 << level;
@@ -286,8 +286,9 @@
             state.description.models.contains(&request.model)
                 && state.is_available(request.weights, now)
         });
-        let weight =
-            |(slot, state): (usize, &ReplicaState)| (rendezvous_weight(key, state.description.id), slot);
+        let weight = |(slot, state): (usize, &ReplicaState)| {
+            (rendezvous_weight(key, state.description.id), slot)
+        };
         let mut weighted: Vec<(u64, usize)> = serving.map(weight).collect();
         let count = SHARED_HOMES.min(weighted.len());
         if count < weighted.len() {
