--- a/crates/lab/src/scale/mod.rs
+++ b/crates/lab/src/scale/mod.rs
@@ -14,4 +14,4 @@
 
 pub use fit::{Fit, fit};
 pub use page::{Row, TARGET, rows};
-pub use summary::run;
+pub use summary::{Measured, run};
--- a/crates/lab/src/scale/summary.rs
+++ b/crates/lab/src/scale/summary.rs
@@ -45,6 +45,31 @@
     pub in_force_s: f64,
 }
 
+impl Measured {
+    /// The same line and value everywhere: for the form of the page, not its figures.
+    pub fn uniform(line: Fit, value: f64) -> Measured {
+        Measured {
+            request_us: line,
+            token_ns: value,
+            node_memory_replicas: line,
+            node_memory_tenants: line,
+            view_memory: line,
+            configure_ms: line,
+            target_bytes: value,
+            fetch_us: line,
+            fetch_bytes: value,
+            change_ms: line,
+            change_peer_bytes: value,
+            delta_bytes: value,
+            full_bytes: value,
+            ledger_us: value,
+            ledger_key_bytes: value,
+            hollow_control_share: value,
+            in_force_s: value,
+        }
+    }
+}
+
 const REPLICAS: [usize; 5] = [100, 400, 800, 1_600, 3_400];
 const TENANTS: [usize; 5] = [100, 500, 1_000, 2_500, 5_200];
 const NODES: [usize; 5] = [50, 100, 200, 400, 650];
