--- a/crates/lab/src/sim/faults.rs
+++ b/crates/lab/src/sim/faults.rs
@@ -337,22 +337,23 @@
     }
 
     fn start_again(&mut self, place: Place) {
-        match place {
+        if self.processes.run(place).is_some() {
             // A planned stop may take longer than the pause before the new start.
-            Place::Node(node) if self.processes.run(place).is_some() => {
-                if self.nodes[node].is_stopping {
-                    self.start_later(REPAIR_POLL, place);
-                }
+            if let Place::Node(node) = place
+                && self.nodes[node].is_stopping
+            {
+                self.start_later(REPAIR_POLL, place);
             }
+            return;
+        }
+        match place {
             Place::Node(node) => self.start_node(node),
             Place::Engine(engine) => self.start_engine(engine),
             Place::Member(member) => self.start_member(member),
             Place::Application(_) => {
-                if self.processes.run(place).is_none() {
-                    self.processes.start(place);
-                }
+                self.processes.start(place);
             }
-            _ => {}
+            Place::Caller(_) | Place::Machines | Place::Operator => {}
         }
     }
 
--- /dev/null
+++ b/crates/routing/tests/cache_view.rs
@@ -0,0 +1,53 @@
+//! What the view may be relied on for.
+
+use std::time::Duration;
+use topazmount_routing::CacheView;
+use topazmount_types::{Incarnation, Time};
+
+const NOW: Time = Time::from_secs(10);
+
+fn depth_at(view: &CacheView, replica: u32, incarnation: u64) -> usize {
+    let mut deepest = 0;
+    let present = |_| Some(Incarnation(incarnation));
+    view.holders(&[1, 2, 3, 4], NOW, present, |slot, depth, _| {
+        if slot == replica {
+            deepest = depth;
+        }
+    });
+    deepest
+}
+
+#[test]
+fn a_dead_incarnation_holds_nothing() {
+    let mut view = CacheView::new(100);
+    view.learn(&[1, 2, 3], 7, Incarnation(1), NOW);
+    assert_eq!(depth_at(&view, 7, 1), 3);
+    assert_eq!(depth_at(&view, 7, 2), 0);
+}
+
+#[test]
+fn what_was_missing_is_forgotten() {
+    let mut view = CacheView::new(100);
+    view.learn(&[1, 2, 3, 4], 7, Incarnation(1), NOW);
+    view.forget(&[3, 4], 7);
+    assert_eq!(depth_at(&view, 7, 1), 2);
+}
+
+#[test]
+fn a_hot_prefix_does_not_hide_who_holds_the_rest() {
+    let mut view = CacheView::new(100);
+    view.learn(&[1, 2, 3, 4], 7, Incarnation(1), NOW);
+    for replica in 20..40 {
+        view.learn(&[1, 2], replica, Incarnation(1), NOW + Duration::from_secs(1));
+    }
+    assert_eq!(depth_at(&view, 7, 1), 4);
+}
+
+#[test]
+fn memory_is_bounded() {
+    let mut view = CacheView::new(1_000);
+    for block in 0..50_000 {
+        view.learn(&[block], 1, Incarnation(1), NOW);
+    }
+    assert!(view.len() <= 1_000, "{} blocks", view.len());
+}
--- /dev/null
+++ b/crates/wire/tests/frames.rs
@@ -0,0 +1,99 @@
+//! Frames against other keys, replays, damage and noise.
+
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+use topazmount_wire::{
+    ClusterKey, HELLO_LENGTH, Hello, LENGTH_PREFIX, Opener, Role, Sealer, decode_payload,
+    encode_payload, frame_length, session_keys,
+};
+
+fn pair(left: &ClusterKey, right: &ClusterKey) -> (Sealer, Opener) {
+    let (client, server) = (Hello::new([1; 16]), Hello::new([2; 16]));
+    let (sealer, _) = session_keys(left, Role::Client, &client, &server);
+    let (_, opener) = session_keys(right, Role::Server, &client, &server);
+    (sealer, opener)
+}
+
+fn key(text: &str) -> ClusterKey {
+    ClusterKey::from_text(text)
+}
+
+#[test]
+fn a_frame_of_the_right_key_is_opened_once() {
+    let (mut sealer, mut opener) = pair(&key("k"), &key("k"));
+    let first = sealer.seal(b"first").unwrap();
+    let second = sealer.seal(b"second").unwrap();
+    assert_eq!(opener.open(&first[LENGTH_PREFIX..]).unwrap(), b"first");
+    assert!(opener.open(&first[LENGTH_PREFIX..]).is_err(), "a replay");
+    let _ = second;
+}
+
+#[test]
+fn a_frame_of_another_key_is_refused() {
+    let (mut sealer, mut opener) = pair(&key("k"), &key("other"));
+    let frame = sealer.seal(b"payload").unwrap();
+    assert!(opener.open(&frame[LENGTH_PREFIX..]).is_err());
+}
+
+#[test]
+fn a_frame_sent_back_is_refused() {
+    let (client, server) = (Hello::new([1; 16]), Hello::new([2; 16]));
+    let (mut sealer, mut opener) = session_keys(&key("k"), Role::Client, &client, &server);
+    let frame = sealer.seal(b"payload").unwrap();
+    assert!(opener.open(&frame[LENGTH_PREFIX..]).is_err());
+}
+
+/// The same cases in each run.
+fn fixed_seed() -> ProptestConfig {
+    ProptestConfig {
+        rng_seed: RngSeed::Fixed(7),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    }
+}
+
+proptest! {
+    #![proptest_config(fixed_seed())]
+
+    #[test]
+    fn noise_never_opens(bytes in prop::collection::vec(any::<u8>(), 0..200)) {
+        let (_, mut opener) = pair(&key("k"), &key("k"));
+        prop_assert!(opener.open(&bytes).is_err());
+    }
+
+    #[test]
+    fn a_changed_byte_never_opens(position in 0usize..20, change in 1u8..) {
+        let (mut sealer, mut opener) = pair(&key("k"), &key("k"));
+        let mut frame = sealer.seal(b"some payload").unwrap();
+        let body = &mut frame[LENGTH_PREFIX..];
+        let place = position % body.len();
+        body[place] ^= change;
+        prop_assert!(opener.open(body).is_err());
+    }
+
+    #[test]
+    fn lengths_are_bounded(prefix in any::<[u8; LENGTH_PREFIX]>()) {
+        if let Ok(length) = frame_length(prefix) {
+            prop_assert!(length <= topazmount_wire::MAX_FRAME);
+        }
+    }
+
+    #[test]
+    fn greetings_of_noise_do_not_panic(bytes in any::<[u8; 32]>()) {
+        let mut hello = [0u8; HELLO_LENGTH];
+        let count = bytes.len().min(HELLO_LENGTH);
+        hello[..count].copy_from_slice(&bytes[..count]);
+        let _ = Hello::decode(&hello);
+    }
+
+    #[test]
+    fn payloads_come_back(text in ".{0,60}", number in any::<u64>()) {
+        let bytes = encode_payload(&(number, text.clone())).unwrap();
+        prop_assert_eq!(decode_payload::<(u64, String)>(&bytes).unwrap(), (number, text));
+    }
+
+    #[test]
+    fn payloads_of_noise_do_not_panic(bytes in prop::collection::vec(any::<u8>(), 0..100)) {
+        let _ = decode_payload::<(u64, String)>(&bytes);
+    }
+}
