up: the declarations in use can be edited and applied

Cause: trying docs/POLICIES.md as a new user failed: the folder in the repository has the declared addresses, and applying it to a running `up` would have pointed nodes away from the stand-ins.

--- a/crates/lab/src/command.rs
+++ b/crates/lab/src/command.rs
@@ -86,6 +86,7 @@
         running.control.iter().map(|address| format!("--control {address}")).collect();
     let key_file = running.key_file.display();
     println!("operators: topazmount status {} --key-file {key_file}", control.join(" "));
+    println!("declarations to edit and apply: {}", running.folder.display());
     println!("tenants' keys: lab-NAME, with NAME as declared");
     if let Some(line) = running.curl_line() {
         println!("try:\n{line}");
--- a/crates/lab/src/embedded.rs
+++ b/crates/lab/src/embedded.rs
@@ -33,6 +33,8 @@
     pub control: Vec<SocketAddr>,
     /// The machine list.
     pub machines: SocketAddr,
+    /// The declarations at the lab's addresses, to be copied, edited and applied.
+    pub folder: PathBuf,
     /// File with the cluster key, for operators' commands.
     pub key_file: PathBuf,
     members: Vec<ControlHandle>,
@@ -102,7 +104,8 @@
     let addresses = start_stand_ins(executor, &declarations, &EngineParameters::default()).await?;
     let source = local::relocate(&source, &addresses)?;
     let declarations = Declarations::parse(&source)?;
-    std::fs::create_dir_all(folder)?;
+    let folder_in_use = folder.join("declarations");
+    local::write_folder(&source, &folder_in_use)?;
     let key_file = folder.join(KEY_FILE);
     std::fs::write(&key_file, format!("{:032x}", rand::random::<u128>()))?;
     let key = ClusterKey::from_text(&std::fs::read_to_string(&key_file)?);
@@ -130,7 +133,15 @@
         nodes.push(shared.start(&zone.name, address, 1.0 / declarations.zones.len() as f64).await?);
     }
     let machines = addresses.machines.ok_or_else(|| eyre!("no machine list"))?;
-    Ok(Embedded { nodes, declarations, control, machines, key_file, members })
+    Ok(Embedded {
+        nodes,
+        declarations,
+        control,
+        machines,
+        folder: folder_in_use,
+        key_file,
+        members,
+    })
 }
 
 /// Names of a control group's members.
--- a/crates/lab/src/fleet.rs
+++ b/crates/lab/src/fleet.rs
@@ -69,11 +69,7 @@
         fleet.start_stand_ins()?;
         let source = local::relocate(&source, &fleet.addresses)?;
         fleet.declarations = Declarations::parse(&source)?;
-        for (name, text) in &source.0 {
-            let path = fleet.declarations_folder().join(name);
-            std::fs::create_dir_all(path.parent().unwrap_or(&path))?;
-            std::fs::write(path, text)?;
-        }
+        local::write_folder(&source, &fleet.declarations_folder())?;
         std::fs::write(fleet.key_file(), format!("{:032x}", rand::random::<u128>()))?;
         fleet.start_control()?;
         fleet.start_nodes()?;
--- a/crates/lab/src/local.rs
+++ b/crates/lab/src/local.rs
@@ -54,6 +54,19 @@
     Ok((source, declarations))
 }
 
+/// Writes a deployment's files below a folder.
+///
+/// # Errors
+/// When the folder can't be written.
+pub fn write_folder(source: &SourceFiles, folder: &Path) -> Result<()> {
+    for (name, text) in &source.0 {
+        let path = folder.join(name);
+        std::fs::create_dir_all(path.parent().unwrap_or(&path))?;
+        std::fs::write(path, text)?;
+    }
+    Ok(())
+}
+
 /// The deployment with the lab's addresses and API keys.
 ///
 /// # Errors
