Simulator: a place and an argument that nothing used, and a field that nothing read

Cause: reading the whole change once more. answer_after took a sender and dropped it; Place::Machines existed only for that argument; the engine model noted its last advance and never read it. Conclusion: behaviour as before.

--- a/crates/lab/src/engine/core.rs
+++ b/crates/lab/src/engine/core.rs
@@ -114,7 +114,6 @@
     computed_tokens: u64,
     /// Prompt tokens computed for jobs that were then cancelled.
     cancelled_tokens: u64,
-    last_advance: Time,
 }
 
 impl EngineCore {
@@ -133,7 +132,6 @@
             reported_at: Time::ZERO,
             computed_tokens: 0,
             cancelled_tokens: 0,
-            last_advance: Time::ZERO,
         }
     }
 
@@ -232,7 +230,6 @@
 
     /// Ends the iteration under way if its time has come, and starts the next one.
     pub fn advance(&mut self, now: Time, events: &mut Vec<EngineEvent>) {
-        self.last_advance = now;
         if self.iteration.ends_at.is_none_or(|ends_at| now < ends_at) {
             return;
         }
--- a/crates/lab/src/sim/faults.rs
+++ b/crates/lab/src/sim/faults.rs
@@ -353,7 +353,7 @@
             Place::Application(_) => {
                 self.processes.start(place);
             }
-            Place::Caller(_) | Place::Machines | Place::Operator => {}
+            Place::Caller(_) | Place::Operator => {}
         }
     }
 
--- a/crates/lab/src/sim/links.rs
+++ b/crates/lab/src/sim/links.rs
@@ -52,7 +52,7 @@
     /// Its run, when it is up. Callers and operators are always there.
     pub fn run(&self, place: Place) -> Option<u64> {
         match place {
-            Place::Caller(_) | Place::Operator | Place::Machines => Some(0),
+            Place::Caller(_) | Place::Operator => Some(0),
             _ => self.known.get(&place).filter(|process| process.is_up).map(|process| process.run),
         }
     }
@@ -142,17 +142,16 @@
             _ => return,
         };
         if self.processes.is_silent(to) {
-            self.answer_after(CONNECT_TIMEOUT, to, from, answer);
+            self.answer_after(CONNECT_TIMEOUT, from, answer);
         } else {
             self.send(to, from, answer);
         }
     }
 
     /// Tells `to` something that it finds out by itself after a while.
-    pub(crate) fn answer_after(&mut self, wait: Duration, from: Place, to: Place, packet: Packet) {
+    pub(crate) fn answer_after(&mut self, wait: Duration, to: Place, packet: Packet) {
         let to_run = self.processes.run(to);
         let transfer = Transfer { from: to, from_run: 0, to, to_run, sent_at: self.now, packet };
-        let _ = from;
         self.schedule.push(self.now + wait, Event::Deliver(Box::new(transfer)));
     }
 
@@ -171,6 +170,6 @@
             }
             _ => return,
         };
-        self.answer_after(CONNECT_TIMEOUT, to, from, Packet::Input(Box::new(failed)));
+        self.answer_after(CONNECT_TIMEOUT, from, Packet::Input(Box::new(failed)));
     }
 }
--- a/crates/lab/src/sim/nodes.rs
+++ b/crates/lab/src/sim/nodes.rs
@@ -243,7 +243,6 @@
                 let entries = self.machines.shown(self.now);
                 self.answer_after(
                     MIN_TICK,
-                    Place::Machines,
                     place,
                     Packet::Input(Box::new(NodeInput::Machines(entries))),
                 );
@@ -287,7 +286,7 @@
         // Durable before the node hears of it; a crash in between leaves the newer one.
         self.nodes[number].kept = Some(configuration);
         let kept = Packet::Input(Box::new(NodeInput::Kept(revision)));
-        self.answer_after(KEEP_TIME, Place::Machines, Place::Node(number), kept);
+        self.answer_after(KEEP_TIME, Place::Node(number), kept);
     }
 
     fn check_node_configuration(&mut self, number: usize) {
--- a/crates/lab/src/sim/packet.rs
+++ b/crates/lab/src/sim/packet.rs
@@ -18,8 +18,6 @@
     Application(usize),
     /// A control member.
     Member(usize),
-    /// The platform's list of machines.
-    Machines,
     /// Operators.
     Operator,
 }
--- a/crates/lab/src/sim/world.rs
+++ b/crates/lab/src/sim/world.rs
@@ -326,7 +326,6 @@
             Place::Application(application) => self.application_receives(application, transfer),
             Place::Member(member) => self.member_receives(member, transfer),
             Place::Operator => self.operator_receives(transfer),
-            Place::Machines => {}
         }
     }
 
