--- a/crates/consensus/src/replica.rs
+++ b/crates/consensus/src/replica.rs
@@ -10,6 +10,7 @@
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
 use thiserror::Error;
 use topazmount_types::Time;
 
@@ -61,6 +62,8 @@
     pub(crate) election_at: Time,
     pub(crate) heartbeat_at: Time,
     pub(crate) leader_heard_at: Option<Time>,
+    /// Commit position of the leader in its newest append.
+    pub(crate) leader_commit: Index,
     /// Set while leadership is being handed over: proposals and the lease are over, and the member
     /// steps down at this time at the latest, so that a late `TimeoutNow` can't meet a live lease.
     pub(crate) transfer_until: Option<Time>,
@@ -96,6 +99,7 @@
             election_at: now,
             heartbeat_at: Time::ZERO,
             leader_heard_at: None,
+            leader_commit: 0,
             transfer_until: None,
             incoming: None,
             outbox: Vec::new(),
@@ -193,6 +197,32 @@
         self.has_lease(now) || (self.leader.is_some() && has_heard)
     }
 
+    /// Whether this member leads with a lease, or heard from a leader within two election timeouts
+    /// and has applied all that the leader had committed then. Unlike [`Replica::is_in_contact`] it
+    /// excludes a follower that hears the leader and still lacks entries.
+    pub fn is_current(&self, now: Time) -> bool {
+        let has_all = self.role == Role::Leader || self.applied >= self.leader_commit;
+        has_all && self.is_in_contact(now)
+    }
+
+    /// How long this member has not heard from any leader; zero for a leader.
+    pub fn leader_silence(&self, now: Time) -> Duration {
+        if self.role == Role::Leader {
+            return Duration::ZERO;
+        }
+        self.leader_heard_at.map_or(Duration::MAX, |at| now.since(at))
+    }
+
+    /// How long a member has not answered this leader; counted from the begin of the leadership
+    /// where it never did.
+    pub fn member_silence(&self, id: MemberId, now: Time) -> Duration {
+        if id == self.id {
+            return Duration::ZERO;
+        }
+        let answered = self.progress.get(&id).and_then(|progress| progress.acknowledged_at);
+        now.since(answered.unwrap_or(self.leader_since).max(self.leader_since))
+    }
+
     /// Whether a learner has everything that is committed, within `slack` entries.
     pub fn is_caught_up(&self, id: MemberId, slack: u64) -> bool {
         let progress = self.progress.get(&id);
@@ -349,6 +379,7 @@
             Message::VoteReply { granted } => self.on_vote_reply(from, granted),
             Message::Append { previous_index, previous_term, entries, commit, sent_at } => {
                 self.follow(from);
+                self.leader_commit = commit;
                 self.on_append(from, (previous_index, previous_term), entries, commit, sent_at);
             }
             Message::AppendReply { accepted, index, previous_index, sent_at } => {
--- /dev/null
+++ b/crates/control/src/fleet/leader.rs
@@ -0,0 +1,170 @@
+//! What only the leading member keeps of the fleet, in memory.
+
+use super::protocol::{FleetView, GatewayReport, InstanceReport, WatchRequest};
+use super::rollout::{FleetAction, OrderReport, Rollout, RolloutSettings};
+use super::state::{FleetCommand, FleetState};
+use crate::member::Token;
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+use topazmount_consensus::Term;
+use topazmount_types::{InstanceId, Time};
+
+/// Silence after which a replica counts as gone: several heartbeats, which may be seconds late.
+const REPLICA_SILENCE: Duration = Duration::from_secs(5);
+/// Silence after which a gateway is no longer named to clients.
+const GATEWAY_SILENCE: Duration = Duration::from_millis(1_500);
+/// Longest time for which an answer is held.
+const LONGEST_WAIT: Duration = Duration::from_secs(2);
+
+struct Watcher {
+    token: Token,
+    request: WatchRequest,
+    until: Time,
+}
+
+/// Soft state of the member; the parts about replicas count only while it leads.
+#[derive(Default)]
+pub(crate) struct FleetLeader {
+    settings: RolloutSettings,
+    term: Option<(Term, Time)>,
+    heard: BTreeMap<InstanceId, Time>,
+    gateways: BTreeMap<String, (GatewayReport, Time)>,
+    gateways_count: u64,
+    paused: BTreeSet<InstanceId>,
+    paused_count: u64,
+    rollout: Rollout,
+    watchers: Vec<Watcher>,
+}
+
+impl FleetLeader {
+    pub(crate) fn new(settings: RolloutSettings) -> Self {
+        FleetLeader { settings, ..FleetLeader::default() }
+    }
+
+    /// Takes a heartbeat of a replica.
+    pub(crate) fn heartbeat(&mut self, now: Time, report: &InstanceReport) {
+        self.heard.insert(report.instance.id.clone(), now);
+        self.rollout.heard(&report.instance.id, &report.models);
+    }
+
+    pub(crate) fn order_ended(&mut self, now: Time, report: OrderReport) {
+        self.rollout.ended(now, report);
+    }
+
+    /// Lets time pass in a term that this member leads with a lease. Returns replicas that fell
+    /// silent, and actions for the shell.
+    pub(crate) fn lead(
+        &mut self,
+        now: Time,
+        term: Term,
+        state: &FleetState,
+    ) -> (Vec<FleetCommand>, Vec<FleetAction>) {
+        if self.term.is_none_or(|(known, _)| known != term) {
+            self.term = Some((term, now));
+            self.heard.clear();
+            self.rollout.reset();
+        }
+        let Some((_, since)) = self.term else { return Default::default() };
+        let mut expired = Vec::new();
+        for id in state.instances().keys() {
+            let heard = *self.heard.entry(id.clone()).or_insert(now);
+            if now >= heard.max(since) + REPLICA_SILENCE {
+                expired.push(FleetCommand::Expire(id.clone()));
+            }
+        }
+        self.heard.retain(|id, _| state.instances().contains_key(id));
+        self.forget_gateways(now);
+        let mut actions = Vec::new();
+        if now >= since + self.settings.lease {
+            actions = self.rollout.step(now, term, state.instances(), state.weights());
+        }
+        let paused = self.rollout.paused();
+        if paused != self.paused {
+            self.paused = paused;
+            self.paused_count += 1;
+        }
+        (expired, actions)
+    }
+
+    /// Notes that this member does not lead.
+    pub(crate) fn follow(&mut self, now: Time) {
+        if self.term.take().is_some() {
+            self.rollout.reset();
+            self.paused.clear();
+        }
+        self.forget_gateways(now);
+    }
+
+    /// Keeps a request for news; answered by [`FleetLeader::due`].
+    pub(crate) fn watch(&mut self, now: Time, token: Token, request: WatchRequest) {
+        if let Some(report) = &request.gateway {
+            let before = self.gateways.insert(report.address.clone(), (report.clone(), now));
+            let is_news = before.is_none_or(|(before, _)| before != *report);
+            self.gateways_count += u64::from(is_news);
+        }
+        let until = now + request.wait.min(LONGEST_WAIT);
+        self.watchers.push(Watcher { token, request, until });
+    }
+
+    /// Forgets a requester that is gone.
+    pub(crate) fn gone(&mut self, token: Token) {
+        self.watchers.retain(|watcher| watcher.token != token);
+    }
+
+    /// Answers those for whom there is news or whose time is over.
+    pub(crate) fn due(
+        &mut self,
+        now: Time,
+        state: &FleetState,
+        base: &FleetView,
+    ) -> Vec<(Token, FleetView)> {
+        let watchers = std::mem::take(&mut self.watchers);
+        let mut answers = Vec::new();
+        for watcher in watchers {
+            let (view, is_news) = self.view(state, base, &watcher.request);
+            // A member that can't vouch for what it knows answers at once, so that another is asked.
+            if is_news || now >= watcher.until || base.staleness.is_none() {
+                answers.push((watcher.token, view));
+            } else {
+                self.watchers.push(watcher);
+            }
+        }
+        answers
+    }
+
+    fn view(
+        &self,
+        state: &FleetState,
+        base: &FleetView,
+        request: &WatchRequest,
+    ) -> (FleetView, bool) {
+        let seen = &request.seen;
+        let mut view = base.clone();
+        view.revision = state.revision();
+        view.document = state.document().filter(|one| one.version > seen.document).cloned();
+        let mut is_news = view.document.is_some();
+        if state.revision() != seen.revision {
+            (view.instances, view.removed, view.is_full) = state.changes_since(seen.revision);
+            is_news = true;
+        }
+        let Some((term, _)) = self.term else { return (view, is_news) };
+        view.gateway_count = self.gateways.len() as u32;
+        if seen.paused != (term, self.paused_count) {
+            let paused = self.paused.iter().cloned().collect();
+            view.paused = Some(((term, self.paused_count), paused));
+            is_news = true;
+        }
+        if request.wants_gateways && seen.gateways != (term, self.gateways_count) {
+            let gateways = self.gateways.values().map(|(report, _)| report.clone()).collect();
+            view.gateways = Some(((term, self.gateways_count), gateways));
+            is_news = true;
+        }
+        (view, is_news)
+    }
+
+    fn forget_gateways(&mut self, now: Time) {
+        let before = self.gateways.len();
+        self.gateways.retain(|_, (_, heard)| now < *heard + GATEWAY_SILENCE);
+        self.gateways_count += u64::from(self.gateways.len() != before);
+    }
+}
--- /dev/null
+++ b/crates/control/src/fleet/mod.rs
@@ -0,0 +1,20 @@
+//! The fleet that gateways serve: service catalog, replicas and weights.
+//!
+//! [`FleetState`] is replicated: the newest catalog document, the registered replicas and the
+//! versions named for models. `FleetLeader` is what only the leader keeps in memory: when each
+//! replica and gateway was last heard of, who waits for news, and the roll-out of weights.
+
+mod leader;
+mod protocol;
+mod rollout;
+mod state;
+
+pub(crate) use leader::FleetLeader;
+pub use protocol::{
+    FleetRequest, FleetResponse, FleetView, GatewayReport, InstanceReport, LoadedModel, Seen,
+    WatchRequest,
+};
+pub use rollout::{
+    FleetAction, LoadMode, OrderEnd, OrderReport, ReplicaReport, RolloutSettings, WeightsOrder,
+};
+pub use state::{Document, FleetCommand, FleetState};
--- /dev/null
+++ b/crates/control/src/fleet/protocol.rs
@@ -0,0 +1,127 @@
+//! What gateways, replicas and operators ask the control group about the fleet.
+
+use super::rollout::OrderReport;
+use super::state::Document;
+use serde::{Deserialize, Serialize};
+use std::time::Duration;
+use topazmount_consensus::Term;
+use topazmount_types::{Instance, InstanceId};
+
+/// A model and the version of its weights at a replica.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LoadedModel {
+    /// Model.
+    pub model: String,
+    /// Version of its weights.
+    pub version: u32,
+}
+
+/// What a replica reports of itself.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct InstanceReport {
+    /// The replica.
+    pub instance: Instance,
+    /// Models that it holds; empty for services without weights.
+    pub models: Vec<LoadedModel>,
+}
+
+/// What a gateway reports of itself with each request for news.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct GatewayReport {
+    /// Address for clients.
+    pub address: String,
+    /// Zone.
+    pub zone: String,
+    /// Region.
+    pub region: String,
+    /// Whether it takes new clients.
+    pub is_ready: bool,
+}
+
+/// What the requester has seen already.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Seen {
+    /// Version of its document.
+    pub document: u64,
+    /// Revision of its list of replicas.
+    pub revision: u64,
+    /// Term and count of the list of replicas to pass over.
+    pub paused: (Term, u64),
+    /// Term and count of the list of gateways.
+    pub gateways: (Term, u64),
+}
+
+/// A request for news.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct WatchRequest {
+    /// The requester, if it is a gateway.
+    pub gateway: Option<GatewayReport>,
+    /// What it has seen.
+    pub seen: Seen,
+    /// Whether it wants the list of gateways; otherwise it gets their number only.
+    pub wants_gateways: bool,
+    /// How long the answer may be held while there is no news.
+    pub wait: Duration,
+}
+
+/// News.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct FleetView {
+    /// How old what this member knows may be; `None` when it can't tell.
+    pub staleness: Option<Duration>,
+    /// Internal address of the leader, when known.
+    pub leader: Option<String>,
+    /// Internal addresses of all members.
+    pub members: Vec<String>,
+    /// Newer document.
+    pub document: Option<Document>,
+    /// Revision after `instances` and `removed`.
+    pub revision: u64,
+    /// Whether `instances` is the whole list.
+    pub is_full: bool,
+    /// Changed replicas.
+    pub instances: Vec<Instance>,
+    /// Removed replicas.
+    pub removed: Vec<InstanceId>,
+    /// Replicas to pass over, when that changed: term and count of the list, and the list.
+    pub paused: Option<((Term, u64), Vec<InstanceId>)>,
+    /// Gateways, when asked for and changed: term and count of the list, and the list.
+    pub gateways: Option<((Term, u64), Vec<GatewayReport>)>,
+    /// Number of gateways heard of; 0 where the member does not lead.
+    pub gateway_count: u32,
+}
+
+/// A request about the fleet.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum FleetRequest {
+    /// A replica's heartbeat; answered by the leader only.
+    Heartbeat(InstanceReport),
+    /// A replica leaves; answered by the leader only.
+    Depart(InstanceId),
+    /// Puts a document in force; answered by the leader only.
+    PutDocument(Document),
+    /// The newest document; answered by the leader only.
+    ReadDocument,
+    /// Names a version of a model's weights; answered by the leader only.
+    NameWeights {
+        /// Model.
+        model: String,
+        /// Version.
+        version: u32,
+    },
+    /// News; answered by any member.
+    Watch(WatchRequest),
+    /// How an order or a question that the leader asked its own shell to send ended.
+    OrderEnded(OrderReport),
+}
+
+/// An answer about the fleet.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum FleetResponse {
+    /// Committed, or nothing had to be.
+    Done,
+    /// The newest document.
+    Document(Option<Document>),
+    /// News.
+    View(Box<FleetView>),
+}
--- /dev/null
+++ b/crates/control/src/fleet/rollout.rs
@@ -0,0 +1,361 @@
+//! Rolls named weights out to replicas by orders that only one holder gives.
+
+use super::protocol::LoadedModel;
+use serde::{Deserialize, Serialize};
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+use topazmount_consensus::Term;
+use topazmount_types::{Instance, InstanceId, Time};
+
+/// Replicas of a service for each one that may load at the same time.
+const REPLICAS_PER_LOAD: usize = 5;
+/// Pause between telling gateways to pass a replica over and ordering it to load.
+const PAUSE_BEFORE_ORDER: Duration = Duration::from_millis(150);
+/// Time after an accepted order before the replica is first asked how it stands.
+const FIRST_QUESTION: Duration = Duration::from_millis(700);
+/// Time between two such questions.
+const QUESTION_INTERVAL: Duration = Duration::from_millis(250);
+/// Time after which an order without an answer counts as lost.
+const ORDER_LIMIT: Duration = Duration::from_millis(2_500);
+/// Time after which a load that does not end is ordered again.
+const LOAD_LIMIT: Duration = Duration::from_secs(6);
+/// Pause before a replica that failed an order is tried again.
+const RETRY_PAUSE: Duration = Duration::from_millis(600);
+
+/// Bounds of the roll-out.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct RolloutSettings {
+    /// Time for which a new holder gives no orders, so that two never take turns within it.
+    pub lease: Duration,
+}
+
+impl Default for RolloutSettings {
+    fn default() -> Self {
+        RolloutSettings { lease: Duration::from_secs(3) }
+    }
+}
+
+/// What happens to requests that run at a replica while it loads weights.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum LoadMode {
+    /// They end first.
+    FinishRuns,
+    /// They go on, under the new weights.
+    KeepRuns,
+}
+
+/// An order to load a version of a model's weights.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct WeightsOrder {
+    /// Replica.
+    pub instance: InstanceId,
+    /// Its address.
+    pub address: String,
+    /// Model.
+    pub model: String,
+    /// Version.
+    pub version: u32,
+    /// What happens to what runs there.
+    pub mode: LoadMode,
+    /// Fencing token: the leader's term.
+    pub fence: Term,
+    /// Orders that the replica must have taken before, so that a late copy is not carried out.
+    pub expected_sequence: u64,
+}
+
+/// Something for the leader's shell to send.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum FleetAction {
+    /// Send an order.
+    Order(WeightsOrder),
+    /// Ask a replica for its report.
+    Question {
+        /// Replica.
+        instance: InstanceId,
+        /// Its address.
+        address: String,
+    },
+}
+
+/// How an order ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum OrderEnd {
+    /// It is being carried out.
+    Accepted,
+    /// It held already.
+    Holds,
+    /// Another order is under way, or the expected sequence does not match.
+    Conflict,
+    /// A newer holder gave orders.
+    Fenced,
+    /// Refused for another reason, or the replica is not the one expected.
+    Refused,
+    /// No answer: it may have been taken.
+    Unknown,
+}
+
+/// What a replica reports when asked.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ReplicaReport {
+    /// Models that it holds.
+    pub models: Vec<LoadedModel>,
+    /// Whether an order is under way.
+    pub is_busy: bool,
+    /// Orders taken.
+    pub sequence: u64,
+}
+
+/// The shell's word on an action.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum OrderReport {
+    /// An order ended.
+    Order(InstanceId, OrderEnd),
+    /// A question was answered, or not.
+    Question(InstanceId, Option<ReplicaReport>),
+}
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Phase {
+    /// Gateways are told to pass it over.
+    Pausing { since: Time },
+    /// A question is under way before the order.
+    Asking { since: Time },
+    /// An order is under way.
+    Ordering { since: Time },
+    /// It loads.
+    Loading { since: Time, ask_at: Time },
+    /// Something failed; it is tried again.
+    Resting { until: Time },
+}
+
+#[derive(Clone, Debug)]
+struct Target {
+    phase: Phase,
+    model: String,
+    version: u32,
+}
+
+/// The roll-out as its one holder knows it. Invariants: it acts only for a leader with a lease
+/// whose predecessor's last order is at least `lease` old; it goes straight to the newest version;
+/// at most a bounded part of a service's replicas loads at once.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Rollout {
+    targets: BTreeMap<InstanceId, Target>,
+    loaded: BTreeMap<InstanceId, Vec<LoadedModel>>,
+    sequences: BTreeMap<InstanceId, u64>,
+}
+
+impl Rollout {
+    /// Forgets everything: another member may have given orders meanwhile.
+    pub(crate) fn reset(&mut self) {
+        *self = Rollout::default();
+    }
+
+    /// Replicas that gateways should pass over.
+    pub(crate) fn paused(&self) -> BTreeSet<InstanceId> {
+        let is_paused = |target: &Target| !matches!(target.phase, Phase::Resting { .. });
+        let paused = self.targets.iter().filter(|(_, target)| is_paused(target));
+        paused.map(|(id, _)| id.clone()).collect()
+    }
+
+    /// Takes what a heartbeat says of loaded weights. A heartbeat may be seconds old, so it never
+    /// takes a version back.
+    pub(crate) fn heard(&mut self, id: &str, models: &[LoadedModel]) {
+        if models.is_empty() {
+            return;
+        }
+        let known = self.loaded.entry(id.to_owned()).or_default();
+        for model in models {
+            match known.iter_mut().find(|one| one.model == model.model) {
+                Some(one) => one.version = one.version.max(model.version),
+                None => known.push(model.clone()),
+            }
+        }
+    }
+
+    /// Takes the shell's word on an action.
+    pub(crate) fn ended(&mut self, now: Time, report: OrderReport) {
+        match report {
+            OrderReport::Order(id, end) => self.order_ended(now, &id, end),
+            OrderReport::Question(id, report) => self.question_ended(now, &id, report),
+        }
+    }
+
+    fn order_ended(&mut self, now: Time, id: &str, end: OrderEnd) {
+        let Some(target) = self.targets.get_mut(id) else { return };
+        match end {
+            OrderEnd::Accepted => {
+                target.phase = Phase::Loading { since: now, ask_at: now + FIRST_QUESTION };
+            }
+            OrderEnd::Holds => {
+                let loaded = LoadedModel { model: target.model.clone(), version: target.version };
+                self.targets.remove(id);
+                self.heard(id, &[loaded]);
+            }
+            OrderEnd::Unknown => {
+                target.phase = Phase::Loading { since: now, ask_at: now + QUESTION_INTERVAL };
+            }
+            OrderEnd::Conflict => {
+                target.phase = Phase::Asking { since: now };
+            }
+            OrderEnd::Fenced | OrderEnd::Refused => {
+                target.phase = Phase::Resting { until: now + RETRY_PAUSE };
+            }
+        }
+    }
+
+    fn question_ended(&mut self, now: Time, id: &str, report: Option<ReplicaReport>) {
+        let Some(report) = report else {
+            if let Some(target) = self.targets.get_mut(id) {
+                target.phase = Phase::Resting { until: now + RETRY_PAUSE };
+            }
+            return;
+        };
+        self.sequences.insert(id.to_owned(), report.sequence);
+        self.heard(id, &report.models);
+        let Some(target) = self.targets.get(id) else { return };
+        let holds = self.version_of(id, &target.model) >= Some(target.version);
+        if holds && !report.is_busy {
+            self.targets.remove(id);
+            return;
+        }
+        let Some(target) = self.targets.get_mut(id) else { return };
+        match target.phase {
+            Phase::Loading { since, .. } if report.is_busy => {
+                target.phase = Phase::Loading { since, ask_at: now + QUESTION_INTERVAL };
+            }
+            Phase::Loading { since, .. } if now < since + FIRST_QUESTION * 2 => {
+                // A report lags: what was accepted lately may not show yet.
+                target.phase = Phase::Loading { since, ask_at: now + QUESTION_INTERVAL };
+            }
+            Phase::Loading { .. } => target.phase = Phase::Resting { until: now + RETRY_PAUSE },
+            Phase::Asking { .. } if report.is_busy => {
+                target.phase = Phase::Loading { since: now, ask_at: now + QUESTION_INTERVAL };
+            }
+            _ => {}
+        }
+    }
+
+    fn version_of(&self, id: &str, model: &str) -> Option<u32> {
+        let models = self.loaded.get(id)?;
+        models.iter().find(|one| one.model == model).map(|one| one.version)
+    }
+
+    /// Takes the next steps of a holder that may give orders.
+    pub(crate) fn step(
+        &mut self,
+        now: Time,
+        fence: Term,
+        instances: &BTreeMap<InstanceId, Instance>,
+        weights: &BTreeMap<String, u32>,
+    ) -> Vec<FleetAction> {
+        self.targets.retain(|id, _| instances.get(id).is_some_and(|one| !one.is_draining));
+        self.loaded.retain(|id, _| instances.contains_key(id));
+        self.sequences.retain(|id, _| instances.contains_key(id));
+        self.admit(now, instances, weights);
+        let ids: Vec<InstanceId> = self.targets.keys().cloned().collect();
+        let steps = ids.iter().filter_map(|id| self.advance(now, fence, &instances[id], weights));
+        steps.collect()
+    }
+
+    /// Picks replicas that lack the newest version, up to the bound of each service.
+    fn admit(
+        &mut self,
+        now: Time,
+        instances: &BTreeMap<InstanceId, Instance>,
+        weights: &BTreeMap<String, u32>,
+    ) {
+        let mut room: BTreeMap<&str, usize> = BTreeMap::new();
+        for instance in instances.values() {
+            *room.entry(&instance.service).or_default() += 1;
+        }
+        for count in room.values_mut() {
+            *count = count.div_ceil(REPLICAS_PER_LOAD).max(1);
+        }
+        for id in self.targets.keys() {
+            if let Some(free) = room.get_mut(instances[id].service.as_str()) {
+                *free = free.saturating_sub(1);
+            }
+        }
+        for (id, instance) in instances {
+            let free = room.get_mut(instance.service.as_str());
+            let Some(free) = free.filter(|free| **free > 0) else { continue };
+            if instance.is_draining || self.targets.contains_key(id) {
+                continue;
+            }
+            if let Some((model, version)) = self.lacking(id, weights) {
+                *free -= 1;
+                let phase = Phase::Pausing { since: now };
+                self.targets.insert(id.clone(), Target { phase, model, version });
+            }
+        }
+    }
+
+    fn lacking(&self, id: &str, weights: &BTreeMap<String, u32>) -> Option<(String, u32)> {
+        let models = self.loaded.get(id)?;
+        models.iter().find_map(|loaded| {
+            let newest = weights.get(&loaded.model).copied().unwrap_or(0);
+            (newest > loaded.version).then(|| (loaded.model.clone(), newest))
+        })
+    }
+
+    fn advance(
+        &mut self,
+        now: Time,
+        fence: Term,
+        instance: &Instance,
+        weights: &BTreeMap<String, u32>,
+    ) -> Option<FleetAction> {
+        let known_sequence = self.sequences.get(&instance.id).copied();
+        let target = self.targets.get_mut(&instance.id)?;
+        let question = FleetAction::Question {
+            instance: instance.id.clone(),
+            address: instance.address.clone(),
+        };
+        match target.phase {
+            Phase::Pausing { since } if now >= since + PAUSE_BEFORE_ORDER => {
+                target.phase = Phase::Asking { since: now };
+                Some(question)
+            }
+            Phase::Asking { since } => match known_sequence {
+                Some(expected_sequence) => {
+                    // The sequence counts this order; the next one asks anew.
+                    self.sequences.remove(&instance.id);
+                    target.phase = Phase::Ordering { since: now };
+                    target.version = weights.get(&target.model).copied()?.max(target.version);
+                    Some(FleetAction::Order(WeightsOrder {
+                        instance: instance.id.clone(),
+                        address: instance.address.clone(),
+                        model: target.model.clone(),
+                        version: target.version,
+                        mode: LoadMode::FinishRuns,
+                        fence,
+                        expected_sequence,
+                    }))
+                }
+                None if now >= since + ORDER_LIMIT => {
+                    target.phase = Phase::Resting { until: now + RETRY_PAUSE };
+                    None
+                }
+                None => None,
+            },
+            Phase::Ordering { since } if now >= since + ORDER_LIMIT => {
+                target.phase = Phase::Loading { since: now, ask_at: now };
+                None
+            }
+            Phase::Loading { since, .. } if now >= since + LOAD_LIMIT => {
+                target.phase = Phase::Resting { until: now + RETRY_PAUSE };
+                None
+            }
+            Phase::Loading { since, ask_at } if now >= ask_at => {
+                target.phase = Phase::Loading { since, ask_at: now + ORDER_LIMIT };
+                Some(question)
+            }
+            Phase::Resting { until } if now >= until => {
+                self.targets.remove(&instance.id);
+                None
+            }
+            _ => None,
+        }
+    }
+}
--- /dev/null
+++ b/crates/control/src/fleet_member.rs
@@ -0,0 +1,112 @@
+//! How a member answers about the fleet.
+
+use crate::fleet::{FleetCommand, FleetRequest, FleetResponse, FleetView, InstanceReport};
+use crate::member::{Member, MemberOutput, Token};
+use crate::protocol::Response;
+use crate::state::Command;
+use std::time::Duration;
+use topazmount_consensus::{Disk, Role};
+use topazmount_types::Time;
+
+impl<D: Disk> Member<D> {
+    pub(crate) fn on_fleet(&mut self, now: Time, token: Token, request: FleetRequest) {
+        match request {
+            FleetRequest::Watch(watch) => self.fleet.watch(now, token, watch),
+            FleetRequest::OrderEnded(report) => {
+                self.fleet.order_ended(now, report);
+                self.respond(token, Response::Fleet(FleetResponse::Done));
+            }
+            FleetRequest::Heartbeat(report) => self.on_heartbeat(now, token, report),
+            FleetRequest::Depart(id) => {
+                let is_gone = self.state.fleet.is_gone(&id);
+                self.change(now, token, FleetCommand::Depart(id), is_gone);
+            }
+            FleetRequest::PutDocument(document) => {
+                let is_old = document.version <= self.state.fleet.version();
+                self.change(now, token, FleetCommand::PutDocument(document), is_old);
+            }
+            FleetRequest::NameWeights { model, version } => {
+                let known = self.state.fleet.weights().get(&model).copied().unwrap_or(0);
+                let command = FleetCommand::NameWeights { model, version };
+                self.change(now, token, command, version <= known);
+            }
+            FleetRequest::ReadDocument => {
+                let response = if self.replica.has_lease(now) {
+                    let document = self.state.fleet.document().cloned();
+                    Response::Fleet(FleetResponse::Document(document))
+                } else {
+                    self.not_leader()
+                };
+                self.respond(token, response);
+            }
+        }
+    }
+
+    fn on_heartbeat(&mut self, now: Time, token: Token, report: InstanceReport) {
+        if self.replica.role() == Role::Leader {
+            self.fleet.heartbeat(now, &report);
+        }
+        let is_known = !self.state.fleet.is_news(&report.instance);
+        self.change(now, token, FleetCommand::Register(report.instance), is_known);
+    }
+
+    /// Commits a change, unless it is known to hold already: then a lease is enough to say so.
+    fn change(&mut self, now: Time, token: Token, command: FleetCommand, holds_already: bool) {
+        if !holds_already {
+            return self.propose(now, token, Command::Fleet(command));
+        }
+        let response = if self.replica.has_lease(now) {
+            Response::Fleet(FleetResponse::Done)
+        } else {
+            self.not_leader()
+        };
+        self.respond(token, response);
+    }
+
+    fn respond(&mut self, token: Token, response: Response) {
+        self.outputs.push(MemberOutput::Respond(token, response));
+    }
+
+    pub(crate) fn tick_fleet(&mut self, now: Time) {
+        if !self.replica.has_lease(now) {
+            if self.replica.role() != Role::Leader {
+                self.fleet.follow(now);
+            }
+            return;
+        }
+        let term = self.replica.term();
+        let (commands, actions) = self.fleet.lead(now, term, &self.state.fleet);
+        for command in commands {
+            self.propose_unasked(now, Command::Fleet(command));
+        }
+        self.outputs.extend(actions.into_iter().map(MemberOutput::Act));
+    }
+
+    pub(crate) fn answer_watchers(&mut self, now: Time) {
+        let base = FleetView {
+            staleness: self.staleness(now),
+            leader: self.leader_address(),
+            members: self.member_addresses(),
+            ..FleetView::default()
+        };
+        for (token, view) in self.fleet.due(now, &self.state.fleet, &base) {
+            self.respond(token, Response::Fleet(FleetResponse::View(Box::new(view))));
+        }
+    }
+
+    fn leader_address(&self) -> Option<String> {
+        let leader = self.replica.leader()?;
+        self.replica.membership().info(leader).map(|info| info.address.clone())
+    }
+
+    /// How old the applied state may be. A follower may have missed what a leader committed after
+    /// the last append that it saw; a leader that followed another one may not know yet what that
+    /// one committed.
+    fn staleness(&self, now: Time) -> Option<Duration> {
+        if self.replica.has_lease(now) {
+            return Some(Duration::ZERO);
+        }
+        let timeout = self.election_timeout();
+        self.replica.is_current(now).then_some(timeout * 3)
+    }
+}
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -1,11 +1,13 @@
 //! What the replicated log is applied to, and one control member around it.
 //!
-//! [`ControlState`] is the state machine: configuration revisions and the ledger of calls that may
-//! run at most once. [`Member`] joins it with the log: it takes requests and peer messages, makes
+//! [`ControlState`] is the state machine: configuration revisions, the ledger of calls that may
+//! run at most once, and the fleet that gateways serve. [`Member`] joins it with the log: it takes requests and peer messages, makes
 //! state durable through a [`Disk`](topazmount_consensus::Disk), and says what to send. It opens no
 //! socket and reads no clock.
 
 mod configuration;
+mod fleet;
+mod fleet_member;
 mod ledger;
 mod member;
 mod protocol;
@@ -13,6 +15,11 @@
 mod state;
 
 pub use configuration::{Configuration, ConfigurationUpdate, HistoryRow};
+pub use fleet::{
+    Document, FleetAction, FleetCommand, FleetRequest, FleetResponse, FleetState, FleetView,
+    GatewayReport, InstanceReport, LoadMode, LoadedModel, OrderEnd, OrderReport, ReplicaReport,
+    RolloutSettings, Seen, WatchRequest, WeightsOrder,
+};
 pub use ledger::{ActionResult, ClaimId, ClaimOutcome, Ledger, LookupOutcome};
 pub use member::{Founding, Member, MemberError, MemberInput, MemberOutput, MemberSettings, Token};
 pub use protocol::{
--- a/crates/control/src/member.rs
+++ b/crates/control/src/member.rs
@@ -1,6 +1,7 @@
 //! One control member: log, disk, state machine and the requests that wait for them.
 
 use crate::configuration::ConfigurationUpdate;
+use crate::fleet::{FleetAction, FleetLeader, FleetResponse, RolloutSettings};
 use crate::protocol::{ChangeReply, ChangeRequest, MemberStatus, NodeReport, Request, Response};
 use crate::state::{Command, ControlState, Reply, TimedCommand};
 use std::collections::BTreeMap;
@@ -17,6 +18,10 @@
 const IDENTITY_FILE: &str = "identity";
 /// Applied entries between two snapshots.
 const ENTRIES_PER_SNAPSHOT: u64 = 4_000;
+/// Applied bytes between two snapshots.
+const BYTES_PER_SNAPSHOT: u64 = 4 * 1024 * 1024;
+/// Silence of all leaders after which a member asks whether it still is one.
+const REJOIN_SILENCE: Duration = Duration::from_secs(2);
 /// Time after which a node that no longer asks is left out of the status.
 const NODE_REPORT_RETENTION: Duration = Duration::from_secs(60);
 
@@ -33,6 +38,8 @@
     pub consensus: Config,
     /// Seed of timeouts, and of the identity when the disk is empty.
     pub seed: u64,
+    /// Bounds of the roll-out of weights.
+    pub rollout: RolloutSettings,
 }
 
 /// What forms a new group; every founding member must be given the same.
@@ -80,6 +87,8 @@
     Send(String, Envelope),
     /// Answer a request.
     Respond(Token, Response),
+    /// Send something to a replica, and tell with [`crate::FleetRequest::OrderEnded`] how it ended.
+    Act(FleetAction),
 }
 
 struct Waiting {
@@ -92,13 +101,15 @@
     settings: MemberSettings,
     pub(crate) replica: Replica,
     wal: Wal<D>,
-    state: ControlState,
+    pub(crate) state: ControlState,
     waiting: BTreeMap<Index, Waiting>,
     nodes: BTreeMap<NodeId, NodeReport>,
+    pub(crate) fleet: FleetLeader,
     /// Where peers were last heard from: a joining member does not know the membership yet.
     peer_addresses: BTreeMap<MemberId, String>,
     snapshot_at: Index,
-    outputs: Vec<MemberOutput>,
+    bytes_since_snapshot: u64,
+    pub(crate) outputs: Vec<MemberOutput>,
 }
 
 impl<D: Disk> Member<D> {
@@ -128,6 +139,7 @@
         let snapshot_at = recovered.snapshot.meta.index;
         let seed = settings.seed;
         let replica = Replica::new(id, settings.consensus.clone(), recovered, seed, now);
+        let fleet = FleetLeader::new(settings.rollout);
         let mut member = Member {
             settings,
             replica,
@@ -135,8 +147,10 @@
             state: ControlState::default(),
             waiting: BTreeMap::new(),
             nodes: BTreeMap::new(),
+            fleet,
             peer_addresses: BTreeMap::new(),
             snapshot_at,
+            bytes_since_snapshot: 0,
             outputs: Vec::new(),
         };
         member.drain_ready()?;
@@ -163,9 +177,22 @@
         (self.replica.id(), &self.settings.info)
     }
 
-    /// Whether this process must still ask to join.
-    pub fn must_join(&self) -> bool {
-        !self.replica.membership().contains(self.replica.id())
+    pub(crate) fn election_timeout(&self) -> Duration {
+        self.settings.consensus.election_timeout
+    }
+
+    /// Whether this process must ask to join: it never did, or it was away so long that it may
+    /// have been removed, of which a removed member is not told.
+    pub fn must_join(&self, now: Time) -> bool {
+        let is_member = self.replica.membership().contains(self.replica.id());
+        !is_member || self.replica.leader_silence(now) > REJOIN_SILENCE
+    }
+
+    /// Internal addresses of all members.
+    pub fn member_addresses(&self) -> Vec<String> {
+        let membership = self.replica.membership();
+        let all = membership.voters.values().chain(membership.learners.values());
+        all.map(|info| info.address.clone()).collect()
     }
 
     /// Next moment at which [`MemberInput::Tick`] has something to do.
@@ -190,7 +217,10 @@
                     self.replica.step(now, envelope);
                 }
                 MemberInput::Request(token, request) => self.on_request(now, token, request),
-                MemberInput::Gone(token) => self.waiting.retain(|_, w| w.token != token),
+                MemberInput::Gone(token) => {
+                    self.waiting.retain(|_, w| w.token != token);
+                    self.fleet.gone(token);
+                }
                 MemberInput::HandOver => {
                     self.replica.transfer_leadership(now);
                 }
@@ -199,6 +229,7 @@
         self.replica.flush_proposals();
         self.drain_ready()?;
         self.refuse_if_deposed();
+        self.answer_watchers(now);
         Ok(std::mem::take(&mut self.outputs))
     }
 
@@ -207,6 +238,7 @@
         if self.replica.has_lease(now) {
             self.repair_membership(now);
         }
+        self.tick_fleet(now);
     }
 
     fn on_request(&mut self, now: Time, token: Token, request: Request) {
@@ -236,6 +268,7 @@
             Request::History => Response::History(self.state.configuration.history()),
             Request::Status => Response::Status(Box::new(self.status(now))),
             Request::Join(id, info) => self.on_join(now, id, info),
+            Request::Fleet(request) => return self.on_fleet(now, token, request),
         };
         self.outputs.push(MemberOutput::Respond(token, response));
     }
@@ -262,11 +295,19 @@
         self.propose(now, token, Command::Configure { expected, request, deltas });
     }
 
-    fn propose(&mut self, now: Time, token: Token, command: Command) {
+    /// Proposes a command that nobody waits for.
+    pub(crate) fn propose_unasked(&mut self, now: Time, command: Command) {
+        // One that can't be taken now is proposed again by a later tick.
+        let _ = self.replica.propose(self.encode(now, command));
+    }
+
+    fn encode(&self, now: Time, command: Command) -> Vec<u8> {
         let at = now.max(self.state.time);
-        let timed = TimedCommand { at, command };
-        let bytes = rmp_serde::to_vec(&timed).expect("a command is plain data");
-        match self.replica.propose(bytes) {
+        rmp_serde::to_vec(&TimedCommand { at, command }).expect("a command is plain data")
+    }
+
+    pub(crate) fn propose(&mut self, now: Time, token: Token, command: Command) {
+        match self.replica.propose(self.encode(now, command)) {
             Ok(index) => {
                 let term = self.replica.term();
                 self.waiting.insert(index, Waiting { token, term });
@@ -318,6 +359,7 @@
         let Payload::Command(bytes) = &entry.payload else {
             return Ok(());
         };
+        self.bytes_since_snapshot += bytes.len() as u64;
         let timed: TimedCommand =
             rmp_serde::from_slice(bytes).map_err(|error| MemberError::Decode(error.to_string()))?;
         let reply = self.state.apply(timed);
@@ -343,9 +385,12 @@
 
     fn snapshot_if_due(&mut self) -> Result<(), MemberError> {
         let applied = self.replica.applied();
-        if applied < self.snapshot_at + ENTRIES_PER_SNAPSHOT {
+        let is_due = applied >= self.snapshot_at + ENTRIES_PER_SNAPSHOT
+            || self.bytes_since_snapshot >= BYTES_PER_SNAPSHOT;
+        if !is_due {
             return Ok(());
         }
+        self.bytes_since_snapshot = 0;
         let data = rmp_serde::to_vec(&self.state).expect("the state is plain data");
         let snapshot = self.replica.compact(data);
         let after = self.replica.entries_after(applied);
@@ -375,6 +420,7 @@
     match reply {
         Reply::Configured(revision) => Response::Change(ChangeReply::Accepted(revision)),
         Reply::Conflict(revision) => Response::Change(ChangeReply::Conflict(revision)),
+        Reply::FleetChanged => Response::Fleet(FleetResponse::Done),
         other => Response::Ledger(other),
     }
 }
--- a/crates/control/src/protocol.rs
+++ b/crates/control/src/protocol.rs
@@ -1,6 +1,7 @@
 //! Messages between nodes, operators and control members.
 
 use crate::configuration::{ConfigurationUpdate, HistoryRow};
+use crate::fleet::{FleetRequest, FleetResponse};
 use crate::ledger::LookupOutcome;
 use crate::state::{Command, Reply};
 use serde::{Deserialize, Serialize};
@@ -50,6 +51,8 @@
     Status,
     /// A process with an empty disk asks to become a member; answered by the leader only.
     Join(MemberId, MemberInfo),
+    /// About the fleet.
+    Fleet(FleetRequest),
 }
 
 /// A change of configuration.
@@ -133,4 +136,6 @@
     NotLeader(Option<MemberInfo>),
     /// Refused, with the reason.
     Refused(Refusal),
+    /// About the fleet.
+    Fleet(FleetResponse),
 }
--- a/crates/control/src/repair.rs
+++ b/crates/control/src/repair.rs
@@ -3,9 +3,12 @@
 
 use crate::member::Member;
 use crate::protocol::Response;
+use std::time::Duration;
 use topazmount_consensus::{Disk, MemberId, MemberInfo, Membership, MembershipChange, Replica};
 use topazmount_types::Time;
 
+/// Silence after which a voter that the group is no safer with is removed.
+const SURPLUS_SILENCE: Duration = Duration::from_secs(4);
 /// Entries by which a learner may lag when it becomes a voter.
 const PROMOTION_SLACK: u64 = 0;
 
@@ -34,7 +37,9 @@
             .keys()
             .find(|id| self.replica.is_caught_up(**id, PROMOTION_SLACK))
             .copied();
-        let change = match (replaced_voter(&self.replica, now), ready) {
+        let removable =
+            replaced_voter(&self.replica, now).or_else(|| surplus_voter(&self.replica, now));
+        let change = match (removable, ready) {
             (Some(old), _) => MembershipChange::Remove(old),
             (None, Some(id)) => MembershipChange::Promote(id),
             (None, None) => return,
@@ -59,3 +64,13 @@
         (has_answering_twin && !replica.is_answering(id, now)).then_some(id)
     })
 }
+
+/// A silent voter of a group of even size. Such a group bears no more losses than one that is
+/// smaller by one, so the silent one only raises the quorum; a replacement at another address has
+/// come, or it rejoins by itself when it is back.
+fn surplus_voter(replica: &Replica, now: Time) -> Option<MemberId> {
+    let voters = &replica.membership().voters;
+    let is_even = voters.len().is_multiple_of(2);
+    let mut silent = voters.keys().filter(|id| replica.member_silence(**id, now) > SURPLUS_SILENCE);
+    silent.next().copied().filter(|_| is_even && voters.len() > 2)
+}
--- a/crates/control/src/state.rs
+++ b/crates/control/src/state.rs
@@ -1,6 +1,7 @@
 //! The replicated state machine.
 
 use crate::configuration::Configuration;
+use crate::fleet::{FleetCommand, FleetState};
 use crate::ledger::{ActionResult, ClaimId, ClaimOutcome, Ledger};
 use serde::{Deserialize, Serialize};
 use std::time::Duration;
@@ -51,6 +52,8 @@
         /// Digest of the call.
         digest: Digest,
     },
+    /// Changes the fleet.
+    Fleet(FleetCommand),
 }
 
 /// A command with the leader's time, so that all members expire alike.
@@ -75,6 +78,8 @@
     Finished(bool),
     /// The claim is given back.
     Released,
+    /// The fleet is changed.
+    FleetChanged,
 }
 
 /// All replicated state.
@@ -86,6 +91,9 @@
     pub configuration: Configuration,
     /// Ledger.
     pub ledger: Ledger,
+    /// Catalog, replicas and weights.
+    #[serde(default)]
+    pub fleet: FleetState,
 }
 
 impl ControlState {
@@ -116,6 +124,10 @@
                 self.ledger.release(key, claim, digest);
                 Reply::Released
             }
+            Command::Fleet(change) => {
+                self.fleet.apply(change);
+                Reply::FleetChanged
+            }
         }
     }
 }
--- /dev/null
+++ b/crates/gateway/src/knowledge.rs
@@ -0,0 +1,205 @@
+//! What one gateway knows and for how long it may rely on it.
+
+use crate::balancer::{Balancer, Choice, ChoiceRequest};
+use crate::budget::{BudgetSettings, RetryBudget};
+use crate::catalog::{Catalog, Route, Tenant};
+use std::collections::{HashMap, HashSet};
+use std::sync::Arc;
+use std::time::Duration;
+use topazmount_control::{FleetView, Seen};
+use topazmount_routing::PolicyTable;
+use topazmount_types::{ErrorKind, InstanceId, Time};
+
+/// Time kept back of the bound on revoked keys, for a request on its way to a replica.
+const REVOCATION_MARGIN: Duration = Duration::from_millis(700);
+
+/// Bounds that a gateway keeps.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct GatewaySettings {
+    /// Time after which a removed key is refused by every gateway, in touch or not; `None` where
+    /// gateways out of touch may serve on.
+    pub revocation: Option<Duration>,
+    /// The fleet's retry budget.
+    pub budget: BudgetSettings,
+}
+
+impl Default for GatewaySettings {
+    fn default() -> Self {
+        GatewaySettings {
+            revocation: Some(Duration::from_secs(5)),
+            budget: BudgetSettings::default(),
+        }
+    }
+}
+
+/// A request that may be served.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Admission {
+    /// Its route.
+    pub route: Route,
+    /// The tenant that holds its key, where keys are needed.
+    pub tenant: Option<Tenant>,
+    /// Service that it goes to.
+    pub service: String,
+    /// Catalog version by which it was admitted.
+    pub version: u64,
+}
+
+/// A gateway's knowledge. Invariants: the catalog's version only rises; a keyed request is
+/// admitted only while word of a member that could vouch for the newest catalog is younger than
+/// the bound on revoked keys.
+pub struct Knowledge {
+    settings: GatewaySettings,
+    catalog: Option<Arc<Catalog>>,
+    seen: Seen,
+    confirmed_until: Time,
+    gateway_count: usize,
+    balancer: Balancer,
+    budgets: HashMap<String, RetryBudget>,
+    policies: PolicyTable,
+}
+
+impl Knowledge {
+    /// A gateway in a zone that knows nothing yet.
+    pub fn new(zone: &str, settings: GatewaySettings, seed: u64) -> Self {
+        Knowledge {
+            settings,
+            catalog: None,
+            seen: Seen::default(),
+            confirmed_until: Time::ZERO,
+            gateway_count: 0,
+            balancer: Balancer::new(zone, seed),
+            budgets: HashMap::new(),
+            policies: PolicyTable::default(),
+        }
+    }
+
+    /// Changes the bounds.
+    pub fn set_settings(&mut self, settings: GatewaySettings) {
+        self.settings = settings;
+    }
+
+    /// What it has seen, for the next request for news.
+    pub fn seen(&self) -> Seen {
+        self.seen
+    }
+
+    /// The catalog in force here.
+    pub fn catalog(&self) -> Option<&Arc<Catalog>> {
+        self.catalog.as_ref()
+    }
+
+    /// Replicas and their choice.
+    pub fn balancer(&mut self) -> &mut Balancer {
+        &mut self.balancer
+    }
+
+    /// Policies in force.
+    pub fn policies(&mut self) -> &mut PolicyTable {
+        &mut self.policies
+    }
+
+    /// Whether what it knows is confirmed now.
+    pub fn is_confirmed(&self, now: Time) -> bool {
+        self.catalog.is_some() && now < self.confirmed_until
+    }
+
+    /// Takes news that was asked for at `asked_at`. `catalog` is the view's document as read by
+    /// the dialect, if the view has one that can be read.
+    pub fn apply(&mut self, view: &FleetView, catalog: Option<Catalog>, asked_at: Time) {
+        if let Some(catalog) = catalog
+            && catalog.version() > self.seen.document
+        {
+            self.seen.document = catalog.version();
+            self.catalog = Some(Arc::new(catalog));
+        }
+        self.apply_instances(view);
+        if let Some((count, paused)) = &view.paused {
+            self.seen.paused = *count;
+            self.balancer.set_paused(paused.iter().cloned().collect());
+        }
+        if view.gateway_count > 0 {
+            self.gateway_count = view.gateway_count as usize;
+        }
+        if let Some(staleness) = view.staleness {
+            let until = match self.settings.revocation {
+                Some(bound) => asked_at + bound.saturating_sub(staleness + REVOCATION_MARGIN),
+                None => Time::NEVER,
+            };
+            self.confirmed_until = self.confirmed_until.max(until);
+        }
+    }
+
+    /// A list of replicas only moves forward: an older one of a member that lags is passed over.
+    fn apply_instances(&mut self, view: &FleetView) {
+        if view.revision <= self.seen.revision {
+            return;
+        }
+        if view.is_full {
+            let ids: HashSet<InstanceId> =
+                view.instances.iter().map(|instance| instance.id.clone()).collect();
+            self.balancer.retain(&ids);
+        }
+        for id in &view.removed {
+            self.balancer.remove(id);
+        }
+        for instance in &view.instances {
+            self.balancer.upsert(instance.clone());
+        }
+        self.seen.revision = view.revision;
+    }
+
+    /// Decides whether a request may be served, and where it belongs.
+    ///
+    /// # Errors
+    /// The kind of refusal. Where the gateway can't be sure of the newest catalog it does not say
+    /// that a route or key does not exist.
+    pub fn admit(
+        &mut self,
+        host: &str,
+        path: &str,
+        key: Option<&str>,
+        now: Time,
+    ) -> Result<Admission, ErrorKind> {
+        let Some(catalog) = self.catalog.clone() else {
+            return Err(ErrorKind::NoConfiguration);
+        };
+        let is_confirmed = self.is_confirmed(now);
+        let refusal = |kind| if is_confirmed { kind } else { ErrorKind::NoConfiguration };
+        let Some((_, route)) = catalog.route(host, path) else {
+            return Err(refusal(ErrorKind::NotFound));
+        };
+        let needs_key = catalog.has_tenants() && !route.is_public;
+        let tenant = key.and_then(|key| catalog.tenant(key));
+        if needs_key && tenant.is_none() {
+            return Err(refusal(ErrorKind::Unauthenticated));
+        }
+        if needs_key && !is_confirmed {
+            return Err(ErrorKind::NoConfiguration);
+        }
+        Ok(Admission {
+            route: route.clone(),
+            tenant: tenant.filter(|_| needs_key).cloned(),
+            service: self.balancer.split(route),
+            version: catalog.version(),
+        })
+    }
+
+    /// Chooses a replica.
+    pub fn choose(&mut self, request: &ChoiceRequest<'_>, now: Time) -> Option<Choice> {
+        self.balancer.choose(request, now, &mut self.policies)
+    }
+
+    /// Counts a request for a service.
+    pub fn count_request(&mut self, service: &str, now: Time) {
+        let budget = self.budgets.entry(service.to_owned()).or_default();
+        budget.request(now, &self.settings.budget);
+    }
+
+    /// Asks the budget of a service for one repeat.
+    pub fn may_repeat(&mut self, service: &str, now: Time) -> bool {
+        let nodes = self.gateway_count;
+        let budget = self.budgets.entry(service.to_owned()).or_default();
+        budget.repeat(now, &self.settings.budget, nodes)
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/lib.rs
@@ -0,0 +1,23 @@
+//! Transparent forwarding of HTTP requests to registered replicas, as pure state machines.
+//!
+//! A [`Catalog`] says which route a request takes, who may send it and what may be repeated. The
+//! [`Balancer`] knows the replicas and chooses one. A [`RetryBudget`] bounds repeats, and a
+//! [`RequestPlan`] decides after each attempt whether to try again or what to answer. Nothing here
+//! opens a socket or reads a clock.
+
+mod balancer;
+mod budget;
+mod catalog;
+mod knowledge;
+mod plan;
+mod prompt;
+
+pub use balancer::{Balancer, Choice, ChoiceRequest};
+pub use budget::{BudgetSettings, RetryBudget};
+pub use catalog::{
+    Catalog, CatalogParts, CatalogProblem, EngineParameters, HttpLimits, Route, RouteKind, Service,
+    SplitPart, Tenant,
+};
+pub use knowledge::{Admission, GatewaySettings, Knowledge};
+pub use plan::{AttemptEnd, NextStep, RequestPlan};
+pub use prompt::{Prompt, PromptPart};
--- /dev/null
+++ b/crates/gateway/src/plan.rs
@@ -0,0 +1,118 @@
+//! What follows an attempt: another one, or which answer.
+
+use topazmount_types::{ErrorKind, InstanceId, RunState};
+
+/// How an attempt at a replica ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum AttemptEnd {
+    /// No connection came up; no byte was handed over.
+    Unreachable,
+    /// The replica said that it did not run the request.
+    NotRun,
+    /// Another replica has the address, and said so.
+    WrongInstance,
+    /// The connection ended, or something that is no answer came, after bytes were handed over.
+    Broken,
+    /// A whole answer that reports a failure came.
+    Failed,
+    /// Nothing came for so long that another replica should be tried.
+    Silent,
+    /// The time of the request is over.
+    TimedOut,
+}
+
+/// What to do next.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum NextStep {
+    /// Send the request to another replica; else give this answer.
+    Retry {
+        /// Answer when it can't be sent again.
+        otherwise: ErrorKind,
+        /// Whether the budget must allow it, since an earlier attempt arrived at a replica.
+        is_repeat: bool,
+    },
+    /// Pass the replica's failure on as it is, unless the budget allows another attempt.
+    RetryOrPassOn,
+    /// Pass the replica's failure on as it is.
+    PassOn,
+    /// Give this answer.
+    Answer(ErrorKind),
+}
+
+/// One request's attempts. Invariant: a request that may not be repeated is never sent again once
+/// a replica may have begun work on it, and an answer that promises "not run" is given only where
+/// every replica that was sent the request said so, or no byte reached one.
+#[derive(Clone, Debug)]
+pub struct RequestPlan {
+    is_repeatable: bool,
+    attempts_left: u32,
+    may_have_run: bool,
+    has_arrived: bool,
+    tried: Vec<InstanceId>,
+}
+
+impl RequestPlan {
+    /// A request that may be sent to `attempts` replicas.
+    pub fn new(is_repeatable: bool, attempts: u32) -> Self {
+        let attempts_left = attempts.max(1);
+        RequestPlan {
+            is_repeatable,
+            attempts_left,
+            may_have_run: false,
+            has_arrived: false,
+            tried: Vec::new(),
+        }
+    }
+
+    /// Replicas tried so far.
+    pub fn tried(&self) -> &[InstanceId] {
+        &self.tried
+    }
+
+    /// Whether another replica may be sent the request although one has it.
+    pub fn may_be_sent_again(&self) -> bool {
+        self.is_repeatable && self.attempts_left > 0
+    }
+
+    /// Whether a replica may have begun work on the request.
+    pub fn may_have_run(&self) -> bool {
+        self.may_have_run
+    }
+
+    /// What an answer may say about the request.
+    pub fn run_state(&self) -> RunState {
+        if self.may_have_run { RunState::Unknown } else { RunState::NotRun }
+    }
+
+    /// Notes that an attempt begins.
+    pub fn begin(&mut self, instance: InstanceId) {
+        self.attempts_left = self.attempts_left.saturating_sub(1);
+        self.tried.push(instance);
+    }
+
+    /// Decides what follows an attempt.
+    pub fn end(&mut self, end: AttemptEnd) -> NextStep {
+        let has_run = matches!(end, AttemptEnd::Broken | AttemptEnd::Failed | AttemptEnd::Silent);
+        self.may_have_run |= has_run || end == AttemptEnd::TimedOut;
+        if end == AttemptEnd::Unreachable {
+            // Nothing was sent, so the replica does not count among those that were sent it.
+            self.attempts_left += 1;
+        } else {
+            self.has_arrived = true;
+        }
+        let may_retry = self.attempts_left > 0 && (self.is_repeatable || !self.may_have_run);
+        let otherwise = self.refusal();
+        match end {
+            AttemptEnd::TimedOut => NextStep::Answer(ErrorKind::OutcomeTimedOut),
+            AttemptEnd::Failed if may_retry => NextStep::RetryOrPassOn,
+            AttemptEnd::Failed => NextStep::PassOn,
+            _ if may_retry => NextStep::Retry { otherwise, is_repeat: self.has_arrived },
+            _ => NextStep::Answer(otherwise),
+        }
+    }
+
+    /// Answer for a request whose time or attempts are over.
+    pub fn refusal(&self) -> ErrorKind {
+        if self.may_have_run { ErrorKind::OutcomeUnknown } else { ErrorKind::NoReplica }
+    }
+}
--- a/crates/lab/src/embedded.rs
+++ b/crates/lab/src/embedded.rs
@@ -123,7 +123,14 @@
             initial_members: peers.clone(),
         };
         let (source, key) = (source.clone(), key.clone());
-        let options = ControlOptions { settings, form_group: true, source, key };
+        let options = ControlOptions {
+            settings,
+            form_group: true,
+            source,
+            key,
+            rollout: Default::default(),
+            actions: None,
+        };
         members.push(control_process::start(executor, options).await?);
     }
     let shared = NodeStart { executor, deployment, key_file: &key_file, key, source, peers };
--- a/crates/lab/src/scale/control.rs
+++ b/crates/lab/src/scale/control.rs
@@ -44,8 +44,12 @@
         let founding = Founding { members: (0..MEMBERS).map(info).collect(), source };
         let open = |number: usize| {
             let seed = number as u64;
-            let settings =
-                MemberSettings { info: info(number), consensus: Config::default(), seed };
+            let settings = MemberSettings {
+                info: info(number),
+                consensus: Config::default(),
+                seed,
+                rollout: Default::default(),
+            };
             Member::open(MemoryDisk::default(), settings, Some(&founding), Time::ZERO)
                 .expect("a disk in memory does not fail")
         };
@@ -89,6 +93,7 @@
     fn take(&mut self, from: usize, output: MemberOutput) {
         match output {
             MemberOutput::Respond(token, response) => self.answers.push((token, response)),
+            MemberOutput::Act(_) => {}
             MemberOutput::Send(address, envelope) => {
                 let to = (0..MEMBERS).find(|number| info(*number).address == address);
                 let frame = Frame::Peer(info(from).address, envelope);
--- a/crates/lab/src/sim/members.rs
+++ b/crates/lab/src/sim/members.rs
@@ -91,6 +91,7 @@
             info: info(number),
             consensus: Config::default(),
             seed: self.rng.random(),
+            rollout: Default::default(),
         };
         let disk = std::mem::take(&mut self.members[number].disk);
         let member = match Member::open(disk, settings, founding, self.now) {
@@ -161,7 +162,7 @@
     fn ask_to_join(&mut self, number: usize) {
         let simulated = &mut self.members[number];
         let Some(member) = simulated.member.as_ref() else { return };
-        if !member.must_join() || self.now < simulated.join_at {
+        if !member.must_join(self.now) || self.now < simulated.join_at {
             return;
         }
         simulated.join_at = self.now + JOIN_INTERVAL;
@@ -206,7 +207,7 @@
         };
         let delay = SYNC_TIME * (member.disk().syncs - syncs) as u32;
         let mut wakeup = member.next_wakeup().max(now + MIN_TICK);
-        if member.must_join() {
+        if member.must_join(self.now) {
             wakeup = wakeup.min(simulated.join_at.max(now + MIN_TICK));
         }
         if wakeup < simulated.timer_at {
@@ -231,6 +232,7 @@
                 let packet = Packet::Peer(address(number).to_string(), Box::new(envelope));
                 self.send_later(delay, place, Place::Member(target), None, packet);
             }
+            MemberOutput::Act(_) => {}
             MemberOutput::Respond(token, response) => {
                 let Some(asked) = self.members[number].waiting.remove(&token) else { return };
                 let Packet::Control(request, _) = asked.packet else { return };
--- a/crates/topazmount/src/control_process.rs
+++ b/crates/topazmount/src/control_process.rs
@@ -8,13 +8,14 @@
 use async_channel::{Receiver, Sender};
 use async_net::{TcpListener, TcpStream};
 use eyre::{Result, WrapErr};
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 use topazmount_consensus::{Config, Envelope, MemberInfo};
 use topazmount_control::{
-    Founding, Frame, Member, MemberInput, MemberOutput, MemberSettings, Request, Response, Token,
+    FleetAction, Founding, Frame, Member, MemberInput, MemberOutput, MemberSettings, Request,
+    Response, RolloutSettings, Token,
 };
 use topazmount_settings::{ControlSettings, SourceFiles};
 use topazmount_wire::ClusterKey;
@@ -44,11 +45,18 @@
     pub source: SourceFiles,
     /// Key of the deployment.
     pub key: ClusterKey,
+    /// Bounds of the roll-out of weights.
+    pub rollout: RolloutSettings,
+    /// Where orders to replicas go; without it none are sent.
+    pub actions: Option<Sender<FleetAction>>,
 }
 
-struct Connection {
-    answers: Sender<Frame>,
-    number: u64,
+/// Who waits for an answer.
+enum Requester {
+    /// A peer, by the number of its request on its connection.
+    Connection { answers: Sender<Frame>, number: u64 },
+    /// A task of this process.
+    Local(Sender<Response>),
 }
 
 struct Shared {
@@ -59,12 +67,47 @@
 #[derive(Default)]
 struct Waiting {
     next_token: u64,
-    connections: HashMap<Token, Connection>,
+    requesters: HashMap<Token, Requester>,
+}
+
+impl Shared {
+    fn add(&self, requester: Requester) -> Token {
+        let mut waiting = self.waiting.lock().unwrap();
+        waiting.next_token += 1;
+        let token = Token(waiting.next_token);
+        waiting.requesters.insert(token, requester);
+        token
+    }
+}
+
+/// The member of this process, for tasks of the same process.
+#[derive(Clone)]
+pub struct LocalMember {
+    shared: Arc<Shared>,
+}
+
+impl LocalMember {
+    /// Sends a request and waits for the answer.
+    ///
+    /// # Errors
+    /// When no answer comes within `limit`.
+    pub async fn ask(&self, request: Request, limit: Duration) -> Result<Response> {
+        let (sender, receiver) = async_channel::bounded(1);
+        let token = self.shared.add(Requester::Local(sender));
+        self.shared.inputs.send(MemberInput::Request(token, request)).await?;
+        let answer = frames::within(limit, async { Ok(receiver.recv().await?) }).await;
+        if answer.is_err() {
+            self.shared.waiting.lock().unwrap().requesters.remove(&token);
+            let _ = self.shared.inputs.try_send(MemberInput::Gone(token));
+        }
+        answer
+    }
 }
 
 /// A running control process.
 pub struct ControlHandle {
     inputs: Sender<MemberInput>,
+    shared: Arc<Shared>,
     /// Where it listens.
     pub address: SocketAddr,
     thread: Option<std::thread::JoinHandle<()>>,
@@ -77,6 +120,11 @@
         let _ = self.ended.recv().await;
     }
 
+    /// The member, for tasks of this process.
+    pub fn local(&self) -> LocalMember {
+        LocalMember { shared: self.shared.clone() }
+    }
+
     /// Hands over leadership and stops.
     pub async fn stop(mut self) {
         let _ = self.inputs.send(MemberInput::HandOver).await;
@@ -93,14 +141,14 @@
 /// # Errors
 /// When the address can't be bound or the durable state can't be used.
 pub async fn start(executor: &Executor, options: ControlOptions) -> Result<ControlHandle> {
-    let ControlOptions { settings, form_group, source, key } = options;
+    let ControlOptions { settings, form_group, source, key, rollout, actions } = options;
     let listener = TcpListener::bind(settings.internal_address)
         .await
         .wrap_err_with(|| format!("listening at {}", settings.internal_address))?;
     let address = listener.local_addr()?;
     let info = MemberInfo { name: settings.name.clone(), address: address.to_string() };
     let clock = Clock::start();
-    let member = open_member(&settings, info.clone(), form_group, source, clock)?;
+    let member = open_member(&settings, info.clone(), form_group, source, rollout, clock)?;
     log::info!("control: {} listens at {address} as {}.", info.name, member.identity().0);
 
     let (inputs, receiver) = async_channel::unbounded();
@@ -109,16 +157,17 @@
     let (ending, ended) = async_channel::bounded::<()>(1);
     let thread = std::thread::Builder::new().name("control".to_owned()).spawn({
         let shared = shared.clone();
-        let runner = Runner { member, clock, peers, queues: HashMap::new(), shared };
+        let queues = HashMap::new();
+        let runner = Runner { member, clock, peers, queues, shared, actions };
         let joining = settings.initial_members.iter().map(|peer| peer.address).collect();
         move || {
             runner.run(&receiver, joining);
             drop(ending);
         }
     })?;
-    let accepting = accept_loop(executor.clone(), listener, key, shared);
+    let accepting = accept_loop(executor.clone(), listener, key, shared.clone());
     executor.spawn(accepting).detach();
-    Ok(ControlHandle { inputs, address, thread: Some(thread), ended })
+    Ok(ControlHandle { inputs, shared, address, thread: Some(thread), ended })
 }
 
 fn open_member(
@@ -126,6 +175,7 @@
     info: MemberInfo,
     form_group: bool,
     source: SourceFiles,
+    rollout: RolloutSettings,
     clock: Clock,
 ) -> Result<Member<FileDisk>> {
     let members = settings
@@ -134,7 +184,7 @@
         .map(|peer| MemberInfo { name: peer.name.clone(), address: peer.address.to_string() });
     let founding = form_group.then(|| Founding { members: members.collect(), source });
     let member_settings =
-        MemberSettings { info, consensus: Config::default(), seed: rand::random() };
+        MemberSettings { info, consensus: Config::default(), seed: rand::random(), rollout };
     let disk = FileDisk::open(&settings.data_folder)?;
     Member::open(disk, member_settings, founding.as_ref(), clock.now())
         .wrap_err("opening the data folder")
@@ -152,6 +202,7 @@
     peers: Peers,
     queues: HashMap<String, Sender<Envelope>>,
     shared: Arc<Shared>,
+    actions: Option<Sender<FleetAction>>,
 }
 
 impl Runner {
@@ -171,7 +222,7 @@
             for output in outputs {
                 self.perform(output);
             }
-            if self.member.must_join() && now >= next_join {
+            if self.member.must_join(now) && now >= next_join {
                 next_join = now + JOIN_INTERVAL;
                 self.ask_to_join(&joining);
             }
@@ -196,20 +247,34 @@
                 let _ = queue.try_send(envelope);
             }
             MemberOutput::Respond(token, response) => self.respond(token, response),
+            MemberOutput::Act(action) => {
+                if let Some(actions) = &self.actions {
+                    let _ = actions.try_send(action);
+                }
+            }
         }
     }
 
     fn respond(&self, token: Token, response: Response) {
-        let connection = self.shared.waiting.lock().unwrap().connections.remove(&token);
-        if let Some(connection) = connection {
-            let frame = Frame::Response(connection.number, response);
-            let _ = connection.answers.try_send(frame);
+        let requester = self.shared.waiting.lock().unwrap().requesters.remove(&token);
+        match requester {
+            Some(Requester::Connection { answers, number }) => {
+                let _ = answers.try_send(Frame::Response(number, response));
+            }
+            Some(Requester::Local(sender)) => {
+                let _ = sender.try_send(response);
+            }
+            None => {}
         }
     }
 
-    fn ask_to_join(&self, addresses: &[SocketAddr]) {
+    /// Asks the members of the settings, and those that were members when it last knew.
+    fn ask_to_join(&self, initial: &[SocketAddr]) {
         let (id, info) = self.member.identity();
-        for address in addresses {
+        let known = self.member.member_addresses();
+        let known = known.iter().filter_map(|address| address.parse().ok());
+        let addresses: BTreeSet<SocketAddr> = initial.iter().copied().chain(known).collect();
+        for address in &addresses {
             if address.to_string() == info.address {
                 continue;
             }
@@ -336,12 +401,8 @@
         let input = match reader.receive::<Frame>().await {
             Ok(Frame::Peer(address, envelope)) => MemberInput::Peer(address, envelope),
             Ok(Frame::Request(number, request)) => {
-                let connection = Connection { answers: answers.clone(), number };
-                let mut waiting = shared.waiting.lock().unwrap();
-                waiting.next_token += 1;
-                let token = Token(waiting.next_token);
-                waiting.connections.insert(token, connection);
-                MemberInput::Request(token, request)
+                let requester = Requester::Connection { answers: answers.clone(), number };
+                MemberInput::Request(shared.add(requester), request)
             }
             Ok(Frame::Response(..)) => return eyre::eyre!("a response that nobody asked for"),
             Err(error) => return error,
--- /dev/null
+++ b/crates/topazmount/src/fleet/control_service.rs
@@ -0,0 +1,240 @@
+//! The control plane's calls: replicas, operators and clients that ask where to go.
+
+use super::dialect::{ControlCall, Dialect, HttpAnswer};
+use super::directory::Directory;
+use super::http_service::{self, Service};
+use super::orders;
+use super::settings::FleetSettings;
+use super::watcher::Watcher;
+use crate::Executor;
+use crate::clock::Clock;
+use crate::control_client::ControlClient;
+use crate::control_process::{self, ControlHandle, ControlOptions, LocalMember};
+use crate::http1::RequestHead;
+use eyre::{Result, eyre};
+use std::collections::HashMap;
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+use topazmount_control::{FleetRequest, FleetResponse, Request, Response};
+use topazmount_settings::{ControlSettings, Peer, SourceFiles};
+use topazmount_wire::ClusterKey;
+
+/// Time within which a call is answered; callers turn to another member after a second.
+const CALL_LIMIT: Duration = Duration::from_millis(900);
+/// Pause before the leader is looked for again.
+const LEADER_PAUSE: Duration = Duration::from_millis(40);
+/// How long clients may keep the directory's answer.
+const DIRECTORY_TTL: Duration = Duration::from_secs(1);
+
+/// What a control plane process needs.
+pub struct ControlPlaneOptions {
+    /// Settings.
+    pub settings: FleetSettings,
+    /// Names, formats and calls.
+    pub dialect: Arc<dyn Dialect>,
+}
+
+/// A running control plane process.
+pub struct ControlPlane {
+    handle: ControlHandle,
+}
+
+struct Calls {
+    executor: Executor,
+    dialect: Arc<dyn Dialect>,
+    key: ClusterKey,
+    member: LocalMember,
+    directory: Directory,
+    leaders: Mutex<HashMap<SocketAddr, ControlClient>>,
+    /// Port at which all members answer replicas and operators.
+    control_port: Option<u16>,
+}
+
+impl ControlPlane {
+    /// Starts the member and its listeners.
+    ///
+    /// # Errors
+    /// When settings lack something, an address can't be bound, or the durable state can't be used.
+    pub async fn start(executor: &Executor, options: ControlPlaneOptions) -> Result<Self> {
+        let ControlPlaneOptions { settings, dialect } = options;
+        let key = ClusterKey::from_text(&settings.cluster_key);
+        let internal = SocketAddr::new(own_ip(&settings)?, settings.peer_port);
+        let (actions_sender, actions) = async_channel::unbounded();
+        let control_options = ControlOptions {
+            settings: member_settings(&settings, internal)?,
+            form_group: settings.form_group && settings.seed_peers().contains(&internal),
+            source: SourceFiles::default(),
+            key: key.clone(),
+            rollout: settings.rollout(),
+            actions: Some(actions_sender),
+        };
+        let handle = control_process::start(executor, control_options).await?;
+        let member = handle.local();
+        let directory = Directory::default();
+        let calls = Arc::new(Calls {
+            executor: executor.clone(),
+            dialect: dialect.clone(),
+            key: key.clone(),
+            member: member.clone(),
+            directory: directory.clone(),
+            leaders: Mutex::default(),
+            control_port: settings.listen.control.map(|address| address.port()),
+        });
+        for address in [settings.listen.control, settings.listen.directory].into_iter().flatten() {
+            http_service::serve(executor, address, calls.clone()).await?;
+        }
+        let sending =
+            orders::run(executor.clone(), actions, member, dialect, settings.name.clone());
+        executor.spawn(sending).detach();
+        let watcher = Watcher::new(executor, Clock::start(), key, vec![internal], true);
+        executor.spawn(watcher.run(directory)).detach();
+        log::info!("control: event=start name={} zone={}", settings.name, settings.zone);
+        Ok(ControlPlane { handle })
+    }
+
+    /// Waits until the member has stopped by itself.
+    pub async fn failed(&self) {
+        self.handle.failed().await;
+    }
+
+    /// Hands over leadership and stops.
+    pub async fn stop(self) {
+        log::info!("control: event=stop");
+        self.handle.stop().await;
+    }
+}
+
+fn own_ip(settings: &FleetSettings) -> Result<IpAddr> {
+    let listen = settings.listen.control.or(settings.listen.directory);
+    let listen = listen.ok_or_else(|| eyre!("listen.control: a control member needs it"))?;
+    Ok(if listen.ip().is_unspecified() { Ipv4Addr::LOCALHOST.into() } else { listen.ip() })
+}
+
+/// Members are named by their internal addresses: nothing else is known of the founding ones, and
+/// a member that lost its disk comes back at the same address.
+fn member_settings(settings: &FleetSettings, internal: SocketAddr) -> Result<ControlSettings> {
+    let data_folder = settings
+        .data_folder
+        .clone()
+        .ok_or_else(|| eyre!("data_folder: a control member needs a disk"))?;
+    let peer = |address: SocketAddr| Peer { name: address.to_string(), address };
+    Ok(ControlSettings {
+        name: internal.to_string(),
+        internal_address: internal,
+        data_folder,
+        declarations: "none".into(),
+        cluster_key_file: "none".into(),
+        initial_members: settings.seed_peers().into_iter().map(peer).collect(),
+    })
+}
+
+impl Service for Calls {
+    async fn answer(&self, head: RequestHead, body: Vec<u8>) -> HttpAnswer {
+        match self.dialect.control_call(&head, &body) {
+            ControlCall::Heartbeat(report) => {
+                let answer = self.ask(FleetRequest::Heartbeat(report)).await;
+                match answer {
+                    Some((_, leader)) => self.dialect.heartbeat_answer(self.control_of(leader)),
+                    None => self.unavailable(),
+                }
+            }
+            ControlCall::Depart(id) => self.change(FleetRequest::Depart(id)).await,
+            ControlCall::PutDocument(document) => {
+                let version = document.version;
+                let answer = self.change(FleetRequest::PutDocument(document)).await;
+                log::info!(
+                    "control: event=configuration version={version} status={}",
+                    answer.status
+                );
+                answer
+            }
+            ControlCall::NameWeights { model, version } => {
+                log::info!("control: event=weights_named model={model} version={version}");
+                self.change(FleetRequest::NameWeights { model, version }).await
+            }
+            ControlCall::ReadDocument => match self.ask(FleetRequest::ReadDocument).await {
+                Some((FleetResponse::Document(Some(document)), _)) => {
+                    self.dialect.document_answer(&document)
+                }
+                Some((FleetResponse::Document(None), _)) => {
+                    self.dialect.plain_answer(503, "there is no configuration yet")
+                }
+                _ => self.unavailable(),
+            },
+            ControlCall::Resolve { zone, region } => {
+                let gateways = self.directory.resolve(&zone, &region);
+                if gateways.is_empty() {
+                    return self.dialect.plain_answer(503, "no gateway is known");
+                }
+                self.dialect.directory_answer(&gateways, DIRECTORY_TTL)
+            }
+            ControlCall::Readiness => self.dialect.plain_answer(200, "ready"),
+            ControlCall::Unknown => self.dialect.plain_answer(404, "no such call"),
+            ControlCall::Malformed(problem) => {
+                log::info!("control: event=refused problem={problem:?}");
+                self.dialect.plain_answer(400, &problem)
+            }
+        }
+    }
+}
+
+impl Calls {
+    fn unavailable(&self) -> HttpAnswer {
+        self.dialect.plain_answer(503, "the control group can't answer now")
+    }
+
+    async fn change(&self, request: FleetRequest) -> HttpAnswer {
+        match self.ask(request).await {
+            Some(_) => self.dialect.plain_answer(200, "done"),
+            None => self.unavailable(),
+        }
+    }
+
+    /// Asks this member and, where another one leads, that one, until the time of a call is over.
+    /// All requests are safe to send again. Returns the leader's internal address too where it is
+    /// another member.
+    async fn ask(&self, request: FleetRequest) -> Option<(FleetResponse, Option<SocketAddr>)> {
+        let ends_at = Instant::now() + CALL_LIMIT;
+        let request = Request::Fleet(request);
+        let mut leader: Option<SocketAddr> = None;
+        loop {
+            let left = ends_at.checked_duration_since(Instant::now())?;
+            let response = match leader {
+                None => self.member.ask(request.clone(), left).await,
+                Some(address) => self.leader_client(address).ask(request.clone(), left).await,
+            };
+            match response {
+                Ok(Response::Fleet(answer)) => return Some((answer, leader)),
+                Ok(Response::NotLeader(Some(info))) => {
+                    let named = info.address.parse().ok();
+                    let is_new = named != leader;
+                    leader = named;
+                    if !is_new {
+                        async_io::Timer::after(LEADER_PAUSE).await;
+                    }
+                }
+                _ => {
+                    if let Some(address) = leader.take() {
+                        self.leaders.lock().unwrap().remove(&address);
+                    }
+                    async_io::Timer::after(LEADER_PAUSE).await;
+                }
+            }
+        }
+    }
+
+    fn leader_client(&self, address: SocketAddr) -> ControlClient {
+        let mut leaders = self.leaders.lock().unwrap();
+        leaders.retain(|known, _| *known == address);
+        leaders
+            .entry(address)
+            .or_insert_with(|| ControlClient::new(&self.executor, address, self.key.clone()))
+            .clone()
+    }
+
+    /// Where the leader answers replicas: all members use the same port.
+    fn control_of(&self, leader: Option<SocketAddr>) -> Option<String> {
+        Some(format!("{}:{}", leader?.ip(), self.control_port?))
+    }
+}
--- /dev/null
+++ b/crates/topazmount/src/fleet/dialect.rs
@@ -0,0 +1,174 @@
+//! What a platform's calls look like. An implementation translates and decides nothing.
+
+use crate::http1::{RequestHead, ResponseHead};
+use std::time::Duration;
+use topazmount_control::{
+    Document, GatewayReport, InstanceReport, OrderEnd, ReplicaReport, WeightsOrder,
+};
+use topazmount_gateway::{Catalog, CatalogProblem, Prompt};
+use topazmount_types::{ErrorKind, InstanceId};
+
+/// What a client's request says of itself.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct RequestTags {
+    /// The client's identifier of the request.
+    pub id: String,
+    /// How long the client waits.
+    pub deadline: Option<Duration>,
+    /// API key.
+    pub key: Option<String>,
+    /// Model.
+    pub model: Option<String>,
+    /// Prompt, for a language model.
+    pub prompt: Option<Prompt>,
+    /// Last event that the client has, when it resumes a stream.
+    pub last_event: Option<String>,
+}
+
+/// What a gateway adds to a request that it sends to a replica.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Upstream {
+    /// Replica that must serve it.
+    pub instance: InstanceId,
+    /// Time that is left.
+    pub time_left: Duration,
+    /// Tenant that holds the client's key.
+    pub tenant: Option<String>,
+    /// Name of the cache that the request may share; `None` for the common one.
+    pub cache_salt: Option<String>,
+    /// Last event that must not come again.
+    pub last_event: Option<String>,
+    /// Rank, 0 is the most urgent.
+    pub priority: Option<u32>,
+}
+
+/// What a replica's answer says of itself.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct AnswerTags {
+    /// Identifier of the request that it answers.
+    pub request_id: Option<String>,
+    /// Whether it carries the replica's signature.
+    pub is_sealed: bool,
+    /// Whether it says that the request was not run.
+    pub is_not_run: bool,
+    /// Whether it says that another replica has the address.
+    pub is_wrong_instance: bool,
+    /// Whether its body is encoded, which no client asked for.
+    pub is_encoded: bool,
+}
+
+/// A call to the control plane or the directory.
+#[derive(Clone, Debug)]
+pub enum ControlCall {
+    /// A replica's heartbeat.
+    Heartbeat(InstanceReport),
+    /// A replica leaves.
+    Depart(InstanceId),
+    /// A new catalog: the document, which can be read and is valid.
+    PutDocument(Document),
+    /// The newest catalog.
+    ReadDocument,
+    /// A version of a model's weights.
+    NameWeights {
+        /// Model.
+        model: String,
+        /// Version.
+        version: u32,
+    },
+    /// Addresses of gateways near a zone.
+    Resolve {
+        /// The client's zone.
+        zone: String,
+        /// The client's region.
+        region: String,
+    },
+    /// Whether the process is ready.
+    Readiness,
+    /// No such call.
+    Unknown,
+    /// The call can't be understood.
+    Malformed(String),
+}
+
+/// An answer of the control plane or the directory.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct HttpAnswer {
+    /// Status.
+    pub status: u16,
+    /// Content type of the body, where there is one.
+    pub content_type: Option<&'static str>,
+    /// Further fields.
+    pub fields: Vec<(String, String)>,
+    /// Body.
+    pub body: Vec<u8>,
+}
+
+/// A call to a replica.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct HttpCall {
+    /// Method.
+    pub method: &'static str,
+    /// Target.
+    pub target: String,
+    /// Fields.
+    pub fields: Vec<(String, String)>,
+    /// Body.
+    pub body: Vec<u8>,
+}
+
+/// A platform's names, formats and calls.
+pub trait Dialect: Send + Sync + 'static {
+    /// Reads a client's request.
+    ///
+    /// # Errors
+    /// What is wrong with it.
+    fn request(&self, head: &RequestHead) -> Result<RequestTags, String>;
+
+    /// Whether a client's field must not reach a replica, since only the gateway sets it.
+    fn is_own_field(&self, name: &str) -> bool;
+
+    /// Fields that a gateway sets on a request to a replica.
+    fn upstream_fields(&self, upstream: &Upstream) -> Vec<(String, String)>;
+
+    /// Reads a replica's answer.
+    fn answer(&self, head: &ResponseHead) -> AnswerTags;
+
+    /// Identifier of an event of a stream.
+    fn event_id(&self, event: &[u8]) -> Option<String>;
+
+    /// Answer for a refusal of a client's request.
+    fn refusal(&self, kind: ErrorKind, retry_after: Option<Duration>) -> HttpAnswer;
+
+    /// Reads a catalog document.
+    ///
+    /// # Errors
+    /// Why it is invalid.
+    fn catalog(&self, document: &[u8]) -> Result<Catalog, CatalogProblem>;
+
+    /// Reads a call to the control plane, the directory or the readiness address.
+    fn control_call(&self, head: &RequestHead, body: &[u8]) -> ControlCall;
+
+    /// Answer to a heartbeat; `next` is where later ones are answered fastest.
+    fn heartbeat_answer(&self, next: Option<String>) -> HttpAnswer;
+
+    /// Answer with the newest document.
+    fn document_answer(&self, document: &Document) -> HttpAnswer;
+
+    /// Answer of the directory; empty lists are refused before.
+    fn directory_answer(&self, gateways: &[GatewayReport], ttl: Duration) -> HttpAnswer;
+
+    /// Answer without content.
+    fn plain_answer(&self, status: u16, message: &str) -> HttpAnswer;
+
+    /// An order to a replica. `holder` names who gives it.
+    fn order(&self, order: &WeightsOrder, holder: &str) -> HttpCall;
+
+    /// How an order ended.
+    fn order_end(&self, status: u16) -> OrderEnd;
+
+    /// A question for a replica's report.
+    fn report_call(&self) -> HttpCall;
+
+    /// Reads a replica's report.
+    fn report(&self, body: &[u8]) -> Option<ReplicaReport>;
+}
--- /dev/null
+++ b/crates/topazmount/src/fleet/mod.rs
@@ -0,0 +1,24 @@
+//! Processes of a fleet whose replicas register themselves: gateways that forward any HTTP request
+//! and control members that keep the catalog, the registry and the directory.
+//!
+//! What calls look like is a [`Dialect`]'s; nothing here names a header, path or field of one.
+
+mod answer;
+mod control_service;
+mod dialect;
+mod directory;
+mod exchange;
+mod gateway;
+mod http_service;
+mod journal;
+mod orders;
+mod process;
+mod settings;
+mod stream;
+mod watcher;
+
+pub use control_service::{ControlPlane, ControlPlaneOptions};
+pub use dialect::{AnswerTags, ControlCall, Dialect, HttpAnswer, HttpCall, RequestTags, Upstream};
+pub use gateway::{Gateway, GatewayOptions};
+pub use process::{run_control, run_gateway};
+pub use settings::{FleetSettings, Listen};
--- /dev/null
+++ b/crates/topazmount/src/fleet/orders.rs
@@ -0,0 +1,70 @@
+//! Sends the leader's orders and questions to replicas, and tells how they ended.
+
+use super::dialect::{Dialect, HttpCall};
+use crate::Executor;
+use crate::control_process::LocalMember;
+use crate::http1::{ClientAnswer, Headers, call};
+use async_channel::Receiver;
+use eyre::{Result, WrapErr};
+use std::sync::Arc;
+use std::time::Duration;
+use topazmount_control::{FleetAction, FleetRequest, OrderEnd, OrderReport, Request};
+
+/// Longest wait for the answer to an order or a question.
+const LIMIT: Duration = Duration::from_secs(2);
+/// Largest answer.
+const MAX_ANSWER: usize = 256 * 1024;
+
+/// Sends actions until the member stops.
+pub async fn run(
+    executor: Executor,
+    actions: Receiver<FleetAction>,
+    member: LocalMember,
+    dialect: Arc<dyn Dialect>,
+    holder: String,
+) {
+    while let Ok(action) = actions.recv().await {
+        let (member, dialect, holder) = (member.clone(), dialect.clone(), holder.clone());
+        let sending = async move {
+            let report = act(&*dialect, action, &holder).await;
+            let request = Request::Fleet(FleetRequest::OrderEnded(report));
+            let _ = member.ask(request, LIMIT).await;
+        };
+        executor.spawn(sending).detach();
+    }
+}
+
+async fn act(dialect: &dyn Dialect, action: FleetAction, holder: &str) -> OrderReport {
+    match action {
+        FleetAction::Order(order) => {
+            let answer = send(&order.address, dialect.order(&order, holder)).await;
+            let end = match &answer {
+                Ok(answer) => dialect.order_end(answer.head.status),
+                Err(_) => OrderEnd::Unknown,
+            };
+            log::info!(
+                "weights: event=order instance={} model={} version={} fence={} sequence={} end={end:?}",
+                order.instance,
+                order.model,
+                order.version,
+                order.fence,
+                order.expected_sequence
+            );
+            OrderReport::Order(order.instance, end)
+        }
+        FleetAction::Question { instance, address } => {
+            let answer = send(&address, dialect.report_call()).await;
+            let is_good = |answer: &ClientAnswer| answer.head.status == 200;
+            let report = answer.ok().filter(is_good).and_then(|one| dialect.report(&one.body));
+            OrderReport::Question(instance, report)
+        }
+    }
+}
+
+async fn send(address: &str, request: HttpCall) -> Result<ClientAnswer> {
+    let parsed = address.parse().wrap_err_with(|| format!("the address {address}"))?;
+    let mut fields = vec![("Host".to_owned(), address.as_bytes().to_vec())];
+    fields.extend(request.fields.into_iter().map(|(name, value)| (name, value.into_bytes())));
+    let headers = Headers(fields);
+    call(parsed, request.method, &request.target, &headers, &request.body, MAX_ANSWER, LIMIT).await
+}
--- /dev/null
+++ b/crates/topazmount/src/fleet/process.rs
@@ -0,0 +1,52 @@
+//! A fleet's processes from start to planned stop.
+
+use super::control_service::{ControlPlane, ControlPlaneOptions};
+use super::dialect::Dialect;
+use super::gateway::{Gateway, GatewayOptions};
+use super::settings::FleetSettings;
+use crate::{Executor, runtime};
+use eyre::Result;
+use futures_lite::FutureExt;
+use std::path::Path;
+use std::sync::Arc;
+
+/// Runs a gateway until its planned stop.
+///
+/// # Errors
+/// When it can't start.
+pub async fn run_gateway(executor: Executor, file: &Path, dialect: Arc<dyn Dialect>) -> Result<u8> {
+    let settings = FleetSettings::read(file)?;
+    let gateway = Gateway::start(&executor, GatewayOptions { settings, dialect }).await?;
+    let reload = || match FleetSettings::read(file) {
+        Ok(settings) => gateway.reload(&settings),
+        Err(error) => log::error!("gateway: event=reload_refused problem={error:#}"),
+    };
+    runtime::stop_or_reload(file, reload).await?;
+    gateway.stop().await;
+    Ok(0)
+}
+
+/// Runs a control member until its planned stop, or until its disk fails.
+///
+/// # Errors
+/// When it can't start.
+pub async fn run_control(executor: Executor, file: &Path, dialect: Arc<dyn Dialect>) -> Result<u8> {
+    let settings = FleetSettings::read(file)?;
+    let options = ControlPlaneOptions { settings, dialect };
+    let control = ControlPlane::start(&executor, options).await?;
+    let reload = || match FleetSettings::read(file) {
+        Ok(_) => log::info!("control: event=reload"),
+        Err(error) => log::error!("control: event=reload_refused problem={error:#}"),
+    };
+    let stopped = async {
+        runtime::stop_or_reload(file, reload).await?;
+        Ok::<u8, eyre::Report>(0)
+    };
+    let failed = async {
+        control.failed().await;
+        Ok(runtime::FAILED)
+    };
+    let status = stopped.or(failed).await?;
+    control.stop().await;
+    Ok(status)
+}
--- /dev/null
+++ b/crates/topazmount/src/fleet/settings.rs
@@ -0,0 +1,129 @@
+//! Settings of a process of a fleet, in TOML.
+
+use eyre::{Result, WrapErr};
+use serde::Deserialize;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::time::Duration;
+use topazmount_control::RolloutSettings;
+use topazmount_gateway::{BudgetSettings, GatewaySettings};
+
+/// Settings of one process.
+#[derive(Clone, Debug, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct FleetSettings {
+    /// Name, unique in the fleet.
+    pub name: String,
+    /// Zone.
+    pub zone: String,
+    /// Region.
+    pub region: String,
+    /// Secret that all processes of the fleet share.
+    pub cluster_key: String,
+    /// Internal port of control members, the same on all machines.
+    pub peer_port: u16,
+    /// Addresses of some control members; only the machine counts.
+    pub seeds: Vec<SocketAddr>,
+    /// Whether the fleet starts for the first time, with empty disks.
+    #[serde(default)]
+    pub form_group: bool,
+    /// Folder of a control member.
+    pub data_folder: Option<PathBuf>,
+    /// Where the process listens.
+    pub listen: Listen,
+    /// Bounds that it keeps.
+    pub bounds: Bounds,
+}
+
+/// Addresses; each is served by the kind of process that has a use for it.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Listen {
+    /// Clients of a gateway.
+    pub clients: Option<SocketAddr>,
+    /// Readiness of a gateway.
+    pub ready: Option<SocketAddr>,
+    /// Operators and replicas.
+    pub control: Option<SocketAddr>,
+    /// Clients that ask for gateways.
+    pub directory: Option<SocketAddr>,
+    /// Metrics.
+    pub metrics: Option<SocketAddr>,
+}
+
+/// Bounds, as the operator sets them.
+#[derive(Clone, Copy, Debug, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Bounds {
+    /// Time of a planned stop, in seconds.
+    pub stop_s: f64,
+    /// Time after which a removed key must be refused, in milliseconds; 0 for no bound.
+    pub revocation_ms: u64,
+    /// Time between the orders of two holders, in milliseconds.
+    pub lease_ms: u64,
+    /// Repeats per request.
+    pub retry_ratio: f64,
+    /// Repeats beyond that.
+    pub retry_slack: f64,
+    /// Window of the retry budget, in seconds.
+    pub retry_window_s: f64,
+}
+
+impl FleetSettings {
+    /// Reads and checks a settings file.
+    ///
+    /// # Errors
+    /// What is wrong, with file and key.
+    pub fn read(path: &Path) -> Result<Self> {
+        let text = std::fs::read_to_string(path)
+            .wrap_err_with(|| format!("reading {}", path.display()))?;
+        Self::parse(&text).wrap_err_with(|| format!("in {}", path.display()))
+    }
+
+    /// Checks the text of a settings file.
+    ///
+    /// # Errors
+    /// What is wrong, with the key.
+    pub fn parse(text: &str) -> Result<Self> {
+        let settings: FleetSettings = toml::from_str(text)?;
+        let bounds = &settings.bounds;
+        eyre::ensure!(!settings.name.is_empty(), "name: must not be empty");
+        eyre::ensure!(!settings.cluster_key.is_empty(), "cluster_key: must not be empty");
+        eyre::ensure!(!settings.seeds.is_empty(), "seeds: name at least one control member");
+        let is_number = |value: f64| value.is_finite() && value >= 0.0;
+        eyre::ensure!(is_number(bounds.stop_s), "bounds.stop_s: must be 0 or more");
+        eyre::ensure!(is_number(bounds.retry_ratio), "bounds.retry_ratio: must be 0 or more");
+        eyre::ensure!(is_number(bounds.retry_slack), "bounds.retry_slack: must be 0 or more");
+        eyre::ensure!(is_number(bounds.retry_window_s), "bounds.retry_window_s: must be 0 or more");
+        Ok(settings)
+    }
+
+    /// Internal addresses of the seeds.
+    pub fn seed_peers(&self) -> Vec<SocketAddr> {
+        self.seeds.iter().map(|seed| SocketAddr::new(seed.ip(), self.peer_port)).collect()
+    }
+
+    /// Time of a planned stop.
+    pub fn stop_time(&self) -> Duration {
+        Duration::from_secs_f64(self.bounds.stop_s)
+    }
+
+    /// Bounds of a gateway.
+    pub fn gateway(&self) -> GatewaySettings {
+        let bounds = &self.bounds;
+        let revocation = Duration::from_millis(bounds.revocation_ms);
+        GatewaySettings {
+            revocation: (!revocation.is_zero()).then_some(revocation),
+            budget: BudgetSettings {
+                ratio: bounds.retry_ratio,
+                slack: bounds.retry_slack,
+                window: Duration::from_secs_f64(bounds.retry_window_s),
+            },
+        }
+    }
+
+    /// Bounds of the roll-out of weights.
+    pub fn rollout(&self) -> RolloutSettings {
+        RolloutSettings { lease: Duration::from_millis(self.bounds.lease_ms) }
+    }
+}
--- /dev/null
+++ b/crates/topazmount/src/fleet/stream.rs
@@ -0,0 +1,53 @@
+//! Cuts a stream into whole events.
+
+/// Collects bytes and gives out whole events, each with the blank line that ends it.
+#[derive(Debug, Default)]
+pub(super) struct EventSplitter {
+    buffer: Vec<u8>,
+    /// Bytes of the buffer that hold no end of an event.
+    searched: usize,
+}
+
+impl EventSplitter {
+    /// Adds bytes.
+    pub(super) fn push(&mut self, bytes: &[u8]) {
+        self.buffer.extend_from_slice(bytes);
+    }
+
+    /// The next whole event.
+    pub(super) fn next(&mut self) -> Option<Vec<u8>> {
+        let start = self.searched.saturating_sub(3);
+        let found = event_end(&self.buffer[start..]).map(|end| start + end);
+        match found {
+            Some(end) => {
+                self.searched = 0;
+                Some(self.buffer.drain(..end).collect())
+            }
+            None => {
+                self.searched = self.buffer.len();
+                None
+            }
+        }
+    }
+
+    /// What is left after the last whole event.
+    pub(super) fn rest(&mut self) -> Vec<u8> {
+        self.searched = 0;
+        std::mem::take(&mut self.buffer)
+    }
+
+    /// Bytes that belong to no whole event yet.
+    pub(super) fn pending(&self) -> usize {
+        self.buffer.len()
+    }
+}
+
+/// Position after the first blank line.
+fn event_end(bytes: &[u8]) -> Option<usize> {
+    let plain = bytes.windows(2).position(|pair| pair == b"\n\n").map(|at| at + 2);
+    let crlf = bytes.windows(4).position(|four| four == b"\r\n\r\n").map(|at| at + 4);
+    match (plain, crlf) {
+        (Some(left), Some(right)) => Some(left.min(right)),
+        (left, right) => left.or(right),
+    }
+}
--- /dev/null
+++ b/crates/topazmount/src/fleet/watcher.rs
@@ -0,0 +1,156 @@
+//! Asks control members for news, the leader first.
+
+use crate::Executor;
+use crate::clock::Clock;
+use crate::control_client::ControlClient;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+use topazmount_control::{
+    FleetRequest, FleetResponse, FleetView, GatewayReport, Request, Response, Seen, WatchRequest,
+};
+use topazmount_types::Time;
+use topazmount_wire::ClusterKey;
+
+/// How long a member may hold an answer while there is no news.
+const HOLD: Duration = Duration::from_millis(400);
+/// Time beyond that after which another member is asked.
+const ANSWER_MARGIN: Duration = Duration::from_millis(350);
+/// Pause after a member that did not answer or could not vouch for what it knows.
+const PAUSE: Duration = Duration::from_millis(60);
+/// Time for which a member that did not answer is not asked again while there are others.
+const AVOIDANCE: Duration = Duration::from_millis(1_500);
+
+/// What the owner of a watcher does with news.
+pub trait NewsReader: Send + 'static {
+    /// What it has seen, and what it reports of itself.
+    fn request(&mut self) -> (Seen, Option<GatewayReport>);
+    /// Takes news that was asked for at `asked_at`.
+    fn read(&mut self, view: FleetView, asked_at: Time);
+}
+
+/// Where news comes from.
+pub struct Watcher {
+    executor: Executor,
+    clock: Clock,
+    key: ClusterKey,
+    wants_gateways: bool,
+    seeds: Vec<SocketAddr>,
+    members: Vec<SocketAddr>,
+    clients: HashMap<SocketAddr, ControlClient>,
+    avoided: HashMap<SocketAddr, Time>,
+    is_connected: bool,
+}
+
+impl Watcher {
+    /// A watcher that begins with the seeds.
+    pub fn new(
+        executor: &Executor,
+        clock: Clock,
+        key: ClusterKey,
+        seeds: Vec<SocketAddr>,
+        wants_gateways: bool,
+    ) -> Self {
+        Watcher {
+            executor: executor.clone(),
+            clock,
+            key,
+            wants_gateways,
+            seeds,
+            members: Vec::new(),
+            clients: HashMap::new(),
+            avoided: HashMap::new(),
+            is_connected: true,
+        }
+    }
+
+    /// Asks for news for ever.
+    pub async fn run(mut self, mut reader: impl NewsReader) {
+        let mut turn: usize = rand::random_range(0..self.seeds.len().max(1));
+        let mut leader: Option<SocketAddr> = None;
+        loop {
+            let target = self.target(leader.take(), &mut turn);
+            let asked_at = self.clock.now();
+            let (seen, gateway) = reader.request();
+            match self.ask(target, seen, gateway).await {
+                Some(view) => {
+                    self.note_connected(target, true);
+                    self.note_members(&view);
+                    let named = view.leader.as_ref().and_then(|address| address.parse().ok());
+                    let is_sure = view.staleness.is_some();
+                    leader = if is_sure { named.or(Some(target)) } else { named };
+                    reader.read(view, asked_at);
+                    if !is_sure {
+                        self.avoid(target);
+                        async_io::Timer::after(PAUSE).await;
+                    }
+                }
+                None => {
+                    self.note_connected(target, false);
+                    self.avoid(target);
+                    async_io::Timer::after(PAUSE).await;
+                }
+            }
+        }
+    }
+
+    async fn ask(
+        &mut self,
+        target: SocketAddr,
+        seen: Seen,
+        gateway: Option<GatewayReport>,
+    ) -> Option<FleetView> {
+        let client = self
+            .clients
+            .entry(target)
+            .or_insert_with(|| ControlClient::new(&self.executor, target, self.key.clone()));
+        let watch = WatchRequest { gateway, seen, wants_gateways: self.wants_gateways, wait: HOLD };
+        let request = Request::Fleet(FleetRequest::Watch(watch));
+        match client.ask(request, HOLD + ANSWER_MARGIN).await {
+            Ok(Response::Fleet(FleetResponse::View(view))) => Some(*view),
+            _ => {
+                // The connection may hang behind a cut; the next one is made anew.
+                self.clients.remove(&target);
+                None
+            }
+        }
+    }
+
+    /// The leader, unless it did not answer lately; else the next of all known members.
+    fn target(&mut self, leader: Option<SocketAddr>, turn: &mut usize) -> SocketAddr {
+        let now = self.clock.now();
+        self.avoided.retain(|_, until| now < *until);
+        if let Some(leader) = leader.filter(|address| !self.avoided.contains_key(address)) {
+            return leader;
+        }
+        let mut all = self.members.clone();
+        all.extend(self.seeds.iter().filter(|seed| !self.members.contains(seed)));
+        let open: Vec<SocketAddr> =
+            all.iter().filter(|address| !self.avoided.contains_key(address)).copied().collect();
+        let choice = if open.is_empty() { all } else { open };
+        *turn = turn.wrapping_add(1);
+        choice[*turn % choice.len()]
+    }
+
+    fn avoid(&mut self, address: SocketAddr) {
+        self.avoided.insert(address, self.clock.now() + AVOIDANCE);
+    }
+
+    fn note_members(&mut self, view: &FleetView) {
+        let members: Vec<SocketAddr> =
+            view.members.iter().filter_map(|address| address.parse().ok()).collect();
+        if !members.is_empty() {
+            self.members = members;
+        }
+        let (members, seeds) = (&self.members, &self.seeds);
+        self.clients.retain(|address, _| members.contains(address) || seeds.contains(address));
+    }
+
+    fn note_connected(&mut self, target: SocketAddr, is_connected: bool) {
+        if self.is_connected != is_connected {
+            self.is_connected = is_connected;
+            let state = if is_connected { "regained" } else { "lost" };
+            log::info!("link: event=control_{state} member={target}");
+        }
+    }
+}
--- /dev/null
+++ b/crates/topazmount/src/http1/body.rs
@@ -0,0 +1,179 @@
+//! Reading a body by its framing.
+
+use super::framing::Framing;
+use super::wire::Wire;
+use thiserror::Error;
+
+/// Longest line of a chunk's size.
+const MAX_SIZE_LINE: usize = 256;
+/// Longest trailer section.
+const MAX_TRAILERS: usize = 8 * 1024;
+
+/// Why a body is not whole.
+#[derive(Clone, Copy, Debug, Error, PartialEq, Eq)]
+pub enum BodyError {
+    /// The connection ended first.
+    #[error("the connection ended in the middle of the body")]
+    Truncated,
+    /// The chunks break the grammar.
+    #[error("the body is malformed")]
+    Malformed,
+    /// It exceeds its bound.
+    #[error("the body is too large")]
+    TooLarge,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum State {
+    /// So many bytes are left.
+    Counted(u64),
+    /// A chunk's size comes next.
+    Size,
+    /// So many bytes of a chunk are left, then a line end.
+    Chunk(u64),
+    /// Trailers come next.
+    Trailers,
+    /// Everything until the end of the connection.
+    UntilClose,
+    Done,
+}
+
+/// Reads one body. Holds no bytes of its own: what is not used stays in the connection's buffer.
+#[derive(Debug)]
+pub struct BodyReader {
+    state: State,
+}
+
+impl BodyReader {
+    /// A reader of a body with this framing.
+    pub fn new(framing: Framing) -> Self {
+        let state = match framing {
+            Framing::Length(0) => State::Done,
+            Framing::Length(length) => State::Counted(length),
+            Framing::Chunked => State::Size,
+            Framing::UntilClose => State::UntilClose,
+        };
+        BodyReader { state }
+    }
+
+    /// Whether the body has been read whole.
+    pub fn is_done(&self) -> bool {
+        self.state == State::Done
+    }
+
+    /// The next bytes; `None` at the end of the body.
+    ///
+    /// # Errors
+    /// [`BodyError`]; the connection is of no further use.
+    pub async fn next(&mut self, wire: &mut Wire) -> Result<Option<Vec<u8>>, BodyError> {
+        loop {
+            if let Some(bytes) = self.step(wire)? {
+                return Ok(Some(bytes));
+            }
+            if self.is_done() {
+                return Ok(None);
+            }
+            match wire.fill().await {
+                Ok(0) if self.state == State::UntilClose => self.state = State::Done,
+                Ok(0) | Err(_) => return Err(BodyError::Truncated),
+                Ok(_) => {}
+            }
+        }
+    }
+
+    /// Reads the whole body of at most `most` bytes.
+    ///
+    /// # Errors
+    /// [`BodyError`]; the connection is of no further use.
+    pub async fn read_all(&mut self, wire: &mut Wire, most: usize) -> Result<Vec<u8>, BodyError> {
+        if let State::Counted(length) = self.state
+            && length > most as u64
+        {
+            return Err(BodyError::TooLarge);
+        }
+        let mut body = Vec::new();
+        while let Some(bytes) = self.next(wire).await? {
+            if body.len() + bytes.len() > most {
+                return Err(BodyError::TooLarge);
+            }
+            body.extend_from_slice(&bytes);
+        }
+        Ok(body)
+    }
+
+    /// Uses what is buffered; `None` when there is too little of it or the body has ended.
+    fn step(&mut self, wire: &mut Wire) -> Result<Option<Vec<u8>>, BodyError> {
+        loop {
+            match self.state {
+                State::Done => return Ok(None),
+                State::UntilClose if wire.buffered().is_empty() => return Ok(None),
+                State::UntilClose => return Ok(Some(wire.take(usize::MAX))),
+                State::Counted(left) => {
+                    let bytes = take_counted(wire, left);
+                    let left = left - bytes.len() as u64;
+                    self.state = if left == 0 { State::Done } else { State::Counted(left) };
+                    return Ok((!bytes.is_empty()).then_some(bytes));
+                }
+                State::Chunk(0) => {
+                    if wire.buffered().len() < 2 {
+                        return Ok(None);
+                    }
+                    if &wire.buffered()[..2] != b"\r\n" {
+                        return Err(BodyError::Malformed);
+                    }
+                    wire.consume(2);
+                    self.state = State::Size;
+                }
+                State::Chunk(left) => {
+                    let bytes = take_counted(wire, left);
+                    self.state = State::Chunk(left - bytes.len() as u64);
+                    return Ok((!bytes.is_empty()).then_some(bytes));
+                }
+                State::Size => match read_size(wire)? {
+                    Some(0) => self.state = State::Trailers,
+                    Some(size) => self.state = State::Chunk(size),
+                    None => return Ok(None),
+                },
+                State::Trailers => {
+                    if !skip_trailers(wire)? {
+                        return Ok(None);
+                    }
+                    self.state = State::Done;
+                }
+            }
+        }
+    }
+}
+
+fn take_counted(wire: &mut Wire, left: u64) -> Vec<u8> {
+    wire.take(usize::try_from(left).unwrap_or(usize::MAX))
+}
+
+fn read_size(wire: &mut Wire) -> Result<Option<u64>, BodyError> {
+    match httparse::parse_chunk_size(wire.buffered()) {
+        Ok(httparse::Status::Complete((length, size))) => {
+            wire.consume(length);
+            Ok(Some(size))
+        }
+        Ok(httparse::Status::Partial) if wire.buffered().len() < MAX_SIZE_LINE => Ok(None),
+        _ => Err(BodyError::Malformed),
+    }
+}
+
+/// Drops trailer fields; returns whether their end was reached.
+fn skip_trailers(wire: &mut Wire) -> Result<bool, BodyError> {
+    loop {
+        let buffered = wire.buffered();
+        let Some(end) = buffered.windows(2).position(|pair| pair == b"\r\n") else {
+            return if buffered.len() > MAX_TRAILERS {
+                Err(BodyError::Malformed)
+            } else {
+                Ok(false)
+            };
+        };
+        wire.consume(end + 2);
+        if end == 0 {
+            return Ok(true);
+        }
+    }
+}
--- /dev/null
+++ b/crates/topazmount/src/http1/client.rs
@@ -0,0 +1,79 @@
+//! The calling side.
+
+use super::body::BodyReader;
+use super::framing::response_framing;
+use super::head::{Headers, ResponseHead};
+use super::wire::Wire;
+use super::write::request_bytes;
+use crate::frames::within;
+use async_net::TcpStream;
+use eyre::{Result, eyre};
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// Largest head of an answer.
+const MAX_ANSWER_HEAD: usize = 64 * 1024;
+
+/// A whole answer.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ClientAnswer {
+    /// Head.
+    pub head: ResponseHead,
+    /// Body.
+    pub body: Vec<u8>,
+}
+
+/// Opens a connection.
+///
+/// # Errors
+/// When it does not come up in time.
+pub async fn connect(address: SocketAddr, limit: Duration) -> Result<Wire> {
+    let stream = within(limit, async { Ok(TcpStream::connect(address).await?) }).await?;
+    Ok(Wire::new(stream))
+}
+
+/// Reads the next head that is no interim answer.
+///
+/// # Errors
+/// When the connection ends, or what comes is no answer.
+pub async fn read_answer_head(wire: &mut Wire) -> Result<ResponseHead> {
+    loop {
+        if let Some((head, length)) = ResponseHead::parse(wire.buffered())? {
+            wire.consume(length);
+            if !(100..200).contains(&head.status) {
+                return Ok(head);
+            }
+            continue;
+        }
+        if wire.buffered().len() > MAX_ANSWER_HEAD {
+            return Err(eyre!("the head of the answer is too large"));
+        }
+        if wire.fill().await? == 0 {
+            return Err(eyre!("the connection ended before an answer"));
+        }
+    }
+}
+
+/// Makes one call on a connection of its own and reads the whole answer.
+///
+/// # Errors
+/// When no whole answer of at most `most` bytes comes within `limit`.
+pub async fn call(
+    address: SocketAddr,
+    method: &str,
+    target: &str,
+    headers: &Headers,
+    body: &[u8],
+    most: usize,
+    limit: Duration,
+) -> Result<ClientAnswer> {
+    within(limit, async {
+        let mut wire = connect(address, limit).await?;
+        wire.write_all(&request_bytes(method, target, headers, body)).await?;
+        let head = read_answer_head(&mut wire).await?;
+        let framing = response_framing(&head, method)?;
+        let body = BodyReader::new(framing).read_all(&mut wire, most).await?;
+        Ok(ClientAnswer { head, body })
+    })
+    .await
+}
--- /dev/null
+++ b/crates/topazmount/src/http1/wire.rs
@@ -0,0 +1,107 @@
+//! A TCP stream with what was read from it and not used yet.
+
+use async_net::TcpStream;
+use futures_lite::{AsyncReadExt, AsyncWriteExt};
+use std::io;
+
+/// Bytes asked for at a time.
+const READ_SIZE: usize = 8 * 1024;
+/// Most bytes that are taken in from a peer whose turn it is not.
+const READ_AHEAD: usize = 64 * 1024;
+
+/// A connection. Its read and write sides may be used at the same time through
+/// [`Wire::writer`].
+pub struct Wire {
+    stream: TcpStream,
+    buffer: Vec<u8>,
+    has_ended: bool,
+}
+
+impl Wire {
+    /// Wraps a stream.
+    pub fn new(stream: TcpStream) -> Self {
+        // Small writes must not wait for the peer's acknowledgements; a failure only costs time.
+        let _ = stream.set_nodelay(true);
+        Wire { stream, buffer: Vec::new(), has_ended: false }
+    }
+
+    /// What was read and not used.
+    pub fn buffered(&self) -> &[u8] {
+        &self.buffer
+    }
+
+    /// Whether the peer has closed its side.
+    pub fn has_ended(&self) -> bool {
+        self.has_ended
+    }
+
+    /// Drops the first bytes of the buffer.
+    pub fn consume(&mut self, length: usize) {
+        self.buffer.drain(..length.min(self.buffer.len()));
+    }
+
+    /// Takes up to `most` bytes out of the buffer.
+    pub fn take(&mut self, most: usize) -> Vec<u8> {
+        let length = most.min(self.buffer.len());
+        if length == self.buffer.len() {
+            return std::mem::take(&mut self.buffer);
+        }
+        self.buffer.drain(..length).collect()
+    }
+
+    /// Reads more into the buffer; 0 means that the peer closed its side.
+    ///
+    /// # Errors
+    /// Any failure of the connection.
+    pub async fn fill(&mut self) -> io::Result<usize> {
+        // Into a buffer of its own, so that a read that is given up leaves no trace.
+        let mut chunk = [0u8; READ_SIZE];
+        let result = self.stream.read(&mut chunk).await;
+        let read = *result.as_ref().unwrap_or(&0);
+        self.buffer.extend_from_slice(&chunk[..read]);
+        self.has_ended |= read == 0;
+        result
+    }
+
+    /// Waits until the peer is gone, keeping what it sends meanwhile. Never ends for a peer that
+    /// sends more than a bound ahead of its turn. May be dropped at any time: a read that is
+    /// waiting has taken no byte.
+    pub async fn gone(&mut self) {
+        let mut chunk = [0u8; 1024];
+        while !self.has_ended && self.buffer.len() < READ_AHEAD {
+            match self.stream.read(&mut chunk).await {
+                Ok(read) if read > 0 => self.buffer.extend_from_slice(&chunk[..read]),
+                _ => self.has_ended = true,
+            }
+        }
+        if !self.has_ended {
+            futures_lite::future::pending::<()>().await;
+        }
+    }
+
+    /// The write side.
+    pub fn writer(&self) -> TcpStream {
+        self.stream.clone()
+    }
+
+    /// Writes everything.
+    ///
+    /// # Errors
+    /// Any failure of the connection.
+    pub async fn write_all(&mut self, bytes: &[u8]) -> io::Result<()> {
+        self.stream.write_all(bytes).await
+    }
+
+    /// Closes the write side, so that the peer sees the end of what was sent.
+    pub fn finish(&self) {
+        let _ = self.stream.shutdown(std::net::Shutdown::Write);
+    }
+
+    /// Closes the connection so that the peer sees a reset and not the end of an answer.
+    pub fn abort(&self) {
+        let socket =
+            rustix::net::sockopt::set_socket_linger(&self.stream, Some(std::time::Duration::ZERO));
+        // Where that fails the peer still misses the end of the body.
+        let _ = socket;
+    }
+}
--- a/crates/topazmount/src/main.rs
+++ b/crates/topazmount/src/main.rs
@@ -57,7 +57,14 @@
     let settings = parse_control(&file, &text, &overrides(flags))?;
     let source = read_folder(&settings.declarations)?;
     let key = operator::read_key(&settings.cluster_key_file)?;
-    let options = ControlOptions { settings, form_group, source, key };
+    let options = ControlOptions {
+        settings,
+        form_group,
+        source,
+        key,
+        rollout: Default::default(),
+        actions: None,
+    };
     let handle = control_process::start(executor, options).await?;
     let stopped = async {
         runtime::stop_signal().await?;
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -5,6 +5,7 @@
 
 mod error;
 mod identifier;
+mod instance;
 mod request;
 mod time;
 
@@ -13,5 +14,6 @@
     ActionKey, AttemptId, Digest, Incarnation, ModelId, NodeId, ReplicaId, RequestId, Revision,
     TenantId, WeightsVersion, ZoneId,
 };
+pub use instance::{Instance, InstanceId};
 pub use request::{ActionCall, ChatRequest, Endpoint, Priority, Usage};
 pub use time::Time;
