Roll-out by deadlines; salts by version and wall; statuses of replicas; store of kept parts

Change: loads start as late as their bound allows, oldest deadline first, straight to the newest, and keep runs; overdue replicas are barred; requests name the version they expect, their cache salt carries it; the store of kept parts is asked and fed.

--- a/crates/control/src/fleet/leader.rs
+++ b/crates/control/src/fleet/leader.rs
@@ -1,10 +1,10 @@
 //! What only the leading member keeps of the fleet, in memory.
 
-use super::protocol::{FleetView, GatewayReport, InstanceReport, WatchRequest};
+use super::protocol::{FleetView, GatewayReport, InstanceReport, InstanceStatus, WatchRequest};
 use super::rollout::{FleetAction, OrderReport, Rollout, RolloutSettings};
 use super::state::{FleetCommand, FleetState};
 use crate::member::Token;
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 use std::time::Duration;
 use topazmount_consensus::Term;
 use topazmount_types::{InstanceId, Time};
@@ -30,15 +30,16 @@
     heard: BTreeMap<InstanceId, Time>,
     gateways: BTreeMap<String, (GatewayReport, Time)>,
     gateways_count: u64,
-    paused: BTreeSet<InstanceId>,
-    paused_count: u64,
+    /// Statuses with the count at which each changed last.
+    statuses: BTreeMap<InstanceId, (InstanceStatus, u64)>,
+    statuses_count: u64,
     rollout: Rollout,
     watchers: Vec<Watcher>,
 }
 
 impl FleetLeader {
     pub(crate) fn new(settings: RolloutSettings) -> Self {
-        FleetLeader { settings, ..FleetLeader::default() }
+        FleetLeader { settings, rollout: Rollout::new(settings), ..FleetLeader::default() }
     }
 
     /// Takes a heartbeat of a replica.
@@ -63,6 +64,7 @@
             self.term = Some((term, now));
             self.heard.clear();
             self.rollout.reset();
+            self.statuses.clear();
         }
         let Some((_, since)) = self.term else { return Default::default() };
         let mut expired = Vec::new();
@@ -74,23 +76,31 @@
         }
         self.heard.retain(|id, _| state.instances().contains_key(id));
         self.forget_gateways(now);
+        self.rollout.note_weights(now, state.weights());
         let mut actions = Vec::new();
         if now >= since + self.settings.lease {
             actions = self.rollout.step(now, term, state.instances(), state.weights());
         }
-        let paused = self.rollout.paused();
-        if paused != self.paused {
-            self.paused = paused;
-            self.paused_count += 1;
-        }
+        self.refresh_statuses(now, state);
         (expired, actions)
     }
 
+    fn refresh_statuses(&mut self, now: Time, state: &FleetState) {
+        self.statuses.retain(|id, _| state.instances().contains_key(id));
+        for id in state.instances().keys() {
+            let status = self.rollout.status(now, id);
+            if self.statuses.get(id).is_none_or(|(known, _)| *known != status) {
+                self.statuses_count += 1;
+                self.statuses.insert(id.clone(), (status, self.statuses_count));
+            }
+        }
+    }
+
     /// Notes that this member does not lead.
     pub(crate) fn follow(&mut self, now: Time) {
         if self.term.take().is_some() {
             self.rollout.reset();
-            self.paused.clear();
+            self.statuses.clear();
         }
         self.forget_gateways(now);
     }
@@ -149,9 +159,11 @@
         }
         let Some((term, _)) = self.term else { return (view, is_news) };
         view.gateway_count = self.gateways.len() as u32;
-        if seen.paused != (term, self.paused_count) {
-            let paused = self.paused.iter().cloned().collect();
-            view.paused = Some(((term, self.paused_count), paused));
+        if seen.statuses != (term, self.statuses_count) {
+            let since = if seen.statuses.0 == term { seen.statuses.1 } else { 0 };
+            let changed = self.statuses.values().filter(|(_, changed_at)| *changed_at > since);
+            let changed = changed.map(|(status, _)| status.clone()).collect();
+            view.statuses = Some(((term, self.statuses_count), changed));
             is_news = true;
         }
         if request.wants_gateways && seen.gateways != (term, self.gateways_count) {
--- a/crates/control/src/fleet/mod.rs
+++ b/crates/control/src/fleet/mod.rs
@@ -7,12 +7,13 @@
 mod leader;
 mod protocol;
 mod rollout;
+mod schedule;
 mod state;
 
 pub(crate) use leader::FleetLeader;
 pub use protocol::{
-    FleetRequest, FleetResponse, FleetView, GatewayReport, InstanceReport, LoadedModel, Seen,
-    WatchRequest,
+    Availability, FleetRequest, FleetResponse, FleetView, GatewayReport, InstanceReport,
+    InstanceStatus, LoadedModel, Seen, WatchRequest,
 };
 pub use rollout::{
     FleetAction, LoadMode, OrderEnd, OrderReport, ReplicaReport, RolloutSettings, WeightsOrder,
--- a/crates/control/src/fleet/protocol.rs
+++ b/crates/control/src/fleet/protocol.rs
@@ -16,6 +16,29 @@
     pub version: u32,
 }
 
+/// Whether a replica should be sent requests.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Availability {
+    /// It should.
+    #[default]
+    Open,
+    /// Others should be preferred: it loads weights.
+    Paused,
+    /// It must not: its weights are too old.
+    Barred,
+}
+
+/// What only the leader knows of a replica.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct InstanceStatus {
+    /// Replica.
+    pub id: InstanceId,
+    /// Whether it should be sent requests.
+    pub availability: Availability,
+    /// Models that it holds.
+    pub models: Vec<LoadedModel>,
+}
+
 /// What a replica reports of itself.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct InstanceReport {
@@ -45,8 +68,8 @@
     pub document: u64,
     /// Revision of its list of replicas.
     pub revision: u64,
-    /// Term and count of the list of replicas to pass over.
-    pub paused: (Term, u64),
+    /// Term and count of the replicas' statuses.
+    pub statuses: (Term, u64),
     /// Term and count of the list of gateways.
     pub gateways: (Term, u64),
 }
@@ -83,8 +106,8 @@
     pub instances: Vec<Instance>,
     /// Removed replicas.
     pub removed: Vec<InstanceId>,
-    /// Replicas to pass over, when that changed: term and count of the list, and the list.
-    pub paused: Option<((Term, u64), Vec<InstanceId>)>,
+    /// Statuses of replicas that changed: term and count after them, and the statuses.
+    pub statuses: Option<((Term, u64), Vec<InstanceStatus>)>,
     /// Gateways, when asked for and changed: term and count of the list, and the list.
     pub gateways: Option<((Term, u64), Vec<GatewayReport>)>,
     /// Number of gateways heard of; 0 where the member does not lead.
--- a/crates/control/src/fleet/rollout.rs
+++ b/crates/control/src/fleet/rollout.rs
@@ -1,20 +1,24 @@
 //! Rolls named weights out to replicas by orders that only one holder gives.
 
-use super::protocol::LoadedModel;
+use super::protocol::{Availability, InstanceStatus, LoadedModel};
+use super::schedule::Schedule;
 use serde::{Deserialize, Serialize};
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 use std::time::Duration;
 use topazmount_consensus::Term;
 use topazmount_types::{Instance, InstanceId, Time};
 
-/// Replicas of a service for each one that may load at the same time.
-const REPLICAS_PER_LOAD: usize = 5;
 /// Pause between telling gateways to pass a replica over and ordering it to load.
-const PAUSE_BEFORE_ORDER: Duration = Duration::from_millis(150);
+const PAUSE_BEFORE_ORDER: Duration = Duration::from_millis(80);
 /// Time after an accepted order before the replica is first asked how it stands.
-const FIRST_QUESTION: Duration = Duration::from_millis(700);
+const FIRST_QUESTION: Duration = Duration::from_millis(650);
 /// Time between two such questions.
-const QUESTION_INTERVAL: Duration = Duration::from_millis(250);
+const QUESTION_INTERVAL: Duration = Duration::from_millis(150);
+/// Age up to which a report may miss an order that was accepted.
+const REPORT_LAG: Duration = Duration::from_millis(1_300);
+/// Time before the end of its bound at which a replica with an older version gets no requests, so
+/// that none waits there beyond it.
+const OVERDUE_MARGIN: Duration = Duration::from_millis(600);
 /// Time after which an order without an answer counts as lost.
 const ORDER_LIMIT: Duration = Duration::from_millis(2_500);
 /// Time after which a load that does not end is ordered again.
@@ -27,11 +31,13 @@
 pub struct RolloutSettings {
     /// Time for which a new holder gives no orders, so that two never take turns within it.
     pub lease: Duration,
+    /// Time within which a named version must be everywhere.
+    pub spread: Duration,
 }
 
 impl Default for RolloutSettings {
     fn default() -> Self {
-        RolloutSettings { lease: Duration::from_secs(3) }
+        RolloutSettings { lease: Duration::from_secs(3), spread: Duration::from_secs(8) }
     }
 }
 
@@ -140,22 +146,37 @@
 /// at most a bounded part of a service's replicas loads at once.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Rollout {
+    settings: RolloutSettings,
+    schedule: Schedule,
     targets: BTreeMap<InstanceId, Target>,
     loaded: BTreeMap<InstanceId, Vec<LoadedModel>>,
     sequences: BTreeMap<InstanceId, u64>,
 }
 
 impl Rollout {
+    pub(crate) fn new(settings: RolloutSettings) -> Self {
+        Rollout { settings, ..Rollout::default() }
+    }
+
     /// Forgets everything: another member may have given orders meanwhile.
     pub(crate) fn reset(&mut self) {
-        *self = Rollout::default();
+        *self = Rollout::new(self.settings);
     }
 
-    /// Replicas that gateways should pass over.
-    pub(crate) fn paused(&self) -> BTreeSet<InstanceId> {
-        let is_paused = |target: &Target| !matches!(target.phase, Phase::Resting { .. });
-        let paused = self.targets.iter().filter(|(_, target)| is_paused(target));
-        paused.map(|(id, _)| id.clone()).collect()
+    /// What gateways need to know of a replica.
+    pub(crate) fn status(&self, now: Time, id: &str) -> InstanceStatus {
+        let models = self.loaded.get(id).cloned().unwrap_or_default();
+        let is_overdue = models.iter().any(|loaded| {
+            let due = self.schedule.due(&loaded.model, loaded.version);
+            due.is_some_and(|named| now >= named + self.settings.spread - OVERDUE_MARGIN)
+        });
+        let is_loading = self.targets.get(id).is_some_and(|target| target.is_paused());
+        let availability = match (is_overdue, is_loading) {
+            (true, _) => Availability::Barred,
+            (false, true) => Availability::Paused,
+            (false, false) => Availability::Open,
+        };
+        InstanceStatus { id: id.to_owned(), availability, models }
     }
 
     /// Takes what a heartbeat says of loaded weights. A heartbeat may be seconds old, so it never
@@ -195,9 +216,7 @@
             OrderEnd::Unknown => {
                 target.phase = Phase::Loading { since: now, ask_at: now + QUESTION_INTERVAL };
             }
-            OrderEnd::Conflict => {
-                target.phase = Phase::Asking { since: now };
-            }
+            OrderEnd::Conflict => target.phase = Phase::Asking { since: now },
             OrderEnd::Fenced | OrderEnd::Refused => {
                 target.phase = Phase::Resting { until: now + RETRY_PAUSE };
             }
@@ -220,17 +239,15 @@
             return;
         }
         let Some(target) = self.targets.get_mut(id) else { return };
+        let ask_at = now + QUESTION_INTERVAL;
         match target.phase {
-            Phase::Loading { since, .. } if report.is_busy => {
-                target.phase = Phase::Loading { since, ask_at: now + QUESTION_INTERVAL };
-            }
-            Phase::Loading { since, .. } if now < since + FIRST_QUESTION * 2 => {
-                // A report lags: what was accepted lately may not show yet.
-                target.phase = Phase::Loading { since, ask_at: now + QUESTION_INTERVAL };
+            // A report lags: what was accepted lately may not show yet.
+            Phase::Loading { since, .. } if report.is_busy || now < since + REPORT_LAG => {
+                target.phase = Phase::Loading { since, ask_at };
             }
             Phase::Loading { .. } => target.phase = Phase::Resting { until: now + RETRY_PAUSE },
             Phase::Asking { .. } if report.is_busy => {
-                target.phase = Phase::Loading { since: now, ask_at: now + QUESTION_INTERVAL };
+                target.phase = Phase::Loading { since: now, ask_at };
             }
             _ => {}
         }
@@ -241,6 +258,11 @@
         models.iter().find(|one| one.model == model).map(|one| one.version)
     }
 
+    /// Notes when versions were first seen named.
+    pub(crate) fn note_weights(&mut self, named_at: Time, weights: &BTreeMap<String, u32>) {
+        self.schedule.note(named_at, weights);
+    }
+
     /// Takes the next steps of a holder that may give orders.
     pub(crate) fn step(
         &mut self,
@@ -258,44 +280,44 @@
         steps.collect()
     }
 
-    /// Picks replicas that lack the newest version, up to the bound of each service.
+    /// Starts the loads that can't wait any longer.
     fn admit(
         &mut self,
         now: Time,
         instances: &BTreeMap<InstanceId, Instance>,
         weights: &BTreeMap<String, u32>,
     ) {
-        let mut room: BTreeMap<&str, usize> = BTreeMap::new();
-        for instance in instances.values() {
-            *room.entry(&instance.service).or_default() += 1;
-        }
-        for count in room.values_mut() {
-            *count = count.div_ceil(REPLICAS_PER_LOAD).max(1);
+        let mut services: BTreeMap<&str, Vec<&Instance>> = BTreeMap::new();
+        for instance in instances.values().filter(|one| !one.is_draining) {
+            services.entry(&instance.service).or_default().push(instance);
         }
-        for id in self.targets.keys() {
-            if let Some(free) = room.get_mut(instances[id].service.as_str()) {
-                *free = free.saturating_sub(1);
-            }
-        }
-        for (id, instance) in instances {
-            let free = room.get_mut(instance.service.as_str());
-            let Some(free) = free.filter(|free| **free > 0) else { continue };
-            if instance.is_draining || self.targets.contains_key(id) {
-                continue;
-            }
-            if let Some((model, version)) = self.lacking(id, weights) {
-                *free -= 1;
+        for replicas in services.values() {
+            let under_way =
+                replicas.iter().filter(|one| self.targets.contains_key(&one.id)).count();
+            let lacking = replicas.iter().filter(|one| !self.targets.contains_key(&one.id));
+            let lacking = lacking.filter_map(|one| {
+                let (model, newest, named) = self.lacking(&one.id, weights)?;
+                Some((named + self.settings.spread, one.id.clone(), model, newest))
+            });
+            let mut lacking: Vec<_> = lacking.collect();
+            lacking.sort();
+            let deadlines: Vec<Time> = lacking.iter().map(|(deadline, ..)| *deadline).collect();
+            let starting = Schedule::starting(now, &deadlines, replicas.len(), under_way);
+            for (_, id, model, version) in lacking.into_iter().take(starting) {
                 let phase = Phase::Pausing { since: now };
-                self.targets.insert(id.clone(), Target { phase, model, version });
+                self.targets.insert(id, Target { phase, model, version });
             }
         }
     }
 
-    fn lacking(&self, id: &str, weights: &BTreeMap<String, u32>) -> Option<(String, u32)> {
+    /// A model of which a replica lacks the newest version: the model, that version, and when the
+    /// first version that it lacks was named.
+    fn lacking(&self, id: &str, weights: &BTreeMap<String, u32>) -> Option<(String, u32, Time)> {
         let models = self.loaded.get(id)?;
         models.iter().find_map(|loaded| {
-            let newest = weights.get(&loaded.model).copied().unwrap_or(0);
-            (newest > loaded.version).then(|| (loaded.model.clone(), newest))
+            let newest = weights.get(&loaded.model).copied()?;
+            let named = self.schedule.due(&loaded.model, loaded.version)?;
+            (newest > loaded.version).then(|| (loaded.model.clone(), newest, named))
         })
     }
 
@@ -315,23 +337,17 @@
         match target.phase {
             Phase::Pausing { since } if now >= since + PAUSE_BEFORE_ORDER => {
                 target.phase = Phase::Asking { since: now };
+                self.sequences.remove(&instance.id);
                 Some(question)
             }
             Phase::Asking { since } => match known_sequence {
                 Some(expected_sequence) => {
-                    // The sequence counts this order; the next one asks anew.
-                    self.sequences.remove(&instance.id);
                     target.phase = Phase::Ordering { since: now };
                     target.version = weights.get(&target.model).copied()?.max(target.version);
-                    Some(FleetAction::Order(WeightsOrder {
-                        instance: instance.id.clone(),
-                        address: instance.address.clone(),
-                        model: target.model.clone(),
-                        version: target.version,
-                        mode: LoadMode::FinishRuns,
-                        fence,
-                        expected_sequence,
-                    }))
+                    let order = target.order(instance, fence, expected_sequence);
+                    // The sequence counts this order; the next one asks anew.
+                    self.sequences.remove(&instance.id);
+                    Some(FleetAction::Order(order))
                 }
                 None if now >= since + ORDER_LIMIT => {
                     target.phase = Phase::Resting { until: now + RETRY_PAUSE };
@@ -359,3 +375,21 @@
         }
     }
 }
+
+impl Target {
+    fn is_paused(&self) -> bool {
+        !matches!(self.phase, Phase::Resting { .. })
+    }
+
+    fn order(&self, instance: &Instance, fence: Term, expected_sequence: u64) -> WeightsOrder {
+        WeightsOrder {
+            instance: instance.id.clone(),
+            address: instance.address.clone(),
+            model: self.model.clone(),
+            version: self.version,
+            mode: LoadMode::KeepRuns,
+            fence,
+            expected_sequence,
+        }
+    }
+}
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -16,9 +16,9 @@
 
 pub use configuration::{Configuration, ConfigurationUpdate, HistoryRow};
 pub use fleet::{
-    Document, FleetAction, FleetCommand, FleetRequest, FleetResponse, FleetState, FleetView,
-    GatewayReport, InstanceReport, LoadMode, LoadedModel, OrderEnd, OrderReport, ReplicaReport,
-    RolloutSettings, Seen, WatchRequest, WeightsOrder,
+    Availability, Document, FleetAction, FleetCommand, FleetRequest, FleetResponse, FleetState,
+    FleetView, GatewayReport, InstanceReport, InstanceStatus, LoadMode, LoadedModel, OrderEnd,
+    OrderReport, ReplicaReport, RolloutSettings, Seen, WatchRequest, WeightsOrder,
 };
 pub use ledger::{ActionResult, ClaimId, ClaimOutcome, Ledger, LookupOutcome};
 pub use member::{Founding, Member, MemberError, MemberInput, MemberOutput, MemberSettings, Token};
--- a/crates/gateway/src/balancer.rs
+++ b/crates/gateway/src/balancer.rs
@@ -6,6 +6,7 @@
 use rand_chacha::ChaCha8Rng;
 use std::collections::{BTreeMap, HashMap, HashSet};
 use std::time::Duration;
+use topazmount_control::{Availability, InstanceStatus, LoadedModel};
 use topazmount_routing::{CacheView, Candidate, PolicyTable, RouteRequest, rendezvous_weight};
 use topazmount_types::{
     Incarnation, Instance, InstanceId, ModelId, Priority, ReplicaId, TenantId, Time, WeightsVersion,
@@ -37,7 +38,10 @@
     pub service: &'a str,
     /// Prompt, if the request has one.
     pub prompt: Option<&'a Prompt>,
-    /// Hash of what separates caches: the tenant's wall and the model.
+    /// Model of the prompt.
+    pub model: Option<&'a str>,
+    /// Hash of what separates caches beside the version of weights: the tenant's wall and the
+    /// model.
     pub namespace: u64,
     /// Replicas that were tried already.
     pub exclude: &'a [InstanceId],
@@ -52,6 +56,8 @@
     pub expected_prefill: u32,
     /// Estimated time to the first token, in milliseconds.
     pub estimate_ms: f64,
+    /// Version of the model's weights that it is believed to hold.
+    pub version: Option<u32>,
     slot: u32,
 }
 
@@ -63,9 +69,22 @@
     pending_prefill: u64,
     failures: u32,
     suspect_until: Time,
+    availability: Availability,
+    models: Vec<LoadedModel>,
 }
 
 impl Replica {
+    fn version(&self, model: Option<&str>) -> Option<u32> {
+        let model = model?;
+        self.models.iter().find(|one| one.model == model).map(|one| one.version)
+    }
+
+    /// What its cache belongs to: this life of it, with these weights.
+    fn incarnation(&self, model: Option<&str>) -> Incarnation {
+        let version = self.version(model).unwrap_or(0);
+        Incarnation((u64::from(self.slot) << 32) | u64::from(version))
+    }
+
     fn is_suspect(&self, now: Time) -> bool {
         now < self.suspect_until
     }
@@ -76,8 +95,6 @@
     zone: String,
     replicas: BTreeMap<InstanceId, Replica>,
     by_slot: HashMap<u32, InstanceId>,
-    /// Replicas that the control group asks to pass over, for example while they load weights.
-    paused: HashSet<InstanceId>,
     cache: CacheView,
     splits: HashMap<String, Vec<f64>>,
     next_slot: u32,
@@ -92,7 +109,6 @@
             zone: zone.to_owned(),
             replicas: BTreeMap::new(),
             by_slot: HashMap::new(),
-            paused: HashSet::new(),
             cache: CacheView::new(CACHE_PARTS),
             splits: HashMap::new(),
             next_slot: 0,
@@ -112,6 +128,8 @@
             pending_prefill: 0,
             failures: 0,
             suspect_until: Time::ZERO,
+            availability: Availability::Open,
+            models: Vec::new(),
         });
         known.instance = instance;
         if known.slot == slot {
@@ -134,9 +152,20 @@
         gone.iter().for_each(|id| self.remove(id));
     }
 
-    /// Replaces the set of replicas to pass over.
-    pub fn set_paused(&mut self, paused: HashSet<InstanceId>) {
-        self.paused = paused;
+    /// Takes what the leader knows of a replica. A replica's weights never go back.
+    pub fn set_status(&mut self, status: &InstanceStatus) {
+        let Some(replica) = self.replicas.get_mut(&status.id) else { return };
+        replica.availability = status.availability;
+        for loaded in &status.models {
+            note_version(&mut replica.models, &loaded.model, loaded.version);
+        }
+    }
+
+    /// Takes the version that a replica named with an answer.
+    pub fn saw_version(&mut self, id: &str, model: &str, version: u32) {
+        if let Some(replica) = self.replicas.get_mut(id) {
+            note_version(&mut replica.models, model, version);
+        }
     }
 
     /// Replicas known.
@@ -188,7 +217,7 @@
         if open.is_empty() {
             return None;
         }
-        let candidates = self.candidates(&open, request.prompt, &chain, now);
+        let candidates = self.candidates(&open, request, &chain, now);
         let route_request = RouteRequest {
             tenant: TenantId::default(),
             model: ModelId(request.namespace),
@@ -208,6 +237,7 @@
             instance: replica.instance.clone(),
             expected_prefill: route_request.prompt_tokens.saturating_sub(candidate.cached_tokens),
             estimate_ms: candidate.estimate_ms(),
+            version: replica.version(request.model),
             slot: replica.slot,
         })
     }
@@ -218,6 +248,7 @@
             let instance = &replica.instance;
             instance.service == request.service
                 && !instance.is_draining
+                && replica.availability != Availability::Barred
                 && !request.exclude.contains(&instance.id)
         };
         let serving: Vec<&Replica> = self.replicas.values().filter(may_serve).collect();
@@ -225,7 +256,7 @@
             let kept = serving.iter().filter(|replica| keep(replica));
             kept.map(|replica| replica.instance.id.clone()).collect()
         };
-        let is_paused = |replica: &Replica| self.paused.contains(&replica.instance.id);
+        let is_paused = |replica: &Replica| replica.availability == Availability::Paused;
         let healthy = ids(&|replica| !replica.is_suspect(now) && !is_paused(replica));
         if !healthy.is_empty() {
             return healthy;
@@ -237,16 +268,20 @@
     fn candidates(
         &mut self,
         open: &[InstanceId],
-        prompt: Option<&Prompt>,
+        request: &ChoiceRequest<'_>,
         chain: &[u64],
         now: Time,
     ) -> Vec<Candidate> {
+        let prompt = request.prompt;
         let mut depths: HashMap<u32, usize> = HashMap::new();
         let own_age = |depth: usize, age: Duration| (age < CACHE_AGE).then_some(depth);
         self.cache.holders(
             chain,
             now,
-            |slot| Some(Incarnation(u64::from(slot))),
+            |slot| {
+                let replica = self.replicas.get(self.by_slot.get(&slot)?)?;
+                Some(replica.incarnation(request.model))
+            },
             |slot, depth, age| {
                 if let Some(depth) = own_age(depth, age) {
                     depths.insert(slot, depth);
@@ -319,9 +354,10 @@
             let expected = u64::from(choice.expected_prefill);
             replica.pending_prefill = replica.pending_prefill.saturating_sub(expected);
         }
-        if let Some(prompt) = request.prompt {
+        let replica = self.replicas.get(&choice.instance.id);
+        if let (Some(prompt), Some(replica)) = (request.prompt, replica) {
             let chain = prompt.chain(request.namespace);
-            let incarnation = Incarnation(u64::from(choice.slot));
+            let incarnation = replica.incarnation(request.model);
             self.cache.learn(&chain, choice.slot, incarnation, now);
         }
     }
@@ -383,3 +419,10 @@
         candidates[position].home_rank = rank as u32;
     }
 }
+
+fn note_version(models: &mut Vec<LoadedModel>, model: &str, version: u32) {
+    match models.iter_mut().find(|one| one.model == model) {
+        Some(known) => known.version = known.version.max(version),
+        None => models.push(LoadedModel { model: model.to_owned(), version }),
+    }
+}
--- a/crates/gateway/src/catalog.rs
+++ b/crates/gateway/src/catalog.rs
@@ -82,6 +82,17 @@
     pub max_connections: u32,
     /// Set for language-model replicas.
     pub engine: Option<EngineParameters>,
+    /// Set for the store of kept prompt parts, which is in no route.
+    pub store: Option<KeptCacheStore>,
+}
+
+/// A store of prompt parts that replicas have read.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct KeptCacheStore {
+    /// Address, `ip:port`.
+    pub address: String,
+    /// Zone.
+    pub zone: String,
 }
 
 /// Bounds on what a client may send.
@@ -212,6 +223,11 @@
         &self.parts.services
     }
 
+    /// The store of kept prompt parts.
+    pub fn store(&self) -> Option<&KeptCacheStore> {
+        self.parts.services.iter().find_map(|service| service.store.as_ref())
+    }
+
     /// A service by name.
     pub fn service(&self, name: &str) -> Option<&Service> {
         self.services.get(name).map(|position| &self.parts.services[*position])
--- a/crates/gateway/src/knowledge.rs
+++ b/crates/gateway/src/knowledge.rs
@@ -57,6 +57,7 @@
     balancer: Balancer,
     budgets: HashMap<String, RetryBudget>,
     policies: PolicyTable,
+    is_store_up: bool,
 }
 
 impl Knowledge {
@@ -71,6 +72,7 @@
             balancer: Balancer::new(zone, seed),
             budgets: HashMap::new(),
             policies: PolicyTable::default(),
+            is_store_up: false,
         }
     }
 
@@ -94,6 +96,17 @@
         &mut self.balancer
     }
 
+    /// Address of the store of kept prompt parts, if there is one and it answers.
+    pub fn store(&self) -> Option<&str> {
+        let store = self.catalog.as_ref()?.store()?;
+        self.is_store_up.then_some(store.address.as_str())
+    }
+
+    /// Notes whether the store answers.
+    pub fn set_store_up(&mut self, is_up: bool) {
+        self.is_store_up = is_up;
+    }
+
     /// Policies in force.
     pub fn policies(&mut self) -> &mut PolicyTable {
         &mut self.policies
@@ -114,9 +127,9 @@
             self.catalog = Some(Arc::new(catalog));
         }
         self.apply_instances(view);
-        if let Some((count, paused)) = &view.paused {
-            self.seen.paused = *count;
-            self.balancer.set_paused(paused.iter().cloned().collect());
+        if let Some((count, statuses)) = &view.statuses {
+            self.seen.statuses = *count;
+            statuses.iter().for_each(|status| self.balancer.set_status(status));
         }
         if view.gateway_count > 0 {
             self.gateway_count = view.gateway_count as usize;
--- a/crates/topazmount/src/fleet/dialect.rs
+++ b/crates/topazmount/src/fleet/dialect.rs
@@ -36,6 +36,12 @@
     pub tenant: Option<String>,
     /// Name of the cache that the request may share; `None` for the common one.
     pub cache_salt: Option<String>,
+    /// Version of the model's weights that the replica must hold.
+    pub expected_version: Option<u32>,
+    /// Where the replica takes parts of the prompt that it lacks.
+    pub fetch_from: Option<String>,
+    /// Where the replica sends parts of the prompt that it has read.
+    pub save_to: Option<String>,
     /// Last event that must not come again.
     pub last_event: Option<String>,
     /// Rank, 0 is the most urgent.
@@ -51,8 +57,12 @@
     pub is_sealed: bool,
     /// Whether it says that the request was not run.
     pub is_not_run: bool,
-    /// Whether it says that another replica has the address.
-    pub is_wrong_instance: bool,
+    /// Whether it says that it is not the replica, or does not hold the version, that was expected.
+    pub is_unexpected: bool,
+    /// Replica that answered, where it says so.
+    pub instance: Option<InstanceId>,
+    /// Version of the weights that it was made with.
+    pub version: Option<u32>,
     /// Whether its body is encoded, which no client asked for.
     pub is_encoded: bool,
 }
--- a/crates/topazmount/src/fleet/directory.rs
+++ b/crates/topazmount/src/fleet/directory.rs
@@ -54,8 +54,8 @@
     fn read(&mut self, view: FleetView, _asked_at: Time) {
         let mut state = self.state.lock().unwrap();
         state.seen.revision = view.revision;
-        if let Some((count, _)) = &view.paused {
-            state.seen.paused = *count;
+        if let Some((count, _)) = &view.statuses {
+            state.seen.statuses = *count;
         }
         if let Some((count, gateways)) = view.gateways {
             state.seen.gateways = count;
--- a/crates/topazmount/src/fleet/exchange.rs
+++ b/crates/topazmount/src/fleet/exchange.rs
@@ -124,6 +124,7 @@
         ChoiceRequest {
             service: &self.admission.service,
             prompt: self.tags.prompt.as_ref(),
+            model: self.tags.model.as_deref(),
             namespace: self.namespace(),
             exclude: plan.tried(),
         }
@@ -134,13 +135,21 @@
         use std::hash::{DefaultHasher, Hash, Hasher};
         let mut hasher = DefaultHasher::new();
         self.tags.model.hash(&mut hasher);
-        self.cache_salt().hash(&mut hasher);
+        self.wall().hash(&mut hasher);
         hasher.finish()
     }
 
-    fn cache_salt(&self) -> Option<String> {
+    /// The tenant whose cached prompt parts are kept from all others, if it is one.
+    fn wall(&self) -> Option<&str> {
         let tenant = self.admission.tenant.as_ref()?;
-        tenant.is_isolated.then(|| format!("tenant-{}", tenant.name))
+        tenant.is_isolated.then_some(tenant.name.as_str())
+    }
+
+    /// Name under which parts are shared: parts made with other weights or behind another
+    /// tenant's wall never have the same.
+    fn cache_salt(&self, version: Option<u32>) -> String {
+        let version = version.map_or("unknown".to_owned(), |version| version.to_string());
+        format!("v{version}/{}", self.wall().unwrap_or_default())
     }
 
     /// Serves the request to its end.
@@ -266,8 +275,14 @@
                 log::debug!("gateway: event=broken request={} reason={reason}", self.tags.id);
                 Attempt::Ended(AttemptEnd::Broken)
             }
-            Some(First::Whole(head, body)) => self.judge(head, body),
-            Some(First::Stream(begin)) => Attempt::Stream(begin),
+            Some(First::Whole(head, body)) => {
+                self.note_version(choice, &head);
+                self.judge(choice, head, body)
+            }
+            Some(First::Stream(begin)) => {
+                self.note_version(choice, &begin.head);
+                Attempt::Stream(begin)
+            }
         }
     }
 
@@ -283,11 +298,19 @@
     }
 
     fn upstream_bytes(&self, choice: &Choice, progress: &Progress) -> Vec<u8> {
+        let has_prompt = self.tags.prompt.is_some();
+        let version = choice.version.filter(|_| has_prompt);
+        // Without a known version nothing may be shared with other replicas.
+        let store = self.shared.knowledge.lock().unwrap().store().map(str::to_owned);
+        let store = store.filter(|_| version.is_some());
         let upstream = Upstream {
             instance: choice.instance.id.clone(),
             time_left: self.left(),
             tenant: self.admission.tenant.as_ref().map(|tenant| tenant.name.clone()),
-            cache_salt: self.cache_salt(),
+            cache_salt: has_prompt.then(|| self.cache_salt(version)),
+            expected_version: version,
+            fetch_from: store.clone(),
+            save_to: store,
             last_event: progress.last_event.clone(),
             priority: self.tags.prompt.as_ref().map(|_| self.rank()),
         };
@@ -375,10 +398,12 @@
     }
 
     /// What a whole answer means.
-    fn judge(&self, head: ResponseHead, body: Vec<u8>) -> Attempt {
+    fn judge(&self, choice: &Choice, head: ResponseHead, body: Vec<u8>) -> Attempt {
         let tags = self.shared.dialect.answer(&head);
-        if tags.is_wrong_instance {
-            return Attempt::Ended(AttemptEnd::WrongInstance);
+        if tags.is_unexpected {
+            let is_other = tags.instance.is_none_or(|id| id != choice.instance.id);
+            let end = if is_other { AttemptEnd::WrongInstance } else { AttemptEnd::NotRun };
+            return Attempt::Ended(end);
         }
         if tags.is_not_run {
             return Attempt::Ended(AttemptEnd::NotRun);
@@ -491,6 +516,14 @@
         }
     }
 
+    fn note_version(&self, choice: &Choice, head: &ResponseHead) {
+        let version = self.shared.dialect.answer(head).version;
+        if let (Some(model), Some(version)) = (&self.tags.model, version) {
+            let mut knowledge = self.shared.knowledge.lock().unwrap();
+            knowledge.balancer().saw_version(&choice.instance.id, model, version);
+        }
+    }
+
     fn note_success(&self, choice: &Choice) {
         self.shared.knowledge.lock().unwrap().balancer().succeeded(&choice.instance.id);
     }
--- a/crates/topazmount/src/fleet/settings.rs
+++ b/crates/topazmount/src/fleet/settings.rs
@@ -61,6 +61,8 @@
     pub revocation_ms: u64,
     /// Time between the orders of two holders, in milliseconds.
     pub lease_ms: u64,
+    /// Time within which a named version of weights must be everywhere, in milliseconds.
+    pub spread_ms: u64,
     /// Repeats per request.
     pub retry_ratio: f64,
     /// Repeats beyond that.
@@ -124,6 +126,9 @@
 
     /// Bounds of the roll-out of weights.
     pub fn rollout(&self) -> RolloutSettings {
-        RolloutSettings { lease: Duration::from_millis(self.bounds.lease_ms) }
+        RolloutSettings {
+            lease: Duration::from_millis(self.bounds.lease_ms),
+            spread: Duration::from_millis(self.bounds.spread_ms),
+        }
     }
 }
