Routing: nested homes, memory moved from the next home, silence judged by estimate

Cause: each replica read the first parts that all prompts share; replicas that read long prompts were taken for silent and the prompt read twice; saving every prompt filled the store's link. Change: a first part has homes at a quarter of the replicas, deeper prefixes are ranked among them; requests name the next home with the same weights as a source; a replica is silent only if nobody heard from it and the estimate has passed. The store is not used: a save sends the whole prompt (861 GB in 34 s filled the link, moves waited).

--- a/crates/gateway/src/balancer.rs
+++ b/crates/gateway/src/balancer.rs
@@ -1,6 +1,6 @@
 //! Which replica a forwarded request goes to.
 
-use crate::catalog::Route;
+use crate::catalog::{EngineParameters, Route};
 use crate::prompt::Prompt;
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -20,8 +20,19 @@
 const DELAY_PER_REQUEST_MS: f64 = 4.0;
 /// Cost of another zone, in milliseconds: the way there and back and the price of its bytes.
 const OTHER_ZONE_MS: f64 = 6.0;
-/// Replicas per prompt prefix that are believed to hold it whoever asked for it.
-const HOMES: u32 = 1;
+/// Replicas of a service for each one that is a home of a first part: deeper prefixes have their
+/// homes among these, so that few replicas read a part that many prompts share.
+const REPLICAS_PER_HOME: usize = 4;
+/// What a move of memory costs beside its own time, in milliseconds.
+const MOVE_COST_MS: f64 = 15.0;
+/// Times that a move's duration counts: it holds up other moves at both ends.
+const MOVE_WEIGHT: f64 = 2.0;
+/// Factor on a move's duration between zones.
+const OTHER_ZONE_MOVE: f64 = 2.0;
+/// Weight of a new observation in a replica's smoothed delay.
+const DELAY_GAIN: f64 = 0.4;
+/// Time after which an observed delay counts half.
+const DELAY_HALF_LIFE: Duration = Duration::from_millis(700);
 /// Age after which an own earlier request says nothing of a cache.
 const CACHE_AGE: Duration = Duration::from_secs(30);
 /// First time for which a replica that failed is passed over; doubled with each further failure.
@@ -45,6 +56,8 @@
     pub namespace: u64,
     /// Replicas that were tried already.
     pub exclude: &'a [InstanceId],
+    /// Parameters of the service's engines, if it has any.
+    pub engine: Option<&'a EngineParameters>,
 }
 
 /// A chosen replica.
@@ -58,6 +71,8 @@
     pub estimate_ms: f64,
     /// Version of the model's weights that it is believed to hold.
     pub version: Option<u32>,
+    /// Address of a replica with the same weights that probably holds more of the prompt.
+    pub source: Option<String>,
     slot: u32,
 }
 
@@ -71,9 +86,25 @@
     suspect_until: Time,
     availability: Availability,
     models: Vec<LoadedModel>,
+    /// Smoothed time by which first tokens came later than expected, and when that was noted.
+    delay_ms: f64,
+    delay_at: Time,
+    /// When anything was last received from it.
+    heard_at: Time,
 }
 
 impl Replica {
+    fn delay_ms(&self, now: Time) -> f64 {
+        let age = now.since(self.delay_at).as_secs_f64() / DELAY_HALF_LIFE.as_secs_f64();
+        self.delay_ms * 0.5f64.powf(age)
+    }
+
+    fn note_delay(&mut self, delay_ms: f64, now: Time) {
+        let before = self.delay_ms(now);
+        self.delay_ms = before + DELAY_GAIN * (delay_ms - before);
+        self.delay_at = now;
+    }
+
     fn version(&self, model: Option<&str>) -> Option<u32> {
         let model = model?;
         self.models.iter().find(|one| one.model == model).map(|one| one.version)
@@ -130,6 +161,9 @@
             suspect_until: Time::ZERO,
             availability: Availability::Open,
             models: Vec::new(),
+            delay_ms: 0.0,
+            delay_at: Time::ZERO,
+            heard_at: Time::ZERO,
         });
         known.instance = instance;
         if known.slot == slot {
@@ -217,7 +251,8 @@
         if open.is_empty() {
             return None;
         }
-        let candidates = self.candidates(&open, request, &chain, now);
+        let homes = self.home_order(request, &chain);
+        let candidates = self.candidates(&open, request, &chain, &homes, now);
         let route_request = RouteRequest {
             tenant: TenantId::default(),
             model: ModelId(request.namespace),
@@ -233,15 +268,58 @@
         let position = policies.choose(policy, &route_request, &candidates)?;
         let candidate = candidates.get(position)?;
         let replica = &self.replicas[&open[position]];
+        let source = self.source(replica, request, &homes, now);
         Some(Choice {
             instance: replica.instance.clone(),
             expected_prefill: route_request.prompt_tokens.saturating_sub(candidate.cached_tokens),
             estimate_ms: candidate.estimate_ms(),
             version: replica.version(request.model),
+            source: source.map(|source| source.instance.address.clone()),
             slot: replica.slot,
         })
     }
 
+    /// Replicas of the service in the order in which they are homes of the prompt's shared parts.
+    /// The first part picks a few replicas, and all shared parts together rank these; the others
+    /// follow, ranked alike. All nodes find the same order.
+    fn home_order(&self, request: &ChoiceRequest<'_>, chain: &[u64]) -> Vec<InstanceId> {
+        // The last part is the request's own and has no home.
+        let Some((_, shared)) = chain.split_last() else { return Vec::new() };
+        let (Some(first), Some(deepest)) = (shared.first(), shared.last()) else {
+            return Vec::new();
+        };
+        let serving = self.replicas.values().filter(|one| one.instance.service == request.service);
+        let mut order: Vec<(&InstanceId, ReplicaId)> =
+            serving.map(|one| (&one.instance.id, ReplicaId::from_name(&one.instance.id))).collect();
+        let homes = order.len().div_ceil(REPLICAS_PER_HOME).min(order.len());
+        let by = |key: u64| {
+            move |(_, id): &(&InstanceId, ReplicaId)| std::cmp::Reverse(rendezvous_weight(key, *id))
+        };
+        order.sort_by_cached_key(by(*first));
+        let (near, far) = order.split_at_mut(homes);
+        near.sort_by_cached_key(by(*deepest));
+        far.sort_by_cached_key(by(*deepest));
+        order.into_iter().map(|(id, _)| id.clone()).collect()
+    }
+
+    /// The first home beside the replica itself that has the same weights and answers.
+    fn source(
+        &self,
+        replica: &Replica,
+        request: &ChoiceRequest<'_>,
+        homes: &[InstanceId],
+        now: Time,
+    ) -> Option<&Replica> {
+        let version = replica.version(request.model)?;
+        let may_give = |other: &&Replica| {
+            other.slot != replica.slot
+                && other.version(request.model) == Some(version)
+                && other.availability == Availability::Open
+                && !other.is_suspect(now)
+        };
+        homes.iter().filter_map(|id| self.replicas.get(id)).find(may_give)
+    }
+
     /// Replicas that may be asked: healthy ones, else those that failed lately.
     fn open_replicas(&self, request: &ChoiceRequest<'_>, now: Time) -> Vec<InstanceId> {
         let may_serve = |replica: &&Replica| {
@@ -270,61 +348,58 @@
         open: &[InstanceId],
         request: &ChoiceRequest<'_>,
         chain: &[u64],
+        homes: &[InstanceId],
         now: Time,
     ) -> Vec<Candidate> {
-        let prompt = request.prompt;
-        let mut depths: HashMap<u32, usize> = HashMap::new();
-        let own_age = |depth: usize, age: Duration| (age < CACHE_AGE).then_some(depth);
-        self.cache.holders(
-            chain,
-            now,
-            |slot| {
-                let replica = self.replicas.get(self.by_slot.get(&slot)?)?;
-                Some(replica.incarnation(request.model))
-            },
-            |slot, depth, age| {
-                if let Some(depth) = own_age(depth, age) {
-                    depths.insert(slot, depth);
-                }
-            },
-        );
-        // The last part is the request's own; what is before it has a home.
-        let shared_depth = chain.len().saturating_sub(1);
-        let home_key = chain.get(shared_depth.wrapping_sub(1)).copied().unwrap_or(self.sequence);
-        let mut candidates = Vec::with_capacity(open.len());
+        let depths = self.own_depths(request, chain, now);
+        let ranks: HashMap<&InstanceId, usize> = homes.iter().zip(0..).collect();
+        let home = homes.iter().find(|id| open.contains(*id));
+        let mut candidates: Vec<Candidate> = Vec::with_capacity(open.len());
         for (position, id) in open.iter().enumerate() {
             let replica = &self.replicas[id];
             let depth = depths.get(&replica.slot).copied().unwrap_or(0);
-            let cached = prompt.map_or(0, |prompt| tokens_of(prompt, depth));
-            candidates.push(self.candidate(replica, position, prompt, cached));
-        }
-        rank(home_key, &mut candidates, open);
-        if let Some(prompt) = prompt {
-            let shared = tokens_of(prompt, shared_depth);
-            for candidate in candidates.iter_mut().filter(|one| one.home_rank < HOMES) {
-                candidate.cached_tokens = candidate.cached_tokens.max(shared);
-                candidate.prefill_ms = prefill_ms(prompt, candidate.cached_tokens);
+            let mut candidate = self.candidate(replica, position, now);
+            candidate.home_rank = ranks.get(id).map_or(0, |rank| *rank as u32);
+            if let Some(prompt) = request.prompt {
+                let source = self.source(replica, request, homes, now);
+                let is_home = home == Some(id);
+                add_prompt(&mut candidate, prompt, request.engine, depth, is_home, source);
             }
+            candidates.push(candidate);
         }
-        let jitter = self.rng.random_range(0..candidates.len().max(1));
         // Equal estimates must not all go to the first replica of the list.
-        if let Some(one) = candidates.get_mut(jitter) {
+        let favoured = self.rng.random_range(0..candidates.len().max(1));
+        if let Some(one) = candidates.get_mut(favoured) {
             one.network_ms -= 0.01;
         }
         candidates
     }
 
-    fn candidate(
+    /// How much of the chain each replica was sent by this node lately, by slot.
+    fn own_depths(
         &self,
-        replica: &Replica,
-        position: usize,
-        prompt: Option<&Prompt>,
-        cached_tokens: u32,
-    ) -> Candidate {
+        request: &ChoiceRequest<'_>,
+        chain: &[u64],
+        now: Time,
+    ) -> HashMap<u32, usize> {
+        let mut depths: HashMap<u32, usize> = HashMap::new();
+        let incarnation = |slot: u32| {
+            let replica = self.replicas.get(self.by_slot.get(&slot)?)?;
+            Some(replica.incarnation(request.model))
+        };
+        self.cache.holders(chain, now, incarnation, |slot, depth, age| {
+            if age < CACHE_AGE {
+                depths.insert(slot, depth);
+            }
+        });
+        depths
+    }
+
+    fn candidate(&self, replica: &Replica, position: usize, now: Time) -> Candidate {
         let is_local = replica.instance.zone == self.zone;
-        let own_share = replica.in_flight as f64;
-        let queue_ms = own_share * DELAY_PER_REQUEST_MS
-            + replica.pending_prefill as f64 / PREFILL_TOKENS_PER_MS;
+        let queue_ms = f64::from(replica.in_flight) * DELAY_PER_REQUEST_MS
+            + replica.pending_prefill as f64 / PREFILL_TOKENS_PER_MS
+            + replica.delay_ms(now);
         // A full replica serves nobody at once: each request over its places waits for one.
         let over = replica.in_flight.saturating_sub(replica.instance.slots / SHARE_SLACK);
         Candidate {
@@ -332,9 +407,7 @@
             position: position as u32,
             is_local,
             in_flight: replica.in_flight,
-            cached_tokens,
             queue_ms: queue_ms + f64::from(over) * 4.0 * DELAY_PER_REQUEST_MS,
-            prefill_ms: prompt.map_or(0.0, |prompt| prefill_ms(prompt, cached_tokens)),
             network_ms: if is_local { 0.0 } else { OTHER_ZONE_MS },
             ..Candidate::default()
         }
@@ -348,20 +421,33 @@
         }
     }
 
-    /// Notes the first token of a request: its prompt is read.
-    pub fn first_token(&mut self, choice: &Choice, request: &ChoiceRequest<'_>, now: Time) {
-        if let Some(replica) = self.replicas.get_mut(&choice.instance.id) {
-            let expected = u64::from(choice.expected_prefill);
-            replica.pending_prefill = replica.pending_prefill.saturating_sub(expected);
-        }
-        let replica = self.replicas.get(&choice.instance.id);
-        if let (Some(prompt), Some(replica)) = (request.prompt, replica) {
+    /// Notes the first token of a request, `waited` after it was sent: its prompt is read.
+    pub fn first_token(
+        &mut self,
+        choice: &Choice,
+        request: &ChoiceRequest<'_>,
+        waited: Duration,
+        now: Time,
+    ) {
+        let Some(replica) = self.replicas.get_mut(&choice.instance.id) else { return };
+        let expected = u64::from(choice.expected_prefill);
+        replica.pending_prefill = replica.pending_prefill.saturating_sub(expected);
+        let expected_ms = f64::from(choice.expected_prefill) / PREFILL_TOKENS_PER_MS;
+        let waited_ms = waited.as_secs_f64() * 1_000.0;
+        replica.note_delay((waited_ms - expected_ms).max(0.0), now);
+        replica.heard_at = now;
+        if let Some(prompt) = request.prompt {
             let chain = prompt.chain(request.namespace);
             let incarnation = replica.incarnation(request.model);
             self.cache.learn(&chain, choice.slot, incarnation, now);
         }
     }
 
+    /// Whether a replica sent anything after a moment.
+    pub fn was_heard_since(&self, id: &str, since: Time) -> bool {
+        self.replicas.get(id).is_some_and(|replica| replica.heard_at > since)
+    }
+
     /// Notes that a request no longer occupies its choice. `has_first_token` tells whether
     /// [`Balancer::first_token`] was called for it.
     pub fn ended(&mut self, choice: &Choice, has_first_token: bool) {
@@ -375,8 +461,9 @@
     }
 
     /// Notes that a replica answered as it should.
-    pub fn succeeded(&mut self, id: &str) {
+    pub fn succeeded(&mut self, id: &str, now: Time) {
         if let Some(replica) = self.replicas.get_mut(id) {
+            replica.heard_at = now;
             replica.failures = 0;
             replica.suspect_until = Time::ZERO;
         }
@@ -408,15 +495,25 @@
     f64::from(prompt.prompt_tokens.saturating_sub(cached_tokens)) / PREFILL_TOKENS_PER_MS
 }
 
-fn rank(key: u64, candidates: &mut [Candidate], open: &[InstanceId]) {
-    let weight = |position: usize| {
-        let id = ReplicaId::from_name(&open[position]);
-        rendezvous_weight(key, id)
-    };
-    let mut order: Vec<usize> = (0..candidates.len()).collect();
-    order.sort_by_cached_key(|position| std::cmp::Reverse(weight(*position)));
-    for (rank, position) in order.into_iter().enumerate() {
-        candidates[position].home_rank = rank as u32;
+/// Adds what a prompt costs at a replica that holds `depth` parts of it by this node's own doing.
+/// A home is believed to hold all shared parts, whoever sent them; what a source holds is moved.
+fn add_prompt(
+    candidate: &mut Candidate,
+    prompt: &Prompt,
+    engine: Option<&EngineParameters>,
+    depth: usize,
+    is_home: bool,
+    source: Option<&Replica>,
+) {
+    let shared = tokens_of(prompt, prompt.parts.len().saturating_sub(1));
+    let own = tokens_of(prompt, depth);
+    let at_hand = if is_home { own.max(shared) } else { own };
+    let moved = if source.is_some() { shared.saturating_sub(at_hand) } else { 0 };
+    candidate.cached_tokens = at_hand + moved;
+    candidate.prefill_ms = prefill_ms(prompt, candidate.cached_tokens);
+    if let (Some(engine), true) = (engine, moved > 0) {
+        let move_ms = engine.move_ms(moved) * OTHER_ZONE_MOVE;
+        candidate.network_ms += MOVE_COST_MS + MOVE_WEIGHT * move_ms;
     }
 }
 
--- a/crates/gateway/src/catalog.rs
+++ b/crates/gateway/src/catalog.rs
@@ -69,10 +69,25 @@
     pub slots: u32,
     /// Tokens that a replica's memory holds.
     pub kv_capacity_tokens: u64,
+    /// Bytes of memory that one token takes.
+    pub token_bytes: f64,
+    /// Bandwidth for moves of memory, in megabits a second.
+    pub link_mbps: f64,
     /// Models that it serves.
     pub models: Vec<String>,
 }
 
+/// Bytes that a link of one megabit a second carries in a millisecond.
+const BYTES_PER_MBPS_MS: f64 = 125.0;
+
+impl EngineParameters {
+    /// Duration of a move of so many tokens within a zone, in milliseconds.
+    pub fn move_ms(&self, tokens: u32) -> f64 {
+        let bytes_per_ms = self.link_mbps * BYTES_PER_MBPS_MS;
+        if bytes_per_ms > 0.0 { f64::from(tokens) * self.token_bytes / bytes_per_ms } else { 0.0 }
+    }
+}
+
 /// A service.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Service {
@@ -82,17 +97,6 @@
     pub max_connections: u32,
     /// Set for language-model replicas.
     pub engine: Option<EngineParameters>,
-    /// Set for the store of kept prompt parts, which is in no route.
-    pub store: Option<KeptCacheStore>,
-}
-
-/// A store of prompt parts that replicas have read.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct KeptCacheStore {
-    /// Address, `ip:port`.
-    pub address: String,
-    /// Zone.
-    pub zone: String,
 }
 
 /// Bounds on what a client may send.
@@ -223,11 +227,6 @@
         &self.parts.services
     }
 
-    /// The store of kept prompt parts.
-    pub fn store(&self) -> Option<&KeptCacheStore> {
-        self.parts.services.iter().find_map(|service| service.store.as_ref())
-    }
-
     /// A service by name.
     pub fn service(&self, name: &str) -> Option<&Service> {
         self.services.get(name).map(|position| &self.parts.services[*position])
--- a/crates/gateway/src/knowledge.rs
+++ b/crates/gateway/src/knowledge.rs
@@ -57,7 +57,6 @@
     balancer: Balancer,
     budgets: HashMap<String, RetryBudget>,
     policies: PolicyTable,
-    is_store_up: bool,
 }
 
 impl Knowledge {
@@ -72,7 +71,6 @@
             balancer: Balancer::new(zone, seed),
             budgets: HashMap::new(),
             policies: PolicyTable::default(),
-            is_store_up: false,
         }
     }
 
@@ -96,17 +94,6 @@
         &mut self.balancer
     }
 
-    /// Address of the store of kept prompt parts, if there is one and it answers.
-    pub fn store(&self) -> Option<&str> {
-        let store = self.catalog.as_ref()?.store()?;
-        self.is_store_up.then_some(store.address.as_str())
-    }
-
-    /// Notes whether the store answers.
-    pub fn set_store_up(&mut self, is_up: bool) {
-        self.is_store_up = is_up;
-    }
-
     /// Policies in force.
     pub fn policies(&mut self) -> &mut PolicyTable {
         &mut self.policies
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -15,8 +15,8 @@
 pub use balancer::{Balancer, Choice, ChoiceRequest};
 pub use budget::{BudgetSettings, RetryBudget};
 pub use catalog::{
-    Catalog, CatalogParts, CatalogProblem, EngineParameters, HttpLimits, KeptCacheStore, Route,
-    RouteKind, Service, SplitPart, Tenant,
+    Catalog, CatalogParts, CatalogProblem, EngineParameters, HttpLimits, Route, RouteKind, Service,
+    SplitPart, Tenant,
 };
 pub use knowledge::{Admission, GatewaySettings, Knowledge};
 pub use plan::{AttemptEnd, NextStep, RequestPlan};
--- a/crates/topazmount/src/fleet/dialect.rs
+++ b/crates/topazmount/src/fleet/dialect.rs
@@ -40,8 +40,6 @@
     pub expected_version: Option<u32>,
     /// Where the replica takes parts of the prompt that it lacks.
     pub fetch_from: Option<String>,
-    /// Where the replica sends parts of the prompt that it has read.
-    pub save_to: Option<String>,
     /// Last event that must not come again.
     pub last_event: Option<String>,
     /// Rank, 0 is the most urgent.
--- a/crates/topazmount/src/fleet/exchange.rs
+++ b/crates/topazmount/src/fleet/exchange.rs
@@ -14,7 +14,8 @@
 use std::pin::pin;
 use std::time::Duration;
 use topazmount_gateway::{
-    Admission, AttemptEnd, Choice, ChoiceRequest, NextStep, RequestPlan, RouteKind,
+    Admission, AttemptEnd, Choice, ChoiceRequest, EngineParameters, NextStep, RequestPlan,
+    RouteKind,
 };
 use topazmount_types::{ErrorKind, RunState, Time};
 
@@ -23,6 +24,8 @@
 /// Part of the target latency after which a replica that sent nothing is given up, where the
 /// request may be sent to another.
 const SILENCE_SHARE: f64 = 0.7;
+/// Times that the estimated time to the first token is added to that.
+const SILENCE_ESTIMATES: f64 = 2.0;
 /// Silence in the middle of a stream after which it is resumed elsewhere.
 const STREAM_SILENCE: Duration = Duration::from_millis(1_200);
 /// Largest body of an answer that is not a stream.
@@ -49,6 +52,8 @@
     /// When the request was read.
     pub(super) received: Time,
     pub(super) keeps_alive: bool,
+    /// Parameters of the service's engines, if it has any.
+    pub(super) engine: Option<EngineParameters>,
     /// Write side of the client's connection.
     pub(super) client: TcpStream,
 }
@@ -127,6 +132,7 @@
             model: self.tags.model.as_deref(),
             namespace: self.namespace(),
             exclude: plan.tried(),
+            engine: self.engine.as_ref(),
         }
     }
 
@@ -196,7 +202,6 @@
                 }
                 Attempt::Stream(begin) => {
                     in_flight.has_first_token = begin.first.is_some();
-                    self.note_first_token(&in_flight.choice, &plan);
                     match self.relay(*begin, &mut progress).await {
                         StreamEnd::Complete => {
                             self.note_success(&in_flight.choice);
@@ -259,12 +264,12 @@
             return Attempt::Ended(AttemptEnd::Unreachable);
         };
         let bytes = self.upstream_bytes(choice, progress);
+        let sent_at = self.shared.clock.now();
         let mut first = pin!(self.first_answer(wire, &bytes));
-        let silence = self.admission.route.target_latency.mul_f64(SILENCE_SHARE);
+        let silence = self.silence_limit(choice);
         let mut answer = until(silence.min(self.left()), first.as_mut()).await;
         if answer.is_none() && !self.left().is_zero() {
-            self.note_silence(choice);
-            if self.may_switch(plan) {
+            if self.note_silence(choice, sent_at) && self.may_switch(plan) {
                 return Attempt::Ended(AttemptEnd::Silent);
             }
             answer = until(self.left(), first.as_mut()).await;
@@ -281,6 +286,7 @@
             }
             Some(First::Stream(begin)) => {
                 self.note_version(choice, &begin.head);
+                self.note_first_token(choice, plan, sent_at);
                 Attempt::Stream(begin)
             }
         }
@@ -300,17 +306,14 @@
     fn upstream_bytes(&self, choice: &Choice, progress: &Progress) -> Vec<u8> {
         let has_prompt = self.tags.prompt.is_some();
         let version = choice.version.filter(|_| has_prompt);
-        // Without a known version nothing may be shared with other replicas.
-        let store = self.shared.knowledge.lock().unwrap().store().map(str::to_owned);
-        let store = store.filter(|_| version.is_some());
         let upstream = Upstream {
             instance: choice.instance.id.clone(),
             time_left: self.left(),
             tenant: self.admission.tenant.as_ref().map(|tenant| tenant.name.clone()),
             cache_salt: has_prompt.then(|| self.cache_salt(version)),
             expected_version: version,
-            fetch_from: store.clone(),
-            save_to: store,
+            // Without a known version nothing may be shared with other replicas.
+            fetch_from: choice.source.clone().filter(|_| version.is_some()),
             last_event: progress.last_event.clone(),
             priority: self.tags.prompt.as_ref().map(|_| self.rank()),
         };
@@ -525,12 +528,32 @@
     }
 
     fn note_success(&self, choice: &Choice) {
-        self.shared.knowledge.lock().unwrap().balancer().succeeded(&choice.instance.id);
+        self.shared
+            .knowledge
+            .lock()
+            .unwrap()
+            .balancer()
+            .succeeded(&choice.instance.id, self.shared.clock.now());
     }
 
-    fn note_silence(&self, choice: &Choice) {
+    /// How long a sound replica may be silent after it was sent the request: the longer, the more
+    /// of a prompt it has to read.
+    fn silence_limit(&self, choice: &Choice) -> Duration {
+        let share = self.admission.route.target_latency.mul_f64(SILENCE_SHARE);
+        share + Duration::from_secs_f64(SILENCE_ESTIMATES * choice.estimate_ms.max(0.0) / 1_000.0)
+    }
+
+    /// Judges a replica that has been silent for so long: it has failed, unless others had answers
+    /// from it meanwhile. Returns whether it has failed.
+    fn note_silence(&self, choice: &Choice, sent_at: Time) -> bool {
         let now = self.shared.clock.now();
-        self.shared.knowledge.lock().unwrap().balancer().failed(&choice.instance.id, now);
+        let mut knowledge = self.shared.knowledge.lock().unwrap();
+        let balancer = knowledge.balancer();
+        let has_failed = !balancer.was_heard_since(&choice.instance.id, sent_at);
+        if has_failed {
+            balancer.failed(&choice.instance.id, now);
+        }
+        has_failed
     }
 
     fn note_failure(&self, choice: &Choice, end: AttemptEnd) {
@@ -547,11 +570,11 @@
         }
     }
 
-    fn note_first_token(&self, choice: &Choice, plan: &RequestPlan) {
+    fn note_first_token(&self, choice: &Choice, plan: &RequestPlan, sent_at: Time) {
         let now = self.shared.clock.now();
         let request = self.choice_request(plan);
         let mut knowledge = self.shared.knowledge.lock().unwrap();
-        knowledge.balancer().first_token(choice, &request, now);
+        knowledge.balancer().first_token(choice, &request, now.since(sent_at), now);
     }
 
     fn log_attempt(&self, choice: &Choice, end: &str) {
--- a/crates/topazmount/src/fleet/gateway.rs
+++ b/crates/topazmount/src/fleet/gateway.rs
@@ -9,7 +9,7 @@
 use super::watcher::{NewsReader, Watcher};
 use crate::Executor;
 use crate::clock::Clock;
-use crate::http1::{BodyError, BodyReader, HeadError, RequestHead, Wire, connect, request_framing};
+use crate::http1::{BodyError, BodyReader, HeadError, RequestHead, Wire, request_framing};
 use async_net::TcpListener;
 use eyre::{Result, WrapErr, eyre};
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
@@ -31,10 +31,6 @@
 const STOP_CHECK: Duration = Duration::from_millis(50);
 /// Time for a client to read the end of a refused request's answer.
 const REFUSAL_LINGER: Duration = Duration::from_millis(300);
-/// How often a gateway looks whether the store answers.
-const STORE_CHECK: Duration = Duration::from_millis(800);
-/// Longest time for a connection to the store.
-const STORE_LIMIT: Duration = Duration::from_millis(200);
 /// When to come back after a refusal that may be over soon.
 const SOON: Duration = Duration::from_millis(250);
 
@@ -117,7 +113,6 @@
         };
         let news = News { shared: shared.clone(), report };
         executor.spawn(watcher.run(news)).detach();
-        executor.spawn(watch_store(shared.clone())).detach();
         log::info!("gateway: event=start name={} zone={}", settings.name, settings.zone);
         Ok(Gateway { shared, stop_time: settings.stop_time() })
     }
@@ -222,30 +217,6 @@
     }
 }
 
-/// Looks whether the store of kept prompt parts takes connections: a replica that asks a dead one
-/// loses more time than the store saves.
-async fn watch_store(shared: Arc<Shared>) {
-    let mut was_up = false;
-    loop {
-        let address = {
-            let knowledge = shared.knowledge.lock().unwrap();
-            let store = knowledge.catalog().and_then(|catalog| catalog.store().cloned());
-            store.and_then(|store| store.address.parse().ok())
-        };
-        let is_up = match address {
-            Some(address) => connect(address, STORE_LIMIT).await.is_ok(),
-            None => false,
-        };
-        shared.knowledge.lock().unwrap().set_store_up(is_up);
-        if is_up != was_up {
-            let state = if is_up { "regained" } else { "lost" };
-            log::info!("gateway: event=store_{state}");
-            was_up = is_up;
-        }
-        async_io::Timer::after(STORE_CHECK).await;
-    }
-}
-
 async fn accept_clients(executor: Executor, listener: TcpListener, shared: Arc<Shared>) {
     loop {
         match listener.accept().await {
@@ -324,6 +295,11 @@
         }
     };
     let client = wire.writer();
+    let engine = {
+        let knowledge = shared.knowledge.lock().unwrap();
+        let service = knowledge.catalog().and_then(|all| all.service(&admission.service).cloned());
+        service.and_then(|service| service.engine)
+    };
     let exchange = Exchange {
         shared,
         head,
@@ -332,6 +308,7 @@
         admission: &admission,
         received,
         keeps_alive,
+        engine,
         client,
     };
     let served = async { Some(exchange.run().await) };
