Statuses: replicas that come back keep their known version

Change: what was heard lately is not forgotten, statuses are refreshed before news of the registry goes out, and a replica of unknown weights is passed over where others are known.

--- a/crates/control/src/fleet/leader.rs
+++ b/crates/control/src/fleet/leader.rs
@@ -33,6 +33,8 @@
     /// Statuses with the count at which each changed last.
     statuses: BTreeMap<InstanceId, (InstanceStatus, u64)>,
     statuses_count: u64,
+    /// Registry revision at which the statuses were refreshed last.
+    statuses_revision: u64,
     rollout: Rollout,
     watchers: Vec<Watcher>,
 }
@@ -74,7 +76,13 @@
                 expired.push(FleetCommand::Expire(id.clone()));
             }
         }
-        self.heard.retain(|id, _| state.instances().contains_key(id));
+        // A replica that was just heard of is registered a moment later.
+        let is_known = |id: &str, heard: Time| {
+            state.instances().contains_key(id) || now < heard + REPLICA_SILENCE
+        };
+        self.heard.retain(|id, heard| is_known(id, *heard));
+        let heard = &self.heard;
+        self.rollout.forget(|id| heard.contains_key(id));
         self.forget_gateways(now);
         self.rollout.note_weights(now, state.weights());
         let mut actions = Vec::new();
@@ -82,6 +90,7 @@
             actions = self.rollout.step(now, term, state.instances(), state.weights());
         }
         self.refresh_statuses(now, state);
+        self.statuses_revision = state.revision();
         (expired, actions)
     }
 
@@ -128,6 +137,11 @@
         state: &FleetState,
         base: &FleetView,
     ) -> Vec<(Token, FleetView)> {
+        if self.term.is_some() && self.statuses_revision != state.revision() {
+            // A replica must not be told of without its status.
+            self.refresh_statuses(now, state);
+            self.statuses_revision = state.revision();
+        }
         let watchers = std::mem::take(&mut self.watchers);
         let mut answers = Vec::new();
         for watcher in watchers {
--- a/crates/control/src/fleet/rollout.rs
+++ b/crates/control/src/fleet/rollout.rs
@@ -194,6 +194,11 @@
         }
     }
 
+    /// Forgets replicas that are neither registered nor about to be.
+    pub(crate) fn forget(&mut self, is_known: impl Fn(&str) -> bool) {
+        self.loaded.retain(|id, _| is_known(id));
+    }
+
     /// Takes the shell's word on an action.
     pub(crate) fn ended(&mut self, now: Time, report: OrderReport) {
         match report {
@@ -272,7 +277,6 @@
         weights: &BTreeMap<String, u32>,
     ) -> Vec<FleetAction> {
         self.targets.retain(|id, _| instances.get(id).is_some_and(|one| !one.is_draining));
-        self.loaded.retain(|id, _| instances.contains_key(id));
         self.sequences.retain(|id, _| instances.contains_key(id));
         self.admit(now, instances, weights);
         let ids: Vec<InstanceId> = self.targets.keys().cloned().collect();
--- a/crates/gateway/src/balancer.rs
+++ b/crates/gateway/src/balancer.rs
@@ -329,7 +329,12 @@
                 && replica.availability != Availability::Barred
                 && !request.exclude.contains(&instance.id)
         };
-        let serving: Vec<&Replica> = self.replicas.values().filter(may_serve).collect();
+        let mut serving: Vec<&Replica> = self.replicas.values().filter(may_serve).collect();
+        // Weights that are not known may be too old.
+        let is_known = |replica: &&Replica| replica.version(request.model).is_some();
+        if request.model.is_some() && serving.iter().any(is_known) {
+            serving.retain(is_known);
+        }
         let ids = |keep: &dyn Fn(&Replica) -> bool| -> Vec<InstanceId> {
             let kept = serving.iter().filter(|replica| keep(replica));
             kept.map(|replica| replica.instance.id.clone()).collect()
