Orders without an answer are given again at once; a member whose disk fails reopens it; tests

Change: the order is repeated at once with the same sequence, of two copies one is carried out; replicas are barred 1.5 s before the bound. A member whose disk fails opens it again in the process.

--- a/crates/control/src/fleet/rollout.rs
+++ b/crates/control/src/fleet/rollout.rs
@@ -18,9 +18,9 @@
 const REPORT_LAG: Duration = Duration::from_millis(1_300);
 /// Time before the end of its bound at which a replica with an older version gets no requests, so
 /// that none waits there beyond it.
-const OVERDUE_MARGIN: Duration = Duration::from_millis(600);
+const OVERDUE_MARGIN: Duration = Duration::from_millis(1_500);
 /// Time after which an order without an answer counts as lost.
-const ORDER_LIMIT: Duration = Duration::from_millis(2_500);
+const ORDER_LIMIT: Duration = Duration::from_millis(1_000);
 /// Time after which a load that does not end is ordered again.
 const LOAD_LIMIT: Duration = Duration::from_secs(6);
 /// Pause before a replica that failed an order is tried again.
@@ -218,10 +218,11 @@
                 self.targets.remove(id);
                 self.heard(id, &[loaded]);
             }
-            OrderEnd::Unknown => {
-                target.phase = Phase::Loading { since: now, ask_at: now + QUESTION_INTERVAL };
+            // An order that got no answer may be carried out seconds later. Given again with the
+            // same sequence, at most one of the two is carried out.
+            OrderEnd::Unknown | OrderEnd::Conflict => {
+                target.phase = Phase::Pausing { since: now };
             }
-            OrderEnd::Conflict => target.phase = Phase::Asking { since: now },
             OrderEnd::Fenced | OrderEnd::Refused => {
                 target.phase = Phase::Resting { until: now + RETRY_PAUSE };
             }
@@ -360,7 +361,7 @@
                 None => None,
             },
             Phase::Ordering { since } if now >= since + ORDER_LIMIT => {
-                target.phase = Phase::Loading { since: now, ask_at: now };
+                target.phase = Phase::Pausing { since: now };
                 None
             }
             Phase::Loading { since, .. } if now >= since + LOAD_LIMIT => {
--- a/crates/control/src/fleet/schedule.rs
+++ b/crates/control/src/fleet/schedule.rs
@@ -9,7 +9,7 @@
 /// Time that one replica takes from the decision to load until it serves again.
 const LOAD_TIME: Duration = Duration::from_millis(1_400);
 /// Time kept back of the bound.
-const MARGIN: Duration = Duration::from_millis(1_500);
+const MARGIN: Duration = Duration::from_millis(2_000);
 /// Age that a version is given that was named before this holder led.
 const ASSUMED_AGE: Duration = Duration::from_secs(4);
 
--- /dev/null
+++ b/crates/gateway/tests/balancer.rs
@@ -0,0 +1,146 @@
+//! Which replica a request goes to.
+
+mod common;
+
+use common::{engine, instance, prompt, route};
+use std::collections::BTreeMap;
+use std::time::Duration;
+use topazmount_control::{Availability, InstanceStatus, LoadedModel};
+use topazmount_gateway::{Balancer, Choice, ChoiceRequest, Prompt, SplitPart};
+use topazmount_routing::PolicyTable;
+use topazmount_types::Time;
+
+const NOW: Time = Time::from_secs(1_000);
+
+fn status(id: &str, availability: Availability, version: u32) -> InstanceStatus {
+    let models = vec![LoadedModel { model: "model".to_owned(), version }];
+    InstanceStatus { id: id.to_owned(), availability, models }
+}
+
+fn pool(count: usize, seed: u64) -> Balancer {
+    let mut balancer = Balancer::new("north", seed);
+    for number in 0..count {
+        let id = format!("replica-{number}");
+        balancer.upsert(instance(&id, "pool", "north"));
+        balancer.set_status(&status(&id, Availability::Open, 1));
+    }
+    balancer
+}
+
+fn choose_for(balancer: &mut Balancer, prompt: &Prompt, exclude: &[String]) -> Option<Choice> {
+    let engine = engine();
+    let request = ChoiceRequest {
+        service: "pool",
+        prompt: Some(prompt),
+        model: Some("model"),
+        namespace: 1,
+        exclude,
+        engine: Some(&engine),
+    };
+    balancer.choose(&request, NOW, &mut PolicyTable::default())
+}
+
+#[test]
+fn a_split_is_exact_over_any_run_of_requests() {
+    let mut balancer = Balancer::new("north", 7);
+    let mut split = route("split", "h", "/", "first");
+    split.split[0].weight = 90;
+    split.split.push(SplitPart { service: "second".to_owned(), weight: 10 });
+    let mut counts: BTreeMap<String, usize> = BTreeMap::new();
+    for number in 1..=500usize {
+        *counts.entry(balancer.split(&split)).or_default() += 1;
+        let second = *counts.get("second").unwrap_or(&0) as f64;
+        assert!((second - number as f64 * 0.1).abs() <= 2.0, "{second} of {number}");
+    }
+}
+
+#[test]
+fn nodes_agree_on_the_home_of_a_prompt() {
+    for subject in 0..50 {
+        let prompt = prompt(&[(1, 2_500), (100 + subject, 3_800), (1_000 + subject, 900)]);
+        let chosen: Vec<String> = (0..5)
+            .map(|seed| choose_for(&mut pool(12, seed), &prompt, &[]).unwrap().instance.id)
+            .collect();
+        assert!(chosen.iter().all(|id| *id == chosen[0]), "{chosen:?}");
+    }
+}
+
+#[test]
+fn prompts_that_share_their_first_part_meet_at_few_replicas() {
+    let mut balancer = pool(12, 1);
+    let homes: std::collections::BTreeSet<String> = (0..200)
+        .map(|subject| {
+            let prompt = prompt(&[(1, 2_500), (100 + subject, 3_800), (1_000 + subject, 900)]);
+            choose_for(&mut balancer, &prompt, &[]).unwrap().instance.id
+        })
+        .collect();
+    assert_eq!(homes.len(), 3);
+}
+
+#[test]
+fn a_request_that_leaves_its_home_names_a_source_with_the_same_weights() {
+    let mut balancer = pool(12, 1);
+    let prompt = prompt(&[(1, 2_500), (100, 3_800), (1_000, 900)]);
+    let home = choose_for(&mut balancer, &prompt, &[]).unwrap().instance.id;
+    let other = choose_for(&mut balancer, &prompt, std::slice::from_ref(&home)).unwrap();
+    assert!(other.source.is_some());
+    // All others have newer weights: what the home holds is of no use to them.
+    for number in 0..12 {
+        let id = format!("replica-{number}");
+        if id != other.instance.id {
+            balancer.set_status(&status(&id, Availability::Open, 2));
+        }
+    }
+    let exclude: Vec<String> = (0..12)
+        .map(|number| format!("replica-{number}"))
+        .filter(|id| *id != other.instance.id)
+        .collect();
+    let alone = choose_for(&mut balancer, &prompt, &exclude).unwrap();
+    assert_eq!((alone.version, alone.source), (Some(1), None));
+}
+
+#[test]
+fn barred_replicas_are_never_chosen_and_paused_ones_last() {
+    let mut balancer = pool(2, 1);
+    let prompt = prompt(&[(1, 100), (2, 100)]);
+    balancer.set_status(&status("replica-0", Availability::Paused, 1));
+    for _ in 0..20 {
+        assert_eq!(choose_for(&mut balancer, &prompt, &[]).unwrap().instance.id, "replica-1");
+    }
+    balancer.set_status(&status("replica-1", Availability::Barred, 1));
+    assert_eq!(choose_for(&mut balancer, &prompt, &[]).unwrap().instance.id, "replica-0");
+    balancer.set_status(&status("replica-0", Availability::Barred, 1));
+    assert!(choose_for(&mut balancer, &prompt, &[]).is_none());
+}
+
+#[test]
+fn a_replica_of_unknown_weights_waits_for_its_status() {
+    let mut balancer = pool(1, 1);
+    balancer.upsert(instance("back-again", "pool", "north"));
+    for subject in 0..50 {
+        let prompt = prompt(&[(subject, 1_000), (1_000 + subject, 10)]);
+        assert_eq!(choose_for(&mut balancer, &prompt, &[]).unwrap().instance.id, "replica-0");
+    }
+}
+
+#[test]
+fn a_replica_that_failed_is_passed_over_for_a_while() {
+    let mut balancer = pool(2, 1);
+    let prompt = prompt(&[(1, 100), (2, 100)]);
+    let home = choose_for(&mut balancer, &prompt, &[]).unwrap().instance.id;
+    balancer.failed(&home, NOW);
+    assert_ne!(choose_for(&mut balancer, &prompt, &[]).unwrap().instance.id, home);
+    balancer.succeeded(&home, NOW + Duration::from_millis(1));
+    assert_eq!(choose_for(&mut balancer, &prompt, &[]).unwrap().instance.id, home);
+}
+
+#[test]
+fn draining_and_removed_replicas_get_nothing() {
+    let mut balancer = pool(2, 1);
+    let prompt = prompt(&[(1, 100), (2, 100)]);
+    let draining =
+        topazmount_types::Instance { is_draining: true, ..instance("replica-0", "pool", "north") };
+    balancer.upsert(draining);
+    balancer.remove("replica-1");
+    assert!(choose_for(&mut balancer, &prompt, &[]).is_none());
+}
--- /dev/null
+++ b/crates/gateway/tests/catalog.rs
@@ -0,0 +1,64 @@
+//! Which catalogs are valid, and which route and tenant a request has.
+
+mod common;
+
+use common::{catalog, parts, route, service, tenant};
+use rstest::rstest;
+use std::time::Duration;
+use topazmount_gateway::{Catalog, CatalogParts, CatalogProblem, SplitPart};
+
+fn broken(change: impl FnOnce(&mut CatalogParts)) -> CatalogProblem {
+    let mut parts = parts(1);
+    change(&mut parts);
+    Catalog::new(parts).unwrap_err()
+}
+
+#[test]
+fn every_fault_is_told() {
+    let unknown = broken(|parts| parts.routes.push(route("x", "h", "/x/", "nobody")));
+    assert!(matches!(unknown, CatalogProblem::UnknownService { .. }));
+    let same = broken(|parts| parts.routes.push(route("x", "SHOP.example", "/a/", "first")));
+    assert!(matches!(same, CatalogProblem::SamePlace { .. }));
+    let weightless = broken(|parts| parts.routes[0].split[0].weight = 0);
+    assert_eq!(weightless, CatalogProblem::NoWeight("short".to_owned()));
+    let nowhere = broken(|parts| parts.routes[0].split.clear());
+    assert_eq!(nowhere, CatalogProblem::NoWeight("short".to_owned()));
+    let timeless = broken(|parts| parts.routes[1].timeout = Duration::ZERO);
+    assert_eq!(timeless, CatalogProblem::NoTimeout("long".to_owned()));
+    let twice = broken(|parts| parts.services.push(service("first")));
+    assert_eq!(twice, CatalogProblem::SameService("first".to_owned()));
+    let shared = broken(|parts| parts.tenants.as_mut().unwrap().push(tenant("other", "key-1")));
+    assert!(matches!(shared, CatalogProblem::SharedKey(..)));
+}
+
+#[test]
+fn a_part_of_weight_zero_is_no_fault() {
+    let mut parts = parts(1);
+    parts.routes[0].split.push(SplitPart { service: "second".to_owned(), weight: 0 });
+    assert!(Catalog::new(parts).is_ok());
+}
+
+#[rstest]
+#[case("shop.example", "/a/x", Some("short"))]
+#[case("SHOP.EXAMPLE", "/a/x", Some("short"))]
+#[case("shop.example", "/a/b/x", Some("long"))]
+#[case("shop.example", "/a/bx", Some("short"))]
+#[case("shop.example", "/a", None)]
+#[case("shop.example", "/b/", None)]
+#[case("other.example", "/a/x", None)]
+fn the_longest_prefix_counts(
+    #[case] host: &str,
+    #[case] path: &str,
+    #[case] expected: Option<&str>,
+) {
+    let catalog = catalog(1);
+    let found = catalog.route(host, path).map(|(_, route)| route.name.as_str());
+    assert_eq!(found, expected);
+}
+
+#[test]
+fn keys_name_their_tenants() {
+    let catalog = catalog(1);
+    assert_eq!(catalog.tenant("key-1").unwrap().name, "tenant-1");
+    assert!(catalog.tenant("key-2").is_none());
+}
--- /dev/null
+++ b/crates/gateway/tests/common/mod.rs
@@ -0,0 +1,92 @@
+//! Catalogs and replicas for tests.
+#![allow(dead_code)]
+
+use std::time::Duration;
+use topazmount_gateway::{
+    Catalog, CatalogParts, EngineParameters, Prompt, PromptPart, Route, RouteKind, Service,
+    SplitPart, Tenant,
+};
+use topazmount_types::Instance;
+
+/// A route of a service.
+pub fn route(name: &str, host: &str, prefix: &str, service: &str) -> Route {
+    Route {
+        name: name.to_owned(),
+        host: host.to_owned(),
+        path_prefix: prefix.to_owned(),
+        kind: RouteKind::Idempotent,
+        timeout: Duration::from_secs(2),
+        target_latency: Duration::from_millis(300),
+        priority: 1,
+        split: vec![SplitPart { service: service.to_owned(), weight: 1 }],
+        attempts: 2,
+        is_public: false,
+        is_resumable: false,
+    }
+}
+
+/// A service without engines.
+pub fn service(name: &str) -> Service {
+    Service { name: name.to_owned(), max_connections: 100, engine: None }
+}
+
+/// Parameters of an engine.
+pub fn engine() -> EngineParameters {
+    EngineParameters {
+        slots: 32,
+        kv_capacity_tokens: 100_000,
+        token_bytes: 163_840.0,
+        link_mbps: 1_100_000.0,
+        models: vec!["model".to_owned()],
+    }
+}
+
+/// A tenant with one key.
+pub fn tenant(name: &str, key: &str) -> Tenant {
+    Tenant {
+        name: name.to_owned(),
+        api_keys: vec![key.to_owned()],
+        priority: 1,
+        is_isolated: false,
+    }
+}
+
+/// Parts of a valid catalog: two routes on one host, two services, one tenant.
+pub fn parts(version: u64) -> CatalogParts {
+    CatalogParts {
+        version,
+        routes: vec![
+            route("short", "shop.example", "/a/", "first"),
+            route("long", "shop.example", "/a/b/", "second"),
+        ],
+        services: vec![service("first"), service("second")],
+        tenants: Some(vec![tenant("tenant-1", "key-1")]),
+        ..CatalogParts::default()
+    }
+}
+
+/// The catalog of [`parts`].
+pub fn catalog(version: u64) -> Catalog {
+    Catalog::new(parts(version)).unwrap()
+}
+
+/// A registered replica.
+pub fn instance(id: &str, service: &str, zone: &str) -> Instance {
+    Instance {
+        id: id.to_owned(),
+        service: service.to_owned(),
+        address: "127.0.0.1:1".to_owned(),
+        zone: zone.to_owned(),
+        slots: 32,
+        is_draining: false,
+        changed_at: 1,
+    }
+}
+
+/// A prompt of these parts.
+pub fn prompt(parts: &[(u64, u32)]) -> Prompt {
+    let parts: Vec<PromptPart> =
+        parts.iter().map(|(id, tokens)| PromptPart { id: *id, tokens: *tokens }).collect();
+    let prompt_tokens = parts.iter().map(|part| part.tokens).sum();
+    Prompt { parts, prompt_tokens, output_tokens: 10 }
+}
--- /dev/null
+++ b/crates/gateway/tests/knowledge.rs
@@ -0,0 +1,104 @@
+//! What a gateway may do with what it knows, and for how long.
+
+mod common;
+
+use common::{catalog, instance};
+use rstest::rstest;
+use std::time::Duration;
+use topazmount_control::FleetView;
+use topazmount_gateway::{GatewaySettings, Knowledge};
+use topazmount_types::{ErrorKind, Time};
+
+const START: Time = Time::from_secs(1_000);
+const BOUND: Duration = Duration::from_secs(5);
+
+fn knowledge() -> Knowledge {
+    let settings = GatewaySettings { revocation: Some(BOUND), ..GatewaySettings::default() };
+    Knowledge::new("north", settings, 1)
+}
+
+fn view(staleness: Option<Duration>) -> FleetView {
+    FleetView { staleness, ..FleetView::default() }
+}
+
+fn admit(knowledge: &mut Knowledge, path: &str, key: &str, now: Time) -> Result<String, ErrorKind> {
+    let admission = knowledge.admit("shop.example", path, Some(key), now)?;
+    Ok(admission.route.name)
+}
+
+#[rstest]
+#[case("/a/x", "key-1", Ok("short"))]
+#[case("/none/", "key-1", Err(ErrorKind::NotFound))]
+#[case("/a/x", "other", Err(ErrorKind::Unauthenticated))]
+fn a_confirmed_gateway_answers_as_the_catalog_says(
+    #[case] path: &str,
+    #[case] key: &str,
+    #[case] expected: Result<&str, ErrorKind>,
+) {
+    let mut knowledge = knowledge();
+    knowledge.apply(&view(Some(Duration::ZERO)), Some(catalog(1)), START);
+    assert_eq!(admit(&mut knowledge, path, key, START), expected.map(str::to_owned));
+}
+
+#[test]
+fn a_gateway_that_knows_nothing_refuses_with_a_promise() {
+    let mut knowledge = knowledge();
+    assert_eq!(admit(&mut knowledge, "/a/x", "key-1", START), Err(ErrorKind::NoConfiguration));
+    assert!(!knowledge.is_confirmed(START));
+}
+
+/// The bound on revoked keys holds for a gateway out of touch, however long: it counts from the
+/// question, since the answer may have been old when it came.
+#[test]
+fn a_gateway_out_of_touch_stops_serving_keys_within_the_bound() {
+    for staleness in [Duration::ZERO, Duration::from_millis(1_800)] {
+        let mut knowledge = knowledge();
+        knowledge.apply(&view(Some(staleness)), Some(catalog(1)), START);
+        let mut served_until = START;
+        for step in 0..200 {
+            let now = START + Duration::from_millis(step * 50);
+            if admit(&mut knowledge, "/a/x", "key-1", now).is_ok() {
+                served_until = now;
+            }
+        }
+        assert!(served_until + staleness < START + BOUND, "served until {served_until}");
+        assert!(served_until + staleness > START + BOUND / 2, "served until {served_until}");
+        let later = START + BOUND;
+        for (path, key) in [("/none/", "key-1"), ("/a/x", "other"), ("/a/x", "key-1")] {
+            let refusal = admit(&mut knowledge, path, key, later);
+            assert_eq!(refusal, Err(ErrorKind::NoConfiguration), "{path} {key}");
+        }
+    }
+}
+
+#[test]
+fn a_member_that_can_not_vouch_confirms_nothing() {
+    let mut knowledge = knowledge();
+    knowledge.apply(&view(None), Some(catalog(1)), START);
+    assert!(!knowledge.is_confirmed(START));
+}
+
+#[test]
+fn a_gateway_never_goes_back() {
+    let mut knowledge = knowledge();
+    knowledge.apply(&view(Some(Duration::ZERO)), Some(catalog(7)), START);
+    knowledge.apply(&view(Some(Duration::ZERO)), Some(catalog(6)), START);
+    assert_eq!(knowledge.catalog().unwrap().version(), 7);
+    let newer = FleetView {
+        revision: 5,
+        is_full: true,
+        instances: vec![instance("b", "first", "north")],
+        ..FleetView::default()
+    };
+    knowledge.apply(&newer, None, START);
+    let older = FleetView {
+        revision: 4,
+        is_full: true,
+        instances: vec![instance("a", "first", "north")],
+        ..FleetView::default()
+    };
+    knowledge.apply(&older, None, START);
+    let ids: Vec<String> =
+        knowledge.balancer().instances().map(|instance| instance.id.clone()).collect();
+    assert_eq!(ids, ["b"]);
+}
--- a/crates/topazmount/src/control_process.rs
+++ b/crates/topazmount/src/control_process.rs
@@ -30,6 +30,8 @@
 const PEER_PAUSE: Duration = Duration::from_millis(100);
 /// Longest wait of the member's thread.
 const MAX_WAIT: Duration = Duration::from_millis(50);
+/// Pause before a member whose disk failed is opened again.
+const REOPEN_PAUSE: Duration = Duration::from_millis(400);
 /// Inputs taken into one batch, which shares one sync.
 const MAX_BATCH: usize = 512;
 /// Time for leadership to pass on when the process stops.
@@ -148,7 +150,11 @@
     let address = listener.local_addr()?;
     let info = MemberInfo { name: settings.name.clone(), address: address.to_string() };
     let clock = Clock::start();
-    let member = open_member(&settings, info.clone(), form_group, source, rollout, clock)?;
+    let opening = {
+        let (settings, info) = (settings.clone(), info.clone());
+        move || open_member(&settings, info.clone(), form_group, source.clone(), rollout, clock)
+    };
+    let member = opening()?;
     log::info!("control: {} listens at {address} as {}.", info.name, member.identity().0);
 
     let (inputs, receiver) = async_channel::unbounded();
@@ -158,7 +164,8 @@
     let thread = std::thread::Builder::new().name("control".to_owned()).spawn({
         let shared = shared.clone();
         let queues = HashMap::new();
-        let runner = Runner { member, clock, peers, queues, shared, actions };
+        let opening = Box::new(opening);
+        let runner = Runner { member, opening, clock, peers, queues, shared, actions };
         let joining = settings.initial_members.iter().map(|peer| peer.address).collect();
         move || {
             runner.run(&receiver, joining);
@@ -198,6 +205,8 @@
 
 struct Runner {
     member: Member<FileDisk>,
+    /// Opens the member from its disk, as at the start of the process.
+    opening: Box<dyn Fn() -> Result<Member<FileDisk>> + Send>,
     clock: Clock,
     peers: Peers,
     queues: HashMap<String, Sender<Envelope>>,
@@ -214,9 +223,13 @@
             let outputs = match self.member.step(now, ticked) {
                 Ok(outputs) => outputs,
                 Err(error) => {
-                    // Serving on after a failed sync could forget what was promised.
-                    log::error!("control: stops: {error}.");
-                    break;
+                    // Serving on after a failed sync could forget what was promised: only what a
+                    // new start finds on the disk counts.
+                    log::error!("control: event=disk_failed error={error:?}");
+                    if !self.reopen(inputs) {
+                        break;
+                    }
+                    continue;
                 }
             };
             for output in outputs {
@@ -230,6 +243,27 @@
         log::info!("control: stopped.");
     }
 
+    /// Opens the member again, as soon as the disk works; returns whether the process goes on.
+    fn reopen(&mut self, inputs: &Receiver<MemberInput>) -> bool {
+        loop {
+            std::thread::sleep(REOPEN_PAUSE);
+            // Whoever waited is answered by nobody, and asks again.
+            while inputs.try_recv().is_ok() {}
+            self.shared.waiting.lock().unwrap().requesters.clear();
+            if inputs.is_closed() {
+                return false;
+            }
+            match (self.opening)() {
+                Ok(member) => {
+                    self.member = member;
+                    log::info!("control: event=disk_regained");
+                    return true;
+                }
+                Err(error) => log::warn!("control: event=disk_still_fails error={error:#}"),
+            }
+        }
+    }
+
     fn wait(&self) -> Duration {
         let wakeup = self.member.next_wakeup();
         wakeup.since(self.clock.now()).min(MAX_WAIT)
--- a/crates/topazmount/src/fleet/orders.rs
+++ b/crates/topazmount/src/fleet/orders.rs
@@ -11,7 +11,7 @@
 use topazmount_control::{FleetAction, FleetRequest, OrderEnd, OrderReport, Request};
 
 /// Longest wait for the answer to an order or a question.
-const LIMIT: Duration = Duration::from_secs(2);
+const LIMIT: Duration = Duration::from_millis(500);
 /// Largest answer.
 const MAX_ANSWER: usize = 256 * 1024;
 
--- /dev/null
+++ b/crates/topazmount/tests/http1.rs
@@ -0,0 +1,76 @@
+//! Messages that could be read in two ways are refused; all others are read alike by everybody.
+
+use rstest::rstest;
+use topazmount::http1::{
+    Framing, HeadError, RequestHead, ResponseHead, request_framing, response_framing,
+};
+
+fn request(fields: &str) -> Result<Framing, HeadError> {
+    let text = format!("POST /a HTTP/1.1\r\nHost: h\r\n{fields}\r\n");
+    let (head, length) = RequestHead::parse(text.as_bytes())?.expect("a whole head");
+    assert_eq!(length, text.len());
+    request_framing(&head)
+}
+
+#[rstest]
+#[case("", Ok(Framing::Length(0)))]
+#[case("Content-Length: 12\r\n", Ok(Framing::Length(12)))]
+#[case("Transfer-Encoding: chunked\r\n", Ok(Framing::Chunked))]
+#[case("transfer-encoding: Chunked\r\n", Ok(Framing::Chunked))]
+#[case("Content-Length: 3\r\nContent-Length: 4\r\n", Err(HeadError::Framing))]
+#[case("Content-Length: 3\r\nContent-Length: 3\r\n", Err(HeadError::Framing))]
+#[case("Content-Length: 3\r\nTransfer-Encoding: chunked\r\n", Err(HeadError::Framing))]
+#[case("Transfer-Encoding: gzip, chunked\r\n", Err(HeadError::Framing))]
+#[case("Transfer-Encoding: xchunked\r\n", Err(HeadError::Framing))]
+#[case("Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n", Err(HeadError::Framing))]
+#[case("Content-Length: -1\r\n", Err(HeadError::Framing))]
+#[case("Content-Length: +1\r\n", Err(HeadError::Framing))]
+#[case("Content-Length: 0x10\r\n", Err(HeadError::Framing))]
+#[case("Content-Length: 99999999999999999999\r\n", Err(HeadError::Framing))]
+#[case("Content-Length:\r\n", Err(HeadError::Framing))]
+#[case("Content-Length : 3\r\n", Err(HeadError::Malformed))]
+#[case("X: a\r\n b\r\n", Err(HeadError::Malformed))]
+#[case("X: a\nY: b\r\n", Err(HeadError::Malformed))]
+#[case("Host: other\r\n", Err(HeadError::Malformed))]
+#[case("X\0: a\r\n", Err(HeadError::Malformed))]
+fn framing_of_requests(#[case] fields: &str, #[case] expected: Result<Framing, HeadError>) {
+    assert_eq!(request(fields), expected);
+}
+
+#[rstest]
+#[case("GET / HTTP/1.1\r\n\r\n")]
+#[case("GET /\r\n\r\n")]
+#[case("GET / HTTP/2.0\r\nHost: h\r\n\r\n")]
+#[case("G\x01T / HTTP/1.1\r\nHost: h\r\n\r\n")]
+#[case("\x16\x03\x01\x02garbage\r\n\r\n")]
+fn heads_that_are_none(#[case] text: &str) {
+    assert_eq!(RequestHead::parse(text.as_bytes()).unwrap_err(), HeadError::Malformed);
+}
+
+#[test]
+fn a_head_that_is_not_whole_waits_for_more() {
+    let text = b"GET /a?x=1 HTTP/1.1\r\nHost: h:80\r\n\r\n";
+    for length in 0..text.len() {
+        assert_eq!(RequestHead::parse(&text[..length]), Ok(None), "{length} bytes");
+    }
+    let (head, _) = RequestHead::parse(text).unwrap().unwrap();
+    assert_eq!((head.host(), head.path(), head.query("x")), (Some("h"), "/a", Some("1")));
+}
+
+#[rstest]
+#[case("GET", 200, "", Framing::UntilClose)]
+#[case("GET", 200, "Content-Length: 5\r\n", Framing::Length(5))]
+#[case("HEAD", 200, "Content-Length: 5\r\n", Framing::Length(0))]
+#[case("GET", 204, "", Framing::Length(0))]
+#[case("GET", 304, "Content-Length: 5\r\n", Framing::Length(0))]
+#[case("POST", 503, "Transfer-Encoding: chunked\r\n", Framing::Chunked)]
+fn framing_of_answers(
+    #[case] method: &str,
+    #[case] status: u16,
+    #[case] fields: &str,
+    #[case] expected: Framing,
+) {
+    let text = format!("HTTP/1.1 {status} X\r\n{fields}\r\n");
+    let (head, _) = ResponseHead::parse(text.as_bytes()).unwrap().unwrap();
+    assert_eq!(response_framing(&head, method), Ok(expected));
+}
