--- a/crates/control/src/fleet/rollout.rs
+++ b/crates/control/src/fleet/rollout.rs
@@ -1,15 +1,13 @@
 //! Rolls named weights out to replicas by orders that only one holder gives.
 
 use super::protocol::{Availability, InstanceStatus, LoadedModel};
-use super::schedule::Schedule;
+use super::schedule::{PAUSE_BEFORE_ORDER, Schedule};
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 use std::time::Duration;
 use topazmount_consensus::Term;
 use topazmount_types::{Instance, InstanceId, Time};
 
-/// Pause between telling gateways to pass a replica over and ordering it to load.
-const PAUSE_BEFORE_ORDER: Duration = Duration::from_millis(80);
 /// Time after an accepted order before the replica is first asked how it stands.
 const FIRST_QUESTION: Duration = Duration::from_millis(650);
 /// Time between two such questions.
@@ -124,6 +122,8 @@
 enum Phase {
     /// Gateways are told to pass it over.
     Pausing { since: Time },
+    /// Its order may be given.
+    Granted,
     /// A question is under way before the order.
     Asking { since: Time },
     /// An order is under way.
@@ -220,9 +220,7 @@
             }
             // An order that got no answer may be carried out seconds later. Given again with the
             // same sequence, at most one of the two is carried out.
-            OrderEnd::Unknown | OrderEnd::Conflict => {
-                target.phase = Phase::Pausing { since: now };
-            }
+            OrderEnd::Unknown | OrderEnd::Conflict => target.phase = Phase::Granted,
             OrderEnd::Fenced | OrderEnd::Refused => {
                 target.phase = Phase::Resting { until: now + RETRY_PAUSE };
             }
@@ -280,6 +278,7 @@
         self.targets.retain(|id, _| instances.get(id).is_some_and(|one| !one.is_draining));
         self.sequences.retain(|id, _| instances.contains_key(id));
         self.admit(now, instances, weights);
+        self.grant_orders(now, instances);
         let ids: Vec<InstanceId> = self.targets.keys().cloned().collect();
         let steps = ids.iter().filter_map(|id| self.advance(now, fence, &instances[id], weights));
         steps.collect()
@@ -315,6 +314,40 @@
         }
     }
 
+    /// Lets replicas that have been paused long enough go on to their order, those of the oldest
+    /// deadline first, as far as their service's bound on loads allows.
+    fn grant_orders(&mut self, now: Time, instances: &BTreeMap<InstanceId, Instance>) {
+        let mut room: BTreeMap<&str, usize> = BTreeMap::new();
+        for instance in instances.values().filter(|one| !one.is_draining) {
+            *room.entry(&instance.service).or_default() += 1;
+        }
+        room.values_mut().for_each(|count| *count = Schedule::at_once(*count));
+        for (id, target) in &self.targets {
+            if target.is_loading()
+                && let Some(free) = room.get_mut(instances[id].service.as_str())
+            {
+                *free = free.saturating_sub(1);
+            }
+        }
+        let mut waiting: Vec<(Time, InstanceId)> = Vec::new();
+        for (id, target) in &self.targets {
+            if let Phase::Pausing { since } = target.phase
+                && now >= since + PAUSE_BEFORE_ORDER
+            {
+                waiting.push((since, id.clone()));
+            }
+        }
+        waiting.sort();
+        for (_, id) in waiting {
+            let free = room.get_mut(instances[&id].service.as_str());
+            let (Some(free), Some(target)) = (free, self.targets.get_mut(&id)) else { continue };
+            if *free > 0 {
+                *free -= 1;
+                target.phase = Phase::Granted;
+            }
+        }
+    }
+
     /// A model of which a replica lacks the newest version: the model, that version, and when the
     /// first version that it lacks was named.
     fn lacking(&self, id: &str, weights: &BTreeMap<String, u32>) -> Option<(String, u32, Time)> {
@@ -340,7 +373,7 @@
             address: instance.address.clone(),
         };
         match target.phase {
-            Phase::Pausing { since } if now >= since + PAUSE_BEFORE_ORDER => {
+            Phase::Granted => {
                 target.phase = Phase::Asking { since: now };
                 self.sequences.remove(&instance.id);
                 Some(question)
@@ -361,7 +394,7 @@
                 None => None,
             },
             Phase::Ordering { since } if now >= since + ORDER_LIMIT => {
-                target.phase = Phase::Pausing { since: now };
+                target.phase = Phase::Granted;
                 None
             }
             Phase::Loading { since, .. } if now >= since + LOAD_LIMIT => {
@@ -382,6 +415,10 @@
 }
 
 impl Target {
+    fn is_loading(&self) -> bool {
+        !matches!(self.phase, Phase::Pausing { .. } | Phase::Resting { .. })
+    }
+
     fn is_paused(&self) -> bool {
         !matches!(self.phase, Phase::Resting { .. })
     }
--- a/crates/control/src/fleet/schedule.rs
+++ b/crates/control/src/fleet/schedule.rs
@@ -6,8 +6,10 @@
 
 /// Replicas of a service for each one that may load at the same time.
 const REPLICAS_PER_LOAD: usize = 4;
-/// Time that one replica takes from the decision to load until it serves again.
-const LOAD_TIME: Duration = Duration::from_millis(1_400);
+/// Time that one replica takes from its order until it serves again.
+const LOAD_TIME: Duration = Duration::from_millis(1_150);
+/// Time for which gateways pass a replica over before its order, so that most of its runs end.
+pub(crate) const PAUSE_BEFORE_ORDER: Duration = Duration::from_millis(800);
 /// Time kept back of the bound.
 const MARGIN: Duration = Duration::from_millis(2_000);
 /// Age that a version is given that was named before this holder led.
@@ -40,6 +42,11 @@
         named.iter().find(|(one, _)| *one > version).map(|(_, at)| *at)
     }
 
+    /// Replicas of a service, of so many, that may load at the same time.
+    pub(crate) fn at_once(replicas: usize) -> usize {
+        replicas.div_ceil(REPLICAS_PER_LOAD)
+    }
+
     /// How many of the replicas that wait, whose deadlines are given in rising order, must begin
     /// now. `under_way` load already; the service has `replicas`.
     pub(crate) fn starting(
@@ -48,12 +55,13 @@
         replicas: usize,
         under_way: usize,
     ) -> usize {
-        let at_once = replicas.div_ceil(REPLICAS_PER_LOAD);
-        let free = at_once.saturating_sub(under_way);
+        let at_once = Self::at_once(replicas);
+        // Those that come next are paused while others load.
+        let free = (2 * at_once).saturating_sub(under_way);
         // The position-th replica has to wait for so many rounds before its own.
         let is_urgent = |(position, deadline): (usize, &Time)| {
             let rounds = (position + under_way) / at_once + 1;
-            now + LOAD_TIME * rounds as u32 + MARGIN >= *deadline
+            now + PAUSE_BEFORE_ORDER + LOAD_TIME * rounds as u32 + MARGIN >= *deadline
         };
         let is_any_urgent = deadlines.iter().enumerate().any(is_urgent);
         if is_any_urgent { free.min(deadlines.len()) } else { 0 }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -10,6 +10,7 @@
 mod catalog;
 mod knowledge;
 mod plan;
+mod pools;
 mod prompt;
 
 pub use balancer::{Balancer, Choice, ChoiceRequest};
--- a/crates/topazmount/src/fleet/control_service.rs
+++ b/crates/topazmount/src/fleet/control_service.rs
@@ -3,6 +3,7 @@
 use super::dialect::{ControlCall, Dialect, HttpAnswer};
 use super::directory::Directory;
 use super::http_service::{self, Service};
+use super::metrics::{Metrics, MetricsService};
 use super::orders;
 use super::settings::FleetSettings;
 use super::watcher::Watcher;
@@ -25,7 +26,7 @@
 /// Pause before the leader is looked for again.
 const LEADER_PAUSE: Duration = Duration::from_millis(40);
 /// How long clients may keep the directory's answer.
-const DIRECTORY_TTL: Duration = Duration::from_secs(1);
+const DIRECTORY_TTL: Duration = Duration::from_millis(600);
 
 /// What a control plane process needs.
 pub struct ControlPlaneOptions {
@@ -49,6 +50,7 @@
     leaders: Mutex<HashMap<SocketAddr, ControlClient>>,
     /// Port at which all members answer replicas and operators.
     control_port: Option<u16>,
+    metrics: Metrics,
 }
 
 impl ControlPlane {
@@ -80,7 +82,13 @@
             directory: directory.clone(),
             leaders: Mutex::default(),
             control_port: settings.listen.control.map(|address| address.port()),
+            metrics: Metrics::default(),
         });
+        if let Some(address) = settings.listen.metrics {
+            let calls = calls.clone();
+            let service = MetricsService(move || calls.metrics.render());
+            http_service::serve(executor, address, Arc::new(service)).await?;
+        }
         for address in [settings.listen.control, settings.listen.directory].into_iter().flatten() {
             http_service::serve(executor, address, calls.clone()).await?;
         }
@@ -88,7 +96,8 @@
             orders::run(executor.clone(), actions, member, dialect, settings.name.clone());
         executor.spawn(sending).detach();
         let watcher = Watcher::new(executor, Clock::start(), key, vec![internal], true);
-        executor.spawn(watcher.run(directory)).detach();
+        let (_, no_nudges) = async_channel::bounded(1);
+        executor.spawn(watcher.run(directory, no_nudges)).detach();
         log::info!("control: event=start name={} zone={}", settings.name, settings.zone);
         Ok(ControlPlane { handle })
     }
@@ -131,7 +140,18 @@
 
 impl Service for Calls {
     async fn answer(&self, head: RequestHead, body: Vec<u8>) -> HttpAnswer {
-        match self.dialect.control_call(&head, &body) {
+        let began = Instant::now();
+        let call = self.dialect.control_call(&head, &body);
+        let name = call.name();
+        let answer = self.take(call).await;
+        self.metrics.call(name, answer.status, began.elapsed());
+        answer
+    }
+}
+
+impl Calls {
+    async fn take(&self, call: ControlCall) -> HttpAnswer {
+        match call {
             ControlCall::Heartbeat(report) => {
                 let answer = self.ask(FleetRequest::Heartbeat(report)).await;
                 match answer {
@@ -177,9 +197,7 @@
             }
         }
     }
-}
 
-impl Calls {
     fn unavailable(&self) -> HttpAnswer {
         self.dialect.plain_answer(503, "the control group can't answer now")
     }
--- a/crates/topazmount/src/fleet/dialect.rs
+++ b/crates/topazmount/src/fleet/dialect.rs
@@ -98,6 +98,23 @@
     Malformed(String),
 }
 
+impl ControlCall {
+    /// Name in metrics.
+    pub fn name(&self) -> &'static str {
+        match self {
+            ControlCall::Heartbeat(_) => "heartbeat",
+            ControlCall::Depart(_) => "depart",
+            ControlCall::PutDocument(_) => "put_document",
+            ControlCall::ReadDocument => "read_document",
+            ControlCall::NameWeights { .. } => "name_weights",
+            ControlCall::Resolve { .. } => "resolve",
+            ControlCall::Readiness => "readiness",
+            ControlCall::Unknown => "unknown",
+            ControlCall::Malformed(_) => "malformed",
+        }
+    }
+}
+
 /// An answer of the control plane or the directory.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct HttpAnswer {
--- a/crates/topazmount/src/fleet/exchange.rs
+++ b/crates/topazmount/src/fleet/exchange.rs
@@ -128,6 +128,7 @@
     fn choice_request<'a>(&'a self, plan: &'a RequestPlan) -> ChoiceRequest<'a> {
         ChoiceRequest {
             service: &self.admission.service,
+            route: &self.admission.route.name,
             prompt: self.tags.prompt.as_ref(),
             model: self.tags.model.as_deref(),
             namespace: self.namespace(),
@@ -205,6 +206,7 @@
                     match self.relay(*begin, &mut progress).await {
                         StreamEnd::Complete => {
                             self.note_success(&in_flight.choice);
+                            self.log_attempt(&in_flight.choice, "success");
                             self.log_end(&plan, 200, "stream");
                             return Ending::Whole;
                         }
@@ -572,24 +574,32 @@
 
     fn note_first_token(&self, choice: &Choice, plan: &RequestPlan, sent_at: Time) {
         let now = self.shared.clock.now();
+        self.shared.metrics.first_event(now.since(self.received));
         let request = self.choice_request(plan);
         let mut knowledge = self.shared.knowledge.lock().unwrap();
         knowledge.balancer().first_token(choice, &request, now.since(sent_at), now);
     }
 
     fn log_attempt(&self, choice: &Choice, end: &str) {
+        self.shared.metrics.attempt(end);
         self.shared.journal.line(|| {
             format!(
-                "gateway: event=attempt request={} instance={} address={} end={end} after_ms={}",
+                "gateway: event=attempt request={} instance={} address={} home_rank={} \
+                 version={} prefill={} estimate_ms={:.0} end={end} after_ms={}",
                 self.tags.id,
                 choice.instance.id,
                 choice.instance.address,
+                choice.home_rank,
+                choice.version.unwrap_or(0),
+                choice.expected_prefill,
+                choice.estimate_ms,
                 self.shared.clock.now().since(self.received).as_millis()
             )
         });
     }
 
     fn log_end(&self, plan: &RequestPlan, status: u16, reason: &str) {
+        self.shared.metrics.answer(reason, self.shared.clock.now().since(self.received));
         let run = match plan.run_state() {
             RunState::NotRun => "not_run",
             _ => "may_have_run",
--- a/crates/topazmount/src/fleet/gateway.rs
+++ b/crates/topazmount/src/fleet/gateway.rs
@@ -5,11 +5,13 @@
 use super::exchange::{Ending, Exchange};
 use super::http_service::{self, Service, within};
 use super::journal::Journal;
+use super::metrics::{Metrics, MetricsService};
 use super::settings::FleetSettings;
 use super::watcher::{NewsReader, Watcher};
 use crate::Executor;
 use crate::clock::Clock;
 use crate::http1::{BodyError, BodyReader, HeadError, RequestHead, Wire, request_framing};
+use async_channel::Sender;
 use async_net::TcpListener;
 use eyre::{Result, WrapErr, eyre};
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
@@ -23,8 +25,8 @@
 /// Pause after a failed accept, for example without free descriptors.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 /// Time for which a stopping gateway still takes requests: clients hold an answer of the directory
-/// for up to three times its life.
-const LEAVING_TIME: Duration = Duration::from_millis(3_800);
+/// for up to three times its life. Later ones might not end before the process does.
+const LEAVING_TIME: Duration = Duration::from_millis(2_700);
 /// Part of the time of a planned stop that is kept back for the end of the process.
 const STOP_MARGIN: Duration = Duration::from_millis(500);
 /// How often a stopping gateway looks whether it is done.
@@ -48,7 +50,10 @@
     pub(super) dialect: Arc<dyn Dialect>,
     pub(super) knowledge: Mutex<Knowledge>,
     pub(super) journal: Journal,
+    pub(super) metrics: Metrics,
     is_stopping: AtomicBool,
+    /// Whether new requests are refused.
+    is_closed: AtomicBool,
     open_requests: AtomicUsize,
 }
 
@@ -56,6 +61,8 @@
 pub struct Gateway {
     shared: Arc<Shared>,
     stop_time: Duration,
+    /// Wakes the watcher, to report at once.
+    nudge: Sender<()>,
 }
 
 /// Counts a request from its first byte to the end of its answer.
@@ -93,7 +100,9 @@
                 rand::random(),
             )),
             journal: Journal::default(),
+            metrics: Metrics::default(),
             is_stopping: AtomicBool::new(false),
+            is_closed: AtomicBool::new(false),
             open_requests: AtomicUsize::new(0),
         });
         let listener =
@@ -103,6 +112,11 @@
         if let Some(address) = settings.listen.ready {
             http_service::serve(executor, address, Arc::new(Readiness(shared.clone()))).await?;
         }
+        if let Some(address) = settings.listen.metrics {
+            let shared = shared.clone();
+            let service = MetricsService(move || shared.render_metrics());
+            http_service::serve(executor, address, Arc::new(service)).await?;
+        }
         let key = ClusterKey::from_text(&settings.cluster_key);
         let watcher = Watcher::new(executor, clock, key, settings.seed_peers(), false);
         let report = GatewayReport {
@@ -112,9 +126,10 @@
             is_ready: false,
         };
         let news = News { shared: shared.clone(), report };
-        executor.spawn(watcher.run(news)).detach();
+        let (nudge, nudges) = async_channel::bounded(1);
+        executor.spawn(watcher.run(news, nudges)).detach();
         log::info!("gateway: event=start name={} zone={}", settings.name, settings.zone);
-        Ok(Gateway { shared, stop_time: settings.stop_time() })
+        Ok(Gateway { shared, stop_time: settings.stop_time(), nudge })
     }
 
     /// Takes changed settings into use; addresses and names stay until the next start.
@@ -128,12 +143,16 @@
     pub async fn stop(self) {
         log::info!("gateway: event=stop");
         self.shared.is_stopping.store(true, Ordering::SeqCst);
+        let _ = self.nudge.try_send(());
         let began = self.shared.clock.now();
         let ends_at = began + self.stop_time.saturating_sub(STOP_MARGIN);
         loop {
             async_io::Timer::after(STOP_CHECK).await;
             let now = self.shared.clock.now();
             let is_idle = self.shared.open_requests.load(Ordering::SeqCst) == 0;
+            if now >= began + LEAVING_TIME {
+                self.shared.is_closed.store(true, Ordering::SeqCst);
+            }
             if now >= ends_at || (is_idle && now >= began + LEAVING_TIME) {
                 break;
             }
@@ -148,6 +167,21 @@
         self.is_stopping.load(Ordering::SeqCst)
     }
 
+    fn render_metrics(&self) -> String {
+        let is_ready = self.is_ready();
+        let open = self.open_requests.load(Ordering::SeqCst);
+        {
+            let mut knowledge = self.knowledge.lock().unwrap();
+            let seen = knowledge.seen();
+            self.metrics.set_state("configuration_version", seen.document as i64);
+            self.metrics.set_state("registry_revision", seen.revision as i64);
+            self.metrics.set_state("replicas", knowledge.balancer().instances().count() as i64);
+        }
+        self.metrics.set_state("ready", i64::from(is_ready));
+        self.metrics.set_state("open_requests", open as i64);
+        self.metrics.render()
+    }
+
     fn is_ready(&self) -> bool {
         let now = self.clock.now();
         !self.is_stopping() && self.knowledge.lock().unwrap().is_confirmed(now)
@@ -198,6 +232,7 @@
             catalog.ok()
         });
         if let Some(catalog) = &catalog {
+            self.shared.metrics.event("configuration");
             log::info!("gateway: event=configuration version={}", catalog.version());
         }
         for instance in &view.instances {
@@ -283,7 +318,9 @@
         }
     };
     let host = head.host().unwrap_or_default();
-    let admission = {
+    let admission = if shared.is_closed.load(Ordering::SeqCst) {
+        Err(ErrorKind::Draining)
+    } else {
         let mut knowledge = shared.knowledge.lock().unwrap();
         knowledge.admit(host, head.path(), tags.key.as_deref(), received)
     };
@@ -318,6 +355,7 @@
     };
     let ending = futures_lite::future::or(served, left).await;
     if ending.is_none() {
+        shared.metrics.answer("client_gone", shared.clock.now().since(received));
         shared.journal.line(|| {
             let after = shared.clock.now().since(received).as_millis();
             format!("gateway: event=client_gone request={} after_ms={after}", tags.id)
@@ -327,6 +365,7 @@
 }
 
 fn log_refusal(shared: &Shared, tags: &RequestTags, host: &str, path: &str, kind: ErrorKind) {
+    shared.metrics.answer(kind.name(), Duration::ZERO);
     shared.journal.line(|| {
         let version = shared.knowledge.lock().unwrap().seen().document;
         format!(
@@ -355,6 +394,7 @@
 
 /// Answers a request that could not be read, and closes in a way that lets the client read that.
 async fn refuse(shared: &Shared, wire: &mut Wire, kind: ErrorKind) {
+    shared.metrics.answer(kind.name(), Duration::ZERO);
     let answer = shared.dialect.refusal(kind, None);
     let head = RequestHead {
         method: String::new(),
--- /dev/null
+++ b/crates/topazmount/src/fleet/metrics.rs
@@ -0,0 +1,109 @@
+//! Counters and histograms of a fleet's processes, in Prometheus' text format.
+
+use super::dialect::HttpAnswer;
+use super::http_service::Service;
+use crate::http1::RequestHead;
+use prometheus::{
+    Encoder, HistogramOpts, HistogramVec, IntCounterVec, IntGaugeVec, Opts, Registry, TextEncoder,
+};
+use std::time::Duration;
+
+/// Path of the metrics.
+pub const METRICS_PATH: &str = "/metrics";
+/// Upper bounds of latency buckets, in seconds.
+const BUCKETS: [f64; 12] = [0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 6.4, 12.8];
+
+/// What a process counts. All names begin with `topazmount_`.
+pub struct Metrics {
+    registry: Registry,
+    answers: IntCounterVec,
+    attempts: IntCounterVec,
+    calls: IntCounterVec,
+    events: IntCounterVec,
+    latency: HistogramVec,
+    state: IntGaugeVec,
+}
+
+impl Default for Metrics {
+    fn default() -> Self {
+        let registry = Registry::new_custom(Some("topazmount".to_owned()), None)
+            .expect("the prefix is a valid name");
+        let counter = |name: &str, help: &str, labels: &[&str]| {
+            let vector = IntCounterVec::new(Opts::new(name, help), labels)
+                .expect("names and labels are valid and differ");
+            registry.register(Box::new(vector.clone())).expect("each is registered once");
+            vector
+        };
+        let answers = counter("answers", "Answers to clients by reason.", &["reason"]);
+        let attempts = counter("attempts", "Attempts at replicas by end.", &["end"]);
+        let calls =
+            counter("calls", "Calls to the control plane by kind and status.", &["call", "status"]);
+        let events = counter("events", "Changes of what the process believes.", &["event"]);
+        let options = HistogramOpts::new("seconds", "Time from reading a request, by what ended.")
+            .buckets(BUCKETS.to_vec());
+        let latency =
+            HistogramVec::new(options, &["until"]).expect("names and labels are valid and differ");
+        let state = IntGaugeVec::new(Opts::new("state", "What the process believes."), &["of"])
+            .expect("names and labels are valid and differ");
+        registry.register(Box::new(latency.clone())).expect("each is registered once");
+        registry.register(Box::new(state.clone())).expect("each is registered once");
+        Metrics { registry, answers, attempts, calls, events, latency, state }
+    }
+}
+
+impl Metrics {
+    /// Counts an answer to a client, given `after` the request was read.
+    pub fn answer(&self, reason: &str, after: Duration) {
+        self.answers.with_label_values(&[reason]).inc();
+        self.latency.with_label_values(&["answer"]).observe(after.as_secs_f64());
+    }
+
+    /// Counts an attempt at a replica.
+    pub fn attempt(&self, end: &str) {
+        self.attempts.with_label_values(&[end]).inc();
+    }
+
+    /// Notes the first event of a stream, `after` the request was read.
+    pub fn first_event(&self, after: Duration) {
+        self.latency.with_label_values(&["first_event"]).observe(after.as_secs_f64());
+    }
+
+    /// Counts a call to the control plane.
+    pub fn call(&self, call: &str, status: u16, took: Duration) {
+        self.calls.with_label_values(&[call, &status.to_string()]).inc();
+        self.latency.with_label_values(&[call]).observe(took.as_secs_f64());
+    }
+
+    /// Counts a change of what the process believes.
+    pub fn event(&self, event: &str) {
+        self.events.with_label_values(&[event]).inc();
+    }
+
+    /// Sets what the process believes.
+    pub fn set_state(&self, of: &str, value: i64) {
+        self.state.with_label_values(&[of]).set(value);
+    }
+
+    /// All figures as text.
+    pub fn render(&self) -> String {
+        let mut text = Vec::new();
+        // Encoding into memory fails only on a malformed registry.
+        let _ = TextEncoder::new().encode(&self.registry.gather(), &mut text);
+        String::from_utf8_lossy(&text).into_owned()
+    }
+}
+
+/// Answers `GET /metrics`.
+pub(super) struct MetricsService<F>(pub(super) F);
+
+impl<F: Fn() -> String + Send + Sync + 'static> Service for MetricsService<F> {
+    async fn answer(&self, head: RequestHead, _body: Vec<u8>) -> HttpAnswer {
+        let is_metrics = head.method == "GET" && head.path() == METRICS_PATH;
+        HttpAnswer {
+            status: if is_metrics { 200 } else { 404 },
+            content_type: Some("text/plain; version=0.0.4"),
+            fields: Vec::new(),
+            body: if is_metrics { (self.0)().into_bytes() } else { Vec::new() },
+        }
+    }
+}
--- a/crates/topazmount/src/fleet/watcher.rs
+++ b/crates/topazmount/src/fleet/watcher.rs
@@ -3,6 +3,7 @@
 use crate::Executor;
 use crate::clock::Clock;
 use crate::control_client::ControlClient;
+use async_channel::Receiver;
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -29,6 +30,13 @@
     fn read(&mut self, view: FleetView, asked_at: Time);
 }
 
+/// How a request for news ended.
+enum Asked {
+    Answered(Box<FleetView>),
+    Nudged,
+    Failed,
+}
+
 /// Where news comes from.
 pub struct Watcher {
     executor: Executor,
@@ -64,28 +72,29 @@
         }
     }
 
-    /// Asks for news for ever.
-    pub async fn run(mut self, mut reader: impl NewsReader) {
+    /// Asks for news for ever; at once when `nudges` says that there is something to report.
+    pub async fn run(mut self, mut reader: impl NewsReader, nudges: Receiver<()>) {
         let mut turn: usize = rand::random_range(0..self.seeds.len().max(1));
         let mut leader: Option<SocketAddr> = None;
         loop {
             let target = self.target(leader.take(), &mut turn);
             let asked_at = self.clock.now();
             let (seen, gateway) = reader.request();
-            match self.ask(target, seen, gateway).await {
-                Some(view) => {
+            match self.ask(target, seen, gateway, &nudges).await {
+                Asked::Nudged => leader = Some(target),
+                Asked::Answered(view) => {
                     self.note_connected(target, true);
                     self.note_members(&view);
                     let named = view.leader.as_ref().and_then(|address| address.parse().ok());
                     let is_sure = view.staleness.is_some();
                     leader = if is_sure { named.or(Some(target)) } else { named };
-                    reader.read(view, asked_at);
+                    reader.read(*view, asked_at);
                     if !is_sure {
                         self.avoid(target);
                         async_io::Timer::after(PAUSE).await;
                     }
                 }
-                None => {
+                Asked::Failed => {
                     self.note_connected(target, false);
                     self.avoid(target);
                     async_io::Timer::after(PAUSE).await;
@@ -99,21 +108,32 @@
         target: SocketAddr,
         seen: Seen,
         gateway: Option<GatewayReport>,
-    ) -> Option<FleetView> {
+        nudges: &Receiver<()>,
+    ) -> Asked {
         let client = self
             .clients
             .entry(target)
             .or_insert_with(|| ControlClient::new(&self.executor, target, self.key.clone()));
         let watch = WatchRequest { gateway, seen, wants_gateways: self.wants_gateways, wait: HOLD };
         let request = Request::Fleet(FleetRequest::Watch(watch));
-        match client.ask(request, HOLD + ANSWER_MARGIN).await {
-            Ok(Response::Fleet(FleetResponse::View(view))) => Some(*view),
-            _ => {
-                // The connection may hang behind a cut; the next one is made anew.
-                self.clients.remove(&target);
-                None
+        let asking = async {
+            match client.ask(request, HOLD + ANSWER_MARGIN).await {
+                Ok(Response::Fleet(FleetResponse::View(view))) => Asked::Answered(view),
+                _ => Asked::Failed,
+            }
+        };
+        let nudged = async {
+            match nudges.recv().await {
+                Ok(()) => Asked::Nudged,
+                Err(_) => futures_lite::future::pending().await,
             }
+        };
+        let asked = futures_lite::future::or(asking, nudged).await;
+        if matches!(asked, Asked::Failed) {
+            // The connection may hang behind a cut; the next one is made anew.
+            self.clients.remove(&target);
         }
+        asked
     }
 
     /// The leader, unless it did not answer lately; else the next of all known members.
