Pools by prompt length reverted; prompts get more time before a replica counts as silent

Tried: replicas split between long and short prompts by their work. A replica with a prompt gets 1.2 s and more now.

--- a/crates/gateway/src/balancer.rs
+++ b/crates/gateway/src/balancer.rs
@@ -1,7 +1,6 @@
 //! Which replica a forwarded request goes to.
 
 use crate::catalog::{EngineParameters, Route};
-use crate::pools::{Pool, PromptPools};
 use crate::prompt::Prompt;
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -24,10 +23,6 @@
 /// Replicas of a service for each one that is a home of a first part: deeper prefixes have their
 /// homes among these, so that few replicas read a part that many prompts share.
 const REPLICAS_PER_HOME: usize = 4;
-/// Cost of a replica that other prompts have been given, in milliseconds.
-const OTHER_POOL_MS: f64 = 120.0;
-/// Key of the order in which replicas are split between long and short prompts.
-const POOL_KEY: u64 = 0x706f_6f6c_735f_6f66;
 /// What a move of memory costs beside its own time, in milliseconds.
 const MOVE_COST_MS: f64 = 15.0;
 /// Times that a move's duration counts: it holds up other moves at both ends.
@@ -52,8 +47,6 @@
 pub struct ChoiceRequest<'a> {
     /// Service that the request goes to.
     pub service: &'a str,
-    /// Route that it came by.
-    pub route: &'a str,
     /// Prompt, if the request has one.
     pub prompt: Option<&'a Prompt>,
     /// Model of the prompt.
@@ -136,7 +129,6 @@
     replicas: BTreeMap<InstanceId, Replica>,
     by_slot: HashMap<u32, InstanceId>,
     cache: CacheView,
-    pools: HashMap<String, PromptPools>,
     splits: HashMap<String, Vec<f64>>,
     next_slot: u32,
     rng: ChaCha8Rng,
@@ -151,7 +143,6 @@
             replicas: BTreeMap::new(),
             by_slot: HashMap::new(),
             cache: CacheView::new(CACHE_PARTS),
-            pools: HashMap::new(),
             splits: HashMap::new(),
             next_slot: 0,
             rng: ChaCha8Rng::seed_from_u64(seed),
@@ -262,14 +253,8 @@
         if open.is_empty() {
             return None;
         }
-        let members = self.pool_members(request, now);
-        let homes = self.home_order(request, &chain, &members);
-        let mut candidates = self.candidates(&open, request, &chain, &homes, now);
-        for (candidate, id) in candidates.iter_mut().zip(&open) {
-            if !members.contains(id) {
-                candidate.network_ms += OTHER_POOL_MS;
-            }
-        }
+        let homes = self.home_order(request, &chain);
+        let candidates = self.candidates(&open, request, &chain, &homes, now);
         let route_request = RouteRequest {
             tenant: TenantId::default(),
             model: ModelId(request.namespace),
@@ -297,36 +282,10 @@
         })
     }
 
-    /// Replicas of the service that the request's kind of prompt has been given.
-    fn pool_members(&mut self, request: &ChoiceRequest<'_>, now: Time) -> HashSet<InstanceId> {
-        let serving = self.replicas.values().filter(|one| one.instance.service == request.service);
-        let mut order: Vec<&InstanceId> = serving.map(|one| &one.instance.id).collect();
-        let pool = match request.prompt {
-            Some(prompt) => {
-                let pools = self.pools.entry(request.service.to_owned()).or_default();
-                if request.exclude.is_empty() {
-                    let output = prompt.output_tokens;
-                    pools.count(request.route, prompt.prompt_tokens, output, now);
-                }
-                pools.pool(request.route, order.len())
-            }
-            None => Pool { from: 0, to: order.len() },
-        };
-        let weight = |id: &&InstanceId| rendezvous_weight(POOL_KEY, ReplicaId::from_name(id));
-        order.sort_by_cached_key(weight);
-        let ranked = order.into_iter().enumerate();
-        ranked.filter(|(rank, _)| pool.contains(*rank)).map(|(_, id)| id.clone()).collect()
-    }
-
     /// Replicas of the service in the order in which they are homes of the prompt's shared parts.
     /// The first part picks a few replicas, and all shared parts together rank these; the others
     /// follow, ranked alike. All nodes find the same order.
-    fn home_order(
-        &self,
-        request: &ChoiceRequest<'_>,
-        chain: &[u64],
-        members: &HashSet<InstanceId>,
-    ) -> Vec<InstanceId> {
+    fn home_order(&self, request: &ChoiceRequest<'_>, chain: &[u64]) -> Vec<InstanceId> {
         // The last part is the request's own and has no home.
         let Some((_, shared)) = chain.split_last() else { return Vec::new() };
         let (Some(first), Some(deepest)) = (shared.first(), shared.last()) else {
@@ -339,8 +298,7 @@
         let by = |key: u64| {
             move |(_, id): &(&InstanceId, ReplicaId)| std::cmp::Reverse(rendezvous_weight(key, *id))
         };
-        let by_first = by(*first);
-        order.sort_by_cached_key(|one| (!members.contains(one.0), by_first(one)));
+        order.sort_by_cached_key(by(*first));
         let (near, far) = order.split_at_mut(homes);
         near.sort_by_cached_key(by(*deepest));
         far.sort_by_cached_key(by(*deepest));
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -10,7 +10,6 @@
 mod catalog;
 mod knowledge;
 mod plan;
-mod pools;
 mod prompt;
 
 pub use balancer::{Balancer, Choice, ChoiceRequest};
--- a/crates/topazmount/src/fleet/exchange.rs
+++ b/crates/topazmount/src/fleet/exchange.rs
@@ -24,6 +24,8 @@
 /// Part of the target latency after which a replica that sent nothing is given up, where the
 /// request may be sent to another.
 const SILENCE_SHARE: f64 = 0.7;
+/// Least such silence of a replica that has a prompt to read.
+const PROMPT_SILENCE: Duration = Duration::from_millis(1_200);
 /// Times that the estimated time to the first token is added to that.
 const SILENCE_ESTIMATES: f64 = 2.0;
 /// Silence in the middle of a stream after which it is resumed elsewhere.
@@ -128,7 +130,6 @@
     fn choice_request<'a>(&'a self, plan: &'a RequestPlan) -> ChoiceRequest<'a> {
         ChoiceRequest {
             service: &self.admission.service,
-            route: &self.admission.route.name,
             prompt: self.tags.prompt.as_ref(),
             model: self.tags.model.as_deref(),
             namespace: self.namespace(),
@@ -541,7 +542,12 @@
     /// How long a sound replica may be silent after it was sent the request: the longer, the more
     /// of a prompt it has to read.
     fn silence_limit(&self, choice: &Choice) -> Duration {
-        let share = self.admission.route.target_latency.mul_f64(SILENCE_SHARE);
+        let target = self.admission.route.target_latency;
+        let share = match self.tags.prompt {
+            // A queue of other prompts may be before it, and reading one twice costs much.
+            Some(_) => target.max(PROMPT_SILENCE),
+            None => target.mul_f64(SILENCE_SHARE),
+        };
         share + Duration::from_secs_f64(SILENCE_ESTIMATES * choice.estimate_ms.max(0.0) / 1_000.0)
     }
 
