Routing: what leaves its home counts as read by a chance; first parts have homes at half of the replicas

Change: a source holds what it is believed to with a chance of 0.7; ranks cost 4 ms each; half of the replicas instead of a quarter are homes of a first part (with a quarter long prompts queued).

--- a/crates/gateway/src/balancer.rs
+++ b/crates/gateway/src/balancer.rs
@@ -22,9 +22,14 @@
 const OTHER_ZONE_MS: f64 = 6.0;
 /// Replicas of a service for each one that is a home of a first part: deeper prefixes have their
 /// homes among these, so that few replicas read a part that many prompts share.
-const REPLICAS_PER_HOME: usize = 4;
+const REPLICAS_PER_HOME: usize = 2;
 /// What a move of memory costs beside its own time, in milliseconds.
 const MOVE_COST_MS: f64 = 15.0;
+/// Chance that a source holds what it is believed to: others may have been sent the prompt.
+const SOURCE_CHANCE: f64 = 0.7;
+/// Cost of each place in the order of homes, in milliseconds: what leaves its home should meet
+/// again at the next one.
+const RANK_COST_MS: f64 = 4.0;
 /// Times that a move's duration counts: it holds up other moves at both ends.
 const MOVE_WEIGHT: f64 = 2.0;
 /// Factor on a move's duration between zones.
@@ -517,8 +522,9 @@
     let own = tokens_of(prompt, depth);
     let at_hand = if is_home { own.max(shared) } else { own };
     let moved = if source.is_some() { shared.saturating_sub(at_hand) } else { 0 };
-    candidate.cached_tokens = at_hand + moved;
+    candidate.cached_tokens = at_hand + (SOURCE_CHANCE * f64::from(moved)) as u32;
     candidate.prefill_ms = prefill_ms(prompt, candidate.cached_tokens);
+    candidate.network_ms += RANK_COST_MS * f64::from(candidate.home_rank);
     if let (Some(engine), true) = (engine, moved > 0) {
         let move_ms = engine.move_ms(moved) * OTHER_ZONE_MOVE;
         candidate.network_ms += MOVE_COST_MS + MOVE_WEIGHT * move_ms;
