Gateways tell each other of their work at replicas and of what these have read

Cause: each of seven gateways knew a seventh of what waits at a replica and of what it holds: long prompts queued at their homes while others idled, or left them for places that lacked their parts. Costs use the sum; the deepest holder with the same weights is the source; a prompt that is being read draws its like. Balancer split into modules of one job each; weighted splits on their own. Ruled out before: pools by prompt length (twice), homes at a quarter of the replicas.

--- a/crates/gateway/src/balancer.rs
+++ b/crates/gateway/src/balancer/mod.rs
@@ -1,51 +1,40 @@
 //! Which replica a forwarded request goes to.
-
-use crate::catalog::{EngineParameters, Route};
+//!
+//! A [`Balancer`] lists candidates with what each would cost, and the policies choose. For prompts
+//! the cost is that of reading what the replica lacks; who holds what and how much waits where is
+//! known from this node's own requests and from the [`LoadNews`] of other nodes. Prompts that
+//! nobody is known to hold meet at their homes, which all nodes find alike.
+
+mod cost;
+mod holders;
+mod news;
+mod replica;
+
+use crate::catalog::EngineParameters;
 use crate::prompt::Prompt;
+use cost::{DELAY_PER_REQUEST_MS, DELAY_SHARE, OTHER_ZONE_MS, PREFILL_TOKENS_PER_MS, Source};
+use holders::Holders;
+pub use news::{LoadNews, TOLD_TOKENS};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
+use replica::Replica;
 use std::collections::{BTreeMap, HashMap, HashSet};
 use std::time::Duration;
-use topazmount_control::{Availability, InstanceStatus, LoadedModel};
-use topazmount_routing::{CacheView, Candidate, PolicyTable, RouteRequest, rendezvous_weight};
+use topazmount_control::{Availability, InstanceStatus};
+use topazmount_routing::{Candidate, PolicyTable, RouteRequest, rendezvous_weight};
 use topazmount_types::{
     Incarnation, Instance, InstanceId, ModelId, Priority, ReplicaId, TenantId, Time, WeightsVersion,
 };
 
-/// Parts remembered in the view of replicas' caches.
-const CACHE_PARTS: usize = 20_000;
-/// Prefill rate assumed, in tokens a millisecond.
-const PREFILL_TOKENS_PER_MS: f64 = 30.0;
-/// Time by which one request in flight delays the next, in milliseconds.
-const DELAY_PER_REQUEST_MS: f64 = 4.0;
-/// Cost of another zone, in milliseconds: the way there and back and the price of its bytes.
-const OTHER_ZONE_MS: f64 = 6.0;
 /// Replicas of a service for each one that is a home of a first part: deeper prefixes have their
 /// homes among these, so that few replicas read a part that many prompts share.
 const REPLICAS_PER_HOME: usize = 2;
-/// What a move of memory costs beside its own time, in milliseconds.
-const MOVE_COST_MS: f64 = 15.0;
-/// Chance that a source holds what it is believed to: others may have been sent the prompt.
-const SOURCE_CHANCE: f64 = 0.7;
-/// Cost of each place in the order of homes, in milliseconds: what leaves its home should meet
-/// again at the next one.
-const RANK_COST_MS: f64 = 4.0;
-/// Times that a move's duration counts: it holds up other moves at both ends.
-const MOVE_WEIGHT: f64 = 2.0;
-/// Factor on a move's duration between zones.
-const OTHER_ZONE_MOVE: f64 = 2.0;
-/// Weight of a new observation in a replica's smoothed delay.
-const DELAY_GAIN: f64 = 0.4;
-/// Time after which an observed delay counts half.
-const DELAY_HALF_LIFE: Duration = Duration::from_millis(700);
-/// Age after which an own earlier request says nothing of a cache.
-const CACHE_AGE: Duration = Duration::from_secs(30);
-/// First time for which a replica that failed is passed over; doubled with each further failure.
-const FIRST_SUSPICION: Duration = Duration::from_millis(500);
-/// Longest such time.
-const LONGEST_SUSPICION: Duration = Duration::from_secs(4);
-/// A replica's places are counted as taken when this node has its share of them in use.
-const SHARE_SLACK: u32 = 2;
+/// A replica's places are counted as taken when this part of them is in use.
+const FULL_SHARE: f64 = 0.8;
+/// Wait for a place at a full replica, per request over its places, in milliseconds.
+const OVER_PLACE_MS: f64 = 16.0;
+/// Smallest difference between estimates, in milliseconds.
+const TIE_MS: f64 = 0.01;
 
 /// What a choice is made for.
 #[derive(Clone, Copy, Debug)]
@@ -65,6 +54,20 @@
     pub engine: Option<&'a EngineParameters>,
 }
 
+impl ChoiceRequest<'_> {
+    /// Chain of all parts of the prompt.
+    fn chain(&self) -> Vec<u64> {
+        self.prompt.map(|prompt| prompt.chain(self.namespace)).unwrap_or_default()
+    }
+
+    /// Chain of the parts that requests share; the last part is the request's own.
+    fn shared(&self) -> Vec<u64> {
+        let mut chain = self.chain();
+        chain.pop();
+        chain
+    }
+}
+
 /// A chosen replica.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Choice {
@@ -83,49 +86,13 @@
     slot: u32,
 }
 
-#[derive(Clone, Debug)]
-struct Replica {
-    instance: Instance,
-    slot: u32,
-    in_flight: u32,
-    pending_prefill: u64,
-    failures: u32,
-    suspect_until: Time,
-    availability: Availability,
-    models: Vec<LoadedModel>,
-    /// Smoothed time by which first tokens came later than expected, and when that was noted.
-    delay_ms: f64,
-    delay_at: Time,
-    /// When anything was last received from it.
-    heard_at: Time,
-}
-
-impl Replica {
-    fn delay_ms(&self, now: Time) -> f64 {
-        let age = now.since(self.delay_at).as_secs_f64() / DELAY_HALF_LIFE.as_secs_f64();
-        self.delay_ms * 0.5f64.powf(age)
-    }
-
-    fn note_delay(&mut self, delay_ms: f64, now: Time) {
-        let before = self.delay_ms(now);
-        self.delay_ms = before + DELAY_GAIN * (delay_ms - before);
-        self.delay_at = now;
-    }
-
-    fn version(&self, model: Option<&str>) -> Option<u32> {
-        let model = model?;
-        self.models.iter().find(|one| one.model == model).map(|one| one.version)
-    }
-
-    /// What its cache belongs to: this life of it, with these weights.
-    fn incarnation(&self, model: Option<&str>) -> Incarnation {
-        let version = self.version(model).unwrap_or(0);
-        Incarnation((u64::from(self.slot) << 32) | u64::from(version))
-    }
-
-    fn is_suspect(&self, now: Time) -> bool {
-        now < self.suspect_until
-    }
+/// What is known of a prompt's parts at the time of a choice.
+struct PromptView {
+    homes: Vec<InstanceId>,
+    /// Leading parts that each replica holds, by slot.
+    kept: HashMap<u32, usize>,
+    /// Leading parts that each replica was sent and has not read yet, by slot.
+    coming: HashMap<u32, usize>,
 }
 
 /// One node's knowledge of the replicas, and its choice among them.
@@ -133,8 +100,8 @@
     zone: String,
     replicas: BTreeMap<InstanceId, Replica>,
     by_slot: HashMap<u32, InstanceId>,
-    cache: CacheView,
-    splits: HashMap<String, Vec<f64>>,
+    by_key: HashMap<u64, InstanceId>,
+    holders: Holders,
     next_slot: u32,
     rng: ChaCha8Rng,
     sequence: u64,
@@ -147,8 +114,8 @@
             zone: zone.to_owned(),
             replicas: BTreeMap::new(),
             by_slot: HashMap::new(),
-            cache: CacheView::new(CACHE_PARTS),
-            splits: HashMap::new(),
+            by_key: HashMap::new(),
+            holders: Holders::default(),
             next_slot: 0,
             rng: ChaCha8Rng::seed_from_u64(seed),
             sequence: 0,
@@ -157,32 +124,22 @@
 
     /// Adds a replica, or takes over what changed of it.
     pub fn upsert(&mut self, instance: Instance) {
-        let slot = self.next_slot;
-        let id = instance.id.clone();
-        let known = self.replicas.entry(id.clone()).or_insert_with(|| Replica {
-            instance: instance.clone(),
-            slot,
-            in_flight: 0,
-            pending_prefill: 0,
-            failures: 0,
-            suspect_until: Time::ZERO,
-            availability: Availability::Open,
-            models: Vec::new(),
-            delay_ms: 0.0,
-            delay_at: Time::ZERO,
-            heard_at: Time::ZERO,
-        });
-        known.instance = instance;
-        if known.slot == slot {
-            self.next_slot += 1;
-            self.by_slot.insert(slot, id);
+        if let Some(known) = self.replicas.get_mut(&instance.id) {
+            known.instance = instance;
+            return;
         }
+        let (id, slot) = (instance.id.clone(), self.next_slot);
+        self.next_slot += 1;
+        self.by_slot.insert(slot, id.clone());
+        self.by_key.insert(replica_key(&id), id.clone());
+        self.replicas.insert(id, Replica::new(instance, slot));
     }
 
     /// Forgets a replica.
     pub fn remove(&mut self, id: &str) {
         if let Some(replica) = self.replicas.remove(id) {
             self.by_slot.remove(&replica.slot);
+            self.by_key.remove(&replica_key(id));
         }
     }
 
@@ -193,19 +150,19 @@
         gone.iter().for_each(|id| self.remove(id));
     }
 
-    /// Takes what the leader knows of a replica. A replica's weights never go back.
+    /// Takes what the leader knows of a replica.
     pub fn set_status(&mut self, status: &InstanceStatus) {
         let Some(replica) = self.replicas.get_mut(&status.id) else { return };
         replica.availability = status.availability;
         for loaded in &status.models {
-            note_version(&mut replica.models, &loaded.model, loaded.version);
+            replica.note_version(&loaded.model, loaded.version);
         }
     }
 
     /// Takes the version that a replica named with an answer.
     pub fn saw_version(&mut self, id: &str, model: &str, version: u32) {
         if let Some(replica) = self.replicas.get_mut(id) {
-            note_version(&mut replica.models, model, version);
+            replica.note_version(model, version);
         }
     }
 
@@ -214,36 +171,6 @@
         self.replicas.values().map(|replica| &replica.instance)
     }
 
-    /// The service that the next request of a route goes to. Smooth weighted round robin: over any
-    /// run of requests each part's count is within one of its exact share.
-    pub fn split(&mut self, route: &Route) -> String {
-        let [only] = route.split.as_slice() else {
-            return self.split_weighted(route);
-        };
-        only.service.clone()
-    }
-
-    fn split_weighted(&mut self, route: &Route) -> String {
-        let total: f64 = route.split.iter().map(|part| f64::from(part.weight)).sum();
-        // A new split begins at a random place, so that nodes do not all begin alike.
-        let key = route.split.iter().fold(route.name.clone(), |key, part| {
-            format!("{key}/{}={}", part.service, part.weight)
-        });
-        let rng = &mut self.rng;
-        let credits = self.splits.entry(key).or_insert_with(|| {
-            let drawn = rng.random_range(0.0..total);
-            route.split.iter().map(|part| drawn * f64::from(part.weight) / total).collect()
-        });
-        for (credit, part) in credits.iter_mut().zip(&route.split) {
-            *credit += f64::from(part.weight);
-        }
-        let best = (0..credits.len())
-            .max_by(|left, right| credits[*left].total_cmp(&credits[*right]))
-            .unwrap_or(0);
-        credits[best] -= total;
-        route.split[best].service.clone()
-    }
-
     /// Chooses a replica, or none when no replica of the service may be asked.
     pub fn choose(
         &mut self,
@@ -252,14 +179,13 @@
         policies: &mut PolicyTable,
     ) -> Option<Choice> {
         self.sequence += 1;
-        let chain = request.prompt.map(|prompt| prompt.chain(request.namespace));
-        let chain = chain.unwrap_or_default();
         let open = self.open_replicas(request, now);
         if open.is_empty() {
             return None;
         }
-        let homes = self.home_order(request, &chain);
-        let candidates = self.candidates(&open, request, &chain, &homes, now);
+        let view = self.prompt_view(request, now);
+        let candidates = self.candidates(&open, request, &view, now);
+        let chain = request.chain();
         let route_request = RouteRequest {
             tenant: TenantId::default(),
             model: ModelId(request.namespace),
@@ -275,24 +201,63 @@
         let position = policies.choose(policy, &route_request, &candidates)?;
         let candidate = candidates.get(position)?;
         let replica = &self.replicas[&open[position]];
-        let source = self.source(replica, request, &homes, now);
+        let source = self.source(replica, request, &view, now);
         Some(Choice {
             instance: replica.instance.clone(),
             expected_prefill: route_request.prompt_tokens.saturating_sub(candidate.cached_tokens),
             estimate_ms: candidate.estimate_ms(),
             home_rank: candidate.home_rank,
             version: replica.version(request.model),
-            source: source.map(|source| source.instance.address.clone()),
+            source: source.map(|(source, _)| source.instance.address.clone()),
             slot: replica.slot,
         })
     }
 
+    /// Replicas that may be asked: healthy ones, else those that failed lately.
+    fn open_replicas(&self, request: &ChoiceRequest<'_>, now: Time) -> Vec<InstanceId> {
+        let may_serve = |replica: &&Replica| {
+            let instance = &replica.instance;
+            instance.service == request.service
+                && !instance.is_draining
+                && replica.availability != Availability::Barred
+                && !request.exclude.contains(&instance.id)
+        };
+        let mut serving: Vec<&Replica> = self.replicas.values().filter(may_serve).collect();
+        // Weights that are not known may be too old.
+        let is_known = |replica: &&Replica| replica.version(request.model).is_some();
+        if request.model.is_some() && serving.iter().any(is_known) {
+            serving.retain(is_known);
+        }
+        let ids = |keep: &dyn Fn(&Replica) -> bool| -> Vec<InstanceId> {
+            let kept = serving.iter().filter(|replica| keep(replica));
+            kept.map(|replica| replica.instance.id.clone()).collect()
+        };
+        let is_paused = |replica: &Replica| replica.availability == Availability::Paused;
+        let healthy = ids(&|replica| !replica.is_suspect(now) && !is_paused(replica));
+        if !healthy.is_empty() {
+            return healthy;
+        }
+        let unpaused = ids(&|replica| !is_paused(replica));
+        if unpaused.is_empty() { ids(&|_| true) } else { unpaused }
+    }
+
+    fn prompt_view(&self, request: &ChoiceRequest<'_>, now: Time) -> PromptView {
+        let shared = request.shared();
+        let incarnation_of = |slot: u32| {
+            let replica = self.replicas.get(self.by_slot.get(&slot)?)?;
+            Some(replica.incarnation(replica.version(request.model)?))
+        };
+        PromptView {
+            homes: self.home_order(request, &shared),
+            kept: self.holders.kept(&shared, now, incarnation_of),
+            coming: self.holders.coming(&shared, now, incarnation_of),
+        }
+    }
+
     /// Replicas of the service in the order in which they are homes of the prompt's shared parts.
-    /// The first part picks a few replicas, and all shared parts together rank these; the others
-    /// follow, ranked alike. All nodes find the same order.
-    fn home_order(&self, request: &ChoiceRequest<'_>, chain: &[u64]) -> Vec<InstanceId> {
-        // The last part is the request's own and has no home.
-        let Some((_, shared)) = chain.split_last() else { return Vec::new() };
+    /// The first part picks a part of the replicas, and all shared parts together rank these; the
+    /// others follow, ranked alike. All nodes find the same order.
+    fn home_order(&self, request: &ChoiceRequest<'_>, shared: &[u64]) -> Vec<InstanceId> {
         let (Some(first), Some(deepest)) = (shared.first(), shared.last()) else {
             return Vec::new();
         };
@@ -310,14 +275,15 @@
         order.into_iter().map(|(id, _)| id.clone()).collect()
     }
 
-    /// The first home beside the replica itself that has the same weights and answers.
+    /// Who could give a replica what it lacks, and how sure that is: the deepest holder with the
+    /// same weights, else the first home beside the replica itself.
     fn source(
         &self,
         replica: &Replica,
         request: &ChoiceRequest<'_>,
-        homes: &[InstanceId],
+        view: &PromptView,
         now: Time,
-    ) -> Option<&Replica> {
+    ) -> Option<(&Replica, Source)> {
         let version = replica.version(request.model)?;
         let may_give = |other: &&Replica| {
             other.slot != replica.slot
@@ -325,112 +291,81 @@
                 && other.availability == Availability::Open
                 && !other.is_suspect(now)
         };
-        homes.iter().filter_map(|id| self.replicas.get(id)).find(may_give)
-    }
-
-    /// Replicas that may be asked: healthy ones, else those that failed lately.
-    fn open_replicas(&self, request: &ChoiceRequest<'_>, now: Time) -> Vec<InstanceId> {
-        let may_serve = |replica: &&Replica| {
-            let instance = &replica.instance;
-            instance.service == request.service
-                && !instance.is_draining
-                && replica.availability != Availability::Barred
-                && !request.exclude.contains(&instance.id)
-        };
-        let mut serving: Vec<&Replica> = self.replicas.values().filter(may_serve).collect();
-        // Weights that are not known may be too old.
-        let is_known = |replica: &&Replica| replica.version(request.model).is_some();
-        if request.model.is_some() && serving.iter().any(is_known) {
-            serving.retain(is_known);
-        }
-        let ids = |keep: &dyn Fn(&Replica) -> bool| -> Vec<InstanceId> {
-            let kept = serving.iter().filter(|replica| keep(replica));
-            kept.map(|replica| replica.instance.id.clone()).collect()
-        };
-        let is_paused = |replica: &Replica| replica.availability == Availability::Paused;
-        let healthy = ids(&|replica| !replica.is_suspect(now) && !is_paused(replica));
-        if !healthy.is_empty() {
-            return healthy;
+        let own = view.kept.get(&replica.slot).copied().unwrap_or(0);
+        let holders = view.kept.iter().filter(|(_, depth)| **depth > own);
+        let known = holders
+            .filter_map(|(slot, depth)| {
+                let holder = self.replicas.get(self.by_slot.get(slot)?)?;
+                may_give(&holder).then_some((holder, *depth))
+            })
+            .max_by_key(|(holder, depth)| (*depth, std::cmp::Reverse(holder.slot)));
+        if let Some((holder, depth)) = known {
+            return Some((holder, Source::Known(depth)));
         }
-        let unpaused = ids(&|replica| !is_paused(replica));
-        if unpaused.is_empty() { ids(&|_| true) } else { unpaused }
+        let homes = view.homes.iter().filter_map(|id| self.replicas.get(id));
+        homes.into_iter().find(may_give).map(|home| (home, Source::Guessed))
     }
 
     fn candidates(
         &mut self,
         open: &[InstanceId],
         request: &ChoiceRequest<'_>,
-        chain: &[u64],
-        homes: &[InstanceId],
+        view: &PromptView,
         now: Time,
     ) -> Vec<Candidate> {
-        let depths = self.own_depths(request, chain, now);
-        let ranks: HashMap<&InstanceId, usize> = homes.iter().zip(0..).collect();
-        let home = homes.iter().find(|id| open.contains(*id));
+        let ranks: HashMap<&InstanceId, usize> = view.homes.iter().zip(0..).collect();
+        let home = view.homes.iter().find(|id| open.contains(*id));
+        let is_unknown = view.kept.is_empty() && view.coming.is_empty();
         let mut candidates: Vec<Candidate> = Vec::with_capacity(open.len());
         for (position, id) in open.iter().enumerate() {
             let replica = &self.replicas[id];
-            let depth = depths.get(&replica.slot).copied().unwrap_or(0);
             let mut candidate = self.candidate(replica, position, now);
             candidate.home_rank = ranks.get(id).map_or(0, |rank| *rank as u32);
             if let Some(prompt) = request.prompt {
-                let source = self.source(replica, request, homes, now);
-                let is_home = home == Some(id);
-                add_prompt(&mut candidate, prompt, request.engine, depth, is_home, source);
+                let depth_in =
+                    |depths: &HashMap<u32, usize>| depths.get(&replica.slot).copied().unwrap_or(0);
+                let depth = depth_in(&view.kept).max(depth_in(&view.coming));
+                let is_home = is_unknown && home == Some(id);
+                let source = self.source(replica, request, view, now);
+                let source = source.map_or(Source::None, |(_, source)| source);
+                cost::add_prompt(&mut candidate, prompt, request.engine, depth, is_home, source);
             }
             candidates.push(candidate);
         }
         // Equal estimates must not all go to the first replica of the list.
         let favoured = self.rng.random_range(0..candidates.len().max(1));
         if let Some(one) = candidates.get_mut(favoured) {
-            one.network_ms -= 0.01;
+            one.network_ms -= TIE_MS;
         }
         candidates
     }
 
-    /// How much of the chain each replica was sent by this node lately, by slot.
-    fn own_depths(
-        &self,
-        request: &ChoiceRequest<'_>,
-        chain: &[u64],
-        now: Time,
-    ) -> HashMap<u32, usize> {
-        let mut depths: HashMap<u32, usize> = HashMap::new();
-        let incarnation = |slot: u32| {
-            let replica = self.replicas.get(self.by_slot.get(&slot)?)?;
-            Some(replica.incarnation(request.model))
-        };
-        self.cache.holders(chain, now, incarnation, |slot, depth, age| {
-            if age < CACHE_AGE {
-                depths.insert(slot, depth);
-            }
-        });
-        depths
-    }
-
     fn candidate(&self, replica: &Replica, position: usize, now: Time) -> Candidate {
         let is_local = replica.instance.zone == self.zone;
-        let queue_ms = f64::from(replica.in_flight) * DELAY_PER_REQUEST_MS
-            + replica.pending_prefill as f64 / PREFILL_TOKENS_PER_MS
-            + replica.delay_ms(now);
-        // A full replica serves nobody at once: each request over its places waits for one.
-        let over = replica.in_flight.saturating_sub(replica.instance.slots / SHARE_SLACK);
+        let in_flight = replica.all_in_flight(now);
+        let queue_ms = f64::from(in_flight) * DELAY_PER_REQUEST_MS
+            + replica.waiting_tokens(now) as f64 / PREFILL_TOKENS_PER_MS
+            + DELAY_SHARE * replica.delay_ms(now);
+        let over = f64::from(in_flight) - FULL_SHARE * f64::from(replica.instance.slots);
         Candidate {
             replica: ReplicaId(u64::from(replica.slot)),
             position: position as u32,
             is_local,
             in_flight: replica.in_flight,
-            queue_ms: queue_ms + f64::from(over) * 4.0 * DELAY_PER_REQUEST_MS,
+            queue_ms: queue_ms + over.max(0.0) * OVER_PLACE_MS,
             network_ms: if is_local { 0.0 } else { OTHER_ZONE_MS },
             ..Candidate::default()
         }
     }
 
     /// Notes that a request was sent to its choice.
-    pub fn sent(&mut self, choice: &Choice) {
-        if let Some(replica) = self.replicas.get_mut(&choice.instance.id) {
-            replica.in_flight += 1;
-            replica.pending_prefill += u64::from(choice.expected_prefill);
+    pub fn sent(&mut self, choice: &Choice, request: &ChoiceRequest<'_>, now: Time) {
+        let Some(replica) = self.replicas.get_mut(&choice.instance.id) else { return };
+        replica.in_flight += 1;
+        replica.pending_prefill += u64::from(choice.expected_prefill);
+        if let Some(version) = choice.version {
+            let incarnation = replica.incarnation(version);
+            self.holders.sent(&request.shared(), choice.slot, incarnation, now);
         }
     }
 
@@ -449,10 +384,43 @@
         let waited_ms = waited.as_secs_f64() * 1_000.0;
         replica.note_delay((waited_ms - expected_ms).max(0.0), now);
         replica.heard_at = now;
-        if let Some(prompt) = request.prompt {
-            let chain = prompt.chain(request.namespace);
-            let incarnation = replica.incarnation(request.model);
-            self.cache.learn(&chain, choice.slot, incarnation, now);
+        if let Some(version) = choice.version {
+            let incarnation = replica.incarnation(version);
+            self.holders.read(&request.shared(), choice.slot, incarnation, now);
+        }
+    }
+
+    /// What other nodes should know after a request was sent, or its prompt was read. Short
+    /// prompts are not worth a message.
+    pub fn news(
+        &self,
+        choice: &Choice,
+        request: &ChoiceRequest<'_>,
+        has_read: bool,
+    ) -> Option<LoadNews> {
+        let is_long = request.prompt.is_some_and(|prompt| prompt.prompt_tokens >= TOLD_TOKENS);
+        let replica = self.replicas.get(&choice.instance.id).filter(|_| is_long)?;
+        Some(LoadNews {
+            node: 0,
+            replica: replica_key(&choice.instance.id),
+            pending_prefill: replica.pending_prefill,
+            in_flight: replica.in_flight,
+            version: choice.version?,
+            parts: request.shared(),
+            has_read,
+        })
+    }
+
+    /// Takes another node's word.
+    pub fn apply_news(&mut self, news: &LoadNews, now: Time) {
+        let Some(id) = self.by_key.get(&news.replica) else { return };
+        let Some(replica) = self.replicas.get_mut(id) else { return };
+        replica.note_peer(news.node, news.pending_prefill, news.in_flight, now);
+        let incarnation: Incarnation = replica.incarnation(news.version);
+        if news.has_read {
+            self.holders.read(&news.parts, replica.slot, incarnation, now);
+        } else {
+            self.holders.sent(&news.parts, replica.slot, incarnation, now);
         }
     }
 
@@ -464,76 +432,37 @@
     /// Notes that a request no longer occupies its choice. `has_first_token` tells whether
     /// [`Balancer::first_token`] was called for it.
     pub fn ended(&mut self, choice: &Choice, has_first_token: bool) {
-        if let Some(replica) = self.replicas.get_mut(&choice.instance.id) {
-            replica.in_flight = replica.in_flight.saturating_sub(1);
-            if !has_first_token {
-                let expected = u64::from(choice.expected_prefill);
-                replica.pending_prefill = replica.pending_prefill.saturating_sub(expected);
-            }
+        let Some(replica) = self.replicas.get_mut(&choice.instance.id) else { return };
+        replica.in_flight = replica.in_flight.saturating_sub(1);
+        if !has_first_token {
+            let expected = u64::from(choice.expected_prefill);
+            replica.pending_prefill = replica.pending_prefill.saturating_sub(expected);
         }
     }
 
     /// Notes that a replica answered as it should.
     pub fn succeeded(&mut self, id: &str, now: Time) {
         if let Some(replica) = self.replicas.get_mut(id) {
-            replica.heard_at = now;
-            replica.failures = 0;
-            replica.suspect_until = Time::ZERO;
+            replica.note_success(now);
         }
     }
 
     /// Notes that a replica failed; it is passed over for a while.
     pub fn failed(&mut self, id: &str, now: Time) {
         if let Some(replica) = self.replicas.get_mut(id) {
-            let wait = FIRST_SUSPICION.saturating_mul(1 << replica.failures.min(8));
-            replica.failures += 1;
-            replica.suspect_until = now + wait.min(LONGEST_SUSPICION);
+            replica.note_failure(now);
         }
     }
 
     /// Notes that another replica has the address; it is passed over for the longest time.
     pub fn is_replaced(&mut self, id: &str, now: Time) {
         if let Some(replica) = self.replicas.get_mut(id) {
-            replica.failures += 1;
-            replica.suspect_until = now + LONGEST_SUSPICION;
+            replica.note_replaced(now);
         }
     }
 }
 
-fn tokens_of(prompt: &Prompt, depth: usize) -> u32 {
-    prompt.parts.iter().take(depth).map(|part| part.tokens).sum()
-}
-
-fn prefill_ms(prompt: &Prompt, cached_tokens: u32) -> f64 {
-    f64::from(prompt.prompt_tokens.saturating_sub(cached_tokens)) / PREFILL_TOKENS_PER_MS
-}
-
-/// Adds what a prompt costs at a replica that holds `depth` parts of it by this node's own doing.
-/// A home is believed to hold all shared parts, whoever sent them; what a source holds is moved.
-fn add_prompt(
-    candidate: &mut Candidate,
-    prompt: &Prompt,
-    engine: Option<&EngineParameters>,
-    depth: usize,
-    is_home: bool,
-    source: Option<&Replica>,
-) {
-    let shared = tokens_of(prompt, prompt.parts.len().saturating_sub(1));
-    let own = tokens_of(prompt, depth);
-    let at_hand = if is_home { own.max(shared) } else { own };
-    let moved = if source.is_some() { shared.saturating_sub(at_hand) } else { 0 };
-    candidate.cached_tokens = at_hand + (SOURCE_CHANCE * f64::from(moved)) as u32;
-    candidate.prefill_ms = prefill_ms(prompt, candidate.cached_tokens);
-    candidate.network_ms += RANK_COST_MS * f64::from(candidate.home_rank);
-    if let (Some(engine), true) = (engine, moved > 0) {
-        let move_ms = engine.move_ms(moved) * OTHER_ZONE_MOVE;
-        candidate.network_ms += MOVE_COST_MS + MOVE_WEIGHT * move_ms;
-    }
-}
-
-fn note_version(models: &mut Vec<LoadedModel>, model: &str, version: u32) {
-    match models.iter_mut().find(|one| one.model == model) {
-        Some(known) => known.version = known.version.max(version),
-        None => models.push(LoadedModel { model: model.to_owned(), version }),
-    }
+/// Name of a replica among nodes, which number them differently.
+fn replica_key(id: &str) -> u64 {
+    ReplicaId::from_name(id).0
 }
--- /dev/null
+++ b/crates/gateway/src/balancer/news.rs
@@ -0,0 +1,26 @@
+//! What nodes tell each other of their work at replicas.
+
+use serde::{Deserialize, Serialize};
+
+/// Fewest prompt tokens to compute of which other nodes are told.
+pub const TOLD_TOKENS: u32 = 1_000;
+
+/// One node's word on its work at a replica. It is whole by itself: one that is lost is made good
+/// by the next.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LoadNews {
+    /// Who tells: a hash of the node's address.
+    pub node: u64,
+    /// Replica: a hash of its identifier.
+    pub replica: u64,
+    /// Prompt tokens that wait there of this node's requests.
+    pub pending_prefill: u64,
+    /// This node's requests there.
+    pub in_flight: u32,
+    /// Version of the weights that `parts` belong to.
+    pub version: u32,
+    /// Shared parts of the prompt that this is about, as a chain of hashes.
+    pub parts: Vec<u64>,
+    /// Whether the replica has read them; else it was sent them.
+    pub has_read: bool,
+}
--- /dev/null
+++ b/crates/gateway/src/balancer/replica.rs
@@ -0,0 +1,132 @@
+//! What a node knows of one replica.
+
+use std::collections::HashMap;
+use std::time::Duration;
+use topazmount_control::{Availability, LoadedModel};
+use topazmount_types::{Incarnation, Instance, Time};
+
+/// Weight of a new observation in a replica's smoothed delay.
+const DELAY_GAIN: f64 = 0.4;
+/// Time after which an observed delay counts half.
+const DELAY_HALF_LIFE: Duration = Duration::from_millis(700);
+/// First time for which a replica that failed is passed over; doubled with each further failure.
+const FIRST_SUSPICION: Duration = Duration::from_millis(500);
+/// Longest such time.
+const LONGEST_SUSPICION: Duration = Duration::from_secs(4);
+/// Age after which another node's word on its load counts nothing.
+const PEER_LOAD_AGE: Duration = Duration::from_secs(3);
+
+/// What another node has under way at a replica.
+#[derive(Clone, Copy, Debug)]
+struct PeerLoad {
+    pending_prefill: u64,
+    in_flight: u32,
+    at: Time,
+}
+
+#[derive(Clone, Debug)]
+pub(super) struct Replica {
+    pub(super) instance: Instance,
+    /// Number of this life of a replica; never used again.
+    pub(super) slot: u32,
+    /// This node's requests there.
+    pub(super) in_flight: u32,
+    /// Prompt tokens of this node's requests there that have no first token yet.
+    pub(super) pending_prefill: u64,
+    pub(super) availability: Availability,
+    pub(super) models: Vec<LoadedModel>,
+    /// When anything was last received from it.
+    pub(super) heard_at: Time,
+    peers: HashMap<u64, PeerLoad>,
+    failures: u32,
+    suspect_until: Time,
+    /// Smoothed time by which first tokens came later than expected, and when that was noted.
+    delay_ms: f64,
+    delay_at: Time,
+}
+
+impl Replica {
+    pub(super) fn new(instance: Instance, slot: u32) -> Self {
+        Replica {
+            instance,
+            slot,
+            in_flight: 0,
+            pending_prefill: 0,
+            availability: Availability::Open,
+            models: Vec::new(),
+            heard_at: Time::ZERO,
+            peers: HashMap::new(),
+            failures: 0,
+            suspect_until: Time::ZERO,
+            delay_ms: 0.0,
+            delay_at: Time::ZERO,
+        }
+    }
+
+    /// Prompt tokens that wait there, of all nodes that told of theirs.
+    pub(super) fn waiting_tokens(&self, now: Time) -> u64 {
+        let others = self.peers.values().filter(|load| now < load.at + PEER_LOAD_AGE);
+        self.pending_prefill + others.map(|load| load.pending_prefill).sum::<u64>()
+    }
+
+    /// Requests there, of all nodes that told of theirs.
+    pub(super) fn all_in_flight(&self, now: Time) -> u32 {
+        let others = self.peers.values().filter(|load| now < load.at + PEER_LOAD_AGE);
+        self.in_flight + others.map(|load| load.in_flight).sum::<u32>()
+    }
+
+    pub(super) fn note_peer(&mut self, peer: u64, pending_prefill: u64, in_flight: u32, at: Time) {
+        self.peers.insert(peer, PeerLoad { pending_prefill, in_flight, at });
+        self.peers.retain(|_, load| at < load.at + PEER_LOAD_AGE);
+    }
+
+    pub(super) fn delay_ms(&self, now: Time) -> f64 {
+        let age = now.since(self.delay_at).as_secs_f64() / DELAY_HALF_LIFE.as_secs_f64();
+        self.delay_ms * 0.5f64.powf(age)
+    }
+
+    pub(super) fn note_delay(&mut self, delay_ms: f64, now: Time) {
+        let before = self.delay_ms(now);
+        self.delay_ms = before + DELAY_GAIN * (delay_ms - before);
+        self.delay_at = now;
+    }
+
+    pub(super) fn version(&self, model: Option<&str>) -> Option<u32> {
+        let model = model?;
+        self.models.iter().find(|one| one.model == model).map(|one| one.version)
+    }
+
+    /// Weights never go back.
+    pub(super) fn note_version(&mut self, model: &str, version: u32) {
+        match self.models.iter_mut().find(|one| one.model == model) {
+            Some(known) => known.version = known.version.max(version),
+            None => self.models.push(LoadedModel { model: model.to_owned(), version }),
+        }
+    }
+
+    /// What its cache belongs to: this life of it, with these weights.
+    pub(super) fn incarnation(&self, version: u32) -> Incarnation {
+        Incarnation((u64::from(self.slot) << 32) | u64::from(version))
+    }
+
+    pub(super) fn is_suspect(&self, now: Time) -> bool {
+        now < self.suspect_until
+    }
+
+    pub(super) fn note_success(&mut self, now: Time) {
+        self.heard_at = now;
+        self.failures = 0;
+        self.suspect_until = Time::ZERO;
+    }
+
+    pub(super) fn note_failure(&mut self, now: Time) {
+        let wait = FIRST_SUSPICION.saturating_mul(1 << self.failures.min(8));
+        self.failures += 1;
+        self.suspect_until = now + wait.min(LONGEST_SUSPICION);
+    }
+
+    pub(super) fn note_replaced(&mut self, now: Time) {
+        self.failures += 1;
+        self.suspect_until = now + LONGEST_SUSPICION;
+    }
+}
--- a/crates/gateway/src/knowledge.rs
+++ b/crates/gateway/src/knowledge.rs
@@ -3,6 +3,9 @@
 use crate::balancer::{Balancer, Choice, ChoiceRequest};
 use crate::budget::{BudgetSettings, RetryBudget};
 use crate::catalog::{Catalog, Route, Tenant};
+use crate::split::Splits;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
 use std::collections::{HashMap, HashSet};
 use std::sync::Arc;
 use std::time::Duration;
@@ -55,6 +58,8 @@
     confirmed_until: Time,
     gateway_count: usize,
     balancer: Balancer,
+    splits: Splits,
+    rng: ChaCha8Rng,
     budgets: HashMap<String, RetryBudget>,
     policies: PolicyTable,
 }
@@ -69,6 +74,8 @@
             confirmed_until: Time::ZERO,
             gateway_count: 0,
             balancer: Balancer::new(zone, seed),
+            splits: Splits::default(),
+            rng: ChaCha8Rng::seed_from_u64(seed),
             budgets: HashMap::new(),
             policies: PolicyTable::default(),
         }
@@ -118,6 +125,9 @@
             self.seen.statuses = *count;
             statuses.iter().for_each(|status| self.balancer.set_status(status));
         }
+        if let Some((count, _)) = &view.gateways {
+            self.seen.gateways = *count;
+        }
         if view.gateway_count > 0 {
             self.gateway_count = view.gateway_count as usize;
         }
@@ -180,7 +190,7 @@
         Ok(Admission {
             route: route.clone(),
             tenant: tenant.filter(|_| needs_key).cloned(),
-            service: self.balancer.split(route),
+            service: self.splits.next(route, &mut self.rng),
             version: catalog.version(),
         })
     }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -11,8 +11,9 @@
 mod knowledge;
 mod plan;
 mod prompt;
+mod split;
 
-pub use balancer::{Balancer, Choice, ChoiceRequest};
+pub use balancer::{Balancer, Choice, ChoiceRequest, LoadNews, TOLD_TOKENS};
 pub use budget::{BudgetSettings, RetryBudget};
 pub use catalog::{
     Catalog, CatalogParts, CatalogProblem, EngineParameters, HttpLimits, Route, RouteKind, Service,
--- a/crates/gateway/src/prompt.rs
+++ b/crates/gateway/src/prompt.rs
@@ -23,6 +23,16 @@
 }
 
 impl Prompt {
+    /// Tokens of so many leading parts.
+    pub fn leading_tokens(&self, parts: usize) -> u32 {
+        self.parts.iter().take(parts).map(|part| part.tokens).sum()
+    }
+
+    /// Tokens of all parts but the last.
+    pub fn shared_tokens(&self) -> u32 {
+        self.leading_tokens(self.parts.len().saturating_sub(1))
+    }
+
     /// For each part, a hash of it and of everything before it, under a namespace (tenant wall
     /// and model). Two prompts share a hash only where a replica may share the part.
     pub fn chain(&self, namespace: u64) -> Vec<u64> {
--- a/crates/gateway/tests/knowledge.rs
+++ b/crates/gateway/tests/knowledge.rs
@@ -2,11 +2,12 @@
 
 mod common;
 
-use common::{catalog, instance};
+use common::{catalog, instance, parts};
 use rstest::rstest;
+use std::collections::BTreeMap;
 use std::time::Duration;
 use topazmount_control::FleetView;
-use topazmount_gateway::{GatewaySettings, Knowledge};
+use topazmount_gateway::{Catalog, GatewaySettings, Knowledge, SplitPart};
 use topazmount_types::{ErrorKind, Time};
 
 const START: Time = Time::from_secs(1_000);
@@ -102,3 +103,20 @@
         knowledge.balancer().instances().map(|instance| instance.id.clone()).collect();
     assert_eq!(ids, ["b"]);
 }
+
+#[test]
+fn a_split_is_exact_over_any_run_of_requests() {
+    let mut knowledge = knowledge();
+    let mut parts = parts(1);
+    parts.routes[0].split[0].weight = 90;
+    parts.routes[0].split.push(SplitPart { service: "second".to_owned(), weight: 10 });
+    let catalog = Catalog::new(parts).unwrap();
+    knowledge.apply(&view(Some(Duration::ZERO)), Some(catalog), START);
+    let mut counts: BTreeMap<String, usize> = BTreeMap::new();
+    for number in 1..=500usize {
+        let admission = knowledge.admit("shop.example", "/a/x", Some("key-1"), START).unwrap();
+        *counts.entry(admission.service).or_default() += 1;
+        let second = *counts.get("second").unwrap_or(&0) as f64;
+        assert!((second - number as f64 * 0.1).abs() <= 2.0, "{second} of {number}");
+    }
+}
--- a/crates/topazmount/src/fleet/exchange.rs
+++ b/crates/topazmount/src/fleet/exchange.rs
@@ -12,10 +12,11 @@
 use futures_lite::AsyncWriteExt;
 use std::future::Future;
 use std::pin::pin;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 use topazmount_gateway::{
-    Admission, AttemptEnd, Choice, ChoiceRequest, EngineParameters, NextStep, RequestPlan,
-    RouteKind,
+    Admission, AttemptEnd, Choice, ChoiceRequest, EngineParameters, LoadNews, NextStep,
+    RequestPlan, RouteKind,
 };
 use topazmount_types::{ErrorKind, RunState, Time};
 
@@ -107,17 +108,18 @@
 struct InFlight<'a> {
     shared: &'a Shared,
     choice: Choice,
-    has_first_token: bool,
+    has_first_token: AtomicBool,
 }
 
 impl Drop for InFlight<'_> {
     fn drop(&mut self) {
+        let has_first_token = self.has_first_token.load(Ordering::SeqCst);
         let mut knowledge = self.shared.knowledge.lock().unwrap();
-        knowledge.balancer().ended(&self.choice, self.has_first_token);
+        knowledge.balancer().ended(&self.choice, has_first_token);
     }
 }
 
-impl Exchange<'_> {
+impl<'e> Exchange<'e> {
     fn ends_at(&self) -> Time {
         let timeout = self.admission.route.timeout;
         self.received + self.tags.deadline.map_or(timeout, |deadline| deadline.min(timeout))
@@ -173,20 +175,14 @@
             if self.left().is_zero() {
                 return self.give_up(&plan, &progress, time_over(&plan)).await;
             }
-            let chosen = {
-                let mut knowledge = self.shared.knowledge.lock().unwrap();
-                let choice = knowledge.choose(&self.choice_request(&plan), self.shared.clock.now());
-                if let Some(choice) = &choice {
-                    knowledge.balancer().sent(choice);
-                }
-                choice
-            };
-            let Some(choice) = chosen else {
+            let Some((in_flight, news)) = self.choose(&plan) else {
                 return self.give_up(&plan, &progress, plan.refusal()).await;
             };
-            plan.begin(choice.instance.id.clone());
-            let mut in_flight = InFlight { shared: self.shared, choice, has_first_token: false };
-            let attempt = self.attempt(&plan, &in_flight.choice, &progress).await;
+            plan.begin(in_flight.choice.instance.id.clone());
+            if let Some(news) = news {
+                self.shared.peers.tell(news).await;
+            }
+            let attempt = self.attempt(&plan, &in_flight, &progress).await;
             let end = match attempt {
                 Attempt::Success(head, body) => {
                     self.note_success(&in_flight.choice);
@@ -202,26 +198,23 @@
                         Some(_) => return self.pass_on(head, &body, &plan).await,
                     }
                 }
-                Attempt::Stream(begin) => {
-                    in_flight.has_first_token = begin.first.is_some();
-                    match self.relay(*begin, &mut progress).await {
-                        StreamEnd::Complete => {
-                            self.note_success(&in_flight.choice);
-                            self.log_attempt(&in_flight.choice, "success");
-                            self.log_end(&plan, 200, "stream");
-                            return Ending::Whole;
-                        }
-                        StreamEnd::ClientBroke => {
-                            self.log_end(&plan, 0, "client_gone");
-                            return Ending::Cut;
-                        }
-                        StreamEnd::TimeOver => {
-                            self.log_end(&plan, 0, "time_over");
-                            return Ending::Cut;
-                        }
-                        StreamEnd::ReplicaBroke => AttemptEnd::Broken,
+                Attempt::Stream(begin) => match self.relay(*begin, &mut progress).await {
+                    StreamEnd::Complete => {
+                        self.note_success(&in_flight.choice);
+                        self.log_attempt(&in_flight.choice, "success");
+                        self.log_end(&plan, 200, "stream");
+                        return Ending::Whole;
                     }
-                }
+                    StreamEnd::ClientBroke => {
+                        self.log_end(&plan, 0, "client_gone");
+                        return Ending::Cut;
+                    }
+                    StreamEnd::TimeOver => {
+                        self.log_end(&plan, 0, "time_over");
+                        return Ending::Cut;
+                    }
+                    StreamEnd::ReplicaBroke => AttemptEnd::Broken,
+                },
                 Attempt::Ended(end) => end,
             };
             self.note_failure(&in_flight.choice, end);
@@ -233,6 +226,18 @@
         }
     }
 
+    /// Chooses a replica and counts the request there; the other gateways should have the news.
+    fn choose(&self, plan: &RequestPlan) -> Option<(InFlight<'e>, Option<LoadNews>)> {
+        let request = self.choice_request(plan);
+        let now = self.shared.clock.now();
+        let mut knowledge = self.shared.knowledge.lock().unwrap();
+        let choice = knowledge.choose(&request, now)?;
+        knowledge.balancer().sent(&choice, &request, now);
+        let news = knowledge.balancer().news(&choice, &request, false);
+        let has_first_token = AtomicBool::new(false);
+        Some((InFlight { shared: self.shared, choice, has_first_token }, news))
+    }
+
     /// Asks the plan and the budget what follows: another attempt, or the kind of the answer.
     fn next(
         &self,
@@ -258,7 +263,13 @@
     }
 
     /// Sends the request to a replica and waits for the begin of its answer.
-    async fn attempt(&self, plan: &RequestPlan, choice: &Choice, progress: &Progress) -> Attempt {
+    async fn attempt(
+        &self,
+        plan: &RequestPlan,
+        in_flight: &InFlight<'_>,
+        progress: &Progress,
+    ) -> Attempt {
+        let choice = &in_flight.choice;
         let Ok(address) = choice.instance.address.parse() else {
             return Attempt::Ended(AttemptEnd::Unreachable);
         };
@@ -289,7 +300,7 @@
             }
             Some(First::Stream(begin)) => {
                 self.note_version(choice, &begin.head);
-                self.note_first_token(choice, plan, sent_at);
+                self.note_first_token(in_flight, plan, sent_at).await;
                 Attempt::Stream(begin)
             }
         }
@@ -578,12 +589,21 @@
         }
     }
 
-    fn note_first_token(&self, choice: &Choice, plan: &RequestPlan, sent_at: Time) {
+    async fn note_first_token(&self, in_flight: &InFlight<'_>, plan: &RequestPlan, sent_at: Time) {
+        let choice = &in_flight.choice;
+        in_flight.has_first_token.store(true, Ordering::SeqCst);
         let now = self.shared.clock.now();
         self.shared.metrics.first_event(now.since(self.received));
         let request = self.choice_request(plan);
-        let mut knowledge = self.shared.knowledge.lock().unwrap();
-        knowledge.balancer().first_token(choice, &request, now.since(sent_at), now);
+        let news = {
+            let mut knowledge = self.shared.knowledge.lock().unwrap();
+            let balancer = knowledge.balancer();
+            balancer.first_token(choice, &request, now.since(sent_at), now);
+            balancer.news(choice, &request, true)
+        };
+        if let Some(news) = news {
+            self.shared.peers.tell(news).await;
+        }
     }
 
     fn log_attempt(&self, choice: &Choice, end: &str) {
--- a/crates/topazmount/src/fleet/gateway.rs
+++ b/crates/topazmount/src/fleet/gateway.rs
@@ -6,6 +6,7 @@
 use super::http_service::{self, Service, within};
 use super::journal::Journal;
 use super::metrics::{Metrics, MetricsService};
+use super::peers::{self, Peers};
 use super::settings::FleetSettings;
 use super::watcher::{NewsReader, Watcher};
 use crate::Executor;
@@ -51,6 +52,7 @@
     pub(super) knowledge: Mutex<Knowledge>,
     pub(super) journal: Journal,
     pub(super) metrics: Metrics,
+    pub(super) peers: Arc<Peers>,
     is_stopping: AtomicBool,
     /// Whether new requests are refused.
     is_closed: AtomicBool,
@@ -91,6 +93,9 @@
         let clients = settings.listen.clients;
         let clients = clients.ok_or_else(|| eyre!("listen.clients: a gateway needs it"))?;
         let clock = Clock::start();
+        let key = ClusterKey::from_text(&settings.cluster_key);
+        let peers = Peers::bind(clients, settings.peer_port, key.clone()).await;
+        let peers = Arc::new(peers.wrap_err("listening for other gateways")?);
         let shared = Arc::new(Shared {
             clock,
             dialect,
@@ -101,6 +106,7 @@
             )),
             journal: Journal::default(),
             metrics: Metrics::default(),
+            peers: peers.clone(),
             is_stopping: AtomicBool::new(false),
             is_closed: AtomicBool::new(false),
             open_requests: AtomicUsize::new(0),
@@ -117,8 +123,8 @@
             let service = MetricsService(move || shared.render_metrics());
             http_service::serve(executor, address, Arc::new(service)).await?;
         }
-        let key = ClusterKey::from_text(&settings.cluster_key);
-        let watcher = Watcher::new(executor, clock, key, settings.seed_peers(), false);
+        executor.spawn(peers::listen(peers, shared.clone())).detach();
+        let watcher = Watcher::new(executor, clock, key, settings.seed_peers(), true);
         let report = GatewayReport {
             address: clients.to_string(),
             zone: settings.zone.clone(),
@@ -248,6 +254,9 @@
         for id in &view.removed {
             log::info!("gateway: event=instance_removed id={id} revision={}", view.revision);
         }
+        if let Some((_, gateways)) = &view.gateways {
+            self.shared.peers.set_gateways(gateways);
+        }
         self.shared.knowledge.lock().unwrap().apply(&view, catalog, asked_at);
     }
 }
--- a/crates/topazmount/src/fleet/mod.rs
+++ b/crates/topazmount/src/fleet/mod.rs
@@ -13,6 +13,7 @@
 mod journal;
 mod metrics;
 mod orders;
+mod peers;
 mod process;
 mod settings;
 mod stream;
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -12,5 +12,5 @@
 pub use codec::{decode_payload, encode_payload};
 pub use session::{
     ClusterKey, FrameError, HELLO_LENGTH, Hello, LENGTH_PREFIX, MAX_FRAME, Opener, Role, Sealer,
-    frame_length, session_keys,
+    frame_length, open_datagram, seal_datagram, session_keys,
 };
--- a/crates/wire/src/session.rs
+++ b/crates/wire/src/session.rs
@@ -15,6 +15,7 @@
 
 const MAGIC: &[u8; 4] = b"TPZM";
 const NONCE_LENGTH: usize = 16;
+const DATAGRAM_CONTEXT: &str = "topazmount 2026 datagram key";
 const DERIVE_CONTEXT: &str = "topazmount 2026 frame session key";
 
 /// Why a frame or a peer was refused.
@@ -133,6 +134,30 @@
     hasher.finalize()
 }
 
+/// Wraps a payload into a datagram that only processes of the same deployment can make. Datagrams
+/// may be lost, repeated and reordered: what they say must bear that.
+pub fn seal_datagram(cluster: &ClusterKey, payload: &[u8]) -> Vec<u8> {
+    let tag = tag(&datagram_key(cluster), 0, payload);
+    let mut datagram = Vec::with_capacity(1 + TAG_LENGTH + payload.len());
+    datagram.push(VERSION);
+    datagram.extend_from_slice(&tag.as_bytes()[..TAG_LENGTH]);
+    datagram.extend_from_slice(payload);
+    datagram
+}
+
+/// Checks a datagram and returns its payload.
+///
+/// # Errors
+/// [`FrameError`] says what is wrong.
+pub fn open_datagram<'a>(cluster: &ClusterKey, datagram: &'a [u8]) -> Result<&'a [u8], FrameError> {
+    let opener = Opener { key: datagram_key(cluster), sequence: 0 };
+    opener.check(datagram)
+}
+
+fn datagram_key(cluster: &ClusterKey) -> [u8; 32] {
+    blake3::derive_key(DATAGRAM_CONTEXT, &cluster.0)
+}
+
 impl Sealer {
     /// Wraps a payload into a whole frame, length prefix included.
     ///
@@ -160,6 +185,12 @@
     /// # Errors
     /// [`FrameError`] says what is wrong; the connection must then be closed.
     pub fn open<'a>(&mut self, frame: &'a [u8]) -> Result<&'a [u8], FrameError> {
+        let payload = self.check(frame)?;
+        self.sequence += 1;
+        Ok(payload)
+    }
+
+    fn check<'a>(&self, frame: &'a [u8]) -> Result<&'a [u8], FrameError> {
         if frame.len() < 1 + TAG_LENGTH {
             return Err(FrameError::Length(frame.len()));
         }
@@ -175,7 +206,6 @@
         if difference != 0 {
             return Err(FrameError::Authentication);
         }
-        self.sequence += 1;
         Ok(payload)
     }
 }
--- a/crates/wire/tests/frames.rs
+++ b/crates/wire/tests/frames.rs
@@ -97,3 +97,18 @@
         let _ = decode_payload::<(u64, String)>(&bytes);
     }
 }
+
+#[test]
+fn datagrams_of_other_deployments_and_altered_ones_are_refused() {
+    use topazmount_wire::{FrameError, open_datagram, seal_datagram};
+    let (key, other) = (ClusterKey::from_text("one"), ClusterKey::from_text("other"));
+    let datagram = seal_datagram(&key, b"news");
+    assert_eq!(open_datagram(&key, &datagram).unwrap(), b"news");
+    assert_eq!(open_datagram(&other, &datagram), Err(FrameError::Authentication));
+    for position in 0..datagram.len() {
+        let mut altered = datagram.clone();
+        altered[position] ^= 1;
+        assert!(open_datagram(&key, &altered).is_err(), "byte {position}");
+        assert!(open_datagram(&key, &datagram[..position]).is_err(), "{position} bytes");
+    }
+}
