--- a/crates/control/src/fleet/schedule.rs
+++ b/crates/control/src/fleet/schedule.rs
@@ -9,7 +9,9 @@
 /// Time that one replica takes from its order until it serves again.
 const LOAD_TIME: Duration = Duration::from_millis(1_150);
 /// Time for which gateways pass a replica over before its order, so that most of its runs end.
-pub(crate) const PAUSE_BEFORE_ORDER: Duration = Duration::from_millis(800);
+pub(crate) const PAUSE_BEFORE_ORDER: Duration = Duration::from_millis(300);
+/// Replicas of a service that are paused while others load, to be the next.
+const PAUSED_AHEAD: usize = 1;
 /// Time kept back of the bound.
 const MARGIN: Duration = Duration::from_millis(2_000);
 /// Age that a version is given that was named before this holder led.
@@ -57,7 +59,7 @@
     ) -> usize {
         let at_once = Self::at_once(replicas);
         // Those that come next are paused while others load.
-        let free = (2 * at_once).saturating_sub(under_way);
+        let free = (at_once + PAUSED_AHEAD).saturating_sub(under_way);
         // The position-th replica has to wait for so many rounds before its own.
         let is_urgent = |(position, deadline): (usize, &Time)| {
             let rounds = (position + under_way) / at_once + 1;
