--- a/crates/topazmount/src/http1/mod.rs
+++ b/crates/topazmount/src/http1/mod.rs
@@ -1,7 +1,7 @@
 //! HTTP/1.1 messages over a TCP stream, for forwarding without change.
 //!
 //! `httparse` reads heads and chunk sizes. Everything that decides how long a message is stands in
-//! [`framing`]: a message whose length could be read in two ways is refused (RFC 9112, 6.3 and
+//! `framing`: a message whose length could be read in two ways is refused (RFC 9112, 6.3 and
 //! 11.2), since a replica might read it the other way.
 
 mod body;
