--- a/crates/gateway/src/balancer/mod.rs
+++ b/crates/gateway/src/balancer/mod.rs
@@ -41,6 +41,8 @@
 pub struct ChoiceRequest<'a> {
     /// Service that the request goes to.
     pub service: &'a str,
+    /// Hash of the tenant's name; 0 where there is none.
+    pub tenant: u64,
     /// Prompt, if the request has one.
     pub prompt: Option<&'a Prompt>,
     /// Model of the prompt.
@@ -60,6 +62,20 @@
         self.prompt.map(|prompt| prompt.chain(self.namespace)).unwrap_or_default()
     }
 
+    fn as_policies_see_it<'a>(&self, chain: &'a [u64], sequence: u64) -> RouteRequest<'a> {
+        RouteRequest {
+            tenant: TenantId(self.tenant),
+            model: ModelId(self.namespace),
+            weights: WeightsVersion::default(),
+            priority: Priority::Normal,
+            prompt_tokens: self.prompt.map_or(0, |prompt| prompt.prompt_tokens),
+            max_tokens: self.prompt.map_or(0, |prompt| prompt.output_tokens),
+            blocks: chain,
+            session: 0,
+            sequence,
+        }
+    }
+
     /// Chain of the parts that requests share; the last part is the request's own.
     fn shared(&self) -> Vec<u64> {
         let mut chain = self.chain();
@@ -77,6 +93,8 @@
     pub expected_prefill: u32,
     /// Estimated time to the first token, in milliseconds.
     pub estimate_ms: f64,
+    /// Number of the policy that decided.
+    pub policy: usize,
     /// Place in the order of the prompt's homes; 0 is the first.
     pub home_rank: u32,
     /// Version of the model's weights that it is believed to hold.
@@ -186,17 +204,7 @@
         let view = self.prompt_view(request, now);
         let candidates = self.candidates(&open, request, &view, now);
         let chain = request.chain();
-        let route_request = RouteRequest {
-            tenant: TenantId::default(),
-            model: ModelId(request.namespace),
-            weights: WeightsVersion::default(),
-            priority: Priority::Normal,
-            prompt_tokens: request.prompt.map_or(0, |prompt| prompt.prompt_tokens),
-            max_tokens: request.prompt.map_or(0, |prompt| prompt.output_tokens),
-            blocks: &chain,
-            session: 0,
-            sequence: self.sequence,
-        };
+        let route_request = request.as_policies_see_it(&chain, self.sequence);
         let policy = policies.assign(&route_request);
         let position = policies.choose(policy, &route_request, &candidates)?;
         let candidate = candidates.get(position)?;
@@ -206,6 +214,7 @@
             instance: replica.instance.clone(),
             expected_prefill: route_request.prompt_tokens.saturating_sub(candidate.cached_tokens),
             estimate_ms: candidate.estimate_ms(),
+            policy,
             home_rank: candidate.home_rank,
             version: replica.version(request.model),
             source: source.map(|(source, _)| source.instance.address.clone()),
@@ -213,6 +222,14 @@
         })
     }
 
+    /// Whether the policy that decides on the request lets it run.
+    pub fn admits(&self, request: &ChoiceRequest<'_>, policies: &mut PolicyTable) -> bool {
+        let chain = request.chain();
+        let route_request = request.as_policies_see_it(&chain, self.sequence + 1);
+        let policy = policies.assign(&route_request);
+        policies.admit(policy, &route_request)
+    }
+
     /// Replicas that may be asked: healthy ones, else those that failed lately.
     fn open_replicas(&self, request: &ChoiceRequest<'_>, now: Time) -> Vec<InstanceId> {
         let may_serve = |replica: &&Replica| {
--- a/crates/gateway/src/knowledge.rs
+++ b/crates/gateway/src/knowledge.rs
@@ -106,6 +106,27 @@
         &mut self.policies
     }
 
+    /// Whether the policy that decides on a request lets it run.
+    pub fn is_admitted_by_policy(&mut self, request: &ChoiceRequest<'_>) -> bool {
+        self.balancer.admits(request, &mut self.policies)
+    }
+
+    /// Notes the first token of a request, `waited` after it was sent.
+    pub fn first_token(
+        &mut self,
+        choice: &Choice,
+        request: &ChoiceRequest<'_>,
+        waited: Duration,
+        now: Time,
+    ) {
+        self.balancer.first_token(choice, request, waited, now);
+        self.policies.first_token(choice.policy, waited.as_secs_f64() * 1_000.0);
+        if let Some(prompt) = request.prompt {
+            let found = prompt.prompt_tokens.saturating_sub(choice.expected_prefill);
+            self.policies.ended(choice.policy, prompt.prompt_tokens, found);
+        }
+    }
+
     /// Whether what it knows is confirmed now.
     pub fn is_confirmed(&self, now: Time) -> bool {
         self.catalog.is_some() && now < self.confirmed_until
--- a/crates/gateway/tests/balancer.rs
+++ b/crates/gateway/tests/balancer.rs
@@ -30,6 +30,7 @@
     let engine = engine();
     let request = ChoiceRequest {
         service: "pool",
+        tenant: 0,
         prompt: Some(prompt),
         model: Some("model"),
         namespace: 1,
@@ -133,6 +134,7 @@
 fn request<'a>(prompt: &'a Prompt) -> ChoiceRequest<'a> {
     ChoiceRequest {
         service: "pool",
+        tenant: 0,
         prompt: Some(prompt),
         model: Some("model"),
         namespace: 1,
--- a/crates/topazmount/src/fleet/exchange.rs
+++ b/crates/topazmount/src/fleet/exchange.rs
@@ -18,7 +18,7 @@
     Admission, AttemptEnd, Choice, ChoiceRequest, EngineParameters, LoadNews, NextStep,
     RequestPlan, RouteKind,
 };
-use topazmount_types::{ErrorKind, RunState, Time};
+use topazmount_types::{ErrorKind, RunState, TenantId, Time};
 
 /// Longest time for a connection to a replica to come up.
 const CONNECT_LIMIT: Duration = Duration::from_millis(300);
@@ -132,6 +132,7 @@
     fn choice_request<'a>(&'a self, plan: &'a RequestPlan) -> ChoiceRequest<'a> {
         ChoiceRequest {
             service: &self.admission.service,
+            tenant: self.tenant_hash(),
             prompt: self.tags.prompt.as_ref(),
             model: self.tags.model.as_deref(),
             namespace: self.namespace(),
@@ -149,6 +150,10 @@
         hasher.finish()
     }
 
+    fn tenant_hash(&self) -> u64 {
+        self.admission.tenant.as_ref().map_or(0, |tenant| TenantId::from_name(&tenant.name).0)
+    }
+
     /// The tenant whose cached prompt parts are kept from all others, if it is one.
     fn wall(&self) -> Option<&str> {
         let tenant = self.admission.tenant.as_ref()?;
@@ -171,6 +176,9 @@
         let now = self.shared.clock.now();
         let service = self.admission.service.clone();
         self.shared.knowledge.lock().unwrap().count_request(&service, now);
+        if !self.is_admitted_by_policy(&plan) {
+            return self.give_up(&plan, &progress, ErrorKind::RefusedByPolicy).await;
+        }
         loop {
             if self.left().is_zero() {
                 return self.give_up(&plan, &progress, time_over(&plan)).await;
@@ -226,6 +234,12 @@
         }
     }
 
+    fn is_admitted_by_policy(&self, plan: &RequestPlan) -> bool {
+        let request = self.choice_request(plan);
+        let has_prompt = request.prompt.is_some();
+        !has_prompt || self.shared.knowledge.lock().unwrap().is_admitted_by_policy(&request)
+    }
+
     /// Chooses a replica and counts the request there; the other gateways should have the news.
     fn choose(&self, plan: &RequestPlan) -> Option<(InFlight<'e>, Option<LoadNews>)> {
         let request = self.choice_request(plan);
@@ -597,9 +611,8 @@
         let request = self.choice_request(plan);
         let news = {
             let mut knowledge = self.shared.knowledge.lock().unwrap();
-            let balancer = knowledge.balancer();
-            balancer.first_token(choice, &request, now.since(sent_at), now);
-            balancer.news(choice, &request, true)
+            knowledge.first_token(choice, &request, now.since(sent_at), now);
+            knowledge.balancer().news(choice, &request, true)
         };
         if let Some(news) = news {
             self.shared.peers.tell(news).await;
--- a/crates/topazmount/src/fleet/gateway.rs
+++ b/crates/topazmount/src/fleet/gateway.rs
@@ -96,14 +96,12 @@
         let key = ClusterKey::from_text(&settings.cluster_key);
         let peers = Peers::bind(clients, settings.peer_port, key.clone()).await;
         let peers = Arc::new(peers.wrap_err("listening for other gateways")?);
+        let mut knowledge = Knowledge::new(&settings.zone, settings.gateway(), rand::random());
+        settings.policy_table(knowledge.policies())?;
         let shared = Arc::new(Shared {
             clock,
             dialect,
-            knowledge: Mutex::new(Knowledge::new(
-                &settings.zone,
-                settings.gateway(),
-                rand::random(),
-            )),
+            knowledge: Mutex::new(knowledge),
             journal: Journal::default(),
             metrics: Metrics::default(),
             peers: peers.clone(),
@@ -140,8 +138,13 @@
 
     /// Takes changed settings into use; addresses and names stay until the next start.
     pub fn reload(&self, settings: &FleetSettings) {
-        self.shared.knowledge.lock().unwrap().set_settings(settings.gateway());
-        log::info!("gateway: event=reload");
+        let mut knowledge = self.shared.knowledge.lock().unwrap();
+        if let Err(error) = settings.policy_table(knowledge.policies()) {
+            log::error!("gateway: event=reload_refused problem={error:#}");
+            return;
+        }
+        knowledge.set_settings(settings.gateway());
+        log::info!("gateway: event=reload policies={}", settings.policies.len());
     }
 
     /// Stops as planned: tells that it is not ready, finishes what comes in until clients have
@@ -181,6 +184,9 @@
             let seen = knowledge.seen();
             self.metrics.set_state("configuration_version", seen.document as i64);
             self.metrics.set_state("registry_revision", seen.revision as i64);
+            for (name, counters) in knowledge.policies().report() {
+                self.metrics.set_policy(name, counters);
+            }
             self.metrics.set_state("replicas", knowledge.balancer().instances().count() as i64);
         }
         self.metrics.set_state("ready", i64::from(is_ready));
--- a/crates/topazmount/src/fleet/metrics.rs
+++ b/crates/topazmount/src/fleet/metrics.rs
@@ -4,9 +4,11 @@
 use super::http_service::Service;
 use crate::http1::RequestHead;
 use prometheus::{
-    Encoder, HistogramOpts, HistogramVec, IntCounterVec, IntGaugeVec, Opts, Registry, TextEncoder,
+    Encoder, GaugeVec, HistogramOpts, HistogramVec, IntCounterVec, IntGaugeVec, Opts, Registry,
+    TextEncoder,
 };
 use std::time::Duration;
+use topazmount_routing::PolicyCounters;
 
 /// Path of the metrics.
 pub const METRICS_PATH: &str = "/metrics";
@@ -22,6 +24,7 @@
     events: IntCounterVec,
     latency: HistogramVec,
     state: IntGaugeVec,
+    policies: GaugeVec,
 }
 
 impl Default for Metrics {
@@ -47,7 +50,11 @@
             .expect("names and labels are valid and differ");
         registry.register(Box::new(latency.clone())).expect("each is registered once");
         registry.register(Box::new(state.clone())).expect("each is registered once");
-        Metrics { registry, answers, attempts, calls, events, latency, state }
+        let policies =
+            GaugeVec::new(Opts::new("policy", "What each policy did."), &["policy", "figure"])
+                .expect("names and labels are valid and differ");
+        registry.register(Box::new(policies.clone())).expect("each is registered once");
+        Metrics { registry, answers, attempts, calls, events, latency, state, policies }
     }
 }
 
@@ -84,6 +91,25 @@
         self.state.with_label_values(&[of]).set(value);
     }
 
+    /// Sets what a policy did. Tokens found kept are those that the gateway expected to be.
+    pub fn set_policy(&self, name: &str, counters: &PolicyCounters) {
+        let firsts = counters.first_tokens as f64;
+        let mean = if firsts > 0.0 { counters.first_token_ms_sum / firsts } else { 0.0 };
+        let figures = [
+            ("decided", counters.decided as f64),
+            ("refused", counters.refused as f64),
+            ("shadowed", counters.shadowed as f64),
+            ("agreed", counters.agreed as f64),
+            ("failures", counters.failures.values().sum::<u64>() as f64),
+            ("prompt_tokens", counters.prompt_tokens as f64),
+            ("expected_kept_tokens", counters.cached_tokens as f64),
+            ("first_token_ms_mean", mean),
+        ];
+        for (figure, value) in figures {
+            self.policies.with_label_values(&[name, figure]).set(value);
+        }
+    }
+
     /// All figures as text.
     pub fn render(&self) -> String {
         let mut text = Vec::new();
--- a/crates/topazmount/src/fleet/mod.rs
+++ b/crates/topazmount/src/fleet/mod.rs
@@ -24,4 +24,4 @@
 pub use gateway::{Gateway, GatewayOptions};
 pub use metrics::{METRICS_PATH, Metrics};
 pub use process::{run_control, run_gateway};
-pub use settings::{FleetSettings, Listen};
+pub use settings::{Bounds, FleetPolicy, FleetSettings, Listen};
--- a/crates/topazmount/src/fleet/settings.rs
+++ b/crates/topazmount/src/fleet/settings.rs
@@ -1,12 +1,14 @@
 //! Settings of a process of a fleet, in TOML.
 
-use eyre::{Result, WrapErr};
+use eyre::{Result, WrapErr, eyre};
 use serde::Deserialize;
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::time::Duration;
 use topazmount_control::RolloutSettings;
 use topazmount_gateway::{BudgetSettings, GatewaySettings};
+use topazmount_routing::{BUILT_IN, PolicyProgram, PolicyTable, ProgramLimits, ShareSettings};
 
 /// Settings of one process.
 #[derive(Clone, Debug, PartialEq, Deserialize)]
@@ -33,6 +35,25 @@
     pub listen: Listen,
     /// Bounds that it keeps.
     pub bounds: Bounds,
+    /// Policy programs that decide on a gateway, or are shadowed there.
+    #[serde(default, rename = "policy")]
+    pub policies: Vec<FleetPolicy>,
+}
+
+/// A policy program of a gateway.
+#[derive(Clone, Debug, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct FleetPolicy {
+    /// Name in reports.
+    pub name: String,
+    /// File of the program.
+    pub file: PathBuf,
+    /// Part of the prompts that it decides, 0 to 1.
+    #[serde(default)]
+    pub share: f64,
+    /// Whether it is compared with whatever decides.
+    #[serde(default)]
+    pub shadow: bool,
 }
 
 /// Addresses; each is served by the kind of process that has a use for it.
@@ -97,9 +118,51 @@
         eyre::ensure!(is_number(bounds.retry_ratio), "bounds.retry_ratio: must be 0 or more");
         eyre::ensure!(is_number(bounds.retry_slack), "bounds.retry_slack: must be 0 or more");
         eyre::ensure!(is_number(bounds.retry_window_s), "bounds.retry_window_s: must be 0 or more");
+        settings.check_policies()?;
         Ok(settings)
     }
 
+    fn check_policies(&self) -> Result<()> {
+        let mut names = BTreeSet::from([BUILT_IN]);
+        for policy in &self.policies {
+            let is_new = names.insert(policy.name.as_str());
+            eyre::ensure!(is_new, "policy.name: \"{}\" is taken", policy.name);
+            let is_share = (0.0..=1.0).contains(&policy.share);
+            eyre::ensure!(is_share, "policy.share: must be 0 to 1 for \"{}\"", policy.name);
+        }
+        let shares: f64 = self.policies.iter().map(|policy| policy.share).sum();
+        eyre::ensure!(shares <= 1.0, "policy.share: the shares add up to more than 1");
+        Ok(())
+    }
+
+    /// Reads and compiles the policy programs into a table.
+    ///
+    /// # Errors
+    /// What is wrong, with the file and, for a program, its line.
+    pub fn policy_table(&self, table: &mut PolicyTable) -> Result<()> {
+        let mut programs = Vec::new();
+        for policy in &self.policies {
+            let text = std::fs::read_to_string(&policy.file)
+                .wrap_err_with(|| format!("reading {}", policy.file.display()))?;
+            let program = PolicyProgram::compile(&text, ProgramLimits::default())
+                .map_err(|error| eyre!("{}: {error}", policy.file.display()))?;
+            programs.push((policy.name.clone(), program));
+        }
+        let shares: Vec<ShareSettings> = self
+            .policies
+            .iter()
+            .map(|policy| ShareSettings { policy: policy.name.clone(), share: policy.share })
+            .collect();
+        let shadows: Vec<String> = self
+            .policies
+            .iter()
+            .filter(|policy| policy.shadow)
+            .map(|policy| policy.name.clone())
+            .collect();
+        table.replace(programs, &shares, &shadows);
+        Ok(())
+    }
+
     /// Internal addresses of the seeds.
     pub fn seed_peers(&self) -> Vec<SocketAddr> {
         self.seeds.iter().map(|seed| SocketAddr::new(seed.ip(), self.peer_port)).collect()
--- /dev/null
+++ b/crates/topazmount/tests/fleet_settings.rs
@@ -0,0 +1,67 @@
+//! Settings of a fleet's process are checked as a whole, and each fault names its key.
+
+use rstest::rstest;
+use std::time::Duration;
+use topazmount::fleet::FleetSettings;
+use topazmount_routing::PolicyTable;
+
+const GOOD: &str = r#"
+name = "edge-1"
+zone = "north"
+region = "here"
+cluster_key = "secret"
+peer_port = 7340
+seeds = ["10.1.0.33:8783", "10.2.0.24:8783"]
+[listen]
+clients = "10.1.0.30:8782"
+[bounds]
+stop_s = 8
+revocation_ms = 5000
+lease_ms = 3000
+spread_ms = 8000
+retry_ratio = 0.2
+retry_slack = 54
+retry_window_s = 10
+[[policy]]
+name = "nearest"
+file = "/nowhere.rhai"
+share = 0.5
+"#;
+
+#[test]
+fn good_settings_are_taken() {
+    let settings = FleetSettings::parse(GOOD).unwrap();
+    assert_eq!(settings.stop_time(), Duration::from_secs(8));
+    assert_eq!(settings.gateway().revocation, Some(Duration::from_secs(5)));
+    let peers: Vec<String> = settings.seed_peers().iter().map(ToString::to_string).collect();
+    assert_eq!(peers, ["10.1.0.33:7340", "10.2.0.24:7340"]);
+    let unbounded = GOOD.replace("revocation_ms = 5000", "revocation_ms = 0");
+    assert_eq!(FleetSettings::parse(&unbounded).unwrap().gateway().revocation, None);
+}
+
+#[rstest]
+#[case("name = \"edge-1\"", "name = \"\"", "name")]
+#[case("cluster_key = \"secret\"", "cluster_key = \"\"", "cluster_key")]
+#[case("cluster_key = \"secret\"", "", "cluster_key")]
+#[case("seeds = [\"10.1.0.33:8783\", \"10.2.0.24:8783\"]", "seeds = []", "seeds")]
+#[case("10.1.0.33:8783", "nowhere", "seeds")]
+#[case("peer_port = 7340", "peer_port = 70000", "peer_port")]
+#[case("stop_s = 8", "stop_s = -1", "stop_s")]
+#[case("retry_ratio = 0.2", "retry_ratio = -0.2", "retry_ratio")]
+#[case("retry_ratio = 0.2", "retry_ratio = nan", "retry_ratio")]
+#[case("retry_slack = 54", "retry_slack = \"many\"", "retry_slack")]
+#[case("zone = \"north\"", "zone = \"north\"\nzome = \"x\"", "zome")]
+#[case("share = 0.5", "share = 1.5", "policy.share")]
+#[case("name = \"nearest\"", "name = \"built-in\"", "policy.name")]
+fn each_fault_names_its_key(#[case] part: &str, #[case] instead: &str, #[case] key: &str) {
+    assert!(GOOD.contains(part), "{part}");
+    let error = FleetSettings::parse(&GOOD.replacen(part, instead, 1)).unwrap_err();
+    assert!(format!("{error:#}").contains(key), "{error:#}");
+}
+
+#[test]
+fn a_program_that_can_not_be_read_is_named() {
+    let settings = FleetSettings::parse(GOOD).unwrap();
+    let error = settings.policy_table(&mut PolicyTable::default()).unwrap_err();
+    assert!(format!("{error:#}").contains("/nowhere.rhai"), "{error:#}");
+}
