--- a/crates/control/src/fleet/leader.rs
+++ b/crates/control/src/fleet/leader.rs
@@ -1,7 +1,8 @@
 //! What only the leading member keeps of the fleet, in memory.
 
+use super::orders::{FleetAction, OrderReport};
 use super::protocol::{FleetView, GatewayReport, InstanceReport, InstanceStatus, WatchRequest};
-use super::rollout::{FleetAction, OrderReport, Rollout, RolloutSettings};
+use super::rollout::{Rollout, RolloutSettings};
 use super::state::{FleetCommand, FleetState};
 use crate::member::Token;
 use std::collections::BTreeMap;
--- a/crates/control/src/fleet/mod.rs
+++ b/crates/control/src/fleet/mod.rs
@@ -5,17 +5,17 @@
 //! replica and gateway was last heard of, who waits for news, and the roll-out of weights.
 
 mod leader;
+mod orders;
 mod protocol;
 mod rollout;
 mod schedule;
 mod state;
 
 pub(crate) use leader::FleetLeader;
+pub use orders::{FleetAction, LoadMode, OrderEnd, OrderReport, ReplicaReport, WeightsOrder};
 pub use protocol::{
     Availability, FleetRequest, FleetResponse, FleetView, GatewayReport, InstanceReport,
     InstanceStatus, LoadedModel, Seen, WatchRequest,
 };
-pub use rollout::{
-    FleetAction, LoadMode, OrderEnd, OrderReport, ReplicaReport, RolloutSettings, WeightsOrder,
-};
+pub use rollout::RolloutSettings;
 pub use state::{Document, FleetCommand, FleetState};
--- a/crates/control/src/fleet/protocol.rs
+++ b/crates/control/src/fleet/protocol.rs
@@ -1,6 +1,6 @@
 //! What gateways, replicas and operators ask the control group about the fleet.
 
-use super::rollout::OrderReport;
+use super::orders::OrderReport;
 use super::state::Document;
 use serde::{Deserialize, Serialize};
 use std::time::Duration;
--- a/crates/control/src/fleet/rollout.rs
+++ b/crates/control/src/fleet/rollout.rs
@@ -1,8 +1,8 @@
 //! Rolls named weights out to replicas by orders that only one holder gives.
 
+use super::orders::{FleetAction, LoadMode, OrderEnd, OrderReport, ReplicaReport, WeightsOrder};
 use super::protocol::{Availability, InstanceStatus, LoadedModel};
 use super::schedule::{PAUSE_BEFORE_ORDER, Schedule};
-use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 use std::time::Duration;
 use topazmount_consensus::Term;
@@ -39,85 +39,6 @@
     }
 }
 
-/// What happens to requests that run at a replica while it loads weights.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub enum LoadMode {
-    /// They end first.
-    FinishRuns,
-    /// They go on, under the new weights.
-    KeepRuns,
-}
-
-/// An order to load a version of a model's weights.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct WeightsOrder {
-    /// Replica.
-    pub instance: InstanceId,
-    /// Its address.
-    pub address: String,
-    /// Model.
-    pub model: String,
-    /// Version.
-    pub version: u32,
-    /// What happens to what runs there.
-    pub mode: LoadMode,
-    /// Fencing token: the leader's term.
-    pub fence: Term,
-    /// Orders that the replica must have taken before, so that a late copy is not carried out.
-    pub expected_sequence: u64,
-}
-
-/// Something for the leader's shell to send.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub enum FleetAction {
-    /// Send an order.
-    Order(WeightsOrder),
-    /// Ask a replica for its report.
-    Question {
-        /// Replica.
-        instance: InstanceId,
-        /// Its address.
-        address: String,
-    },
-}
-
-/// How an order ended.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub enum OrderEnd {
-    /// It is being carried out.
-    Accepted,
-    /// It held already.
-    Holds,
-    /// Another order is under way, or the expected sequence does not match.
-    Conflict,
-    /// A newer holder gave orders.
-    Fenced,
-    /// Refused for another reason, or the replica is not the one expected.
-    Refused,
-    /// No answer: it may have been taken.
-    Unknown,
-}
-
-/// What a replica reports when asked.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct ReplicaReport {
-    /// Models that it holds.
-    pub models: Vec<LoadedModel>,
-    /// Whether an order is under way.
-    pub is_busy: bool,
-    /// Orders taken.
-    pub sequence: u64,
-}
-
-/// The shell's word on an action.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub enum OrderReport {
-    /// An order ended.
-    Order(InstanceId, OrderEnd),
-    /// A question was answered, or not.
-    Question(InstanceId, Option<ReplicaReport>),
-}
-
 #[derive(Clone, Copy, Debug, PartialEq)]
 enum Phase {
     /// Gateways are told to pass it over.
--- /dev/null
+++ b/crates/topazmount/src/fleet/clients.rs
@@ -0,0 +1,259 @@
+//! Clients' connections: requests in, each handed to its exchange, answers out.
+
+use super::answer::own_answer;
+use super::dialect::RequestTags;
+use super::exchange::{Ending, Exchange};
+use super::gateway::Shared;
+use super::http_service::within;
+use crate::Executor;
+use crate::http1::{BodyError, BodyReader, HeadError, RequestHead, Wire, request_framing};
+use async_net::TcpListener;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+use topazmount_types::{ErrorKind, Time};
+
+/// Pause after a failed accept, for example without free descriptors.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+/// Time for a client to read the end of a refused request's answer.
+const REFUSAL_LINGER: Duration = Duration::from_millis(300);
+
+/// Counts a request from its first byte to the end of its answer.
+struct OpenRequest<'a>(&'a Shared);
+
+impl<'a> OpenRequest<'a> {
+    fn new(shared: &'a Shared) -> Self {
+        shared.open_requests.fetch_add(1, Ordering::SeqCst);
+        OpenRequest(shared)
+    }
+}
+
+impl Drop for OpenRequest<'_> {
+    fn drop(&mut self) {
+        self.0.open_requests.fetch_sub(1, Ordering::SeqCst);
+    }
+}
+
+/// Takes connections for ever.
+pub(super) async fn accept(executor: Executor, listener: TcpListener, shared: Arc<Shared>) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                let serving = serve_client(shared.clone(), Wire::new(stream));
+                executor.spawn(serving).detach();
+            }
+            Err(error) => {
+                log::warn!("gateway: event=accept_failed error={error:?}");
+                async_io::Timer::after(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
+/// Why a request could not be read.
+enum Unread {
+    /// The client closed, rested too long or broke off.
+    Gone,
+    /// It is answered with this kind, and the connection closed.
+    Refused(ErrorKind),
+}
+
+async fn serve_client(shared: Arc<Shared>, mut wire: Wire) {
+    loop {
+        let head = match read_head(&shared, &mut wire).await {
+            Ok(head) => head,
+            Err(Unread::Gone) => return,
+            Err(Unread::Refused(kind)) => return refuse(&shared, &mut wire, kind).await,
+        };
+        let _open = OpenRequest::new(&shared);
+        let received = shared.clock.now();
+        let body = match read_body(&shared, &mut wire, &head).await {
+            Ok(body) => body,
+            Err(Unread::Gone) => return,
+            Err(Unread::Refused(kind)) => return refuse(&shared, &mut wire, kind).await,
+        };
+        let keeps_alive = head.keeps_alive() && !shared.is_stopping();
+        let ending = serve_request(&shared, &mut wire, &head, &body, received, keeps_alive).await;
+        match ending {
+            Some(Ending::Whole) if keeps_alive => {}
+            Some(Ending::Whole) => return wire.finish(),
+            Some(Ending::Cut) | None => return wire.abort(),
+        }
+    }
+}
+
+/// Serves one request; `None` when the client left first.
+async fn serve_request(
+    shared: &Shared,
+    wire: &mut Wire,
+    head: &RequestHead,
+    body: &[u8],
+    received: Time,
+    keeps_alive: bool,
+) -> Option<Ending> {
+    let tags = match shared.dialect.request(head) {
+        Ok(tags) => tags,
+        Err(problem) => {
+            log::info!("gateway: event=refused problem={problem:?}");
+            return Some(
+                answer_kind(shared, wire, head, ErrorKind::InvalidRequest, keeps_alive).await,
+            );
+        }
+    };
+    let host = head.host().unwrap_or_default();
+    let admission = if shared.is_closed.load(Ordering::SeqCst) {
+        Err(ErrorKind::Draining)
+    } else {
+        let mut knowledge = shared.knowledge.lock().unwrap();
+        knowledge.admit(host, head.path(), tags.key.as_deref(), received)
+    };
+    let admission = match admission {
+        Ok(admission) => admission,
+        Err(kind) => {
+            log_refusal(shared, &tags, host, head.path(), kind);
+            return Some(answer_kind(shared, wire, head, kind, keeps_alive).await);
+        }
+    };
+    let client = wire.writer();
+    let engine = {
+        let knowledge = shared.knowledge.lock().unwrap();
+        let service = knowledge.catalog().and_then(|all| all.service(&admission.service).cloned());
+        service.and_then(|service| service.engine)
+    };
+    let exchange = Exchange {
+        shared,
+        head,
+        body,
+        tags: &tags,
+        admission: &admission,
+        received,
+        keeps_alive,
+        engine,
+        client,
+    };
+    let served = async { Some(exchange.run().await) };
+    let left = async {
+        wire.gone().await;
+        None
+    };
+    let ending = futures_lite::future::or(served, left).await;
+    if ending.is_none() {
+        shared.metrics.answer("client_gone", shared.clock.now().since(received));
+        shared.journal.line(|| {
+            let after = shared.clock.now().since(received).as_millis();
+            format!("gateway: event=client_gone request={} after_ms={after}", tags.id)
+        });
+    }
+    ending
+}
+
+fn log_refusal(shared: &Shared, tags: &RequestTags, host: &str, path: &str, kind: ErrorKind) {
+    shared.metrics.answer(kind.name(), Duration::ZERO);
+    shared.journal.line(|| {
+        let version = shared.knowledge.lock().unwrap().seen().document;
+        format!(
+            "gateway: event=answer request={} status={} reason={} host={host} path={path} \
+             version={version}",
+            tags.id,
+            kind.status(),
+            kind.name()
+        )
+    });
+}
+
+async fn answer_kind(
+    shared: &Shared,
+    wire: &mut Wire,
+    head: &RequestHead,
+    kind: ErrorKind,
+    keeps_alive: bool,
+) -> Ending {
+    let answer = shared.dialect.refusal(kind, shared.retry_after(kind));
+    match wire.write_all(&own_answer(&answer, head, keeps_alive)).await {
+        Ok(()) => Ending::Whole,
+        Err(_) => Ending::Cut,
+    }
+}
+
+/// Answers a request that could not be read, and closes in a way that lets the client read that.
+async fn refuse(shared: &Shared, wire: &mut Wire, kind: ErrorKind) {
+    shared.metrics.answer(kind.name(), Duration::ZERO);
+    let answer = shared.dialect.refusal(kind, None);
+    let head = RequestHead {
+        method: String::new(),
+        target: String::new(),
+        minor_version: 1,
+        headers: Default::default(),
+    };
+    shared.journal.line(|| {
+        format!("gateway: event=answer status={} reason={} unread", kind.status(), kind.name())
+    });
+    let _ = wire.write_all(&own_answer(&answer, &head, false)).await;
+    wire.finish();
+    // Closing with unread bytes would reset the connection before the client has the answer.
+    within(REFUSAL_LINGER, async {
+        while matches!(wire.fill().await, Ok(read) if read > 0) {
+            wire.consume(usize::MAX);
+        }
+    })
+    .await;
+}
+
+async fn read_head(shared: &Shared, wire: &mut Wire) -> Result<RequestHead, Unread> {
+    let mut first_byte: Option<Time> = None;
+    loop {
+        let limits = shared.limits();
+        match RequestHead::parse(wire.buffered()) {
+            Ok(Some((_, length))) if length > limits.max_header_bytes => {
+                return Err(Unread::Refused(ErrorKind::HeaderTooLarge));
+            }
+            Ok(Some((head, length))) => {
+                wire.consume(length);
+                return Ok(head);
+            }
+            Ok(None) if wire.buffered().len() > limits.max_header_bytes => {
+                return Err(Unread::Refused(ErrorKind::HeaderTooLarge));
+            }
+            Ok(None) => {}
+            Err(HeadError::Malformed | HeadError::Framing) => {
+                return Err(Unread::Refused(ErrorKind::InvalidRequest));
+            }
+        }
+        let now = shared.clock.now();
+        if !wire.buffered().is_empty() {
+            first_byte = first_byte.or(Some(now));
+        }
+        let limit = match first_byte {
+            Some(began) => (began + limits.header_timeout).since(now),
+            None => limits.idle_timeout,
+        };
+        match within(limit, wire.fill()).await {
+            Some(Ok(read)) if read > 0 => {}
+            None if first_byte.is_some() => {
+                return Err(Unread::Refused(ErrorKind::CallerTooSlow));
+            }
+            _ => return Err(Unread::Gone),
+        }
+    }
+}
+
+async fn read_body(
+    shared: &Shared,
+    wire: &mut Wire,
+    head: &RequestHead,
+) -> Result<Vec<u8>, Unread> {
+    let framing = request_framing(head).map_err(|_| Unread::Refused(ErrorKind::InvalidRequest))?;
+    if head.headers.has_word("expect", "100-continue") {
+        let _ = wire.write_all(b"HTTP/1.1 100 Continue\r\n\r\n").await;
+    }
+    let limits = shared.limits();
+    let mut reader = BodyReader::new(framing);
+    let reading = reader.read_all(wire, limits.max_body_bytes);
+    match within(limits.idle_timeout, reading).await {
+        Some(Ok(body)) => Ok(body),
+        Some(Err(BodyError::TooLarge)) => Err(Unread::Refused(ErrorKind::TooLarge)),
+        Some(Err(BodyError::Malformed)) => Err(Unread::Refused(ErrorKind::InvalidRequest)),
+        Some(Err(BodyError::Truncated)) => Err(Unread::Gone),
+        None => Err(Unread::Refused(ErrorKind::CallerTooSlow)),
+    }
+}
