A prompt that waits at a replica whose weights become too old is taken back

Barring 1.5 s before the bound stops new requests only. Change: while a request waits and may be sent again, its gateway looks each 150 ms whether the replica is barred, and then closes the connection and sends it elsewhere. Ruled out: a longer margin, since loads need the time.

--- a/crates/gateway/src/balancer/mod.rs
+++ b/crates/gateway/src/balancer/mod.rs
@@ -441,6 +441,12 @@
         }
     }
 
+    /// Whether a replica must not begin on requests any more: its weights are too old.
+    pub fn is_barred(&self, id: &str) -> bool {
+        let replica = self.replicas.get(id);
+        replica.is_some_and(|replica| replica.availability == Availability::Barred)
+    }
+
     /// Whether a replica sent anything after a moment.
     pub fn was_heard_since(&self, id: &str, since: Time) -> bool {
         self.replicas.get(id).is_some_and(|replica| replica.heard_at > since)
--- a/crates/gateway/tests/balancer.rs
+++ b/crates/gateway/tests/balancer.rs
@@ -95,8 +95,13 @@
     }
     balancer.set_status(&status("replica-1", Availability::Barred, 1));
     assert_eq!(choose_for(&mut balancer, &prompt, &[]).unwrap().instance.id, "replica-0");
+    assert!(!balancer.is_barred("replica-0"));
     balancer.set_status(&status("replica-0", Availability::Barred, 1));
     assert!(choose_for(&mut balancer, &prompt, &[]).is_none());
+    // What waits there is taken back.
+    assert!(balancer.is_barred("replica-0"));
+    balancer.set_status(&status("replica-0", Availability::Open, 2));
+    assert!(!balancer.is_barred("replica-0"));
 }
 
 #[test]
--- a/crates/topazmount/src/fleet/exchange/attempt.rs
+++ b/crates/topazmount/src/fleet/exchange/attempt.rs
@@ -15,6 +15,8 @@
 
 /// Longest time for a connection to a replica to come up.
 const CONNECT_LIMIT: Duration = Duration::from_millis(300);
+/// How often a request that waits at a replica looks whether that may still begin on it.
+const BARRED_CHECK: Duration = Duration::from_millis(150);
 /// Largest body of an answer that is not a stream.
 const MAX_ANSWER: usize = 16 * 1024 * 1024;
 /// Late answers to earlier requests that are passed over on one connection.
@@ -45,7 +47,13 @@
             if self.note_silence(choice, sent_at) && self.may_switch(plan) {
                 return Attempt::Ended(AttemptEnd::Silent);
             }
-            answer = until(self.left(), first.as_mut()).await;
+            // A replica that has not begun when its weights become too old must not begin any more.
+            while answer.is_none() && !self.left().is_zero() {
+                if self.is_barred(choice) && self.may_switch(plan) {
+                    return Attempt::Ended(AttemptEnd::Silent);
+                }
+                answer = until(BARRED_CHECK.min(self.left()), first.as_mut()).await;
+            }
         }
         match answer {
             None => Attempt::Ended(AttemptEnd::TimedOut),
@@ -65,6 +73,10 @@
         }
     }
 
+    fn is_barred(&self, choice: &Choice) -> bool {
+        self.shared.knowledge.lock().unwrap().balancer().is_barred(&choice.instance.id)
+    }
+
     /// Whether a request whose replica is silent is better sent to another one: nothing forbids
     /// it, and there is another.
     fn may_switch(&self, plan: &RequestPlan) -> bool {
