Recovery: the leader of a group that restarts whole resumes at once; refusals tell a true wait

Cause: after all processes ended, members waited out an election timeout (0.6 to 1.2 s), since a restarted member must not help elect another leader within the lease of the one that it followed. Gateways had no catalog for 0.95 s and told every client to come back after 250 ms, so that its second try fell into the same gap.

Change: a member keeps durably whom it followed last. When that leader itself asks for votes, it has no lease any more, so it is helped at once; it asks at its start and each 100 ms. A refusal without a catalog names a wait that grows with the time for which the gateway has lacked one. Control members log who leads.

Ruled out: shorter timeouts (a voter that restarts could help elect a second holder of the lease).

--- a/crates/consensus/src/election.rs
+++ b/crates/consensus/src/election.rs
@@ -19,7 +19,7 @@
             }
             if let Message::Vote { transfer, .. } = envelope.message {
                 // Thesis §4.2.3 and §6.4.1: within a leader's lease nobody is helped against it.
-                if !transfer && self.trusts_leader() {
+                if !transfer && self.trusts_leader_other_than(envelope.from) {
                     return false;
                 }
             }
@@ -49,11 +49,16 @@
         true
     }
 
-    /// Whether a leader was heard so lately that its lease may still hold.
-    fn trusts_leader(&self) -> bool {
+    /// Whether a leader other than the candidate was heard so lately that its lease may still hold.
+    /// The leader that this member followed last has no lease any more when it asks for votes
+    /// itself, and the lease of any leader before that one was over when it was elected.
+    fn trusts_leader_other_than(&self, candidate: MemberId) -> bool {
         if self.role == Role::Leader {
             return true;
         }
+        if self.hard_state.last_leader == Some(candidate) {
+            return false;
+        }
         let timeout = self.config.election_timeout;
         self.leader_heard_at.is_some_and(|heard| self.now < heard + timeout)
     }
@@ -65,6 +70,7 @@
         }
         self.role = Role::Follower;
         self.leader = leader;
+        self.hard_state.last_leader = leader.or(self.hard_state.last_leader);
         self.votes.clear();
         self.progress.clear();
         self.transfer_until = None;
@@ -73,6 +79,7 @@
 
     /// Notes word from the leader of the current term.
     pub(crate) fn follow(&mut self, leader: MemberId) {
+        self.resumes_until = None;
         if self.role != Role::Follower || self.leader != Some(leader) {
             self.become_follower(self.hard_state.term, Some(leader));
         }
@@ -85,6 +92,9 @@
             return;
         }
         self.reset_election_timer();
+        if self.resumes_until.is_some_and(|until| self.now < until) {
+            self.election_at = self.now + self.config.heartbeat_interval;
+        }
         if !self.membership.voters.contains_key(&self.id) {
             return;
         }
@@ -110,7 +120,7 @@
     ) {
         let granted = term > self.hard_state.term
             && self.is_up_to_date(last_index, last_term)
-            && !self.trusts_leader();
+            && !self.trusts_leader_other_than(from);
         let reply_term = if granted { term } else { self.hard_state.term };
         self.send_in_term(from, reply_term, Message::PreVoteReply { granted });
     }
@@ -161,7 +171,7 @@
         transfer: bool,
     ) {
         let free = self.hard_state.voted_for.is_none_or(|voted| voted == from);
-        let no_lease = transfer || !self.trusts_leader();
+        let no_lease = transfer || !self.trusts_leader_other_than(from);
         let granted = self.role == Role::Follower
             && free
             && no_lease
@@ -186,6 +196,7 @@
     fn become_leader(&mut self) {
         self.role = Role::Leader;
         self.leader = Some(self.id);
+        self.hard_state.last_leader = Some(self.id);
         self.leader_since = self.now;
         self.transfer_until = None;
         let next = self.log.last_index() + 1;
--- a/crates/consensus/src/ready.rs
+++ b/crates/consensus/src/ready.rs
@@ -12,6 +12,10 @@
     pub term: Term,
     /// Vote given in it.
     pub voted_for: Option<MemberId>,
+    /// Leader that this member followed last, in whatever term; itself if it led since. Absent in
+    /// state that older versions wrote.
+    #[serde(default)]
+    pub last_leader: Option<MemberId>,
 }
 
 /// One batch of work. The order is fixed: make `hard_state`, `snapshot` and `entries` durable,
--- a/crates/consensus/src/replica.rs
+++ b/crates/consensus/src/replica.rs
@@ -67,6 +67,9 @@
     /// Set while leadership is being handed over: proposals and the lease are over, and the member
     /// steps down at this time at the latest, so that a late `TimeoutNow` can't meet a live lease.
     pub(crate) transfer_until: Option<Time>,
+    /// Set after the restart of a member that led: until then it asks to lead again without waiting
+    /// out an election timeout. The others grant that at once, since its lease is over.
+    pub(crate) resumes_until: Option<Time>,
     pub(crate) incoming: Option<(Snapshot, Vec<u8>)>,
     pub(crate) outbox: Vec<Envelope>,
     pub(crate) now: Time,
@@ -101,6 +104,7 @@
             leader_heard_at: None,
             leader_commit: 0,
             transfer_until: None,
+            resumes_until: None,
             incoming: None,
             outbox: Vec::new(),
             now,
@@ -118,6 +122,10 @@
         // elect another within that leader's lease.
         replica.leader_heard_at = Some(now);
         replica.reset_election_timer();
+        if replica.hard_state.last_leader == Some(id) {
+            replica.resumes_until = Some(now + replica.config.election_timeout);
+            replica.election_at = now;
+        }
         replica
     }
 
@@ -125,7 +133,7 @@
     pub fn bootstrap_state(membership: Membership, data: Vec<u8>) -> Recovered {
         let meta = crate::log::SnapshotMeta { index: 1, term: 1, membership };
         Recovered {
-            hard_state: HardState { term: 1, voted_for: None },
+            hard_state: HardState { term: 1, voted_for: None, last_leader: None },
             snapshot: Snapshot { meta, data: data.into() },
             log: Log::new(1, 1, Vec::new()),
         }
--- a/crates/consensus/tests/group.rs
+++ b/crates/consensus/tests/group.rs
@@ -148,3 +148,40 @@
         assert_eq!(applied[&index], number.to_le_bytes());
     }
 }
+
+/// Time within which the member that led before leads again when all have restarted.
+const RESUMED: Duration = Duration::from_millis(250);
+
+#[rstest]
+#[case(&[1, 2, 3], 0)]
+#[case(&[1, 2, 3, 4, 5], 0)]
+#[case(&[1, 2, 3, 4, 5], 2)]
+fn after_a_restart_of_all_the_leader_resumes_at_once(#[case] ids: &[u64], #[case] absent: usize) {
+    let mut network = Network::new(ids);
+    network.commit(b"before", ids);
+    let leader = network.elect();
+    ids.iter().for_each(|id| network.restart(*id, 0));
+    let others = ids.iter().filter(|id| **id != leader);
+    let gone: Vec<u64> = others.take(absent).copied().collect();
+    gone.iter().for_each(|id| network.isolate(*id));
+    let began = network.now;
+    network.until("a leader", |network| network.leader().is_some());
+    assert_eq!(network.leader(), Some(leader));
+    let took = network.now.since(began);
+    assert!(took < RESUMED, "took {took:?}");
+}
+
+#[test]
+fn a_restart_of_all_but_the_leader_shortens_no_lease() {
+    let mut network = Network::new(&[1, 2, 3, 4, 5]);
+    network.commit(b"before", &[1, 2, 3, 4, 5]);
+    let leader = network.elect();
+    let term = network.peers[&leader].replica.term();
+    let others: Vec<u64> = [1, 2, 3, 4, 5].into_iter().filter(|id| *id != leader).collect();
+    for _ in 0..5 {
+        others.iter().for_each(|id| network.restart(*id, 0));
+        network.run(Duration::from_millis(300));
+    }
+    assert_eq!(network.leader(), Some(leader));
+    assert_eq!(network.peers[&leader].replica.term(), term);
+}
--- a/crates/consensus/tests/wal.rs
+++ b/crates/consensus/tests/wal.rs
@@ -12,7 +12,7 @@
 
 fn ready(entries: std::ops::RangeInclusive<u64>) -> Ready {
     Ready {
-        hard_state: Some(HardState { term: 1, voted_for: None }),
+        hard_state: Some(HardState { term: 1, voted_for: None, last_leader: None }),
         entries: entries.map(entry).collect(),
         ..Ready::default()
     }
--- a/crates/gateway/src/knowledge.rs
+++ b/crates/gateway/src/knowledge.rs
@@ -13,6 +13,10 @@
 use topazmount_routing::PolicyTable;
 use topazmount_types::{ErrorKind, InstanceId, Time};
 
+/// Least time after which a refused client should come back.
+const SOON: Duration = Duration::from_millis(250);
+/// Longest time that a refused client is told to wait.
+const LONGEST_WAIT: Duration = Duration::from_secs(2);
 /// Time kept back of the bound on revoked keys, for a request on its way to a replica.
 const REVOCATION_MARGIN: Duration = Duration::from_millis(700);
 
@@ -56,6 +60,8 @@
     catalog: Option<Arc<Catalog>>,
     seen: Seen,
     confirmed_until: Time,
+    /// When a request first met it unconfirmed, since it was confirmed last.
+    unconfirmed_since: Option<Time>,
     gateway_count: usize,
     balancer: Balancer,
     splits: Splits,
@@ -72,6 +78,7 @@
             catalog: None,
             seen: Seen::default(),
             confirmed_until: Time::ZERO,
+            unconfirmed_since: None,
             gateway_count: 0,
             balancer: Balancer::new(zone, seed),
             splits: Splits::default(),
@@ -158,6 +165,7 @@
                 None => Time::NEVER,
             };
             self.confirmed_until = self.confirmed_until.max(until);
+            self.unconfirmed_since = None;
         }
     }
 
@@ -216,6 +224,16 @@
         })
     }
 
+    /// When a client that is refused with a kind may come back. How long a gateway will still lack a
+    /// confirmed catalog is best guessed by how long it has lacked one already.
+    pub fn retry_after(&mut self, kind: ErrorKind, now: Time) -> Duration {
+        if kind != ErrorKind::NoConfiguration {
+            return SOON;
+        }
+        let since = *self.unconfirmed_since.get_or_insert(now);
+        (SOON + now.since(since)).min(LONGEST_WAIT)
+    }
+
     /// Chooses a replica.
     pub fn choose(&mut self, request: &ChoiceRequest<'_>, now: Time) -> Option<Choice> {
         self.balancer.choose(request, now, &mut self.policies)
--- a/crates/gateway/tests/knowledge.rs
+++ b/crates/gateway/tests/knowledge.rs
@@ -48,6 +48,23 @@
     assert!(!knowledge.is_confirmed(START));
 }
 
+/// A refusal names a time that grows with the outage, so that few tries fall into it, and starts
+/// anew with the next one.
+#[test]
+fn a_refused_client_is_told_to_wait_as_long_as_the_outage_has_lasted() {
+    let mut knowledge = knowledge();
+    let millis = Duration::from_millis;
+    let wait = |knowledge: &mut Knowledge, after: u64| {
+        knowledge.retry_after(ErrorKind::NoConfiguration, START + millis(after))
+    };
+    assert_eq!(wait(&mut knowledge, 0), millis(250));
+    assert_eq!(wait(&mut knowledge, 600), millis(850));
+    assert_eq!(wait(&mut knowledge, 60_000), millis(2_000));
+    assert_eq!(knowledge.retry_after(ErrorKind::NoReplica, START), millis(250));
+    knowledge.apply(&view(Some(Duration::ZERO)), Some(catalog(1)), START + millis(61_000));
+    assert_eq!(wait(&mut knowledge, 70_000), millis(250));
+}
+
 /// The bound on revoked keys holds for a gateway out of touch, however long: it counts from the
 /// question, since the answer may have been old when it came.
 #[test]
--- a/crates/topazmount/src/control_process.rs
+++ b/crates/topazmount/src/control_process.rs
@@ -12,12 +12,13 @@
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
-use topazmount_consensus::{Config, Envelope, MemberInfo};
+use topazmount_consensus::{Config, Envelope, MemberId, MemberInfo, Term};
 use topazmount_control::{
     FleetAction, Founding, Frame, Member, MemberInput, MemberOutput, MemberSettings, Request,
     Response, RolloutSettings, Token,
 };
 use topazmount_settings::{ControlSettings, SourceFiles};
+use topazmount_types::Time;
 use topazmount_wire::ClusterKey;
 
 /// Messages that wait for a peer; older ones are resent by the log anyway.
@@ -165,7 +166,8 @@
         let shared = shared.clone();
         let queues = HashMap::new();
         let opening = Box::new(opening);
-        let runner = Runner { member, opening, clock, peers, queues, shared, actions };
+        let logged = Leadership::default();
+        let runner = Runner { member, opening, clock, peers, queues, shared, actions, logged };
         let joining = settings.initial_members.iter().map(|peer| peer.address).collect();
         move || {
             runner.run(&receiver, joining);
@@ -212,6 +214,16 @@
     queues: HashMap<String, Sender<Envelope>>,
     shared: Arc<Shared>,
     actions: Option<Sender<FleetAction>>,
+    /// Leadership as it was logged last.
+    logged: Leadership,
+}
+
+/// Who leads, as this member believes.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+struct Leadership {
+    term: Term,
+    leader: Option<MemberId>,
+    has_lease: bool,
 }
 
 impl Runner {
@@ -235,6 +247,7 @@
             for output in outputs {
                 self.perform(output);
             }
+            self.log_leadership(now);
             if self.member.must_join(now) && now >= next_join {
                 next_join = now + JOIN_INTERVAL;
                 self.ask_to_join(&joining);
@@ -264,6 +277,28 @@
         }
     }
 
+    /// Logs what this member believes of who leads, when that changes.
+    fn log_leadership(&mut self, now: Time) {
+        let replica = self.member.replica();
+        let current = Leadership {
+            term: replica.term(),
+            leader: replica.leader(),
+            has_lease: replica.has_lease(now),
+        };
+        if current == self.logged {
+            return;
+        }
+        self.logged = current;
+        log::info!(
+            "control: event=leadership term={} leader={} own={} lease={} applied={}",
+            current.term,
+            current.leader.map_or("none".to_owned(), |id| id.0.to_string()),
+            replica.id().0,
+            current.has_lease,
+            replica.applied()
+        );
+    }
+
     fn wait(&self) -> Duration {
         let wakeup = self.member.next_wakeup();
         wakeup.since(self.clock.now()).min(MAX_WAIT)
--- a/crates/topazmount/src/fleet/gateway.rs
+++ b/crates/topazmount/src/fleet/gateway.rs
@@ -29,8 +29,6 @@
 const STOP_MARGIN: Duration = Duration::from_millis(500);
 /// How often a stopping gateway looks whether it is done.
 const STOP_CHECK: Duration = Duration::from_millis(50);
-/// When to come back after a refusal that may be over soon.
-const SOON: Duration = Duration::from_millis(250);
 
 /// What a gateway needs.
 pub struct GatewayOptions {
@@ -185,7 +183,8 @@
 
     /// When a refused client may come back.
     pub(super) fn retry_after(&self, kind: ErrorKind) -> Option<Duration> {
-        kind.retry_after().filter(|_| kind.status() == 503).map(|_| SOON)
+        kind.retry_after().filter(|_| kind.status() == 503)?;
+        Some(self.knowledge.lock().unwrap().retry_after(kind, self.clock.now()))
     }
 }
 
