--- a/crates/control/src/fleet/rollout.rs
+++ b/crates/control/src/fleet/rollout.rs
@@ -2,14 +2,14 @@
 
 use super::orders::{FleetAction, LoadMode, OrderEnd, OrderReport, ReplicaReport, WeightsOrder};
 use super::protocol::{Availability, InstanceStatus, LoadedModel};
-use super::schedule::{PAUSE_BEFORE_ORDER, Schedule};
+use super::schedule::Schedule;
 use std::collections::BTreeMap;
 use std::time::Duration;
 use topazmount_consensus::Term;
 use topazmount_types::{Instance, InstanceId, Time};
 
 /// Time after an accepted order before the replica is first asked how it stands.
-const FIRST_QUESTION: Duration = Duration::from_millis(650);
+const FIRST_QUESTION: Duration = Duration::from_millis(800);
 /// Time between two such questions.
 const QUESTION_INTERVAL: Duration = Duration::from_millis(150);
 /// Age up to which a report may miss an order that was accepted.
@@ -41,8 +41,8 @@
 
 #[derive(Clone, Copy, Debug, PartialEq)]
 enum Phase {
-    /// Gateways are told to pass it over.
-    Pausing { since: Time },
+    /// Gateways are told to pass it over; its version must be there by the deadline.
+    Pausing { since: Time, deadline: Time },
     /// Its order may be given.
     Granted,
     /// A question is under way before the order.
@@ -205,7 +205,7 @@
         steps.collect()
     }
 
-    /// Starts the loads that can't wait any longer.
+    /// Has gateways pass over those that load next.
     fn admit(
         &mut self,
         now: Time,
@@ -226,10 +226,9 @@
             });
             let mut lacking: Vec<_> = lacking.collect();
             lacking.sort();
-            let deadlines: Vec<Time> = lacking.iter().map(|(deadline, ..)| *deadline).collect();
-            let starting = Schedule::starting(now, &deadlines, replicas.len(), under_way);
-            for (_, id, model, version) in lacking.into_iter().take(starting) {
-                let phase = Phase::Pausing { since: now };
+            let starting = Schedule::starting(replicas.len(), under_way);
+            for (deadline, id, model, version) in lacking.into_iter().take(starting) {
+                let phase = Phase::Pausing { since: now, deadline };
                 self.targets.insert(id, Target { phase, model, version });
             }
         }
@@ -252,8 +251,8 @@
         }
         let mut waiting: Vec<(Time, InstanceId)> = Vec::new();
         for (id, target) in &self.targets {
-            if let Phase::Pausing { since } = target.phase
-                && now >= since + PAUSE_BEFORE_ORDER
+            if let Phase::Pausing { since, deadline } = target.phase
+                && Schedule::is_pause_over(now, since, deadline)
             {
                 waiting.push((since, id.clone()));
             }
--- a/crates/control/src/fleet/schedule.rs
+++ b/crates/control/src/fleet/schedule.rs
@@ -4,21 +4,23 @@
 use std::time::Duration;
 use topazmount_types::Time;
 
-/// Replicas of a service for each one that may load at the same time.
-const REPLICAS_PER_LOAD: usize = 4;
+/// Replicas of a service for each one that may load at the same time. Stores of weights are slower
+/// with more.
+const REPLICAS_PER_LOAD: usize = 6;
 /// Time that one replica takes from its order until it serves again.
-const LOAD_TIME: Duration = Duration::from_millis(1_150);
-/// Time for which gateways pass a replica over before its order, so that most of its runs end.
-pub(crate) const PAUSE_BEFORE_ORDER: Duration = Duration::from_millis(300);
-/// Replicas of a service that are paused while others load, to be the next.
-const PAUSED_AHEAD: usize = 1;
+const LOAD_TIME: Duration = Duration::from_millis(1_000);
+/// Time for which gateways pass a replica over before its order, so that most of its runs end: a
+/// load holds up the streams that still run.
+const LONG_PAUSE: Duration = Duration::from_millis(1_200);
+/// The same for a replica whose bound is near.
+const SHORT_PAUSE: Duration = Duration::from_millis(300);
 /// Time kept back of the bound.
 const MARGIN: Duration = Duration::from_millis(2_000);
 /// Age that a version is given that was named before this holder led.
 const ASSUMED_AGE: Duration = Duration::from_secs(4);
 
-/// When versions were named. A load costs much and drops a cache, and the next version often comes
-/// before the bound of this one: loads start as late as is safe and go straight to the newest.
+/// When versions were named, and when replicas load. Requests that begin on older weights are worth
+/// less, so that loads begin at once; they go straight to the newest version.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Schedule {
     named: BTreeMap<String, Vec<(u32, Time)>>,
@@ -49,23 +51,15 @@
         replicas.div_ceil(REPLICAS_PER_LOAD)
     }
 
-    /// How many of the replicas that wait, whose deadlines are given in rising order, must begin
-    /// now. `under_way` load already; the service has `replicas`.
-    pub(crate) fn starting(
-        now: Time,
-        deadlines: &[Time],
-        replicas: usize,
-        under_way: usize,
-    ) -> usize {
-        let at_once = Self::at_once(replicas);
-        // Those that come next are paused while others load.
-        let free = (at_once + PAUSED_AHEAD).saturating_sub(under_way);
-        // The position-th replica has to wait for so many rounds before its own.
-        let is_urgent = |(position, deadline): (usize, &Time)| {
-            let rounds = (position + under_way) / at_once + 1;
-            now + PAUSE_BEFORE_ORDER + LOAD_TIME * rounds as u32 + MARGIN >= *deadline
-        };
-        let is_any_urgent = deadlines.iter().enumerate().any(is_urgent);
-        if is_any_urgent { free.min(deadlines.len()) } else { 0 }
+    /// How many more replicas of a service, of so many, may be passed over now; `under_way` are
+    /// already. Those that load next are paused while others load.
+    pub(crate) fn starting(replicas: usize, under_way: usize) -> usize {
+        (Self::at_once(replicas) * 2).saturating_sub(under_way)
+    }
+
+    /// Whether a replica that has been passed over since a moment may be ordered to load.
+    pub(crate) fn is_pause_over(now: Time, since: Time, deadline: Time) -> bool {
+        let is_near = now + LOAD_TIME + MARGIN >= deadline;
+        now >= since + if is_near { SHORT_PAUSE } else { LONG_PAUSE }
     }
 }
--- a/crates/gateway/src/balancer/cost.rs
+++ b/crates/gateway/src/balancer/cost.rs
@@ -12,6 +12,9 @@
 pub(super) const DELAY_SHARE: f64 = 0.3;
 /// Cost of another zone, in milliseconds: the way there and back and the price of its bytes.
 pub(super) const OTHER_ZONE_MS: f64 = 6.0;
+/// What it costs a prompt to begin on older weights than another replica holds, in milliseconds: its
+/// answer is worth less, and runs there are held up when the replica loads.
+pub(super) const OLD_WEIGHTS_MS: f64 = 200.0;
 /// What a move of memory costs beside its own time, in milliseconds.
 const MOVE_COST_MS: f64 = 15.0;
 /// Chance that a home holds what nobody is known to hold.
--- a/crates/gateway/src/balancer/mod.rs
+++ b/crates/gateway/src/balancer/mod.rs
@@ -12,7 +12,9 @@
 
 use crate::catalog::EngineParameters;
 use crate::prompt::Prompt;
-use cost::{DELAY_PER_REQUEST_MS, DELAY_SHARE, OTHER_ZONE_MS, PREFILL_TOKENS_PER_MS, Source};
+use cost::{
+    DELAY_PER_REQUEST_MS, DELAY_SHARE, OLD_WEIGHTS_MS, OTHER_ZONE_MS, PREFILL_TOKENS_PER_MS, Source,
+};
 use holders::Holders;
 pub use news::{LoadNews, TOLD_TOKENS};
 use rand::{Rng, SeedableRng};
@@ -333,6 +335,8 @@
         let ranks: HashMap<&InstanceId, usize> = view.homes.iter().zip(0..).collect();
         let home = view.homes.iter().find(|id| open.contains(*id));
         let is_unknown = view.kept.is_empty() && view.coming.is_empty();
+        let version_of = |id: &InstanceId| self.replicas[id].version(request.model);
+        let newest = open.iter().filter_map(version_of).max();
         let mut candidates: Vec<Candidate> = Vec::with_capacity(open.len());
         for (position, id) in open.iter().enumerate() {
             let replica = &self.replicas[id];
@@ -346,6 +350,9 @@
                 let source = self.source(replica, request, view, now);
                 let source = source.map_or(Source::None, |(_, source)| source);
                 cost::add_prompt(&mut candidate, prompt, request.engine, depth, is_home, source);
+                if version_of(id) < newest {
+                    candidate.network_ms += OLD_WEIGHTS_MS;
+                }
             }
             candidates.push(candidate);
         }
--- a/crates/topazmount/src/control_client.rs
+++ b/crates/topazmount/src/control_client.rs
@@ -1,7 +1,7 @@
 //! Requests to one control member over one connection, many at a time.
 
 use crate::Executor;
-use crate::frames::{self, FrameReader, FrameWriter};
+use crate::frames::{self, ConnectLimit, FrameReader, FrameWriter};
 use async_channel::{Receiver, Sender};
 use eyre::{Result, eyre};
 use std::collections::HashMap;
@@ -28,8 +28,18 @@
 impl ControlClient {
     /// A client of the member at `address`.
     pub fn new(executor: &Executor, address: SocketAddr, key: ClusterKey) -> Self {
+        Self::with_limit(executor, address, key, ConnectLimit::default())
+    }
+
+    /// A client whose first try to connect has a limit that was learned before.
+    pub fn with_limit(
+        executor: &Executor,
+        address: SocketAddr,
+        key: ClusterKey,
+        limit: ConnectLimit,
+    ) -> Self {
         let (queue, requests) = async_channel::bounded(QUEUE);
-        let task = serve_queue(executor.clone(), address, key, requests);
+        let task = serve_queue(executor.clone(), address, key, requests, limit);
         executor.spawn(task).detach();
         ControlClient { queue }
     }
@@ -63,14 +73,17 @@
     address: SocketAddr,
     key: ClusterKey,
     requests: Receiver<(Request, Answer)>,
+    mut limit: ConnectLimit,
 ) {
     while let Ok(first) = requests.recv().await {
-        match frames::connect(address, &key).await {
+        match frames::connect(address, &key, limit).await {
             Ok((writer, reader)) => {
+                limit.succeeded();
                 serve_connection(&executor, writer, reader, first, &requests).await;
             }
             Err(error) => {
                 log::debug!("link: {address} is unreachable: {error}.");
+                limit.failed();
                 first.1(None);
                 fail_queued(&requests);
                 async_io::Timer::after(RECONNECT_PAUSE).await;
--- a/crates/topazmount/src/control_process.rs
+++ b/crates/topazmount/src/control_process.rs
@@ -4,7 +4,7 @@
 use crate::clock::Clock;
 use crate::control_client::ControlClient;
 use crate::file_disk::FileDisk;
-use crate::frames::{self, FrameReader, FrameWriter};
+use crate::frames::{self, ConnectLimit, FrameReader, FrameWriter};
 use async_channel::{Receiver, Sender};
 use async_net::{TcpListener, TcpStream};
 use eyre::{Result, WrapErr};
@@ -391,11 +391,16 @@
     queue: Receiver<Envelope>,
 ) {
     let mut writer: Option<FrameWriter> = None;
+    let mut limit = ConnectLimit::default();
     while let Ok(envelope) = queue.recv().await {
         if writer.is_none() {
-            writer = match frames::connect(address, &key).await {
-                Ok((writer, _)) => Some(writer),
+            writer = match frames::connect(address, &key, limit).await {
+                Ok((writer, _)) => {
+                    limit.succeeded();
+                    Some(writer)
+                }
                 Err(_) => {
+                    limit.failed();
                     async_io::Timer::after(PEER_PAUSE).await;
                     while queue.try_recv().is_ok() {}
                     None
--- a/crates/topazmount/src/fleet/watcher.rs
+++ b/crates/topazmount/src/fleet/watcher.rs
@@ -3,6 +3,7 @@
 use crate::Executor;
 use crate::clock::Clock;
 use crate::control_client::ControlClient;
+use crate::frames::ConnectLimit;
 use async_channel::Receiver;
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -47,6 +48,7 @@
     members: Vec<SocketAddr>,
     clients: HashMap<SocketAddr, ControlClient>,
     avoided: HashMap<SocketAddr, Time>,
+    connect_limit: ConnectLimit,
     is_connected: bool,
 }
 
@@ -68,6 +70,7 @@
             members: Vec::new(),
             clients: HashMap::new(),
             avoided: HashMap::new(),
+            connect_limit: ConnectLimit::default(),
             is_connected: true,
         }
     }
@@ -113,7 +116,10 @@
         let client = self
             .clients
             .entry(target)
-            .or_insert_with(|| ControlClient::new(&self.executor, target, self.key.clone()));
+            .or_insert_with(|| {
+                let key = self.key.clone();
+                ControlClient::with_limit(&self.executor, target, key, self.connect_limit)
+            });
         let watch = WatchRequest { gateway, seen, wants_gateways: self.wants_gateways, wait: HOLD };
         let request = Request::Fleet(FleetRequest::Watch(watch));
         let asking = async {
@@ -129,9 +135,14 @@
             }
         };
         let asked = futures_lite::future::or(asking, nudged).await;
-        if matches!(asked, Asked::Failed) {
+        match asked {
             // The connection may hang behind a cut; the next one is made anew.
-            self.clients.remove(&target);
+            Asked::Failed => {
+                self.clients.remove(&target);
+                self.connect_limit.failed();
+            }
+            Asked::Answered(_) => self.connect_limit.succeeded(),
+            Asked::Nudged => {}
         }
         asked
     }
--- a/crates/topazmount/src/frames.rs
+++ b/crates/topazmount/src/frames.rs
@@ -52,12 +52,45 @@
     }
 }
 
+/// How long a peer may take to accept a connection. A machine without power, or behind a cut, says
+/// nothing, and the kernel repeats a lost opening packet only after a second: tries begin short, so
+/// that one which is back is met soon, and grow, so that a slow link is met as well.
+#[derive(Clone, Copy, Debug)]
+pub struct ConnectLimit(Duration);
+
+impl Default for ConnectLimit {
+    fn default() -> Self {
+        ConnectLimit(Duration::from_millis(250))
+    }
+}
+
+impl ConnectLimit {
+    /// The limit of the next try.
+    pub fn get(self) -> Duration {
+        self.0
+    }
+
+    /// Notes a failed try.
+    pub fn failed(&mut self) {
+        self.0 = (self.0 * 3 / 2).min(GREETING_TIMEOUT);
+    }
+
+    /// Notes a try that succeeded.
+    pub fn succeeded(&mut self) {
+        *self = ConnectLimit::default();
+    }
+}
+
 /// Connects to a peer and greets it.
 ///
 /// # Errors
 /// When the peer does not answer in time or speaks another protocol.
-pub async fn connect(address: SocketAddr, key: &ClusterKey) -> Result<(FrameWriter, FrameReader)> {
-    within(GREETING_TIMEOUT, async {
+pub async fn connect(
+    address: SocketAddr,
+    key: &ClusterKey,
+    limit: ConnectLimit,
+) -> Result<(FrameWriter, FrameReader)> {
+    within(limit.get(), async {
         let stream = TcpStream::connect(address).await?;
         greet(stream, key, Role::Client).await
     })
