--- a/crates/gateway/src/balancer/mod.rs
+++ b/crates/gateway/src/balancer/mod.rs
@@ -54,6 +54,8 @@
     pub namespace: u64,
     /// Replicas that were tried already.
     pub exclude: &'a [InstanceId],
+    /// The only replica that may be chosen, if there is one.
+    pub held_to: Option<&'a InstanceId>,
     /// Parameters of the service's engines, if it has any.
     pub engine: Option<&'a EngineParameters>,
 }
@@ -93,6 +95,8 @@
     pub instance: Instance,
     /// Prompt tokens that it is expected to compute.
     pub expected_prefill: u32,
+    /// Prompt tokens that it is known to hold or to be reading already.
+    pub known_tokens: u32,
     /// Estimated time to the first token, in milliseconds.
     pub estimate_ms: f64,
     /// Number of the policy that decided.
@@ -115,6 +119,14 @@
     coming: HashMap<u32, usize>,
 }
 
+impl PromptView {
+    /// Leading parts that a replica holds or is reading.
+    fn known_parts(&self, slot: u32) -> usize {
+        let depth_in = |depths: &HashMap<u32, usize>| depths.get(&slot).copied().unwrap_or(0);
+        depth_in(&self.kept).max(depth_in(&self.coming))
+    }
+}
+
 /// One node's knowledge of the replicas, and its choice among them.
 pub struct Balancer {
     zone: String,
@@ -186,6 +198,13 @@
         }
     }
 
+    /// Notes that a replica holds other weights than was believed.
+    pub fn forget_version(&mut self, id: &str, model: &str) {
+        if let Some(replica) = self.replicas.get_mut(id) {
+            replica.models.retain(|loaded| loaded.model != model);
+        }
+    }
+
     /// Replicas known.
     pub fn instances(&self) -> impl Iterator<Item = &Instance> {
         self.replicas.values().map(|replica| &replica.instance)
@@ -212,9 +231,11 @@
         let candidate = candidates.get(position)?;
         let replica = &self.replicas[&open[position]];
         let source = self.source(replica, request, &view, now);
+        let known_parts = view.known_parts(replica.slot);
         Some(Choice {
             instance: replica.instance.clone(),
             expected_prefill: route_request.prompt_tokens.saturating_sub(candidate.cached_tokens),
+            known_tokens: request.prompt.map_or(0, |prompt| prompt.leading_tokens(known_parts)),
             estimate_ms: candidate.estimate_ms(),
             policy,
             home_rank: candidate.home_rank,
@@ -240,6 +261,7 @@
                 && !instance.is_draining
                 && replica.availability != Availability::Barred
                 && !request.exclude.contains(&instance.id)
+                && request.held_to.is_none_or(|id| *id == instance.id)
         };
         let mut serving: Vec<&Replica> = self.replicas.values().filter(may_serve).collect();
         // Weights that are not known may be too old.
@@ -307,7 +329,7 @@
         let may_give = |other: &&Replica| {
             other.slot != replica.slot
                 && other.version(request.model) == Some(version)
-                && other.availability == Availability::Open
+                && other.may_give()
                 && !other.is_suspect(now)
         };
         let own = view.kept.get(&replica.slot).copied().unwrap_or(0);
@@ -343,9 +365,7 @@
             let mut candidate = self.candidate(replica, position, now);
             candidate.home_rank = ranks.get(id).map_or(0, |rank| *rank as u32);
             if let Some(prompt) = request.prompt {
-                let depth_in =
-                    |depths: &HashMap<u32, usize>| depths.get(&replica.slot).copied().unwrap_or(0);
-                let depth = depth_in(&view.kept).max(depth_in(&view.coming));
+                let depth = view.known_parts(replica.slot);
                 let is_home = is_unknown && home == Some(id);
                 let source = self.source(replica, request, view, now);
                 let source = source.map_or(Source::None, |(_, source)| source);
--- a/crates/gateway/src/balancer/replica.rs
+++ b/crates/gateway/src/balancer/replica.rs
@@ -104,6 +104,12 @@
         }
     }
 
+    /// Whether others may take parts of prompts from it. One that is about to load still holds what
+    /// it read; once it loads, taking from it fails quickly.
+    pub(super) fn may_give(&self) -> bool {
+        self.availability != Availability::Barred
+    }
+
     /// What its cache belongs to: this life of it, with these weights.
     pub(super) fn incarnation(&self, version: u32) -> Incarnation {
         Incarnation((u64::from(self.slot) << 32) | u64::from(version))
--- a/crates/gateway/src/plan.rs
+++ b/crates/gateway/src/plan.rs
@@ -11,6 +11,8 @@
     NotRun,
     /// Another replica has the address, and said so.
     WrongInstance,
+    /// The replica holds newer weights than the request named, and said that it did not run it.
+    OtherWeights,
     /// The connection ended, or something that is no answer came, after bytes were handed over.
     Broken,
     /// A whole answer that reports a failure came.
@@ -49,6 +51,8 @@
     may_have_run: bool,
     has_arrived: bool,
     tried: Vec<InstanceId>,
+    /// The one replica that may be sent the request next.
+    held_to: Option<InstanceId>,
 }
 
 impl RequestPlan {
@@ -61,6 +65,7 @@
             may_have_run: false,
             has_arrived: false,
             tried: Vec::new(),
+            held_to: None,
         }
     }
 
@@ -69,6 +74,11 @@
         &self.tried
     }
 
+    /// The replica that must be sent the request next, if not any other may be.
+    pub fn held_to(&self) -> Option<&InstanceId> {
+        self.held_to.as_ref()
+    }
+
     /// Whether another replica may be sent the request although one has it.
     pub fn may_be_sent_again(&self) -> bool {
         self.is_repeatable && self.attempts_left > 0
@@ -88,17 +98,23 @@
     pub fn begin(&mut self, instance: InstanceId) {
         self.attempts_left = self.attempts_left.saturating_sub(1);
         self.tried.push(instance);
+        self.held_to = None;
     }
 
     /// Decides what follows an attempt.
     pub fn end(&mut self, end: AttemptEnd) -> NextStep {
         let has_run = matches!(end, AttemptEnd::Broken | AttemptEnd::Failed | AttemptEnd::Silent);
         self.may_have_run |= has_run || end == AttemptEnd::TimedOut;
-        if end == AttemptEnd::Unreachable {
+        match end {
             // Nothing was sent, so the replica does not count among those that were sent it.
-            self.attempts_left += 1;
-        } else {
-            self.has_arrived = true;
+            AttemptEnd::Unreachable => self.attempts_left += 1,
+            // The same replica is asked again, so that no further one counts.
+            AttemptEnd::OtherWeights => {
+                self.attempts_left += 1;
+                self.held_to = self.tried.pop();
+                self.has_arrived = true;
+            }
+            _ => self.has_arrived = true,
         }
         let may_retry = self.attempts_left > 0 && (self.is_repeatable || !self.may_have_run);
         let otherwise = self.refusal();
--- a/crates/gateway/tests/balancer.rs
+++ b/crates/gateway/tests/balancer.rs
@@ -5,9 +5,11 @@
 use common::{engine, instance, prompt};
 use std::time::Duration;
 use topazmount_control::{Availability, InstanceStatus, LoadedModel};
-use topazmount_gateway::{Balancer, Choice, ChoiceRequest, Prompt};
+use topazmount_gateway::{
+    AttemptEnd, Balancer, Choice, ChoiceRequest, NextStep, Prompt, RequestPlan,
+};
 use topazmount_routing::PolicyTable;
-use topazmount_types::Time;
+use topazmount_types::{ErrorKind, Time};
 
 const NOW: Time = Time::from_secs(1_000);
 
@@ -35,6 +37,7 @@
         model: Some("model"),
         namespace: 1,
         exclude,
+        held_to: None,
         engine: Some(&engine),
     };
     balancer.choose(&request, NOW, &mut PolicyTable::default())
@@ -104,6 +107,50 @@
     assert!(!balancer.is_barred("replica-0"));
 }
 
+/// A replica that is passed over before a load still holds what it read.
+#[test]
+fn a_paused_replica_gives_what_it_holds() {
+    let mut balancer = pool(12, 1);
+    let prompt = prompt(&[(1, 2_500), (100, 3_800), (1_000, 900)]);
+    let home = choose_for(&mut balancer, &prompt, &[]).unwrap();
+    balancer.sent(&home, &request(&prompt), NOW);
+    balancer.first_token(&home, &request(&prompt), Duration::from_millis(190), NOW);
+    balancer.set_status(&status(&home.instance.id, Availability::Paused, 1));
+    let other = choose_for(&mut balancer, &prompt, &[]).unwrap();
+    assert_ne!(other.instance.id, home.instance.id);
+    assert_eq!(other.source, Some(home.instance.address));
+}
+
+#[test]
+fn prompts_that_nobody_holds_begin_on_the_newest_weights() {
+    for subject in 0..50 {
+        let mut balancer = pool(12, subject);
+        balancer.set_status(&status("replica-7", Availability::Open, 2));
+        let prompt = prompt(&[(subject, 100), (1_000 + subject, 10)]);
+        assert_eq!(choose_for(&mut balancer, &prompt, &[]).unwrap().version, Some(2));
+    }
+}
+
+/// A replica whose weights are newer than was believed takes the request again, and nobody else.
+#[test]
+fn a_request_that_named_older_weights_goes_to_the_same_replica_again() {
+    let mut balancer = pool(12, 1);
+    let prompt = prompt(&[(1, 100), (2, 100)]);
+    let first = choose_for(&mut balancer, &prompt, &[]).unwrap();
+    let mut plan = RequestPlan::new(false, 1);
+    plan.begin(first.instance.id.clone());
+    let next = plan.end(AttemptEnd::OtherWeights);
+    assert_eq!(next, NextStep::Retry { otherwise: ErrorKind::NoReplica, is_repeat: true });
+    assert!(plan.tried().is_empty());
+    balancer.forget_version(&first.instance.id, "model");
+    let again = ChoiceRequest { held_to: plan.held_to(), ..request(&prompt) };
+    let again = balancer.choose(&again, NOW, &mut PolicyTable::default()).unwrap();
+    assert_eq!((&again.instance.id, again.version), (&first.instance.id, None));
+    assert_ne!(choose_for(&mut balancer, &prompt, &[]).unwrap().instance.id, first.instance.id);
+    plan.begin(again.instance.id);
+    assert_eq!(plan.end(AttemptEnd::NotRun), NextStep::Answer(ErrorKind::NoReplica));
+}
+
 #[test]
 fn a_replica_of_unknown_weights_waits_for_its_status() {
     let mut balancer = pool(1, 1);
@@ -144,6 +191,7 @@
         model: Some("model"),
         namespace: 1,
         exclude: &[],
+        held_to: None,
         engine: None,
     }
 }
--- a/crates/topazmount/src/fleet/exchange/attempt.rs
+++ b/crates/topazmount/src/fleet/exchange/attempt.rs
@@ -190,8 +190,12 @@
         let tags = self.shared.dialect.answer(&head);
         if tags.is_unexpected {
             let is_other = tags.instance.is_none_or(|id| id != choice.instance.id);
-            let end = if is_other { AttemptEnd::WrongInstance } else { AttemptEnd::NotRun };
-            return Attempt::Ended(end);
+            let named_weights = choice.version.is_some() && self.tags.prompt.is_some();
+            return Attempt::Ended(match (is_other, named_weights) {
+                (true, _) => AttemptEnd::WrongInstance,
+                (false, true) => AttemptEnd::OtherWeights,
+                (false, false) => AttemptEnd::NotRun,
+            });
         }
         if tags.is_not_run {
             return Attempt::Ended(AttemptEnd::NotRun);
--- a/crates/topazmount/src/fleet/exchange/mod.rs
+++ b/crates/topazmount/src/fleet/exchange/mod.rs
@@ -85,6 +85,25 @@
 struct Progress {
     has_begun: bool,
     last_event: Option<String>,
+    pace: Pace,
+}
+
+/// How the events of a stream came.
+#[derive(Clone, Copy, Default)]
+struct Pace {
+    first_at: Option<Time>,
+    last_at: Option<Time>,
+    longest_pause: Duration,
+}
+
+impl Pace {
+    fn note_event(&mut self, now: Time) {
+        if let Some(last) = self.last_at {
+            self.longest_pause = self.longest_pause.max(now.since(last));
+        }
+        self.first_at = self.first_at.or(Some(now));
+        self.last_at = Some(now);
+    }
 }
 
 /// Counts a request at its replica for as long as it lives.
@@ -120,6 +139,7 @@
             model: self.tags.model.as_deref(),
             namespace: self.namespace(),
             exclude: plan.tried(),
+            held_to: plan.held_to(),
             engine: self.engine.as_ref(),
         }
     }
@@ -144,10 +164,13 @@
     }
 
     /// Name under which parts are shared: parts made with other weights or behind another
-    /// tenant's wall never have the same.
+    /// tenant's wall never have the same. Where the weights are not known, nothing is shared: a run
+    /// may outlast a load, and what it leaves would be taken for the new weights' own.
     fn cache_salt(&self, version: Option<u32>) -> String {
-        let version = version.map_or("unknown".to_owned(), |version| version.to_string());
-        format!("v{version}/{}", self.wall().unwrap_or_default())
+        match version {
+            Some(version) => format!("v{version}/{}", self.wall().unwrap_or_default()),
+            None => format!("request/{}", self.tags.id),
+        }
     }
 
     /// Serves the request to its end.
@@ -193,7 +216,8 @@
                     StreamEnd::Complete => {
                         self.note_success(&in_flight.choice);
                         self.log_attempt(&in_flight.choice, "success");
-                        self.log_end(&plan, 200, "stream");
+                        self.shared.metrics.longest_pause(progress.pace.longest_pause);
+                        self.log_stream(&plan, &progress.pace);
                         return Ending::Whole;
                     }
                     StreamEnd::ClientBroke => {
--- a/crates/topazmount/src/fleet/exchange/record.rs
+++ b/crates/topazmount/src/fleet/exchange/record.rs
@@ -1,6 +1,6 @@
 //! What a request teaches of its replica, and what is logged and counted of it.
 
-use super::{Exchange, InFlight};
+use super::{Exchange, InFlight, Pace};
 use crate::http1::ResponseHead;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -64,6 +64,10 @@
         let balancer = knowledge.balancer();
         match end {
             AttemptEnd::WrongInstance => balancer.is_replaced(&choice.instance.id, now),
+            AttemptEnd::OtherWeights => {
+                let model = self.tags.model.as_deref().unwrap_or_default();
+                balancer.forget_version(&choice.instance.id, model);
+            }
             // A full replica is sound, and silence was noted when it was seen.
             AttemptEnd::NotRun | AttemptEnd::Silent | AttemptEnd::TimedOut => {}
             AttemptEnd::Unreachable | AttemptEnd::Broken | AttemptEnd::Failed => {
@@ -98,12 +102,14 @@
         self.shared.journal.line(|| {
             format!(
                 "gateway: event=attempt request={} instance={} address={} home_rank={} \
-                 version={} prefill={} estimate_ms={:.0} end={end} after_ms={}",
+                 version={} known={} source={} prefill={} estimate_ms={:.0} end={end} after_ms={}",
                 self.tags.id,
                 choice.instance.id,
                 choice.instance.address,
                 choice.home_rank,
                 choice.version.unwrap_or(0),
+                choice.known_tokens,
+                choice.source.as_deref().unwrap_or("none"),
                 choice.expected_prefill,
                 choice.estimate_ms,
                 self.shared.clock.now().since(self.received).as_millis()
@@ -111,7 +117,18 @@
         });
     }
 
+    /// Logs a stream that came to its end, and its pace.
+    pub(super) fn log_stream(&self, plan: &RequestPlan, pace: &Pace) {
+        let first = pace.first_at.map_or(Duration::ZERO, |at| at.since(self.received));
+        let (first, pause) = (first.as_millis(), pace.longest_pause.as_millis());
+        self.log_end_with(plan, 200, "stream", &format!(" first_ms={first} pause_ms={pause}"));
+    }
+
     pub(super) fn log_end(&self, plan: &RequestPlan, status: u16, reason: &str) {
+        self.log_end_with(plan, status, reason, "");
+    }
+
+    fn log_end_with(&self, plan: &RequestPlan, status: u16, reason: &str, more: &str) {
         self.shared.metrics.answer(reason, self.shared.clock.now().since(self.received));
         let run = match plan.run_state() {
             RunState::NotRun => "not_run",
@@ -120,7 +137,7 @@
         self.shared.journal.line(|| {
             format!(
                 "gateway: event=answer request={} route={} service={} version={} status={status} \
-                 reason={reason} run={run} attempts={} after_ms={}",
+                 reason={reason} run={run} attempts={} after_ms={}{more}",
                 self.tags.id,
                 self.admission.route.name,
                 self.admission.service,
--- a/crates/topazmount/src/fleet/exchange/relay.rs
+++ b/crates/topazmount/src/fleet/exchange/relay.rs
@@ -72,6 +72,7 @@
         if id.is_some() {
             progress.last_event = id;
         }
+        progress.pace.note_event(self.shared.clock.now());
         push_body(out, &event, delivery);
     }
 
--- a/crates/topazmount/src/fleet/metrics.rs
+++ b/crates/topazmount/src/fleet/metrics.rs
@@ -75,6 +75,11 @@
         self.latency.with_label_values(&["first_event"]).observe(after.as_secs_f64());
     }
 
+    /// Notes the longest pause between two events of a stream.
+    pub fn longest_pause(&self, pause: Duration) {
+        self.latency.with_label_values(&["longest_pause"]).observe(pause.as_secs_f64());
+    }
+
     /// Counts a call to the control plane.
     pub fn call(&self, call: &str, status: u16, took: Duration) {
         self.calls.with_label_values(&[call, &status.to_string()]).inc();
--- a/crates/topazmount/src/fleet/watcher.rs
+++ b/crates/topazmount/src/fleet/watcher.rs
@@ -113,13 +113,10 @@
         gateway: Option<GatewayReport>,
         nudges: &Receiver<()>,
     ) -> Asked {
-        let client = self
-            .clients
-            .entry(target)
-            .or_insert_with(|| {
-                let key = self.key.clone();
-                ControlClient::with_limit(&self.executor, target, key, self.connect_limit)
-            });
+        let client = self.clients.entry(target).or_insert_with(|| {
+            let key = self.key.clone();
+            ControlClient::with_limit(&self.executor, target, key, self.connect_limit)
+        });
         let watch = WatchRequest { gateway, seen, wants_gateways: self.wants_gateways, wait: HOLD };
         let request = Request::Fleet(FleetRequest::Watch(watch));
         let asking = async {
