Stores of prompt parts: followed by their events, fed with what they lack, named as sources

Change: gateways follow a store's events (held calls, no probes), name it as the source of what a replica may have forgotten, and have prompts saved whose shared parts it lacks, within 0.6 of its link. A store that does not answer is not named.

--- a/crates/gateway/src/balancer/cost.rs
+++ b/crates/gateway/src/balancer/cost.rs
@@ -1,5 +1,6 @@
 //! What a request would cost at a replica.
 
+use super::source::{Certainty, Source};
 use crate::catalog::EngineParameters;
 use crate::prompt::Prompt;
 use topazmount_routing::Candidate;
@@ -29,17 +30,6 @@
 /// again at the next one.
 const RANK_COST_MS: f64 = 4.0;
 
-/// Where a replica would get the parts of a prompt that it lacks.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(super) enum Source {
-    /// Nowhere: it reads them.
-    None,
-    /// A home that may have them.
-    Guessed,
-    /// A replica that was seen to read so many of the leading parts.
-    Known(usize),
-}
-
 /// Adds what a prompt costs at a replica that holds, or is reading, `depth` of its leading parts.
 /// `is_home` is set at the first home of a prompt that nobody is known to hold: other nodes may
 /// have sent it there.
@@ -49,16 +39,18 @@
     engine: Option<&EngineParameters>,
     depth: usize,
     is_home: bool,
-    source: Source,
+    source: Option<&Source>,
 ) {
     let guessed = if is_home { HOME_CHANCE * f64::from(prompt.shared_tokens()) } else { 0.0 };
     let at_hand = prompt.leading_tokens(depth).max(guessed as u32);
-    let (reachable, chance) = match source {
-        Source::None => (0, 0.0),
+    let (reachable, chance) = match source.map(|source| source.certainty) {
+        None => (0, 0.0),
         // A home moves nothing in from another one that is as uncertain.
-        Source::Guessed if is_home => (0, 0.0),
-        Source::Guessed => (prompt.shared_tokens(), HOME_CHANCE),
-        Source::Known(depth) => (prompt.leading_tokens(depth), HOLDER_CHANCE),
+        Some(Certainty::Guessed) if is_home => (0, 0.0),
+        Some(Certainty::Guessed) => (prompt.shared_tokens(), HOME_CHANCE),
+        Some(Certainty::Seen(parts) | Certainty::Told(parts, _)) => {
+            (prompt.leading_tokens(parts), HOLDER_CHANCE)
+        }
     };
     let moved = reachable.saturating_sub(at_hand);
     candidate.cached_tokens = at_hand + (chance * f64::from(moved)) as u32;
@@ -66,7 +58,11 @@
     candidate.prefill_ms = f64::from(read) / PREFILL_TOKENS_PER_MS;
     candidate.network_ms += RANK_COST_MS * f64::from(candidate.home_rank);
     if let (Some(engine), true) = (engine, moved > 0) {
-        let move_ms = engine.move_ms(moved) * OTHER_ZONE_MOVE;
+        let move_ms = match source.map(|source| source.certainty) {
+            Some(Certainty::Told(_, link_mbps)) => engine.move_ms_over(moved, link_mbps),
+            _ => engine.move_ms(moved),
+        };
+        let move_ms = move_ms * OTHER_ZONE_MOVE;
         candidate.network_ms += MOVE_COST_MS + MOVE_WEIGHT * move_ms;
     }
 }
--- a/crates/gateway/src/balancer/holders.rs
+++ b/crates/gateway/src/balancer/holders.rs
@@ -12,6 +12,15 @@
 /// Time after which a part that should have been read no longer counts as coming.
 const COMING: Duration = Duration::from_secs(3);
 
+/// What a replica keeps of a prompt.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) struct Kept {
+    /// Leading parts.
+    pub(super) parts: usize,
+    /// Time since it was last known to have the deepest of them.
+    pub(super) age: Duration,
+}
+
 /// A replica, by its slot, that is reading a part.
 #[derive(Clone, Copy, Debug)]
 struct Coming {
@@ -51,20 +60,20 @@
         self.view.learn(parts, slot, incarnation, now);
     }
 
-    /// For each replica that holds leading parts: how many.
+    /// For each replica that holds leading parts: what it keeps.
     pub(super) fn kept(
         &self,
         parts: &[u64],
         now: Time,
         incarnation_of: impl Fn(u32) -> Option<Incarnation>,
-    ) -> HashMap<u32, usize> {
-        let mut depths = HashMap::new();
-        self.view.holders(parts, now, incarnation_of, |slot, depth, age| {
+    ) -> HashMap<u32, Kept> {
+        let mut kept = HashMap::new();
+        self.view.holders(parts, now, incarnation_of, |slot, parts, age| {
             if age < KEPT {
-                depths.insert(slot, depth);
+                kept.insert(slot, Kept { parts, age });
             }
         });
-        depths
+        kept
     }
 
     /// For each replica that is reading leading parts: how many.
--- a/crates/gateway/src/balancer/mod.rs
+++ b/crates/gateway/src/balancer/mod.rs
@@ -9,13 +9,15 @@
 mod holders;
 mod news;
 mod replica;
+mod source;
 
 use crate::catalog::EngineParameters;
 use crate::prompt::Prompt;
+use crate::stores::{Stores, cache_salt};
 use cost::{
-    DELAY_PER_REQUEST_MS, DELAY_SHARE, OLD_WEIGHTS_MS, OTHER_ZONE_MS, PREFILL_TOKENS_PER_MS, Source,
+    DELAY_PER_REQUEST_MS, DELAY_SHARE, OLD_WEIGHTS_MS, OTHER_ZONE_MS, PREFILL_TOKENS_PER_MS,
 };
-use holders::Holders;
+use holders::{Holders, Kept};
 pub use news::{LoadNews, TOLD_TOKENS};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -52,6 +54,8 @@
     /// Hash of what separates caches beside the version of weights: the tenant's wall and the
     /// model.
     pub namespace: u64,
+    /// The tenant whose parts are kept from all others, if it is one.
+    pub wall: Option<&'a str>,
     /// Replicas that were tried already.
     pub exclude: &'a [InstanceId],
     /// The only replica that may be chosen, if there is one.
@@ -105,16 +109,20 @@
     pub home_rank: u32,
     /// Version of the model's weights that it is believed to hold.
     pub version: Option<u32>,
-    /// Address of a replica with the same weights that probably holds more of the prompt.
+    /// Address of a replica with the same weights, or of a store, that probably holds more of the
+    /// prompt.
     pub source: Option<String>,
+    /// Address of the store that the replica should send the prompt's parts to.
+    pub save_to: Option<String>,
     slot: u32,
 }
 
 /// What is known of a prompt's parts at the time of a choice.
 struct PromptView {
     homes: Vec<InstanceId>,
-    /// Leading parts that each replica holds, by slot.
-    kept: HashMap<u32, usize>,
+    /// Leading parts that each replica holds, and how long ago it read or used the last of them, by
+    /// slot.
+    kept: HashMap<u32, Kept>,
     /// Leading parts that each replica was sent and has not read yet, by slot.
     coming: HashMap<u32, usize>,
 }
@@ -122,8 +130,8 @@
 impl PromptView {
     /// Leading parts that a replica holds or is reading.
     fn known_parts(&self, slot: u32) -> usize {
-        let depth_in = |depths: &HashMap<u32, usize>| depths.get(&slot).copied().unwrap_or(0);
-        depth_in(&self.kept).max(depth_in(&self.coming))
+        let kept = self.kept.get(&slot).map_or(0, |kept| kept.parts);
+        kept.max(self.coming.get(&slot).copied().unwrap_or(0))
     }
 }
 
@@ -134,6 +142,7 @@
     by_slot: HashMap<u32, InstanceId>,
     by_key: HashMap<u64, InstanceId>,
     holders: Holders,
+    stores: Stores,
     next_slot: u32,
     rng: ChaCha8Rng,
     sequence: u64,
@@ -148,6 +157,7 @@
             by_slot: HashMap::new(),
             by_key: HashMap::new(),
             holders: Holders::default(),
+            stores: Stores::default(),
             next_slot: 0,
             rng: ChaCha8Rng::seed_from_u64(seed),
             sequence: 0,
@@ -240,11 +250,31 @@
             policy,
             home_rank: candidate.home_rank,
             version: replica.version(request.model),
-            source: source.map(|(source, _)| source.instance.address.clone()),
+            source: source.map(|source| source.address),
+            save_to: None,
             slot: replica.slot,
         })
     }
 
+    /// Stores of prompt parts.
+    pub fn stores(&mut self) -> &mut Stores {
+        &mut self.stores
+    }
+
+    /// The store to which the chosen replica should send the prompt's parts, if any. `nodes` is the
+    /// number of gateways.
+    pub fn save(
+        &mut self,
+        choice: &Choice,
+        request: &ChoiceRequest<'_>,
+        nodes: usize,
+        now: Time,
+    ) -> Option<String> {
+        let (prompt, engine) = (request.prompt?, request.engine?);
+        let salt = cache_salt(choice.version?, request.wall);
+        self.stores.save(prompt, &salt, engine.token_bytes, nodes, now)
+    }
+
     /// Whether the policy that decides on the request lets it run.
     pub fn admits(&self, request: &ChoiceRequest<'_>, policies: &mut PolicyTable) -> bool {
         let chain = request.chain();
@@ -316,37 +346,6 @@
         order.into_iter().map(|(id, _)| id.clone()).collect()
     }
 
-    /// Who could give a replica what it lacks, and how sure that is: the deepest holder with the
-    /// same weights, else the first home beside the replica itself.
-    fn source(
-        &self,
-        replica: &Replica,
-        request: &ChoiceRequest<'_>,
-        view: &PromptView,
-        now: Time,
-    ) -> Option<(&Replica, Source)> {
-        let version = replica.version(request.model)?;
-        let may_give = |other: &&Replica| {
-            other.slot != replica.slot
-                && other.version(request.model) == Some(version)
-                && other.may_give()
-                && !other.is_suspect(now)
-        };
-        let own = view.kept.get(&replica.slot).copied().unwrap_or(0);
-        let holders = view.kept.iter().filter(|(_, depth)| **depth > own);
-        let known = holders
-            .filter_map(|(slot, depth)| {
-                let holder = self.replicas.get(self.by_slot.get(slot)?)?;
-                may_give(&holder).then_some((holder, *depth))
-            })
-            .max_by_key(|(holder, depth)| (*depth, std::cmp::Reverse(holder.slot)));
-        if let Some((holder, depth)) = known {
-            return Some((holder, Source::Known(depth)));
-        }
-        let homes = view.homes.iter().filter_map(|id| self.replicas.get(id));
-        homes.into_iter().find(may_give).map(|home| (home, Source::Guessed))
-    }
-
     fn candidates(
         &mut self,
         open: &[InstanceId],
@@ -368,7 +367,7 @@
                 let depth = view.known_parts(replica.slot);
                 let is_home = is_unknown && home == Some(id);
                 let source = self.source(replica, request, view, now);
-                let source = source.map_or(Source::None, |(_, source)| source);
+                let source = source.as_ref();
                 cost::add_prompt(&mut candidate, prompt, request.engine, depth, is_home, source);
                 if version_of(id) < newest {
                     candidate.network_ms += OLD_WEIGHTS_MS;
--- a/crates/gateway/src/catalog.rs
+++ b/crates/gateway/src/catalog.rs
@@ -83,7 +83,12 @@
 impl EngineParameters {
     /// Duration of a move of so many tokens within a zone, in milliseconds.
     pub fn move_ms(&self, tokens: u32) -> f64 {
-        let bytes_per_ms = self.link_mbps * BYTES_PER_MBPS_MS;
+        self.move_ms_over(tokens, self.link_mbps)
+    }
+
+    /// The same over another link, in megabits a second.
+    pub fn move_ms_over(&self, tokens: u32, link_mbps: f64) -> f64 {
+        let bytes_per_ms = link_mbps * BYTES_PER_MBPS_MS;
         if bytes_per_ms > 0.0 { f64::from(tokens) * self.token_bytes / bytes_per_ms } else { 0.0 }
     }
 }
@@ -97,6 +102,17 @@
     pub max_connections: u32,
     /// Set for language-model replicas.
     pub engine: Option<EngineParameters>,
+    /// Set for a store of prompt parts, which serves no requests.
+    pub store: Option<StoreParameters>,
+}
+
+/// A shared store of prompt parts.
+#[derive(Clone, Debug, PartialEq)]
+pub struct StoreParameters {
+    /// Address, as replicas are told of it.
+    pub address: String,
+    /// Its link, in megabits a second.
+    pub link_mbps: f64,
 }
 
 /// Bounds on what a client may send.
@@ -227,6 +243,11 @@
         &self.parts.services
     }
 
+    /// All stores of prompt parts.
+    pub fn stores(&self) -> impl Iterator<Item = StoreParameters> + '_ {
+        self.parts.services.iter().filter_map(|service| service.store.clone())
+    }
+
     /// A service by name.
     pub fn service(&self, name: &str) -> Option<&Service> {
         self.services.get(name).map(|position| &self.parts.services[*position])
--- a/crates/gateway/src/knowledge.rs
+++ b/crates/gateway/src/knowledge.rs
@@ -146,6 +146,7 @@
             && catalog.version() > self.seen.document
         {
             self.seen.document = catalog.version();
+            self.balancer.stores().set(catalog.stores());
             self.catalog = Some(Arc::new(catalog));
         }
         self.apply_instances(view);
@@ -236,7 +237,9 @@
 
     /// Chooses a replica.
     pub fn choose(&mut self, request: &ChoiceRequest<'_>, now: Time) -> Option<Choice> {
-        self.balancer.choose(request, now, &mut self.policies)
+        let mut choice = self.balancer.choose(request, now, &mut self.policies)?;
+        choice.save_to = self.balancer.save(&choice, request, self.gateway_count, now);
+        Some(choice)
     }
 
     /// Counts a request for a service.
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -12,13 +12,15 @@
 mod plan;
 mod prompt;
 mod split;
+mod stores;
 
 pub use balancer::{Balancer, Choice, ChoiceRequest, LoadNews, TOLD_TOKENS};
 pub use budget::{BudgetSettings, RetryBudget};
 pub use catalog::{
     Catalog, CatalogParts, CatalogProblem, EngineParameters, HttpLimits, Route, RouteKind, Service,
-    SplitPart, Tenant,
+    SplitPart, StoreParameters, Tenant,
 };
 pub use knowledge::{Admission, GatewaySettings, Knowledge};
 pub use plan::{AttemptEnd, NextStep, RequestPlan};
 pub use prompt::{Prompt, PromptPart};
+pub use stores::{StoreChange, StoreEvents, StoredPrompt, Stores, cache_salt};
--- /dev/null
+++ b/crates/gateway/src/stores.rs
@@ -0,0 +1,212 @@
+//! What shared stores of prompt parts hold, as their own events tell.
+//!
+//! Replicas forget parts within seconds; a store keeps more of them, at a slower link. Parts are
+//! named by the salt under which they are shared and by their identifier.
+
+use crate::catalog::StoreParameters;
+use crate::prompt::Prompt;
+use std::collections::{BTreeMap, HashMap};
+use std::hash::{DefaultHasher, Hash, Hasher};
+use std::time::Duration;
+use topazmount_routing::rendezvous_weight;
+use topazmount_types::{ReplicaId, Time};
+
+/// Fewest shared tokens of a prompt that is saved.
+const LEAST_SAVED_TOKENS: u32 = 1_000;
+/// Part of a store's link that all gateways together fill with saves: what is taken from the store
+/// waits behind them.
+const SAVE_SHARE: f64 = 0.6;
+/// Time for which a prompt that is being saved is not saved again.
+const SAVING: Duration = Duration::from_secs(3);
+/// Tokens of a part that may be missing at its end: memory goes by blocks.
+const BLOCK_SLACK: u32 = 16;
+/// Bytes that a link of one megabit a second carries in a second.
+const BYTES_PER_MBPS: f64 = 125_000.0;
+
+/// Name under which parts of a prompt are shared.
+pub fn cache_salt(version: u32, wall: Option<&str>) -> String {
+    format!("v{version}/{}", wall.unwrap_or_default())
+}
+
+/// A change of what a store holds.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct StoreChange {
+    /// Salt of the part.
+    pub salt: String,
+    /// Hash of the part's identifier.
+    pub part: u64,
+    /// Tokens of it that the store holds now.
+    pub tokens: u32,
+}
+
+/// A page of a store's events.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct StoreEvents {
+    /// Names the life of the store: a restart empties it.
+    pub epoch: u64,
+    /// Where the next page begins.
+    pub next: u64,
+    /// Whether events between the last page and this one are lost.
+    pub has_gap: bool,
+    /// Changes in order.
+    pub changes: Vec<StoreChange>,
+}
+
+/// What a store holds of a prompt.
+#[derive(Clone, Debug, PartialEq)]
+pub struct StoredPrompt {
+    /// Address of the store.
+    pub address: String,
+    /// Leading shared parts that it holds.
+    pub parts: usize,
+    /// Its link, in megabits a second.
+    pub link_mbps: f64,
+}
+
+#[derive(Clone, Debug)]
+struct Store {
+    parameters: StoreParameters,
+    is_up: bool,
+    epoch: u64,
+    next: u64,
+    parts: HashMap<(u64, u64), u32>,
+    saving: HashMap<(u64, u64), Time>,
+    next_save: Time,
+}
+
+/// The stores of a catalog.
+#[derive(Clone, Debug, Default)]
+pub struct Stores {
+    stores: BTreeMap<String, Store>,
+}
+
+impl Stores {
+    /// Takes over the stores of a catalog; what is known of those that stay is kept.
+    pub fn set(&mut self, parameters: impl Iterator<Item = StoreParameters>) {
+        let mut before = std::mem::take(&mut self.stores);
+        for one in parameters {
+            let store = match before.remove(&one.address) {
+                Some(known) => Store { parameters: one, ..known },
+                None => Store::new(one),
+            };
+            self.stores.insert(store.parameters.address.clone(), store);
+        }
+    }
+
+    /// Addresses of all stores.
+    pub fn addresses(&self) -> Vec<String> {
+        self.stores.keys().cloned().collect()
+    }
+
+    /// Where the next page of a store's events begins; `None` when there is no such store.
+    pub fn position(&self, address: &str) -> Option<u64> {
+        self.stores.get(address).map(|store| store.next)
+    }
+
+    /// Takes a page of events. Returns whether the store's contents had to be forgotten.
+    pub fn apply(&mut self, address: &str, events: StoreEvents) -> bool {
+        let Some(store) = self.stores.get_mut(address) else { return false };
+        let is_new = events.has_gap || events.epoch != store.epoch;
+        if is_new {
+            store.parts.clear();
+            store.saving.clear();
+        }
+        store.is_up = true;
+        store.epoch = events.epoch;
+        store.next = events.next;
+        for change in events.changes {
+            let key = (hash_of(&change.salt), change.part);
+            match change.tokens {
+                0 => store.parts.remove(&key),
+                tokens => store.parts.insert(key, tokens),
+            };
+        }
+        is_new
+    }
+
+    /// Notes that a store does not answer: nothing is taken from it until it does. Returns whether
+    /// that is news.
+    pub fn lost(&mut self, address: &str) -> bool {
+        let store = self.stores.get_mut(address);
+        store.is_some_and(|store| std::mem::replace(&mut store.is_up, false))
+    }
+
+    /// What the prompt's store holds of its shared parts under a salt.
+    pub fn find(&self, prompt: &Prompt, salt: &str) -> Option<StoredPrompt> {
+        let store = self.store_of(prompt)?;
+        let parts = store.depth(prompt, hash_of(salt));
+        let StoreParameters { address, link_mbps, .. } = &store.parameters;
+        Some(StoredPrompt { address: address.clone(), parts, link_mbps: *link_mbps })
+    }
+
+    /// The store to which a replica should send a prompt's parts, if that is worth it: the store
+    /// lacks some of them, nobody sends them already, and its link is not full of saves.
+    /// `token_bytes` is the memory of a token, `nodes` the number of gateways that save.
+    pub fn save(
+        &mut self,
+        prompt: &Prompt,
+        salt: &str,
+        token_bytes: f64,
+        nodes: usize,
+        now: Time,
+    ) -> Option<String> {
+        if prompt.shared_tokens() < LEAST_SAVED_TOKENS {
+            return None;
+        }
+        let salt = hash_of(salt);
+        let address = self.store_of(prompt)?.parameters.address.clone();
+        let store = self.stores.get_mut(&address)?;
+        let shared = prompt.parts.len().saturating_sub(1);
+        let deepest = (salt, prompt.parts.get(shared.checked_sub(1)?)?.id);
+        store.saving.retain(|_, since| now < *since + SAVING);
+        let is_useless = store.depth(prompt, salt) >= shared || store.saving.contains_key(&deepest);
+        if is_useless || now < store.next_save {
+            return None;
+        }
+        let bytes = f64::from(prompt.prompt_tokens) * token_bytes;
+        let seconds = bytes / (store.parameters.link_mbps * BYTES_PER_MBPS * SAVE_SHARE);
+        let pause = Duration::try_from_secs_f64(seconds * nodes.max(1) as f64).ok()?;
+        store.next_save = now + pause;
+        store.saving.insert(deepest, now);
+        Some(address)
+    }
+
+    /// All gateways find the same store for prompts that begin alike.
+    fn store_of(&self, prompt: &Prompt) -> Option<&Store> {
+        let first = prompt.parts.first()?.id;
+        let running = self.stores.values().filter(|store| store.is_up);
+        running.max_by_key(|store| {
+            rendezvous_weight(first, ReplicaId::from_name(&store.parameters.address))
+        })
+    }
+}
+
+impl Store {
+    fn new(parameters: StoreParameters) -> Self {
+        Store {
+            parameters,
+            is_up: false,
+            epoch: 0,
+            next: 0,
+            parts: HashMap::new(),
+            saving: HashMap::new(),
+            next_save: Time::ZERO,
+        }
+    }
+
+    /// Leading shared parts of a prompt that it holds whole.
+    fn depth(&self, prompt: &Prompt, salt: u64) -> usize {
+        let shared = prompt.parts.len().saturating_sub(1);
+        let is_held = |part: &crate::PromptPart| {
+            let held = self.parts.get(&(salt, part.id)).copied().unwrap_or(0);
+            held > 0 && held + BLOCK_SLACK >= part.tokens
+        };
+        prompt.parts[..shared].iter().take_while(|part| is_held(part)).count()
+    }
+}
+
+fn hash_of(text: &str) -> u64 {
+    let mut hasher = DefaultHasher::new();
+    text.hash(&mut hasher);
+    hasher.finish()
+}
--- a/crates/gateway/tests/common/mod.rs
+++ b/crates/gateway/tests/common/mod.rs
@@ -27,7 +27,7 @@
 
 /// A service without engines.
 pub fn service(name: &str) -> Service {
-    Service { name: name.to_owned(), max_connections: 100, engine: None }
+    Service { name: name.to_owned(), max_connections: 100, engine: None, store: None }
 }
 
 /// Parameters of an engine.
--- /dev/null
+++ b/crates/gateway/tests/stores.rs
@@ -0,0 +1,204 @@
+//! What a gateway believes that stores of prompt parts hold, and what it has saved there.
+
+mod common;
+
+use common::{engine, instance, prompt};
+use rstest::rstest;
+use std::time::Duration;
+use topazmount_control::{Availability, InstanceStatus, LoadedModel};
+use topazmount_gateway::{
+    Balancer, Choice, ChoiceRequest, Prompt, StoreChange, StoreEvents, StoreParameters, Stores,
+    cache_salt,
+};
+use topazmount_routing::PolicyTable;
+use topazmount_types::Time;
+
+const NOW: Time = Time::from_secs(1_000);
+const STORE: &str = "10.0.9.9:1";
+const TOKEN_BYTES: f64 = 163_840.0;
+
+fn parameters(address: &str) -> StoreParameters {
+    StoreParameters { address: address.to_owned(), link_mbps: 200_000.0 }
+}
+
+fn subject(number: u64) -> Prompt {
+    prompt(&[(1, 2_500), (100 + number, 3_800), (1_000 + number, 900)])
+}
+
+/// A page by which a store tells that it holds so many tokens of each part.
+fn page(epoch: u64, held: &[(u64, u32)]) -> StoreEvents {
+    let change = |(part, tokens): &(u64, u32)| StoreChange {
+        salt: cache_salt(1, None),
+        part: *part,
+        tokens: *tokens,
+    };
+    let changes = held.iter().map(change).collect();
+    StoreEvents { epoch, next: 5, has_gap: false, changes }
+}
+
+fn stores(events: StoreEvents) -> Stores {
+    let mut stores = Stores::default();
+    stores.set([parameters(STORE)].into_iter());
+    stores.apply(STORE, events);
+    stores
+}
+
+fn depth(stores: &Stores, salt: &str) -> Option<usize> {
+    stores.find(&subject(0), salt).map(|stored| stored.parts)
+}
+
+#[rstest]
+#[case::both_parts(&[(1, 2_500), (100, 3_800)], 2)]
+#[case::whole_blocks_only(&[(1, 2_496), (100, 3_792)], 2)]
+#[case::first_part(&[(1, 2_500)], 1)]
+#[case::a_part_cut_short(&[(1, 2_500), (100, 128)], 1)]
+#[case::a_part_without_the_one_before(&[(100, 3_800)], 0)]
+#[case::dropped_again(&[(1, 2_500), (1, 0)], 0)]
+fn what_a_store_tells_counts_as_far_as_it_is_whole(
+    #[case] held: &[(u64, u32)],
+    #[case] parts: usize,
+) {
+    let stores = stores(page(7, held));
+    assert_eq!(depth(&stores, &cache_salt(1, None)), Some(parts));
+    assert_eq!(depth(&stores, &cache_salt(2, None)), Some(0), "other weights");
+    assert_eq!(depth(&stores, &cache_salt(1, Some("tenant"))), Some(0), "behind a wall");
+}
+
+#[rstest]
+#[case::restarted(StoreEvents { epoch: 8, ..page(8, &[]) })]
+#[case::gap(StoreEvents { has_gap: true, ..page(7, &[]) })]
+fn a_store_that_may_have_lost_something_counts_as_empty(#[case] events: StoreEvents) {
+    let mut stores = stores(page(7, &[(1, 2_500), (100, 3_800)]));
+    assert!(stores.apply(STORE, events));
+    assert_eq!(depth(&stores, &cache_salt(1, None)), Some(0));
+}
+
+#[test]
+fn a_store_that_does_not_answer_gives_and_takes_nothing() {
+    let mut stores = stores(page(7, &[(1, 2_500), (100, 3_800)]));
+    assert!(stores.lost(STORE));
+    assert!(!stores.lost(STORE), "it was known");
+    let salt = cache_salt(1, None);
+    assert_eq!(depth(&stores, &salt), None);
+    assert_eq!(stores.save(&subject(1), &salt, TOKEN_BYTES, 1, NOW), None);
+    assert!(!stores.apply(STORE, page(7, &[])));
+    assert_eq!(depth(&stores, &salt), Some(2), "it was away, and not restarted");
+}
+
+#[test]
+fn saves_are_few_and_never_of_what_is_there() {
+    let mut stores = stores(page(7, &[(1, 2_500), (100, 3_800)]));
+    let salt = cache_salt(1, None);
+    let mut save = |number: u64, at: Time| {
+        stores.save(&subject(number), &salt, TOKEN_BYTES, 1, at).is_some()
+    };
+    assert!(!save(0, NOW), "it is there");
+    assert!(save(1, NOW));
+    assert!(!save(2, NOW), "the link is busy");
+    let later = NOW + Duration::from_secs(1);
+    assert!(!save(1, later), "it is under way");
+    assert!(save(2, later));
+    assert!(save(1, NOW + Duration::from_secs(5)), "it never came");
+    let short = prompt(&[(1, 500), (2, 400), (3, 10_000)]);
+    assert_eq!(stores.save(&short, &salt, TOKEN_BYTES, 1, NOW + Duration::from_secs(9)), None);
+}
+
+/// Over any time, all gateways together fill at most a part of the link with saves.
+#[test]
+fn saves_of_all_gateways_leave_room_on_the_link() {
+    const NODES: usize = 7;
+    let seconds = 10;
+    let mut bytes = 0.0;
+    for node in 0..NODES as u64 {
+        let mut stores = stores(page(7, &[]));
+        for step in 0..seconds * 100 {
+            let one = subject(node * 10_000 + step);
+            let at = NOW + Duration::from_millis(step * 10);
+            if stores.save(&one, &cache_salt(1, None), TOKEN_BYTES, NODES, at).is_some() {
+                bytes += f64::from(one.prompt_tokens) * TOKEN_BYTES;
+            }
+        }
+    }
+    let capacity = 200_000.0 * 125_000.0 * seconds as f64;
+    assert!(bytes > 0.4 * capacity && bytes < 0.75 * capacity, "{}", bytes / capacity);
+}
+
+#[test]
+fn stores_that_a_catalog_no_longer_names_are_forgotten() {
+    let mut stores = stores(page(7, &[(1, 2_500)]));
+    stores.set([parameters(STORE), parameters("10.0.9.8:1")].into_iter());
+    assert_eq!(stores.position(STORE), Some(5), "what was known stays");
+    stores.set([parameters("10.0.9.8:1")].into_iter());
+    assert_eq!(stores.position(STORE), None);
+    assert!(!stores.apply(STORE, page(7, &[(1, 2_500)])));
+}
+
+fn pool() -> Balancer {
+    let mut balancer = Balancer::new("north", 1);
+    for number in 0..4 {
+        let id = format!("replica-{number}");
+        balancer.upsert(instance(&id, "pool", "north"));
+        let models = vec![LoadedModel { model: "model".to_owned(), version: 1 }];
+        balancer.set_status(&InstanceStatus { id, availability: Availability::Open, models });
+    }
+    balancer.stores().set([parameters(STORE)].into_iter());
+    balancer
+}
+
+fn choose(balancer: &mut Balancer, prompt: &Prompt, now: Time) -> Choice {
+    let engine = engine();
+    let request = request(prompt, &engine);
+    balancer.choose(&request, now, &mut PolicyTable::default()).unwrap()
+}
+
+fn request<'a>(
+    prompt: &'a Prompt,
+    engine: &'a topazmount_gateway::EngineParameters,
+) -> ChoiceRequest<'a> {
+    ChoiceRequest {
+        service: "pool",
+        tenant: 0,
+        prompt: Some(prompt),
+        model: Some("model"),
+        namespace: 1,
+        wall: None,
+        exclude: &[],
+        held_to: None,
+        engine: Some(engine),
+    }
+}
+
+/// Replicas forget within seconds: a store that tells that it holds a prompt is a better source than
+/// a replica that read it a while ago, and no better one than a replica that just read it.
+#[rstest]
+#[case::just_read(Duration::from_secs(1), false)]
+#[case::read_a_while_ago(Duration::from_secs(5), true)]
+fn a_store_is_the_source_of_what_replicas_may_have_forgotten(
+    #[case] age: Duration,
+    #[case] from_store: bool,
+) {
+    let (mut balancer, engine) = (pool(), engine());
+    let one = subject(0);
+    let home = choose(&mut balancer, &one, NOW);
+    balancer.sent(&home, &request(&one, &engine), NOW);
+    balancer.first_token(&home, &request(&one, &engine), Duration::from_millis(190), NOW);
+    balancer.stores().apply(STORE, page(7, &[(1, 2_500), (100, 3_800)]));
+    let exclude = std::slice::from_ref(&home.instance.id);
+    let elsewhere = ChoiceRequest { exclude, ..request(&one, &engine) };
+    let other = balancer.choose(&elsewhere, NOW + age, &mut PolicyTable::default()).unwrap();
+    let expected = if from_store { STORE } else { home.instance.address.as_str() };
+    assert_eq!(other.source.as_deref(), Some(expected));
+}
+
+#[test]
+fn a_replica_that_held_the_prompt_falls_back_on_the_store() {
+    let (mut balancer, engine) = (pool(), engine());
+    let one = subject(0);
+    let home = choose(&mut balancer, &one, NOW);
+    balancer.sent(&home, &request(&one, &engine), NOW);
+    balancer.first_token(&home, &request(&one, &engine), Duration::from_millis(190), NOW);
+    balancer.stores().apply(STORE, page(7, &[(1, 2_500), (100, 3_800)]));
+    let again = choose(&mut balancer, &one, NOW + Duration::from_secs(6));
+    assert_eq!(again.instance.id, home.instance.id);
+    assert_eq!(again.source.as_deref(), Some(STORE));
+}
--- a/crates/topazmount/src/fleet/dialect.rs
+++ b/crates/topazmount/src/fleet/dialect.rs
@@ -5,7 +5,7 @@
 use topazmount_control::{
     Document, GatewayReport, InstanceReport, OrderEnd, ReplicaReport, WeightsOrder,
 };
-use topazmount_gateway::{Catalog, CatalogProblem, Prompt};
+use topazmount_gateway::{Catalog, CatalogProblem, Prompt, StoreEvents};
 use topazmount_types::{ErrorKind, InstanceId};
 
 /// What a client's request says of itself.
@@ -40,6 +40,8 @@
     pub expected_version: Option<u32>,
     /// Where the replica takes parts of the prompt that it lacks.
     pub fetch_from: Option<String>,
+    /// Store to which the replica sends the parts once they are read.
+    pub save_to: Option<String>,
     /// Last event that must not come again.
     pub last_event: Option<String>,
     /// Rank, 0 is the most urgent.
@@ -194,6 +196,12 @@
     /// A question for a replica's report.
     fn report_call(&self) -> HttpCall;
 
+    /// A question for a store's events from a position on, which may be held for so long.
+    fn store_events_call(&self, position: u64, hold: Duration) -> HttpCall;
+
+    /// Reads a page of a store's events.
+    fn store_events(&self, body: &[u8]) -> Option<StoreEvents>;
+
     /// Reads a replica's report.
     fn report(&self, body: &[u8]) -> Option<ReplicaReport>;
 }
--- a/crates/topazmount/src/fleet/exchange/attempt.rs
+++ b/crates/topazmount/src/fleet/exchange/attempt.rs
@@ -99,6 +99,7 @@
             expected_version: version,
             // Without a known version nothing may be shared with other replicas.
             fetch_from: choice.source.clone().filter(|_| version.is_some()),
+            save_to: choice.save_to.clone().filter(|_| version.is_some()),
             last_event: progress.last_event.clone(),
             priority: self.tags.prompt.as_ref().map(|_| self.rank()),
         };
--- a/crates/topazmount/src/fleet/exchange/mod.rs
+++ b/crates/topazmount/src/fleet/exchange/mod.rs
@@ -15,7 +15,8 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 use topazmount_gateway::{
-    Admission, AttemptEnd, Choice, ChoiceRequest, EngineParameters, LoadNews, NextStep, RequestPlan,
+    Admission, AttemptEnd, Choice, ChoiceRequest, EngineParameters, LoadNews, NextStep,
+    RequestPlan, cache_salt,
 };
 use topazmount_types::{ErrorKind, RunState, TenantId, Time};
 
@@ -138,6 +139,7 @@
             prompt: self.tags.prompt.as_ref(),
             model: self.tags.model.as_deref(),
             namespace: self.namespace(),
+            wall: self.wall(),
             exclude: plan.tried(),
             held_to: plan.held_to(),
             engine: self.engine.as_ref(),
@@ -168,7 +170,7 @@
     /// may outlast a load, and what it leaves would be taken for the new weights' own.
     fn cache_salt(&self, version: Option<u32>) -> String {
         match version {
-            Some(version) => format!("v{version}/{}", self.wall().unwrap_or_default()),
+            Some(version) => cache_salt(version, self.wall()),
             None => format!("request/{}", self.tags.id),
         }
     }
--- a/crates/topazmount/src/fleet/exchange/record.rs
+++ b/crates/topazmount/src/fleet/exchange/record.rs
@@ -102,7 +102,7 @@
         self.shared.journal.line(|| {
             format!(
                 "gateway: event=attempt request={} instance={} address={} home_rank={} \
-                 version={} known={} source={} prefill={} estimate_ms={:.0} end={end} after_ms={}",
+                 version={} known={} source={} save={} prefill={} estimate_ms={:.0} end={end} after_ms={}",
                 self.tags.id,
                 choice.instance.id,
                 choice.instance.address,
@@ -110,6 +110,7 @@
                 choice.version.unwrap_or(0),
                 choice.known_tokens,
                 choice.source.as_deref().unwrap_or("none"),
+                choice.save_to.as_deref().unwrap_or("none"),
                 choice.expected_prefill,
                 choice.estimate_ms,
                 self.shared.clock.now().since(self.received).as_millis()
--- a/crates/topazmount/src/fleet/gateway.rs
+++ b/crates/topazmount/src/fleet/gateway.rs
@@ -7,6 +7,7 @@
 use super::metrics::{Metrics, MetricsService};
 use super::peers::{self, Peers};
 use super::settings::FleetSettings;
+use super::store_reader;
 use super::watcher::{NewsReader, Watcher};
 use crate::Executor;
 use crate::clock::Clock;
@@ -99,6 +100,7 @@
             http_service::serve(executor, address, Arc::new(service)).await?;
         }
         executor.spawn(peers::listen(peers, shared.clone())).detach();
+        executor.spawn(store_reader::run(executor.clone(), shared.clone())).detach();
         let watcher = Watcher::new(executor, clock, key, settings.seed_peers(), true);
         let report = GatewayReport {
             address: clients.to_string(),
--- a/crates/topazmount/src/fleet/mod.rs
+++ b/crates/topazmount/src/fleet/mod.rs
@@ -17,6 +17,7 @@
 mod peers;
 mod process;
 mod settings;
+mod store_reader;
 mod stream;
 mod watcher;
 
