One reader of requests, candidates in a module of their own; a fenced holder orders nothing more there

- Exchange::may_switch asked for a choice, which ran the policies, counted a decision and would now have claimed a save: Balancer::has_choice asks without side effects (test: counts nothing).
- clients and http_service read heads and bodies by the same code with the same list of refusals; one function writes own answers.

--- a/crates/control/src/fleet/rollout.rs
+++ b/crates/control/src/fleet/rollout.rs
@@ -3,7 +3,7 @@
 use super::orders::{FleetAction, LoadMode, OrderEnd, OrderReport, ReplicaReport, WeightsOrder};
 use super::protocol::{Availability, InstanceStatus, LoadedModel};
 use super::schedule::Schedule;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 use topazmount_consensus::Term;
 use topazmount_types::{Instance, InstanceId, Time};
@@ -72,6 +72,8 @@
     targets: BTreeMap<InstanceId, Target>,
     loaded: BTreeMap<InstanceId, Vec<LoadedModel>>,
     sequences: BTreeMap<InstanceId, u64>,
+    /// Replicas that have seen a higher fence than this holder's; it orders nothing there again.
+    fenced: BTreeSet<InstanceId>,
 }
 
 impl Rollout {
@@ -142,7 +144,11 @@
             // An order that got no answer may be carried out seconds later. Given again with the
             // same sequence, at most one of the two is carried out.
             OrderEnd::Unknown | OrderEnd::Conflict => target.phase = Phase::Granted,
-            OrderEnd::Fenced | OrderEnd::Refused => {
+            OrderEnd::Fenced => {
+                self.targets.remove(id);
+                self.fenced.insert(id.to_owned());
+            }
+            OrderEnd::Refused => {
                 target.phase = Phase::Resting { until: now + RETRY_PAUSE };
             }
         }
@@ -198,6 +204,7 @@
     ) -> Vec<FleetAction> {
         self.targets.retain(|id, _| instances.get(id).is_some_and(|one| !one.is_draining));
         self.sequences.retain(|id, _| instances.contains_key(id));
+        self.fenced.retain(|id| instances.contains_key(id));
         self.admit(now, instances, weights);
         self.grant_orders(now, instances);
         let ids: Vec<InstanceId> = self.targets.keys().cloned().collect();
@@ -219,7 +226,10 @@
         for replicas in services.values() {
             let under_way =
                 replicas.iter().filter(|one| self.targets.contains_key(&one.id)).count();
-            let lacking = replicas.iter().filter(|one| !self.targets.contains_key(&one.id));
+            let may_be_ordered = |one: &&&Instance| {
+                !self.targets.contains_key(&one.id) && !self.fenced.contains(&one.id)
+            };
+            let lacking = replicas.iter().filter(may_be_ordered);
             let lacking = lacking.filter_map(|one| {
                 let (model, newest, named) = self.lacking(&one.id, weights)?;
                 Some((named + self.settings.spread, one.id.clone(), model, newest))
--- a/crates/control/tests/fleet_member.rs
+++ b/crates/control/tests/fleet_member.rs
@@ -25,6 +25,8 @@
 enum Manner {
     Obeys,
     Refuses,
+    /// Says that another holder has used a higher fence.
+    Fences,
     /// The first order gets no answer and is carried out late.
     LateOnce,
 }
@@ -212,6 +214,7 @@
     fn take(&mut self, now: Time, order: WeightsOrder) -> OrderEnd {
         match self.manner {
             Manner::Refuses => OrderEnd::Refused,
+            Manner::Fences => OrderEnd::Fenced,
             Manner::LateOnce => {
                 self.manner = Manner::Obeys;
                 self.late = Some((order, now + Duration::from_secs(4)));
@@ -311,6 +314,21 @@
     assert_eq!(world.replicas["late"].version, 4);
 }
 
+/// A holder that was refused for its fence does not use that fence there again.
+#[test]
+fn a_fenced_holder_orders_nothing_more_there() {
+    let mut world = World::new(2);
+    world.run_for(Duration::from_secs(10));
+    world.add("fenced", Manner::Fences);
+    world.run_for(Duration::from_secs(2));
+    world.name(2);
+    world.run_for(Duration::from_secs(12));
+    let orders = world.orders.iter().filter(|(_, order)| order.instance == "fenced").count();
+    assert_eq!(orders, 1);
+    assert_eq!(world.status("fenced").availability, Availability::Barred);
+    assert!(["r00", "r01"].iter().all(|id| world.replicas[*id].version == 2));
+}
+
 #[test]
 fn a_replica_whose_weights_are_too_old_is_barred_in_time() {
     let mut world = World::new(2);
--- /dev/null
+++ b/crates/gateway/src/balancer/candidates.rs
@@ -0,0 +1,161 @@
+//! Which replicas may be asked, and what a request would cost at each.
+
+use super::cost::{
+    self, DELAY_PER_REQUEST_MS, DELAY_SHARE, OLD_WEIGHTS_MS, OTHER_ZONE_MS, PREFILL_TOKENS_PER_MS,
+};
+use super::holders::Kept;
+use super::replica::Replica;
+use super::{Balancer, ChoiceRequest};
+use rand::Rng;
+use std::collections::HashMap;
+use topazmount_control::Availability;
+use topazmount_routing::{Candidate, rendezvous_weight};
+use topazmount_types::{InstanceId, ReplicaId, Time};
+
+/// Replicas of a service for each one that is a home of a first part: deeper prefixes have their
+/// homes among these, so that few replicas read a part that many prompts share.
+const REPLICAS_PER_HOME: usize = 2;
+/// A replica's places are counted as taken when this part of them is in use.
+const FULL_SHARE: f64 = 0.8;
+/// Wait for a place at a full replica, per request over its places, in milliseconds.
+const OVER_PLACE_MS: f64 = 16.0;
+/// Smallest difference between estimates, in milliseconds.
+const TIE_MS: f64 = 0.01;
+
+/// What is known of a prompt's parts at the time of a choice.
+pub(super) struct PromptView {
+    pub(super) homes: Vec<InstanceId>,
+    /// Leading parts that each replica holds, and how long ago it read or used the last of them, by
+    /// slot.
+    pub(super) kept: HashMap<u32, Kept>,
+    /// Leading parts that each replica was sent and has not read yet, by slot.
+    pub(super) coming: HashMap<u32, usize>,
+}
+
+impl PromptView {
+    /// Leading parts that a replica holds or is reading.
+    pub(super) fn known_parts(&self, slot: u32) -> usize {
+        let kept = self.kept.get(&slot).map_or(0, |kept| kept.parts);
+        kept.max(self.coming.get(&slot).copied().unwrap_or(0))
+    }
+}
+
+impl Balancer {
+    /// Replicas that may be asked: healthy ones, else those that failed lately.
+    pub(super) fn open_replicas(&self, request: &ChoiceRequest<'_>, now: Time) -> Vec<InstanceId> {
+        let may_serve = |replica: &&Replica| {
+            let instance = &replica.instance;
+            instance.service == request.service
+                && !instance.is_draining
+                && replica.availability != Availability::Barred
+                && !request.exclude.contains(&instance.id)
+                && request.held_to.is_none_or(|id| *id == instance.id)
+        };
+        let mut serving: Vec<&Replica> = self.replicas.values().filter(may_serve).collect();
+        // Weights that are not known may be too old.
+        let is_known = |replica: &&Replica| replica.version(request.model).is_some();
+        if request.model.is_some() && serving.iter().any(is_known) {
+            serving.retain(is_known);
+        }
+        let ids = |keep: &dyn Fn(&Replica) -> bool| -> Vec<InstanceId> {
+            let kept = serving.iter().filter(|replica| keep(replica));
+            kept.map(|replica| replica.instance.id.clone()).collect()
+        };
+        let is_paused = |replica: &Replica| replica.availability == Availability::Paused;
+        let healthy = ids(&|replica| !replica.is_suspect(now) && !is_paused(replica));
+        if !healthy.is_empty() {
+            return healthy;
+        }
+        let unpaused = ids(&|replica| !is_paused(replica));
+        if unpaused.is_empty() { ids(&|_| true) } else { unpaused }
+    }
+
+    pub(super) fn prompt_view(&self, request: &ChoiceRequest<'_>, now: Time) -> PromptView {
+        let shared = request.shared();
+        let incarnation_of = |slot: u32| {
+            let replica = self.replicas.get(self.by_slot.get(&slot)?)?;
+            Some(replica.incarnation(replica.version(request.model)?))
+        };
+        PromptView {
+            homes: self.home_order(request, &shared),
+            kept: self.holders.kept(&shared, now, incarnation_of),
+            coming: self.holders.coming(&shared, now, incarnation_of),
+        }
+    }
+
+    /// Replicas of the service in the order in which they are homes of the prompt's shared parts.
+    /// The first part picks a part of the replicas, and all shared parts together rank these; the
+    /// others follow, ranked alike. All nodes find the same order.
+    fn home_order(&self, request: &ChoiceRequest<'_>, shared: &[u64]) -> Vec<InstanceId> {
+        let (Some(first), Some(deepest)) = (shared.first(), shared.last()) else {
+            return Vec::new();
+        };
+        let serving = self.replicas.values().filter(|one| one.instance.service == request.service);
+        let mut order: Vec<(&InstanceId, ReplicaId)> =
+            serving.map(|one| (&one.instance.id, ReplicaId::from_name(&one.instance.id))).collect();
+        let homes = order.len().div_ceil(REPLICAS_PER_HOME).min(order.len());
+        let by = |key: u64| {
+            move |(_, id): &(&InstanceId, ReplicaId)| std::cmp::Reverse(rendezvous_weight(key, *id))
+        };
+        order.sort_by_cached_key(by(*first));
+        let (near, far) = order.split_at_mut(homes);
+        near.sort_by_cached_key(by(*deepest));
+        far.sort_by_cached_key(by(*deepest));
+        order.into_iter().map(|(id, _)| id.clone()).collect()
+    }
+
+    pub(super) fn candidates(
+        &mut self,
+        open: &[InstanceId],
+        request: &ChoiceRequest<'_>,
+        view: &PromptView,
+        now: Time,
+    ) -> Vec<Candidate> {
+        let ranks: HashMap<&InstanceId, usize> = view.homes.iter().zip(0..).collect();
+        let home = view.homes.iter().find(|id| open.contains(*id));
+        let is_unknown = view.kept.is_empty() && view.coming.is_empty();
+        let version_of = |id: &InstanceId| self.replicas[id].version(request.model);
+        let newest = open.iter().filter_map(version_of).max();
+        let mut candidates: Vec<Candidate> = Vec::with_capacity(open.len());
+        for (position, id) in open.iter().enumerate() {
+            let replica = &self.replicas[id];
+            let mut candidate = self.candidate(replica, position, now);
+            candidate.home_rank = ranks.get(id).map_or(0, |rank| *rank as u32);
+            if let Some(prompt) = request.prompt {
+                let depth = view.known_parts(replica.slot);
+                let is_home = is_unknown && home == Some(id);
+                let source = self.source(replica, request, view, now);
+                let source = source.as_ref();
+                cost::add_prompt(&mut candidate, prompt, request.engine, depth, is_home, source);
+                if version_of(id) < newest {
+                    candidate.network_ms += OLD_WEIGHTS_MS;
+                }
+            }
+            candidates.push(candidate);
+        }
+        // Equal estimates must not all go to the first replica of the list.
+        let favoured = self.rng.random_range(0..candidates.len().max(1));
+        if let Some(one) = candidates.get_mut(favoured) {
+            one.network_ms -= TIE_MS;
+        }
+        candidates
+    }
+
+    fn candidate(&self, replica: &Replica, position: usize, now: Time) -> Candidate {
+        let is_local = replica.instance.zone == self.zone;
+        let in_flight = replica.all_in_flight(now);
+        let queue_ms = f64::from(in_flight) * DELAY_PER_REQUEST_MS
+            + replica.waiting_tokens(now) as f64 / PREFILL_TOKENS_PER_MS
+            + DELAY_SHARE * replica.delay_ms(now);
+        let over = f64::from(in_flight) - FULL_SHARE * f64::from(replica.instance.slots);
+        Candidate {
+            replica: ReplicaId(u64::from(replica.slot)),
+            position: position as u32,
+            is_local,
+            in_flight: replica.in_flight,
+            queue_ms: queue_ms + over.max(0.0) * OVER_PLACE_MS,
+            network_ms: if is_local { 0.0 } else { OTHER_ZONE_MS },
+            ..Candidate::default()
+        }
+    }
+}
--- a/crates/gateway/src/balancer/source.rs
+++ b/crates/gateway/src/balancer/source.rs
@@ -1,7 +1,8 @@
 //! Who could give a replica the parts of a prompt that it lacks.
 
+use super::candidates::PromptView;
 use super::replica::Replica;
-use super::{Balancer, ChoiceRequest, PromptView};
+use super::{Balancer, ChoiceRequest};
 use crate::stores::cache_salt;
 use std::time::Duration;
 use topazmount_types::Time;
--- a/crates/gateway/tests/balancer.rs
+++ b/crates/gateway/tests/balancer.rs
@@ -173,6 +173,22 @@
     assert_eq!(choose_for(&mut balancer, &prompt, &[]).unwrap().instance.id, home);
 }
 
+/// Whether a waiting request could go elsewhere is a question: it must not count as a decision.
+#[test]
+fn a_question_whether_there_is_a_choice_counts_nothing() {
+    let mut balancer = pool(2, 1);
+    let prompt = prompt(&[(1, 100), (2, 100)]);
+    let mut policies = PolicyTable::default();
+    assert!(balancer.has_choice(&request(&prompt), NOW));
+    balancer.choose(&request(&prompt), NOW, &mut policies).unwrap();
+    assert!(balancer.has_choice(&request(&prompt), NOW));
+    let decided: u64 = policies.report().into_iter().map(|(_, counters)| counters.decided).sum();
+    assert_eq!(decided, 1);
+    balancer.set_status(&status("replica-0", Availability::Barred, 1));
+    balancer.set_status(&status("replica-1", Availability::Barred, 1));
+    assert!(!balancer.has_choice(&request(&prompt), NOW));
+}
+
 #[test]
 fn draining_and_removed_replicas_get_nothing() {
     let mut balancer = pool(2, 1);
--- a/crates/gateway/tests/stores.rs
+++ b/crates/gateway/tests/stores.rs
@@ -89,9 +89,8 @@
 fn saves_are_few_and_never_of_what_is_there() {
     let mut stores = stores(page(7, &[(1, 2_500), (100, 3_800)]));
     let salt = cache_salt(1, None);
-    let mut save = |number: u64, at: Time| {
-        stores.save(&subject(number), &salt, TOKEN_BYTES, 1, at).is_some()
-    };
+    let mut save =
+        |number: u64, at: Time| stores.save(&subject(number), &salt, TOKEN_BYTES, 1, at).is_some();
     assert!(!save(0, NOW), "it is there");
     assert!(save(1, NOW));
     assert!(!save(2, NOW), "the link is busy");
--- a/crates/topazmount/src/fleet/answer.rs
+++ b/crates/topazmount/src/fleet/answer.rs
@@ -63,13 +63,21 @@
     answer_head(head.status, &head.reason, &Headers(fields))
 }
 
-/// A whole answer of the gateway's own.
-pub(super) fn own_answer(answer: &HttpAnswer, head: &RequestHead, keeps_alive: bool) -> Vec<u8> {
+/// A whole answer of the process's own.
+pub(super) fn answer_bytes(answer: &HttpAnswer, keeps_alive: bool) -> Vec<u8> {
     let mut fields: Vec<(&str, String)> =
         answer.fields.iter().map(|(name, value)| (name.as_str(), value.clone())).collect();
     if let Some(content_type) = answer.content_type {
         fields.push(("Content-Type", content_type.to_owned()));
     }
-    let bytes = simple_answer(answer.status, &fields, &answer.body, keeps_alive);
-    if head.method == "HEAD" { bytes[..bytes.len() - answer.body.len()].to_vec() } else { bytes }
+    simple_answer(answer.status, &fields, &answer.body, keeps_alive)
+}
+
+/// The same as an answer to a request, which may want no body.
+pub(super) fn own_answer(answer: &HttpAnswer, head: &RequestHead, keeps_alive: bool) -> Vec<u8> {
+    let mut bytes = answer_bytes(answer, keeps_alive);
+    if head.method == "HEAD" {
+        bytes.truncate(bytes.len() - answer.body.len());
+    }
+    bytes
 }
--- a/crates/topazmount/src/fleet/clients.rs
+++ b/crates/topazmount/src/fleet/clients.rs
@@ -5,8 +5,9 @@
 use super::exchange::{Ending, Exchange};
 use super::gateway::Shared;
 use super::http_service::within;
+use super::request_reader::{Unread, read_body, read_head};
 use crate::Executor;
-use crate::http1::{BodyError, BodyReader, HeadError, RequestHead, Wire, request_framing};
+use crate::http1::{RequestHead, Wire};
 use async_net::TcpListener;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
@@ -50,24 +51,16 @@
     }
 }
 
-/// Why a request could not be read.
-enum Unread {
-    /// The client closed, rested too long or broke off.
-    Gone,
-    /// It is answered with this kind, and the connection closed.
-    Refused(ErrorKind),
-}
-
 async fn serve_client(shared: Arc<Shared>, mut wire: Wire) {
     loop {
-        let head = match read_head(&shared, &mut wire).await {
+        let head = match read_head(&mut wire, || shared.read_limits()).await {
             Ok(head) => head,
             Err(Unread::Gone) => return,
             Err(Unread::Refused(kind)) => return refuse(&shared, &mut wire, kind).await,
         };
         let _open = OpenRequest::new(&shared);
         let received = shared.clock.now();
-        let body = match read_body(&shared, &mut wire, &head).await {
+        let body = match read_body(&mut wire, &head, &shared.read_limits()).await {
             Ok(body) => body,
             Err(Unread::Gone) => return,
             Err(Unread::Refused(kind)) => return refuse(&shared, &mut wire, kind).await,
@@ -198,62 +191,3 @@
     })
     .await;
 }
-
-async fn read_head(shared: &Shared, wire: &mut Wire) -> Result<RequestHead, Unread> {
-    let mut first_byte: Option<Time> = None;
-    loop {
-        let limits = shared.limits();
-        match RequestHead::parse(wire.buffered()) {
-            Ok(Some((_, length))) if length > limits.max_header_bytes => {
-                return Err(Unread::Refused(ErrorKind::HeaderTooLarge));
-            }
-            Ok(Some((head, length))) => {
-                wire.consume(length);
-                return Ok(head);
-            }
-            Ok(None) if wire.buffered().len() > limits.max_header_bytes => {
-                return Err(Unread::Refused(ErrorKind::HeaderTooLarge));
-            }
-            Ok(None) => {}
-            Err(HeadError::Malformed | HeadError::Framing) => {
-                return Err(Unread::Refused(ErrorKind::InvalidRequest));
-            }
-        }
-        let now = shared.clock.now();
-        if !wire.buffered().is_empty() {
-            first_byte = first_byte.or(Some(now));
-        }
-        let limit = match first_byte {
-            Some(began) => (began + limits.header_timeout).since(now),
-            None => limits.idle_timeout,
-        };
-        match within(limit, wire.fill()).await {
-            Some(Ok(read)) if read > 0 => {}
-            None if first_byte.is_some() => {
-                return Err(Unread::Refused(ErrorKind::CallerTooSlow));
-            }
-            _ => return Err(Unread::Gone),
-        }
-    }
-}
-
-async fn read_body(
-    shared: &Shared,
-    wire: &mut Wire,
-    head: &RequestHead,
-) -> Result<Vec<u8>, Unread> {
-    let framing = request_framing(head).map_err(|_| Unread::Refused(ErrorKind::InvalidRequest))?;
-    if head.headers.has_word("expect", "100-continue") {
-        let _ = wire.write_all(b"HTTP/1.1 100 Continue\r\n\r\n").await;
-    }
-    let limits = shared.limits();
-    let mut reader = BodyReader::new(framing);
-    let reading = reader.read_all(wire, limits.max_body_bytes);
-    match within(limits.idle_timeout, reading).await {
-        Some(Ok(body)) => Ok(body),
-        Some(Err(BodyError::TooLarge)) => Err(Unread::Refused(ErrorKind::TooLarge)),
-        Some(Err(BodyError::Malformed)) => Err(Unread::Refused(ErrorKind::InvalidRequest)),
-        Some(Err(BodyError::Truncated)) => Err(Unread::Gone),
-        None => Err(Unread::Refused(ErrorKind::CallerTooSlow)),
-    }
-}
--- a/crates/topazmount/src/fleet/exchange/attempt.rs
+++ b/crates/topazmount/src/fleet/exchange/attempt.rs
@@ -85,7 +85,7 @@
         }
         let now = self.shared.clock.now();
         let mut knowledge = self.shared.knowledge.lock().unwrap();
-        knowledge.choose(&self.choice_request(plan), now).is_some()
+        knowledge.balancer().has_choice(&self.choice_request(plan), now)
     }
 
     fn upstream_bytes(&self, choice: &Choice, progress: &Progress) -> Vec<u8> {
--- a/crates/topazmount/src/fleet/gateway.rs
+++ b/crates/topazmount/src/fleet/gateway.rs
@@ -6,6 +6,7 @@
 use super::journal::Journal;
 use super::metrics::{Metrics, MetricsService};
 use super::peers::{self, Peers};
+use super::request_reader::ReadLimits;
 use super::settings::FleetSettings;
 use super::store_reader;
 use super::watcher::{NewsReader, Watcher};
@@ -178,9 +179,18 @@
         !self.is_stopping() && self.knowledge.lock().unwrap().is_confirmed(now)
     }
 
-    pub(super) fn limits(&self) -> HttpLimits {
+    /// Bounds on what clients may send, as the catalog in force says.
+    pub(super) fn read_limits(&self) -> ReadLimits {
         let knowledge = self.knowledge.lock().unwrap();
-        knowledge.catalog().map_or_else(HttpLimits::default, |catalog| catalog.limits())
+        let limits =
+            knowledge.catalog().map_or_else(HttpLimits::default, |catalog| catalog.limits());
+        ReadLimits {
+            max_head: limits.max_header_bytes,
+            max_body: limits.max_body_bytes,
+            rest: limits.idle_timeout,
+            head: limits.header_timeout,
+            body: limits.idle_timeout,
+        }
     }
 
     /// When a refused client may come back.
--- a/crates/topazmount/src/fleet/http_service.rs
+++ b/crates/topazmount/src/fleet/http_service.rs
@@ -1,23 +1,26 @@
 //! Serves short calls over HTTP: a whole request in, a whole answer out.
 
+use super::answer::answer_bytes;
 use super::dialect::HttpAnswer;
+use super::request_reader::{ReadLimits, Unread, read_body, read_head};
 use crate::Executor;
-use crate::http1::{BodyReader, HeadError, RequestHead, Wire, request_framing, simple_answer};
+use crate::http1::{RequestHead, Wire, simple_answer};
 use async_net::TcpListener;
 use eyre::{Result, WrapErr};
 use std::future::Future;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
+use topazmount_types::ErrorKind;
 
-/// Largest head of a call.
-const MAX_HEAD: usize = 16 * 1024;
-/// Largest body of a call.
-const MAX_BODY: usize = 8 * 1024 * 1024;
-/// Longest time for a call to arrive.
-const ARRIVAL: Duration = Duration::from_secs(5);
-/// Longest rest of a kept connection.
-const IDLE: Duration = Duration::from_secs(20);
+/// Bounds on calls.
+const LIMITS: ReadLimits = ReadLimits {
+    max_head: 16 * 1024,
+    max_body: 8 * 1024 * 1024,
+    rest: Duration::from_secs(20),
+    head: Duration::from_secs(5),
+    body: Duration::from_secs(5),
+};
 /// Pause after a failed accept, for example without free descriptors.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
@@ -59,14 +62,10 @@
 
 async fn serve_connection<S: Service>(mut wire: Wire, service: Arc<S>) {
     loop {
-        let head = match read_head(&mut wire).await {
-            Ok(Some(head)) => head,
-            Ok(None) => return,
-            Err(status) => return refuse(&mut wire, status).await,
-        };
-        let body = match read_body(&mut wire, &head).await {
-            Ok(body) => body,
-            Err(status) => return refuse(&mut wire, status).await,
+        let (head, body) = match read_call(&mut wire).await {
+            Ok(call) => call,
+            Err(Unread::Gone) => return,
+            Err(Unread::Refused(kind)) => return refuse(&mut wire, kind).await,
         };
         let keeps_alive = head.keeps_alive();
         let answer = service.answer(head, body).await;
@@ -77,55 +76,17 @@
     }
 }
 
-fn answer_bytes(answer: &HttpAnswer, keeps_alive: bool) -> Vec<u8> {
-    let mut fields: Vec<(&str, String)> =
-        answer.fields.iter().map(|(name, value)| (name.as_str(), value.clone())).collect();
-    if let Some(content_type) = answer.content_type {
-        fields.push(("Content-Type", content_type.to_owned()));
-    }
-    simple_answer(answer.status, &fields, &answer.body, keeps_alive)
+async fn read_call(wire: &mut Wire) -> Result<(RequestHead, Vec<u8>), Unread> {
+    let head = read_head(wire, || LIMITS).await?;
+    let body = read_body(wire, &head, &LIMITS).await?;
+    Ok((head, body))
 }
 
-async fn refuse(wire: &mut Wire, status: u16) {
-    let _ = wire.write_all(&simple_answer(status, &[], b"", false)).await;
+async fn refuse(wire: &mut Wire, kind: ErrorKind) {
+    let _ = wire.write_all(&simple_answer(kind.status(), &[], b"", false)).await;
     wire.finish();
 }
 
-/// Reads a head; `None` when the peer closed or rested too long, a status when it is faulty.
-async fn read_head(wire: &mut Wire) -> Result<Option<RequestHead>, u16> {
-    loop {
-        match RequestHead::parse(wire.buffered()) {
-            Ok(Some((head, length))) => {
-                wire.consume(length);
-                return Ok(Some(head));
-            }
-            Ok(None) if wire.buffered().len() > MAX_HEAD => return Err(431),
-            Ok(None) => {}
-            Err(HeadError::Malformed | HeadError::Framing) => return Err(400),
-        }
-        let is_begun = !wire.buffered().is_empty();
-        let limit = if is_begun { ARRIVAL } else { IDLE };
-        match within(limit, wire.fill()).await {
-            Some(Ok(read)) if read > 0 => {}
-            None if is_begun => return Err(408),
-            _ => return Ok(None),
-        }
-    }
-}
-
-async fn read_body(wire: &mut Wire, head: &RequestHead) -> Result<Vec<u8>, u16> {
-    let framing = request_framing(head).map_err(|_| 400u16)?;
-    if head.headers.has_word("expect", "100-continue") {
-        let _ = wire.write_all(b"HTTP/1.1 100 Continue\r\n\r\n").await;
-    }
-    match within(ARRIVAL, BodyReader::new(framing).read_all(wire, MAX_BODY)).await {
-        Some(Ok(body)) => Ok(body),
-        Some(Err(crate::http1::BodyError::TooLarge)) => Err(413),
-        Some(Err(_)) => Err(400),
-        None => Err(408),
-    }
-}
-
 /// Runs a future with a time limit.
 pub(super) async fn within<T>(limit: Duration, future: impl Future<Output = T>) -> Option<T> {
     futures_lite::future::or(async { Some(future.await) }, async {
--- a/crates/topazmount/src/fleet/mod.rs
+++ b/crates/topazmount/src/fleet/mod.rs
@@ -16,6 +16,7 @@
 mod orders;
 mod peers;
 mod process;
+mod request_reader;
 mod settings;
 mod store_reader;
 mod stream;
