--- a/crates/gateway/src/stores.rs
+++ b/crates/gateway/src/stores.rs
@@ -5,7 +5,7 @@
 
 use crate::catalog::StoreParameters;
 use crate::prompt::Prompt;
-use std::collections::{BTreeMap, HashMap};
+use std::collections::HashMap;
 use std::hash::{DefaultHasher, Hash, Hasher};
 use std::time::Duration;
 use topazmount_routing::rendezvous_weight;
@@ -65,7 +65,7 @@
 
 #[derive(Clone, Debug)]
 struct Store {
-    parameters: StoreParameters,
+    cfg: StoreParameters,
     is_up: bool,
     epoch: u64,
     next: u64,
@@ -74,51 +74,64 @@
     next_save: Time,
 }
 
-/// The stores of a catalog.
+/// Names a store of this process; never given to another one.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct StoreKey(u32);
+
+/// The stores of a catalog. Those that a catalog no longer names leave an empty place.
 #[derive(Clone, Debug, Default)]
 pub struct Stores {
-    stores: BTreeMap<String, Store>,
+    arena: Vec<Option<Store>>,
 }
 
 impl Stores {
     /// Takes over the stores of a catalog; what is known of those that stay is kept.
-    pub fn set(&mut self, parameters: impl Iterator<Item = StoreParameters>) {
-        let mut before = std::mem::take(&mut self.stores);
-        for one in parameters {
-            let store = match before.remove(&one.address) {
-                Some(known) => Store { parameters: one, ..known },
-                None => Store::new(one),
-            };
-            self.stores.insert(store.parameters.address.clone(), store);
+    pub fn set(&mut self, named: impl Iterator<Item = StoreParameters>) {
+        let named: Vec<StoreParameters> = named.collect();
+        for place in &mut self.arena {
+            let is_named =
+                |store: &mut Store| named.iter().any(|cfg| cfg.address == store.cfg.address);
+            place.take_if(|store| !is_named(store));
+        }
+        for cfg in named {
+            let mut stores = self.arena.iter_mut().flatten();
+            let known = stores.find(|store| store.cfg.address == cfg.address);
+            if let Some(known) = known {
+                known.cfg = cfg;
+            } else {
+                self.arena.push(Some(Store::new(cfg)));
+            }
         }
     }
 
-    /// Addresses of all stores.
-    pub fn addresses(&self) -> Vec<String> {
-        self.stores.keys().cloned().collect()
+    /// Keys of all stores, with their addresses.
+    pub fn keys(&self) -> impl Iterator<Item = (StoreKey, &str)> {
+        let stores = self.arena.iter().zip(0..);
+        stores
+            .filter_map(|(store, key)| Some((StoreKey(key), store.as_ref()?.cfg.address.as_str())))
     }
 
     /// Where the next page of a store's events begins; `None` when there is no such store.
-    pub fn position(&self, address: &str) -> Option<u64> {
-        self.stores.get(address).map(|store| store.next)
+    pub fn position(&self, key: StoreKey) -> Option<u64> {
+        self.arena.get(key.0 as usize)?.as_ref().map(|store| store.next)
     }
 
     /// Takes a page of events. Returns whether the store's contents had to be forgotten.
-    pub fn apply(&mut self, address: &str, events: StoreEvents) -> bool {
-        let Some(store) = self.stores.get_mut(address) else { return false };
-        let is_new = events.has_gap || events.epoch != store.epoch;
+    pub fn apply(&mut self, key: StoreKey, page: StoreEvents) -> bool {
+        let Some(store) = self.get_mut(key) else { return false };
+        let is_new = page.has_gap || page.epoch != store.epoch;
         if is_new {
             store.parts.clear();
             store.saving.clear();
         }
         store.is_up = true;
-        store.epoch = events.epoch;
-        store.next = events.next;
-        for change in events.changes {
-            let key = (hash_of(&change.salt), change.part);
+        store.epoch = page.epoch;
+        store.next = page.next;
+        for change in page.changes {
+            let part = (hash_of(&change.salt), change.part);
             match change.tokens {
-                0 => store.parts.remove(&key),
-                tokens => store.parts.insert(key, tokens),
+                0 => store.parts.remove(&part),
+                tokens => store.parts.insert(part, tokens),
             };
         }
         is_new
@@ -126,17 +139,16 @@
 
     /// Notes that a store does not answer: nothing is taken from it until it does. Returns whether
     /// that is news.
-    pub fn lost(&mut self, address: &str) -> bool {
-        let store = self.stores.get_mut(address);
-        store.is_some_and(|store| std::mem::replace(&mut store.is_up, false))
+    pub fn lost(&mut self, key: StoreKey) -> bool {
+        self.get_mut(key).is_some_and(|store| std::mem::replace(&mut store.is_up, false))
     }
 
     /// What the prompt's store holds of its shared parts under a salt.
     pub fn find(&self, prompt: &Prompt, salt: &str) -> Option<StoredPrompt> {
-        let store = self.store_of(prompt)?;
+        let store = self.arena.get(self.key_of(prompt)?.0 as usize)?.as_ref()?;
         let parts = store.depth(prompt, hash_of(salt));
-        let StoreParameters { address, link_mbps, .. } = &store.parameters;
-        Some(StoredPrompt { address: address.clone(), parts, link_mbps: *link_mbps })
+        let StoreParameters { address, link_mbps } = store.cfg.clone();
+        Some(StoredPrompt { address, parts, link_mbps })
     }
 
     /// The store to which a replica should send a prompt's parts, if that is worth it: the store
@@ -154,8 +166,7 @@
             return None;
         }
         let salt = hash_of(salt);
-        let address = self.store_of(prompt)?.parameters.address.clone();
-        let store = self.stores.get_mut(&address)?;
+        let store = self.get_mut(self.key_of(prompt)?)?;
         let shared = prompt.parts.len().saturating_sub(1);
         let deepest = (salt, prompt.parts.get(shared.checked_sub(1)?)?.id);
         store.saving.retain(|_, since| now < *since + SAVING);
@@ -164,27 +175,34 @@
             return None;
         }
         let bytes = f64::from(prompt.prompt_tokens) * token_bytes;
-        let seconds = bytes / (store.parameters.link_mbps * BYTES_PER_MBPS * SAVE_SHARE);
+        let seconds = bytes / (store.cfg.link_mbps * BYTES_PER_MBPS * SAVE_SHARE);
         let pause = Duration::try_from_secs_f64(seconds * nodes.max(1) as f64).ok()?;
         store.next_save = now + pause;
         store.saving.insert(deepest, now);
-        Some(address)
+        Some(store.cfg.address.clone())
+    }
+
+    fn get_mut(&mut self, key: StoreKey) -> Option<&mut Store> {
+        self.arena.get_mut(key.0 as usize)?.as_mut()
     }
 
     /// All gateways find the same store for prompts that begin alike.
-    fn store_of(&self, prompt: &Prompt) -> Option<&Store> {
+    fn key_of(&self, prompt: &Prompt) -> Option<StoreKey> {
         let first = prompt.parts.first()?.id;
-        let running = self.stores.values().filter(|store| store.is_up);
-        running.max_by_key(|store| {
-            rendezvous_weight(first, ReplicaId::from_name(&store.parameters.address))
-        })
+        let is_up =
+            |key: &StoreKey| self.arena[key.0 as usize].as_ref().is_some_and(|store| store.is_up);
+        let up = self.keys().filter(|(key, _)| is_up(key));
+        let by_weight = |(_, address): &(StoreKey, &str)| {
+            rendezvous_weight(first, ReplicaId::from_name(address))
+        };
+        up.max_by_key(by_weight).map(|(key, _)| key)
     }
 }
 
 impl Store {
-    fn new(parameters: StoreParameters) -> Self {
+    fn new(cfg: StoreParameters) -> Self {
         Store {
-            parameters,
+            cfg,
             is_up: false,
             epoch: 0,
             next: 0,
--- a/crates/gateway/tests/balancer.rs
+++ b/crates/gateway/tests/balancer.rs
@@ -182,7 +182,7 @@
     assert!(balancer.has_choice(&request(&prompt), NOW));
     balancer.choose(&request(&prompt), NOW, &mut policies).unwrap();
     assert!(balancer.has_choice(&request(&prompt), NOW));
-    let decided: u64 = policies.report().into_iter().map(|(_, counters)| counters.decided).sum();
+    let decided: u64 = policies.report().map(|(_, counters)| counters.decided).sum();
     assert_eq!(decided, 1);
     balancer.set_status(&status("replica-0", Availability::Barred, 1));
     balancer.set_status(&status("replica-1", Availability::Barred, 1));
--- a/crates/gateway/tests/common/mod.rs
+++ b/crates/gateway/tests/common/mod.rs
@@ -90,3 +90,16 @@
     let prompt_tokens = parts.iter().map(|part| part.tokens).sum();
     Prompt { parts, prompt_tokens, output_tokens: 10 }
 }
+
+/// Makes a test of each named case: `cases! { check: name => argument, argument; ... }`.
+#[macro_export]
+macro_rules! cases {
+    ($check:ident: $($name:ident => $($argument:expr),+;)+) => {
+        $(
+            #[test]
+            fn $name() {
+                $check($($argument),+);
+            }
+        )+
+    };
+}
--- a/crates/gateway/tests/stores.rs
+++ b/crates/gateway/tests/stores.rs
@@ -3,12 +3,11 @@
 mod common;
 
 use common::{engine, instance, prompt};
-use rstest::rstest;
 use std::time::Duration;
 use topazmount_control::{Availability, InstanceStatus, LoadedModel};
 use topazmount_gateway::{
-    Balancer, Choice, ChoiceRequest, Prompt, StoreChange, StoreEvents, StoreParameters, Stores,
-    cache_salt,
+    Balancer, Choice, ChoiceRequest, Prompt, StoreChange, StoreEvents, StoreKey, StoreParameters,
+    Stores, cache_salt,
 };
 use topazmount_routing::PolicyTable;
 use topazmount_types::Time;
@@ -36,58 +35,66 @@
     StoreEvents { epoch, next: 5, has_gap: false, changes }
 }
 
-fn stores(events: StoreEvents) -> Stores {
+fn stores(events: StoreEvents) -> (Stores, StoreKey) {
     let mut stores = Stores::default();
     stores.set([parameters(STORE)].into_iter());
-    stores.apply(STORE, events);
-    stores
+    let key = key_of(&stores, STORE).unwrap();
+    stores.apply(key, events);
+    (stores, key)
+}
+
+fn key_of(stores: &Stores, address: &str) -> Option<StoreKey> {
+    stores.keys().find(|(_, one)| *one == address).map(|(key, _)| key)
 }
 
 fn depth(stores: &Stores, salt: &str) -> Option<usize> {
     stores.find(&subject(0), salt).map(|stored| stored.parts)
 }
 
-#[rstest]
-#[case::both_parts(&[(1, 2_500), (100, 3_800)], 2)]
-#[case::whole_blocks_only(&[(1, 2_496), (100, 3_792)], 2)]
-#[case::first_part(&[(1, 2_500)], 1)]
-#[case::a_part_cut_short(&[(1, 2_500), (100, 128)], 1)]
-#[case::a_part_without_the_one_before(&[(100, 3_800)], 0)]
-#[case::dropped_again(&[(1, 2_500), (1, 0)], 0)]
-fn what_a_store_tells_counts_as_far_as_it_is_whole(
-    #[case] held: &[(u64, u32)],
-    #[case] parts: usize,
-) {
-    let stores = stores(page(7, held));
+cases! { holds:
+    both_parts => &[(1, 2_500), (100, 3_800)], 2;
+    whole_blocks_only => &[(1, 2_496), (100, 3_792)], 2;
+    the_first_part => &[(1, 2_500)], 1;
+    a_part_cut_short => &[(1, 2_500), (100, 128)], 1;
+    a_part_without_the_one_before => &[(100, 3_800)], 0;
+    a_part_dropped_again => &[(1, 2_500), (1, 0)], 0;
+}
+
+/// What a store tells counts as far as it is whole, and only under its own salt.
+fn holds(held: &[(u64, u32)], parts: usize) {
+    let (stores, _) = stores(page(7, held));
     assert_eq!(depth(&stores, &cache_salt(1, None)), Some(parts));
     assert_eq!(depth(&stores, &cache_salt(2, None)), Some(0), "other weights");
     assert_eq!(depth(&stores, &cache_salt(1, Some("tenant"))), Some(0), "behind a wall");
 }
 
-#[rstest]
-#[case::restarted(StoreEvents { epoch: 8, ..page(8, &[]) })]
-#[case::gap(StoreEvents { has_gap: true, ..page(7, &[]) })]
-fn a_store_that_may_have_lost_something_counts_as_empty(#[case] events: StoreEvents) {
-    let mut stores = stores(page(7, &[(1, 2_500), (100, 3_800)]));
-    assert!(stores.apply(STORE, events));
+cases! { is_empty_after:
+    a_restart => page(8, &[]);
+    a_gap => StoreEvents { has_gap: true, ..page(7, &[]) };
+}
+
+/// A store that may have lost something counts as empty.
+fn is_empty_after(events: StoreEvents) {
+    let (mut stores, key) = stores(page(7, &[(1, 2_500), (100, 3_800)]));
+    assert!(stores.apply(key, events));
     assert_eq!(depth(&stores, &cache_salt(1, None)), Some(0));
 }
 
 #[test]
 fn a_store_that_does_not_answer_gives_and_takes_nothing() {
-    let mut stores = stores(page(7, &[(1, 2_500), (100, 3_800)]));
-    assert!(stores.lost(STORE));
-    assert!(!stores.lost(STORE), "it was known");
+    let (mut stores, key) = stores(page(7, &[(1, 2_500), (100, 3_800)]));
+    assert!(stores.lost(key));
+    assert!(!stores.lost(key), "it was known");
     let salt = cache_salt(1, None);
     assert_eq!(depth(&stores, &salt), None);
     assert_eq!(stores.save(&subject(1), &salt, TOKEN_BYTES, 1, NOW), None);
-    assert!(!stores.apply(STORE, page(7, &[])));
+    assert!(!stores.apply(key, page(7, &[])));
     assert_eq!(depth(&stores, &salt), Some(2), "it was away, and not restarted");
 }
 
 #[test]
 fn saves_are_few_and_never_of_what_is_there() {
-    let mut stores = stores(page(7, &[(1, 2_500), (100, 3_800)]));
+    let (mut stores, _) = stores(page(7, &[(1, 2_500), (100, 3_800)]));
     let salt = cache_salt(1, None);
     let mut save =
         |number: u64, at: Time| stores.save(&subject(number), &salt, TOKEN_BYTES, 1, at).is_some();
@@ -109,7 +116,7 @@
     let seconds = 10;
     let mut bytes = 0.0;
     for node in 0..NODES as u64 {
-        let mut stores = stores(page(7, &[]));
+        let (mut stores, _) = stores(page(7, &[]));
         for step in 0..seconds * 100 {
             let one = subject(node * 10_000 + step);
             let at = NOW + Duration::from_millis(step * 10);
@@ -124,12 +131,12 @@
 
 #[test]
 fn stores_that_a_catalog_no_longer_names_are_forgotten() {
-    let mut stores = stores(page(7, &[(1, 2_500)]));
+    let (mut stores, key) = stores(page(7, &[(1, 2_500)]));
     stores.set([parameters(STORE), parameters("10.0.9.8:1")].into_iter());
-    assert_eq!(stores.position(STORE), Some(5), "what was known stays");
+    assert_eq!(stores.position(key), Some(5), "what was known stays");
     stores.set([parameters("10.0.9.8:1")].into_iter());
-    assert_eq!(stores.position(STORE), None);
-    assert!(!stores.apply(STORE, page(7, &[(1, 2_500)])));
+    assert_eq!(stores.position(key), None);
+    assert!(!stores.apply(key, page(7, &[(1, 2_500)])));
 }
 
 fn pool() -> Balancer {
@@ -144,6 +151,11 @@
     balancer
 }
 
+fn tell(balancer: &mut Balancer, held: &[(u64, u32)]) {
+    let key = key_of(balancer.stores(), STORE).unwrap();
+    balancer.stores().apply(key, page(7, held));
+}
+
 fn choose(balancer: &mut Balancer, prompt: &Prompt, now: Time) -> Choice {
     let engine = engine();
     let request = request(prompt, &engine);
@@ -167,21 +179,20 @@
     }
 }
 
+cases! { is_source:
+    a_replica_that_just_read_it => Duration::from_secs(1), false;
+    the_store_of_what_was_read_a_while_ago => Duration::from_secs(5), true;
+}
+
 /// Replicas forget within seconds: a store that tells that it holds a prompt is a better source than
 /// a replica that read it a while ago, and no better one than a replica that just read it.
-#[rstest]
-#[case::just_read(Duration::from_secs(1), false)]
-#[case::read_a_while_ago(Duration::from_secs(5), true)]
-fn a_store_is_the_source_of_what_replicas_may_have_forgotten(
-    #[case] age: Duration,
-    #[case] from_store: bool,
-) {
+fn is_source(age: Duration, from_store: bool) {
     let (mut balancer, engine) = (pool(), engine());
     let one = subject(0);
     let home = choose(&mut balancer, &one, NOW);
     balancer.sent(&home, &request(&one, &engine), NOW);
     balancer.first_token(&home, &request(&one, &engine), Duration::from_millis(190), NOW);
-    balancer.stores().apply(STORE, page(7, &[(1, 2_500), (100, 3_800)]));
+    tell(&mut balancer, &[(1, 2_500), (100, 3_800)]);
     let exclude = std::slice::from_ref(&home.instance.id);
     let elsewhere = ChoiceRequest { exclude, ..request(&one, &engine) };
     let other = balancer.choose(&elsewhere, NOW + age, &mut PolicyTable::default()).unwrap();
@@ -196,7 +207,7 @@
     let home = choose(&mut balancer, &one, NOW);
     balancer.sent(&home, &request(&one, &engine), NOW);
     balancer.first_token(&home, &request(&one, &engine), Duration::from_millis(190), NOW);
-    balancer.stores().apply(STORE, page(7, &[(1, 2_500), (100, 3_800)]));
+    tell(&mut balancer, &[(1, 2_500), (100, 3_800)]);
     let again = choose(&mut balancer, &one, NOW + Duration::from_secs(6));
     assert_eq!(again.instance.id, home.instance.id);
     assert_eq!(again.source.as_deref(), Some(STORE));
--- a/crates/topazmount/src/fleet/store_reader.rs
+++ b/crates/topazmount/src/fleet/store_reader.rs
@@ -7,8 +7,9 @@
 use async_io::Timer;
 use eyre::{Result, WrapErr, bail, eyre};
 use std::collections::HashSet;
-use std::sync::{Arc, Mutex};
+use std::sync::Arc;
 use std::time::Duration;
+use topazmount_gateway::StoreKey;
 
 /// How often the list of stores is looked at.
 const LIST_INTERVAL: Duration = Duration::from_millis(500);
@@ -25,17 +26,17 @@
 
 /// Follows all stores of the catalog in force, for ever.
 pub(super) async fn run(executor: Executor, shared: Arc<Shared>) {
-    let followed: Arc<Mutex<HashSet<String>>> = Arc::default();
+    let mut followed: HashSet<StoreKey> = HashSet::new();
     loop {
-        let addresses = shared.knowledge.lock().unwrap().balancer().stores().addresses();
-        for address in addresses {
-            if followed.lock().unwrap().insert(address.clone()) {
-                let (shared, followed) = (shared.clone(), followed.clone());
-                let following = async move {
-                    follow(&shared, &address).await;
-                    followed.lock().unwrap().remove(&address);
-                };
-                executor.spawn(following).detach();
+        let named: Vec<(StoreKey, String)> = {
+            let mut knowledge = shared.knowledge.lock().unwrap();
+            let stores = knowledge.balancer().stores();
+            stores.keys().map(|(key, address)| (key, address.to_owned())).collect()
+        };
+        for (key, address) in named {
+            if followed.insert(key) {
+                let shared = shared.clone();
+                executor.spawn(async move { follow(&shared, key, &address).await }).detach();
             }
         }
         Timer::after(LIST_INTERVAL).await;
@@ -43,14 +44,14 @@
 }
 
 /// Follows one store until the catalog names it no more.
-async fn follow(shared: &Shared, address: &str) {
+async fn follow(shared: &Shared, key: StoreKey, address: &str) {
     loop {
-        let position = shared.knowledge.lock().unwrap().balancer().stores().position(address);
+        let position = shared.knowledge.lock().unwrap().balancer().stores().position(key);
         let Some(position) = position else { return };
-        match read_page(shared, address, position).await {
+        match read_page(shared, key, address, position).await {
             Ok(()) => Timer::after(PAUSE).await,
             Err(error) => {
-                if shared.knowledge.lock().unwrap().balancer().stores().lost(address) {
+                if shared.knowledge.lock().unwrap().balancer().stores().lost(key) {
                     shared.metrics.event("store_lost");
                     log::info!("gateway: event=store_lost address={address} error={error:#}");
                 }
@@ -60,26 +61,26 @@
     }
 }
 
-async fn read_page(shared: &Shared, address: &str, position: u64) -> Result<()> {
+async fn read_page(shared: &Shared, key: StoreKey, address: &str, position: u64) -> Result<()> {
     let answer = send(address, shared.dialect.store_events_call(position, HOLD)).await?;
     if answer.head.status != 200 {
         bail!("status {}", answer.head.status);
     }
-    let events = shared.dialect.store_events(&answer.body);
-    let events = events.ok_or_else(|| eyre!("an answer that is no page of events"))?;
-    let (epoch, next) = (events.epoch, events.next);
-    if shared.knowledge.lock().unwrap().balancer().stores().apply(address, events) {
+    let page = shared.dialect.store_events(&answer.body);
+    let page = page.ok_or_else(|| eyre!("an answer that is no page of events"))?;
+    let (epoch, next) = (page.epoch, page.next);
+    if shared.knowledge.lock().unwrap().balancer().stores().apply(key, page) {
         shared.metrics.event("store_renewed");
         log::info!("gateway: event=store_renewed address={address} epoch={epoch} next={next}");
     }
     Ok(())
 }
 
-async fn send(address: &str, request: HttpCall) -> Result<ClientAnswer> {
+async fn send(address: &str, req: HttpCall) -> Result<ClientAnswer> {
     let parsed = address.parse().wrap_err_with(|| format!("the address {address}"))?;
     let mut fields = vec![("Host".to_owned(), address.as_bytes().to_vec())];
-    fields.extend(request.fields.into_iter().map(|(name, value)| (name, value.into_bytes())));
+    fields.extend(req.fields.into_iter().map(|(name, value)| (name, value.into_bytes())));
     let limit = HOLD + ANSWER_MARGIN;
     let headers = Headers(fields);
-    call(parsed, request.method, &request.target, &headers, &request.body, MAX_PAGE, limit).await
+    call(parsed, req.method, &req.target, &headers, &req.body, MAX_PAGE, limit).await
 }
