Stores at size: kept connections, and at most ten gateways follow one store

Change: calls to stores keep their connection (one caller for orders and events, where the code stood twice), and a gateway follows a store only if it ranks among the first ten for it.

--- a/crates/gateway/src/knowledge.rs
+++ b/crates/gateway/src/knowledge.rs
@@ -4,6 +4,7 @@
 use crate::budget::{BudgetSettings, RetryBudget};
 use crate::catalog::{Catalog, Route, Tenant};
 use crate::split::Splits;
+use crate::stores::MOST_READERS;
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 use std::collections::{HashMap, HashSet};
@@ -238,7 +239,8 @@
     /// Chooses a replica.
     pub fn choose(&mut self, request: &ChoiceRequest<'_>, now: Time) -> Option<Choice> {
         let mut choice = self.balancer.choose(request, now, &mut self.policies)?;
-        choice.save_to = self.balancer.save(&choice, request, self.gateway_count, now);
+        let savers = self.gateway_count.min(MOST_READERS);
+        choice.save_to = self.balancer.save(&choice, request, savers, now);
         Some(choice)
     }
 
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -23,4 +23,6 @@
 pub use knowledge::{Admission, GatewaySettings, Knowledge};
 pub use plan::{AttemptEnd, NextStep, RequestPlan};
 pub use prompt::{Prompt, PromptPart};
-pub use stores::{StoreChange, StoreEvents, StoreKey, StoredPrompt, Stores, cache_salt};
+pub use stores::{
+    MOST_READERS, StoreChange, StoreEvents, StoreKey, StoredPrompt, Stores, cache_salt,
+};
--- a/crates/gateway/src/stores.rs
+++ b/crates/gateway/src/stores.rs
@@ -11,6 +11,8 @@
 use topazmount_routing::rendezvous_weight;
 use topazmount_types::{ReplicaId, Time};
 
+/// Most gateways that follow one store: it holds few calls at a time.
+pub const MOST_READERS: usize = 10;
 /// Fewest shared tokens of a prompt that is saved.
 const LEAST_SAVED_TOKENS: u32 = 1_000;
 /// Part of a store's link that all gateways together fill with saves: what is taken from the store
--- a/crates/topazmount/src/fleet/mod.rs
+++ b/crates/topazmount/src/fleet/mod.rs
@@ -4,6 +4,7 @@
 //! What calls look like is a [`Dialect`]'s; nothing here names a header, path or field of one.
 
 mod answer;
+mod caller;
 mod clients;
 mod control_service;
 mod dialect;
--- a/crates/topazmount/src/fleet/orders.rs
+++ b/crates/topazmount/src/fleet/orders.rs
@@ -1,11 +1,12 @@
 //! Sends the leader's orders and questions to replicas, and tells how they ended.
 
+use super::caller::Caller;
 use super::dialect::{Dialect, HttpCall};
 use crate::Executor;
 use crate::control_process::LocalMember;
-use crate::http1::{ClientAnswer, Headers, call};
+use crate::http1::ClientAnswer;
 use async_channel::Receiver;
-use eyre::{Result, WrapErr};
+use eyre::Result;
 use std::sync::Arc;
 use std::time::Duration;
 use topazmount_control::{FleetAction, FleetRequest, OrderEnd, OrderReport, Request};
@@ -61,10 +62,7 @@
     }
 }
 
-async fn send(address: &str, request: HttpCall) -> Result<ClientAnswer> {
-    let parsed = address.parse().wrap_err_with(|| format!("the address {address}"))?;
-    let mut fields = vec![("Host".to_owned(), address.as_bytes().to_vec())];
-    fields.extend(request.fields.into_iter().map(|(name, value)| (name, value.into_bytes())));
-    let headers = Headers(fields);
-    call(parsed, request.method, &request.target, &headers, &request.body, MAX_ANSWER, LIMIT).await
+/// Each call goes out once: an order may be carried out without an answer.
+async fn send(address: &str, req: HttpCall) -> Result<ClientAnswer> {
+    Caller::new(address)?.call(req, MAX_ANSWER, LIMIT).await
 }
--- a/crates/topazmount/src/fleet/peers.rs
+++ b/crates/topazmount/src/fleet/peers.rs
@@ -7,7 +7,8 @@
 use std::sync::Mutex;
 use topazmount_control::GatewayReport;
 use topazmount_gateway::LoadNews;
-use topazmount_types::Digest;
+use topazmount_routing::rendezvous_weight;
+use topazmount_types::{Digest, ReplicaId};
 use topazmount_wire::{ClusterKey, decode_payload, encode_payload, open_datagram, seal_datagram};
 
 /// Gateways that are told: more would cost each of them more than the news is worth.
@@ -22,6 +23,8 @@
     own: SocketAddr,
     node: u64,
     others: Mutex<Vec<SocketAddr>>,
+    /// Weights of all other gateways in rankings.
+    others_weights: Mutex<Vec<ReplicaId>>,
 }
 
 impl Peers {
@@ -34,7 +37,17 @@
         let own = SocketAddr::new(clients.ip(), port);
         let socket = UdpSocket::bind(own).await?;
         let node = Digest::of(clients.to_string().as_bytes()).prefix();
-        Ok(Peers { socket, key, own, node, others: Mutex::default() })
+        let (others, others_weights) = (Mutex::default(), Mutex::default());
+        Ok(Peers { socket, key, own, node, others, others_weights })
+    }
+
+    /// Place of this gateway among all that are known, in an order that all find alike and that
+    /// differs from subject to subject; 0 is the first.
+    pub(super) fn rank(&self, subject: &str) -> usize {
+        let subject = ReplicaId::from_name(subject).0;
+        let own = rendezvous_weight(subject, ranked(self.own));
+        let others = self.others_weights.lock().unwrap();
+        others.iter().filter(|other| rendezvous_weight(subject, **other) > own).count()
     }
 
     /// Takes the list of gateways: those that follow this one in the order of addresses are told.
@@ -46,6 +59,7 @@
             .filter(|address| *address != self.own)
             .collect();
         others.sort();
+        *self.others_weights.lock().unwrap() = others.iter().copied().map(ranked).collect();
         let first = others.partition_point(|address| *address < self.own);
         others.rotate_left(first);
         others.truncate(MOST_PEERS);
@@ -64,6 +78,10 @@
     }
 }
 
+fn ranked(address: SocketAddr) -> ReplicaId {
+    ReplicaId::from_name(&address.to_string())
+}
+
 /// Takes the others' news for ever.
 pub(super) async fn listen(peers: Arc<Peers>, shared: Arc<Shared>) {
     let mut buffer = vec![0u8; MAX_DATAGRAM];
--- a/crates/topazmount/src/fleet/store_reader.rs
+++ b/crates/topazmount/src/fleet/store_reader.rs
@@ -1,15 +1,14 @@
 //! Follows the events of the stores of prompt parts, so that a gateway knows what they hold.
 
-use super::dialect::HttpCall;
+use super::caller::Caller;
 use super::gateway::Shared;
 use crate::Executor;
-use crate::http1::{ClientAnswer, Headers, call};
 use async_io::Timer;
-use eyre::{Result, WrapErr, bail, eyre};
+use eyre::{Result, bail, eyre};
 use std::collections::HashSet;
 use std::sync::Arc;
 use std::time::Duration;
-use topazmount_gateway::StoreKey;
+use topazmount_gateway::{MOST_READERS, StoreKey};
 
 /// How often the list of stores is looked at.
 const LIST_INTERVAL: Duration = Duration::from_millis(500);
@@ -43,12 +42,21 @@
     }
 }
 
-/// Follows one store until the catalog names it no more.
+/// Follows one store until the catalog names it no more. Where there are many gateways only some
+/// follow each store, which holds few calls at a time; the others use another store or none.
 async fn follow(shared: &Shared, key: StoreKey, address: &str) {
+    let mut caller = match Caller::new(address) {
+        Ok(caller) => caller,
+        Err(error) => return log::error!("gateway: event=store_refused error={error:#}"),
+    };
     loop {
         let position = shared.knowledge.lock().unwrap().balancer().stores().position(key);
         let Some(position) = position else { return };
-        match read_page(shared, key, address, position).await {
+        let result = match shared.peers.rank(address) {
+            0..MOST_READERS => read_page(shared, key, address, &mut caller, position).await,
+            _ => Err(eyre!("enough other gateways follow it")),
+        };
+        match result {
             Ok(()) => Timer::after(PAUSE).await,
             Err(error) => {
                 if shared.knowledge.lock().unwrap().balancer().stores().lost(key) {
@@ -61,8 +69,15 @@
     }
 }
 
-async fn read_page(shared: &Shared, key: StoreKey, address: &str, position: u64) -> Result<()> {
-    let answer = send(address, shared.dialect.store_events_call(position, HOLD)).await?;
+async fn read_page(
+    shared: &Shared,
+    key: StoreKey,
+    address: &str,
+    caller: &mut Caller,
+    position: u64,
+) -> Result<()> {
+    let req = shared.dialect.store_events_call(position, HOLD);
+    let answer = caller.call(req, MAX_PAGE, HOLD + ANSWER_MARGIN).await?;
     if answer.head.status != 200 {
         bail!("status {}", answer.head.status);
     }
@@ -75,12 +90,3 @@
     }
     Ok(())
 }
-
-async fn send(address: &str, req: HttpCall) -> Result<ClientAnswer> {
-    let parsed = address.parse().wrap_err_with(|| format!("the address {address}"))?;
-    let mut fields = vec![("Host".to_owned(), address.as_bytes().to_vec())];
-    fields.extend(req.fields.into_iter().map(|(name, value)| (name, value.into_bytes())));
-    let limit = HOLD + ANSWER_MARGIN;
-    let headers = Headers(fields);
-    call(parsed, req.method, &req.target, &headers, &req.body, MAX_PAGE, limit).await
-}
--- a/crates/topazmount/src/http1/client.rs
+++ b/crates/topazmount/src/http1/client.rs
@@ -1,10 +1,7 @@
 //! The calling side.
 
-use super::body::BodyReader;
-use super::framing::response_framing;
-use super::head::{Headers, ResponseHead};
+use super::head::ResponseHead;
 use super::wire::Wire;
-use super::write::request_bytes;
 use crate::frames::within;
 use async_net::TcpStream;
 use eyre::{Result, eyre};
@@ -53,27 +50,3 @@
         }
     }
 }
-
-/// Makes one call on a connection of its own and reads the whole answer.
-///
-/// # Errors
-/// When no whole answer of at most `most` bytes comes within `limit`.
-pub async fn call(
-    address: SocketAddr,
-    method: &str,
-    target: &str,
-    headers: &Headers,
-    body: &[u8],
-    most: usize,
-    limit: Duration,
-) -> Result<ClientAnswer> {
-    within(limit, async {
-        let mut wire = connect(address, limit).await?;
-        wire.write_all(&request_bytes(method, target, headers, body)).await?;
-        let head = read_answer_head(&mut wire).await?;
-        let framing = response_framing(&head, method)?;
-        let body = BodyReader::new(framing).read_all(&mut wire, most).await?;
-        Ok(ClientAnswer { head, body })
-    })
-    .await
-}
