--- a/crates/topazmount/src/fleet/dialect.rs
+++ b/crates/topazmount/src/fleet/dialect.rs
@@ -163,6 +163,9 @@
     /// Identifier of an event of a stream.
     fn event_id(&self, event: &[u8]) -> Option<String>;
 
+    /// Version of weights that an event of a stream says it is the first to be made with.
+    fn event_version(&self, event: &[u8]) -> Option<u32>;
+
     /// Answer for a refusal of a client's request.
     fn refusal(&self, kind: ErrorKind, retry_after: Option<Duration>) -> HttpAnswer;
 
--- a/crates/topazmount/src/fleet/exchange/mod.rs
+++ b/crates/topazmount/src/fleet/exchange/mod.rs
@@ -214,24 +214,26 @@
                         Some(_) => return self.pass_on(head, &body, &plan).await,
                     }
                 }
-                Attempt::Stream(begin) => match self.relay(*begin, &mut progress).await {
-                    StreamEnd::Complete => {
-                        self.note_success(&in_flight.choice);
-                        self.log_attempt(&in_flight.choice, "success");
-                        self.shared.metrics.longest_pause(progress.pace.longest_pause);
-                        self.log_stream(&plan, &progress.pace);
-                        return Ending::Whole;
+                Attempt::Stream(begin) => {
+                    match self.relay(*begin, &in_flight.choice, &mut progress).await {
+                        StreamEnd::Complete => {
+                            self.note_success(&in_flight.choice);
+                            self.log_attempt(&in_flight.choice, "success");
+                            self.shared.metrics.longest_pause(progress.pace.longest_pause);
+                            self.log_stream(&plan, &progress.pace);
+                            return Ending::Whole;
+                        }
+                        StreamEnd::ClientBroke => {
+                            self.log_end(&plan, 0, "client_gone");
+                            return Ending::Cut;
+                        }
+                        StreamEnd::TimeOver => {
+                            self.log_end(&plan, 0, "time_over");
+                            return Ending::Cut;
+                        }
+                        StreamEnd::ReplicaBroke => AttemptEnd::Broken,
                     }
-                    StreamEnd::ClientBroke => {
-                        self.log_end(&plan, 0, "client_gone");
-                        return Ending::Cut;
-                    }
-                    StreamEnd::TimeOver => {
-                        self.log_end(&plan, 0, "time_over");
-                        return Ending::Cut;
-                    }
-                    StreamEnd::ReplicaBroke => AttemptEnd::Broken,
-                },
+                }
                 Attempt::Ended(end) => end,
             };
             self.note_failure(&in_flight.choice, end);
--- a/crates/topazmount/src/fleet/exchange/relay.rs
+++ b/crates/topazmount/src/fleet/exchange/relay.rs
@@ -5,13 +5,19 @@
 use crate::http1::{LAST_CHUNK, chunk};
 use futures_lite::AsyncWriteExt;
 use std::time::Duration;
+use topazmount_gateway::Choice;
 
 /// Silence in the middle of a stream after which it is resumed elsewhere.
 const STREAM_SILENCE: Duration = Duration::from_millis(1_200);
 
 impl Exchange<'_> {
     /// Passes events on as they come.
-    pub(super) async fn relay(&mut self, begin: StreamBegin, progress: &mut Progress) -> StreamEnd {
+    pub(super) async fn relay(
+        &mut self,
+        begin: StreamBegin,
+        choice: &Choice,
+        progress: &mut Progress,
+    ) -> StreamEnd {
         let StreamBegin { head, mut wire, mut reader, mut splitter, first, is_until_close } = begin;
         let delivery = self.delivery();
         let mut out = Vec::new();
@@ -23,6 +29,7 @@
         }
         loop {
             while let Some(event) = splitter.next() {
+                self.note_event_version(choice, &event);
                 self.push_event(&mut out, event, progress, delivery);
             }
             if !out.is_empty() {
@@ -57,6 +64,15 @@
         }
     }
 
+    /// A replica that loads in the middle of a stream tells with the next event.
+    fn note_event_version(&self, choice: &Choice, event: &[u8]) {
+        let version = self.shared.dialect.event_version(event);
+        if let (Some(model), Some(version)) = (&self.tags.model, version) {
+            let mut knowledge = self.shared.knowledge.lock().unwrap();
+            knowledge.balancer().saw_version(&choice.instance.id, model, version);
+        }
+    }
+
     /// Adds an event that the client does not have yet.
     fn push_event(
         &self,
