Saves only from replicas with the newest weights

Cause (found in reading): a run that outlasts a load goes on with the new weights under the old salt; saved to a store, its parts could be given to requests on the old weights. Change: a replica with older weights than another one holds saves nothing.

--- a/crates/gateway/src/balancer/mod.rs
+++ b/crates/gateway/src/balancer/mod.rs
@@ -233,7 +233,8 @@
     }
 
     /// The store to which the chosen replica should send the prompt's parts, if any. `nodes` is the
-    /// number of gateways.
+    /// number of gateways. A replica with older weights than another one holds is about to load: a
+    /// run that outlasts the load would save parts made with the new weights under the old salt.
     pub fn save(
         &mut self,
         choice: &Choice,
@@ -242,6 +243,11 @@
         now: Time,
     ) -> Option<String> {
         let (prompt, engine) = (request.prompt?, request.engine?);
+        let serving = self.replicas.values().filter(|one| one.instance.service == request.service);
+        let newest = serving.filter_map(|one| one.version(request.model)).max();
+        if choice.version < newest {
+            return None;
+        }
         let salt = cache_salt(choice.version?, request.wall);
         self.stores.save(prompt, &salt, engine.token_bytes, nodes, now)
     }
--- a/crates/gateway/tests/stores.rs
+++ b/crates/gateway/tests/stores.rs
@@ -200,6 +200,25 @@
     assert_eq!(other.source.as_deref(), Some(expected));
 }
 
+/// A run that outlasts the load of new weights would leave parts made with these under the salt of
+/// the old ones.
+#[test]
+fn a_replica_that_is_about_to_load_saves_nothing() {
+    let (mut balancer, engine) = (pool(), engine());
+    tell(&mut balancer, &[]);
+    let one = subject(0);
+    let old = choose(&mut balancer, &one, NOW);
+    let models = vec![LoadedModel { model: "model".to_owned(), version: 2 }];
+    let loaded = (0..4).map(|number| format!("replica-{number}"));
+    let loaded = loaded.into_iter().find(|id| *id != old.instance.id).unwrap();
+    balancer.set_status(&InstanceStatus { id: loaded, availability: Availability::Paused, models });
+    assert_eq!(balancer.save(&old, &request(&one, &engine), 1, NOW), None);
+    let mut newest = old;
+    newest.version = Some(2);
+    let saved = balancer.save(&newest, &request(&one, &engine), 1, NOW);
+    assert_eq!(saved.as_deref(), Some(STORE));
+}
+
 #[test]
 fn a_replica_that_held_the_prompt_falls_back_on_the_store() {
     let (mut balancer, engine) = (pool(), engine());
