--- a/crates/consensus/tests/group.rs
+++ b/crates/consensus/tests/group.rs
@@ -3,6 +3,8 @@
 mod common;
 
 use common::{Network, Peer, info};
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
 use rstest::rstest;
 use std::time::Duration;
 use topazmount_consensus::{MemberId, MembershipChange, MemoryDisk, ProposeError};
@@ -185,3 +187,40 @@
     assert_eq!(network.leader(), Some(leader));
     assert_eq!(network.peers[&leader].replica.term(), term);
 }
+
+/// Random restarts, cuts of one way or both, and proposals. The network checks in each tick that no two members
+/// hold the lease and that no term has two leaders; what was applied is the same everywhere.
+#[test]
+fn no_schedule_of_restarts_and_cuts_makes_two_holders() {
+    const IDS: [u64; 5] = [1, 2, 3, 4, 5];
+    for seed in 0..150 {
+        let mut rng = ChaCha8Rng::seed_from_u64(seed);
+        let mut network = Network::new(&IDS);
+        network.commit(b"first", &IDS);
+        for step in 0..120u32 {
+            let one = IDS[rng.random_range(0..IDS.len())];
+            let other = IDS[rng.random_range(0..IDS.len())];
+            match rng.random_range(0..10) {
+                0..3 => network.restart(one, rng.random_range(0..40)),
+                3 if one != other => {
+                    network.cut.insert((one, other));
+                }
+                4..7 if one != other => {
+                    network.cut.insert((one, other));
+                    network.cut.insert((other, one));
+                }
+                7 => network.heal(),
+                _ => {
+                    if let Some(leader) = network.leader() {
+                        network.propose(leader, &step.to_le_bytes());
+                    }
+                }
+            }
+            network.run(Duration::from_millis(rng.random_range(10..700)));
+        }
+        network.heal();
+        network.commit(b"last", &IDS);
+        let applied = &network.peers[&1].applied;
+        assert!(network.peers.values().all(|peer| peer.applied == *applied), "seed {seed}");
+    }
+}
