--- a/crates/gateway/src/balancer/candidates.rs
+++ b/crates/gateway/src/balancer/candidates.rs
@@ -6,8 +6,9 @@
 use super::holders::Kept;
 use super::replica::Replica;
 use super::{Balancer, ChoiceRequest};
+use crate::stores::{StoredPrompt, cache_salt};
 use rand::Rng;
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 use topazmount_control::Availability;
 use topazmount_routing::{Candidate, rendezvous_weight};
 use topazmount_types::{InstanceId, ReplicaId, Time};
@@ -30,6 +31,8 @@
     pub(super) kept: HashMap<u32, Kept>,
     /// Leading parts that each replica was sent and has not read yet, by slot.
     pub(super) coming: HashMap<u32, usize>,
+    /// What a store holds of it, by the version of the weights.
+    pub(super) stored: HashMap<u32, StoredPrompt>,
 }
 
 impl PromptView {
@@ -80,9 +83,23 @@
             homes: self.home_order(request, &shared),
             kept: self.holders.kept(&shared, now, incarnation_of),
             coming: self.holders.coming(&shared, now, incarnation_of),
+            stored: self.stored(request),
         }
     }
 
+    /// What stores hold of the prompt under each version that replicas of the service have.
+    fn stored(&self, request: &ChoiceRequest<'_>) -> HashMap<u32, StoredPrompt> {
+        let Some(prompt) = request.prompt else { return HashMap::new() };
+        let serving = self.replicas.values().filter(|one| one.instance.service == request.service);
+        let versions: BTreeSet<u32> =
+            serving.filter_map(|one| one.version(request.model)).collect();
+        let found = versions.into_iter().filter_map(|version| {
+            let stored = self.stores.find(prompt, &cache_salt(version, request.wall))?;
+            (stored.parts > 0).then_some((version, stored))
+        });
+        found.collect()
+    }
+
     /// Replicas of the service in the order in which they are homes of the prompt's shared parts.
     /// The first part picks a part of the replicas, and all shared parts together rank these; the
     /// others follow, ranked alike. All nodes find the same order.
--- a/crates/gateway/src/balancer/source.rs
+++ b/crates/gateway/src/balancer/source.rs
@@ -3,7 +3,6 @@
 use super::candidates::PromptView;
 use super::replica::Replica;
 use super::{Balancer, ChoiceRequest};
-use crate::stores::cache_salt;
 use std::time::Duration;
 use topazmount_types::Time;
 
@@ -55,22 +54,19 @@
                 may_give(&holder).then_some((holder, *kept))
             })
             .max_by_key(|(holder, kept)| (kept.parts, std::cmp::Reverse(holder.slot)));
-        let stored = request
-            .prompt
-            .and_then(|prompt| self.stores.find(prompt, &cache_salt(version, request.wall)))
-            .filter(|stored| stored.parts > 0 && stored.parts >= own);
+        let stored = view.stored.get(&version).filter(|stored| stored.parts >= own);
         if let Some((holder, kept)) = seen {
             let is_better = |parts: usize| {
                 parts > kept.parts || (parts == kept.parts && kept.age > SURELY_KEPT)
             };
-            if !stored.as_ref().is_some_and(|stored| is_better(stored.parts)) {
+            if !stored.is_some_and(|stored| is_better(stored.parts)) {
                 let certainty = Certainty::Seen(kept.parts);
                 return Some(Source { address: holder.instance.address.clone(), certainty });
             }
         }
         if let Some(stored) = stored {
             let certainty = Certainty::Told(stored.parts, stored.link_mbps);
-            return Some(Source { address: stored.address, certainty });
+            return Some(Source { address: stored.address.clone(), certainty });
         }
         let homes = view.homes.iter().filter_map(|id| self.replicas.get(id));
         let home = homes.into_iter().find(may_give)?;
