--- a/crates/gateway/tests/balancer.rs
+++ b/crates/gateway/tests/balancer.rs
@@ -2,7 +2,7 @@
 
 mod common;
 
-use common::{engine, instance, prompt};
+use common::{choice_request, engine, instance, prompt};
 use std::time::Duration;
 use topazmount_control::{Availability, InstanceStatus, LoadedModel};
 use topazmount_gateway::{
@@ -30,17 +30,7 @@
 
 fn choose_for(balancer: &mut Balancer, prompt: &Prompt, exclude: &[String]) -> Option<Choice> {
     let engine = engine();
-    let request = ChoiceRequest {
-        service: "pool",
-        tenant: 0,
-        prompt: Some(prompt),
-        model: Some("model"),
-        namespace: 1,
-        wall: None,
-        exclude,
-        held_to: None,
-        engine: Some(&engine),
-    };
+    let request = ChoiceRequest { exclude, ..choice_request(prompt, Some(&engine)) };
     balancer.choose(&request, NOW, &mut PolicyTable::default())
 }
 
@@ -200,18 +190,8 @@
     assert!(choose_for(&mut balancer, &prompt, &[]).is_none());
 }
 
-fn request<'a>(prompt: &'a Prompt) -> ChoiceRequest<'a> {
-    ChoiceRequest {
-        service: "pool",
-        tenant: 0,
-        prompt: Some(prompt),
-        model: Some("model"),
-        namespace: 1,
-        wall: None,
-        exclude: &[],
-        held_to: None,
-        engine: None,
-    }
+fn request(prompt: &Prompt) -> ChoiceRequest<'_> {
+    choice_request(prompt, None)
 }
 
 /// What one node's requests wait for is known to the others, who send theirs elsewhere and have
--- a/crates/gateway/tests/common/mod.rs
+++ b/crates/gateway/tests/common/mod.rs
@@ -3,8 +3,8 @@
 
 use std::time::Duration;
 use topazmount_gateway::{
-    Catalog, CatalogParts, EngineParameters, Prompt, PromptPart, Route, RouteKind, Service,
-    SplitPart, Tenant,
+    Catalog, CatalogParts, ChoiceRequest, EngineParameters, Prompt, PromptPart, Route, RouteKind,
+    Service, SplitPart, Tenant,
 };
 use topazmount_types::Instance;
 
@@ -41,6 +41,24 @@
     }
 }
 
+/// A question for a replica of `pool`.
+pub fn choice_request<'a>(
+    prompt: &'a Prompt,
+    engine: Option<&'a EngineParameters>,
+) -> ChoiceRequest<'a> {
+    ChoiceRequest {
+        service: "pool",
+        tenant: 0,
+        prompt: Some(prompt),
+        model: Some("model"),
+        namespace: 1,
+        wall: None,
+        exclude: &[],
+        held_to: None,
+        engine,
+    }
+}
+
 /// A tenant with one key.
 pub fn tenant(name: &str, key: &str) -> Tenant {
     Tenant {
--- a/crates/gateway/tests/stores.rs
+++ b/crates/gateway/tests/stores.rs
@@ -2,12 +2,12 @@
 
 mod common;
 
-use common::{engine, instance, prompt};
+use common::{choice_request, engine, instance, prompt};
 use std::time::Duration;
 use topazmount_control::{Availability, InstanceStatus, LoadedModel};
 use topazmount_gateway::{
-    Balancer, Choice, ChoiceRequest, Prompt, StoreChange, StoreEvents, StoreKey, StoreParameters,
-    Stores, cache_salt,
+    Balancer, Choice, ChoiceRequest, EngineParameters, Prompt, StoreChange, StoreEvents, StoreKey,
+    StoreParameters, Stores, cache_salt,
 };
 use topazmount_routing::PolicyTable;
 use topazmount_types::Time;
@@ -162,21 +162,8 @@
     balancer.choose(&request, now, &mut PolicyTable::default()).unwrap()
 }
 
-fn request<'a>(
-    prompt: &'a Prompt,
-    engine: &'a topazmount_gateway::EngineParameters,
-) -> ChoiceRequest<'a> {
-    ChoiceRequest {
-        service: "pool",
-        tenant: 0,
-        prompt: Some(prompt),
-        model: Some("model"),
-        namespace: 1,
-        wall: None,
-        exclude: &[],
-        held_to: None,
-        engine: Some(engine),
-    }
+fn request<'a>(prompt: &'a Prompt, engine: &'a EngineParameters) -> ChoiceRequest<'a> {
+    choice_request(prompt, Some(engine))
 }
 
 cases! { is_source:
--- a/crates/topazmount/src/lib.rs
+++ b/crates/topazmount/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod clock;
 pub mod configuration_file;
 pub mod control_client;
+mod control_links;
 pub mod control_process;
 pub mod engine_client;
 pub mod file_disk;
