Silence ends no stream that can't be resumed elsewhere

Cause: a resumable stream whose replica paused for 1.2 s was given up to be resumed, also when its attempts were used up or no other replica could be asked; the client's connection was then reset. Change: silence counts as a break only where another replica may be asked.

--- a/crates/topazmount/src/fleet/exchange/attempt.rs
+++ b/crates/topazmount/src/fleet/exchange/attempt.rs
@@ -79,7 +79,7 @@
 
     /// Whether a request whose replica is silent is better sent to another one: nothing forbids
     /// it, and there is another.
-    fn may_switch(&self, plan: &RequestPlan) -> bool {
+    pub(super) fn may_switch(&self, plan: &RequestPlan) -> bool {
         if !plan.may_be_sent_again() {
             return false;
         }
--- a/crates/topazmount/src/fleet/exchange/mod.rs
+++ b/crates/topazmount/src/fleet/exchange/mod.rs
@@ -215,7 +215,8 @@
                     }
                 }
                 Attempt::Stream(begin) => {
-                    match self.relay(*begin, &in_flight.choice, &mut progress).await {
+                    let may_resume = self.may_switch(&plan);
+                    match self.relay(*begin, &in_flight.choice, may_resume, &mut progress).await {
                         StreamEnd::Complete => {
                             self.note_success(&in_flight.choice);
                             self.log_attempt(&in_flight.choice, "success");
--- a/crates/topazmount/src/fleet/exchange/relay.rs
+++ b/crates/topazmount/src/fleet/exchange/relay.rs
@@ -16,6 +16,7 @@
         &mut self,
         begin: StreamBegin,
         choice: &Choice,
+        may_resume: bool,
         progress: &mut Progress,
     ) -> StreamEnd {
         let StreamBegin { head, mut wire, mut reader, mut splitter, first, is_until_close } = begin;
@@ -49,7 +50,8 @@
                 Some(Ok(None)) => break,
                 Some(Err(_)) => return StreamEnd::ReplicaBroke,
                 None if self.left().is_zero() => return StreamEnd::TimeOver,
-                None if self.admission.route.is_resumable => return StreamEnd::ReplicaBroke,
+                // Silence alone ends no stream that can't be resumed elsewhere.
+                None if may_resume => return StreamEnd::ReplicaBroke,
                 None => {}
             }
         }
