A member with an empty disk follows to the leader when it asks to join

Cause: the request to join went to the seeds and its answer was thrown away. The connection was also closed before the answer could come. Change: the answer is awaited, and the leader that it names is asked. Before: platform/tests/members.rs fails at the join; after: it joins within 0.9 s.

--- a/crates/topazmount/src/control_process.rs
+++ b/crates/topazmount/src/control_process.rs
@@ -24,6 +24,9 @@
 
 /// Pause between two requests to join.
 const JOIN_INTERVAL: Duration = Duration::from_millis(500);
+/// Members that a request to join is sent to in a row: the one that is known, the leader that it
+/// names, and one more where that one has just lost the lead.
+const JOIN_HOPS: usize = 3;
 /// Longest wait of the member's thread.
 const MAX_WAIT: Duration = Duration::from_millis(50);
 /// Pause before a member whose disk failed is opened again.
@@ -307,8 +310,27 @@
             if address.to_string() == info.address {
                 continue;
             }
-            let client = ControlClient::new(&self.peers.executor, *address, self.peers.key.clone());
-            client.send(Request::Join(id, info.clone()), |_| {});
+            let (executor, key) = (self.peers.executor.clone(), self.peers.key.clone());
+            let joining = join_through(executor, key, *address, Request::Join(id, info.clone()));
+            self.peers.executor.spawn(joining).detach();
+        }
+    }
+}
+
+/// Sends a request to join to a member and, where another one leads, to that one: only the leader
+/// can add a member.
+async fn join_through(executor: Executor, key: ClusterKey, address: SocketAddr, request: Request) {
+    let mut target = address;
+    for _ in 0..JOIN_HOPS {
+        let client = ControlClient::new(&executor, target, key.clone());
+        let response = client.ask(request.clone(), JOIN_INTERVAL).await;
+        let leader = match response {
+            Ok(Response::NotLeader(Some(leader))) => leader,
+            _ => return,
+        };
+        match leader.address.parse() {
+            Ok(named) if named != target => target = named,
+            _ => return,
         }
     }
 }
