Connections to replicas are kept, as far as that is safe

Change: a pure table (gateway/src/connections.rs) says after which answers a connection may rest and which request may be sent on it: at most once only within a second of its last use, repeatable ones longer and sent again on a new connection when a kept one breaks mute; what replicas forget is learned by service. The shell (fleet/pool.rs) drops what was closed or has bytes. Switch: [connections] keep. Ruled out: probing a rested connection first (costs a way more than it saves here).

--- a/crates/gateway/src/knowledge.rs
+++ b/crates/gateway/src/knowledge.rs
@@ -3,6 +3,7 @@
 use crate::balancer::{Balancer, Choice, ChoiceRequest};
 use crate::budget::{BudgetSettings, RetryBudget};
 use crate::catalog::{Catalog, Route, Tenant};
+use crate::connections::{ConnectionSettings, Connections};
 use crate::split::Splits;
 use crate::stores::MOST_READERS;
 use rand::SeedableRng;
@@ -29,6 +30,8 @@
     pub revocation: Option<Duration>,
     /// The fleet's retry budget.
     pub budget: BudgetSettings,
+    /// Kept connections to replicas.
+    pub connections: ConnectionSettings,
 }
 
 impl Default for GatewaySettings {
@@ -36,6 +39,7 @@
         GatewaySettings {
             revocation: Some(Duration::from_secs(5)),
             budget: BudgetSettings::default(),
+            connections: ConnectionSettings::default(),
         }
     }
 }
@@ -68,12 +72,15 @@
     splits: Splits,
     rng: ChaCha8Rng,
     budgets: HashMap<String, RetryBudget>,
+    connections: Connections,
     policies: PolicyTable,
 }
 
 impl Knowledge {
     /// A gateway in a zone that knows nothing yet.
     pub fn new(zone: &str, settings: GatewaySettings, seed: u64) -> Self {
+        let mut connections = Connections::default();
+        connections.set(settings.connections);
         Knowledge {
             settings,
             catalog: None,
@@ -85,6 +92,7 @@
             splits: Splits::default(),
             rng: ChaCha8Rng::seed_from_u64(seed),
             budgets: HashMap::new(),
+            connections,
             policies: PolicyTable::default(),
         }
     }
@@ -92,6 +100,7 @@
     /// Changes the bounds.
     pub fn set_settings(&mut self, settings: GatewaySettings) {
         self.settings = settings;
+        self.connections.set(settings.connections);
     }
 
     /// What it has seen, for the next request for news.
@@ -109,6 +118,19 @@
         &mut self.balancer
     }
 
+    /// Decides on kept connections to replicas.
+    pub fn connections(&mut self) -> &mut Connections {
+        &mut self.connections
+    }
+
+    /// Connections at rest that this gateway may keep to one replica of a service: half of those
+    /// that the replica takes, shared by all gateways.
+    pub fn most_kept(&self, service: &str) -> usize {
+        let service = self.catalog.as_ref().and_then(|catalog| catalog.service(service));
+        let most = service.map_or(0, |service| service.max_connections as usize);
+        (most / 2 / self.gateway_count.max(1)).max(1)
+    }
+
     /// Policies in force.
     pub fn policies(&mut self) -> &mut PolicyTable {
         &mut self.policies
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -8,6 +8,7 @@
 mod balancer;
 mod budget;
 mod catalog;
+mod connections;
 mod knowledge;
 mod plan;
 mod prompt;
@@ -20,6 +21,7 @@
     Catalog, CatalogParts, CatalogProblem, EngineParameters, HttpLimits, Route, RouteKind, Service,
     SplitPart, StoreParameters, Tenant,
 };
+pub use connections::{AnswerEnd, ConnectionSettings, Connections, IdleConnection};
 pub use knowledge::{Admission, GatewaySettings, Knowledge};
 pub use plan::{AttemptEnd, NextStep, RequestPlan};
 pub use prompt::{Prompt, PromptPart};
--- a/crates/gateway/src/plan.rs
+++ b/crates/gateway/src/plan.rs
@@ -79,6 +79,11 @@
         self.held_to.as_ref()
     }
 
+    /// Whether the request may run more than once.
+    pub fn is_repeatable(&self) -> bool {
+        self.is_repeatable
+    }
+
     /// Whether another replica may be sent the request although one has it.
     pub fn may_be_sent_again(&self) -> bool {
         self.is_repeatable && self.attempts_left > 0
--- a/crates/topazmount/src/fleet/exchange/attempt.rs
+++ b/crates/topazmount/src/fleet/exchange/attempt.rs
@@ -2,14 +2,18 @@
 
 use super::super::answer::end_to_end;
 use super::super::dialect::Upstream;
+use super::super::pool::ConnectionEnd;
 use super::super::stream::EventSplitter;
-use super::{Attempt, Exchange, First, InFlight, Progress, StreamBegin, until};
+use super::{
+    Attempt, Carrier, Exchange, First, InFlight, Progress, StreamBegin, WholeAnswer, until,
+};
 use crate::http1::{
     BodyReader, Framing, Headers, ResponseHead, Wire, connect, read_answer_head, request_bytes,
     response_framing,
 };
 use futures_lite::AsyncWriteExt;
 use std::pin::pin;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 use topazmount_gateway::{AttemptEnd, Choice, RequestPlan, RouteKind};
 
@@ -22,8 +26,17 @@
 /// Late answers to earlier requests that are passed over on one connection.
 const MAX_LATE_ANSWERS: usize = 2;
 
+/// How a request on one connection ended.
+enum Asked {
+    /// As an attempt ends.
+    Ended(Attempt),
+    /// The connection broke before any byte came.
+    Mute,
+}
+
 impl Exchange<'_> {
-    /// Sends the request to a replica and waits for the begin of its answer.
+    /// Sends the request to a replica, on a kept connection where that is safe, and waits for the
+    /// begin of its answer.
     pub(super) async fn attempt(
         &self,
         plan: &RequestPlan,
@@ -31,13 +44,59 @@
         progress: &Progress,
     ) -> Attempt {
         let choice = &in_flight.choice;
-        let Ok(address) = choice.instance.address.parse() else {
-            return Attempt::Ended(AttemptEnd::Unreachable);
+        let kept = self.kept_connection(choice, plan).await;
+        let Some((wire, idle)) = kept else {
+            let Some(wire) = self.connect(choice).await else {
+                return Attempt::Ended(AttemptEnd::Unreachable);
+            };
+            return match self.ask(wire, plan, in_flight, progress).await {
+                Asked::Ended(attempt) => attempt,
+                Asked::Mute => Attempt::Ended(AttemptEnd::Broken),
+            };
         };
-        let limit = CONNECT_LIMIT.min(self.left());
-        let Ok(wire) = connect(address, limit).await else {
-            return Attempt::Ended(AttemptEnd::Unreachable);
+        if let Asked::Ended(attempt) = self.ask(wire, plan, in_flight, progress).await {
+            return attempt;
+        }
+        self.after_kept_broke(idle, plan, in_flight, progress).await
+    }
+
+    /// A kept connection broke before any byte came. The replica may have forgotten it, or ended
+    /// after it took the request: only what may be repeated is sent again.
+    async fn after_kept_broke(
+        &self,
+        idle: Duration,
+        plan: &RequestPlan,
+        in_flight: &InFlight<'_>,
+        progress: &Progress,
+    ) -> Attempt {
+        let choice = &in_flight.choice;
+        self.note_forgotten(choice, idle);
+        if !plan.is_repeatable() || !self.may_repeat() {
+            return Attempt::Ended(AttemptEnd::Broken);
+        }
+        let Some(wire) = self.connect(choice).await else {
+            return Attempt::Ended(AttemptEnd::Broken);
         };
+        match self.ask(wire, plan, in_flight, progress).await {
+            Asked::Ended(attempt) => attempt,
+            Asked::Mute => Attempt::Ended(AttemptEnd::Broken),
+        }
+    }
+
+    async fn connect(&self, choice: &Choice) -> Option<Wire> {
+        let address = choice.instance.address.parse().ok()?;
+        connect(address, CONNECT_LIMIT.min(self.left())).await.ok()
+    }
+
+    /// Sends the request on a connection and waits for the begin of its answer.
+    async fn ask(
+        &self,
+        wire: Wire,
+        plan: &RequestPlan,
+        in_flight: &InFlight<'_>,
+        progress: &Progress,
+    ) -> Asked {
+        let choice = &in_flight.choice;
         let bytes = self.upstream_bytes(choice, progress);
         let sent_at = self.shared.clock.now();
         let mut first = pin!(self.first_answer(wire, &bytes));
@@ -45,23 +104,26 @@
         let mut answer = until(silence.min(self.left()), first.as_mut()).await;
         if answer.is_none() && !self.left().is_zero() {
             if self.note_silence(choice, sent_at) && self.may_switch(plan) {
-                return Attempt::Ended(AttemptEnd::Silent);
+                return Asked::Ended(Attempt::Ended(AttemptEnd::Silent));
             }
             // A replica that has not begun when its weights become too old must not begin any more.
             while answer.is_none() && !self.left().is_zero() {
                 if self.is_barred(choice) && self.may_switch(plan) {
-                    return Attempt::Ended(AttemptEnd::Silent);
+                    return Asked::Ended(Attempt::Ended(AttemptEnd::Silent));
                 }
                 answer = until(BARRED_CHECK.min(self.left()), first.as_mut()).await;
             }
         }
-        match answer {
+        Asked::Ended(match answer {
             None => Attempt::Ended(AttemptEnd::TimedOut),
+            Some(First::Mute) => return Asked::Mute,
             Some(First::Broken(reason)) => {
                 log::debug!("gateway: event=broken request={} reason={reason}", self.tags.id);
                 Attempt::Ended(AttemptEnd::Broken)
             }
-            Some(First::Whole(head, body)) => {
+            Some(First::Whole(whole)) => {
+                let WholeAnswer { head, body, carrier } = *whole;
+                self.rest(choice, carrier);
                 self.note_version(choice, &head);
                 self.judge(choice, head, body)
             }
@@ -70,7 +132,7 @@
                 self.note_first_token(in_flight, plan, sent_at).await;
                 Attempt::Stream(begin)
             }
-        }
+        })
     }
 
     fn is_barred(&self, choice: &Choice) -> bool {
@@ -121,17 +183,21 @@
     /// read the whole body.
     async fn first_answer(&self, wire: Wire, bytes: &[u8]) -> First {
         let mut writer = wire.writer();
+        let is_sent = AtomicBool::new(false);
         let write = async {
-            let _ = writer.write_all(bytes).await;
+            let written = writer.write_all(bytes).await;
+            is_sent.store(written.is_ok(), Ordering::SeqCst);
             futures_lite::future::pending::<First>().await
         };
-        futures_lite::future::or(self.read_first(wire), write).await
+        futures_lite::future::or(self.read_first(wire, &is_sent), write).await
     }
 
-    async fn read_first(&self, mut wire: Wire) -> First {
-        for _ in 0..=MAX_LATE_ANSWERS {
-            let Ok(head) = read_answer_head(&mut wire).await else {
-                return First::Broken("no answer");
+    async fn read_first(&self, mut wire: Wire, is_sent: &AtomicBool) -> First {
+        for earlier in 0..=MAX_LATE_ANSWERS {
+            let head = match read_answer_head(&mut wire).await {
+                Ok(head) => head,
+                Err(_) if earlier == 0 && wire.buffered().is_empty() => return First::Mute,
+                Err(_) => return First::Broken("no answer"),
             };
             let Ok(framing) = response_framing(&head, &self.head.method) else {
                 return First::Broken("ambiguous length");
@@ -151,11 +217,17 @@
             if is_success && (!tags.is_sealed || tags.is_encoded) {
                 return First::Broken("not the replica's answer");
             }
+            let is_request_sent = is_sent.load(Ordering::SeqCst);
+            let end = ConnectionEnd::of(&head, framing);
             if is_success && self.admission.route.kind == RouteKind::Streaming {
-                return self.read_first_event(wire, head, reader, framing).await;
+                let carrier = Carrier { wire, end, is_request_sent };
+                return self.read_first_event(carrier, head, reader, framing).await;
             }
             return match reader.read_all(&mut wire, MAX_ANSWER).await {
-                Ok(body) => First::Whole(head, body),
+                Ok(body) => {
+                    let carrier = Carrier { wire, end, is_request_sent };
+                    First::Whole(Box::new(WholeAnswer { head, body, carrier }))
+                }
                 Err(_) => First::Broken("the body broke off"),
             };
         }
@@ -164,7 +236,7 @@
 
     async fn read_first_event(
         &self,
-        mut wire: Wire,
+        mut carrier: Carrier,
         head: ResponseHead,
         mut reader: BodyReader,
         framing: Framing,
@@ -174,13 +246,16 @@
         loop {
             if let Some(event) = splitter.next() {
                 let first = Some(event);
-                let begin = StreamBegin { head, wire, reader, splitter, first, is_until_close };
+                let begin = StreamBegin { head, carrier, reader, splitter, first, is_until_close };
                 return First::Stream(Box::new(begin));
             }
-            match reader.next(&mut wire).await {
+            match reader.next(&mut carrier.wire).await {
                 Ok(Some(bytes)) => splitter.push(&bytes),
                 Ok(None) if is_until_close => return First::Broken("an empty stream"),
-                Ok(None) => return First::Whole(head, splitter.rest()),
+                Ok(None) => {
+                    let body = splitter.rest();
+                    return First::Whole(Box::new(WholeAnswer { head, body, carrier }));
+                }
                 Err(_) => return First::Broken("the stream broke off"),
             }
         }
--- /dev/null
+++ b/crates/topazmount/src/fleet/exchange/connection.rs
@@ -0,0 +1,59 @@
+//! Kept connections of an exchange: which one carries a request, and when one goes to rest.
+
+use super::{Carrier, Exchange};
+use crate::http1::Wire;
+use std::time::Duration;
+use topazmount_gateway::{Choice, RequestPlan};
+
+impl Exchange<'_> {
+    /// A kept connection to the chosen replica, with the time that it rested, if one may carry this
+    /// request.
+    pub(super) async fn kept_connection(
+        &self,
+        choice: &Choice,
+        plan: &RequestPlan,
+    ) -> Option<(Wire, Duration)> {
+        let now = self.shared.clock.now();
+        let service = &self.admission.service;
+        let may_use = |connection| {
+            let mut knowledge = self.shared.knowledge.lock().unwrap();
+            knowledge.connections().may_use(service, connection, plan.is_repeatable(), now)
+        };
+        let taken = self.shared.pool.take(&choice.instance.id, now, may_use).await;
+        let kind = if taken.is_some() { "connection_kept" } else { "connection_new" };
+        self.shared.metrics.event(kind);
+        taken
+    }
+
+    /// Puts a connection to rest after a whole answer, if it may be used again.
+    pub(super) fn rest(&self, choice: &Choice, carrier: Carrier) {
+        let Carrier { wire, end, is_request_sent } = carrier;
+        let service = &self.admission.service;
+        let now = self.shared.clock.now();
+        let (most, longest) = {
+            let mut knowledge = self.shared.knowledge.lock().unwrap();
+            if !knowledge.connections().may_keep(end.answer_end(&wire, is_request_sent)) {
+                return;
+            }
+            let longest = knowledge.connections().most_idle(service, true, now);
+            (knowledge.most_kept(service), longest)
+        };
+        self.shared.pool.put(&choice.instance.id, wire, end, (most, longest), now);
+    }
+
+    /// Notes that a kept connection broke before any byte came.
+    pub(super) fn note_forgotten(&self, choice: &Choice, idle: Duration) {
+        let now = self.shared.clock.now();
+        let service = &self.admission.service;
+        self.shared.knowledge.lock().unwrap().connections().forgot(service, idle, now);
+        self.shared.metrics.event("connection_forgotten");
+        self.shared.journal.line(|| {
+            format!(
+                "gateway: event=connection_forgotten request={} instance={} idle_ms={}",
+                self.tags.id,
+                choice.instance.id,
+                idle.as_millis()
+            )
+        });
+    }
+}
--- a/crates/topazmount/src/fleet/exchange/mod.rs
+++ b/crates/topazmount/src/fleet/exchange/mod.rs
@@ -1,12 +1,14 @@
 //! One request's way through a gateway: attempts at replicas until one answers, or a refusal.
 
 mod attempt;
+mod connection;
 mod record;
 mod relay;
 
 use super::answer::{Delivery, forwarded_head, own_answer};
 use super::dialect::RequestTags;
 use super::gateway::Shared;
+use super::pool::ConnectionEnd;
 use super::stream::EventSplitter;
 use crate::http1::{BodyReader, RequestHead, ResponseHead, Wire};
 use async_net::TcpStream;
@@ -57,19 +59,34 @@
     Stream(Box<StreamBegin>),
 }
 
+/// The connection that an answer came on.
+struct Carrier {
+    wire: Wire,
+    end: ConnectionEnd,
+    is_request_sent: bool,
+}
+
 struct StreamBegin {
     head: ResponseHead,
-    wire: Wire,
+    carrier: Carrier,
     reader: BodyReader,
     splitter: EventSplitter,
     first: Option<Vec<u8>>,
     is_until_close: bool,
 }
 
+struct WholeAnswer {
+    head: ResponseHead,
+    body: Vec<u8>,
+    carrier: Carrier,
+}
+
 /// What a replica sent first.
 enum First {
-    Whole(ResponseHead, Vec<u8>),
+    Whole(Box<WholeAnswer>),
     Stream(Box<StreamBegin>),
+    /// The connection ended before any byte came.
+    Mute,
     Broken(&'static str),
 }
 
@@ -271,23 +288,25 @@
         end: AttemptEnd,
         progress: &Progress,
     ) -> Option<ErrorKind> {
-        let may_repeat = || {
-            let now = self.shared.clock.now();
-            self.shared.knowledge.lock().unwrap().may_repeat(&self.admission.service, now)
-        };
         // A stream whose events have no identifiers can't be taken up in the middle.
         if progress.has_begun && progress.last_event.is_none() {
             return Some(ErrorKind::AnswerIncomplete);
         }
         match plan.end(end) {
             NextStep::Retry { is_repeat: false, .. } => None,
-            NextStep::Retry { otherwise, .. } => (!may_repeat()).then_some(otherwise),
-            NextStep::RetryOrPassOn => (!may_repeat()).then_some(ErrorKind::BackendFailed),
+            NextStep::Retry { otherwise, .. } => (!self.may_repeat()).then_some(otherwise),
+            NextStep::RetryOrPassOn => (!self.may_repeat()).then_some(ErrorKind::BackendFailed),
             NextStep::PassOn => Some(ErrorKind::BackendFailed),
             NextStep::Answer(kind) => Some(kind),
         }
     }
 
+    /// Asks the service's budget for one repeat.
+    fn may_repeat(&self) -> bool {
+        let now = self.shared.clock.now();
+        self.shared.knowledge.lock().unwrap().may_repeat(&self.admission.service, now)
+    }
+
     async fn pass_on(&mut self, head: ResponseHead, body: &[u8], plan: &RequestPlan) -> Ending {
         self.log_end(plan, head.status, "replica");
         let delivery = Delivery::Whole(body.len());
--- a/crates/topazmount/src/fleet/exchange/relay.rs
+++ b/crates/topazmount/src/fleet/exchange/relay.rs
@@ -19,7 +19,8 @@
         may_resume: bool,
         progress: &mut Progress,
     ) -> StreamEnd {
-        let StreamBegin { head, mut wire, mut reader, mut splitter, first, is_until_close } = begin;
+        let StreamBegin { head, mut carrier, mut reader, mut splitter, first, is_until_close } =
+            begin;
         let delivery = self.delivery();
         let mut out = Vec::new();
         if !progress.has_begun {
@@ -42,7 +43,7 @@
                 }
             }
             let limit = self.left().min(STREAM_SILENCE);
-            match until(limit, reader.next(&mut wire)).await {
+            match until(limit, reader.next(&mut carrier.wire)).await {
                 Some(Ok(Some(bytes))) => splitter.push(&bytes),
                 Some(Ok(None)) if is_until_close && splitter.pending() > 0 => {
                     return StreamEnd::ReplicaBroke;
@@ -55,6 +56,7 @@
                 None => {}
             }
         }
+        self.rest(choice, carrier);
         let rest = splitter.rest();
         push_body(&mut out, &rest, delivery);
         if delivery == Delivery::Chunked {
--- a/crates/topazmount/src/fleet/gateway.rs
+++ b/crates/topazmount/src/fleet/gateway.rs
@@ -6,6 +6,7 @@
 use super::journal::Journal;
 use super::metrics::{Metrics, MetricsService};
 use super::peers::{self, Peers};
+use super::pool::Pool;
 use super::request_reader::ReadLimits;
 use super::settings::FleetSettings;
 use super::store_reader;
@@ -48,6 +49,8 @@
     pub(super) journal: Journal,
     pub(super) metrics: Metrics,
     pub(super) peers: Arc<Peers>,
+    /// Connections to replicas at rest.
+    pub(super) pool: Pool,
     is_stopping: AtomicBool,
     /// Whether new requests are refused.
     pub(super) is_closed: AtomicBool,
@@ -84,6 +87,7 @@
             journal: Journal::default(),
             metrics: Metrics::default(),
             peers: peers.clone(),
+            pool: Pool::default(),
             is_stopping: AtomicBool::new(false),
             is_closed: AtomicBool::new(false),
             open_requests: AtomicUsize::new(0),
@@ -171,6 +175,7 @@
         }
         self.metrics.set_state("ready", i64::from(is_ready));
         self.metrics.set_state("open_requests", open as i64);
+        self.metrics.set_state("kept_connections", self.pool.count() as i64);
         self.metrics.render()
     }
 
--- a/crates/topazmount/src/fleet/mod.rs
+++ b/crates/topazmount/src/fleet/mod.rs
@@ -16,6 +16,7 @@
 mod metrics;
 mod orders;
 mod peers;
+mod pool;
 mod process;
 mod request_reader;
 mod settings;
@@ -28,4 +29,4 @@
 pub use gateway::{Gateway, GatewayOptions};
 pub use metrics::{METRICS_PATH, Metrics};
 pub use process::{run_control, run_gateway};
-pub use settings::{Bounds, FleetPolicy, FleetSettings, Listen};
+pub use settings::{Bounds, FleetPolicy, FleetSettings, KeptConnections, Listen};
--- a/crates/topazmount/src/fleet/settings.rs
+++ b/crates/topazmount/src/fleet/settings.rs
@@ -7,7 +7,7 @@
 use std::path::{Path, PathBuf};
 use std::time::Duration;
 use topazmount_control::RolloutSettings;
-use topazmount_gateway::{BudgetSettings, GatewaySettings};
+use topazmount_gateway::{BudgetSettings, ConnectionSettings, GatewaySettings};
 use topazmount_routing::{BUILT_IN, PolicyProgram, PolicyTable, ProgramLimits, ShareSettings};
 
 /// Settings of one process.
@@ -35,6 +35,9 @@
     pub listen: Listen,
     /// Bounds that it keeps.
     pub bounds: Bounds,
+    /// Kept connections to replicas.
+    #[serde(default)]
+    pub connections: KeptConnections,
     /// Policy programs that decide on a gateway, or are shadowed there.
     #[serde(default, rename = "policy")]
     pub policies: Vec<FleetPolicy>,
@@ -72,6 +75,29 @@
     pub metrics: Option<SocketAddr>,
 }
 
+/// Kept connections of a gateway to replicas.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct KeptConnections {
+    /// Whether any are kept.
+    pub keep: bool,
+    /// Longest idle time before a request that must run at most once, in milliseconds.
+    pub once_idle_ms: u64,
+    /// Longest idle time before a request that may be repeated, in milliseconds.
+    pub most_idle_ms: u64,
+}
+
+impl Default for KeptConnections {
+    fn default() -> Self {
+        let cfg = ConnectionSettings::default();
+        KeptConnections {
+            keep: cfg.is_on,
+            once_idle_ms: cfg.once_idle.as_millis() as u64,
+            most_idle_ms: cfg.most_idle.as_millis() as u64,
+        }
+    }
+}
+
 /// Bounds, as the operator sets them.
 #[derive(Clone, Copy, Debug, PartialEq, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -184,6 +210,11 @@
                 slack: bounds.retry_slack,
                 window: Duration::from_secs_f64(bounds.retry_window_s),
             },
+            connections: ConnectionSettings {
+                is_on: self.connections.keep,
+                once_idle: Duration::from_millis(self.connections.once_idle_ms),
+                most_idle: Duration::from_millis(self.connections.most_idle_ms),
+            },
         }
     }
 
--- a/crates/topazmount/src/http1/head.rs
+++ b/crates/topazmount/src/http1/head.rs
@@ -1,5 +1,6 @@
 //! Heads of requests and responses.
 
+use std::time::Duration;
 use thiserror::Error;
 
 /// Most header fields in one head.
@@ -126,6 +127,19 @@
 }
 
 impl ResponseHead {
+    /// Whether the sender closes the connection after this answer.
+    pub fn closes(&self) -> bool {
+        self.minor_version == 0 || self.headers.has_word("connection", "close")
+    }
+
+    /// Time for which the sender keeps the connection open at rest, where it says so (`Keep-Alive:
+    /// timeout=SECONDS`).
+    pub fn idle_time(&self) -> Option<Duration> {
+        let words = self.headers.get("keep-alive")?.split(',');
+        let named = words.filter_map(|word| word.trim().strip_prefix("timeout="));
+        named.filter_map(|seconds| seconds.trim().parse().ok()).map(Duration::from_secs).min()
+    }
+
     /// Reads a head from the begin of `bytes`; `None` when it is not whole yet. Returns its length
     /// too.
     ///
