Stores: every prompt whose shared parts a store lacks is saved

Change: no bound on saves beyond what the store lacks; what a gateway had sent is not sent again for 3 s. Conclusion: the bound goes, with its setting.

--- a/crates/gateway/src/balancer/mod.rs
+++ b/crates/gateway/src/balancer/mod.rs
@@ -232,24 +232,22 @@
         &mut self.stores
     }
 
-    /// The store to which the chosen replica should send the prompt's parts, if any. `nodes` is the
-    /// number of gateways. A replica with older weights than another one holds is about to load: a
+    /// The store to which the chosen replica should send the prompt's parts, if any. A replica with older weights than another one holds is about to load: a
     /// run that outlasts the load would save parts made with the new weights under the old salt.
     pub fn save(
         &mut self,
         choice: &Choice,
         request: &ChoiceRequest<'_>,
-        nodes: usize,
         now: Time,
     ) -> Option<String> {
-        let (prompt, engine) = (request.prompt?, request.engine?);
+        let prompt = request.prompt?;
         let serving = self.replicas.values().filter(|one| one.instance.service == request.service);
         let newest = serving.filter_map(|one| one.version(request.model)).max();
         if choice.version < newest {
             return None;
         }
         let salt = cache_salt(choice.version?, request.wall);
-        self.stores.save(prompt, &salt, engine.token_bytes, nodes, now)
+        self.stores.save(prompt, &salt, now)
     }
 
     /// Whether the policy that decides on the request lets it run.
--- a/crates/gateway/src/knowledge.rs
+++ b/crates/gateway/src/knowledge.rs
@@ -5,7 +5,6 @@
 use crate::catalog::{Catalog, Route, Tenant};
 use crate::connections::{ConnectionSettings, Connections};
 use crate::split::Splits;
-use crate::stores::MOST_READERS;
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 use std::collections::{HashMap, HashSet};
@@ -261,8 +260,7 @@
     /// Chooses a replica.
     pub fn choose(&mut self, request: &ChoiceRequest<'_>, now: Time) -> Option<Choice> {
         let mut choice = self.balancer.choose(request, now, &mut self.policies)?;
-        let savers = self.gateway_count.min(MOST_READERS);
-        choice.save_to = self.balancer.save(&choice, request, savers, now);
+        choice.save_to = self.balancer.save(&choice, request, now);
         Some(choice)
     }
 
--- a/crates/gateway/src/stores.rs
+++ b/crates/gateway/src/stores.rs
@@ -15,15 +15,10 @@
 pub const MOST_READERS: usize = 10;
 /// Fewest shared tokens of a prompt that is saved.
 const LEAST_SAVED_TOKENS: u32 = 1_000;
-/// Part of a store's link that all gateways together fill with saves: what is taken from the store
-/// waits behind them.
-const SAVE_SHARE: f64 = 0.6;
 /// Time for which a prompt that is being saved is not saved again.
 const SAVING: Duration = Duration::from_secs(3);
 /// Tokens of a part that may be missing at its end: memory goes by blocks.
 const BLOCK_SLACK: u32 = 16;
-/// Bytes that a link of one megabit a second carries in a second.
-const BYTES_PER_MBPS: f64 = 125_000.0;
 
 /// Name under which parts of a prompt are shared.
 pub fn cache_salt(version: u32, wall: Option<&str>) -> String {
@@ -73,7 +68,6 @@
     next: u64,
     parts: HashMap<(u64, u64), u32>,
     saving: HashMap<(u64, u64), Time>,
-    next_save: Time,
 }
 
 /// Names a store of this process; never given to another one.
@@ -154,16 +148,8 @@
     }
 
     /// The store to which a replica should send a prompt's parts, if that is worth it: the store
-    /// lacks some of them, nobody sends them already, and its link is not full of saves.
-    /// `token_bytes` is the memory of a token, `nodes` the number of gateways that save.
-    pub fn save(
-        &mut self,
-        prompt: &Prompt,
-        salt: &str,
-        token_bytes: f64,
-        nodes: usize,
-        now: Time,
-    ) -> Option<String> {
+    /// lacks some of them, and this gateway had none sent a moment ago.
+    pub fn save(&mut self, prompt: &Prompt, salt: &str, now: Time) -> Option<String> {
         if prompt.shared_tokens() < LEAST_SAVED_TOKENS {
             return None;
         }
@@ -173,13 +159,9 @@
         let deepest = (salt, prompt.parts.get(shared.checked_sub(1)?)?.id);
         store.saving.retain(|_, since| now < *since + SAVING);
         let is_useless = store.depth(prompt, salt) >= shared || store.saving.contains_key(&deepest);
-        if is_useless || now < store.next_save {
+        if is_useless {
             return None;
         }
-        let bytes = f64::from(prompt.prompt_tokens) * token_bytes;
-        let seconds = bytes / (store.cfg.link_mbps * BYTES_PER_MBPS * SAVE_SHARE);
-        let pause = Duration::try_from_secs_f64(seconds * nodes.max(1) as f64).ok()?;
-        store.next_save = now + pause;
         store.saving.insert(deepest, now);
         Some(store.cfg.address.clone())
     }
@@ -210,7 +192,6 @@
             next: 0,
             parts: HashMap::new(),
             saving: HashMap::new(),
-            next_save: Time::ZERO,
         }
     }
 
