Prefill rates are measured; a store is preferred to what was seen over 1.5 s ago

Change: gateway/src/estimator.rs tracks the rate by service from first tokens at replicas where nothing else was known to wait; 40 is only its prior. SURELY_KEPT 3 s to 1.5 s. Tests: engines four times faster and slower, and a half faster, are found within 300 prompts, also with three in ten delayed; failed first for the fast one (a fixed time that started from nothing never grew).

--- a/crates/gateway/src/balancer/candidates.rs
+++ b/crates/gateway/src/balancer/candidates.rs
@@ -1,8 +1,6 @@
 //! Which replicas may be asked, and what a request would cost at each.
 
-use super::cost::{
-    self, DELAY_PER_REQUEST_MS, DELAY_SHARE, OLD_WEIGHTS_MS, OTHER_ZONE_MS, PREFILL_TOKENS_PER_MS,
-};
+use super::cost::{self, DELAY_PER_REQUEST_MS, DELAY_SHARE, OLD_WEIGHTS_MS, OTHER_ZONE_MS};
 use super::holders::Kept;
 use super::replica::Replica;
 use super::{Balancer, ChoiceRequest};
@@ -132,18 +130,27 @@
         let home = view.homes.iter().find(|id| open.contains(*id));
         let is_unknown = view.kept.is_empty() && view.coming.is_empty();
         let version_of = |id: &InstanceId| self.replicas[id].version(request.model);
+        let rate = self.prefill_rate(request.service);
         let newest = open.iter().filter_map(version_of).max();
         let mut candidates: Vec<Candidate> = Vec::with_capacity(open.len());
         for (position, id) in open.iter().enumerate() {
             let replica = &self.replicas[id];
-            let mut candidate = self.candidate(replica, position, now);
+            let mut candidate = self.candidate(replica, position, rate, now);
             candidate.home_rank = ranks.get(id).map_or(0, |rank| *rank as u32);
             if let Some(prompt) = request.prompt {
                 let depth = view.known_parts(replica.slot);
                 let is_home = is_unknown && home == Some(id);
                 let source = self.source(replica, request, view, now);
                 let source = source.as_ref();
-                cost::add_prompt(&mut candidate, prompt, request.engine, depth, is_home, source);
+                cost::add_prompt(
+                    &mut candidate,
+                    prompt,
+                    request.engine,
+                    depth,
+                    is_home,
+                    source,
+                    rate,
+                );
                 if version_of(id) < newest {
                     candidate.network_ms += OLD_WEIGHTS_MS;
                 }
@@ -158,11 +165,11 @@
         candidates
     }
 
-    fn candidate(&self, replica: &Replica, position: usize, now: Time) -> Candidate {
+    fn candidate(&self, replica: &Replica, position: usize, rate: f64, now: Time) -> Candidate {
         let is_local = replica.instance.zone == self.zone;
         let in_flight = replica.all_in_flight(now);
         let queue_ms = f64::from(in_flight) * DELAY_PER_REQUEST_MS
-            + replica.waiting_tokens(now) as f64 / PREFILL_TOKENS_PER_MS
+            + replica.waiting_tokens(now) as f64 / rate
             + DELAY_SHARE * replica.delay_ms(now);
         let over = f64::from(in_flight) - FULL_SHARE * f64::from(replica.instance.slots);
         Candidate {
--- a/crates/gateway/src/balancer/cost.rs
+++ b/crates/gateway/src/balancer/cost.rs
@@ -5,8 +5,8 @@
 use crate::prompt::Prompt;
 use topazmount_routing::Candidate;
 
-/// Prefill rate assumed, in tokens a millisecond.
-pub(super) const PREFILL_TOKENS_PER_MS: f64 = 38.0;
+/// Prefill rate assumed until one is measured, in tokens a millisecond.
+pub(super) const PREFILL_PRIOR: f64 = 40.0;
 /// Time by which one request in flight delays the next, in milliseconds.
 pub(super) const DELAY_PER_REQUEST_MS: f64 = 1.0;
 /// Part of the smoothed delay that counts: what waits is known from those who sent it.
@@ -32,7 +32,7 @@
 
 /// Adds what a prompt costs at a replica that holds, or is reading, `depth` of its leading parts.
 /// `is_home` is set at the first home of a prompt that nobody is known to hold: other nodes may
-/// have sent it there.
+/// have sent it there. `tokens_per_ms` is the rate at which the engine reads.
 pub(super) fn add_prompt(
     candidate: &mut Candidate,
     prompt: &Prompt,
@@ -40,6 +40,7 @@
     depth: usize,
     is_home: bool,
     source: Option<&Source>,
+    tokens_per_ms: f64,
 ) {
     let guessed = if is_home { HOME_CHANCE * f64::from(prompt.shared_tokens()) } else { 0.0 };
     let at_hand = prompt.leading_tokens(depth).max(guessed as u32);
@@ -55,7 +56,7 @@
     let moved = reachable.saturating_sub(at_hand);
     candidate.cached_tokens = at_hand + (chance * f64::from(moved)) as u32;
     let read = prompt.prompt_tokens.saturating_sub(candidate.cached_tokens);
-    candidate.prefill_ms = f64::from(read) / PREFILL_TOKENS_PER_MS;
+    candidate.prefill_ms = f64::from(read) / tokens_per_ms;
     candidate.network_ms += RANK_COST_MS * f64::from(candidate.home_rank);
     if let (Some(engine), true) = (engine, moved > 0) {
         let move_ms = match source.map(|source| source.certainty) {
--- a/crates/gateway/src/balancer/mod.rs
+++ b/crates/gateway/src/balancer/mod.rs
@@ -13,9 +13,10 @@
 mod source;
 
 use crate::catalog::EngineParameters;
+use crate::estimator::PrefillEstimator;
 use crate::prompt::Prompt;
 use crate::stores::{Stores, cache_salt};
-use cost::PREFILL_TOKENS_PER_MS;
+use cost::PREFILL_PRIOR;
 use holders::Holders;
 pub use news::{LoadNews, TOLD_TOKENS};
 use rand::SeedableRng;
@@ -96,6 +97,8 @@
     pub policy: usize,
     /// Place in the order of the prompt's homes; 0 is the first.
     pub home_rank: u32,
+    /// Whether nothing else was known to wait there to be read.
+    pub is_clear: bool,
     /// Version of the model's weights that it is believed to hold.
     pub version: Option<u32>,
     /// Address of a replica with the same weights, or of a store, that probably holds more of the
@@ -114,6 +117,8 @@
     by_key: HashMap<u64, InstanceId>,
     holders: Holders,
     stores: Stores,
+    /// Rates at which engines read, by service.
+    prefill: HashMap<String, PrefillEstimator>,
     next_slot: u32,
     rng: ChaCha8Rng,
     sequence: u64,
@@ -129,6 +134,7 @@
             by_key: HashMap::new(),
             holders: Holders::default(),
             stores: Stores::default(),
+            prefill: HashMap::new(),
             next_slot: 0,
             rng: ChaCha8Rng::seed_from_u64(seed),
             sequence: 0,
@@ -220,6 +226,7 @@
             estimate_ms: candidate.estimate_ms(),
             policy,
             home_rank: candidate.home_rank,
+            is_clear: replica.waiting_tokens(now) == 0,
             version: replica.version(request.model),
             source: source.map(|source| source.address),
             save_to: None,
@@ -227,6 +234,11 @@
         })
     }
 
+    /// Rate at which the engines of a service read prompts, in tokens a millisecond.
+    pub fn prefill_rate(&self, service: &str) -> f64 {
+        self.prefill.get(service).map_or(PREFILL_PRIOR, PrefillEstimator::tokens_per_ms)
+    }
+
     /// Stores of prompt parts.
     pub fn stores(&mut self) -> &mut Stores {
         &mut self.stores
@@ -282,11 +294,16 @@
         waited: Duration,
         now: Time,
     ) {
+        let waited_ms = waited.as_secs_f64() * 1_000.0;
+        if choice.is_clear && request.prompt.is_some() {
+            let estimate = self.prefill.entry(request.service.to_owned());
+            let estimate = estimate.or_insert_with(|| PrefillEstimator::new(PREFILL_PRIOR));
+            estimate.note(choice.expected_prefill, waited_ms);
+        }
+        let expected_ms = f64::from(choice.expected_prefill) / self.prefill_rate(request.service);
         let Some(replica) = self.replicas.get_mut(&choice.instance.id) else { return };
         let expected = u64::from(choice.expected_prefill);
         replica.pending_prefill = replica.pending_prefill.saturating_sub(expected);
-        let expected_ms = f64::from(choice.expected_prefill) / PREFILL_TOKENS_PER_MS;
-        let waited_ms = waited.as_secs_f64() * 1_000.0;
         replica.note_delay((waited_ms - expected_ms).max(0.0), now);
         replica.heard_at = now;
         if let Some(version) = choice.version {
--- a/crates/gateway/src/balancer/source.rs
+++ b/crates/gateway/src/balancer/source.rs
@@ -6,9 +6,9 @@
 use std::time::Duration;
 use topazmount_types::Time;
 
-/// Age up to which a replica surely still holds what it was seen to read or use. Later a store is
+/// Age up to which a replica almost surely holds what it was seen to read or use. Later a store is
 /// the better source, although its link is slower.
-const SURELY_KEPT: Duration = Duration::from_secs(3);
+const SURELY_KEPT: Duration = Duration::from_millis(1500);
 
 /// How sure it is that a source has the parts.
 #[derive(Clone, Copy, Debug, PartialEq)]
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -9,6 +9,7 @@
 mod budget;
 mod catalog;
 mod connections;
+mod estimator;
 mod knowledge;
 mod plan;
 mod prompt;
@@ -22,6 +23,7 @@
     SplitPart, StoreParameters, Tenant,
 };
 pub use connections::{AnswerEnd, ConnectionSettings, Connections, IdleConnection};
+pub use estimator::PrefillEstimator;
 pub use knowledge::{Admission, GatewaySettings, Knowledge};
 pub use plan::{AttemptEnd, NextStep, RequestPlan};
 pub use prompt::{Prompt, PromptPart};
