Attempts: one way to send on a new connection; bounds of resting connections are named

Cause: the fresh send stood twice in attempt.rs, and two bounds went as a bare pair. No behaviour changed.

--- a/crates/topazmount/src/fleet/exchange/attempt.rs
+++ b/crates/topazmount/src/fleet/exchange/attempt.rs
@@ -46,13 +46,8 @@
         let choice = &in_flight.choice;
         let kept = self.kept_connection(choice, plan).await;
         let Some((wire, idle)) = kept else {
-            let Some(wire) = self.connect(choice).await else {
-                return Attempt::Ended(AttemptEnd::Unreachable);
-            };
-            return match self.ask(wire, plan, in_flight, progress).await {
-                Asked::Ended(attempt) => attempt,
-                Asked::Mute => Attempt::Ended(AttemptEnd::Broken),
-            };
+            let unreachable = AttemptEnd::Unreachable;
+            return self.ask_on_new(plan, in_flight, progress, unreachable).await;
         };
         if let Asked::Ended(attempt) = self.ask(wire, plan, in_flight, progress).await {
             return attempt;
@@ -74,8 +69,20 @@
         if !plan.is_repeatable() || !self.may_repeat() {
             return Attempt::Ended(AttemptEnd::Broken);
         }
-        let Some(wire) = self.connect(choice).await else {
-            return Attempt::Ended(AttemptEnd::Broken);
+        // Also where no connection comes up: the first one may have carried the request.
+        self.ask_on_new(plan, in_flight, progress, AttemptEnd::Broken).await
+    }
+
+    /// Sends the request on a new connection; `unreachable` is the end where none comes up.
+    async fn ask_on_new(
+        &self,
+        plan: &RequestPlan,
+        in_flight: &InFlight<'_>,
+        progress: &Progress,
+        unreachable: AttemptEnd,
+    ) -> Attempt {
+        let Some(wire) = self.connect(&in_flight.choice).await else {
+            return Attempt::Ended(unreachable);
         };
         match self.ask(wire, plan, in_flight, progress).await {
             Asked::Ended(attempt) => attempt,
--- a/crates/topazmount/src/fleet/exchange/connection.rs
+++ b/crates/topazmount/src/fleet/exchange/connection.rs
@@ -1,5 +1,6 @@
 //! Kept connections of an exchange: which one carries a request, and when one goes to rest.
 
+use super::super::pool::RestBounds;
 use super::{Carrier, Exchange};
 use crate::http1::Wire;
 use std::time::Duration;
@@ -30,15 +31,15 @@
         let Carrier { wire, end, is_request_sent } = carrier;
         let service = &self.admission.service;
         let now = self.shared.clock.now();
-        let (most, longest) = {
+        let bounds = {
             let mut knowledge = self.shared.knowledge.lock().unwrap();
             if !knowledge.connections().may_keep(end.answer_end(&wire, is_request_sent)) {
                 return;
             }
             let longest = knowledge.connections().most_idle(service, true, now);
-            (knowledge.most_kept(service), longest)
+            RestBounds { most: knowledge.most_kept(service), longest }
         };
-        self.shared.pool.put(&choice.instance.id, wire, end, (most, longest), now);
+        self.shared.pool.put(&choice.instance.id, wire, end, bounds, now);
     }
 
     /// Notes that a kept connection broke before any byte came.
--- a/crates/topazmount/src/fleet/pool.rs
+++ b/crates/topazmount/src/fleet/pool.rs
@@ -46,6 +46,15 @@
     }
 }
 
+/// What may rest.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct RestBounds {
+    /// Connections to one replica; of more the oldest are closed.
+    pub(super) most: usize,
+    /// Time after which one is closed.
+    pub(super) longest: Duration,
+}
+
 /// All connections at rest of one gateway.
 #[derive(Default)]
 pub(super) struct Pool {
@@ -59,20 +68,20 @@
 }
 
 impl Pool {
-    /// Puts a connection to rest; of more than `most` to one replica the oldest are closed.
+    /// Puts a connection to rest, and closes what is beyond the bounds.
     pub(super) fn put(
         &self,
         id: &str,
         wire: Wire,
         end: ConnectionEnd,
-        (most, longest): (usize, Duration),
+        bounds: RestBounds,
         now: Time,
     ) {
         let mut places = self.resting.lock().unwrap();
-        places.sweep(longest, now);
+        places.sweep(bounds.longest, now);
         let resting = places.by_replica.entry(id.to_owned()).or_default();
         resting.push(Resting { wire, since: now, announced: end.announced });
-        let surplus = resting.len().saturating_sub(most);
+        let surplus = resting.len().saturating_sub(bounds.most);
         resting.drain(..surplus);
     }
 
