Test: the measured rate makes the choice that the true rate would make

Engines four times faster than the prior are waited for, four times slower ones are not; with the prior as a constant one of the two goes wrong.

--- a/crates/gateway/tests/balancer.rs
+++ b/crates/gateway/tests/balancer.rs
@@ -245,3 +245,46 @@
     news.replica = 77;
     balancer.apply_news(&news, NOW);
 }
+
+/// Time to a first token beside reading, in milliseconds.
+const FIXED_MS: f64 = 20.0;
+
+/// Serves a prompt at its choice, by an engine of this rate.
+fn serve(balancer: &mut Balancer, prompt: &Prompt, tokens_per_ms: f64, at: Time) -> Choice {
+    let choice = choose_for(balancer, prompt, &[]).unwrap();
+    balancer.sent(&choice, &request(prompt), at);
+    let waited = FIXED_MS + f64::from(choice.expected_prefill) / tokens_per_ms;
+    let waited = Duration::from_secs_f64(waited / 1_000.0);
+    balancer.first_token(&choice, &request(prompt), waited, at);
+    balancer.ended(&choice, true);
+    choice
+}
+
+/// Where a prompt goes whose subject one replica has just read, while another prompt waits there:
+/// engines that read fast are worth the wait, engines that read slowly are not.
+fn goes_where(tokens_per_ms: f64, stays: bool) {
+    let mut balancer = pool(6, 1);
+    let before = Time::from_secs(900);
+    for number in 0..200 {
+        let fresh =
+            prompt(&[(5_000 + number, 2_000), (6_000 + number, 1_500), (7_000 + number, 500)]);
+        let short = prompt(&[(8_000 + number, 100), (9_000 + number, 200)]);
+        serve(&mut balancer, &fresh, tokens_per_ms, before);
+        serve(&mut balancer, &short, tokens_per_ms, before);
+    }
+    let subject = prompt(&[(1, 2_500), (100, 3_800), (1_000, 900)]);
+    let home = serve(&mut balancer, &subject, tokens_per_ms, NOW);
+    let waiting = prompt(&[(1, 2_500), (100, 3_800), (1_001, 3_000)]);
+    let there = choose_for(&mut balancer, &waiting, &[]).unwrap();
+    assert_eq!(there.instance.id, home.instance.id, "nothing waits yet");
+    balancer.sent(&there, &request(&waiting), NOW);
+    let next = prompt(&[(1, 2_500), (100, 3_800), (1_002, 900)]);
+    let choice = choose_for(&mut balancer, &next, &[]).unwrap();
+    let rate = balancer.prefill_rate("pool");
+    assert_eq!(choice.instance.id == home.instance.id, stays, "{choice:?} at a rate of {rate}");
+}
+
+cases! { goes_where:
+    an_engine_four_times_faster_is_waited_for => 160.0, true;
+    an_engine_four_times_slower_is_not => 10.0, false;
+}
