--- a/crates/gateway/tests/balancer.rs
+++ b/crates/gateway/tests/balancer.rs
@@ -262,7 +262,7 @@
 
 /// Where a prompt goes whose subject one replica has just read, while another prompt waits there:
 /// engines that read fast are worth the wait, engines that read slowly are not.
-fn goes_where(tokens_per_ms: f64, stays: bool) {
+fn goes_where(tokens_per_ms: f64, waiting_tokens: u32, stays: bool) {
     let mut balancer = pool(6, 1);
     let before = Time::from_secs(900);
     for number in 0..200 {
@@ -274,7 +274,7 @@
     }
     let subject = prompt(&[(1, 2_500), (100, 3_800), (1_000, 900)]);
     let home = serve(&mut balancer, &subject, tokens_per_ms, NOW);
-    let waiting = prompt(&[(1, 2_500), (100, 3_800), (1_001, 3_000)]);
+    let waiting = prompt(&[(1, 2_500), (100, 3_800), (1_001, waiting_tokens)]);
     let there = choose_for(&mut balancer, &waiting, &[]).unwrap();
     assert_eq!(there.instance.id, home.instance.id, "nothing waits yet");
     balancer.sent(&there, &request(&waiting), NOW);
@@ -285,6 +285,6 @@
 }
 
 cases! { goes_where:
-    an_engine_four_times_faster_is_waited_for => 160.0, true;
-    an_engine_four_times_slower_is_not => 10.0, false;
+    an_engine_four_times_faster_is_waited_for => 160.0, 6_000, true;
+    an_engine_four_times_slower_is_not => 10.0, 2_000, false;
 }
