Tests: each run of a fleet test has a folder of its own

The folder is named by the test alone, under the target folder; a run of the same test that I had ended by its shell half a minute before went on as an orphan and removed the folder at its end. Change: the process's id in the name.

--- a/crates/lab/tests/common/mod.rs
+++ b/crates/lab/tests/common/mod.rs
@@ -22,7 +22,9 @@
 impl TestFleet {
     /// Three control members, two nodes, three engines, one application.
     pub fn start(test: &str) -> TestFleet {
-        let folder = Path::new(env!("CARGO_TARGET_TMPDIR")).join(test);
+        // Two runs of the tests must not share a folder: the one that ends removes it.
+        let name = format!("{test}-{}", std::process::id());
+        let folder = Path::new(env!("CARGO_TARGET_TMPDIR")).join(name);
         let _ = std::fs::remove_dir_all(&folder);
         let lab_program = PathBuf::from(env!("CARGO_BIN_EXE_topazmount-lab"));
         let options = FleetOptions {
