Balancer: what is known of a prompt in a module of its own; one filter for a service's replicas

Read again as a newcomer: the filter for the replicas of the request's service stood four times (stored, home order, save, open replicas); a choice hashed the prompt's chain twice; candidates, cost and source imported each other in a circle. Now: Balancer::serving, the chain is made once a choice, PromptView and what makes it are in view.rs, on which both others rest. No behaviour changed; no test changed.

--- a/crates/gateway/src/balancer/mod.rs
+++ b/crates/gateway/src/balancer/mod.rs
@@ -11,6 +11,7 @@
 mod news;
 mod replica;
 mod source;
+mod view;
 
 use crate::catalog::EngineParameters;
 use crate::estimator::PrefillEstimator;
@@ -74,11 +75,9 @@
         }
     }
 
-    /// Chain of the parts that requests share; the last part is the request's own.
+    /// Chain of the parts that requests share.
     fn shared(&self) -> Vec<u64> {
-        let mut chain = self.chain();
-        chain.pop();
-        chain
+        shared_of(&self.chain()).to_vec()
     }
 }
 
@@ -192,6 +191,11 @@
         }
     }
 
+    /// Replicas of a service.
+    fn serving(&self, service: &str) -> impl Iterator<Item = &Replica> {
+        self.replicas.values().filter(move |replica| replica.instance.service == service)
+    }
+
     /// Replicas known.
     pub fn instances(&self) -> impl Iterator<Item = &Instance> {
         self.replicas.values().map(|replica| &replica.instance)
@@ -209,9 +213,9 @@
         if open.is_empty() {
             return None;
         }
-        let view = self.prompt_view(request, now);
-        let candidates = self.candidates(&open, request, &view, now);
         let chain = request.chain();
+        let view = self.prompt_view(request, shared_of(&chain), now);
+        let candidates = self.candidates(&open, request, &view, now);
         let route_request = request.as_policies_see_it(&chain, self.sequence);
         let policy = policies.assign(&route_request);
         let position = policies.choose(policy, &route_request, &candidates)?;
@@ -244,8 +248,9 @@
         &mut self.stores
     }
 
-    /// The store to which the chosen replica should send the prompt's parts, if any. A replica with older weights than another one holds is about to load: a
-    /// run that outlasts the load would save parts made with the new weights under the old salt.
+    /// The store to which the chosen replica should send the prompt's parts, if any. A replica with
+    /// older weights than another one holds is about to load: a run that outlasts the load would save
+    /// parts made with the new weights under the old salt.
     pub fn save(
         &mut self,
         choice: &Choice,
@@ -253,8 +258,8 @@
         now: Time,
     ) -> Option<String> {
         let prompt = request.prompt?;
-        let serving = self.replicas.values().filter(|one| one.instance.service == request.service);
-        let newest = serving.filter_map(|one| one.version(request.model)).max();
+        let newest =
+            self.serving(request.service).filter_map(|one| one.version(request.model)).max();
         if choice.version < newest {
             return None;
         }
@@ -390,6 +395,11 @@
     }
 }
 
+/// The part of a prompt's chain that requests share; the last part is the request's own.
+fn shared_of(chain: &[u64]) -> &[u64] {
+    chain.split_last().map_or(&[], |(_, shared)| shared)
+}
+
 /// Name of a replica among nodes, which number them differently.
 fn replica_key(id: &str) -> u64 {
     ReplicaId::from_name(id).0
--- a/crates/gateway/src/balancer/source.rs
+++ b/crates/gateway/src/balancer/source.rs
@@ -1,7 +1,7 @@
 //! Who could give a replica the parts of a prompt that it lacks.
 
-use super::candidates::PromptView;
 use super::replica::Replica;
+use super::view::PromptView;
 use super::{Balancer, ChoiceRequest};
 use std::time::Duration;
 use topazmount_types::Time;
