--- a/crates/gateway/src/balancer/mod.rs
+++ b/crates/gateway/src/balancer/mod.rs
@@ -6,6 +6,7 @@
 //! nobody is known to hold meet at their homes, which all nodes find alike.
 
 mod candidates;
+mod choice;
 mod cost;
 mod holders;
 mod news;
@@ -13,10 +14,10 @@
 mod source;
 mod view;
 
-use crate::catalog::EngineParameters;
 use crate::estimator::PrefillEstimator;
-use crate::prompt::Prompt;
 use crate::stores::{Stores, cache_salt};
+use choice::shared_of;
+pub use choice::{Choice, ChoiceRequest};
 use cost::PREFILL_PRIOR;
 use holders::Holders;
 pub use news::{LoadNews, TOLD_TOKENS};
@@ -26,87 +27,8 @@
 use std::collections::{BTreeMap, HashMap, HashSet};
 use std::time::Duration;
 use topazmount_control::{Availability, InstanceStatus};
-use topazmount_routing::{PolicyTable, RouteRequest};
-use topazmount_types::{
-    Incarnation, Instance, InstanceId, ModelId, Priority, ReplicaId, TenantId, Time, WeightsVersion,
-};
-
-/// What a choice is made for.
-#[derive(Clone, Copy, Debug)]
-pub struct ChoiceRequest<'a> {
-    /// Service that the request goes to.
-    pub service: &'a str,
-    /// Hash of the tenant's name; 0 where there is none.
-    pub tenant: u64,
-    /// Prompt, if the request has one.
-    pub prompt: Option<&'a Prompt>,
-    /// Model of the prompt.
-    pub model: Option<&'a str>,
-    /// Hash of what separates caches beside the version of weights: the tenant's wall and the
-    /// model.
-    pub namespace: u64,
-    /// The tenant whose parts are kept from all others, if it is one.
-    pub wall: Option<&'a str>,
-    /// Replicas that were tried already.
-    pub exclude: &'a [InstanceId],
-    /// The only replica that may be chosen, if there is one.
-    pub held_to: Option<&'a InstanceId>,
-    /// Parameters of the service's engines, if it has any.
-    pub engine: Option<&'a EngineParameters>,
-}
-
-impl ChoiceRequest<'_> {
-    /// Chain of all parts of the prompt.
-    fn chain(&self) -> Vec<u64> {
-        self.prompt.map(|prompt| prompt.chain(self.namespace)).unwrap_or_default()
-    }
-
-    fn as_policies_see_it<'a>(&self, chain: &'a [u64], sequence: u64) -> RouteRequest<'a> {
-        RouteRequest {
-            tenant: TenantId(self.tenant),
-            model: ModelId(self.namespace),
-            weights: WeightsVersion::default(),
-            priority: Priority::Normal,
-            prompt_tokens: self.prompt.map_or(0, |prompt| prompt.prompt_tokens),
-            max_tokens: self.prompt.map_or(0, |prompt| prompt.output_tokens),
-            blocks: chain,
-            session: 0,
-            sequence,
-        }
-    }
-
-    /// Chain of the parts that requests share.
-    fn shared(&self) -> Vec<u64> {
-        shared_of(&self.chain()).to_vec()
-    }
-}
-
-/// A chosen replica.
-#[derive(Clone, Debug, PartialEq)]
-pub struct Choice {
-    /// Replica.
-    pub instance: Instance,
-    /// Prompt tokens that it is expected to compute.
-    pub expected_prefill: u32,
-    /// Prompt tokens that it is known to hold or to be reading already.
-    pub known_tokens: u32,
-    /// Estimated time to the first token, in milliseconds.
-    pub estimate_ms: f64,
-    /// Number of the policy that decided.
-    pub policy: usize,
-    /// Place in the order of the prompt's homes; 0 is the first.
-    pub home_rank: u32,
-    /// Whether nothing else was known to wait there to be read.
-    pub is_clear: bool,
-    /// Version of the model's weights that it is believed to hold.
-    pub version: Option<u32>,
-    /// Address of a replica with the same weights, or of a store, that probably holds more of the
-    /// prompt.
-    pub source: Option<String>,
-    /// Address of the store that the replica should send the prompt's parts to.
-    pub save_to: Option<String>,
-    slot: u32,
-}
+use topazmount_routing::PolicyTable;
+use topazmount_types::{Incarnation, Instance, InstanceId, ReplicaId, Time};
 
 /// One node's knowledge of the replicas, and its choice among them.
 pub struct Balancer {
@@ -395,11 +317,6 @@
     }
 }
 
-/// The part of a prompt's chain that requests share; the last part is the request's own.
-fn shared_of(chain: &[u64]) -> &[u64] {
-    chain.split_last().map_or(&[], |(_, shared)| shared)
-}
-
 /// Name of a replica among nodes, which number them differently.
 fn replica_key(id: &str) -> u64 {
     ReplicaId::from_name(id).0
