One check says whether a connection is clean after an answer

Caller::exchange and the pool of kept connections each had it. AnswerEnd::is_clean now serves both. What differs for calls: a connection of HTTP/1.0, or one whose end was read already, is not kept any more; it was kept and failed the next call, which then went out on a new one.

--- a/crates/gateway/src/connections.rs
+++ b/crates/gateway/src/connections.rs
@@ -49,6 +49,13 @@
     pub has_more: bool,
 }
 
+impl AnswerEnd {
+    /// Whether the connection is as good as new: nothing is due on it, in either direction.
+    pub fn is_clean(&self) -> bool {
+        self.is_request_sent && self.is_framed && !self.closes && !self.has_more
+    }
+}
+
 /// A connection at rest.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct IdleConnection {
@@ -81,7 +88,7 @@
 
     /// Whether a connection may be kept after an answer.
     pub fn may_keep(&self, end: AnswerEnd) -> bool {
-        self.cfg.is_on && end.is_request_sent && end.is_framed && !end.closes && !end.has_more
+        self.cfg.is_on && end.is_clean()
     }
 
     /// Longest idle time of a connection to a service that a request may be sent on.
--- a/crates/topazmount/src/fleet/caller.rs
+++ b/crates/topazmount/src/fleet/caller.rs
@@ -1,9 +1,10 @@
 //! Calls to replicas and stores, on a connection that is kept where both sides allow it.
 
 use super::dialect::HttpCall;
+use super::pool::ConnectionEnd;
 use crate::frames::within;
 use crate::http1::{
-    BodyReader, ClientAnswer, Framing, Headers, Wire, connect, read_answer_head, request_bytes,
+    BodyReader, ClientAnswer, Headers, Wire, connect, read_answer_head, request_bytes,
     response_framing,
 };
 use eyre::{Result, WrapErr};
@@ -63,10 +64,7 @@
         let head = read_answer_head(&mut wire).await?;
         let framing = response_framing(&head, method)?;
         let body = BodyReader::new(framing).read_all(&mut wire, most).await?;
-        let is_closing = head.headers.has_word("connection", "close");
-        // Bytes after the answer belong to no call.
-        let is_clean = wire.buffered().is_empty();
-        if framing != Framing::UntilClose && !is_closing && is_clean {
+        if ConnectionEnd::of(&head, framing).answer_end(&wire, true).is_clean() {
             self.kept = Some(wire);
         }
         Ok(ClientAnswer { head, body })
