The age up to which a replica surely holds a part is a setting

1.5 s describes caches under one load, so it stood in the wrong place: [caches] surely_kept_ms, 1,500 unless set, with a test. Knowledge::new takes all settings the way a reload does.

--- a/crates/gateway/src/balancer/mod.rs
+++ b/crates/gateway/src/balancer/mod.rs
@@ -30,6 +30,9 @@
 use topazmount_routing::PolicyTable;
 use topazmount_types::{Incarnation, Instance, InstanceId, ReplicaId, Time};
 
+/// Age up to which what a replica read is taken from it where settings do not say it.
+pub(crate) const SURELY_KEPT: Duration = Duration::from_millis(1_500);
+
 /// One node's knowledge of the replicas, and its choice among them.
 pub struct Balancer {
     zone: String,
@@ -38,6 +41,9 @@
     by_key: HashMap<u64, InstanceId>,
     holders: Holders,
     stores: Stores,
+    /// Age up to which a replica almost surely holds what it was seen to read or use. Later a store
+    /// is the better source, although its link is slower.
+    surely_kept: Duration,
     /// Rates at which engines read, by service.
     prefill: HashMap<String, PrefillEstimator>,
     next_slot: u32,
@@ -55,6 +61,7 @@
             by_key: HashMap::new(),
             holders: Holders::default(),
             stores: Stores::default(),
+            surely_kept: SURELY_KEPT,
             prefill: HashMap::new(),
             next_slot: 0,
             rng: ChaCha8Rng::seed_from_u64(seed),
@@ -62,6 +69,11 @@
         }
     }
 
+    /// Sets the age up to which a replica almost surely holds what it was seen to read or use.
+    pub fn set_surely_kept(&mut self, age: Duration) {
+        self.surely_kept = age;
+    }
+
     /// Adds a replica, or takes over what changed of it.
     pub fn upsert(&mut self, instance: Instance) {
         if let Some(known) = self.replicas.get_mut(&instance.id) {
--- a/crates/gateway/src/balancer/source.rs
+++ b/crates/gateway/src/balancer/source.rs
@@ -3,13 +3,8 @@
 use super::replica::Replica;
 use super::view::PromptView;
 use super::{Balancer, ChoiceRequest};
-use std::time::Duration;
 use topazmount_types::Time;
 
-/// Age up to which a replica almost surely holds what it was seen to read or use. Later a store is
-/// the better source, although its link is slower.
-const SURELY_KEPT: Duration = Duration::from_millis(1500);
-
 /// How sure it is that a source has the parts.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub(super) enum Certainty {
@@ -57,7 +52,7 @@
         let stored = view.stored.get(&version).filter(|stored| stored.parts >= own);
         if let Some((holder, kept)) = seen {
             let is_better = |parts: usize| {
-                parts > kept.parts || (parts == kept.parts && kept.age > SURELY_KEPT)
+                parts > kept.parts || (parts == kept.parts && kept.age > self.surely_kept)
             };
             if !stored.is_some_and(|stored| is_better(stored.parts)) {
                 let certainty = Certainty::Seen(kept.parts);
--- a/crates/gateway/src/knowledge.rs
+++ b/crates/gateway/src/knowledge.rs
@@ -1,6 +1,6 @@
 //! What one gateway knows and for how long it may rely on it.
 
-use crate::balancer::{Balancer, Choice, ChoiceRequest};
+use crate::balancer::{Balancer, Choice, ChoiceRequest, SURELY_KEPT};
 use crate::budget::{BudgetSettings, RetryBudget};
 use crate::catalog::{Catalog, Route, Tenant};
 use crate::connections::{ConnectionSettings, Connections};
@@ -31,6 +31,8 @@
     pub budget: BudgetSettings,
     /// Kept connections to replicas.
     pub connections: ConnectionSettings,
+    /// Age up to which a replica almost surely holds what it was seen to read or use.
+    pub surely_kept: Duration,
 }
 
 impl Default for GatewaySettings {
@@ -39,6 +41,7 @@
             revocation: Some(Duration::from_secs(5)),
             budget: BudgetSettings::default(),
             connections: ConnectionSettings::default(),
+            surely_kept: SURELY_KEPT,
         }
     }
 }
@@ -78,9 +81,7 @@
 impl Knowledge {
     /// A gateway in a zone that knows nothing yet.
     pub fn new(zone: &str, settings: GatewaySettings, seed: u64) -> Self {
-        let mut connections = Connections::default();
-        connections.set(settings.connections);
-        Knowledge {
+        let mut knowledge = Knowledge {
             settings,
             catalog: None,
             seen: Seen::default(),
@@ -91,15 +92,18 @@
             splits: Splits::default(),
             rng: ChaCha8Rng::seed_from_u64(seed),
             budgets: HashMap::new(),
-            connections,
+            connections: Connections::default(),
             policies: PolicyTable::default(),
-        }
+        };
+        knowledge.set_settings(settings);
+        knowledge
     }
 
     /// Changes the bounds.
     pub fn set_settings(&mut self, settings: GatewaySettings) {
         self.settings = settings;
         self.connections.set(settings.connections);
+        self.balancer.set_surely_kept(settings.surely_kept);
     }
 
     /// What it has seen, for the next request for news.
--- a/crates/gateway/tests/stores.rs
+++ b/crates/gateway/tests/stores.rs
@@ -170,6 +170,16 @@
     choice_request(prompt, Some(engine))
 }
 
+/// The choice of a subject that its home has read and the store tells that it holds.
+fn read_and_stored(balancer: &mut Balancer, one: &Prompt) -> Choice {
+    let engine = engine();
+    let home = choose(balancer, one, NOW);
+    balancer.sent(&home, &request(one, &engine), NOW);
+    balancer.first_token(&home, &request(one, &engine), Duration::from_millis(190), NOW);
+    tell(balancer, &[(1, 2_500), (100, 3_800)]);
+    home
+}
+
 cases! { is_source:
     a_replica_that_just_read_it => Duration::from_secs(1), false;
     the_store_of_what_was_read_a_while_ago => Duration::from_secs(5), true;
@@ -180,10 +190,7 @@
 fn is_source(age: Duration, from_store: bool) {
     let (mut balancer, engine) = (pool(), engine());
     let one = subject(0);
-    let home = choose(&mut balancer, &one, NOW);
-    balancer.sent(&home, &request(&one, &engine), NOW);
-    balancer.first_token(&home, &request(&one, &engine), Duration::from_millis(190), NOW);
-    tell(&mut balancer, &[(1, 2_500), (100, 3_800)]);
+    let home = read_and_stored(&mut balancer, &one);
     let exclude = std::slice::from_ref(&home.instance.id);
     let elsewhere = ChoiceRequest { exclude, ..request(&one, &engine) };
     let other = balancer.choose(&elsewhere, NOW + age, &mut PolicyTable::default()).unwrap();
@@ -212,13 +219,23 @@
 
 #[test]
 fn a_replica_that_held_the_prompt_falls_back_on_the_store() {
-    let (mut balancer, engine) = (pool(), engine());
+    let mut balancer = pool();
     let one = subject(0);
-    let home = choose(&mut balancer, &one, NOW);
-    balancer.sent(&home, &request(&one, &engine), NOW);
-    balancer.first_token(&home, &request(&one, &engine), Duration::from_millis(190), NOW);
-    tell(&mut balancer, &[(1, 2_500), (100, 3_800)]);
+    let home = read_and_stored(&mut balancer, &one);
     let again = choose(&mut balancer, &one, NOW + Duration::from_secs(6));
     assert_eq!(again.instance.id, home.instance.id);
     assert_eq!(again.source.as_deref(), Some(STORE));
 }
+
+#[test]
+fn settings_say_for_how_long_a_replica_surely_holds_what_it_read() {
+    let (mut balancer, engine) = (pool(), engine());
+    balancer.set_surely_kept(Duration::from_secs(10));
+    let one = subject(0);
+    let home = read_and_stored(&mut balancer, &one);
+    let exclude = std::slice::from_ref(&home.instance.id);
+    let elsewhere = ChoiceRequest { exclude, ..request(&one, &engine) };
+    let later = NOW + Duration::from_secs(5);
+    let other = balancer.choose(&elsewhere, later, &mut PolicyTable::default()).unwrap();
+    assert_eq!(other.source.as_deref(), Some(home.instance.address.as_str()));
+}
--- a/crates/topazmount/src/fleet/mod.rs
+++ b/crates/topazmount/src/fleet/mod.rs
@@ -29,4 +29,4 @@
 pub use gateway::{Gateway, GatewayOptions};
 pub use metrics::{METRICS_PATH, Metrics};
 pub use process::{run_control, run_gateway};
-pub use settings::{Bounds, FleetPolicy, FleetSettings, KeptConnections, Listen};
+pub use settings::{Bounds, CacheBelief, FleetPolicy, FleetSettings, KeptConnections, Listen};
--- a/crates/topazmount/src/fleet/settings.rs
+++ b/crates/topazmount/src/fleet/settings.rs
@@ -38,6 +38,9 @@
     /// Kept connections to replicas.
     #[serde(default)]
     pub connections: KeptConnections,
+    /// What a gateway believes of caches.
+    #[serde(default)]
+    pub caches: CacheBelief,
     /// Policy programs that decide on a gateway, or are shadowed there.
     #[serde(default, rename = "policy")]
     pub policies: Vec<FleetPolicy>,
@@ -98,6 +101,22 @@
     }
 }
 
+/// What a gateway believes of replicas' caches.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct CacheBelief {
+    /// Age up to which a replica almost surely holds what it was seen to read or use, in
+    /// milliseconds; what is older is rather taken from a store.
+    pub surely_kept_ms: u64,
+}
+
+impl Default for CacheBelief {
+    fn default() -> Self {
+        let surely_kept = GatewaySettings::default().surely_kept;
+        CacheBelief { surely_kept_ms: surely_kept.as_millis() as u64 }
+    }
+}
+
 /// Bounds, as the operator sets them.
 #[derive(Clone, Copy, Debug, PartialEq, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -215,6 +234,7 @@
                 once_idle: Duration::from_millis(self.connections.once_idle_ms),
                 most_idle: Duration::from_millis(self.connections.most_idle_ms),
             },
+            surely_kept: Duration::from_millis(self.caches.surely_kept_ms),
         }
     }
 
