Sight: control members tell who takes part, whom they asked to join, and what was said

Change: the core says what it decides about the membership (MembershipEvent: in force, asked and answered, proposed with its reason or what hindered it); the answer to a request to join says what became of it (JoinAnswer) in place of one word for all; the shell logs both sides, each matter once until it changes; /metrics and the status of a control member show standing and since when, voters, learners, doubled and answering voters. Logs of a member moved to control_log.rs. No decision is changed. Ruled out: a line for each request to join (two a second and member, for as long as it fails).

--- a/crates/consensus/src/lib.rs
+++ b/crates/consensus/src/lib.rs
@@ -24,7 +24,7 @@
 pub use config::Config;
 pub use disk::{Disk, DiskError};
 pub use log::{Entry, Index, Log, Payload, Snapshot, SnapshotMeta, Term};
-pub use membership::{MemberId, MemberInfo, Membership, MembershipChange};
+pub use membership::{MemberId, MemberInfo, Membership, MembershipChange, Standing};
 pub use memory_disk::MemoryDisk;
 pub use message::{Envelope, Message};
 pub use ready::{HardState, Ready};
--- a/crates/consensus/src/membership.rs
+++ b/crates/consensus/src/membership.rs
@@ -34,6 +34,18 @@
     pub learners: BTreeMap<MemberId, MemberInfo>,
 }
 
+/// How a member takes part.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Standing {
+    /// It does not: it must ask to join.
+    #[default]
+    Outside,
+    /// It receives the log and does not count.
+    Learner,
+    /// Its votes and acknowledgements count.
+    Voter,
+}
+
 /// One step from a membership to the next; only one is under way at a time (thesis §4.1).
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum MembershipChange {
@@ -56,6 +68,17 @@
         self.voters.contains_key(&id) || self.learners.contains_key(&id)
     }
 
+    /// How a member takes part.
+    pub fn standing(&self, id: MemberId) -> Standing {
+        if self.voters.contains_key(&id) {
+            Standing::Voter
+        } else if self.learners.contains_key(&id) {
+            Standing::Learner
+        } else {
+            Standing::Outside
+        }
+    }
+
     /// All members but `own`.
     pub fn others(&self, own: MemberId) -> Vec<MemberId> {
         let all = self.voters.keys().chain(self.learners.keys());
--- /dev/null
+++ b/crates/control/src/events.rs
@@ -0,0 +1,110 @@
+//! What a member tells of who takes part in the group, so that logs can tell a process that was
+//! never admitted from one that was admitted late, and from one that is counted twice.
+
+use crate::protocol::JoinAnswer;
+use std::fmt;
+use topazmount_consensus::{
+    MemberId, MemberInfo, Membership, MembershipChange, ProposeError, Standing,
+};
+
+/// Why a leader proposes a change of the membership.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ChangeReason {
+    /// A process that is no member asked to join.
+    Asked,
+    /// A learner of the same name never became a voter: its disk was lost in turn.
+    LearnerReplaced,
+    /// A learner has the whole log.
+    CaughtUp,
+    /// Another voter of the same name answers, and this one does not.
+    VoterReplaced,
+    /// A silent voter of a group that is no safer with it.
+    Surplus,
+}
+
+/// Something that a member decided or learned about who takes part.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum MembershipEvent {
+    /// The membership that this member acts by has changed, committed or not.
+    InForce {
+        /// Who takes part.
+        membership: Membership,
+        /// How this member does.
+        standing: Standing,
+    },
+    /// As leader: answered a process that asked to join.
+    JoinAsked {
+        /// Identity of the process.
+        id: MemberId,
+        /// Its name and address.
+        info: MemberInfo,
+        /// What was said.
+        answer: JoinAnswer,
+    },
+    /// As leader: proposed a change, or could not.
+    Proposed {
+        /// The change.
+        change: MembershipChange,
+        /// Why.
+        reason: ChangeReason,
+        /// What hindered it; the change is tried again.
+        hindrance: Option<ProposeError>,
+    },
+}
+
+impl MembershipEvent {
+    /// Name in logs and metrics.
+    pub fn name(&self) -> &'static str {
+        match self {
+            MembershipEvent::InForce { .. } => "membership",
+            MembershipEvent::JoinAsked { .. } => "join_request",
+            MembershipEvent::Proposed { .. } => "membership_change",
+        }
+    }
+}
+
+impl fmt::Display for MembershipEvent {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "event={} ", self.name())?;
+        match self {
+            MembershipEvent::InForce { membership, standing } => {
+                let voters = Members(membership.voters.iter());
+                let learners = Members(membership.learners.iter());
+                write!(f, "own={standing:?} voters={voters} learners={learners}")
+            }
+            MembershipEvent::JoinAsked { id, info, answer } => {
+                write!(f, "id={id} address={} answer={answer:?}", info.address)
+            }
+            MembershipEvent::Proposed { change, reason, hindrance } => {
+                match change {
+                    MembershipChange::AddLearner(id, info) => {
+                        write!(f, "add_learner={id} address={}", info.address)?;
+                    }
+                    MembershipChange::Promote(id) => write!(f, "promote={id}")?,
+                    MembershipChange::Remove(id) => write!(f, "remove={id}")?,
+                }
+                write!(f, " reason={reason:?}")?;
+                match hindrance {
+                    Some(error) => write!(f, " hindered={error:?}"),
+                    None => Ok(()),
+                }
+            }
+        }
+    }
+}
+
+/// Members as `identity@address`, with commas between them.
+struct Members<'a, I: Iterator<Item = (&'a MemberId, &'a MemberInfo)> + Clone>(I);
+
+impl<'a, I: Iterator<Item = (&'a MemberId, &'a MemberInfo)> + Clone> fmt::Display
+    for Members<'a, I>
+{
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let mut is_first = true;
+        for (id, info) in self.0.clone() {
+            let comma = if std::mem::take(&mut is_first) { "" } else { "," };
+            write!(f, "{comma}{id}@{}", info.address)?;
+        }
+        if is_first { write!(f, "none") } else { Ok(()) }
+    }
+}
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -6,6 +6,7 @@
 //! socket and reads no clock.
 
 mod configuration;
+mod events;
 mod fleet;
 mod fleet_member;
 mod ledger;
@@ -15,6 +16,7 @@
 mod state;
 
 pub use configuration::{Configuration, ConfigurationUpdate, HistoryRow};
+pub use events::{ChangeReason, MembershipEvent};
 pub use fleet::{
     Availability, Document, FleetAction, FleetCommand, FleetRequest, FleetResponse, FleetState,
     FleetView, GatewayReport, InstanceReport, InstanceStatus, LoadMode, LoadedModel, OrderEnd,
@@ -23,6 +25,7 @@
 pub use ledger::{ActionResult, ClaimId, ClaimOutcome, Ledger, LookupOutcome};
 pub use member::{Founding, Member, MemberError, MemberInput, MemberOutput, MemberSettings, Token};
 pub use protocol::{
-    ChangeReply, ChangeRequest, Frame, MemberStatus, NodeReport, Request, RequestNumber, Response,
+    ChangeReply, ChangeRequest, Frame, JoinAnswer, MemberStatus, NodeReport, Request,
+    RequestNumber, Response,
 };
 pub use state::{Command, ControlState, Reply, TimedCommand};
--- a/crates/control/src/member.rs
+++ b/crates/control/src/member.rs
@@ -1,6 +1,7 @@
 //! One control member: log, disk, state machine and the requests that wait for them.
 
 use crate::configuration::ConfigurationUpdate;
+use crate::events::MembershipEvent;
 use crate::fleet::{FleetAction, FleetLeader, FleetResponse, RolloutSettings};
 use crate::protocol::{ChangeReply, ChangeRequest, MemberStatus, NodeReport, Request, Response};
 use crate::state::{Command, ControlState, Reply, TimedCommand};
@@ -9,7 +10,7 @@
 use thiserror::Error;
 use topazmount_consensus::{
     Config, Disk, DiskError, Entry, Envelope, Index, MemberId, MemberInfo, Membership, Payload,
-    Recovered, Replica, Role, Term, Wal, WalError,
+    Recovered, Replica, Role, Standing, Term, Wal, WalError,
 };
 use topazmount_settings::{Declarations, SourceFiles};
 use topazmount_types::{Digest, ErrorKind, NodeId, Refusal, Time};
@@ -89,6 +90,17 @@
     Respond(Token, Response),
     /// Send something to a replica, and tell with [`crate::FleetRequest::OrderEnded`] how it ended.
     Act(FleetAction),
+    /// Log and count what was decided about the membership.
+    Note(MembershipEvent),
+}
+
+/// The membership that this member acts by, as it was told last.
+#[derive(Default)]
+struct Noted {
+    membership: Membership,
+    standing: Standing,
+    /// When the standing began.
+    since: Time,
 }
 
 struct Waiting {
@@ -107,6 +119,7 @@
     pub(crate) fleet: FleetLeader,
     /// Where peers were last heard from: a joining member does not know the membership yet.
     peer_addresses: BTreeMap<MemberId, String>,
+    noted: Noted,
     snapshot_at: Index,
     bytes_since_snapshot: u64,
     pub(crate) outputs: Vec<MemberOutput>,
@@ -149,6 +162,7 @@
             nodes: BTreeMap::new(),
             fleet,
             peer_addresses: BTreeMap::new(),
+            noted: Noted { since: now, ..Noted::default() },
             snapshot_at,
             bytes_since_snapshot: 0,
             outputs: Vec::new(),
@@ -230,9 +244,29 @@
         self.drain_ready()?;
         self.refuse_if_deposed();
         self.answer_watchers(now);
+        self.note_membership(now);
         Ok(std::mem::take(&mut self.outputs))
     }
 
+    pub(crate) fn note(&mut self, event: MembershipEvent) {
+        self.outputs.push(MemberOutput::Note(event));
+    }
+
+    fn note_membership(&mut self, now: Time) {
+        let membership = self.replica.membership();
+        if *membership == self.noted.membership {
+            return;
+        }
+        let membership = membership.clone();
+        let standing = membership.standing(self.replica.id());
+        if standing != self.noted.standing {
+            self.noted.since = now;
+        }
+        self.noted.standing = standing;
+        self.noted.membership = membership.clone();
+        self.note(MembershipEvent::InForce { membership, standing });
+    }
+
     fn tick(&mut self, now: Time) {
         self.replica.tick(now);
         if self.replica.has_lease(now) {
@@ -401,6 +435,10 @@
 
     fn status(&mut self, now: Time) -> MemberStatus {
         self.nodes.retain(|_, report| now < report.heard_at + NODE_REPORT_RETENTION);
+        let answering = match self.replica.role() {
+            Role::Leader => self.answering(now),
+            _ => Vec::new(),
+        };
         MemberStatus {
             id: self.replica.id(),
             name: self.settings.info.name.clone(),
@@ -412,8 +450,17 @@
             ledger_keys: self.state.ledger.len() as u64,
             nodes: self.nodes.values().cloned().collect(),
             now,
+            standing: self.noted.standing,
+            standing_for: now.since(self.noted.since),
+            answering,
         }
     }
+
+    fn answering(&self, now: Time) -> Vec<MemberId> {
+        let membership = self.replica.membership();
+        let all = membership.voters.keys().chain(membership.learners.keys());
+        all.copied().filter(|id| self.replica.is_answering(*id, now)).collect()
+    }
 }
 
 fn response_of(reply: Reply) -> Response {
--- a/crates/control/src/protocol.rs
+++ b/crates/control/src/protocol.rs
@@ -5,7 +5,9 @@
 use crate::ledger::LookupOutcome;
 use crate::state::{Command, Reply};
 use serde::{Deserialize, Serialize};
-use topazmount_consensus::{Envelope, Index, MemberId, MemberInfo, Membership, Term};
+use std::collections::BTreeSet;
+use std::time::Duration;
+use topazmount_consensus::{Envelope, Index, MemberId, MemberInfo, Membership, Standing, Term};
 use topazmount_settings::SourceFiles;
 use topazmount_types::{ActionKey, Digest, NodeId, Refusal, Revision, Time};
 
@@ -111,6 +113,43 @@
     pub nodes: Vec<NodeReport>,
     /// Its clock.
     pub now: Time,
+    /// How it takes part, as far as it knows.
+    pub standing: Standing,
+    /// How long it has taken part so, or has not.
+    pub standing_for: Duration,
+    /// Voters and learners that answered it lately, itself among them; empty unless it leads.
+    pub answering: Vec<MemberId>,
+}
+
+impl MemberStatus {
+    /// Voters that share their name with another voter: one of them is a lost identity that still
+    /// counts.
+    pub fn doubled_voters(&self) -> usize {
+        let voters = &self.membership.voters;
+        let names: BTreeSet<&str> = voters.values().map(|info| info.name.as_str()).collect();
+        voters.len() - names.len()
+    }
+
+    /// Voters that answered lately, if this member leads.
+    pub fn answering_voters(&self) -> usize {
+        let voters = &self.membership.voters;
+        self.answering.iter().filter(|id| voters.contains_key(id)).count()
+    }
+}
+
+/// What the leader says to a process that asks to join.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum JoinAnswer {
+    /// It was proposed as a learner.
+    Proposed,
+    /// A learner of the same name is removed first; the process should ask again.
+    ReplacesLearner,
+    /// Another change of the membership is under way; the process should ask again.
+    Busy,
+    /// It is a learner already.
+    Learner,
+    /// It is a voter already.
+    Voter,
 }
 
 /// What a member answers.
@@ -131,7 +170,7 @@
     /// State of the member.
     Status(Box<MemberStatus>),
     /// The process is a member or on its way to be one.
-    Joining,
+    Joining(JoinAnswer),
     /// Ask this member instead, or any other when none is named.
     NotLeader(Option<MemberInfo>),
     /// Refused, with the reason.
--- a/crates/control/src/repair.rs
+++ b/crates/control/src/repair.rs
@@ -1,10 +1,13 @@
 //! Membership repair: a process with an empty disk joins as a learner, becomes a voter once it
 //! has the whole log, and only then replaces the identity that was lost.
 
+use crate::events::{ChangeReason, MembershipEvent};
 use crate::member::Member;
-use crate::protocol::Response;
+use crate::protocol::{JoinAnswer, Response};
 use std::time::Duration;
-use topazmount_consensus::{Disk, MemberId, MemberInfo, Membership, MembershipChange, Replica};
+use topazmount_consensus::{
+    Disk, MemberId, MemberInfo, Membership, MembershipChange, ProposeError, Replica, Standing,
+};
 use topazmount_types::Time;
 
 /// Silence after which a voter that the group is no safer with is removed.
@@ -17,16 +20,46 @@
         if !self.replica.has_lease(now) {
             return self.not_leader();
         }
+        let answer = self.admit(id, &info);
+        self.note(MembershipEvent::JoinAsked { id, info, answer });
+        Response::Joining(answer)
+    }
+
+    fn admit(&mut self, id: MemberId, info: &MemberInfo) -> JoinAnswer {
         let membership = self.replica.membership();
-        if !membership.contains(id) {
-            let change = match stale_learner(membership, &info) {
-                Some(old) => MembershipChange::Remove(old),
-                None => MembershipChange::AddLearner(id, info),
-            };
-            // A change that can't be made now is asked for again with the next join request.
-            let _ = self.replica.propose_change(&change);
+        match membership.standing(id) {
+            Standing::Voter => return JoinAnswer::Voter,
+            Standing::Learner => return JoinAnswer::Learner,
+            Standing::Outside => {}
+        }
+        let (change, reason, answer) = match stale_learner(membership, info) {
+            Some(old) => (
+                MembershipChange::Remove(old),
+                ChangeReason::LearnerReplaced,
+                JoinAnswer::ReplacesLearner,
+            ),
+            None => (
+                MembershipChange::AddLearner(id, info.clone()),
+                ChangeReason::Asked,
+                JoinAnswer::Proposed,
+            ),
+        };
+        match self.change_membership(change, reason) {
+            Ok(()) => answer,
+            // It is asked for again with the next request to join.
+            Err(_) => JoinAnswer::Busy,
         }
-        Response::Joining
+    }
+
+    fn change_membership(
+        &mut self,
+        change: MembershipChange,
+        reason: ChangeReason,
+    ) -> Result<(), ProposeError> {
+        let proposed = self.replica.propose_change(&change);
+        let hindrance = proposed.err();
+        self.note(MembershipEvent::Proposed { change, reason, hindrance });
+        proposed.map(|_| ())
     }
 
     /// Takes the next step of a repair under way; called while this member leads.
@@ -37,14 +70,17 @@
             .keys()
             .find(|id| self.replica.is_caught_up(**id, PROMOTION_SLACK))
             .copied();
-        let removable =
-            replaced_voter(&self.replica, now).or_else(|| surplus_voter(&self.replica, now));
-        let change = match (removable, ready) {
-            (Some(old), _) => MembershipChange::Remove(old),
-            (None, Some(id)) => MembershipChange::Promote(id),
+        let replaced =
+            replaced_voter(&self.replica, now).map(|old| (old, ChangeReason::VoterReplaced));
+        let removable = replaced
+            .or_else(|| surplus_voter(&self.replica, now).map(|old| (old, ChangeReason::Surplus)));
+        let (change, reason) = match (removable, ready) {
+            (Some((old, reason)), _) => (MembershipChange::Remove(old), reason),
+            (None, Some(id)) => (MembershipChange::Promote(id), ChangeReason::CaughtUp),
             (None, None) => return,
         };
-        let _ = self.replica.propose_change(&change);
+        // What can't be proposed now is tried again at the next tick.
+        let _ = self.change_membership(change, reason);
     }
 }
 
--- a/crates/control/tests/fleet_member.rs
+++ b/crates/control/tests/fleet_member.rs
@@ -133,7 +133,7 @@
                     self.responses.insert(token, response);
                 }
                 MemberOutput::Act(action) => self.act(action),
-                MemberOutput::Send(..) => {}
+                MemberOutput::Send(..) | MemberOutput::Note(_) => {}
             }
         }
         if self.led_at.is_none() && self.member.replica().has_lease(self.now) {
--- a/crates/lab/src/sim/members.rs
+++ b/crates/lab/src/sim/members.rs
@@ -233,6 +233,7 @@
                 self.send_later(delay, place, Place::Member(target), None, packet);
             }
             MemberOutput::Act(_) => {}
+            MemberOutput::Note(event) => self.trace(|| format!("member {number}: {event}")),
             MemberOutput::Respond(token, response) => {
                 let Some(asked) = self.members[number].waiting.remove(&token) else { return };
                 let Packet::Control(request, _) = asked.packet else { return };
--- /dev/null
+++ b/crates/topazmount/src/control_log.rs
@@ -0,0 +1,90 @@
+//! What a control member logs of the group: who leads, who takes part, who asked to join whom and
+//! what was said. Steps that are taken again and again are logged once until they change.
+
+use std::collections::HashMap;
+use std::sync::Mutex;
+use std::time::{Duration, Instant};
+use topazmount_consensus::{Disk, MemberId, Term};
+use topazmount_control::{Member, MembershipEvent};
+use topazmount_types::Time;
+
+/// Time after which the same line about the same matter is written again.
+const REPEAT_AFTER: Duration = Duration::from_secs(5);
+/// Matters that are remembered; more than the members of any group and the changes under way.
+const MOST_MATTERS: usize = 128;
+
+/// Who leads, as this member believes.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+struct Leadership {
+    term: Term,
+    leader: Option<MemberId>,
+    has_lease: bool,
+}
+
+/// The log of one member.
+#[derive(Default)]
+pub(crate) struct ControlLog {
+    /// Leadership as it was logged last.
+    leadership: Mutex<Leadership>,
+    /// Newest line of each matter, and when it was written.
+    lines: Mutex<HashMap<String, (String, Instant)>>,
+}
+
+impl ControlLog {
+    /// Logs what a member believes of who leads, when that changes.
+    pub(crate) fn leadership<D: Disk>(&self, member: &Member<D>, now: Time) {
+        let replica = member.replica();
+        let current = Leadership {
+            term: replica.term(),
+            leader: replica.leader(),
+            has_lease: replica.has_lease(now),
+        };
+        let mut logged = self.leadership.lock().unwrap();
+        if current == *logged {
+            return;
+        }
+        *logged = current;
+        log::info!(
+            "control: event=leadership term={} leader={} own={} lease={} applied={}",
+            current.term,
+            current.leader.map_or("none".to_owned(), |id| id.to_string()),
+            replica.id(),
+            current.has_lease,
+            replica.applied()
+        );
+    }
+
+    /// Logs a step about the membership.
+    pub(crate) fn membership(&self, event: &MembershipEvent) {
+        match event {
+            MembershipEvent::InForce { .. } => log::info!("control: {event}"),
+            MembershipEvent::JoinAsked { id, .. } => {
+                self.line(format!("join {id}"), event.to_string());
+            }
+            MembershipEvent::Proposed { reason, .. } => {
+                self.line(format!("{reason:?}"), event.to_string());
+            }
+        }
+    }
+
+    /// Logs what a member said to a request to join, or that it said nothing.
+    pub(crate) fn join_answer(&self, member: &str, answer: &str) {
+        let line = format!("event=join_answer member={member} answer={answer}");
+        self.line(format!("asked {member}"), line);
+    }
+
+    /// Logs a line, unless it is the newest one about its matter and still fresh.
+    fn line(&self, matter: String, line: String) {
+        let mut lines = self.lines.lock().unwrap();
+        let is_same =
+            |(known, at): &(String, Instant)| *known == line && at.elapsed() < REPEAT_AFTER;
+        if lines.get(&matter).is_some_and(is_same) {
+            return;
+        }
+        if lines.len() >= MOST_MATTERS {
+            lines.clear();
+        }
+        log::info!("control: {line}");
+        lines.insert(matter, (line, Instant::now()));
+    }
+}
--- a/crates/topazmount/src/control_process.rs
+++ b/crates/topazmount/src/control_process.rs
@@ -4,6 +4,7 @@
 use crate::clock::Clock;
 use crate::control_client::ControlClient;
 use crate::control_links::{Peers, Requester, Shared, accept_loop};
+use crate::control_log::ControlLog;
 use crate::file_disk::FileDisk;
 use crate::frames;
 use async_channel::{Receiver, Sender};
@@ -13,13 +14,12 @@
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
-use topazmount_consensus::{Config, Envelope, MemberId, MemberInfo, Term};
+use topazmount_consensus::{Config, Envelope, MemberInfo};
 use topazmount_control::{
     FleetAction, Founding, Frame, Member, MemberInput, MemberOutput, MemberSettings, Request,
     Response, RolloutSettings, Token,
 };
 use topazmount_settings::{ControlSettings, SourceFiles};
-use topazmount_types::Time;
 use topazmount_wire::ClusterKey;
 
 /// Pause between two requests to join.
@@ -125,7 +125,9 @@
         move || open_member(&settings, info.clone(), form_group, source.clone(), rollout, clock)
     };
     let member = opening()?;
-    log::info!("control: {} listens at {address} as {}.", info.name, member.identity().0);
+    let id = member.identity().0;
+    let standing = member.replica().membership().standing(id);
+    log::info!("control: {} listens at {address} as {id}, standing {standing:?}.", info.name);
 
     let (inputs, receiver) = async_channel::unbounded();
     let shared = Arc::new(Shared { inputs: inputs.clone(), waiting: Mutex::default() });
@@ -135,8 +137,8 @@
         let shared = shared.clone();
         let queues = HashMap::new();
         let opening = Box::new(opening);
-        let logged = Leadership::default();
-        let runner = Runner { member, opening, clock, peers, queues, shared, actions, logged };
+        let log = Arc::new(ControlLog::default());
+        let runner = Runner { member, opening, clock, peers, queues, shared, actions, log };
         let joining = settings.initial_members.iter().map(|peer| peer.address).collect();
         move || {
             runner.run(&receiver, joining);
@@ -177,16 +179,7 @@
     queues: HashMap<String, Sender<Envelope>>,
     shared: Arc<Shared>,
     actions: Option<Sender<FleetAction>>,
-    /// Leadership as it was logged last.
-    logged: Leadership,
-}
-
-/// Who leads, as this member believes.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-struct Leadership {
-    term: Term,
-    leader: Option<MemberId>,
-    has_lease: bool,
+    log: Arc<ControlLog>,
 }
 
 impl Runner {
@@ -210,7 +203,7 @@
             for output in outputs {
                 self.perform(output);
             }
-            self.log_leadership(now);
+            self.log.leadership(&self.member, now);
             if self.member.must_join(now) && now >= next_join {
                 next_join = now + JOIN_INTERVAL;
                 self.ask_to_join(&joining);
@@ -240,28 +233,6 @@
         }
     }
 
-    /// Logs what this member believes of who leads, when that changes.
-    fn log_leadership(&mut self, now: Time) {
-        let replica = self.member.replica();
-        let current = Leadership {
-            term: replica.term(),
-            leader: replica.leader(),
-            has_lease: replica.has_lease(now),
-        };
-        if current == self.logged {
-            return;
-        }
-        self.logged = current;
-        log::info!(
-            "control: event=leadership term={} leader={} own={} lease={} applied={}",
-            current.term,
-            current.leader.map_or("none".to_owned(), |id| id.0.to_string()),
-            replica.id().0,
-            current.has_lease,
-            replica.applied()
-        );
-    }
-
     fn wait(&self) -> Duration {
         let wakeup = self.member.next_wakeup();
         wakeup.since(self.clock.now()).min(MAX_WAIT)
@@ -284,6 +255,7 @@
                     let _ = actions.try_send(action);
                 }
             }
+            MemberOutput::Note(event) => self.log.membership(&event),
         }
     }
 
@@ -311,7 +283,8 @@
                 continue;
             }
             let (executor, key) = (self.peers.executor.clone(), self.peers.key.clone());
-            let joining = join_through(executor, key, *address, Request::Join(id, info.clone()));
+            let request = Request::Join(id, info.clone());
+            let joining = join_through(executor, key, *address, request, self.log.clone());
             self.peers.executor.spawn(joining).detach();
         }
     }
@@ -319,11 +292,18 @@
 
 /// Sends a request to join to a member and, where another one leads, to that one: only the leader
 /// can add a member.
-async fn join_through(executor: Executor, key: ClusterKey, address: SocketAddr, request: Request) {
+async fn join_through(
+    executor: Executor,
+    key: ClusterKey,
+    address: SocketAddr,
+    request: Request,
+    log: Arc<ControlLog>,
+) {
     let mut target = address;
     for _ in 0..JOIN_HOPS {
         let client = ControlClient::new(&executor, target, key.clone());
         let response = client.ask(request.clone(), JOIN_INTERVAL).await;
+        log.join_answer(&target.to_string(), &answer_text(&response));
         let leader = match response {
             Ok(Response::NotLeader(Some(leader))) => leader,
             _ => return,
@@ -335,6 +315,16 @@
     }
 }
 
+fn answer_text(response: &Result<Response>) -> String {
+    match response {
+        Ok(Response::Joining(answer)) => format!("{answer:?}"),
+        Ok(Response::NotLeader(Some(leader))) => format!("NotLeader leader={}", leader.address),
+        Ok(Response::NotLeader(None)) => "NotLeader leader=none".to_owned(),
+        Ok(_) => "Unexpected".to_owned(),
+        Err(error) => format!("None problem={:?}", error.to_string()),
+    }
+}
+
 /// Waits for inputs and takes all that are there; `None` when the process stops.
 fn next_batch(inputs: &Receiver<MemberInput>, wait: Duration) -> Option<Vec<MemberInput>> {
     let first = async_io::block_on(futures_lite::future::or(
--- a/crates/topazmount/src/fleet/control_service.rs
+++ b/crates/topazmount/src/fleet/control_service.rs
@@ -17,7 +17,8 @@
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
-use topazmount_control::{FleetRequest, FleetResponse, Request, Response};
+use topazmount_consensus::Standing;
+use topazmount_control::{FleetRequest, FleetResponse, MemberStatus, Request, Response};
 use topazmount_settings::{ControlSettings, Peer, SourceFiles};
 use topazmount_wire::ClusterKey;
 
@@ -86,7 +87,10 @@
         });
         if let Some(address) = settings.listen.metrics {
             let calls = calls.clone();
-            let service = MetricsService(move || calls.metrics.render());
+            let service = MetricsService(move || {
+                let calls = calls.clone();
+                async move { calls.render_metrics().await }
+            });
             http_service::serve(executor, address, Arc::new(service)).await?;
         }
         for address in [settings.listen.control, settings.listen.directory].into_iter().flatten() {
@@ -198,6 +202,38 @@
         }
     }
 
+    /// All figures, those of the group as this member sees it now.
+    async fn render_metrics(&self) -> String {
+        match self.member.ask(Request::Status, CALL_LIMIT).await {
+            Ok(Response::Status(status)) => self.note_group(&status),
+            other => log::warn!("control: event=no_status problem={other:?}"),
+        }
+        self.metrics.render()
+    }
+
+    fn note_group(&self, status: &MemberStatus) {
+        let standing = match status.standing {
+            Standing::Outside => 0,
+            Standing::Learner => 1,
+            Standing::Voter => 2,
+        };
+        let count = |count: usize| i64::try_from(count).unwrap_or(i64::MAX);
+        let figures = [
+            ("standing", standing),
+            ("standing_s", status.standing_for.as_secs() as i64),
+            ("leads", i64::from(status.is_leader)),
+            ("term", status.term as i64),
+            ("applied", status.applied as i64),
+            ("voters", count(status.membership.voters.len())),
+            ("learners", count(status.membership.learners.len())),
+            ("doubled_voters", count(status.doubled_voters())),
+            ("answering_voters", count(status.answering_voters())),
+        ];
+        for (of, value) in figures {
+            self.metrics.set_state(of, value);
+        }
+    }
+
     fn unavailable(&self) -> HttpAnswer {
         self.dialect.plain_answer(503, "the control group can't answer now")
     }
--- a/crates/topazmount/src/fleet/gateway.rs
+++ b/crates/topazmount/src/fleet/gateway.rs
@@ -101,7 +101,7 @@
         }
         if let Some(address) = settings.listen.metrics {
             let shared = shared.clone();
-            let service = MetricsService(move || shared.render_metrics());
+            let service = MetricsService(move || std::future::ready(shared.render_metrics()));
             http_service::serve(executor, address, Arc::new(service)).await?;
         }
         executor.spawn(peers::listen(peers, shared.clone())).detach();
--- a/crates/topazmount/src/fleet/metrics.rs
+++ b/crates/topazmount/src/fleet/metrics.rs
@@ -124,17 +124,21 @@
     }
 }
 
-/// Answers `GET /metrics`.
+/// Answers `GET /metrics` with what a function gives.
 pub(super) struct MetricsService<F>(pub(super) F);
 
-impl<F: Fn() -> String + Send + Sync + 'static> Service for MetricsService<F> {
+impl<F, T> Service for MetricsService<F>
+where
+    F: Fn() -> T + Send + Sync + 'static,
+    T: Future<Output = String> + Send,
+{
     async fn answer(&self, head: RequestHead, _body: Vec<u8>) -> HttpAnswer {
         let is_metrics = head.method == "GET" && head.path() == METRICS_PATH;
         HttpAnswer {
             status: if is_metrics { 200 } else { 404 },
             content_type: Some("text/plain; version=0.0.4"),
             fields: Vec::new(),
-            body: if is_metrics { (self.0)().into_bytes() } else { Vec::new() },
+            body: if is_metrics { (self.0)().await.into_bytes() } else { Vec::new() },
         }
     }
 }
--- a/crates/topazmount/src/lib.rs
+++ b/crates/topazmount/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod configuration_file;
 pub mod control_client;
 mod control_links;
+mod control_log;
 pub mod control_process;
 pub mod engine_client;
 pub mod file_disk;
--- a/crates/topazmount/src/operator/mod.rs
+++ b/crates/topazmount/src/operator/mod.rs
@@ -196,18 +196,25 @@
             "leader": status.is_leader, "term": status.term, "applied": status.applied,
             "revision": status.revision.0, "ledger_keys": status.ledger_keys,
             "voters": status.membership.voters.len(), "learners": status.membership.learners.len(),
+            "standing": status.standing, "standing_s": status.standing_for.as_secs_f64(),
+            "doubled_voters": status.doubled_voters(),
+            "answering_voters": status.is_leader.then(|| status.answering_voters()),
         });
         println!("{row}");
         return;
     }
     let role = if status.is_leader { "leads" } else { "follows" };
     println!(
-        "control {} {address}: {role}, term {}, entry {}, revision {}, {} voters, {} learners",
+        "control {} {address}: {role}, {:?} for {:.1} s, term {}, entry {}, revision {}, {} voters ({} \
+         doubled), {} learners",
         status.name,
+        status.standing,
+        status.standing_for.as_secs_f64(),
         status.term,
         status.applied,
         status.revision,
         status.membership.voters.len(),
+        status.doubled_voters(),
         status.membership.learners.len()
     );
 }
