A process outside the group asks whoever may know it, not only its seeds

Cause: a process with an empty disk asked the seeds that its settings named at its start. Where these are gone (each replaced by a machine at another address), down, or changed in the file later, it was never taken back, though the group sends to its address ten times a second. The asking was in the shell, written again in the simulator, and each request made a new connection whose time limit began anew. Change: the core decides whom to ask (control/src/joining.rs): seeds, former fellow members, whoever sends to the own address under whatever identity, and whoever these name; the answer of a member that does not lead names the leader and the members that it knows. The shell and the simulator carry out the same output; clients of asked members are kept, so that connection limits grow. Changed seeds of the settings are taken without a restart, by control members and gateways. A process outside the group passes calls on to the leader that was named to it, instead of 503 for as long as it is outside. A gateway no longer lets a member that is out of contact replace its list of members. Ruled out: a notice of the newcomer to the sender of a misaddressed message (a new frame for what asking does); taking in whoever answers at a silent member's address (the leader can't tell a new disk from a new machine).

--- a/crates/control/src/events.rs
+++ b/crates/control/src/events.rs
@@ -41,6 +41,13 @@
         /// What was said.
         answer: JoinAnswer,
     },
+    /// Outside the group: a member was asked to take this process in.
+    JoinAnswered {
+        /// Address that was asked.
+        member: String,
+        /// What it said; `None` where no answer came.
+        answer: Option<JoinAnswer>,
+    },
     /// As leader: proposed a change, or could not.
     Proposed {
         /// The change.
@@ -58,6 +65,7 @@
         match self {
             MembershipEvent::InForce { .. } => "membership",
             MembershipEvent::JoinAsked { .. } => "join_request",
+            MembershipEvent::JoinAnswered { .. } => "join_answer",
             MembershipEvent::Proposed { .. } => "membership_change",
         }
     }
@@ -73,8 +81,12 @@
                 write!(f, "own={standing:?} voters={voters} learners={learners}")
             }
             MembershipEvent::JoinAsked { id, info, answer } => {
-                write!(f, "id={id} address={} answer={answer:?}", info.address)
+                write!(f, "id={id} address={} answer={answer}", info.address)
             }
+            MembershipEvent::JoinAnswered { member, answer } => match answer {
+                Some(answer) => write!(f, "member={member} answer={answer}"),
+                None => write!(f, "member={member} answer=None"),
+            },
             MembershipEvent::Proposed { change, reason, hindrance } => {
                 match change {
                     MembershipChange::AddLearner(id, info) => {
--- a/crates/control/src/fleet_member.rs
+++ b/crates/control/src/fleet_member.rs
@@ -35,7 +35,7 @@
                     let document = self.state.fleet.document().cloned();
                     Response::Fleet(FleetResponse::Document(document))
                 } else {
-                    self.not_leader()
+                    self.not_leader(now)
                 };
                 self.respond(token, response);
             }
@@ -58,7 +58,7 @@
         let response = if self.replica.has_lease(now) {
             Response::Fleet(FleetResponse::Done)
         } else {
-            self.not_leader()
+            self.not_leader(now)
         };
         self.respond(token, response);
     }
@@ -85,8 +85,8 @@
     pub(crate) fn answer_watchers(&mut self, now: Time) {
         let base = FleetView {
             staleness: self.staleness(now),
-            leader: self.leader_address(),
-            members: self.member_addresses(),
+            leader: self.leader_address(now),
+            members: self.known_addresses(now),
             ..FleetView::default()
         };
         for (token, view) in self.fleet.due(now, &self.state.fleet, &base) {
@@ -94,9 +94,10 @@
         }
     }
 
-    fn leader_address(&self) -> Option<String> {
-        let leader = self.replica.leader()?;
-        self.replica.membership().info(leader).map(|info| info.address.clone())
+    fn leader_address(&self, now: Time) -> Option<String> {
+        let own = self.replica.role() == Role::Leader;
+        let leader = if own { Some(self.identity().1.clone()) } else { self.known_leader(now) };
+        leader.map(|info| info.address)
     }
 
     /// How old the applied state may be. A follower may have missed what a leader committed after
--- a/crates/control/src/member.rs
+++ b/crates/control/src/member.rs
@@ -3,7 +3,10 @@
 use crate::configuration::ConfigurationUpdate;
 use crate::events::MembershipEvent;
 use crate::fleet::{FleetAction, FleetLeader, FleetResponse, RolloutSettings};
-use crate::protocol::{ChangeReply, ChangeRequest, MemberStatus, NodeReport, Request, Response};
+use crate::joining::Joining;
+use crate::protocol::{
+    ChangeReply, ChangeRequest, JoinAnswer, MemberStatus, NodeReport, Request, Response,
+};
 use crate::state::{Command, ControlState, Reply, TimedCommand};
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -41,6 +44,8 @@
     pub seed: u64,
     /// Bounds of the roll-out of weights.
     pub rollout: RolloutSettings,
+    /// Addresses of members that a process outside the group asks to take it in.
+    pub seeds: Vec<String>,
 }
 
 /// What forms a new group; every founding member must be given the same.
@@ -77,6 +82,10 @@
     Request(Token, Request),
     /// The requester is gone.
     Gone(Token),
+    /// A member that was asked to take this process in answered, or did not.
+    JoinAnswered(String, Option<Response>),
+    /// The settings name other seeds now.
+    Seeds(Vec<String>),
     /// Hand over leadership before a planned stop.
     HandOver,
 }
@@ -90,6 +99,8 @@
     Respond(Token, Response),
     /// Send something to a replica, and tell with [`crate::FleetRequest::OrderEnded`] how it ended.
     Act(FleetAction),
+    /// Ask the member at this address, and tell with [`MemberInput::JoinAnswered`] what it said.
+    Ask(String, Request),
     /// Log and count what was decided about the membership.
     Note(MembershipEvent),
 }
@@ -120,6 +131,7 @@
     /// Where peers were last heard from: a joining member does not know the membership yet.
     peer_addresses: BTreeMap<MemberId, String>,
     noted: Noted,
+    joining: Joining,
     snapshot_at: Index,
     bytes_since_snapshot: u64,
     pub(crate) outputs: Vec<MemberOutput>,
@@ -153,6 +165,7 @@
         let seed = settings.seed;
         let replica = Replica::new(id, settings.consensus.clone(), recovered, seed, now);
         let fleet = FleetLeader::new(settings.rollout);
+        let joining = Joining::new(settings.seeds.clone());
         let mut member = Member {
             settings,
             replica,
@@ -163,11 +176,12 @@
             fleet,
             peer_addresses: BTreeMap::new(),
             noted: Noted { since: now, ..Noted::default() },
+            joining,
             snapshot_at,
             bytes_since_snapshot: 0,
             outputs: Vec::new(),
         };
-        member.drain_ready()?;
+        member.drain_ready(now)?;
         Ok(member)
     }
 
@@ -197,13 +211,35 @@
 
     /// Whether this process must ask to join: it never did, or it was away so long that it may
     /// have been removed, of which a removed member is not told.
-    pub fn must_join(&self, now: Time) -> bool {
+    fn must_join(&self, now: Time) -> bool {
         let is_member = self.replica.membership().contains(self.replica.id());
         !is_member || self.replica.leader_silence(now) > REJOIN_SILENCE
     }
 
+    /// Seeds in use.
+    pub fn seeds(&self) -> &[String] {
+        self.joining.seeds()
+    }
+
+    /// Takes the seeds of changed settings into use.
+    pub fn set_seeds(&mut self, seeds: Vec<String>) {
+        self.joining.set_seeds(seeds);
+    }
+
+    fn is_outside(&self) -> bool {
+        !self.replica.membership().contains(self.replica.id())
+    }
+
+    /// Addresses at which other members may be.
+    pub(crate) fn known_addresses(&self, now: Time) -> Vec<String> {
+        match self.is_outside() {
+            true => self.joining.addresses(now, self.member_addresses()).into_iter().collect(),
+            false => self.member_addresses(),
+        }
+    }
+
     /// Internal addresses of all members.
-    pub fn member_addresses(&self) -> Vec<String> {
+    fn member_addresses(&self) -> Vec<String> {
         let membership = self.replica.membership();
         let all = membership.voters.values().chain(membership.learners.values());
         all.map(|info| info.address.clone()).collect()
@@ -211,7 +247,8 @@
 
     /// Next moment at which [`MemberInput::Tick`] has something to do.
     pub fn next_wakeup(&self) -> Time {
-        self.replica.next_wakeup()
+        let joining = self.joining.next_at().unwrap_or(Time::NEVER);
+        self.replica.next_wakeup().min(joining)
     }
 
     /// Takes a batch of inputs with one sync, and says what to do.
@@ -227,6 +264,9 @@
             match input {
                 MemberInput::Tick => self.tick(now),
                 MemberInput::Peer(address, envelope) => {
+                    if self.is_outside() {
+                        self.joining.note(now, &address);
+                    }
                     self.peer_addresses.insert(envelope.from, address);
                     self.replica.step(now, envelope);
                 }
@@ -235,14 +275,18 @@
                     self.waiting.retain(|_, w| w.token != token);
                     self.fleet.gone(token);
                 }
+                MemberInput::JoinAnswered(address, answer) => {
+                    self.on_join_answer(now, address, answer);
+                }
+                MemberInput::Seeds(seeds) => self.set_seeds(seeds),
                 MemberInput::HandOver => {
                     self.replica.transfer_leadership(now);
                 }
             }
         }
         self.replica.flush_proposals();
-        self.drain_ready()?;
-        self.refuse_if_deposed();
+        self.drain_ready(now)?;
+        self.refuse_if_deposed(now);
         self.answer_watchers(now);
         self.note_membership(now);
         Ok(std::mem::take(&mut self.outputs))
@@ -273,6 +317,32 @@
             self.repair_membership(now);
         }
         self.tick_fleet(now);
+        self.tick_joining(now);
+    }
+
+    /// Asks to join where that is due.
+    fn tick_joining(&mut self, now: Time) {
+        if !self.must_join(now) {
+            return self.joining.end();
+        }
+        let (id, info) = (self.replica.id(), &self.settings.info);
+        for address in self.joining.due(now, &info.address, self.member_addresses()) {
+            let request = Request::Join(id, info.clone());
+            self.outputs.push(MemberOutput::Ask(address, request));
+        }
+    }
+
+    fn on_join_answer(&mut self, now: Time, member: String, answer: Option<Response>) {
+        self.joining.answered(now, &member, answer.as_ref());
+        let answer = match answer {
+            Some(Response::Joining(answer)) => Some(answer),
+            // From a member of an older version.
+            Some(Response::NotLeader(leader)) => {
+                Some(JoinAnswer::AskElsewhere { leader, members: Vec::new() })
+            }
+            Some(_) | None => None,
+        };
+        self.note(MembershipEvent::JoinAnswered { member, answer });
     }
 
     fn on_request(&mut self, now: Time, token: Token, request: Request) {
@@ -309,13 +379,20 @@
 
     /// Answers from the applied state if this member may vouch for it.
     fn as_leader(&self, now: Time, answer: impl Fn(&ControlState) -> Response) -> Response {
-        if self.replica.has_lease(now) { answer(&self.state) } else { self.not_leader() }
+        if self.replica.has_lease(now) { answer(&self.state) } else { self.not_leader(now) }
     }
 
-    pub(crate) fn not_leader(&self) -> Response {
+    pub(crate) fn not_leader(&self, now: Time) -> Response {
+        Response::NotLeader(self.known_leader(now))
+    }
+
+    /// Another member that leads: the one that this member follows, or, outside the group, the one
+    /// that was named.
+    pub(crate) fn known_leader(&self, now: Time) -> Option<MemberInfo> {
         let leader = self.replica.leader().filter(|id| *id != self.replica.id());
-        let membership = self.replica.membership();
-        Response::NotLeader(leader.and_then(|id| membership.info(id).cloned()))
+        let followed = leader.and_then(|id| self.replica.membership().info(id).cloned());
+        let leader = followed.or_else(|| self.joining.leader(now).cloned());
+        leader.filter(|info| info.address != self.settings.info.address)
     }
 
     fn propose_change(&mut self, now: Time, token: Token, change: ChangeRequest) {
@@ -347,13 +424,13 @@
                 self.waiting.insert(index, Waiting { token, term });
             }
             Err(_) => {
-                let response = self.not_leader();
+                let response = self.not_leader(now);
                 self.outputs.push(MemberOutput::Respond(token, response));
             }
         }
     }
 
-    fn drain_ready(&mut self) -> Result<(), MemberError> {
+    fn drain_ready(&mut self, now: Time) -> Result<(), MemberError> {
         while let Some(ready) = self.replica.ready() {
             self.wal.persist(&ready)?;
             for envelope in &ready.messages {
@@ -364,7 +441,7 @@
                 self.snapshot_at = snapshot.meta.index;
             }
             for entry in &ready.committed {
-                self.apply(entry)?;
+                self.apply(now, entry)?;
             }
             self.replica.advance(&ready);
         }
@@ -389,7 +466,7 @@
         Ok(())
     }
 
-    fn apply(&mut self, entry: &Entry) -> Result<(), MemberError> {
+    fn apply(&mut self, now: Time, entry: &Entry) -> Result<(), MemberError> {
         let Payload::Command(bytes) = &entry.payload else {
             return Ok(());
         };
@@ -399,7 +476,7 @@
         let reply = self.state.apply(timed);
         if let Some(waiting) = self.waiting.remove(&entry.index) {
             let response =
-                if waiting.term == entry.term { response_of(reply) } else { self.not_leader() };
+                if waiting.term == entry.term { response_of(reply) } else { self.not_leader(now) };
             self.outputs.push(MemberOutput::Respond(waiting.token, response));
         }
         Ok(())
@@ -407,12 +484,12 @@
 
     /// Requests that wait on a member that no longer leads are answered at once; their commands
     /// are safe to send again to the next leader.
-    fn refuse_if_deposed(&mut self) {
+    fn refuse_if_deposed(&mut self, now: Time) {
         if self.replica.role() == Role::Leader || self.waiting.is_empty() {
             return;
         }
         for waiting in std::mem::take(&mut self.waiting).into_values() {
-            let response = self.not_leader();
+            let response = self.not_leader(now);
             self.outputs.push(MemberOutput::Respond(waiting.token, response));
         }
     }
--- a/crates/control/src/protocol.rs
+++ b/crates/control/src/protocol.rs
@@ -6,6 +6,7 @@
 use crate::state::{Command, Reply};
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeSet;
+use std::fmt;
 use std::time::Duration;
 use topazmount_consensus::{Envelope, Index, MemberId, MemberInfo, Membership, Standing, Term};
 use topazmount_settings::SourceFiles;
@@ -51,7 +52,7 @@
     History,
     /// State of the member; answered by any member.
     Status,
-    /// A process with an empty disk asks to become a member; answered by the leader only.
+    /// A process with an empty disk asks to become a member; only the leader can take it in.
     Join(MemberId, MemberInfo),
     /// About the fleet.
     Fleet(FleetRequest),
@@ -137,8 +138,8 @@
     }
 }
 
-/// What the leader says to a process that asks to join.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+/// What a member says to a process that asks to join.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum JoinAnswer {
     /// It was proposed as a learner.
     Proposed,
@@ -150,6 +151,25 @@
     Learner,
     /// It is a voter already.
     Voter,
+    /// The member that was asked does not lead.
+    AskElsewhere {
+        /// Who does, if it knows.
+        leader: Option<MemberInfo>,
+        /// Addresses of members that it knows of.
+        members: Vec<String>,
+    },
+}
+
+impl fmt::Display for JoinAnswer {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            JoinAnswer::AskElsewhere { leader, members } => {
+                let leader = leader.as_ref().map_or("none", |info| info.address.as_str());
+                write!(f, "AskElsewhere leader={leader} members={}", members.len())
+            }
+            other => write!(f, "{other:?}"),
+        }
+    }
 }
 
 /// What a member answers.
@@ -169,7 +189,7 @@
     History(Vec<HistoryRow>),
     /// State of the member.
     Status(Box<MemberStatus>),
-    /// The process is a member or on its way to be one.
+    /// To a process that asks to join.
     Joining(JoinAnswer),
     /// Ask this member instead, or any other when none is named.
     NotLeader(Option<MemberInfo>),
--- a/crates/control/src/repair.rs
+++ b/crates/control/src/repair.rs
@@ -18,10 +18,13 @@
 impl<D: Disk> Member<D> {
     pub(crate) fn on_join(&mut self, now: Time, id: MemberId, info: MemberInfo) -> Response {
         if !self.replica.has_lease(now) {
-            return self.not_leader();
+            return Response::Joining(JoinAnswer::AskElsewhere {
+                leader: self.known_leader(now),
+                members: self.known_addresses(now),
+            });
         }
         let answer = self.admit(id, &info);
-        self.note(MembershipEvent::JoinAsked { id, info, answer });
+        self.note(MembershipEvent::JoinAsked { id, info, answer: answer.clone() });
         Response::Joining(answer)
     }
 
--- a/crates/control/tests/fleet_member.rs
+++ b/crates/control/tests/fleet_member.rs
@@ -72,7 +72,13 @@
         let info = MemberInfo { name: "m".to_owned(), address: "m:1".to_owned() };
         let founding = Founding { members: vec![info.clone()], source: SourceFiles::default() };
         let rollout = RolloutSettings { lease: LEASE, spread: SPREAD };
-        let settings = MemberSettings { info, consensus: Config::default(), seed: 1, rollout };
+        let settings = MemberSettings {
+            info,
+            consensus: Config::default(),
+            seed: 1,
+            rollout,
+            seeds: Vec::new(),
+        };
         let now = Time::from_secs(1_000);
         let member = Member::open(MemoryDisk::default(), settings, Some(&founding), now).unwrap();
         let mut world = World {
@@ -133,7 +139,7 @@
                     self.responses.insert(token, response);
                 }
                 MemberOutput::Act(action) => self.act(action),
-                MemberOutput::Send(..) | MemberOutput::Note(_) => {}
+                MemberOutput::Send(..) | MemberOutput::Ask(..) | MemberOutput::Note(_) => {}
             }
         }
         if self.led_at.is_none() && self.member.replica().has_lease(self.now) {
--- a/crates/lab/src/scale/control.rs
+++ b/crates/lab/src/scale/control.rs
@@ -49,6 +49,7 @@
                 consensus: Config::default(),
                 seed,
                 rollout: Default::default(),
+                seeds: Vec::new(),
             };
             Member::open(MemoryDisk::default(), settings, Some(&founding), Time::ZERO)
                 .expect("a disk in memory does not fail")
@@ -93,7 +94,7 @@
     fn take(&mut self, from: usize, output: MemberOutput) {
         match output {
             MemberOutput::Respond(token, response) => self.answers.push((token, response)),
-            MemberOutput::Act(_) | MemberOutput::Note(_) => {}
+            MemberOutput::Act(_) | MemberOutput::Ask(..) | MemberOutput::Note(_) => {}
             MemberOutput::Send(address, envelope) => {
                 let to = (0..MEMBERS).find(|number| info(*number).address == address);
                 let frame = Frame::Peer(info(from).address, envelope);
--- a/crates/lab/src/sim/members.rs
+++ b/crates/lab/src/sim/members.rs
@@ -10,16 +10,12 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 use topazmount_consensus::{Config, MemberInfo, MemoryDisk};
-use topazmount_control::{
-    Founding, Member, MemberInput, MemberOutput, MemberSettings, Request, Token,
-};
+use topazmount_control::{Founding, Member, MemberInput, MemberOutput, MemberSettings, Token};
 use topazmount_node::NodeInput;
 use topazmount_types::Time;
 
 /// Time of one sync.
 const SYNC_TIME: Duration = Duration::from_micros(800);
-/// Pause between two requests to join.
-const JOIN_INTERVAL: Duration = Duration::from_millis(500);
 /// Shortest pause between two looks at a member's timer.
 const MIN_TICK: Duration = Duration::from_millis(1);
 /// Unsynced bytes that a crash may leave behind.
@@ -36,7 +32,6 @@
     timer_at: Time,
     waiting: HashMap<Token, Transfer>,
     next_token: u64,
-    join_at: Time,
 }
 
 impl SimMember {
@@ -54,6 +49,10 @@
     SocketAddr::from(([10, 0, 0, number as u8 + 1], 7_000))
 }
 
+fn member_at(text: &str, members: usize) -> Option<usize> {
+    (0..members).find(|number| address(*number).to_string() == text)
+}
+
 impl World {
     pub(crate) fn build_members(&mut self, zones: usize) {
         for number in 0..self.settings.members {
@@ -64,7 +63,6 @@
                 timer_at: Time::NEVER,
                 waiting: HashMap::new(),
                 next_token: 0,
-                join_at: Time::ZERO,
             });
         }
         let members = (0..self.settings.members).map(info).collect();
@@ -92,6 +90,7 @@
             consensus: Config::default(),
             seed: self.rng.random(),
             rollout: Default::default(),
+            seeds: self.member_addresses().iter().map(SocketAddr::to_string).collect(),
         };
         let disk = std::mem::take(&mut self.members[number].disk);
         let member = match Member::open(disk, settings, founding, self.now) {
@@ -108,7 +107,6 @@
         simulated.member = Some(member);
         simulated.waiting.clear();
         simulated.timer_at = self.now;
-        simulated.join_at = self.now;
         self.schedule.push(self.now, Event::MemberTimer(number, run));
     }
 
@@ -154,26 +152,10 @@
         }
         if self.now >= self.members[number].timer_at {
             self.members[number].timer_at = Time::NEVER;
-            self.ask_to_join(number);
             self.step_member(number, MemberInput::Tick);
         }
     }
 
-    fn ask_to_join(&mut self, number: usize) {
-        let simulated = &mut self.members[number];
-        let Some(member) = simulated.member.as_ref() else { return };
-        if !member.must_join(self.now) || self.now < simulated.join_at {
-            return;
-        }
-        simulated.join_at = self.now + JOIN_INTERVAL;
-        let (id, info) = member.identity();
-        let request = Request::Join(id, info.clone());
-        for other in (0..self.members.len()).filter(|other| *other != number) {
-            let packet = Packet::Control(0, Box::new(request.clone()));
-            self.send(Place::Member(number), Place::Member(other), packet);
-        }
-    }
-
     pub(crate) fn member_receives(&mut self, number: usize, transfer: Transfer) {
         let input = match &transfer.packet {
             Packet::Peer(address, envelope) => {
@@ -187,6 +169,10 @@
                 simulated.waiting.insert(token, transfer);
                 MemberInput::Request(token, request)
             }
+            Packet::Reply(_, response) => {
+                let Place::Member(from) = transfer.from else { return };
+                MemberInput::JoinAnswered(address(from).to_string(), Some((**response).clone()))
+            }
             _ => return,
         };
         self.step_member(number, input);
@@ -206,10 +192,7 @@
             }
         };
         let delay = SYNC_TIME * (member.disk().syncs - syncs) as u32;
-        let mut wakeup = member.next_wakeup().max(now + MIN_TICK);
-        if member.must_join(self.now) {
-            wakeup = wakeup.min(simulated.join_at.max(now + MIN_TICK));
-        }
+        let wakeup = member.next_wakeup().max(now + MIN_TICK);
         if wakeup < simulated.timer_at {
             simulated.timer_at = wakeup;
             let run = self.processes.run(Place::Member(number)).unwrap_or_default();
@@ -225,14 +208,18 @@
         let place = Place::Member(number);
         match output {
             MemberOutput::Send(to, envelope) => {
-                let target =
-                    (0..self.members.len()).find(|other| address(*other).to_string() == to);
-                let Some(target) = target else { return };
+                let Some(target) = member_at(&to, self.members.len()) else { return };
                 self.totals.control_messages += 1;
                 let packet = Packet::Peer(address(number).to_string(), Box::new(envelope));
                 self.send_later(delay, place, Place::Member(target), None, packet);
             }
             MemberOutput::Act(_) => {}
+            MemberOutput::Ask(to, request) => {
+                let Some(target) = member_at(&to, self.members.len()) else { return };
+                self.totals.control_messages += 1;
+                let packet = Packet::Control(0, Box::new(request));
+                self.send_later(delay, place, Place::Member(target), None, packet);
+            }
             MemberOutput::Note(event) => self.trace(|| format!("member {number}: {event}")),
             MemberOutput::Respond(token, response) => {
                 let Some(asked) = self.members[number].waiting.remove(&token) else { return };
@@ -242,7 +229,9 @@
                     Place::Node(_) => {
                         Packet::Input(Box::new(NodeInput::Control(request, Ok(response))))
                     }
-                    Place::Operator => Packet::Reply(request, Box::new(response)),
+                    Place::Operator | Place::Member(_) => {
+                        Packet::Reply(request, Box::new(response))
+                    }
                     _ => return,
                 };
                 self.send_later(delay, place, asked.from, Some(asked.from_run), packet);
--- a/crates/lab/src/sim/packet.rs
+++ b/crates/lab/src/sim/packet.rs
@@ -67,9 +67,9 @@
     Cancel(AttemptId),
     /// Node to application.
     Call(AttemptId, RequestId, Box<ActionCall>),
-    /// Node or operator to member.
+    /// Node, operator or joining member to member.
     Control(RequestNumber, Box<Request>),
-    /// Member to operator.
+    /// Member to operator or to a joining member.
     Reply(RequestNumber, Box<topazmount_control::Response>),
     /// Anybody to node.
     Input(Box<NodeInput>),
--- a/crates/topazmount/src/control_log.rs
+++ b/crates/topazmount/src/control_log.rs
@@ -61,18 +61,15 @@
             MembershipEvent::JoinAsked { id, .. } => {
                 self.line(format!("join {id}"), event.to_string());
             }
+            MembershipEvent::JoinAnswered { member, .. } => {
+                self.line(format!("asked {member}"), event.to_string());
+            }
             MembershipEvent::Proposed { reason, .. } => {
                 self.line(format!("{reason:?}"), event.to_string());
             }
         }
     }
 
-    /// Logs what a member said to a request to join, or that it said nothing.
-    pub(crate) fn join_answer(&self, member: &str, answer: &str) {
-        let line = format!("event=join_answer member={member} answer={answer}");
-        self.line(format!("asked {member}"), line);
-    }
-
     /// Logs a line, unless it is the newest one about its matter and still fresh.
     fn line(&self, matter: String, line: String) {
         let mut lines = self.lines.lock().unwrap();
--- a/crates/topazmount/src/control_process.rs
+++ b/crates/topazmount/src/control_process.rs
@@ -10,23 +10,21 @@
 use async_channel::{Receiver, Sender};
 use async_net::TcpListener;
 use eyre::{Result, WrapErr};
-use std::collections::{BTreeSet, HashMap};
+use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
-use topazmount_consensus::{Config, Envelope, MemberInfo};
+use topazmount_consensus::{Config, Envelope, MemberInfo, Standing};
 use topazmount_control::{
-    FleetAction, Founding, Frame, Member, MemberInput, MemberOutput, MemberSettings, Request,
-    Response, RolloutSettings, Token,
+    FleetAction, Founding, Frame, Member, MemberInput, MemberOutput, MemberSettings,
+    MembershipEvent, Request, Response, RolloutSettings, Token,
 };
 use topazmount_settings::{ControlSettings, SourceFiles};
 use topazmount_wire::ClusterKey;
 
-/// Pause between two requests to join.
-const JOIN_INTERVAL: Duration = Duration::from_millis(500);
-/// Members that a request to join is sent to in a row: the one that is known, the leader that it
-/// names, and one more where that one has just lost the lead.
-const JOIN_HOPS: usize = 3;
+/// Time within which a member that is asked to take this process in must answer: a connection and a
+/// round trip on a slow link.
+const ASK_LIMIT: Duration = Duration::from_millis(1_100);
 /// Longest wait of the member's thread.
 const MAX_WAIT: Duration = Duration::from_millis(50);
 /// Pause before a member whose disk failed is opened again.
@@ -92,6 +90,12 @@
         let _ = self.ended.recv().await;
     }
 
+    /// Takes the seeds of changed settings into use.
+    pub fn set_seeds(&self, seeds: &[SocketAddr]) {
+        let seeds = seeds.iter().map(SocketAddr::to_string).collect();
+        let _ = self.inputs.try_send(MemberInput::Seeds(seeds));
+    }
+
     /// The member, for tasks of this process.
     pub fn local(&self) -> LocalMember {
         LocalMember { shared: self.shared.clone() }
@@ -135,13 +139,12 @@
     let (ending, ended) = async_channel::bounded::<()>(1);
     let thread = std::thread::Builder::new().name("control".to_owned()).spawn({
         let shared = shared.clone();
-        let queues = HashMap::new();
+        let (queues, asked) = (HashMap::new(), HashMap::new());
         let opening = Box::new(opening);
         let log = Arc::new(ControlLog::default());
-        let runner = Runner { member, opening, clock, peers, queues, shared, actions, log };
-        let joining = settings.initial_members.iter().map(|peer| peer.address).collect();
+        let runner = Runner { member, opening, clock, peers, queues, asked, shared, actions, log };
         move || {
-            runner.run(&receiver, joining);
+            runner.run(&receiver);
             drop(ending);
         }
     })?;
@@ -163,8 +166,13 @@
         .iter()
         .map(|peer| MemberInfo { name: peer.name.clone(), address: peer.address.to_string() });
     let founding = form_group.then(|| Founding { members: members.collect(), source });
-    let member_settings =
-        MemberSettings { info, consensus: Config::default(), seed: rand::random(), rollout };
+    let member_settings = MemberSettings {
+        info,
+        consensus: Config::default(),
+        seed: rand::random(),
+        rollout,
+        seeds: settings.initial_members.iter().map(|peer| peer.address.to_string()).collect(),
+    };
     let disk = FileDisk::open(&settings.data_folder)?;
     Member::open(disk, member_settings, founding.as_ref(), clock.now())
         .wrap_err("opening the data folder")
@@ -177,14 +185,15 @@
     clock: Clock,
     peers: Peers,
     queues: HashMap<String, Sender<Envelope>>,
+    /// Clients of members that were asked to take this process in.
+    asked: HashMap<String, ControlClient>,
     shared: Arc<Shared>,
     actions: Option<Sender<FleetAction>>,
     log: Arc<ControlLog>,
 }
 
 impl Runner {
-    fn run(mut self, inputs: &Receiver<MemberInput>, joining: Vec<SocketAddr>) {
-        let mut next_join = self.clock.now();
+    fn run(mut self, inputs: &Receiver<MemberInput>) {
         while let Some(batch) = next_batch(inputs, self.wait()) {
             let now = self.clock.now();
             let ticked = batch.into_iter().chain([MemberInput::Tick]);
@@ -204,10 +213,6 @@
                 self.perform(output);
             }
             self.log.leadership(&self.member, now);
-            if self.member.must_join(now) && now >= next_join {
-                next_join = now + JOIN_INTERVAL;
-                self.ask_to_join(&joining);
-            }
         }
         log::info!("control: stopped.");
     }
@@ -223,7 +228,8 @@
                 return false;
             }
             match (self.opening)() {
-                Ok(member) => {
+                Ok(mut member) => {
+                    member.set_seeds(self.member.seeds().to_vec());
                     self.member = member;
                     log::info!("control: event=disk_regained");
                     return true;
@@ -255,7 +261,13 @@
                     let _ = actions.try_send(action);
                 }
             }
-            MemberOutput::Note(event) => self.log.membership(&event),
+            MemberOutput::Ask(address, request) => self.ask(address, request),
+            MemberOutput::Note(event) => {
+                if matches!(&event, MembershipEvent::InForce { standing: Standing::Voter, .. }) {
+                    self.asked.clear();
+                }
+                self.log.membership(&event);
+            }
         }
     }
 
@@ -272,56 +284,32 @@
         }
     }
 
-    /// Asks the members of the settings, and those that were members when it last knew.
-    fn ask_to_join(&self, initial: &[SocketAddr]) {
-        let (id, info) = self.member.identity();
-        let known = self.member.member_addresses();
-        let known = known.iter().filter_map(|address| address.parse().ok());
-        let addresses: BTreeSet<SocketAddr> = initial.iter().copied().chain(known).collect();
-        for address in &addresses {
-            if address.to_string() == info.address {
-                continue;
+    /// Asks another member. Its client is kept between requests, so that the time for a connection
+    /// grows on a slow link.
+    fn ask(&mut self, address: String, request: Request) {
+        let target = match address.parse() {
+            Ok(target) => target,
+            Err(error) => {
+                log::warn!("control: event=bad_address address={address} problem={error}");
+                return;
             }
-            let (executor, key) = (self.peers.executor.clone(), self.peers.key.clone());
-            let request = Request::Join(id, info.clone());
-            let joining = join_through(executor, key, *address, request, self.log.clone());
-            self.peers.executor.spawn(joining).detach();
-        }
-    }
-}
-
-/// Sends a request to join to a member and, where another one leads, to that one: only the leader
-/// can add a member.
-async fn join_through(
-    executor: Executor,
-    key: ClusterKey,
-    address: SocketAddr,
-    request: Request,
-    log: Arc<ControlLog>,
-) {
-    let mut target = address;
-    for _ in 0..JOIN_HOPS {
-        let client = ControlClient::new(&executor, target, key.clone());
-        let response = client.ask(request.clone(), JOIN_INTERVAL).await;
-        log.join_answer(&target.to_string(), &answer_text(&response));
-        let leader = match response {
-            Ok(Response::NotLeader(Some(leader))) => leader,
-            _ => return,
         };
-        match leader.address.parse() {
-            Ok(named) if named != target => target = named,
-            _ => return,
-        }
-    }
-}
-
-fn answer_text(response: &Result<Response>) -> String {
-    match response {
-        Ok(Response::Joining(answer)) => format!("{answer:?}"),
-        Ok(Response::NotLeader(Some(leader))) => format!("NotLeader leader={}", leader.address),
-        Ok(Response::NotLeader(None)) => "NotLeader leader=none".to_owned(),
-        Ok(_) => "Unexpected".to_owned(),
-        Err(error) => format!("None problem={:?}", error.to_string()),
+        let peers = &self.peers;
+        let client = self
+            .asked
+            .entry(address.clone())
+            .or_insert_with(|| ControlClient::new(&peers.executor, target, peers.key.clone()))
+            .clone();
+        let inputs = self.shared.inputs.clone();
+        let asking = async move {
+            let response = client.ask(request, ASK_LIMIT).await;
+            if let Err(problem) = &response {
+                log::debug!("control: event=ask_failed member={address} problem={problem:#}");
+            }
+            // A member that has stopped wants no answer.
+            let _ = inputs.send(MemberInput::JoinAnswered(address, response.ok())).await;
+        };
+        self.peers.executor.spawn(asking).detach();
     }
 }
 
--- a/crates/topazmount/src/fleet/control_service.rs
+++ b/crates/topazmount/src/fleet/control_service.rs
@@ -6,7 +6,7 @@
 use super::metrics::{Metrics, MetricsService};
 use super::orders;
 use super::settings::FleetSettings;
-use super::watcher::Watcher;
+use super::watcher::{Seeds, Watcher};
 use crate::Executor;
 use crate::clock::Clock;
 use crate::control_client::ControlClient;
@@ -99,13 +99,19 @@
         let sending =
             orders::run(executor.clone(), actions, member, dialect, settings.name.clone());
         executor.spawn(sending).detach();
-        let watcher = Watcher::new(executor, Clock::start(), key, vec![internal], true);
+        let watcher = Watcher::new(executor, Clock::start(), key, Seeds::new(vec![internal]), true);
         let (_, no_nudges) = async_channel::bounded(1);
         executor.spawn(watcher.run(directory, no_nudges)).detach();
         log::info!("control: event=start name={} zone={}", settings.name, settings.zone);
         Ok(ControlPlane { handle })
     }
 
+    /// Takes changed settings into use: the seeds. Addresses and names stay until the next start.
+    pub fn reload(&self, settings: &FleetSettings) {
+        self.handle.set_seeds(&settings.seed_peers());
+        log::info!("control: event=reload seeds={:?}", settings.seeds);
+    }
+
     /// Waits until the member has stopped by itself.
     pub async fn failed(&self) {
         self.handle.failed().await;
--- a/crates/topazmount/src/fleet/gateway.rs
+++ b/crates/topazmount/src/fleet/gateway.rs
@@ -10,7 +10,7 @@
 use super::request_reader::ReadLimits;
 use super::settings::FleetSettings;
 use super::store_reader;
-use super::watcher::{NewsReader, Watcher};
+use super::watcher::{NewsReader, Seeds, Watcher};
 use crate::Executor;
 use crate::clock::Clock;
 use crate::http1::RequestHead;
@@ -61,6 +61,7 @@
 pub struct Gateway {
     shared: Arc<Shared>,
     stop_time: Duration,
+    seeds: Seeds,
     /// Wakes the watcher, to report at once.
     nudge: Sender<()>,
 }
@@ -106,7 +107,8 @@
         }
         executor.spawn(peers::listen(peers, shared.clone())).detach();
         executor.spawn(store_reader::run(executor.clone(), shared.clone())).detach();
-        let watcher = Watcher::new(executor, clock, key, settings.seed_peers(), true);
+        let seeds = Seeds::new(settings.seed_peers());
+        let watcher = Watcher::new(executor, clock, key, seeds.clone(), true);
         let report = GatewayReport {
             address: clients.to_string(),
             zone: settings.zone.clone(),
@@ -117,7 +119,7 @@
         let (nudge, nudges) = async_channel::bounded(1);
         executor.spawn(watcher.run(news, nudges)).detach();
         log::info!("gateway: event=start name={} zone={}", settings.name, settings.zone);
-        Ok(Gateway { shared, stop_time: settings.stop_time(), nudge })
+        Ok(Gateway { shared, stop_time: settings.stop_time(), seeds, nudge })
     }
 
     /// Takes changed settings into use; addresses and names stay until the next start.
@@ -128,6 +130,7 @@
             return;
         }
         knowledge.set_settings(settings.gateway());
+        self.seeds.set(settings.seed_peers());
         log::info!("gateway: event=reload policies={}", settings.policies.len());
     }
 
--- a/crates/topazmount/src/fleet/process.rs
+++ b/crates/topazmount/src/fleet/process.rs
@@ -35,7 +35,7 @@
     let options = ControlPlaneOptions { settings, dialect };
     let control = ControlPlane::start(&executor, options).await?;
     let reload = || match FleetSettings::read(file) {
-        Ok(_) => log::info!("control: event=reload"),
+        Ok(settings) => control.reload(&settings),
         Err(error) => log::error!("control: event=reload_refused problem={error:#}"),
     };
     let stopped = async {
--- a/crates/topazmount/src/fleet/watcher.rs
+++ b/crates/topazmount/src/fleet/watcher.rs
@@ -7,6 +7,7 @@
 use async_channel::Receiver;
 use std::collections::HashMap;
 use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 use topazmount_control::{
     FleetRequest, FleetResponse, FleetView, GatewayReport, Request, Response, Seen, WatchRequest,
@@ -23,6 +24,9 @@
 /// Time for which a member that did not answer is not asked again while there are others.
 const AVOIDANCE: Duration = Duration::from_millis(1_500);
 
+/// Members that are known at a time; more than any group has.
+const MOST_MEMBERS: usize = 32;
+
 /// What the owner of a watcher does with news.
 pub trait NewsReader: Send + 'static {
     /// What it has seen, and what it reports of itself.
@@ -31,6 +35,26 @@
     fn read(&mut self, view: FleetView, asked_at: Time);
 }
 
+/// Addresses of members from the settings, which may change while the process runs.
+#[derive(Clone)]
+pub struct Seeds(Arc<Mutex<Vec<SocketAddr>>>);
+
+impl Seeds {
+    /// These seeds.
+    pub fn new(seeds: Vec<SocketAddr>) -> Self {
+        Seeds(Arc::new(Mutex::new(seeds)))
+    }
+
+    /// Takes other seeds.
+    pub fn set(&self, seeds: Vec<SocketAddr>) {
+        *self.0.lock().unwrap() = seeds;
+    }
+
+    fn get(&self) -> Vec<SocketAddr> {
+        self.0.lock().unwrap().clone()
+    }
+}
+
 /// How a request for news ended.
 enum Asked {
     Answered(Box<FleetView>),
@@ -44,7 +68,7 @@
     clock: Clock,
     key: ClusterKey,
     wants_gateways: bool,
-    seeds: Vec<SocketAddr>,
+    seeds: Seeds,
     members: Vec<SocketAddr>,
     clients: HashMap<SocketAddr, ControlClient>,
     avoided: HashMap<SocketAddr, Time>,
@@ -58,7 +82,7 @@
         executor: &Executor,
         clock: Clock,
         key: ClusterKey,
-        seeds: Vec<SocketAddr>,
+        seeds: Seeds,
         wants_gateways: bool,
     ) -> Self {
         Watcher {
@@ -77,7 +101,7 @@
 
     /// Asks for news for ever; at once when `nudges` says that there is something to report.
     pub async fn run(mut self, mut reader: impl NewsReader, nudges: Receiver<()>) {
-        let mut turn: usize = rand::random_range(0..self.seeds.len().max(1));
+        let mut turn: usize = rand::random_range(0..self.seeds.get().len().max(1));
         let mut leader: Option<SocketAddr> = None;
         loop {
             let target = self.target(leader.take(), &mut turn);
@@ -152,7 +176,7 @@
             return leader;
         }
         let mut all = self.members.clone();
-        all.extend(self.seeds.iter().filter(|seed| !self.members.contains(seed)));
+        all.extend(self.seeds.get().iter().filter(|seed| !self.members.contains(seed)));
         let open: Vec<SocketAddr> =
             all.iter().filter(|address| !self.avoided.contains_key(address)).copied().collect();
         let choice = if open.is_empty() { all } else { open };
@@ -165,12 +189,19 @@
     }
 
     fn note_members(&mut self, view: &FleetView) {
-        let members: Vec<SocketAddr> =
-            view.members.iter().filter_map(|address| address.parse().ok()).collect();
-        if !members.is_empty() {
-            self.members = members;
+        let named = view.members.iter().filter_map(|address| address.parse().ok());
+        // A member that is outside the group, or was removed long ago, names who may be a member:
+        // that is worth a try, and does not replace what a member in contact said.
+        if view.staleness.is_some() {
+            self.members = named.collect();
+        } else {
+            for address in named {
+                if self.members.len() < MOST_MEMBERS && !self.members.contains(&address) {
+                    self.members.push(address);
+                }
+            }
         }
-        let (members, seeds) = (&self.members, &self.seeds);
+        let (members, seeds) = (&self.members, self.seeds.get());
         self.clients.retain(|address, _| members.contains(address) || seeds.contains(address));
     }
 
