A voter in whose place others have come is no longer counted, however many there are

Cause: a silent voter was removed only from a group of even size (or where its own address had a new identity). Two machines replaced at other addresses within seconds left seven voters of which two were gone for good; odd, so neither was ever removed. Change: the membership says how many voters the group is meant to have (full_size): the founders, raised when all voters have answered for 10 s, lowered by a removal. A voter silent for 2.4 s is removed when as many others answer as that. One that is silent while others lack as well is kept, since what was committed may be needed from its disk. Learners that fall silent are removed, and only one that answers is promoted. Ruled out: removing any two silent voters of a group of odd size (two that are down with their disks would be dropped, and then two lost disks could take what was committed); not promoting while another voter is silent (no slack at all until the first is removed); counting growth at the promotion (a machine that died 0.5 s before still looks as if it answered).

--- a/crates/consensus/src/membership.rs
+++ b/crates/consensus/src/membership.rs
@@ -32,6 +32,14 @@
     pub voters: BTreeMap<MemberId, MemberInfo>,
     /// Members that receive the log and do not count.
     pub learners: BTreeMap<MemberId, MemberInfo>,
+    /// Voters that the group is meant to have: as many as it had when all of them had answered for a
+    /// while. 0 in state that older versions wrote, where it is not known.
+    #[serde(default, skip_serializing_if = "is_unknown")]
+    pub full_size: usize,
+}
+
+fn is_unknown(full_size: &usize) -> bool {
+    *full_size == 0
 }
 
 /// How a member takes part.
@@ -55,9 +63,22 @@
     Promote(MemberId),
     /// Removes a voter or learner.
     Remove(MemberId),
+    /// Takes the number of voters there are as the number that the group is meant to have.
+    Settle,
 }
 
 impl Membership {
+    /// A group whose founders are all there.
+    pub fn founding(voters: BTreeMap<MemberId, MemberInfo>) -> Self {
+        let full_size = voters.len();
+        Membership { voters, learners: BTreeMap::new(), full_size }
+    }
+
+    /// Voters that the group is meant to have; as many as there are where that is not known.
+    pub fn full_size(&self) -> usize {
+        if is_unknown(&self.full_size) { self.voters.len() } else { self.full_size }
+    }
+
     /// Smallest number of voters that any two decisions share.
     pub fn quorum(&self) -> usize {
         self.voters.len() / 2 + 1
@@ -110,6 +131,13 @@
                 if !(was_learner || was_voter) || next.voters.is_empty() {
                     return None;
                 }
+                next.full_size = next.full_size.min(next.voters.len());
+            }
+            MembershipChange::Settle => {
+                if next.full_size == next.voters.len() {
+                    return None;
+                }
+                next.full_size = next.voters.len();
             }
         }
         Some(next)
--- a/crates/consensus/tests/common/mod.rs
+++ b/crates/consensus/tests/common/mod.rs
@@ -79,7 +79,7 @@
 /// First state of a group of these voters.
 pub fn founding(voters: &[u64]) -> Recovered {
     let voters = voters.iter().map(|id| (MemberId(*id), info(*id))).collect();
-    let membership = Membership { voters, learners: BTreeMap::new() };
+    let membership = Membership::founding(voters);
     Replica::bootstrap_state(membership, Vec::new())
 }
 
--- a/crates/control/src/events.rs
+++ b/crates/control/src/events.rs
@@ -18,8 +18,14 @@
     CaughtUp,
     /// Another voter of the same name answers, and this one does not.
     VoterReplaced,
-    /// A silent voter of a group that is no safer with it.
+    /// A silent voter of a group that has all the voters that it is meant to have without it.
+    Succeeded,
+    /// A silent voter of a group of even size, which is no safer with it.
     Surplus,
+    /// A learner that does not answer any more.
+    LearnerGone,
+    /// All voters have answered for a while.
+    Complete,
 }
 
 /// Something that a member decided or learned about who takes part.
@@ -78,7 +84,11 @@
             MembershipEvent::InForce { membership, standing } => {
                 let voters = Members(membership.voters.iter());
                 let learners = Members(membership.learners.iter());
-                write!(f, "own={standing:?} voters={voters} learners={learners}")
+                let full_size = membership.full_size();
+                write!(
+                    f,
+                    "own={standing:?} full_size={full_size} voters={voters} learners={learners}"
+                )
             }
             MembershipEvent::JoinAsked { id, info, answer } => {
                 write!(f, "id={id} address={} answer={answer}", info.address)
@@ -94,6 +104,7 @@
                     }
                     MembershipChange::Promote(id) => write!(f, "promote={id}")?,
                     MembershipChange::Remove(id) => write!(f, "remove={id}")?,
+                    MembershipChange::Settle => write!(f, "settle")?,
                 }
                 write!(f, " reason={reason:?}")?;
                 match hindrance {
--- a/crates/control/src/member.rs
+++ b/crates/control/src/member.rs
@@ -131,6 +131,8 @@
     /// Where peers were last heard from: a joining member does not know the membership yet.
     peer_addresses: BTreeMap<MemberId, String>,
     noted: Noted,
+    /// Leader: since when all voters have answered without a break.
+    pub(crate) complete_since: Option<Time>,
     joining: Joining,
     snapshot_at: Index,
     bytes_since_snapshot: u64,
@@ -176,6 +178,7 @@
             fleet,
             peer_addresses: BTreeMap::new(),
             noted: Noted { since: now, ..Noted::default() },
+            complete_since: None,
             joining,
             snapshot_at,
             bytes_since_snapshot: 0,
@@ -315,6 +318,8 @@
         self.replica.tick(now);
         if self.replica.has_lease(now) {
             self.repair_membership(now);
+        } else {
+            self.complete_since = None;
         }
         self.tick_fleet(now);
         self.tick_joining(now);
@@ -573,7 +578,7 @@
         return Recovered::default();
     };
     let voters = founding.members.iter().map(|info| (founding_identity(info), info.clone()));
-    let membership = Membership { voters: voters.collect(), learners: BTreeMap::new() };
+    let membership = Membership::founding(voters.collect());
     let state = ControlState::founding(founding.source.clone());
     let data = rmp_serde::to_vec(&state).expect("the state is plain data");
     Replica::bootstrap_state(membership, data)
--- a/crates/control/src/repair.rs
+++ b/crates/control/src/repair.rs
@@ -10,8 +10,17 @@
 };
 use topazmount_types::Time;
 
+/// Silence after which a voter in whose place others have come is removed: two of the longest waits for
+/// an election, so that one that was only slow to hear of a new leader is kept.
+const SUCCEEDED_SILENCE: Duration = Duration::from_millis(2_400);
 /// Silence after which a voter that the group is no safer with is removed.
 const SURPLUS_SILENCE: Duration = Duration::from_secs(4);
+/// Silence after which a learner is removed; it asks to join again by itself.
+const LEARNER_SILENCE: Duration = Duration::from_secs(10);
+/// Time for which all voters must have answered before their number is what the group is meant to have.
+/// Longer than a machine and its successor run side by side in a planned replacement; until then a group
+/// that grew may shrink again to its former size where members fall silent.
+const SETTLING_TIME: Duration = Duration::from_secs(10);
 /// Entries by which a learner may lag when it becomes a voter.
 const PROMOTION_SLACK: u64 = 0;
 
@@ -67,26 +76,55 @@
 
     /// Takes the next step of a repair under way; called while this member leads.
     pub(crate) fn repair_membership(&mut self, now: Time) {
-        let membership = self.replica.membership();
-        let ready = membership
-            .learners
-            .keys()
-            .find(|id| self.replica.is_caught_up(**id, PROMOTION_SLACK))
-            .copied();
-        let replaced =
-            replaced_voter(&self.replica, now).map(|old| (old, ChangeReason::VoterReplaced));
-        let removable = replaced
-            .or_else(|| surplus_voter(&self.replica, now).map(|old| (old, ChangeReason::Surplus)));
-        let (change, reason) = match (removable, ready) {
-            (Some((old, reason)), _) => (MembershipChange::Remove(old), reason),
-            (None, Some(id)) => (MembershipChange::Promote(id), ChangeReason::CaughtUp),
-            (None, None) => return,
-        };
-        // What can't be proposed now is tried again at the next tick.
-        let _ = self.change_membership(change, reason);
+        self.note_complete(now);
+        if let Some((change, reason)) = self.next_repair(now) {
+            // What can't be proposed now is tried again at the next tick.
+            let _ = self.change_membership(change, reason);
+        }
+    }
+
+    fn note_complete(&mut self, now: Time) {
+        let mut voters = self.replica.membership().voters.keys();
+        if voters.all(|id| self.replica.is_answering(*id, now)) {
+            self.complete_since.get_or_insert(now);
+        } else {
+            self.complete_since = None;
+        }
+    }
+
+    fn next_repair(&self, now: Time) -> Option<(MembershipChange, ChangeReason)> {
+        let replica = &self.replica;
+        let remove = |reason| move |id| (MembershipChange::Remove(id), reason);
+        let is_settled = self.complete_since.is_some_and(|since| now >= since + SETTLING_TIME);
+        let is_news = replica.membership().full_size != replica.membership().voters.len();
+        replaced_voter(replica, now)
+            .map(remove(ChangeReason::VoterReplaced))
+            .or_else(|| succeeded_voter(replica, now).map(remove(ChangeReason::Succeeded)))
+            .or_else(|| surplus_voter(replica, now).map(remove(ChangeReason::Surplus)))
+            .or_else(|| {
+                let ready = ready_learner(replica, now)?;
+                Some((MembershipChange::Promote(ready), ChangeReason::CaughtUp))
+            })
+            .or_else(|| silent_learner(replica, now).map(remove(ChangeReason::LearnerGone)))
+            .or_else(|| {
+                let change = (MembershipChange::Settle, ChangeReason::Complete);
+                (is_settled && is_news).then_some(change)
+            })
     }
 }
 
+/// A learner that has the whole log and answers.
+fn ready_learner(replica: &Replica, now: Time) -> Option<MemberId> {
+    let mut learners = replica.membership().learners.keys().copied();
+    learners.find(|id| replica.is_caught_up(*id, PROMOTION_SLACK) && replica.is_answering(*id, now))
+}
+
+/// A learner that went away before it became a voter; it asks again when it is back.
+fn silent_learner(replica: &Replica, now: Time) -> Option<MemberId> {
+    let mut learners = replica.membership().learners.keys().copied();
+    learners.find(|id| replica.member_silence(*id, now) > LEARNER_SILENCE)
+}
+
 /// A learner of the same name that never made it: its disk was lost in turn.
 fn stale_learner(membership: &Membership, info: &MemberInfo) -> Option<MemberId> {
     let mut learners = membership.learners.iter();
@@ -104,9 +142,21 @@
     })
 }
 
+/// A silent voter of a group in which as many others answer as it is meant to have: machines at other
+/// addresses have come for those that are gone. In a group that lacks some, a silent one is kept: it
+/// may be back with its disk, and what was committed may be on no other disk that lasts.
+fn succeeded_voter(replica: &Replica, now: Time) -> Option<MemberId> {
+    let membership = replica.membership();
+    let voters = &membership.voters;
+    let answering = voters.keys().filter(|id| replica.is_answering(**id, now)).count();
+    if answering < membership.full_size() {
+        return None;
+    }
+    voters.keys().copied().find(|id| replica.member_silence(*id, now) > SUCCEEDED_SILENCE)
+}
+
 /// A silent voter of a group of even size. Such a group bears no more losses than one that is
-/// smaller by one, so the silent one only raises the quorum; a replacement at another address has
-/// come, or it rejoins by itself when it is back.
+/// smaller by one, so the silent one only raises the quorum; it rejoins by itself when it is back.
 fn surplus_voter(replica: &Replica, now: Time) -> Option<MemberId> {
     let voters = &replica.membership().voters;
     let is_even = voters.len().is_multiple_of(2);
--- a/crates/control/tests/common/mod.rs
+++ b/crates/control/tests/common/mod.rs
@@ -347,6 +347,21 @@
         leader.map_or(0, |member| member.replica().membership().voters.len())
     }
 
+    /// Learners that the group counts.
+    pub fn learners(&self) -> usize {
+        let leader = self.leader().and_then(|leader| self.member(leader));
+        leader.map_or(0, |member| member.replica().membership().learners.len())
+    }
+
+    /// Runs until something holds.
+    pub fn until(&mut self, what: &str, limit: Duration, holds: impl Fn(&World) -> bool) {
+        let end = self.now + limit;
+        while !holds(self) {
+            assert!(self.now < end, "not within {limit:?}: {what}; {}", self.told());
+            self.tick();
+        }
+    }
+
     /// The leader that a member names to callers.
     pub fn named_leader(&mut self, host: Host) -> Option<Host> {
         let token = self.ask(host, Request::Source)?;
--- a/crates/control/tests/membership.rs
+++ b/crates/control/tests/membership.rs
@@ -9,6 +9,9 @@
 /// deployments).
 const CATCH_UP: Duration = Duration::from_secs(4);
 
+/// Time after which a group has settled: the core's own, and some for what comes before.
+const SETTLED: Duration = Duration::from_secs(15);
+
 /// Five founding members that settled down.
 fn five() -> World {
     let mut world = World::found(&[1, 2, 3, 4, 5]);
@@ -64,4 +67,51 @@
         world.run(CATCH_UP);
         assert!(world.is_voter(6), "{}", world.told());
     }
+
+    /// Identities that are gone don't stay counted, also where two machines were replaced at once.
+    machines_replaced_at_the_same_time_are_counted_once => {
+        let mut world = World::found_with(&[1, 2, 3], &[1, 2, 3, 4, 5], 0);
+        world.run(SETTLED);
+        assert_eq!(world.voters(), 5, "{}", world.told());
+        for gone in [1, 2] {
+            world.remove(gone);
+        }
+        for successor in [6, 7] {
+            world.name_seeds(successor, &[3, 4]);
+            world.start(successor);
+        }
+        world.run(CATCH_UP);
+        assert!(world.is_voter(6) && world.is_voter(7), "{}", world.told());
+        assert_eq!(world.voters(), 5, "{}", world.told());
+    }
+
+    /// Two members that are down with their disks are kept: nobody has come in their place, and what
+    /// was committed may be needed from them.
+    members_that_are_down_are_kept_while_nobody_has_come_for_them => {
+        let mut world = World::found_with(&[1, 2, 3], &[1, 2, 3, 4, 5], 0);
+        world.run(SETTLED);
+        world.kill(1);
+        world.kill(4);
+        world.run(SETTLED);
+        assert_eq!(world.voters(), 5, "{}", world.told());
+        world.start(1);
+        world.start(4);
+        world.run(CATCH_UP);
+        assert!(world.is_voter(1) && world.is_voter(4), "{}", world.told());
+        assert_eq!(world.voters(), 5, "{}", world.told());
+    }
+
+    /// A learner that is gone before it became a voter does not stay.
+    a_learner_that_is_gone_is_removed => {
+        let mut world = five();
+        let leader = world.leader().unwrap();
+        let newcomer = 6;
+        world.name_seeds(newcomer, &[leader]);
+        world.start(newcomer);
+        // It goes in the moment in which it was taken in.
+        world.until("it is a learner", CATCH_UP, |world| world.learners() == 1);
+        world.remove(newcomer);
+        world.run(CATCH_UP * 4);
+        assert_eq!((world.voters(), world.learners()), (5, 0), "{}", world.told());
+    }
 }
