Room is made before a newcomer is counted: no machine counts twice, and none that may come back is dropped

A newcomer was promoted before the identity whose place it took was removed: six voters, two of them the same machine, so that losing its new disk and one more left three of six. And a voter that was only frozen or down was dropped for a newcomer that had come for another machine. Change: once a learner is ready, the lost identity of its name is removed first, or a silent voter where as many are there as the group is meant to have; then it is promoted. It is promoted at once while the group has fewer voters than meant, and beyond that only while nobody is missing. Where more are silent than others have come for, the choice is put off for 10 s. A voter counts as present only if it answered since the newest member came. full_size is raised after 3 s in which all answered, lowered after 60 s. A change that can't be proposed is told once, not each tick.

--- a/crates/consensus/src/membership.rs
+++ b/crates/consensus/src/membership.rs
@@ -61,7 +61,7 @@
     AddLearner(MemberId, MemberInfo),
     /// Turns a learner into a voter.
     Promote(MemberId),
-    /// Removes a voter or learner.
+    /// Removes a voter or learner. The group is meant to have as many voters as before.
     Remove(MemberId),
     /// Takes the number of voters there are as the number that the group is meant to have.
     Settle,
@@ -126,12 +126,13 @@
                 next.voters.insert(*id, info);
             }
             MembershipChange::Remove(id) => {
+                // Where it was not known before, the size counts from here on.
+                next.full_size = self.full_size();
                 let was_learner = next.learners.remove(id).is_some();
                 let was_voter = next.voters.remove(id).is_some();
                 if !(was_learner || was_voter) || next.voters.is_empty() {
                     return None;
                 }
-                next.full_size = next.full_size.min(next.voters.len());
             }
             MembershipChange::Settle => {
                 if next.full_size == next.voters.len() {
--- a/crates/consensus/src/replica.rs
+++ b/crates/consensus/src/replica.rs
@@ -245,6 +245,12 @@
         id == self.id || answered.is_some_and(|at| now < at + limit)
     }
 
+    /// Whether a member answered something that this leader sent after a moment.
+    pub fn has_answered_since(&self, id: MemberId, moment: Time) -> bool {
+        let answered = self.progress.get(&id).and_then(|progress| progress.acknowledged_at);
+        id == self.id || answered.is_some_and(|at| at > moment)
+    }
+
     /// Entries after a position.
     pub fn entries_after(&self, index: Index) -> Vec<Entry> {
         self.log.range(index + 1, self.log.last_index())
--- a/crates/control/src/events.rs
+++ b/crates/control/src/events.rs
@@ -16,9 +16,9 @@
     LearnerReplaced,
     /// A learner has the whole log.
     CaughtUp,
-    /// Another voter of the same name answers, and this one does not.
+    /// A voter does not answer, and another identity of the same name does: its disk was lost.
     VoterReplaced,
-    /// A silent voter of a group that has all the voters that it is meant to have without it.
+    /// A voter does not answer, and another member is there for its place.
     Succeeded,
     /// A silent voter of a group of even size, which is no safer with it.
     Surplus,
--- a/crates/control/src/member.rs
+++ b/crates/control/src/member.rs
@@ -12,8 +12,9 @@
 use std::time::Duration;
 use thiserror::Error;
 use topazmount_consensus::{
-    Config, Disk, DiskError, Entry, Envelope, Index, MemberId, MemberInfo, Membership, Payload,
-    Recovered, Replica, Role, Standing, Term, Wal, WalError,
+    Config, Disk, DiskError, Entry, Envelope, Index, MemberId, MemberInfo, Membership,
+    MembershipChange, Payload, ProposeError, Recovered, Replica, Role, Standing, Term, Wal,
+    WalError,
 };
 use topazmount_settings::{Declarations, SourceFiles};
 use topazmount_types::{Digest, ErrorKind, NodeId, Refusal, Time};
@@ -107,11 +108,13 @@
 
 /// The membership that this member acts by, as it was told last.
 #[derive(Default)]
-struct Noted {
+pub(crate) struct Noted {
     membership: Membership,
     standing: Standing,
     /// When the standing began.
     since: Time,
+    /// When the membership began.
+    pub(crate) changed_at: Time,
 }
 
 struct Waiting {
@@ -130,9 +133,11 @@
     pub(crate) fleet: FleetLeader,
     /// Where peers were last heard from: a joining member does not know the membership yet.
     peer_addresses: BTreeMap<MemberId, String>,
-    noted: Noted,
+    pub(crate) noted: Noted,
     /// Leader: since when all voters have answered without a break.
     pub(crate) complete_since: Option<Time>,
+    /// Leader: the change of the membership that could not be proposed last, and why.
+    pub(crate) hindered: Option<(MembershipChange, ProposeError)>,
     joining: Joining,
     snapshot_at: Index,
     bytes_since_snapshot: u64,
@@ -179,6 +184,7 @@
             peer_addresses: BTreeMap::new(),
             noted: Noted { since: now, ..Noted::default() },
             complete_since: None,
+            hindered: None,
             joining,
             snapshot_at,
             bytes_since_snapshot: 0,
@@ -310,6 +316,7 @@
             self.noted.since = now;
         }
         self.noted.standing = standing;
+        self.noted.changed_at = now;
         self.noted.membership = membership.clone();
         self.note(MembershipEvent::InForce { membership, standing });
     }
--- a/crates/control/src/repair.rs
+++ b/crates/control/src/repair.rs
@@ -1,26 +1,33 @@
-//! Membership repair: a process with an empty disk joins as a learner, becomes a voter once it
-//! has the whole log, and only then replaces the identity that was lost.
+//! Membership repair: a process with an empty disk joins as a learner. Once it has the whole log, the
+//! identity whose place it takes is removed, and then it becomes a voter, so that no machine is ever
+//! counted twice.
 
 use crate::events::{ChangeReason, MembershipEvent};
 use crate::member::Member;
 use crate::protocol::{JoinAnswer, Response};
+use std::cmp::Ordering;
 use std::time::Duration;
 use topazmount_consensus::{
     Disk, MemberId, MemberInfo, Membership, MembershipChange, ProposeError, Replica, Standing,
 };
 use topazmount_types::Time;
 
-/// Silence after which a voter in whose place others have come is removed: two of the longest waits for
+/// Silence after which a voter for whose place another member is there is removed: two of the longest waits for
 /// an election, so that one that was only slow to hear of a new leader is kept.
 const SUCCEEDED_SILENCE: Duration = Duration::from_millis(2_400);
+/// Silence after which a voter is removed for a newcomer, although others are silent as well. Longer
+/// than a process or machine takes to start again.
+const UNDECIDED_SILENCE: Duration = Duration::from_secs(10);
 /// Silence after which a voter that the group is no safer with is removed.
 const SURPLUS_SILENCE: Duration = Duration::from_secs(4);
 /// Silence after which a learner is removed; it asks to join again by itself.
 const LEARNER_SILENCE: Duration = Duration::from_secs(10);
-/// Time for which all voters must have answered before their number is what the group is meant to have.
-/// Longer than a machine and its successor run side by side in a planned replacement; until then a group
-/// that grew may shrink again to its former size where members fall silent.
-const SETTLING_TIME: Duration = Duration::from_secs(10);
+/// Time for which all voters of a larger group must have answered before their number is what it is
+/// meant to have. Longer than a machine and its successor run side by side in a planned replacement, and
+/// short, since until then the group may lose the members by which it grew.
+const GROWING_TIME: Duration = Duration::from_secs(3);
+/// The same of a smaller group: longer than a machine is away that is repaired or replaced.
+const SHRINKING_TIME: Duration = Duration::from_secs(60);
 /// Entries by which a learner may lag when it becomes a voter.
 const PROMOTION_SLACK: u64 = 0;
 
@@ -69,8 +76,13 @@
         reason: ChangeReason,
     ) -> Result<(), ProposeError> {
         let proposed = self.replica.propose_change(&change);
-        let hindrance = proposed.err();
-        self.note(MembershipEvent::Proposed { change, reason, hindrance });
+        let hindered = proposed.err().map(|error| (change.clone(), error));
+        // It is tried again at each tick and told once.
+        if hindered.is_none() || hindered != self.hindered {
+            let hindrance = proposed.err();
+            self.note(MembershipEvent::Proposed { change, reason, hindrance });
+        }
+        self.hindered = hindered;
         proposed.map(|_| ())
     }
 
@@ -94,29 +106,93 @@
 
     fn next_repair(&self, now: Time) -> Option<(MembershipChange, ChangeReason)> {
         let replica = &self.replica;
-        let remove = |reason| move |id| (MembershipChange::Remove(id), reason);
-        let is_settled = self.complete_since.is_some_and(|since| now >= since + SETTLING_TIME);
-        let is_news = replica.membership().full_size != replica.membership().voters.len();
-        replaced_voter(replica, now)
-            .map(remove(ChangeReason::VoterReplaced))
-            .or_else(|| succeeded_voter(replica, now).map(remove(ChangeReason::Succeeded)))
-            .or_else(|| surplus_voter(replica, now).map(remove(ChangeReason::Surplus)))
+        let membership = replica.membership();
+        let ready = membership.learners.iter().filter(|(id, _)| is_ready(replica, **id, now));
+        let mut placed = ready.filter_map(|(id, info)| self.place(now, *id, info));
+        placed
+            .next()
+            .or_else(|| replaced_voter(replica, now).map(remove(ChangeReason::VoterReplaced)))
             .or_else(|| {
-                let ready = ready_learner(replica, now)?;
-                Some((MembershipChange::Promote(ready), ChangeReason::CaughtUp))
+                let is_over = membership.voters.len() > membership.full_size();
+                let gone = self.succeeded_voter(now).filter(|_| is_over);
+                gone.map(remove(ChangeReason::Succeeded))
             })
+            .or_else(|| surplus_voter(replica, now).map(remove(ChangeReason::Surplus)))
             .or_else(|| silent_learner(replica, now).map(remove(ChangeReason::LearnerGone)))
             .or_else(|| {
                 let change = (MembershipChange::Settle, ChangeReason::Complete);
-                (is_settled && is_news).then_some(change)
+                self.is_settled(now).then_some(change)
             })
     }
+
+    /// Whether the group has had another number of voters than it is meant to have for so long that it
+    /// is meant to have these.
+    fn is_settled(&self, now: Time) -> bool {
+        let membership = self.replica.membership();
+        let time = match membership.voters.len().cmp(&membership.full_size()) {
+            Ordering::Greater => GROWING_TIME,
+            Ordering::Less => SHRINKING_TIME,
+            Ordering::Equal => return false,
+        };
+        self.complete_since.is_some_and(|since| now >= since + time)
+    }
+
+    /// The next step by which a learner that is ready becomes a voter. Room is made first: were a
+    /// machine counted twice for a moment, the loss of its new disk too would cost two votes.
+    fn place(
+        &self,
+        now: Time,
+        id: MemberId,
+        info: &MemberInfo,
+    ) -> Option<(MembershipChange, ChangeReason)> {
+        let replica = &self.replica;
+        let membership = replica.membership();
+        let mut voters = membership.voters.iter();
+        if let Some((lost, _)) = voters.find(|(_, voter)| voter.name == info.name) {
+            // One that has just ended still seems to answer for a moment.
+            let is_gone = !replica.is_answering(*lost, now);
+            return is_gone.then(|| remove(ChangeReason::VoterReplaced)(*lost));
+        }
+        let promote = (MembershipChange::Promote(id), ChangeReason::CaughtUp);
+        if membership.voters.len() < membership.full_size() {
+            return Some(promote);
+        }
+        if let Some(gone) = self.succeeded_voter(now) {
+            return Some(remove(ChangeReason::Succeeded)(gone));
+        }
+        // The group grows only while nobody is missing.
+        let is_complete = membership.voters.keys().all(|voter| self.is_present(*voter, now));
+        is_complete.then_some(promote)
+    }
+
+    /// Whether a voter answers, and has since the newest member came: one that ended just before seems
+    /// to answer for a moment longer, and the newest may have come in its place.
+    fn is_present(&self, voter: MemberId, now: Time) -> bool {
+        self.replica.is_answering(voter, now)
+            && self.replica.has_answered_since(voter, self.noted.changed_at)
+    }
+
+    /// A silent voter for whose place another member is there. Where more are silent than others have
+    /// come for, nobody can tell which of them is only away for a while: its disk may be needed, should
+    /// the newcomer's be lost too. The choice is put off then.
+    fn succeeded_voter(&self, now: Time) -> Option<MemberId> {
+        let replica = &self.replica;
+        let membership = replica.membership();
+        let voters = membership.voters.keys().filter(|id| self.is_present(**id, now));
+        let learners = membership.learners.keys().filter(|id| is_ready(replica, **id, now));
+        let is_complete = voters.count() + learners.count() >= membership.full_size();
+        let silence = if is_complete { SUCCEEDED_SILENCE } else { UNDECIDED_SILENCE };
+        silent_voter(replica, now, silence)
+    }
 }
 
-/// A learner that has the whole log and answers.
-fn ready_learner(replica: &Replica, now: Time) -> Option<MemberId> {
-    let mut learners = replica.membership().learners.keys().copied();
-    learners.find(|id| replica.is_caught_up(*id, PROMOTION_SLACK) && replica.is_answering(*id, now))
+fn remove(reason: ChangeReason) -> impl Fn(MemberId) -> (MembershipChange, ChangeReason) {
+    move |id| (MembershipChange::Remove(id), reason)
+}
+
+/// Whether a learner has the whole log and answers.
+fn is_ready(replica: &Replica, learner: MemberId, now: Time) -> bool {
+    replica.is_caught_up(learner, PROMOTION_SLACK) && replica.is_answering(learner, now)
 }
 
 /// A learner that went away before it became a voter; it asks again when it is back.
@@ -142,24 +218,19 @@
     })
 }
 
-/// A silent voter of a group in which as many others answer as it is meant to have: machines at other
-/// addresses have come for those that are gone. In a group that lacks some, a silent one is kept: it
-/// may be back with its disk, and what was committed may be on no other disk that lasts.
-fn succeeded_voter(replica: &Replica, now: Time) -> Option<MemberId> {
-    let membership = replica.membership();
-    let voters = &membership.voters;
-    let answering = voters.keys().filter(|id| replica.is_answering(**id, now)).count();
-    if answering < membership.full_size() {
-        return None;
-    }
-    voters.keys().copied().find(|id| replica.member_silence(*id, now) > SUCCEEDED_SILENCE)
+/// The voter that has been silent longest, if that is longer than a time.
+fn silent_voter(replica: &Replica, now: Time, silence: Duration) -> Option<MemberId> {
+    let voters = replica.membership().voters.keys().copied();
+    let longest = voters.max_by_key(|id| replica.member_silence(*id, now))?;
+    (replica.member_silence(longest, now) > silence).then_some(longest)
 }
 
 /// A silent voter of a group of even size. Such a group bears no more losses than one that is
 /// smaller by one, so the silent one only raises the quorum; it rejoins by itself when it is back.
+/// In a group of odd size it is kept: it may be back with its disk, and what was committed may be on
+/// no other disk that lasts.
 fn surplus_voter(replica: &Replica, now: Time) -> Option<MemberId> {
-    let voters = &replica.membership().voters;
-    let is_even = voters.len().is_multiple_of(2);
-    let mut silent = voters.keys().filter(|id| replica.member_silence(**id, now) > SURPLUS_SILENCE);
-    silent.next().copied().filter(|_| is_even && voters.len() > 2)
+    let count = replica.membership().voters.len();
+    let is_even = count.is_multiple_of(2) && count > 2;
+    silent_voter(replica, now, SURPLUS_SILENCE).filter(|_| is_even)
 }
--- a/crates/control/tests/common/mod.rs
+++ b/crates/control/tests/common/mod.rs
@@ -30,7 +30,7 @@
 /// Time after which a request to nobody is given up.
 const GIVE_UP: Duration = Duration::from_millis(1_100);
 /// Lines that [`World::told`] shows.
-const TOLD: usize = 40;
+const TOLD: usize = 60;
 
 fn address(host: Host) -> String {
     format!("10.0.0.{host}:7780")
@@ -257,8 +257,7 @@
             }
             MemberOutput::Act(_) => {}
             MemberOutput::Note(event) => {
-                let is_chatter =
-                    matches!(event, MembershipEvent::JoinAnswered { answer: None, .. });
+                let is_chatter = matches!(event, MembershipEvent::JoinAnswered { .. });
                 if !is_chatter {
                     self.tell(host, event.to_string());
                 }
@@ -381,6 +380,26 @@
     /// What members said lately of who takes part.
     pub fn told(&self) -> String {
         let lines: Vec<&str> = self.told.iter().map(String::as_str).collect();
-        format!("lately:\n{}", lines.join("\n"))
+        let mut states = Vec::new();
+        for (host, machine) in &self.machines {
+            let Some(member) = &machine.member else {
+                states.push(format!("{host} is down"));
+                continue;
+            };
+            let replica = member.replica();
+            states.push(format!(
+                "{host} is {} {:?} in term {} with {}, log to {}, committed {}",
+                replica.id(),
+                replica.role(),
+                replica.term(),
+                MembershipEvent::InForce {
+                    membership: replica.membership().clone(),
+                    standing: replica.membership().standing(replica.id()),
+                },
+                replica.last_index(),
+                replica.commit()
+            ));
+        }
+        format!("lately:\n{}\nnow:\n{}", lines.join("\n"), states.join("\n"))
     }
 }
