A prompt that waits is looked after from the start, not only once its replica counts as silent

It had waited 2.16 s at a replica that is barred 1.5 s before the bound; the gateway looked for that only after the silence limit, 1.2 s and twice the estimate, so up to seconds later for a long prompt.

--- a/crates/topazmount/src/fleet/exchange/attempt.rs
+++ b/crates/topazmount/src/fleet/exchange/attempt.rs
@@ -16,6 +16,7 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 use topazmount_gateway::{AttemptEnd, Choice, RequestPlan, RouteKind};
+use topazmount_types::Time;
 
 /// Longest time for a connection to a replica to come up.
 const CONNECT_LIMIT: Duration = Duration::from_millis(300);
@@ -107,19 +108,18 @@
         let bytes = self.upstream_bytes(choice, progress);
         let sent_at = self.shared.clock.now();
         let mut first = pin!(self.first_answer(wire, &bytes));
-        let silence = self.silence_limit(choice);
-        let mut answer = until(silence.min(self.left()), first.as_mut()).await;
-        if answer.is_none() && !self.left().is_zero() {
-            if self.note_silence(choice, sent_at) && self.may_switch(plan) {
-                return Asked::Ended(Attempt::Ended(AttemptEnd::Silent));
-            }
+        let silent_at = sent_at + self.silence_limit(choice);
+        let mut is_judged = false;
+        let mut answer = until(self.next_look(silent_at, is_judged), first.as_mut()).await;
+        while answer.is_none() && !self.left().is_zero() {
+            let is_silent = !is_judged && self.shared.clock.now() >= silent_at;
+            let has_failed = is_silent && self.note_silence(choice, sent_at);
+            is_judged |= is_silent;
             // A replica that has not begun when its weights become too old must not begin any more.
-            while answer.is_none() && !self.left().is_zero() {
-                if self.is_barred(choice) && self.may_switch(plan) {
-                    return Asked::Ended(Attempt::Ended(AttemptEnd::Silent));
-                }
-                answer = until(BARRED_CHECK.min(self.left()), first.as_mut()).await;
+            if (has_failed || self.is_barred(choice)) && self.may_switch(plan) {
+                return Asked::Ended(Attempt::Ended(AttemptEnd::Silent));
             }
+            answer = until(self.next_look(silent_at, is_judged), first.as_mut()).await;
         }
         Asked::Ended(match answer {
             None => Attempt::Ended(AttemptEnd::TimedOut),
@@ -142,6 +142,20 @@
         })
     }
 
+    /// Time until a replica that has not answered is looked at again. Only one that was sent a prompt
+    /// may have weights that become too old.
+    fn next_look(&self, silent_at: Time, is_judged: bool) -> Duration {
+        let until_silent = match is_judged {
+            true => Duration::MAX,
+            false => silent_at.since(self.shared.clock.now()),
+        };
+        let until_check = match self.tags.prompt.is_some() {
+            true => BARRED_CHECK,
+            false => Duration::MAX,
+        };
+        until_silent.min(until_check).min(self.left())
+    }
+
     fn is_barred(&self, choice: &Choice) -> bool {
         self.shared.knowledge.lock().unwrap().balancer().is_barred(&choice.instance.id)
     }
