Signals are taken over before the settings are read: none ends a process that starts

The handlers were installed after the settings were read, the disk opened and the listeners bound; until then SIGHUP ends a process. A change of the file in that time was missed too, since its time was noted at the end of the start. Change: SettingsWatch takes the signals and notes the file's time before the settings are read; a change while the file is read counts as another one. Ruled out: the joining (no line of the process after its start; the other eight were whole).

--- a/crates/topazmount/src/fleet/process.rs
+++ b/crates/topazmount/src/fleet/process.rs
@@ -4,7 +4,8 @@
 use super::dialect::Dialect;
 use super::gateway::{Gateway, GatewayOptions};
 use super::settings::FleetSettings;
-use crate::{Executor, runtime};
+use crate::Executor;
+use crate::runtime::{self, SettingsWatch};
 use eyre::Result;
 use futures_lite::FutureExt;
 use std::path::Path;
@@ -15,13 +16,14 @@
 /// # Errors
 /// When it can't start.
 pub async fn run_gateway(executor: Executor, file: &Path, dialect: Arc<dyn Dialect>) -> Result<u8> {
+    let mut watch = SettingsWatch::new(file)?;
     let settings = FleetSettings::read(file)?;
     let gateway = Gateway::start(&executor, GatewayOptions { settings, dialect }).await?;
     let reload = || match FleetSettings::read(file) {
         Ok(settings) => gateway.reload(&settings),
         Err(error) => log::error!("gateway: event=reload_refused problem={error:#}"),
     };
-    runtime::stop_or_reload(file, reload).await?;
+    watch.stop_or_reload(reload).await?;
     gateway.stop().await;
     Ok(0)
 }
@@ -31,6 +33,7 @@
 /// # Errors
 /// When it can't start.
 pub async fn run_control(executor: Executor, file: &Path, dialect: Arc<dyn Dialect>) -> Result<u8> {
+    let mut watch = SettingsWatch::new(file)?;
     let settings = FleetSettings::read(file)?;
     let options = ControlPlaneOptions { settings, dialect };
     let control = ControlPlane::start(&executor, options).await?;
@@ -39,7 +42,7 @@
         Err(error) => log::error!("control: event=reload_refused problem={error:#}"),
     };
     let stopped = async {
-        runtime::stop_or_reload(file, reload).await?;
+        watch.stop_or_reload(reload).await?;
         Ok::<u8, eyre::Report>(0)
     };
     let failed = async {
--- a/crates/topazmount/src/runtime.rs
+++ b/crates/topazmount/src/runtime.rs
@@ -1,12 +1,14 @@
 //! How both commands run: a few threads, and an exit status that tells bad settings from failures.
 
 use crate::{Executor, logging};
+use async_signal::{Signal, Signals};
 use eyre::Result;
+use futures_lite::StreamExt;
 use std::future::Future;
-use std::path::Path;
+use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, SystemTime};
 use topazmount_settings::Problems;
 
 /// Exit status for bad usage or settings.
@@ -75,40 +77,61 @@
     }
 }
 
-/// Waits for signals, and calls `reload` for each that tells that the settings file has changed,
-/// or when the file's time of change moves; ends with the signal of a planned stop.
-///
-/// # Errors
-/// When the signals can't be watched.
-pub async fn stop_or_reload(file: &Path, mut reload: impl FnMut()) -> Result<()> {
-    use async_signal::{Signal, Signals};
-    use futures_lite::StreamExt;
-    let mut signals = Signals::new([Signal::Term, Signal::Int, Signal::Hup])?;
-    let changed_at = |file: &Path| file.metadata().and_then(|data| data.modified()).ok();
-    let mut seen = changed_at(file);
-    loop {
-        let signal = async { signals.next().await.transpose() };
-        let timer = async {
-            async_io::Timer::after(FILE_CHECK).await;
-            Ok(None)
-        };
-        match futures_lite::future::or(signal, timer).await? {
-            Some(Signal::Hup) => reload(),
-            Some(_) => return Ok(()),
-            None if changed_at(file) != seen => reload(),
-            None => {}
+/// Signals of a service and changes of its settings file, from the moment in which this was made: a
+/// service makes it before it reads its settings. A signal that comes while it starts would end it
+/// otherwise, and a change of the file be missed.
+pub struct SettingsWatch {
+    file: PathBuf,
+    signals: Signals,
+    /// Time of the file's change when the settings were read.
+    seen: Option<SystemTime>,
+}
+
+impl SettingsWatch {
+    /// Takes the signals over.
+    ///
+    /// # Errors
+    /// When the signals can't be watched.
+    pub fn new(file: &Path) -> Result<Self> {
+        let signals = Signals::new([Signal::Term, Signal::Int, Signal::Hup])?;
+        Ok(SettingsWatch { file: file.to_owned(), signals, seen: changed_at(file) })
+    }
+
+    /// Calls `reload` for each signal that tells that the settings file has changed, or when the
+    /// file's time of change moves; ends with the signal of a planned stop.
+    ///
+    /// # Errors
+    /// When the signals can't be watched any more.
+    pub async fn stop_or_reload(&mut self, mut reload: impl FnMut()) -> Result<()> {
+        loop {
+            let signal = async { self.signals.next().await.transpose() };
+            let timer = async {
+                async_io::Timer::after(FILE_CHECK).await;
+                Ok(None)
+            };
+            let signal = futures_lite::future::or(signal, timer).await?;
+            // Before the file is read: a change meanwhile is another one.
+            let changed = changed_at(&self.file);
+            match signal {
+                Some(Signal::Hup) => reload(),
+                Some(_) => return Ok(()),
+                None if changed != self.seen => reload(),
+                None => {}
+            }
+            self.seen = changed;
         }
-        seen = changed_at(file);
     }
 }
 
+fn changed_at(file: &Path) -> Option<SystemTime> {
+    file.metadata().and_then(|data| data.modified()).ok()
+}
+
 /// Waits for the signal of a planned stop: SIGTERM or SIGINT.
 ///
 /// # Errors
 /// When the signals can't be watched.
 pub async fn stop_signal() -> Result<()> {
-    use async_signal::{Signal, Signals};
-    use futures_lite::StreamExt;
     let mut signals = Signals::new([Signal::Term, Signal::Int])?;
     signals.next().await;
     Ok(())
