Split: who hears whom in consensus/contact.rs, how a member takes part in control/standing.rs; fewer link lines

Change: moves only, and control_lost is logged when nobody has answered for the time for which a silent member is avoided.

--- /dev/null
+++ b/crates/consensus/src/contact.rs
@@ -0,0 +1,72 @@
+//! Who has heard whom, and how lately: the lease, and what a leader knows of its followers.
+
+use crate::membership::MemberId;
+use crate::replica::{Replica, Role};
+use std::time::Duration;
+use topazmount_types::Time;
+
+impl Replica {
+    /// Whether this member may answer reads and give orders on its own word: it leads, an entry of
+    /// its term is committed (thesis §6.4) and a quorum answered within the lease.
+    pub fn has_lease(&self, now: Time) -> bool {
+        let is_serving = self.role == Role::Leader && self.transfer_until.is_none();
+        if !is_serving || self.commit < self.term_start {
+            return false;
+        }
+        self.quorum_acknowledged_at().is_some_and(|at| now < at + self.config.lease)
+    }
+
+    /// Whether this member leads with a lease, or heard from a leader within two election timeouts:
+    /// what it has applied is then at most about that old.
+    pub fn is_in_contact(&self, now: Time) -> bool {
+        let limit = self.config.election_timeout * 2;
+        let has_heard = self.leader_heard_at.is_some_and(|at| now < at + limit);
+        self.has_lease(now) || (self.leader.is_some() && has_heard)
+    }
+
+    /// Whether this member leads with a lease, or heard from a leader within two election timeouts
+    /// and has applied all that the leader had committed then. Unlike [`Replica::is_in_contact`] it
+    /// excludes a follower that hears the leader and still lacks entries.
+    pub fn is_current(&self, now: Time) -> bool {
+        let has_all = self.role == Role::Leader || self.applied() >= self.leader_commit;
+        has_all && self.is_in_contact(now)
+    }
+
+    /// How long this member has not heard from any leader; zero for a leader.
+    pub fn leader_silence(&self, now: Time) -> Duration {
+        if self.role == Role::Leader {
+            return Duration::ZERO;
+        }
+        self.leader_heard_at.map_or(Duration::MAX, |at| now.since(at))
+    }
+
+    /// How long a member has not answered this leader; counted from the begin of the leadership
+    /// where it never did.
+    pub fn member_silence(&self, id: MemberId, now: Time) -> Duration {
+        if id == self.id {
+            return Duration::ZERO;
+        }
+        let answered = self.progress.get(&id).and_then(|progress| progress.acknowledged_at);
+        now.since(answered.unwrap_or(self.leader_since).max(self.leader_since))
+    }
+
+    /// Whether a learner has everything that is committed, within `slack` entries.
+    pub fn is_caught_up(&self, id: MemberId, slack: u64) -> bool {
+        let progress = self.progress.get(&id);
+        self.role == Role::Leader
+            && progress.is_some_and(|progress| progress.matched + slack >= self.commit)
+    }
+
+    /// Whether a member answered this leader within two election timeouts.
+    pub fn is_answering(&self, id: MemberId, now: Time) -> bool {
+        let limit = self.config.election_timeout * 2;
+        let answered = self.progress.get(&id).and_then(|progress| progress.acknowledged_at);
+        id == self.id || answered.is_some_and(|at| now < at + limit)
+    }
+
+    /// Whether a member answered something that this leader sent after a moment.
+    pub fn has_answered_since(&self, id: MemberId, moment: Time) -> bool {
+        let answered = self.progress.get(&id).and_then(|progress| progress.acknowledged_at);
+        id == self.id || answered.is_some_and(|at| at > moment)
+    }
+}
--- a/crates/consensus/src/lib.rs
+++ b/crates/consensus/src/lib.rs
@@ -8,6 +8,7 @@
 //! [`Wal`] is the durable side, over a [`Disk`] that the driver provides.
 
 mod config;
+mod contact;
 mod disk;
 mod election;
 mod log;
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -14,6 +14,7 @@
 mod member;
 mod protocol;
 mod repair;
+mod standing;
 mod state;
 
 pub use configuration::{Configuration, ConfigurationUpdate, HistoryRow};
--- a/crates/control/src/member.rs
+++ b/crates/control/src/member.rs
@@ -4,17 +4,15 @@
 use crate::events::MembershipEvent;
 use crate::fleet::{FleetAction, FleetLeader, FleetResponse, RolloutSettings};
 use crate::joining::Joining;
-use crate::protocol::{
-    ChangeReply, ChangeRequest, JoinAnswer, MemberStatus, NodeReport, Request, Response,
-};
+use crate::protocol::{ChangeReply, ChangeRequest, NodeReport, Request, Response};
+use crate::standing::Noted;
 use crate::state::{Command, ControlState, Reply, TimedCommand};
 use std::collections::BTreeMap;
 use std::time::Duration;
 use thiserror::Error;
 use topazmount_consensus::{
     Config, Disk, DiskError, Entry, Envelope, Index, MemberId, MemberInfo, Membership,
-    MembershipChange, Payload, ProposeError, Recovered, Replica, Role, Standing, Term, Wal,
-    WalError,
+    MembershipChange, Payload, ProposeError, Recovered, Replica, Role, Term, Wal, WalError,
 };
 use topazmount_settings::{Declarations, SourceFiles};
 use topazmount_types::{Digest, ErrorKind, NodeId, Refusal, Time};
@@ -25,10 +23,6 @@
 const ENTRIES_PER_SNAPSHOT: u64 = 4_000;
 /// Applied bytes between two snapshots.
 const BYTES_PER_SNAPSHOT: u64 = 4 * 1024 * 1024;
-/// Silence of all leaders after which a member asks whether it still is one.
-const REJOIN_SILENCE: Duration = Duration::from_secs(2);
-/// Time after which a node that no longer asks is left out of the status.
-const NODE_REPORT_RETENTION: Duration = Duration::from_secs(60);
 
 /// Names the requester of an answer; chosen by the driver.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -106,17 +100,6 @@
     Note(MembershipEvent),
 }
 
-/// The membership that this member acts by, as it was told last.
-#[derive(Default)]
-pub(crate) struct Noted {
-    membership: Membership,
-    standing: Standing,
-    /// When the standing began.
-    since: Time,
-    /// When the membership began.
-    pub(crate) changed_at: Time,
-}
-
 struct Waiting {
     token: Token,
     term: Term,
@@ -124,12 +107,12 @@
 
 /// A control member.
 pub struct Member<D> {
-    settings: MemberSettings,
+    pub(crate) settings: MemberSettings,
     pub(crate) replica: Replica,
     wal: Wal<D>,
     pub(crate) state: ControlState,
     waiting: BTreeMap<Index, Waiting>,
-    nodes: BTreeMap<NodeId, NodeReport>,
+    pub(crate) nodes: BTreeMap<NodeId, NodeReport>,
     pub(crate) fleet: FleetLeader,
     /// Where peers were last heard from: a joining member does not know the membership yet.
     peer_addresses: BTreeMap<MemberId, String>,
@@ -138,7 +121,7 @@
     pub(crate) complete_since: Option<Time>,
     /// Leader: the change of the membership that could not be proposed last, and why.
     pub(crate) hindered: Option<(MembershipChange, ProposeError)>,
-    joining: Joining,
+    pub(crate) joining: Joining,
     snapshot_at: Index,
     bytes_since_snapshot: u64,
     pub(crate) outputs: Vec<MemberOutput>,
@@ -182,7 +165,7 @@
             nodes: BTreeMap::new(),
             fleet,
             peer_addresses: BTreeMap::new(),
-            noted: Noted { since: now, ..Noted::default() },
+            noted: Noted::new(now),
             complete_since: None,
             hindered: None,
             joining,
@@ -218,42 +201,6 @@
         self.settings.consensus.election_timeout
     }
 
-    /// Whether this process must ask to join: it never did, or it was away so long that it may
-    /// have been removed, of which a removed member is not told.
-    fn must_join(&self, now: Time) -> bool {
-        let is_member = self.replica.membership().contains(self.replica.id());
-        !is_member || self.replica.leader_silence(now) > REJOIN_SILENCE
-    }
-
-    /// Seeds in use.
-    pub fn seeds(&self) -> &[String] {
-        self.joining.seeds()
-    }
-
-    /// Takes the seeds of changed settings into use.
-    pub fn set_seeds(&mut self, seeds: Vec<String>) {
-        self.joining.set_seeds(seeds);
-    }
-
-    fn is_outside(&self) -> bool {
-        !self.replica.membership().contains(self.replica.id())
-    }
-
-    /// Addresses at which other members may be.
-    pub(crate) fn known_addresses(&self, now: Time) -> Vec<String> {
-        match self.is_outside() {
-            true => self.joining.addresses(now, self.member_addresses()).into_iter().collect(),
-            false => self.member_addresses(),
-        }
-    }
-
-    /// Internal addresses of all members.
-    fn member_addresses(&self) -> Vec<String> {
-        let membership = self.replica.membership();
-        let all = membership.voters.values().chain(membership.learners.values());
-        all.map(|info| info.address.clone()).collect()
-    }
-
     /// Next moment at which [`MemberInput::Tick`] has something to do.
     pub fn next_wakeup(&self) -> Time {
         let joining = self.joining.next_at().unwrap_or(Time::NEVER);
@@ -301,26 +248,6 @@
         Ok(std::mem::take(&mut self.outputs))
     }
 
-    pub(crate) fn note(&mut self, event: MembershipEvent) {
-        self.outputs.push(MemberOutput::Note(event));
-    }
-
-    fn note_membership(&mut self, now: Time) {
-        let membership = self.replica.membership();
-        if *membership == self.noted.membership {
-            return;
-        }
-        let membership = membership.clone();
-        let standing = membership.standing(self.replica.id());
-        if standing != self.noted.standing {
-            self.noted.since = now;
-        }
-        self.noted.standing = standing;
-        self.noted.changed_at = now;
-        self.noted.membership = membership.clone();
-        self.note(MembershipEvent::InForce { membership, standing });
-    }
-
     fn tick(&mut self, now: Time) {
         self.replica.tick(now);
         if self.replica.has_lease(now) {
@@ -332,31 +259,6 @@
         self.tick_joining(now);
     }
 
-    /// Asks to join where that is due.
-    fn tick_joining(&mut self, now: Time) {
-        if !self.must_join(now) {
-            return self.joining.end();
-        }
-        let (id, info) = (self.replica.id(), &self.settings.info);
-        for address in self.joining.due(now, &info.address, self.member_addresses()) {
-            let request = Request::Join(id, info.clone());
-            self.outputs.push(MemberOutput::Ask(address, request));
-        }
-    }
-
-    fn on_join_answer(&mut self, now: Time, member: String, answer: Option<Response>) {
-        self.joining.answered(now, &member, answer.as_ref());
-        let answer = match answer {
-            Some(Response::Joining(answer)) => Some(answer),
-            // From a member of an older version.
-            Some(Response::NotLeader(leader)) => {
-                Some(JoinAnswer::AskElsewhere { leader, members: Vec::new() })
-            }
-            Some(_) | None => None,
-        };
-        self.note(MembershipEvent::JoinAnswered { member, answer });
-    }
-
     fn on_request(&mut self, now: Time, token: Token, request: Request) {
         let response = match request {
             Request::Ledger(command) => return self.propose(now, token, command),
@@ -398,15 +300,6 @@
         Response::NotLeader(self.known_leader(now))
     }
 
-    /// Another member that leads: the one that this member follows, or, outside the group, the one
-    /// that was named.
-    pub(crate) fn known_leader(&self, now: Time) -> Option<MemberInfo> {
-        let leader = self.replica.leader().filter(|id| *id != self.replica.id());
-        let followed = leader.and_then(|id| self.replica.membership().info(id).cloned());
-        let leader = followed.or_else(|| self.joining.leader(now).cloned());
-        leader.filter(|info| info.address != self.settings.info.address)
-    }
-
     fn propose_change(&mut self, now: Time, token: Token, change: ChangeRequest) {
         if let Err(problems) = Declarations::parse(&change.source) {
             let refusal = Refusal::new(ErrorKind::InvalidRequest, problems.to_string());
@@ -521,35 +414,6 @@
         self.snapshot_at = applied;
         Ok(())
     }
-
-    fn status(&mut self, now: Time) -> MemberStatus {
-        self.nodes.retain(|_, report| now < report.heard_at + NODE_REPORT_RETENTION);
-        let answering = match self.replica.role() {
-            Role::Leader => self.answering(now),
-            _ => Vec::new(),
-        };
-        MemberStatus {
-            id: self.replica.id(),
-            name: self.settings.info.name.clone(),
-            is_leader: self.replica.has_lease(now),
-            term: self.replica.term(),
-            applied: self.replica.applied(),
-            membership: self.replica.membership().clone(),
-            revision: self.state.configuration.revision(),
-            ledger_keys: self.state.ledger.len() as u64,
-            nodes: self.nodes.values().cloned().collect(),
-            now,
-            standing: self.noted.standing,
-            standing_for: now.since(self.noted.since),
-            answering,
-        }
-    }
-
-    fn answering(&self, now: Time) -> Vec<MemberId> {
-        let membership = self.replica.membership();
-        let all = membership.voters.keys().chain(membership.learners.keys());
-        all.copied().filter(|id| self.replica.is_answering(*id, now)).collect()
-    }
 }
 
 fn response_of(reply: Reply) -> Response {
--- a/crates/topazmount/src/fleet/watcher.rs
+++ b/crates/topazmount/src/fleet/watcher.rs
@@ -74,6 +74,8 @@
     avoided: HashMap<SocketAddr, Time>,
     connect_limit: ConnectLimit,
     is_connected: bool,
+    /// When a member answered last.
+    answered_at: Time,
 }
 
 impl Watcher {
@@ -96,6 +98,7 @@
             avoided: HashMap::new(),
             connect_limit: ConnectLimit::default(),
             is_connected: true,
+            answered_at: clock.now(),
         }
     }
 
@@ -205,7 +208,14 @@
         self.clients.retain(|address, _| members.contains(address) || seeds.contains(address));
     }
 
-    fn note_connected(&mut self, target: SocketAddr, is_connected: bool) {
+    /// Logs when all members have stopped answering, and when one does again.
+    fn note_connected(&mut self, target: SocketAddr, is_answered: bool) {
+        let now = self.clock.now();
+        if is_answered {
+            self.answered_at = now;
+        }
+        // One that does not answer is no loss while others do.
+        let is_connected = now < self.answered_at + AVOIDANCE;
         if self.is_connected != is_connected {
             self.is_connected = is_connected;
             let state = if is_connected { "regained" } else { "lost" };
