--- a/crates/control/src/repair.rs
+++ b/crates/control/src/repair.rs
@@ -12,8 +12,8 @@
 };
 use topazmount_types::Time;
 
-/// Silence after which a voter for whose place another member is there is removed: two of the longest waits for
-/// an election, so that one that was only slow to hear of a new leader is kept.
+/// Silence after which a voter for whose place another member is there is removed: two of the longest
+/// waits for an election, so that one that was only slow to hear of a new leader is kept.
 const SUCCEEDED_SILENCE: Duration = Duration::from_millis(2_400);
 /// Silence after which a voter is removed for a newcomer, although others are silent as well. Longer
 /// than a process or machine takes to start again.
--- a/crates/control/src/standing.rs
+++ b/crates/control/src/standing.rs
@@ -34,8 +34,7 @@
     /// Whether this process must ask to join: it never did, or it was away so long that it may
     /// have been removed, of which a removed member is not told.
     pub(crate) fn must_join(&self, now: Time) -> bool {
-        let is_member = self.replica.membership().contains(self.replica.id());
-        !is_member || self.replica.leader_silence(now) > REJOIN_SILENCE
+        self.is_outside() || self.replica.leader_silence(now) > REJOIN_SILENCE
     }
 
     /// Seeds in use.
