A group that has not settled yet does not take its founders as its size

Change: the size is unknown, and so the number of voters, until all have answered for 10 s once; a newcomer takes a silent voter's place only where all other voters are there.

--- a/crates/consensus/src/membership.rs
+++ b/crates/consensus/src/membership.rs
@@ -33,7 +33,8 @@
     /// Members that receive the log and do not count.
     pub learners: BTreeMap<MemberId, MemberInfo>,
     /// Voters that the group is meant to have: as many as it had when all of them had answered for a
-    /// while. 0 in state that older versions wrote, where it is not known.
+    /// while. 0 where it is not known: in a group that has not settled yet, since others may be about to
+    /// join its founders, and in state that older versions wrote.
     #[serde(default, skip_serializing_if = "is_unknown")]
     pub full_size: usize,
 }
@@ -68,10 +69,9 @@
 }
 
 impl Membership {
-    /// A group whose founders are all there.
+    /// The founders of a group.
     pub fn founding(voters: BTreeMap<MemberId, MemberInfo>) -> Self {
-        let full_size = voters.len();
-        Membership { voters, learners: BTreeMap::new(), full_size }
+        Membership { voters, ..Membership::default() }
     }
 
     /// Voters that the group is meant to have; as many as there are where that is not known.
--- a/crates/control/src/repair.rs
+++ b/crates/control/src/repair.rs
@@ -115,7 +115,7 @@
             .or_else(|| replaced_voter(replica, now).map(remove(ChangeReason::VoterReplaced)))
             .or_else(|| {
                 let is_over = membership.voters.len() > membership.full_size();
-                let gone = self.succeeded_voter(now).filter(|_| is_over);
+                let gone = self.succeeded_voter(now, membership.full_size()).filter(|_| is_over);
                 gone.map(remove(ChangeReason::Succeeded))
             })
             .or_else(|| surplus_voter(replica, now).map(remove(ChangeReason::Surplus)))
@@ -130,7 +130,8 @@
     /// is meant to have these.
     fn is_settled(&self, now: Time) -> bool {
         let membership = self.replica.membership();
-        let time = match membership.voters.len().cmp(&membership.full_size()) {
+        // Where it is not known, any number is news.
+        let time = match membership.voters.len().cmp(&membership.full_size) {
             Ordering::Greater => GROWING_TIME,
             Ordering::Less => SHRINKING_TIME,
             Ordering::Equal => return false,
@@ -159,7 +160,7 @@
         if membership.voters.len() < membership.full_size() {
             return Some(promote);
         }
-        if let Some(gone) = self.succeeded_voter(now) {
+        if let Some(gone) = self.succeeded_voter(now, membership.voters.len()) {
             return Some(remove(ChangeReason::Succeeded)(gone));
         }
         // The group grows only while nobody is missing.
@@ -174,15 +175,15 @@
             && self.replica.has_answered_since(voter, self.noted.changed_at)
     }
 
-    /// A silent voter for whose place another member is there. Where more are silent than others have
-    /// come for, nobody can tell which of them is only away for a while: its disk may be needed, should
+    /// A silent voter for whose place another member is there: `wanted` are, without it. Where fewer are,
+    /// nobody can tell which of them is only away for a while: its disk may be needed, should
     /// the newcomer's be lost too. The choice is put off then.
-    fn succeeded_voter(&self, now: Time) -> Option<MemberId> {
+    fn succeeded_voter(&self, now: Time, wanted: usize) -> Option<MemberId> {
         let replica = &self.replica;
         let membership = replica.membership();
         let voters = membership.voters.keys().filter(|id| self.is_present(**id, now));
         let learners = membership.learners.keys().filter(|id| is_ready(replica, **id, now));
-        let is_complete = voters.count() + learners.count() >= membership.full_size();
+        let is_complete = voters.count() + learners.count() >= wanted;
         let silence = if is_complete { SUCCEEDED_SILENCE } else { UNDECIDED_SILENCE };
         silent_voter(replica, now, silence)
     }
