Prompts are placed by coordinators of shards where gateways are many

Cause: a gateway of 295 sees a request in 295 itself and hears of 15 others. A subject comes back to it after half an hour, and it knows of a twentieth of the load: so replicas collide, and shared parts are read where others hold them. Where one gateway knows all work of 16 replicas, and whoever has a prompt asks that one, size costs nothing. Change: replicas fall into shards by the leading bits of their names' hash (a power of two of them, about 16 replicas each); a prompt belongs to the shard of its first home by rendezvous hashing over all replicas, so that a replica that leaves moves only its own prompts. Two gateways a shard, found alike by all, are its coordinators. A gateway asks the first one (one datagram there and back), the second after 60 ms of silence, and decides by itself after that; it tells both what becomes of the prompt (sent, read, ended, failed). Where a shard is full the next one is asked. A shard's prompts share a store, which its coordinators follow. Up to 16 gateways all is as before. Nothing is taken on trust that a rule stands on: the asking gateway checks draining, bars, versions and what was tried itself. Second change: where nobody holds all shared parts of a prompt, what shallow parts save does not count. Hypothesis: the first holder of a first part becomes the home of all that begin alike, and the busiest replica goes down. Third: four questions in a row without an answer, and a gateway asks nobody for a second: one that is cut off would wait 60 ms for each. By reading; crates/gateway/tests/shards.rs, a_gateway_that_reaches_no_coordinator.

--- a/crates/gateway/src/balancer/candidates.rs
+++ b/crates/gateway/src/balancer/candidates.rs
@@ -4,6 +4,7 @@
 use super::replica::Replica;
 use super::view::PromptView;
 use super::{Balancer, ChoiceRequest};
+use crate::shards::Shard;
 use rand::Rng;
 use std::collections::HashMap;
 use topazmount_control::Availability;
@@ -19,10 +20,16 @@
 
 impl Balancer {
     /// Replicas that may be asked: healthy ones, else those that failed lately.
-    pub(super) fn open_replicas(&self, request: &ChoiceRequest<'_>, now: Time) -> Vec<InstanceId> {
+    pub(super) fn open_replicas(
+        &self,
+        request: &ChoiceRequest<'_>,
+        shard: Option<Shard>,
+        now: Time,
+    ) -> Vec<InstanceId> {
         let may_serve = |replica: &&Replica| {
             let instance = &replica.instance;
             !instance.is_draining
+                && shard.is_none_or(|shard| shard.contains(replica.key))
                 && replica.availability != Availability::Barred
                 && !request.exclude.contains(&instance.id)
                 && request.held_to.is_none_or(|id| *id == instance.id)
@@ -58,6 +65,7 @@
         let is_unknown = view.kept.is_empty() && view.coming.is_empty();
         let version_of = |id: &InstanceId| self.replicas[id].version(request.model);
         let rate = self.prefill_rate(request.service);
+        let is_placed_anew = self.has_coordinators && view.is_nowhere_whole(request);
         let newest = open.iter().filter_map(version_of).max();
         let mut candidates: Vec<Candidate> = Vec::with_capacity(open.len());
         for (position, id) in open.iter().enumerate() {
@@ -78,6 +86,12 @@
                     source,
                     rate,
                 );
+                if is_placed_anew {
+                    // What shallow parts save once must not decide where the deep ones stay: their
+                    // holders would become the homes of all prompts that begin alike. Late answers of
+                    // two paired plays of 8 and 12 s: 522 and 528 before, 303 and 411 after.
+                    candidate.prefill_ms = f64::from(prompt.prompt_tokens) / rate;
+                }
                 if version_of(id) < newest {
                     candidate.network_ms += OLD_WEIGHTS_MS;
                 }
--- a/crates/gateway/src/balancer/choice.rs
+++ b/crates/gateway/src/balancer/choice.rs
@@ -83,6 +83,8 @@
     pub source: Option<String>,
     /// Address of the store that the replica should send the prompt's parts to.
     pub save_to: Option<String>,
+    /// Whether the request has a prompt.
+    pub(super) has_prompt: bool,
     pub(super) slot: u32,
 }
 
--- a/crates/gateway/src/balancer/mod.rs
+++ b/crates/gateway/src/balancer/mod.rs
@@ -11,16 +11,18 @@
 mod holders;
 mod news;
 mod replica;
+mod sharded;
 mod source;
 mod view;
 
 use crate::estimator::PrefillEstimator;
+use crate::shards::Shard;
 use crate::stores::{Stores, cache_salt};
 use choice::shared_of;
 pub use choice::{Choice, ChoiceRequest};
 use cost::PREFILL_PRIOR;
 use holders::Holders;
-pub use news::{LoadNews, TOLD_TOKENS};
+pub use news::{LoadNews, PromptEvent, TOLD_TOKENS};
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 use replica::Replica;
@@ -46,6 +48,8 @@
     surely_kept: Duration,
     /// Rates at which engines read, by service.
     prefill: HashMap<String, PrefillEstimator>,
+    /// Whether gateways are so many that coordinators place prompts.
+    has_coordinators: bool,
     next_slot: u32,
     rng: ChaCha8Rng,
     sequence: u64,
@@ -63,6 +67,7 @@
             stores: Stores::default(),
             surely_kept: SURELY_KEPT,
             prefill: HashMap::new(),
+            has_coordinators: false,
             next_slot: 0,
             rng: ChaCha8Rng::seed_from_u64(seed),
             sequence: 0,
@@ -141,14 +146,25 @@
         request: &ChoiceRequest<'_>,
         now: Time,
         policies: &mut PolicyTable,
+    ) -> Option<Choice> {
+        self.choose_within(request, None, now, policies)
+    }
+
+    /// Chooses a replica of one shard, or of the whole service.
+    pub(crate) fn choose_within(
+        &mut self,
+        request: &ChoiceRequest<'_>,
+        shard: Option<Shard>,
+        now: Time,
+        policies: &mut PolicyTable,
     ) -> Option<Choice> {
         self.sequence += 1;
-        let open = self.open_replicas(request, now);
+        let open = self.open_replicas(request, shard, now);
         if open.is_empty() {
             return None;
         }
         let chain = request.chain();
-        let view = self.prompt_view(request, shared_of(&chain), now);
+        let view = self.prompt_view(request, shared_of(&chain), shard, now);
         let candidates = self.candidates(&open, request, &view, now);
         let route_request = request.as_policies_see_it(&chain, self.sequence);
         let policy = policies.assign(&route_request);
@@ -168,6 +184,7 @@
             version: replica.version(request.model),
             source: source.map(|source| source.address),
             save_to: None,
+            has_prompt: request.prompt.is_some(),
             slot: replica.slot,
         })
     }
@@ -189,6 +206,7 @@
         &mut self,
         choice: &Choice,
         request: &ChoiceRequest<'_>,
+        shard: Option<Shard>,
         now: Time,
     ) -> Option<String> {
         let prompt = request.prompt?;
@@ -198,7 +216,7 @@
             return None;
         }
         let salt = cache_salt(choice.version?, request.wall);
-        self.stores.save(prompt, &salt, now)
+        self.stores.save(prompt, shard, &salt, now)
     }
 
     /// Whether the policy that decides on the request lets it run.
@@ -211,7 +229,7 @@
 
     /// Whether any replica may be asked; nothing is counted.
     pub fn has_choice(&self, request: &ChoiceRequest<'_>, now: Time) -> bool {
-        !self.open_replicas(request, now).is_empty()
+        !self.open_replicas(request, None, now).is_empty()
     }
 
     /// Notes that a request was sent to its choice.
@@ -251,24 +269,39 @@
         }
     }
 
-    /// What other nodes should know after a request was sent, or its prompt was read. Short
-    /// prompts are not worth a message.
+    /// What other nodes should know of a prompt. Where each tells all others, short prompts are not
+    /// worth a message, nor is their end.
     pub fn news(
         &self,
         choice: &Choice,
         request: &ChoiceRequest<'_>,
-        has_read: bool,
+        event: PromptEvent,
     ) -> Option<LoadNews> {
-        let is_long = request.prompt.is_some_and(|prompt| prompt.prompt_tokens >= TOLD_TOKENS);
-        let replica = self.replicas.get(&choice.instance.id).filter(|_| is_long)?;
+        let prompt = request.prompt?;
+        let is_long = prompt.prompt_tokens >= TOLD_TOKENS;
+        if !self.has_coordinators && !is_long {
+            return None;
+        }
+        let parts = request.shared();
+        self.news_of(choice, parts, event)
+    }
+
+    /// What other nodes should know after a prompt ended.
+    pub fn news_of_end(&self, choice: &Choice, event: PromptEvent) -> Option<LoadNews> {
+        let is_told = self.has_coordinators && choice.has_prompt;
+        is_told.then(|| self.news_of(choice, Vec::new(), event)).flatten()
+    }
+
+    fn news_of(&self, choice: &Choice, parts: Vec<u64>, event: PromptEvent) -> Option<LoadNews> {
+        let replica = self.replicas.get(&choice.instance.id)?;
         Some(LoadNews {
             node: 0,
-            replica: replica_key(&choice.instance.id),
+            replica: replica.key.0,
             pending_prefill: replica.pending_prefill,
             in_flight: replica.in_flight,
             version: choice.version?,
-            parts: request.shared(),
-            has_read,
+            parts,
+            event,
         })
     }
 
@@ -278,10 +311,14 @@
         let Some(replica) = self.replicas.get_mut(id) else { return };
         replica.note_peer(news.node, news.pending_prefill, news.in_flight, now);
         let incarnation: Incarnation = replica.incarnation(news.version);
-        if news.has_read {
-            self.holders.read(&news.parts, replica.slot, incarnation, now);
-        } else {
-            self.holders.sent(&news.parts, replica.slot, incarnation, now);
+        match news.event {
+            PromptEvent::Sent => self.holders.sent(&news.parts, replica.slot, incarnation, now),
+            PromptEvent::Read => {
+                replica.heard_at = now;
+                self.holders.read(&news.parts, replica.slot, incarnation, now);
+            }
+            PromptEvent::Ended => {}
+            PromptEvent::Failed => replica.note_failure_elsewhere(now),
         }
     }
 
--- a/crates/gateway/src/balancer/news.rs
+++ b/crates/gateway/src/balancer/news.rs
@@ -21,6 +21,19 @@
     pub version: u32,
     /// Shared parts of the prompt that this is about, as a chain of hashes.
     pub parts: Vec<u64>,
-    /// Whether the replica has read them; else it was sent them.
-    pub has_read: bool,
+    /// What became of the prompt there.
+    pub event: PromptEvent,
+}
+
+/// What became of a prompt at a replica.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum PromptEvent {
+    /// It was sent there.
+    Sent,
+    /// It has been read: its first token came.
+    Read,
+    /// It occupies the replica no more.
+    Ended,
+    /// The replica failed it.
+    Failed,
 }
--- a/crates/gateway/src/balancer/replica.rs
+++ b/crates/gateway/src/balancer/replica.rs
@@ -3,7 +3,7 @@
 use std::collections::HashMap;
 use std::time::Duration;
 use topazmount_control::{Availability, LoadedModel};
-use topazmount_types::{Incarnation, Instance, Time};
+use topazmount_types::{Incarnation, Instance, ReplicaId, Time};
 
 /// Weight of a new observation in a replica's smoothed delay.
 const DELAY_GAIN: f64 = 0.4;
@@ -27,6 +27,8 @@
 #[derive(Clone, Debug)]
 pub(super) struct Replica {
     pub(super) instance: Instance,
+    /// Its name among nodes, which number replicas differently.
+    pub(super) key: ReplicaId,
     /// Number of this life of a replica; never used again.
     pub(super) slot: u32,
     /// This node's requests there.
@@ -48,6 +50,7 @@
 impl Replica {
     pub(super) fn new(instance: Instance, slot: u32) -> Self {
         Replica {
+            key: ReplicaId::from_name(&instance.id),
             instance,
             slot,
             in_flight: 0,
@@ -76,6 +79,10 @@
     }
 
     pub(super) fn note_peer(&mut self, peer: u64, pending_prefill: u64, in_flight: u32, at: Time) {
+        if in_flight == 0 {
+            self.peers.remove(&peer);
+            return;
+        }
         self.peers.insert(peer, PeerLoad { pending_prefill, in_flight, at });
         self.peers.retain(|_, load| at < load.at + PEER_LOAD_AGE);
     }
@@ -131,6 +138,12 @@
         self.suspect_until = now + wait.min(LONGEST_SUSPICION);
     }
 
+    /// Takes another node's word that it failed there: that node may be the one that is cut off, so
+    /// that only the shortest suspicion follows.
+    pub(super) fn note_failure_elsewhere(&mut self, now: Time) {
+        self.suspect_until = self.suspect_until.max(now + FIRST_SUSPICION);
+    }
+
     pub(super) fn note_replaced(&mut self, now: Time) {
         self.failures += 1;
         self.suspect_until = now + LONGEST_SUSPICION;
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -13,10 +13,12 @@
 mod knowledge;
 mod plan;
 mod prompt;
+mod question;
+mod shards;
 mod split;
 mod stores;
 
-pub use balancer::{Balancer, Choice, ChoiceRequest, LoadNews, TOLD_TOKENS};
+pub use balancer::{Balancer, Choice, ChoiceRequest, LoadNews, PromptEvent, TOLD_TOKENS};
 pub use budget::{BudgetSettings, RetryBudget};
 pub use catalog::{
     Catalog, CatalogParts, CatalogProblem, EngineParameters, HttpLimits, Route, RouteKind, Service,
@@ -27,6 +29,8 @@
 pub use knowledge::{Admission, GatewaySettings, Knowledge};
 pub use plan::{AttemptEnd, NextStep, RequestPlan};
 pub use prompt::{Prompt, PromptPart};
+pub use question::{ChoiceQuestion, Offer};
+pub use shards::{Gateways, MOST_TOLD, Shard};
 pub use stores::{
     MOST_READERS, StoreChange, StoreEvents, StoreKey, StoredPrompt, Stores, cache_salt,
 };
--- /dev/null
+++ b/crates/gateway/src/question.rs
@@ -0,0 +1,87 @@
+//! Questions to the coordinator of a shard, and its answers.
+
+use crate::balancer::ChoiceRequest;
+use crate::prompt::{Prompt, PromptPart};
+use crate::shards::Shard;
+use serde::{Deserialize, Serialize};
+use topazmount_types::ReplicaId;
+
+/// Which replica of a shard should a prompt be sent to?
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct ChoiceQuestion {
+    /// Shard of the service's replicas.
+    pub shard: Shard,
+    /// Service that the request goes to.
+    pub service: String,
+    /// Hash of the tenant's name; 0 where there is none.
+    pub tenant: u64,
+    /// Parts of the prompt: hash of the identifier, tokens.
+    pub parts: Vec<(u64, u32)>,
+    /// Prompt length in tokens.
+    pub prompt_tokens: u32,
+    /// Most tokens to generate.
+    pub output_tokens: u32,
+    /// Model of the prompt.
+    pub model: Option<String>,
+    /// Hash of what separates caches beside the version of weights.
+    pub namespace: u64,
+    /// The tenant whose parts are kept from all others, if it is one.
+    pub wall: Option<String>,
+    /// Hashes of the identifiers of replicas that were tried already.
+    pub exclude: Vec<u64>,
+}
+
+/// The replica that a coordinator names, and what it expects there.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Offer {
+    /// Hash of the replica's identifier.
+    pub replica: u64,
+    /// Prompt tokens that it is expected to compute.
+    pub expected_prefill: u32,
+    /// Prompt tokens that it is known to hold or to be reading already.
+    pub known_tokens: u32,
+    /// Estimated time to the first token, in milliseconds.
+    pub estimate_ms: f64,
+    /// Number of the policy that decided.
+    pub policy: u32,
+    /// Place in the order of the prompt's homes.
+    pub home_rank: u32,
+    /// Whether nothing else was known to wait there to be read.
+    pub is_clear: bool,
+    /// Version of the model's weights that it is believed to hold.
+    pub version: Option<u32>,
+    /// Who probably holds more of the prompt.
+    pub source: Option<String>,
+    /// Store that the prompt's parts should be sent to.
+    pub save_to: Option<String>,
+}
+
+impl ChoiceQuestion {
+    /// The question for a request that has a prompt.
+    pub(crate) fn new(request: &ChoiceRequest<'_>, shard: Shard) -> Option<Self> {
+        let prompt = request.prompt?;
+        let exclude = request.exclude.iter().map(|id| ReplicaId::from_name(id).0);
+        Some(ChoiceQuestion {
+            shard,
+            service: request.service.to_owned(),
+            tenant: request.tenant,
+            parts: prompt.parts.iter().map(|part| (part.id, part.tokens)).collect(),
+            prompt_tokens: prompt.prompt_tokens,
+            output_tokens: prompt.output_tokens,
+            model: request.model.map(str::to_owned),
+            namespace: request.namespace,
+            wall: request.wall.map(str::to_owned),
+            exclude: exclude.collect(),
+        })
+    }
+
+    /// The prompt that it is about.
+    pub(crate) fn prompt(&self) -> Prompt {
+        let parts = self.parts.iter().map(|(id, tokens)| PromptPart { id: *id, tokens: *tokens });
+        Prompt {
+            parts: parts.collect(),
+            prompt_tokens: self.prompt_tokens,
+            output_tokens: self.output_tokens,
+        }
+    }
+}
--- a/crates/gateway/src/stores.rs
+++ b/crates/gateway/src/stores.rs
@@ -5,6 +5,7 @@
 
 use crate::catalog::StoreParameters;
 use crate::prompt::Prompt;
+use crate::shards::Shard;
 use std::collections::HashMap;
 use std::hash::{DefaultHasher, Hash, Hasher};
 use std::time::Duration;
@@ -140,8 +141,8 @@
     }
 
     /// What the prompt's store holds of its shared parts under a salt.
-    pub fn find(&self, prompt: &Prompt, salt: &str) -> Option<StoredPrompt> {
-        let store = self.arena.get(self.key_of(prompt)?.0 as usize)?.as_ref()?;
+    pub fn find(&self, prompt: &Prompt, shard: Option<Shard>, salt: &str) -> Option<StoredPrompt> {
+        let store = self.arena.get(self.key_of(prompt, shard)?.0 as usize)?.as_ref()?;
         let parts = store.depth(prompt, hash_of(salt));
         let StoreParameters { address, link_mbps } = store.cfg.clone();
         Some(StoredPrompt { address, parts, link_mbps })
@@ -149,12 +150,18 @@
 
     /// The store to which a replica should send a prompt's parts, if that is worth it: the store
     /// lacks some of them, and this gateway had none sent a moment ago.
-    pub fn save(&mut self, prompt: &Prompt, salt: &str, now: Time) -> Option<String> {
+    pub fn save(
+        &mut self,
+        prompt: &Prompt,
+        shard: Option<Shard>,
+        salt: &str,
+        now: Time,
+    ) -> Option<String> {
         if prompt.shared_tokens() < LEAST_SAVED_TOKENS {
             return None;
         }
         let salt = hash_of(salt);
-        let store = self.get_mut(self.key_of(prompt)?)?;
+        let store = self.get_mut(self.key_of(prompt, shard)?)?;
         let shared = prompt.parts.len().saturating_sub(1);
         let deepest = (salt, prompt.parts.get(shared.checked_sub(1)?)?.id);
         store.saving.retain(|_, since| now < *since + SAVING);
@@ -170,9 +177,20 @@
         self.arena.get_mut(key.0 as usize)?.as_mut()
     }
 
-    /// All gateways find the same store for prompts that begin alike.
-    fn key_of(&self, prompt: &Prompt) -> Option<StoreKey> {
-        let first = prompt.parts.first()?.id;
+    /// The store that holds what the prompts of a shard share, by the names of all stores.
+    pub fn of_shard(&self, shard: Shard) -> Option<&str> {
+        let key = shard.store_key();
+        let weight = |address: &&str| rendezvous_weight(key, ReplicaId::from_name(address));
+        self.keys().map(|(_, address)| address).max_by_key(weight)
+    }
+
+    /// All gateways find the same store for prompts that begin alike, and all coordinators of a shard
+    /// for all prompts that are placed there.
+    fn key_of(&self, prompt: &Prompt, shard: Option<Shard>) -> Option<StoreKey> {
+        let first = match shard {
+            Some(shard) => shard.store_key(),
+            None => prompt.parts.first()?.id,
+        };
         let is_up =
             |key: &StoreKey| self.arena[key.0 as usize].as_ref().is_some_and(|store| store.is_up);
         let up = self.keys().filter(|(key, _)| is_up(key));
--- a/crates/gateway/tests/balancer.rs
+++ b/crates/gateway/tests/balancer.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 use topazmount_control::{Availability, InstanceStatus, LoadedModel};
 use topazmount_gateway::{
-    AttemptEnd, Balancer, Choice, ChoiceRequest, NextStep, Prompt, RequestPlan,
+    AttemptEnd, Balancer, Choice, ChoiceRequest, NextStep, Prompt, PromptEvent, RequestPlan,
 };
 use topazmount_routing::PolicyTable;
 use topazmount_types::{ErrorKind, Time};
@@ -203,7 +203,7 @@
     let first = choose_for(&mut nodes[0], &prompt, &[]).unwrap();
     nodes[0].sent(&first, &request(&prompt), NOW);
     nodes[0].first_token(&first, &request(&prompt), Duration::from_millis(400), NOW);
-    let read = nodes[0].news(&first, &request(&prompt), true).unwrap();
+    let read = nodes[0].news(&first, &request(&prompt), PromptEvent::Read).unwrap();
     nodes[1].apply_news(&read, NOW);
     let second = choose_for(&mut nodes[1], &prompt, &[]).unwrap();
     assert_eq!(second.instance.id, first.instance.id, "it holds the prompt and is idle");
@@ -211,7 +211,7 @@
     for _ in 0..5 {
         nodes[0].sent(&first, &request(&prompt), NOW);
     }
-    let busy = nodes[0].news(&first, &request(&prompt), false).unwrap();
+    let busy = nodes[0].news(&first, &request(&prompt), PromptEvent::Sent).unwrap();
     nodes[1].apply_news(&busy, NOW);
     let other = choose_for(&mut nodes[1], &prompt, &[]).unwrap();
     assert_ne!(other.instance.id, first.instance.id, "others wait there");
@@ -236,7 +236,7 @@
     let mut balancer = pool(2, 1);
     let one = prompt(&[(1, 2_500), (100, 3_800), (1_000, 900)]);
     let choice = choose_for(&mut balancer, &one, &[]).unwrap();
-    let mut news = balancer.news(&choice, &request(&one), true).unwrap();
+    let mut news = balancer.news(&choice, &request(&one), PromptEvent::Read).unwrap();
     news.version = 9;
     balancer.apply_news(&news, NOW);
     let exclude = std::slice::from_ref(&choice.instance.id);
--- /dev/null
+++ b/crates/gateway/tests/shards.rs
@@ -0,0 +1,292 @@
+//! Shards of a large fleet: where prompts belong, who coordinates them, and what asking is worth.
+
+mod common;
+
+use common::{choice_request, engine, instance, parts, prompt};
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+use std::time::Duration;
+use topazmount_control::{Availability, FleetView, GatewayReport, InstanceStatus, LoadedModel};
+use topazmount_gateway::{
+    Catalog, CatalogParts, Choice, ChoiceRequest, GatewaySettings, Gateways, Knowledge, MOST_TOLD,
+    Prompt, PromptEvent, Service, Shard,
+};
+use topazmount_types::Time;
+
+const NOW: Time = Time::from_secs(1_000);
+const PORT: u16 = 7_000;
+
+fn address(number: usize, port: u16) -> SocketAddr {
+    SocketAddr::from(([10, 0, (number / 250) as u8, (number % 250) as u8], port))
+}
+
+fn catalog() -> Catalog {
+    let engine = Some(engine());
+    let pool = Service { name: "pool".to_owned(), max_connections: 100, engine, store: None };
+    let first = parts(1);
+    Catalog::new(CatalogParts { services: [first.services.clone(), vec![pool]].concat(), ..first })
+        .unwrap()
+}
+
+/// What a gateway of a fleet of this size knows.
+fn gateway(number: usize, gateways: usize, replicas: usize) -> Knowledge {
+    let mut knowledge = Knowledge::new("north", GatewaySettings::default(), number as u64);
+    knowledge.set_own_address(address(number, PORT));
+    let report = |number| GatewayReport {
+        address: address(number, 80).to_string(),
+        zone: "north".to_owned(),
+        region: String::new(),
+        is_ready: true,
+    };
+    let ids: Vec<String> = (0..replicas).map(|number| format!("replica-{number}")).collect();
+    let model = || vec![LoadedModel { model: "model".to_owned(), version: 1 }];
+    let status = |id: &String| InstanceStatus {
+        id: id.clone(),
+        availability: Availability::Open,
+        models: model(),
+    };
+    let view = FleetView {
+        revision: 1,
+        is_full: true,
+        instances: ids.iter().map(|id| instance(id, "pool", "north")).collect(),
+        statuses: Some(((Default::default(), 1), ids.iter().map(status).collect())),
+        gateways: Some(((Default::default(), 1), (0..gateways).map(report).collect())),
+        gateway_count: gateways as u32,
+        staleness: Some(Duration::ZERO),
+        ..FleetView::default()
+    };
+    knowledge.apply(&view, Some(catalog()), NOW);
+    knowledge
+}
+
+fn subject(number: u64) -> Prompt {
+    prompt(&[(number % 4, 2_500), (100 + number, 3_800), (10_000 + number, 2_900)])
+}
+
+fn with_request<T>(prompt: &Prompt, act: impl FnOnce(&ChoiceRequest<'_>) -> T) -> T {
+    let engine = engine();
+    act(&choice_request(prompt, Some(&engine)))
+}
+
+#[test]
+fn few_gateways_tell_each_other_and_ask_nobody() {
+    let mut knowledge = gateway(0, MOST_TOLD + 1, 240);
+    with_request(&subject(1), |request| {
+        assert!(knowledge.shards_for(request, NOW).is_empty());
+        let choice = knowledge.choose(request, NOW).unwrap();
+        assert_eq!(knowledge.told_of(&choice, NOW).len(), MOST_TOLD);
+    });
+}
+
+#[test]
+fn all_gateways_find_the_same_shards_and_coordinators() {
+    let mut fleet: Vec<Knowledge> = (0..40).map(|number| gateway(number, 295, 240)).collect();
+    for number in 0..50 {
+        let found: BTreeSet<_> = with_request(&subject(number), |request| {
+            let of = |one: &mut Knowledge| {
+                let shards = one.shards_for(request, NOW);
+                let first = one.gateways().coordinators("pool", shards[0], NOW);
+                format!("{shards:?} {first:?}")
+            };
+            fleet.iter_mut().map(of).collect()
+        });
+        assert_eq!(found.len(), 1, "{found:?}");
+    }
+}
+
+/// Prompts spread over shards as replicas do, and shards over gateways.
+#[test]
+fn shards_share_the_prompts_and_gateways_share_the_shards() {
+    let mut knowledge = gateway(0, 295, 240);
+    let mut prompts: BTreeMap<u32, usize> = BTreeMap::new();
+    let mut coordinators: BTreeSet<SocketAddr> = BTreeSet::new();
+    for number in 0..2_400 {
+        let shard = with_request(&subject(number), |request| knowledge.shards_for(request, NOW)[0]);
+        *prompts.entry(shard.index).or_default() += 1;
+        coordinators.extend(knowledge.gateways().coordinators("pool", shard, NOW));
+    }
+    assert_eq!(prompts.len(), 16);
+    assert!(prompts.values().all(|count| (50..330).contains(count)), "{prompts:?}");
+    assert!(coordinators.len() >= 28, "few gateways coordinate: {}", coordinators.len());
+}
+
+#[test]
+fn a_replica_that_leaves_moves_only_its_own_prompts() {
+    let (mut before, mut after) = (gateway(0, 295, 240), gateway(0, 295, 239));
+    let moved = (0..1_000).filter(|number| {
+        with_request(&subject(*number), |request| {
+            before.shards_for(request, NOW)[0] != after.shards_for(request, NOW)[0]
+        })
+    });
+    assert!(moved.count() < 15, "about one of 240 belongs to the one that left");
+}
+
+#[test]
+fn a_coordinator_that_does_not_answer_is_passed_over_for_a_while() {
+    let mut gateways = Gateways::default();
+    gateways.set_own(address(0, PORT));
+    gateways.set((1..40).map(|number| address(number, PORT)));
+    let shard = Shard { index: 3, count: 16 };
+    let ranked = gateways.coordinators("pool", shard, NOW);
+    gateways.note_silent(ranked[0], NOW);
+    let stand_in = gateways.coordinators("pool", shard, NOW);
+    assert_eq!(stand_in[0], ranked[1], "the second knew all that the first did");
+    assert_eq!(gateways.coordinators("pool", shard, NOW + Duration::from_secs(2)), ranked);
+}
+
+/// Each question without an answer costs the request the time that it waits.
+#[test]
+fn a_gateway_that_reaches_no_coordinator_decides_by_itself() {
+    let mut knowledge = gateway(0, 295, 240);
+    with_request(&subject(1), |request| {
+        let mut asked = 0;
+        while !knowledge.shards_for(request, NOW).is_empty() {
+            let shard = knowledge.shards_for(request, NOW)[0];
+            let first = knowledge.gateways().coordinators("pool", shard, NOW)[0];
+            knowledge.gateways().note_silent(first, NOW);
+            asked += 1;
+        }
+        assert_eq!(asked, 4);
+        assert!(knowledge.choose(request, NOW).is_some());
+        let later = NOW + Duration::from_millis(1_100);
+        assert!(!knowledge.shards_for(request, later).is_empty(), "it tries again");
+        knowledge.gateways().note_answer();
+        assert!(!knowledge.shards_for(request, NOW).is_empty());
+    });
+}
+
+/// A fleet whose gateways take one prompt each in turn, either by asking coordinators or each by what
+/// it knows; replicas serve at once and keep what they read. Returns the part of the prompts that went to
+/// a replica known to hold all that they share, and the most prompts at one replica over the mean.
+fn play(asks: bool) -> (f64, f64) {
+    const GATEWAYS: usize = 60;
+    const REPLICAS: usize = 64;
+    const PROMPTS: usize = 3_000;
+    let mut fleet: Vec<Knowledge> =
+        (0..GATEWAYS).map(|number| gateway(number, GATEWAYS, REPLICAS)).collect();
+    let mut prompts_at: BTreeMap<String, usize> = BTreeMap::new();
+    let mut known = 0;
+    for turn in 0..PROMPTS {
+        // Who gets a prompt does not depend on what it is about.
+        let asker = ((turn * 2_654_435_761) >> 16) % GATEWAYS;
+        let prompt = subject((turn as u64 * 7) % 300);
+        let now = NOW + Duration::from_millis(turn as u64);
+        with_request(&prompt, |request| {
+            let choice = match asks {
+                true => ask(&mut fleet, asker, request, now),
+                false => fleet[asker].choose(request, now).unwrap(),
+            };
+            *prompts_at.entry(choice.instance.id.clone()).or_default() += 1;
+            known += usize::from(choice.known_tokens == prompt.shared_tokens());
+            serve(&mut fleet, asker, &choice, request, now);
+        });
+    }
+    let most = *prompts_at.values().max().unwrap() as f64;
+    (known as f64 / PROMPTS as f64, most * REPLICAS as f64 / PROMPTS as f64)
+}
+
+fn ask(fleet: &mut [Knowledge], asker: usize, request: &ChoiceRequest<'_>, now: Time) -> Choice {
+    let shard = fleet[asker].shards_for(request, NOW)[0];
+    let coordinator = fleet[asker].gateways().coordinators("pool", shard, now)[0];
+    let question = fleet[asker].question(request, shard).unwrap();
+    let offer = fleet[number_of(coordinator)].answer(&question, now).unwrap();
+    fleet[asker].adopt(&offer, request).unwrap()
+}
+
+fn number_of(address: SocketAddr) -> usize {
+    let std::net::IpAddr::V4(ip) = address.ip() else { unreachable!() };
+    usize::from(ip.octets()[2]) * 250 + usize::from(ip.octets()[3])
+}
+
+/// Serves a prompt at its choice at once, and tells who should be told.
+fn serve(
+    fleet: &mut [Knowledge],
+    asker: usize,
+    choice: &Choice,
+    request: &ChoiceRequest<'_>,
+    now: Time,
+) {
+    let told = fleet[asker].told_of(choice, now);
+    fleet[asker].balancer().sent(choice, request, now);
+    let sent = fleet[asker].balancer().news(choice, request, PromptEvent::Sent);
+    fleet[asker].first_token(choice, request, Duration::from_millis(80), now);
+    let read = fleet[asker].balancer().news(choice, request, PromptEvent::Read);
+    fleet[asker].balancer().ended(choice, true);
+    let ended = fleet[asker].balancer().news_of_end(choice, PromptEvent::Ended);
+    for mut news in [sent, read, ended].into_iter().flatten() {
+        news.node = asker as u64;
+        for address in &told {
+            fleet[number_of(*address)].balancer().apply_news(&news, now);
+        }
+    }
+}
+
+/// Before, each gateway by what it saw itself: 0.06 of the prompts go where all that they share is known to
+/// be. After, by asking: 0.9, all but the first of each of the 300 subjects. The busiest replica has 2.2
+/// and 1.9 times the mean.
+#[test]
+fn asking_coordinators_keeps_parts_together_and_replicas_even() {
+    let (alone, asked) = (play(false), play(true));
+    assert!(asked.0 >= 0.89, "known to be held: {} alone, {} asked", alone.0, asked.0);
+    assert!(alone.0 < 0.5 * asked.0, "known to be held: {} alone, {} asked", alone.0, asked.0);
+    assert!(asked.1 <= alone.1, "busiest over mean: {} alone, {} asked", alone.1, asked.1);
+    assert!(asked.1 < 2.1, "busiest over mean: {} asked", asked.1);
+}
+
+/// A replica that fails one gateway's prompt is passed over by the coordinator, who serves all.
+#[test]
+fn a_coordinator_is_told_of_failures_elsewhere() {
+    let mut fleet: Vec<Knowledge> = (0..40).map(|number| gateway(number, 40, 64)).collect();
+    with_request(&subject(1), |request| {
+        let first = ask(&mut fleet, 0, request, NOW);
+        fleet[0].balancer().sent(&first, request, NOW);
+        fleet[0].balancer().ended(&first, false);
+        let mut news = fleet[0].balancer().news_of_end(&first, PromptEvent::Failed).unwrap();
+        news.node = 1;
+        for address in fleet[0].told_of(&first, NOW) {
+            fleet[number_of(address)].balancer().apply_news(&news, NOW);
+        }
+        assert_ne!(ask(&mut fleet, 5, request, NOW).instance.id, first.instance.id);
+        let later = NOW + Duration::from_secs(1);
+        assert_eq!(ask(&mut fleet, 5, request, later).instance.id, first.instance.id);
+    });
+}
+
+/// One hot prompt must not be held to a shard that has no room for it.
+#[test]
+fn a_prompt_goes_to_a_further_shard_when_its_own_is_full() {
+    let mut knowledge = gateway(0, 40, 64);
+    with_request(&subject(1), |request| {
+        let shards = knowledge.shards_for(request, NOW);
+        let mut last = None;
+        for _ in 0..200 {
+            let choice = knowledge.choose_within(request, shards[0], NOW).unwrap();
+            knowledge.balancer().sent(&choice, request, NOW);
+            last = Some(choice);
+        }
+        assert!(knowledge.is_overloaded(&last.unwrap(), request));
+        let elsewhere = knowledge.choose_within(request, shards[1], NOW).unwrap();
+        assert!(!knowledge.is_overloaded(&elsewhere, request));
+        assert_ne!(shards[0], shards[1]);
+    });
+}
+
+/// What the coordinator believes may be older than what the asking gateway knows.
+#[test]
+fn an_offer_for_older_weights_brings_no_memory_of_theirs() {
+    let mut fleet: Vec<Knowledge> = (0..40).map(|number| gateway(number, 40, 64)).collect();
+    with_request(&subject(1), |request| {
+        let shard = fleet[0].shards_for(request, NOW)[0];
+        let question = fleet[0].question(request, shard).unwrap();
+        let mut offer = fleet[1].answer(&question, NOW).unwrap();
+        offer.source = Some("10.9.9.9:1".to_owned());
+        let same = fleet[0].adopt(&offer, request).unwrap();
+        assert_eq!((same.version, same.source.is_some()), (Some(1), true));
+        fleet[0].balancer().saw_version(&same.instance.id, "model", 2);
+        let newer = fleet[0].adopt(&offer, request).unwrap();
+        assert_eq!((newer.version, newer.source), (Some(2), None));
+        let exclude = [newer.instance.id.clone()];
+        let request = ChoiceRequest { exclude: &exclude, ..*request };
+        assert!(fleet[0].adopt(&offer, &request).is_none(), "it was tried already");
+    });
+}
--- a/crates/gateway/tests/stores.rs
+++ b/crates/gateway/tests/stores.rs
@@ -47,7 +47,7 @@
 }
 
 fn depth(stores: &Stores, salt: &str) -> Option<usize> {
-    stores.find(&subject(0), salt).map(|stored| stored.parts)
+    stores.find(&subject(0), None, salt).map(|stored| stored.parts)
 }
 
 cases! { holds:
@@ -86,7 +86,7 @@
     assert!(!stores.lost(key), "it was known");
     let salt = cache_salt(1, None);
     assert_eq!(depth(&stores, &salt), None);
-    assert_eq!(stores.save(&subject(1), &salt, NOW), None);
+    assert_eq!(stores.save(&subject(1), None, &salt, NOW), None);
     assert!(!stores.apply(key, page(7, &[])));
     assert_eq!(depth(&stores, &salt), Some(2), "it was away, and not restarted");
 }
@@ -95,7 +95,7 @@
 fn saves_are_few_and_never_of_what_is_there() {
     let (mut stores, _) = stores(page(7, &[(1, 2_500), (100, 3_800)]));
     let salt = cache_salt(1, None);
-    let mut save = |number: u64, at: Time| stores.save(&subject(number), &salt, at).is_some();
+    let mut save = |number: u64, at: Time| stores.save(&subject(number), None, &salt, at).is_some();
     assert!(!save(0, NOW), "it is there");
     assert!(save(1, NOW));
     assert!(save(2, NOW), "each subject for itself");
@@ -104,7 +104,7 @@
     assert!(!save(2, later), "this one too");
     assert!(save(1, NOW + Duration::from_secs(5)), "it never came");
     let short = prompt(&[(1, 500), (2, 400), (3, 10_000)]);
-    assert_eq!(stores.save(&short, &salt, NOW + Duration::from_secs(9)), None);
+    assert_eq!(stores.save(&short, None, &salt, NOW + Duration::from_secs(9)), None);
 }
 
 /// However often subjects are asked for, each is sent once while it is on its way, and never once the
@@ -119,7 +119,7 @@
         let asked = steps.flat_map(|ms| (0..SUBJECTS).map(move |number| (ms, number)));
         let saved = asked.filter(|(ms, number)| {
             let at = NOW + Duration::from_millis(*ms);
-            stores.save(&subject(*number), &salt, at).is_some()
+            stores.save(&subject(*number), None, &salt, at).is_some()
         });
         saved.count() as u64
     };
@@ -129,7 +129,7 @@
         (0..SUBJECTS).map(|number| (100 + number, 3_800)).chain([(1, 2_500)]).collect();
     stores.apply(key, page(7, &held));
     let late = NOW + Duration::from_secs(60);
-    let is_saved = |number| stores.save(&subject(number), &salt, late).is_some();
+    let is_saved = |number| stores.save(&subject(number), None, &salt, late).is_some();
     assert!(!(0..SUBJECTS).any(is_saved), "nothing that it holds");
 }
 
@@ -210,10 +210,10 @@
     let loaded = (0..4).map(|number| format!("replica-{number}"));
     let loaded = loaded.into_iter().find(|id| *id != old.instance.id).unwrap();
     balancer.set_status(&InstanceStatus { id: loaded, availability: Availability::Paused, models });
-    assert_eq!(balancer.save(&old, &request(&one, &engine), NOW), None);
+    assert_eq!(balancer.save(&old, &request(&one, &engine), None, NOW), None);
     let mut newest = old;
     newest.version = Some(2);
-    let saved = balancer.save(&newest, &request(&one, &engine), NOW);
+    let saved = balancer.save(&newest, &request(&one, &engine), None, NOW);
     assert_eq!(saved.as_deref(), Some(STORE));
 }
 
--- a/crates/topazmount/src/fleet/exchange/attempt.rs
+++ b/crates/topazmount/src/fleet/exchange/attempt.rs
@@ -136,7 +136,7 @@
             }
             Some(First::Stream(begin)) => {
                 self.note_version(choice, &begin.head);
-                self.note_first_token(in_flight, plan, sent_at).await;
+                self.note_first_token(in_flight, plan, sent_at);
                 Attempt::Stream(begin)
             }
         })
--- a/crates/topazmount/src/fleet/exchange/mod.rs
+++ b/crates/topazmount/src/fleet/exchange/mod.rs
@@ -1,6 +1,7 @@
 //! One request's way through a gateway: attempts at replicas until one answers, or a refusal.
 
 mod attempt;
+mod choose;
 mod connection;
 mod record;
 mod relay;
@@ -17,7 +18,7 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 use topazmount_gateway::{
-    Admission, AttemptEnd, Choice, ChoiceRequest, EngineParameters, LoadNews, NextStep,
+    Admission, AttemptEnd, Choice, ChoiceRequest, EngineParameters, NextStep, PromptEvent,
     RequestPlan, cache_salt,
 };
 use topazmount_types::{ErrorKind, RunState, TenantId, Time};
@@ -129,13 +130,24 @@
     shared: &'a Shared,
     choice: Choice,
     has_first_token: AtomicBool,
+    has_failed: AtomicBool,
 }
 
 impl Drop for InFlight<'_> {
     fn drop(&mut self) {
         let has_first_token = self.has_first_token.load(Ordering::SeqCst);
-        let mut knowledge = self.shared.knowledge.lock().unwrap();
-        knowledge.balancer().ended(&self.choice, has_first_token);
+        let event = match self.has_failed.load(Ordering::SeqCst) {
+            true => PromptEvent::Failed,
+            false => PromptEvent::Ended,
+        };
+        let now = self.shared.clock.now();
+        let (told, news) = {
+            let mut knowledge = self.shared.knowledge.lock().unwrap();
+            knowledge.balancer().ended(&self.choice, has_first_token);
+            let Some(news) = knowledge.balancer().news_of_end(&self.choice, event) else { return };
+            (knowledge.told_of(&self.choice, now), news)
+        };
+        self.shared.peers.tell(told, news);
     }
 }
 
@@ -208,13 +220,10 @@
             if self.left().is_zero() {
                 return self.give_up(&plan, &progress, time_over(&plan)).await;
             }
-            let Some((in_flight, news)) = self.choose(&plan) else {
+            let Some(in_flight) = self.choose(&plan).await else {
                 return self.give_up(&plan, &progress, plan.refusal()).await;
             };
             plan.begin(in_flight.choice.instance.id.clone());
-            if let Some(news) = news {
-                self.shared.peers.tell(news).await;
-            }
             let attempt = self.attempt(&plan, &in_flight, &progress).await;
             let end = match attempt {
                 Attempt::Success(head, body) => {
@@ -254,7 +263,7 @@
                 }
                 Attempt::Ended(end) => end,
             };
-            self.note_failure(&in_flight.choice, end);
+            self.note_failure(&in_flight, end);
             self.log_attempt(&in_flight.choice, &format!("{end:?}"));
             drop(in_flight);
             if let Some(kind) = self.next(&mut plan, end, &progress) {
@@ -269,18 +278,6 @@
         !has_prompt || self.shared.knowledge.lock().unwrap().is_admitted_by_policy(&request)
     }
 
-    /// Chooses a replica and counts the request there; the other gateways should have the news.
-    fn choose(&self, plan: &RequestPlan) -> Option<(InFlight<'e>, Option<LoadNews>)> {
-        let request = self.choice_request(plan);
-        let now = self.shared.clock.now();
-        let mut knowledge = self.shared.knowledge.lock().unwrap();
-        let choice = knowledge.choose(&request, now)?;
-        knowledge.balancer().sent(&choice, &request, now);
-        let news = knowledge.balancer().news(&choice, &request, false);
-        let has_first_token = AtomicBool::new(false);
-        Some((InFlight { shared: self.shared, choice, has_first_token }, news))
-    }
-
     /// Asks the plan and the budget what follows: another attempt, or the kind of the answer.
     fn next(
         &self,
--- a/crates/topazmount/src/fleet/exchange/record.rs
+++ b/crates/topazmount/src/fleet/exchange/record.rs
@@ -4,7 +4,7 @@
 use crate::http1::ResponseHead;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
-use topazmount_gateway::{AttemptEnd, Choice, RequestPlan};
+use topazmount_gateway::{AttemptEnd, Choice, PromptEvent, RequestPlan};
 use topazmount_types::{RunState, Time};
 
 /// Part of the target latency after which a replica that sent nothing is given up, where the
@@ -58,7 +58,8 @@
         has_failed
     }
 
-    pub(super) fn note_failure(&self, choice: &Choice, end: AttemptEnd) {
+    pub(super) fn note_failure(&self, in_flight: &InFlight<'_>, end: AttemptEnd) {
+        let choice = &in_flight.choice;
         let now = self.shared.clock.now();
         let mut knowledge = self.shared.knowledge.lock().unwrap();
         let balancer = knowledge.balancer();
@@ -72,11 +73,12 @@
             AttemptEnd::NotRun | AttemptEnd::Silent | AttemptEnd::TimedOut => {}
             AttemptEnd::Unreachable | AttemptEnd::Broken | AttemptEnd::Failed => {
                 balancer.failed(&choice.instance.id, now);
+                in_flight.has_failed.store(true, Ordering::SeqCst);
             }
         }
     }
 
-    pub(super) async fn note_first_token(
+    pub(super) fn note_first_token(
         &self,
         in_flight: &InFlight<'_>,
         plan: &RequestPlan,
@@ -87,13 +89,14 @@
         let now = self.shared.clock.now();
         self.shared.metrics.first_event(now.since(self.received));
         let request = self.choice_request(plan);
-        let news = {
+        let (told, news) = {
             let mut knowledge = self.shared.knowledge.lock().unwrap();
             knowledge.first_token(choice, &request, now.since(sent_at), now);
-            knowledge.balancer().news(choice, &request, true)
+            let news = knowledge.balancer().news(choice, &request, PromptEvent::Read);
+            (knowledge.told_of(choice, now), news)
         };
         if let Some(news) = news {
-            self.shared.peers.tell(news).await;
+            self.shared.peers.tell(told, news);
         }
     }
 
--- a/crates/topazmount/src/fleet/gateway.rs
+++ b/crates/topazmount/src/fleet/gateway.rs
@@ -81,6 +81,7 @@
         let peers = Arc::new(peers.wrap_err("listening for other gateways")?);
         let mut knowledge = Knowledge::new(&settings.zone, settings.gateway(), rand::random());
         settings.policy_table(knowledge.policies())?;
+        knowledge.set_own_address(peers.own_address());
         let shared = Arc::new(Shared {
             clock,
             dialect,
@@ -105,6 +106,7 @@
             let service = MetricsService(move || std::future::ready(shared.render_metrics()));
             http_service::serve(executor, address, Arc::new(service)).await?;
         }
+        executor.spawn(peers::send_waiting(peers.clone())).detach();
         executor.spawn(peers::listen(peers, shared.clone())).detach();
         executor.spawn(store_reader::run(executor.clone(), shared.clone())).detach();
         let seeds = Seeds::new(settings.seed_peers());
@@ -258,9 +260,6 @@
         for id in &view.removed {
             log::info!("gateway: event=instance_removed id={id} revision={}", view.revision);
         }
-        if let Some((_, gateways)) = &view.gateways {
-            self.shared.peers.set_gateways(gateways);
-        }
         self.shared.knowledge.lock().unwrap().apply(&view, catalog, asked_at);
     }
 }
--- a/crates/topazmount/src/fleet/peers.rs
+++ b/crates/topazmount/src/fleet/peers.rs
@@ -1,30 +1,61 @@
-//! Datagrams by which gateways tell each other of their work at replicas.
+//! Datagrams between gateways: word of their work at replicas, and questions to the coordinators of
+//! shards.
 
 use super::gateway::Shared;
+use async_channel::{Receiver, Sender};
 use async_net::UdpSocket;
+use serde::{Deserialize, Serialize};
+use std::collections::HashMap;
 use std::net::SocketAddr;
-use std::sync::Arc;
-use std::sync::Mutex;
-use topazmount_control::GatewayReport;
-use topazmount_gateway::LoadNews;
-use topazmount_routing::rendezvous_weight;
-use topazmount_types::{Digest, ReplicaId};
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+use topazmount_gateway::{ChoiceQuestion, LoadNews, Offer};
+use topazmount_types::Digest;
 use topazmount_wire::{ClusterKey, decode_payload, encode_payload, open_datagram, seal_datagram};
 
-/// Gateways that are told: more would cost each of them more than the news is worth.
-const MOST_PEERS: usize = 15;
 /// Largest datagram.
 const MAX_DATAGRAM: usize = 2 * 1024;
+/// Messages that wait to be sent. Further ones are lost: the next news makes them good.
+const MOST_WAITING: usize = 256;
 
-/// The other gateways.
+/// What a gateway tells another one.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+enum Message {
+    /// Its work at a replica.
+    Load(LoadNews),
+    /// A question to a coordinator, by its number.
+    Question(u64, ChoiceQuestion),
+    /// The answer to the question of that number; none where no replica may be asked.
+    Answer(u64, Option<Offer>),
+}
+
+/// Ways to the other gateways.
 pub(super) struct Peers {
     socket: UdpSocket,
     key: ClusterKey,
     own: SocketAddr,
     node: u64,
-    others: Mutex<Vec<SocketAddr>>,
-    /// Weights of all other gateways in rankings.
-    others_weights: Mutex<Vec<ReplicaId>>,
+    next_question: AtomicU64,
+    questions: Mutex<HashMap<u64, Sender<Option<Offer>>>>,
+    waiting: (Sender<Outgoing>, Receiver<Outgoing>),
+}
+
+struct Outgoing {
+    to: Vec<SocketAddr>,
+    message: Message,
+}
+
+/// A question under way; forgotten when it is dropped.
+struct Asked<'a> {
+    peers: &'a Peers,
+    number: u64,
+}
+
+impl Drop for Asked<'_> {
+    fn drop(&mut self) {
+        self.peers.questions.lock().unwrap().remove(&self.number);
+    }
 }
 
 impl Peers {
@@ -37,63 +68,89 @@
         let own = SocketAddr::new(clients.ip(), port);
         let socket = UdpSocket::bind(own).await?;
         let node = Digest::of(clients.to_string().as_bytes()).prefix();
-        let (others, others_weights) = (Mutex::default(), Mutex::default());
-        Ok(Peers { socket, key, own, node, others, others_weights })
+        Ok(Peers {
+            socket,
+            key,
+            own,
+            node,
+            // Answers to questions of an earlier life must match none of this one.
+            next_question: AtomicU64::new(rand::random()),
+            questions: Mutex::default(),
+            waiting: async_channel::bounded(MOST_WAITING),
+        })
     }
 
-    /// Place of this gateway among all that are known, in an order that all find alike and that
-    /// differs from subject to subject; 0 is the first.
-    pub(super) fn rank(&self, subject: &str) -> usize {
-        let subject = ReplicaId::from_name(subject).0;
-        let own = rendezvous_weight(subject, ranked(self.own));
-        let others = self.others_weights.lock().unwrap();
-        others.iter().filter(|other| rendezvous_weight(subject, **other) > own).count()
+    /// Where this gateway takes datagrams.
+    pub(super) fn own_address(&self) -> SocketAddr {
+        self.own
     }
 
-    /// Takes the list of gateways: those that follow this one in the order of addresses are told.
-    pub(super) fn set_gateways(&self, gateways: &[GatewayReport]) {
-        let port = self.own.port();
-        let addresses = gateways.iter().filter_map(|gateway| gateway.address.parse().ok());
-        let mut others: Vec<SocketAddr> = addresses
-            .map(|address: SocketAddr| SocketAddr::new(address.ip(), port))
-            .filter(|address| *address != self.own)
-            .collect();
-        others.sort();
-        *self.others_weights.lock().unwrap() = others.iter().copied().map(ranked).collect();
-        let first = others.partition_point(|address| *address < self.own);
-        others.rotate_left(first);
-        others.truncate(MOST_PEERS);
-        *self.others.lock().unwrap() = others;
+    /// Tells others, without waiting. What can't be sent is lost: the next news makes it good.
+    pub(super) fn tell(&self, to: Vec<SocketAddr>, mut news: LoadNews) {
+        news.node = self.node;
+        self.send(to, Message::Load(news));
     }
 
-    /// Tells the others. What can't be sent at once is lost: the next news makes it good.
-    pub(super) async fn tell(&self, mut news: LoadNews) {
-        news.node = self.node;
-        let Ok(payload) = encode_payload(&news) else { return };
-        let datagram = seal_datagram(&self.key, &payload);
-        let others = self.others.lock().unwrap().clone();
-        for address in others {
-            let _ = self.socket.send_to(&datagram, address).await;
+    fn send(&self, to: Vec<SocketAddr>, message: Message) {
+        if !to.is_empty() {
+            let _ = self.waiting.0.try_send(Outgoing { to, message });
         }
     }
+
+    /// Asks a coordinator, and waits for its answer for so long; `None` where none comes.
+    pub(super) async fn ask(
+        &self,
+        coordinator: SocketAddr,
+        question: ChoiceQuestion,
+        limit: Duration,
+    ) -> Option<Option<Offer>> {
+        let number = self.next_question.fetch_add(1, Ordering::Relaxed);
+        let (answered, answer) = async_channel::bounded(1);
+        self.questions.lock().unwrap().insert(number, answered);
+        let _asked = Asked { peers: self, number };
+        self.send(vec![coordinator], Message::Question(number, question));
+        super::http_service::within(limit, answer.recv()).await?.ok()
+    }
 }
 
-fn ranked(address: SocketAddr) -> ReplicaId {
-    ReplicaId::from_name(&address.to_string())
+/// Sends what waits, for ever.
+pub(super) async fn send_waiting(peers: Arc<Peers>) {
+    while let Ok(Outgoing { to, message }) = peers.waiting.1.recv().await {
+        let Ok(payload) = encode_payload(&message) else { continue };
+        let datagram = seal_datagram(&peers.key, &payload);
+        if datagram.len() > MAX_DATAGRAM {
+            continue;
+        }
+        for address in to {
+            let _ = peers.socket.send_to(&datagram, address).await;
+        }
+    }
 }
 
-/// Takes the others' news for ever.
+/// Takes the others' messages for ever.
 pub(super) async fn listen(peers: Arc<Peers>, shared: Arc<Shared>) {
     let mut buffer = vec![0u8; MAX_DATAGRAM];
     loop {
-        let Ok((length, _)) = peers.socket.recv_from(&mut buffer).await else { continue };
+        let Ok((length, sender)) = peers.socket.recv_from(&mut buffer).await else { continue };
         let payload = open_datagram(&peers.key, &buffer[..length]);
-        let news = payload.ok().and_then(|payload| decode_payload::<LoadNews>(payload).ok());
-        let Some(news) = news else {
-            shared.metrics.event("bad_datagram");
-            continue;
-        };
+        let message = payload.ok().and_then(|payload| decode_payload::<Message>(payload).ok());
         let now = shared.clock.now();
-        shared.knowledge.lock().unwrap().balancer().apply_news(&news, now);
+        match message {
+            Some(Message::Load(news)) => {
+                shared.knowledge.lock().unwrap().balancer().apply_news(&news, now);
+            }
+            Some(Message::Question(number, question)) => {
+                shared.metrics.event("question_answered");
+                let offer = shared.knowledge.lock().unwrap().answer(&question, now);
+                peers.send(vec![sender], Message::Answer(number, offer));
+            }
+            Some(Message::Answer(number, offer)) => {
+                let asked = peers.questions.lock().unwrap().remove(&number);
+                if let Some(asked) = asked {
+                    let _ = asked.try_send(offer);
+                }
+            }
+            None => shared.metrics.event("bad_datagram"),
+        }
     }
 }
--- a/crates/topazmount/src/fleet/store_reader.rs
+++ b/crates/topazmount/src/fleet/store_reader.rs
@@ -8,7 +8,7 @@
 use std::collections::HashSet;
 use std::sync::Arc;
 use std::time::Duration;
-use topazmount_gateway::{MOST_READERS, StoreKey};
+use topazmount_gateway::StoreKey;
 
 /// How often the list of stores is looked at.
 const LIST_INTERVAL: Duration = Duration::from_millis(500);
@@ -52,9 +52,11 @@
     loop {
         let position = shared.knowledge.lock().unwrap().balancer().stores().position(key);
         let Some(position) = position else { return };
-        let result = match shared.peers.rank(address) {
-            0..MOST_READERS => read_page(shared, key, address, &mut caller, position).await,
-            _ => Err(eyre!("enough other gateways follow it")),
+        let now = shared.clock.now();
+        let is_ours = shared.knowledge.lock().unwrap().follows_store(address, now);
+        let result = match is_ours {
+            true => read_page(shared, key, address, &mut caller, position).await,
+            false => Err(eyre!("enough other gateways follow it")),
         };
         match result {
             Ok(()) => Timer::after(PAUSE).await,
