A stream whose replica falls silent is held until another replica has taken it

Cause: after 1.2 s of silence in the middle of a stream that may be resumed, the gateway closed it and asked another replica. Where that one refused, or none was left, the client's answer was cut, although its replica was sound: it read long prompts or loaded weights. Change: the other replica is asked while the silent one is still read. What comes first within 300 ms decides: word of the silent one, the other's first event, or its refusal, after which the silent one is held on to. A stream whose events have no identifiers is not let go for silence at all. exchange/resume.rs. Ruled out: asking the silent replica how it stands (a connection may be dead while its replica is sound); never to resume for silence alone (open connections can go silent for good).

--- a/crates/topazmount/src/fleet/exchange/mod.rs
+++ b/crates/topazmount/src/fleet/exchange/mod.rs
@@ -5,6 +5,7 @@
 mod connection;
 mod record;
 mod relay;
+mod resume;
 
 use super::answer::{Delivery, forwarded_head, own_answer};
 use super::dialect::RequestTags;
@@ -95,6 +96,10 @@
 enum StreamEnd {
     Complete,
     ReplicaBroke,
+    /// The replica has said nothing for long; the stream can be read on.
+    Silent(Box<StreamBegin>),
+    /// The replica fell silent and was let go for another one, which then failed the stream.
+    NotResumed(AttemptEnd),
     ClientBroke,
     TimeOver,
 }
@@ -220,7 +225,7 @@
             if self.left().is_zero() {
                 return self.give_up(&plan, &progress, time_over(&plan)).await;
             }
-            let Some(in_flight) = self.choose(&plan).await else {
+            let Some(mut in_flight) = self.choose(&plan).await else {
                 return self.give_up(&plan, &progress, plan.refusal()).await;
             };
             plan.begin(in_flight.choice.instance.id.clone());
@@ -241,8 +246,10 @@
                     }
                 }
                 Attempt::Stream(begin) => {
-                    let may_resume = self.may_switch(&plan);
-                    match self.relay(*begin, &in_flight.choice, may_resume, &mut progress).await {
+                    let end;
+                    (in_flight, end) =
+                        self.relay_resuming(&mut plan, in_flight, begin, &mut progress).await;
+                    match end {
                         StreamEnd::Complete => {
                             self.note_success(&in_flight.choice);
                             self.log_attempt(&in_flight.choice, "success");
@@ -258,7 +265,8 @@
                             self.log_end(&plan, 0, "time_over");
                             return Ending::Cut;
                         }
-                        StreamEnd::ReplicaBroke => AttemptEnd::Broken,
+                        StreamEnd::NotResumed(end) => end,
+                        StreamEnd::ReplicaBroke | StreamEnd::Silent(_) => AttemptEnd::Broken,
                     }
                 }
                 Attempt::Ended(end) => end,
--- a/crates/topazmount/src/fleet/exchange/relay.rs
+++ b/crates/topazmount/src/fleet/exchange/relay.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 use topazmount_gateway::Choice;
 
-/// Silence in the middle of a stream after which it is resumed elsewhere.
+/// Silence in the middle of a stream after which another replica is asked to resume it.
 const STREAM_SILENCE: Duration = Duration::from_millis(1_200);
 
 impl Exchange<'_> {
@@ -51,8 +51,13 @@
                 Some(Ok(None)) => break,
                 Some(Err(_)) => return StreamEnd::ReplicaBroke,
                 None if self.left().is_zero() => return StreamEnd::TimeOver,
-                // Silence alone ends no stream that can't be resumed elsewhere.
-                None if may_resume => return StreamEnd::ReplicaBroke,
+                // Silence alone ends no stream; one without identifiers can't be resumed elsewhere.
+                None if may_resume && progress.last_event.is_some() => {
+                    let first = None;
+                    let held =
+                        StreamBegin { head, carrier, reader, splitter, first, is_until_close };
+                    return StreamEnd::Silent(Box::new(held));
+                }
                 None => {}
             }
         }
