--- a/crates/consensus/tests/common/mod.rs
+++ b/crates/consensus/tests/common/mod.rs
@@ -129,6 +129,7 @@
                 peer.replica.step(self.now, envelope);
             }
         }
+        self.check_reads();
         for peer in self.peers.values_mut() {
             peer.replica.tick(self.now);
             peer.replica.flush_proposals();
@@ -150,6 +151,17 @@
         assert!(holders.count() <= 1, "two members hold the lease");
     }
 
+    /// A read that is answered between a message and the work that it makes: who may answer it by its
+    /// lease has applied all that anybody applied, and so all that was acknowledged.
+    fn check_reads(&self) {
+        let newest = self.peers.values().filter_map(|peer| peer.applied.keys().next_back()).max();
+        let holders = self.peers.values().filter(|peer| peer.replica.has_lease(self.now));
+        for holder in holders {
+            let own = holder.applied.keys().next_back();
+            assert!(own >= newest, "{:?} reads {own:?} of {newest:?}", holder.replica.id());
+        }
+    }
+
     pub fn run(&mut self, time: Duration) {
         let until = self.now + time;
         while self.now < until {
--- a/crates/consensus/tests/group.rs
+++ b/crates/consensus/tests/group.rs
@@ -39,6 +39,24 @@
     assert_eq!(network.peers[&old].applied, network.peers[&others[0]].applied);
 }
 
+/// From a soak of real processes (seed 359): a leader ended right after it had acknowledged a change. The
+/// next one learned in one batch that the change was committed and that it may answer reads, and answered
+/// one before it had applied the change.
+#[test]
+fn a_new_leader_reads_nothing_older_than_the_last_one_acknowledged() {
+    let mut network = Network::new(&[1, 2, 3, 4, 5]);
+    let old = network.elect();
+    let index = network.propose(old, b"acknowledged");
+    network.until("the leader has applied it", |network| {
+        network.peers[&old].applied.contains_key(&index)
+    });
+    network.isolate(old);
+    // Each tick checks what members would read.
+    network.until("another leader", |network| network.leader().is_some_and(|id| id != old));
+    let next = network.leader().unwrap();
+    assert!(network.peers[&next].applied.contains_key(&index));
+}
+
 #[test]
 fn a_member_that_was_cut_off_does_not_disturb_the_leader() {
     let mut network = Network::new(&[1, 2, 3]);
