A short list of gateways moves no shard at once; placement among gateways in a module of its own

Cause, by reading: a new leader of the control group knows no gateways, and hears of all within two of their questions (0.8 s). Until then its list is short, and gateways that got it took themselves for few: each placed prompts by itself and told neighbours, and coordinators changed for all shards. Change: a gateway that the list no longer names counts for 2 s more. Measured: crates/gateway/tests/shards.rs, a_short_list_moves_no_shard_at_once.

--- /dev/null
+++ b/crates/gateway/src/knowledge/placement.rs
@@ -0,0 +1,113 @@
+//! Where gateways are many: who is asked about a prompt, who is told of it, and who follows which store.
+
+use super::Knowledge;
+use crate::balancer::{Choice, ChoiceRequest};
+use crate::question::{ChoiceQuestion, Offer};
+use crate::shards::{Gateways, Shard};
+use crate::stores::MOST_READERS;
+use std::net::SocketAddr;
+use topazmount_control::GatewayReport;
+use topazmount_types::Time;
+
+impl Knowledge {
+    /// Chooses a replica of a shard that this gateway coordinates.
+    pub fn choose_within(
+        &mut self,
+        request: &ChoiceRequest<'_>,
+        shard: Shard,
+        now: Time,
+    ) -> Option<Choice> {
+        let policies = &mut self.policies;
+        let mut choice = self.balancer.choose_within(request, Some(shard), now, policies)?;
+        choice.save_to = self.balancer.save(&choice, request, Some(shard), now);
+        Some(choice)
+    }
+
+    /// Shards whose coordinators are asked where a prompt should go, in order; none where this gateway
+    /// decides by itself.
+    pub fn shards_for(&mut self, request: &ChoiceRequest<'_>, now: Time) -> Vec<Shard> {
+        let may_ask = request.engine.is_some() && !self.gateways.is_alone(now);
+        if may_ask { self.balancer.shards_for(request) } else { Vec::new() }
+    }
+
+    /// The gateways, and who of them coordinates what.
+    pub fn gateways(&mut self) -> &mut Gateways {
+        &mut self.gateways
+    }
+
+    /// Sets the address at which this gateway takes datagrams of others. All use the same port.
+    pub fn set_own_address(&mut self, own: SocketAddr) {
+        self.own_port = own.port();
+        self.gateways.set_own(own);
+    }
+
+    pub(super) fn set_gateways(&mut self, reports: &[GatewayReport], now: Time) {
+        let addresses = reports.iter().filter_map(|report| report.address.parse().ok());
+        let port = self.own_port;
+        let others = addresses.map(|address: SocketAddr| SocketAddr::new(address.ip(), port));
+        self.gateways.set(others, now);
+        self.balancer.set_coordinated(self.gateways.are_many(now));
+    }
+
+    /// Answers another gateway's question about a shard that this one coordinates; `None` where it
+    /// knows no replica that may be asked.
+    pub fn answer(&mut self, question: &ChoiceQuestion, now: Time) -> Option<Offer> {
+        let catalog = self.catalog.clone()?;
+        let prompt = question.prompt();
+        let exclude = self.balancer.ids_of(&question.exclude);
+        let request = ChoiceRequest {
+            service: &question.service,
+            tenant: question.tenant,
+            prompt: Some(&prompt),
+            model: question.model.as_deref(),
+            namespace: question.namespace,
+            wall: question.wall.as_deref(),
+            exclude: &exclude,
+            held_to: None,
+            engine: catalog.service(&question.service)?.engine.as_ref(),
+        };
+        let choice = self.choose_within(&request, question.shard, now)?;
+        self.balancer.offer(&choice)
+    }
+
+    /// The question about a request to the coordinators of a shard.
+    pub fn question(&self, request: &ChoiceRequest<'_>, shard: Shard) -> Option<ChoiceQuestion> {
+        ChoiceQuestion::new(request, shard)
+    }
+
+    /// The choice that a coordinator's offer makes, if this gateway may follow it.
+    pub fn adopt(&self, offer: &Offer, request: &ChoiceRequest<'_>) -> Option<Choice> {
+        self.balancer.adopt(offer, request)
+    }
+
+    /// Whether a prompt is better asked for at a further shard.
+    pub fn is_overloaded(&self, choice: &Choice, request: &ChoiceRequest<'_>) -> bool {
+        self.balancer.is_overloaded(choice, request)
+    }
+
+    /// Who should be told of a prompt at its choice: the coordinators of that replica's shard, or all
+    /// other gateways where they are few.
+    pub fn told_of(&self, choice: &Choice, now: Time) -> Vec<SocketAddr> {
+        let Some(shard) = self.balancer.shard_of(choice) else { return self.gateways.others(now) };
+        let mut told = self.gateways.coordinators(&choice.instance.service, shard, now);
+        told.retain(|address| !self.gateways.is_own(*address));
+        told
+    }
+
+    /// Whether this gateway should follow the events of a store, which holds few calls at a time: some
+    /// of all gateways do, or the coordinators of the shards whose prompts it keeps.
+    pub fn follows_store(&mut self, address: &str, now: Time) -> bool {
+        if !self.gateways.are_many(now) {
+            return self.gateways.rank(address, now) < MOST_READERS;
+        }
+        let Some(catalog) = self.catalog.clone() else { return false };
+        let mut services = catalog.services().iter().filter(|service| service.engine.is_some());
+        services.any(|service| {
+            let shards = self.balancer.shards_of(&service.name);
+            shards.into_iter().any(|shard| {
+                self.balancer.stores().of_shard(shard) == Some(address)
+                    && self.gateways.coordinates(&service.name, shard, now)
+            })
+        })
+    }
+}
--- a/crates/gateway/src/shards.rs
+++ b/crates/gateway/src/shards.rs
@@ -12,7 +12,7 @@
 //! before, 0.88 to 0.96 after (six days).
 
 use serde::{Deserialize, Serialize};
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 use std::net::SocketAddr;
 use std::time::Duration;
 use topazmount_routing::rendezvous_weight;
@@ -27,6 +27,9 @@
 const COORDINATORS: usize = 2;
 /// Time for which a coordinator that did not answer is passed over: a restarted one is back within it.
 const SILENCE: Duration = Duration::from_secs(1);
+/// Time for which a gateway that the list no longer names still counts: a new leader of the control group
+/// hears of all gateways within two of their questions, 0.8 s, and its list is short until then.
+const FORGOTTEN: Duration = Duration::from_secs(2);
 /// Questions in a row without any answer after which a gateway takes itself to be cut off, and asks
 /// nobody for that time: a request would wait for each of them.
 const MOST_UNANSWERED: u32 = 4;
@@ -69,12 +72,23 @@
     }
 }
 
+/// One gateway of the list.
+#[derive(Clone, Copy, Debug)]
+struct Listed {
+    /// Where it takes datagrams.
+    address: SocketAddr,
+    /// What it is in rankings.
+    id: ReplicaId,
+    /// Until when it counts, where the newest list does not name it.
+    until: Time,
+}
+
 /// The gateways as one of them ranks them.
 #[derive(Clone, Debug, Default)]
 pub struct Gateways {
     own: Option<SocketAddr>,
-    /// Addresses for datagrams, in order, with what they are in rankings; the own one is among them.
-    all: Vec<(SocketAddr, ReplicaId)>,
+    /// In the order of addresses; the own one is among them.
+    all: Vec<Listed>,
     silent_until: HashMap<SocketAddr, Time>,
     /// Questions without an answer since the last one.
     unanswered: u32,
@@ -85,37 +99,50 @@
     /// Sets this gateway's own address for datagrams.
     pub fn set_own(&mut self, own: SocketAddr) {
         self.own = Some(own);
-        self.set([]);
+        self.set([], Time::ZERO);
+    }
+
+    /// Takes the addresses for datagrams of the others. Those that are no longer named count for a while.
+    pub fn set(&mut self, others: impl IntoIterator<Item = SocketAddr>, now: Time) {
+        let named: BTreeSet<SocketAddr> = others.into_iter().chain(self.own).collect();
+        let (kept, gone): (Vec<Listed>, Vec<Listed>) =
+            self.all.drain(..).partition(|one| named.contains(&one.address));
+        let known: BTreeSet<SocketAddr> = kept.iter().map(|one| one.address).collect();
+        let new = named.difference(&known).map(|address| Listed {
+            address: *address,
+            id: ReplicaId::from_name(&address.to_string()),
+            until: Time::NEVER,
+        });
+        let kept = kept.iter().map(|one| Listed { until: Time::NEVER, ..*one });
+        let gone = gone.iter().map(|one| Listed { until: one.until.min(now + FORGOTTEN), ..*one });
+        let mut all: Vec<Listed> = kept.chain(new).chain(gone).collect();
+        all.retain(|one| now < one.until);
+        all.sort_by_key(|one| one.address);
+        self.all = all;
     }
 
-    /// Takes the addresses for datagrams of the others.
-    pub fn set(&mut self, others: impl IntoIterator<Item = SocketAddr>) {
-        let mut all: Vec<SocketAddr> = others.into_iter().chain(self.own).collect();
-        all.sort();
-        all.dedup();
-        let ranked = |address: SocketAddr| (address, ReplicaId::from_name(&address.to_string()));
-        self.all = all.into_iter().map(ranked).collect();
+    fn listed(&self, now: Time) -> impl Iterator<Item = &Listed> {
+        self.all.iter().filter(move |one| now < one.until)
     }
 
     /// Whether there are too many for each to be told of all work.
-    pub fn are_many(&self) -> bool {
-        self.all.len() > MOST_TOLD + 1
+    pub fn are_many(&self, now: Time) -> bool {
+        self.listed(now).count() > MOST_TOLD + 1
     }
 
     /// All but this one.
-    pub fn others(&self) -> Vec<SocketAddr> {
-        let others = self.all.iter().map(|(address, _)| *address);
-        others.filter(|address| Some(*address) != self.own).collect()
+    pub fn others(&self, now: Time) -> Vec<SocketAddr> {
+        let addresses = self.listed(now).map(|one| one.address);
+        addresses.filter(|address| !self.is_own(*address)).collect()
     }
 
     /// Place of this gateway in an order that all find alike and that differs from subject to subject;
     /// 0 is the first.
-    pub fn rank(&self, subject: &str) -> usize {
+    pub fn rank(&self, subject: &str, now: Time) -> usize {
         let subject = ReplicaId::from_name(subject).0;
-        let own = self.all.iter().find(|(address, _)| Some(*address) == self.own);
-        let Some((_, own)) = own else { return 0 };
-        let own = rendezvous_weight(subject, *own);
-        self.all.iter().filter(|(_, other)| rendezvous_weight(subject, *other) > own).count()
+        let Some(own) = self.all.iter().find(|one| self.is_own(one.address)) else { return 0 };
+        let own = rendezvous_weight(subject, own.id);
+        self.listed(now).filter(|other| rendezvous_weight(subject, other.id) > own).count()
     }
 
     /// Coordinators of a service's shard, the first to be asked first; those that did not answer
@@ -124,9 +151,9 @@
         let key = shard.key(service);
         let is_silent =
             |address: &SocketAddr| self.silent_until.get(address).is_some_and(|until| now < *until);
-        let open = self.all.iter().filter(|(address, _)| !is_silent(address));
+        let open = self.listed(now).filter(|one| !is_silent(&one.address));
         let mut ranked: Vec<(u64, SocketAddr)> =
-            open.map(|(address, id)| (rendezvous_weight(key, *id), *address)).collect();
+            open.map(|one| (rendezvous_weight(key, one.id), one.address)).collect();
         let count = COORDINATORS.min(ranked.len());
         if count < ranked.len() {
             ranked.select_nth_unstable_by(count, |left, right| right.cmp(left));
--- a/crates/gateway/tests/shards.rs
+++ b/crates/gateway/tests/shards.rs
@@ -125,7 +125,7 @@
 fn a_coordinator_that_does_not_answer_is_passed_over_for_a_while() {
     let mut gateways = Gateways::default();
     gateways.set_own(address(0, PORT));
-    gateways.set((1..40).map(|number| address(number, PORT)));
+    gateways.set((1..40).map(|number| address(number, PORT)), NOW);
     let shard = Shard { index: 3, count: 16 };
     let ranked = gateways.coordinators("pool", shard, NOW);
     gateways.note_silent(ranked[0], NOW);
@@ -134,6 +134,24 @@
     assert_eq!(gateways.coordinators("pool", shard, NOW + Duration::from_secs(2)), ranked);
 }
 
+/// A new leader of the control group has heard of few gateways at first; prompts must not move for that.
+#[test]
+fn a_short_list_moves_no_shard_at_once() {
+    let mut gateways = Gateways::default();
+    gateways.set_own(address(0, PORT));
+    let all = || (1..40).map(|number| address(number, PORT));
+    gateways.set(all(), NOW);
+    let shard = Shard { index: 3, count: 16 };
+    let before = gateways.coordinators("pool", shard, NOW);
+    let soon = NOW + Duration::from_millis(500);
+    gateways.set(all().take(3), soon);
+    assert!(gateways.are_many(soon));
+    assert_eq!(gateways.coordinators("pool", shard, soon), before);
+    gateways.set(all().skip(1), soon + Duration::from_millis(500));
+    let later = NOW + Duration::from_secs(4);
+    assert_eq!(gateways.others(later), all().skip(1).collect::<Vec<_>>(), "one has gone for good");
+}
+
 /// Each question without an answer costs the request the time that it waits.
 #[test]
 fn a_gateway_that_reaches_no_coordinator_decides_by_itself() {
