Only reads wait for the first entry of the term to be applied; the lease is as before

Cause: the mend of stale reads asked of the lease itself that an entry of the term is applied. A member takes its inputs and a tick in one step, and applies at its end: the tick of the step that commits that entry then found no lease, and gateways were answered without the leader's statuses until the next one. Change: may_read is the lease and an applied entry of the term; reads and answers "holds already" ask it. Orders and ticks ask the lease as before. Test: the check between messages and their work asks may_read; both tests that failed before pass.

--- a/crates/consensus/src/contact.rs
+++ b/crates/consensus/src/contact.rs
@@ -6,13 +6,18 @@
 use topazmount_types::Time;
 
 impl Replica {
-    /// Whether this member may answer reads and give orders on its own word: it leads, has applied an
-    /// entry of its term (thesis §6.4) and a quorum answered within the lease. That such an entry is
-    /// committed is not enough: what earlier leaders acknowledged would be missing in a read that is
-    /// answered before it is applied.
+    /// Whether this member may answer reads on its own word: it has the lease, and has applied an entry of
+    /// its term. What earlier leaders acknowledged would be missing in a read that is answered between the
+    /// commit of that entry and its application.
+    pub fn may_read(&self, now: Time) -> bool {
+        self.has_lease(now) && self.applied() >= self.term_start
+    }
+
+    /// Whether this member may give orders on its own word: it leads, an entry of its term is committed
+    /// (thesis §6.4) and a quorum answered within the lease.
     pub fn has_lease(&self, now: Time) -> bool {
         let is_serving = self.role == Role::Leader && self.transfer_until.is_none();
-        if !is_serving || self.applied() < self.term_start {
+        if !is_serving || self.commit < self.term_start {
             return false;
         }
         self.quorum_acknowledged_at().is_some_and(|at| now < at + self.config.lease)
--- a/crates/consensus/tests/common/mod.rs
+++ b/crates/consensus/tests/common/mod.rs
@@ -155,7 +155,7 @@
     /// lease has applied all that anybody applied, and so all that was acknowledged.
     fn check_reads(&self) {
         let newest = self.peers.values().filter_map(|peer| peer.applied.keys().next_back()).max();
-        let holders = self.peers.values().filter(|peer| peer.replica.has_lease(self.now));
+        let holders = self.peers.values().filter(|peer| peer.replica.may_read(self.now));
         for holder in holders {
             let own = holder.applied.keys().next_back();
             assert!(own >= newest, "{:?} reads {own:?} of {newest:?}", holder.replica.id());
--- a/crates/control/src/fleet_member.rs
+++ b/crates/control/src/fleet_member.rs
@@ -31,7 +31,7 @@
                 self.change(now, token, command, version <= known);
             }
             FleetRequest::ReadDocument => {
-                let response = if self.replica.has_lease(now) {
+                let response = if self.replica.may_read(now) {
                     let document = self.state.fleet.document().cloned();
                     Response::Fleet(FleetResponse::Document(document))
                 } else {
@@ -55,7 +55,7 @@
         if !holds_already {
             return self.propose(now, token, Command::Fleet(command));
         }
-        let response = if self.replica.has_lease(now) {
+        let response = if self.replica.may_read(now) {
             Response::Fleet(FleetResponse::Done)
         } else {
             self.not_leader(now)
--- a/crates/control/src/member.rs
+++ b/crates/control/src/member.rs
@@ -293,7 +293,7 @@
 
     /// Answers from the applied state if this member may vouch for it.
     fn as_leader(&self, now: Time, answer: impl Fn(&ControlState) -> Response) -> Response {
-        if self.replica.has_lease(now) { answer(&self.state) } else { self.not_leader(now) }
+        if self.replica.may_read(now) { answer(&self.state) } else { self.not_leader(now) }
     }
 
     pub(crate) fn not_leader(&self, now: Time) -> Response {
