One piece for what stood twice: who may be asked, who is told, how a replica is chosen

Found by reading the change once more: - whether a replica may be sent a request stood in open_replicas and again in adopt: Replica::may_take serves both; - Knowledge::choose and choose_within differed by the shard: one calls the other; - what to tell and whom was put together three times, and whom was reckoned also where there was nothing to tell, so on each call of an application and each short prompt of a small fleet, under the lock: Knowledge::news and news_of_end; - a replica's name was hashed twice when it was added: Replica::key; is_sharded and Knowledge::question only renamed what stood there, the latter behind the lock. Behaviour is as it was. Ruled out: one type for resume.rs's Resumed and Beside (they hold different things); coordinators kept per shard until the list changes (state that would have to follow silence and time).

--- a/crates/gateway/src/balancer/candidates.rs
+++ b/crates/gateway/src/balancer/candidates.rs
@@ -27,12 +27,7 @@
         now: Time,
     ) -> Vec<InstanceId> {
         let may_serve = |replica: &&Replica| {
-            let instance = &replica.instance;
-            !instance.is_draining
-                && shard.is_none_or(|shard| shard.contains(replica.key))
-                && replica.availability != Availability::Barred
-                && !request.exclude.contains(&instance.id)
-                && request.held_to.is_none_or(|id| *id == instance.id)
+            shard.is_none_or(|shard| shard.contains(replica.key)) && replica.may_take(request)
         };
         let mut serving: Vec<&Replica> = self.serving(request.service).filter(may_serve).collect();
         // Weights that are not known may be too old.
--- a/crates/gateway/src/balancer/mod.rs
+++ b/crates/gateway/src/balancer/mod.rs
@@ -30,7 +30,7 @@
 use std::time::Duration;
 use topazmount_control::{Availability, InstanceStatus};
 use topazmount_routing::PolicyTable;
-use topazmount_types::{Incarnation, Instance, InstanceId, ReplicaId, Time};
+use topazmount_types::{Incarnation, Instance, InstanceId, Time};
 
 /// Age up to which what a replica read is taken from it where settings do not say it.
 pub(crate) const SURELY_KEPT: Duration = Duration::from_millis(1_500);
@@ -88,15 +88,16 @@
         let (id, slot) = (instance.id.clone(), self.next_slot);
         self.next_slot += 1;
         self.by_slot.insert(slot, id.clone());
-        self.by_key.insert(replica_key(&id), id.clone());
-        self.replicas.insert(id, Replica::new(instance, slot));
+        let replica = Replica::new(instance, slot);
+        self.by_key.insert(replica.key.0, id.clone());
+        self.replicas.insert(id, replica);
     }
 
     /// Forgets a replica.
     pub fn remove(&mut self, id: &str) {
         if let Some(replica) = self.replicas.remove(id) {
             self.by_slot.remove(&replica.slot);
-            self.by_key.remove(&replica_key(id));
+            self.by_key.remove(&replica.key.0);
         }
     }
 
@@ -365,8 +366,3 @@
         }
     }
 }
-
-/// Name of a replica among nodes, which number them differently.
-fn replica_key(id: &str) -> u64 {
-    ReplicaId::from_name(id).0
-}
--- a/crates/gateway/src/balancer/replica.rs
+++ b/crates/gateway/src/balancer/replica.rs
@@ -1,5 +1,6 @@
 //! What a node knows of one replica.
 
+use super::ChoiceRequest;
 use std::collections::HashMap;
 use std::time::Duration;
 use topazmount_control::{Availability, LoadedModel};
@@ -111,6 +112,14 @@
         }
     }
 
+    /// Whether it may be sent a request, as far as anybody but the request's own failures says.
+    pub(super) fn may_take(&self, request: &ChoiceRequest<'_>) -> bool {
+        !self.instance.is_draining
+            && self.availability != Availability::Barred
+            && !request.exclude.contains(&self.instance.id)
+            && request.held_to.is_none_or(|id| *id == self.instance.id)
+    }
+
     /// Whether others may take parts of prompts from it. One that is about to load still holds what
     /// it read; once it loads, taking from it fails quickly.
     pub(super) fn may_give(&self) -> bool {
--- a/crates/gateway/src/balancer/sharded.rs
+++ b/crates/gateway/src/balancer/sharded.rs
@@ -6,7 +6,6 @@
 use crate::question::Offer;
 use crate::shards::Shard;
 use rand::Rng;
-use topazmount_control::Availability;
 use topazmount_routing::rendezvous_weight;
 use topazmount_types::InstanceId;
 
@@ -22,10 +21,6 @@
         self.has_coordinators = has_coordinators;
     }
 
-    pub(super) fn is_sharded(&self) -> bool {
-        self.has_coordinators
-    }
-
     /// Shards of a service; none where gateways are few.
     pub(crate) fn shards_of(&self, service: &str) -> Vec<Shard> {
         let count = self.shard_count(service);
@@ -105,11 +100,7 @@
     /// not be asked.
     pub(crate) fn adopt(&self, offer: &Offer, request: &ChoiceRequest<'_>) -> Option<Choice> {
         let replica = self.replicas.get(self.by_key.get(&offer.replica)?)?;
-        let may_serve = replica.instance.service == request.service
-            && !replica.instance.is_draining
-            && replica.availability != Availability::Barred
-            && !request.exclude.contains(&replica.instance.id);
-        if !may_serve {
+        if replica.instance.service != request.service || !replica.may_take(request) {
             return None;
         }
         let known = replica.version(request.model);
--- a/crates/gateway/src/balancer/view.rs
+++ b/crates/gateway/src/balancer/view.rs
@@ -96,7 +96,7 @@
         let serving = serving.filter(|one| shard.is_none_or(|shard| shard.contains(one.key)));
         let mut order: Vec<(&InstanceId, ReplicaId)> =
             serving.map(|one| (&one.instance.id, one.key)).collect();
-        let homes = match self.is_sharded() {
+        let homes = match self.has_coordinators {
             true => order.len(),
             false => order.len().div_ceil(REPLICAS_PER_HOME).min(order.len()),
         };
--- a/crates/gateway/src/knowledge.rs
+++ b/crates/gateway/src/knowledge.rs
@@ -272,9 +272,7 @@
 
     /// Chooses a replica.
     pub fn choose(&mut self, request: &ChoiceRequest<'_>, now: Time) -> Option<Choice> {
-        let mut choice = self.balancer.choose(request, now, &mut self.policies)?;
-        choice.save_to = self.balancer.save(&choice, request, None, now);
-        Some(choice)
+        self.choose_within(request, None, now)
     }
 
     /// Counts a request for a service.
--- a/crates/gateway/src/knowledge/placement.rs
+++ b/crates/gateway/src/knowledge/placement.rs
@@ -1,7 +1,7 @@
 //! Where gateways are many: who is asked about a prompt, who is told of it, and who follows which store.
 
 use super::Knowledge;
-use crate::balancer::{Choice, ChoiceRequest};
+use crate::balancer::{Choice, ChoiceRequest, LoadNews, PromptEvent};
 use crate::question::{ChoiceQuestion, Offer};
 use crate::shards::{Gateways, Shard};
 use crate::stores::MOST_READERS;
@@ -10,16 +10,15 @@
 use topazmount_types::Time;
 
 impl Knowledge {
-    /// Chooses a replica of a shard that this gateway coordinates.
+    /// Chooses a replica of a shard that this gateway coordinates, or of the whole service.
     pub fn choose_within(
         &mut self,
         request: &ChoiceRequest<'_>,
-        shard: Shard,
+        shard: Option<Shard>,
         now: Time,
     ) -> Option<Choice> {
-        let policies = &mut self.policies;
-        let mut choice = self.balancer.choose_within(request, Some(shard), now, policies)?;
-        choice.save_to = self.balancer.save(&choice, request, Some(shard), now);
+        let mut choice = self.balancer.choose_within(request, shard, now, &mut self.policies)?;
+        choice.save_to = self.balancer.save(&choice, request, shard, now);
         Some(choice)
     }
 
@@ -66,15 +65,10 @@
             held_to: None,
             engine: catalog.service(&question.service)?.engine.as_ref(),
         };
-        let choice = self.choose_within(&request, question.shard, now)?;
+        let choice = self.choose_within(&request, Some(question.shard), now)?;
         self.balancer.offer(&choice)
     }
 
-    /// The question about a request to the coordinators of a shard.
-    pub fn question(&self, request: &ChoiceRequest<'_>, shard: Shard) -> Option<ChoiceQuestion> {
-        ChoiceQuestion::new(request, shard)
-    }
-
     /// The choice that a coordinator's offer makes, if this gateway may follow it.
     pub fn adopt(&self, offer: &Offer, request: &ChoiceRequest<'_>) -> Option<Choice> {
         self.balancer.adopt(offer, request)
@@ -85,9 +79,32 @@
         self.balancer.is_overloaded(choice, request)
     }
 
+    /// What others should know of a prompt at its choice, and who, if there is anything to tell.
+    pub fn news(
+        &self,
+        choice: &Choice,
+        request: &ChoiceRequest<'_>,
+        event: PromptEvent,
+        now: Time,
+    ) -> Option<(Vec<SocketAddr>, LoadNews)> {
+        let news = self.balancer.news(choice, request, event)?;
+        Some((self.told_of(choice, now), news))
+    }
+
+    /// The same after the prompt ended.
+    pub fn news_of_end(
+        &self,
+        choice: &Choice,
+        event: PromptEvent,
+        now: Time,
+    ) -> Option<(Vec<SocketAddr>, LoadNews)> {
+        let news = self.balancer.news_of_end(choice, event)?;
+        Some((self.told_of(choice, now), news))
+    }
+
     /// Who should be told of a prompt at its choice: the coordinators of that replica's shard, or all
     /// other gateways where they are few.
-    pub fn told_of(&self, choice: &Choice, now: Time) -> Vec<SocketAddr> {
+    fn told_of(&self, choice: &Choice, now: Time) -> Vec<SocketAddr> {
         let Some(shard) = self.balancer.shard_of(choice) else { return self.gateways.others(now) };
         let mut told = self.gateways.coordinators(&choice.instance.service, shard, now);
         told.retain(|address| !self.gateways.is_own(*address));
--- a/crates/gateway/src/question.rs
+++ b/crates/gateway/src/question.rs
@@ -57,8 +57,8 @@
 }
 
 impl ChoiceQuestion {
-    /// The question for a request that has a prompt.
-    pub(crate) fn new(request: &ChoiceRequest<'_>, shard: Shard) -> Option<Self> {
+    /// The question for a request; `None` where it has no prompt.
+    pub fn new(request: &ChoiceRequest<'_>, shard: Shard) -> Option<Self> {
         let prompt = request.prompt?;
         let exclude = request.exclude.iter().map(|id| ReplicaId::from_name(id).0);
         Some(ChoiceQuestion {
--- a/crates/gateway/tests/shards.rs
+++ b/crates/gateway/tests/shards.rs
@@ -8,8 +8,8 @@
 use std::time::Duration;
 use topazmount_control::{Availability, FleetView, GatewayReport, InstanceStatus, LoadedModel};
 use topazmount_gateway::{
-    Catalog, CatalogParts, Choice, ChoiceRequest, GatewaySettings, Gateways, Knowledge, MOST_TOLD,
-    Prompt, PromptEvent, Service, Shard,
+    Catalog, CatalogParts, Choice, ChoiceQuestion, ChoiceRequest, GatewaySettings, Gateways,
+    Knowledge, LoadNews, MOST_TOLD, Prompt, PromptEvent, Service, Shard,
 };
 use topazmount_types::Time;
 
@@ -74,7 +74,8 @@
     with_request(&subject(1), |request| {
         assert!(knowledge.shards_for(request, NOW).is_empty());
         let choice = knowledge.choose(request, NOW).unwrap();
-        assert_eq!(knowledge.told_of(&choice, NOW).len(), MOST_TOLD);
+        let (told, _) = knowledge.news(&choice, request, PromptEvent::Sent, NOW).unwrap();
+        assert_eq!(told.len(), MOST_TOLD);
     });
 }
 
@@ -206,7 +207,7 @@
 fn ask(fleet: &mut [Knowledge], asker: usize, request: &ChoiceRequest<'_>, now: Time) -> Choice {
     let shard = fleet[asker].shards_for(request, NOW)[0];
     let coordinator = fleet[asker].gateways().coordinators("pool", shard, now)[0];
-    let question = fleet[asker].question(request, shard).unwrap();
+    let question = ChoiceQuestion::new(request, shard).unwrap();
     let offer = fleet[number_of(coordinator)].answer(&question, now).unwrap();
     fleet[asker].adopt(&offer, request).unwrap()
 }
@@ -224,18 +225,27 @@
     request: &ChoiceRequest<'_>,
     now: Time,
 ) {
-    let told = fleet[asker].told_of(choice, now);
     fleet[asker].balancer().sent(choice, request, now);
-    let sent = fleet[asker].balancer().news(choice, request, PromptEvent::Sent);
+    let sent = fleet[asker].news(choice, request, PromptEvent::Sent, now);
     fleet[asker].first_token(choice, request, Duration::from_millis(80), now);
-    let read = fleet[asker].balancer().news(choice, request, PromptEvent::Read);
+    let read = fleet[asker].news(choice, request, PromptEvent::Read, now);
     fleet[asker].balancer().ended(choice, true);
-    let ended = fleet[asker].balancer().news_of_end(choice, PromptEvent::Ended);
-    for mut news in [sent, read, ended].into_iter().flatten() {
-        news.node = asker as u64;
-        for address in &told {
-            fleet[number_of(*address)].balancer().apply_news(&news, now);
-        }
+    let ended = fleet[asker].news_of_end(choice, PromptEvent::Ended, now);
+    for news in [sent, read, ended] {
+        tell(fleet, asker, news, now);
+    }
+}
+
+fn tell(
+    fleet: &mut [Knowledge],
+    from: usize,
+    news: Option<(Vec<SocketAddr>, LoadNews)>,
+    now: Time,
+) {
+    let (told, news) = news.expect("there is something to tell");
+    let news = LoadNews { node: from as u64, ..news };
+    for address in told {
+        fleet[number_of(address)].balancer().apply_news(&news, now);
     }
 }
 
@@ -259,11 +269,8 @@
         let first = ask(&mut fleet, 0, request, NOW);
         fleet[0].balancer().sent(&first, request, NOW);
         fleet[0].balancer().ended(&first, false);
-        let mut news = fleet[0].balancer().news_of_end(&first, PromptEvent::Failed).unwrap();
-        news.node = 1;
-        for address in fleet[0].told_of(&first, NOW) {
-            fleet[number_of(address)].balancer().apply_news(&news, NOW);
-        }
+        let news = fleet[0].news_of_end(&first, PromptEvent::Failed, NOW);
+        tell(&mut fleet, 0, news, NOW);
         assert_ne!(ask(&mut fleet, 5, request, NOW).instance.id, first.instance.id);
         let later = NOW + Duration::from_secs(1);
         assert_eq!(ask(&mut fleet, 5, request, later).instance.id, first.instance.id);
@@ -278,12 +285,12 @@
         let shards = knowledge.shards_for(request, NOW);
         let mut last = None;
         for _ in 0..200 {
-            let choice = knowledge.choose_within(request, shards[0], NOW).unwrap();
+            let choice = knowledge.choose_within(request, Some(shards[0]), NOW).unwrap();
             knowledge.balancer().sent(&choice, request, NOW);
             last = Some(choice);
         }
         assert!(knowledge.is_overloaded(&last.unwrap(), request));
-        let elsewhere = knowledge.choose_within(request, shards[1], NOW).unwrap();
+        let elsewhere = knowledge.choose_within(request, Some(shards[1]), NOW).unwrap();
         assert!(!knowledge.is_overloaded(&elsewhere, request));
         assert_ne!(shards[0], shards[1]);
     });
@@ -295,7 +302,7 @@
     let mut fleet: Vec<Knowledge> = (0..40).map(|number| gateway(number, 40, 64)).collect();
     with_request(&subject(1), |request| {
         let shard = fleet[0].shards_for(request, NOW)[0];
-        let question = fleet[0].question(request, shard).unwrap();
+        let question = ChoiceQuestion::new(request, shard).unwrap();
         let mut offer = fleet[1].answer(&question, NOW).unwrap();
         offer.source = Some("10.9.9.9:1".to_owned());
         let same = fleet[0].adopt(&offer, request).unwrap();
--- a/crates/topazmount/src/fleet/exchange/choose.rs
+++ b/crates/topazmount/src/fleet/exchange/choose.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddr;
 use std::sync::atomic::AtomicBool;
 use std::time::Duration;
-use topazmount_gateway::{Choice, PromptEvent, RequestPlan, Shard};
+use topazmount_gateway::{Choice, ChoiceQuestion, PromptEvent, RequestPlan, Shard};
 
 /// Time that a coordinator has for its answer: the way there and back, a few milliseconds, and a moment
 /// in which its machine is busy. Then the next one is asked, and after it this gateway decides by itself.
@@ -22,15 +22,12 @@
         };
         let request = self.choice_request(plan);
         let now = self.shared.clock.now();
-        let (told, news) = {
+        let news = {
             let mut knowledge = self.shared.knowledge.lock().unwrap();
             knowledge.balancer().sent(&choice, &request, now);
-            let news = knowledge.balancer().news(&choice, &request, PromptEvent::Sent);
-            (knowledge.told_of(&choice, now), news)
+            knowledge.news(&choice, &request, PromptEvent::Sent, now)
         };
-        if let Some(news) = news {
-            self.shared.peers.tell(told, news);
-        }
+        self.shared.peers.tell(news);
         Some(InFlight {
             shared: self.shared,
             choice,
@@ -85,7 +82,7 @@
             {
                 let mut knowledge = self.shared.knowledge.lock().unwrap();
                 if knowledge.gateways().is_own(coordinator) {
-                    return Ok(knowledge.choose_within(&request, shard, now));
+                    return Ok(knowledge.choose_within(&request, Some(shard), now));
                 }
             }
             if let Some(answer) = self.ask_coordinator(plan, shard, coordinator).await {
@@ -104,7 +101,7 @@
         coordinator: SocketAddr,
     ) -> Option<Option<Choice>> {
         let request = self.choice_request(plan);
-        let question = self.shared.knowledge.lock().unwrap().question(&request, shard)?;
+        let question = ChoiceQuestion::new(&request, shard)?;
         let limit = ANSWER_LIMIT.min(self.left());
         let answer = self.shared.peers.ask(coordinator, question, limit).await;
         let now = self.shared.clock.now();
--- a/crates/topazmount/src/fleet/exchange/mod.rs
+++ b/crates/topazmount/src/fleet/exchange/mod.rs
@@ -146,13 +146,12 @@
             false => PromptEvent::Ended,
         };
         let now = self.shared.clock.now();
-        let (told, news) = {
+        let news = {
             let mut knowledge = self.shared.knowledge.lock().unwrap();
             knowledge.balancer().ended(&self.choice, has_first_token);
-            let Some(news) = knowledge.balancer().news_of_end(&self.choice, event) else { return };
-            (knowledge.told_of(&self.choice, now), news)
+            knowledge.news_of_end(&self.choice, event, now)
         };
-        self.shared.peers.tell(told, news);
+        self.shared.peers.tell(news);
     }
 }
 
--- a/crates/topazmount/src/fleet/exchange/record.rs
+++ b/crates/topazmount/src/fleet/exchange/record.rs
@@ -89,15 +89,12 @@
         let now = self.shared.clock.now();
         self.shared.metrics.first_event(now.since(self.received));
         let request = self.choice_request(plan);
-        let (told, news) = {
+        let news = {
             let mut knowledge = self.shared.knowledge.lock().unwrap();
             knowledge.first_token(choice, &request, now.since(sent_at), now);
-            let news = knowledge.balancer().news(choice, &request, PromptEvent::Read);
-            (knowledge.told_of(choice, now), news)
+            knowledge.news(choice, &request, PromptEvent::Read, now)
         };
-        if let Some(news) = news {
-            self.shared.peers.tell(told, news);
-        }
+        self.shared.peers.tell(news);
     }
 
     pub(super) fn log_attempt(&self, choice: &Choice, end: &str) {
--- a/crates/topazmount/src/fleet/exchange/resume.rs
+++ b/crates/topazmount/src/fleet/exchange/resume.rs
@@ -108,10 +108,9 @@
         &self,
         plan: &RequestPlan,
         in_flight: &InFlight<'_>,
-        held: Box<StreamBegin>,
+        mut held: Box<StreamBegin>,
         progress: &Progress,
     ) -> Beside {
-        let mut held = held;
         let mut other = pin!(self.attempt(plan, in_flight, progress));
         let word = {
             let StreamBegin { reader, carrier, .. } = held.as_mut();
--- a/crates/topazmount/src/fleet/peers.rs
+++ b/crates/topazmount/src/fleet/peers.rs
@@ -85,10 +85,11 @@
         self.own
     }
 
-    /// Tells others, without waiting. What can't be sent is lost: the next news makes it good.
-    pub(super) fn tell(&self, to: Vec<SocketAddr>, mut news: LoadNews) {
-        news.node = self.node;
-        self.send(to, Message::Load(news));
+    /// Tells others what there is to tell, without waiting. What can't be sent is lost: the next news
+    /// makes it good.
+    pub(super) fn tell(&self, news: Option<(Vec<SocketAddr>, LoadNews)>) {
+        let Some((to, news)) = news else { return };
+        self.send(to, Message::Load(LoadNews { node: self.node, ..news }));
     }
 
     fn send(&self, to: Vec<SocketAddr>, message: Message) {
