Sight: tries of one request and replicas that ended under it can be told

Cause: logs name requests by identifiers that each try draws anew, and don't say whether a broken connection's replica has ended. Change: a digest of caller, method, host, target and body in the lines of answers; after a broken attempt the gateway asks for a connection, and logs and counts crash_seen where it is refused. No decision depends on either.

--- a/crates/topazmount/src/fleet/clients.rs
+++ b/crates/topazmount/src/fleet/clients.rs
@@ -12,7 +12,8 @@
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
-use topazmount_types::{ErrorKind, Time};
+use topazmount_gateway::Admission;
+use topazmount_types::{Digest, ErrorKind, RequestDigest, Time};
 
 /// Pause after a failed accept, for example without free descriptors.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
@@ -118,6 +119,7 @@
         head,
         body,
         tags: &tags,
+        digest: digest(host, head, &admission, body),
         admission: &admission,
         received,
         keeps_alive,
@@ -140,6 +142,13 @@
     ending
 }
 
+/// The tenant stands for the caller: it may hold several keys.
+fn digest(host: &str, head: &RequestHead, admission: &Admission, body: &[u8]) -> RequestDigest {
+    let tenant = admission.tenant.as_ref().map_or("", |tenant| tenant.name.as_str());
+    let parts = [host, &head.method, &head.target, tenant].map(str::as_bytes);
+    RequestDigest(Digest::of_parts(&[parts[0], parts[1], parts[2], parts[3], body]).prefix())
+}
+
 fn log_refusal(shared: &Shared, tags: &RequestTags, host: &str, path: &str, kind: ErrorKind) {
     shared.metrics.answer(kind.name(), Duration::ZERO);
     shared.journal.line(|| {
--- a/crates/topazmount/src/fleet/exchange/mod.rs
+++ b/crates/topazmount/src/fleet/exchange/mod.rs
@@ -3,6 +3,7 @@
 mod attempt;
 mod choose;
 mod connection;
+mod crash;
 mod record;
 mod relay;
 mod resume;
@@ -22,7 +23,7 @@
     Admission, AttemptEnd, Choice, ChoiceRequest, EngineParameters, NextStep, PromptEvent,
     RequestPlan, cache_salt,
 };
-use topazmount_types::{ErrorKind, RunState, TenantId, Time};
+use topazmount_types::{ErrorKind, RequestDigest, RunState, TenantId, Time};
 
 /// What becomes of the client's connection.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -39,6 +40,8 @@
     pub(super) head: &'a RequestHead,
     pub(super) body: &'a [u8],
     pub(super) tags: &'a RequestTags,
+    /// Tells another try of the same request.
+    pub(super) digest: RequestDigest,
     pub(super) admission: &'a Admission,
     /// When the request was read.
     pub(super) received: Time,
@@ -228,6 +231,7 @@
                 return self.give_up(&plan, &progress, plan.refusal()).await;
             };
             plan.begin(in_flight.choice.instance.id.clone());
+            let began = self.shared.clock.now();
             let attempt = self.attempt(&plan, &in_flight, &progress).await;
             let end = match attempt {
                 Attempt::Success(head, body) => {
@@ -272,6 +276,9 @@
             };
             self.note_failure(&in_flight, end);
             self.log_attempt(&in_flight.choice, &format!("{end:?}"));
+            if end == AttemptEnd::Broken {
+                self.look_for_crash(&in_flight.choice, began).await;
+            }
             drop(in_flight);
             if let Some(kind) = self.next(&mut plan, end, &progress) {
                 return self.give_up(&plan, &progress, kind).await;
--- a/crates/topazmount/src/fleet/exchange/record.rs
+++ b/crates/topazmount/src/fleet/exchange/record.rs
@@ -137,9 +137,10 @@
         };
         self.shared.journal.line(|| {
             format!(
-                "gateway: event=answer request={} route={} service={} version={} status={status} \
-                 reason={reason} run={run} attempts={} after_ms={}{more}",
+                "gateway: event=answer request={} digest={} route={} service={} version={} \
+                 status={status} reason={reason} run={run} attempts={} after_ms={}{more}",
                 self.tags.id,
+                self.digest,
                 self.admission.route.name,
                 self.admission.service,
                 self.admission.version,
--- a/crates/topazmount/src/http1/client.rs
+++ b/crates/topazmount/src/http1/client.rs
@@ -29,6 +29,16 @@
     Ok(Wire::new(stream))
 }
 
+/// Whether nobody listens at an address: a connection is refused in this time.
+pub async fn is_refused(address: SocketAddr, limit: Duration) -> bool {
+    match connect(address, limit).await {
+        Ok(_) => false,
+        Err(error) => error
+            .downcast_ref::<std::io::Error>()
+            .is_some_and(|error| error.kind() == std::io::ErrorKind::ConnectionRefused),
+    }
+}
+
 /// Reads the next head that is no interim answer.
 ///
 /// # Errors
--- a/crates/topazmount/src/http1/mod.rs
+++ b/crates/topazmount/src/http1/mod.rs
@@ -12,7 +12,7 @@
 mod write;
 
 pub use body::{BodyError, BodyReader};
-pub use client::{ClientAnswer, connect, read_answer_head};
+pub use client::{ClientAnswer, connect, is_refused, read_answer_head};
 pub use framing::{Framing, request_framing, response_framing};
 pub use head::{HeadError, Headers, RequestHead, ResponseHead};
 pub use wire::Wire;
--- a/crates/types/src/identifier.rs
+++ b/crates/types/src/identifier.rs
@@ -134,6 +134,19 @@
     }
 }
 
+/// What makes two tries the same request: who asks, for what, with which body. Identifiers that a caller
+/// draws anew for each try don't count.
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+pub struct RequestDigest(pub u64);
+
+impl fmt::Display for RequestDigest {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:016x}", self.0)
+    }
+}
+
 /// A tenant's key of a call that may run at most once.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct ActionKey {
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -11,8 +11,8 @@
 
 pub use error::{ErrorKind, Refusal, RunState};
 pub use identifier::{
-    ActionKey, AttemptId, Digest, Incarnation, ModelId, NodeId, ReplicaId, RequestId, Revision,
-    TenantId, WeightsVersion, ZoneId,
+    ActionKey, AttemptId, Digest, Incarnation, ModelId, NodeId, ReplicaId, RequestDigest,
+    RequestId, Revision, TenantId, WeightsVersion, ZoneId,
 };
 pub use instance::{Instance, InstanceId};
 pub use request::{ActionCall, ChatRequest, Endpoint, Priority, Usage};
