A request under which replicas crash is blocked by the control group

Cause: nothing of a request outlived a try. Each gateway sent it on as if it were new, and only the replica was blamed. Change: gateways tell the leader which request was at a replica that ended (a broken connection, then a refused one); it commits that, and three crashes in a row block the request everywhere. A crash accuses all that ran beside it, so that crashes count only one after the other, another request that was at more of them explains them, and running well clears. Tries get 400 crashes_replicas at once. Blocks last 5 minutes, doubled by a further crash; all is bounded. Ruled out: word between gateways (the next try comes in anywhere, and a restart of all forgets); a coordinator by digest (to be asked before each request); one crash as evidence (eight requests ran beside the cause).

--- a/crates/control/src/fleet/leader.rs
+++ b/crates/control/src/fleet/leader.rs
@@ -56,7 +56,7 @@
     }
 
     /// Lets time pass in a term that this member leads with a lease. Returns replicas that fell
-    /// silent, and actions for the shell.
+    /// silent and what is forgotten, as commands, and actions for the shell.
     pub(crate) fn lead(
         &mut self,
         now: Time,
@@ -92,7 +92,11 @@
         }
         self.refresh_statuses(now, state);
         self.statuses_revision = state.revision();
-        (expired, actions)
+        let mut commands = expired;
+        if state.crashes().is_due(now) {
+            commands.push(FleetCommand::ForgetCrashes { at: now });
+        }
+        (commands, actions)
     }
 
     fn refresh_statuses(&mut self, now: Time, state: &FleetState) {
@@ -172,6 +176,11 @@
             (view.instances, view.removed, view.is_full) = state.changes_since(seen.revision);
             is_news = true;
         }
+        let crashes = state.crashes();
+        if crashes.changes() > seen.blocked {
+            view.blocked = Some((crashes.changes(), crashes.blocked()));
+            is_news = true;
+        }
         let Some((term, _)) = self.term else { return (view, is_news) };
         view.gateway_count = self.gateways.len() as u32;
         if seen.statuses != (term, self.statuses_count) {
--- a/crates/control/src/fleet/mod.rs
+++ b/crates/control/src/fleet/mod.rs
@@ -1,9 +1,10 @@
 //! The fleet that gateways serve: service catalog, replicas and weights.
 //!
 //! [`FleetState`] is replicated: the newest catalog document, the registered replicas and the
-//! versions named for models. `FleetLeader` is what only the leader keeps in memory: when each
+//! versions named for models, and the requests under which replicas crash. `FleetLeader` is what only the leader keeps in memory: when each
 //! replica and gateway was last heard of, who waits for news, and the roll-out of weights.
 
+mod crashes;
 mod leader;
 mod orders;
 mod protocol;
@@ -11,6 +12,7 @@
 mod schedule;
 mod state;
 
+pub use crashes::{BlockedRequest, CRASHES_TO_BLOCK, CrashLedger, CrashNote, CrashNotes};
 pub(crate) use leader::FleetLeader;
 pub use orders::{FleetAction, LoadMode, OrderEnd, OrderReport, ReplicaReport, WeightsOrder};
 pub use protocol::{
--- a/crates/control/src/fleet/protocol.rs
+++ b/crates/control/src/fleet/protocol.rs
@@ -1,5 +1,6 @@
 //! What gateways, replicas and operators ask the control group about the fleet.
 
+use super::crashes::{BlockedRequest, CrashNotes};
 use super::orders::OrderReport;
 use super::state::Document;
 use serde::{Deserialize, Serialize};
@@ -72,6 +73,9 @@
     pub statuses: (Term, u64),
     /// Term and count of the list of gateways.
     pub gateways: (Term, u64),
+    /// Count of changes of what is blocked.
+    #[serde(default)]
+    pub blocked: u64,
 }
 
 /// A request for news.
@@ -85,6 +89,9 @@
     pub wants_gateways: bool,
     /// How long the answer may be held while there is no news.
     pub wait: Duration,
+    /// What the requester saw of crashes lately; only the leader takes it.
+    #[serde(default)]
+    pub crashes: CrashNotes,
 }
 
 /// News.
@@ -112,6 +119,9 @@
     pub gateways: Option<((Term, u64), Vec<GatewayReport>)>,
     /// Number of gateways heard of; 0 where the member does not lead.
     pub gateway_count: u32,
+    /// Requests that must not be sent on, when that changed: count of changes, and all of them.
+    #[serde(default)]
+    pub blocked: Option<(u64, Vec<BlockedRequest>)>,
 }
 
 /// A request about the fleet.
--- a/crates/control/src/fleet/state.rs
+++ b/crates/control/src/fleet/state.rs
@@ -1,8 +1,9 @@
 //! Replicated state of the fleet.
 
+use super::crashes::{CrashLedger, CrashNotes};
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
-use topazmount_types::{Instance, InstanceId};
+use topazmount_types::{Instance, InstanceId, Time};
 
 /// Removed replicas that are remembered.
 const KEPT_REMOVALS: usize = 4_096;
@@ -35,6 +36,19 @@
         /// Version.
         version: u32,
     },
+    /// Takes what gateways saw of crashes.
+    NoteCrashes {
+        /// The leader's clock. It is not kept from going back, as that of the ledger of calls is: only
+        /// times between crashes count, and a clock that stands still would make them one.
+        at: Time,
+        /// What they saw.
+        notes: CrashNotes,
+    },
+    /// Lets the time of blocks and suspicions end.
+    ForgetCrashes {
+        /// The leader's clock.
+        at: Time,
+    },
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -55,6 +69,8 @@
     /// Removals up to this revision may have been forgotten.
     forgotten_to: u64,
     weights: BTreeMap<String, u32>,
+    #[serde(default)]
+    crashes: CrashLedger,
 }
 
 impl FleetState {
@@ -83,6 +99,11 @@
         &self.weights
     }
 
+    /// Requests under which replicas crash.
+    pub fn crashes(&self) -> &CrashLedger {
+        &self.crashes
+    }
+
     /// Whether a registration would change anything.
     pub fn is_news(&self, instance: &Instance) -> bool {
         if self.is_gone(&instance.id) {
@@ -130,6 +151,8 @@
                 let known = self.weights.entry(model).or_default();
                 *known = version.max(*known);
             }
+            FleetCommand::NoteCrashes { at, notes } => self.crashes.note(at, &notes),
+            FleetCommand::ForgetCrashes { at } => self.crashes.forget(at),
         }
     }
 
--- a/crates/control/src/fleet_member.rs
+++ b/crates/control/src/fleet_member.rs
@@ -1,6 +1,8 @@
 //! How a member answers about the fleet.
 
-use crate::fleet::{FleetCommand, FleetRequest, FleetResponse, FleetView, InstanceReport};
+use crate::fleet::{
+    CrashNotes, FleetCommand, FleetRequest, FleetResponse, FleetView, InstanceReport,
+};
 use crate::member::{Member, MemberOutput, Token};
 use crate::protocol::Response;
 use crate::state::Command;
@@ -11,7 +13,10 @@
 impl<D: Disk> Member<D> {
     pub(crate) fn on_fleet(&mut self, now: Time, token: Token, request: FleetRequest) {
         match request {
-            FleetRequest::Watch(watch) => self.fleet.watch(now, token, watch),
+            FleetRequest::Watch(watch) => {
+                self.note_crashes(now, &watch.crashes);
+                self.fleet.watch(now, token, watch);
+            }
             FleetRequest::OrderEnded(report) => {
                 self.fleet.order_ended(now, report);
                 self.respond(token, Response::Fleet(FleetResponse::Done));
@@ -42,6 +47,15 @@
         }
     }
 
+    /// Commits what a gateway saw of crashes: it must outlast a loss of all power, since the caller tries
+    /// again after it too. A member that does not lead takes nothing; the gateway tells the next one.
+    fn note_crashes(&mut self, now: Time, notes: &CrashNotes) {
+        let notes = self.state.fleet.crashes().news(notes);
+        if self.replica.role() == Role::Leader && !notes.is_empty() {
+            self.propose_unasked(now, Command::Fleet(FleetCommand::NoteCrashes { at: now, notes }));
+        }
+    }
+
     fn on_heartbeat(&mut self, now: Time, token: Token, report: InstanceReport) {
         if self.replica.role() == Role::Leader {
             self.fleet.heartbeat(now, &report);
--- a/crates/control/tests/fleet_member.rs
+++ b/crates/control/tests/fleet_member.rs
@@ -4,10 +4,10 @@
 use std::time::Duration;
 use topazmount_consensus::{Config, MemberInfo, MemoryDisk};
 use topazmount_control::{
-    Availability, FleetAction, FleetRequest, FleetResponse, FleetView, Founding, InstanceReport,
-    InstanceStatus, LoadedModel, Member, MemberInput, MemberOutput, MemberSettings, OrderEnd,
-    OrderReport, ReplicaReport, Request, Response, RolloutSettings, Seen, Token, WatchRequest,
-    WeightsOrder,
+    Availability, CrashNotes, FleetAction, FleetRequest, FleetResponse, FleetView, Founding,
+    InstanceReport, InstanceStatus, LoadedModel, Member, MemberInput, MemberOutput, MemberSettings,
+    OrderEnd, OrderReport, ReplicaReport, Request, Response, RolloutSettings, Seen, Token,
+    WatchRequest, WeightsOrder,
 };
 use topazmount_settings::SourceFiles;
 use topazmount_types::{Instance, Time};
@@ -198,7 +198,8 @@
     }
 
     fn watch(&mut self, seen: Seen, wait: Duration) -> Token {
-        let request = WatchRequest { gateway: None, seen, wants_gateways: false, wait };
+        let crashes = CrashNotes::default();
+        let request = WatchRequest { gateway: None, seen, wants_gateways: false, wait, crashes };
         self.send(FleetRequest::Watch(request))
     }
 
--- /dev/null
+++ b/crates/gateway/src/crashes.rs
@@ -0,0 +1,133 @@
+//! What a gateway knows of requests under which replicas crash.
+//!
+//! The control group counts what all gateways saw and says what is blocked. What this gateway saw counts here too, so
+//! that a request that comes to it again and again is blocked while control can't be reached.
+
+use std::collections::{HashMap, HashSet, VecDeque};
+use std::time::Duration;
+use topazmount_control::{BlockedRequest, CrashLedger, CrashNote, CrashNotes};
+use topazmount_types::{ReplicaId, RequestDigest, Time};
+
+/// How long what was seen is told again. Control may have no leader for an election, and a gateway may be cut off
+/// for longer.
+const TOLD_FOR: Duration = Duration::from_secs(30);
+/// Crashes and completions that are told at a time, 4 KB at most; the oldest are left out.
+const MOST_TOLD: usize = 64;
+/// Requests of which it is remembered that they ran well, 48 KB at most. They speak for a request that is
+/// blocked although it runs well, such as one that many clients send alike.
+const MOST_COMPLETED: usize = 1_024;
+
+/// Requests that ran well lately.
+#[derive(Default)]
+struct Completed {
+    at: HashMap<RequestDigest, Time>,
+    order: VecDeque<(RequestDigest, Time)>,
+}
+
+impl Completed {
+    fn add(&mut self, request: RequestDigest, now: Time) {
+        self.at.insert(request, now);
+        self.order.push_back((request, now));
+        if self.order.len() > MOST_COMPLETED
+            && let Some((oldest, at)) = self.order.pop_front()
+            && self.at.get(&oldest) == Some(&at)
+        {
+            self.at.remove(&oldest);
+        }
+    }
+}
+
+/// What one gateway knows of crashes. Invariant: a request that it saw run well is told to control as such for as long
+/// as its crashes would be.
+#[derive(Default)]
+pub struct Crashes {
+    /// What control says.
+    blocked: HashSet<RequestDigest>,
+    /// What this gateway saw itself.
+    own: CrashLedger,
+    seen: VecDeque<(Time, CrashNote)>,
+    cleared: VecDeque<(Time, RequestDigest)>,
+    completed: Completed,
+}
+
+impl Crashes {
+    /// Whether a request must not be sent to any replica.
+    pub fn is_blocked(&self, request: RequestDigest) -> bool {
+        self.blocked.contains(&request) || self.own.is_blocked(request)
+    }
+
+    /// Number of requests that control has blocked.
+    pub fn blocked_count(&self) -> usize {
+        self.blocked.len()
+    }
+
+    /// Notes that a replica crashed that had had a request for so long.
+    pub fn crashed(
+        &mut self,
+        request: RequestDigest,
+        instance: &str,
+        ran_for: Duration,
+        now: Time,
+    ) {
+        let replica = ReplicaId::from_name(instance);
+        let note = CrashNote { request, replica, ran_for, age: Duration::ZERO };
+        self.cleared.retain(|(_, cleared)| *cleared != request);
+        self.seen.push_back((now, note));
+        self.own.note(now, &CrashNotes { crashes: vec![note], completed: Vec::new() });
+    }
+
+    /// Notes that a request ran to its end. Returns whether control should hear of it at once.
+    pub fn completed(&mut self, request: RequestDigest, now: Time) -> bool {
+        self.completed.add(request, now);
+        if !self.seen.iter().any(|(_, note)| note.request == request) {
+            return false;
+        }
+        self.clear(request, now);
+        true
+    }
+
+    fn clear(&mut self, request: RequestDigest, now: Time) {
+        self.seen.retain(|(_, note)| note.request != request);
+        self.cleared.push_back((now, request));
+        self.own.note(now, &CrashNotes { crashes: Vec::new(), completed: vec![request] });
+    }
+
+    /// What control should hear.
+    pub fn notes(&mut self, now: Time) -> CrashNotes {
+        self.own.forget(now);
+        trim(&mut self.seen, now);
+        trim(&mut self.cleared, now);
+        let aged = |(at, note): &(Time, CrashNote)| CrashNote { age: now.since(*at), ..*note };
+        CrashNotes {
+            crashes: self.seen.iter().map(aged).collect(),
+            completed: self.cleared.iter().map(|(_, request)| *request).collect(),
+        }
+    }
+
+    /// Takes what control says is blocked. A request that ran well here after the first crash that
+    /// speaks against it is spoken for. Returns those that are new, and those that are let go.
+    pub fn set_blocked(
+        &mut self,
+        blocked: &[BlockedRequest],
+        now: Time,
+    ) -> (Vec<RequestDigest>, Vec<RequestDigest>) {
+        let next: HashSet<RequestDigest> = blocked.iter().map(|one| one.request).collect();
+        let added: Vec<RequestDigest> = next.difference(&self.blocked).copied().collect();
+        let gone = self.blocked.difference(&next).copied().collect();
+        for one in blocked.iter().filter(|one| added.contains(&one.request)) {
+            let first = now - one.evidence;
+            if self.completed.at.get(&one.request).is_some_and(|at| *at > first) {
+                self.clear(one.request, now);
+            }
+        }
+        self.blocked = next;
+        (added, gone)
+    }
+}
+
+/// Leaves out what is old, and what is more than can be told.
+fn trim<T>(entries: &mut VecDeque<(Time, T)>, now: Time) {
+    while entries.front().is_some_and(|(at, _)| *at + TOLD_FOR < now) || entries.len() > MOST_TOLD {
+        entries.pop_front();
+    }
+}
--- a/crates/gateway/src/knowledge.rs
+++ b/crates/gateway/src/knowledge.rs
@@ -6,6 +6,7 @@
 use crate::budget::{BudgetSettings, RetryBudget};
 use crate::catalog::{Catalog, Route, Tenant};
 use crate::connections::{ConnectionSettings, Connections};
+use crate::crashes::Crashes;
 use crate::shards::Gateways;
 use crate::split::Splits;
 use rand::SeedableRng;
@@ -15,7 +16,7 @@
 use std::time::Duration;
 use topazmount_control::{FleetView, Seen};
 use topazmount_routing::PolicyTable;
-use topazmount_types::{ErrorKind, InstanceId, Time};
+use topazmount_types::{ErrorKind, InstanceId, RequestDigest, Time};
 
 /// Least time after which a refused client should come back.
 const SOON: Duration = Duration::from_millis(250);
@@ -81,6 +82,7 @@
     rng: ChaCha8Rng,
     budgets: HashMap<String, RetryBudget>,
     connections: Connections,
+    crashes: Crashes,
     policies: PolicyTable,
 }
 
@@ -101,6 +103,7 @@
             rng: ChaCha8Rng::seed_from_u64(seed),
             budgets: HashMap::new(),
             connections: Connections::default(),
+            crashes: Crashes::default(),
             policies: PolicyTable::default(),
         };
         knowledge.set_settings(settings);
@@ -134,6 +137,27 @@
         &mut self.connections
     }
 
+    /// Requests under which replicas crash.
+    pub fn crashes(&mut self) -> &mut Crashes {
+        &mut self.crashes
+    }
+
+    /// Takes the list of requests that must not be sent on, if a view has a newer one. Returns those that
+    /// are new in it, and those that are gone from it.
+    pub fn apply_blocked(
+        &mut self,
+        view: &FleetView,
+        now: Time,
+    ) -> (Vec<RequestDigest>, Vec<RequestDigest>) {
+        match &view.blocked {
+            Some((changes, blocked)) if *changes > self.seen.blocked => {
+                self.seen.blocked = *changes;
+                self.crashes.set_blocked(blocked, now)
+            }
+            _ => Default::default(),
+        }
+    }
+
     /// Connections at rest that this gateway may keep to one replica of a service: half of those
     /// that the replica takes, shared by all gateways.
     pub fn most_kept(&self, service: &str) -> usize {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -9,6 +9,7 @@
 mod budget;
 mod catalog;
 mod connections;
+mod crashes;
 mod estimator;
 mod knowledge;
 mod plan;
@@ -25,6 +26,7 @@
     SplitPart, StoreParameters, Tenant,
 };
 pub use connections::{AnswerEnd, ConnectionSettings, Connections, IdleConnection};
+pub use crashes::Crashes;
 pub use estimator::PrefillEstimator;
 pub use knowledge::{Admission, GatewaySettings, Knowledge};
 pub use plan::{AttemptEnd, NextStep, RequestPlan};
--- a/crates/topazmount/src/fleet/directory.rs
+++ b/crates/topazmount/src/fleet/directory.rs
@@ -57,6 +57,11 @@
         if let Some((count, _)) = &view.statuses {
             state.seen.statuses = *count;
         }
+        if let Some((changes, blocked)) = &view.blocked {
+            state.seen.blocked = *changes;
+            let count = blocked.len();
+            log::info!("control: event=requests_blocked count={count} changes={changes}");
+        }
         if let Some((count, gateways)) = view.gateways {
             state.seen.gateways = count;
             // A new leader has heard of nobody yet.
--- a/crates/topazmount/src/fleet/exchange/crash.rs
+++ b/crates/topazmount/src/fleet/exchange/crash.rs
@@ -11,14 +11,29 @@
 const REFUSAL_LIMIT: Duration = Duration::from_millis(100);
 
 impl Exchange<'_> {
-    /// After a connection broke under the request: looks whether its replica has ended.
+    /// Whether replicas crash under the request, so that it must not be sent on.
+    pub(super) fn is_blocked(&self) -> bool {
+        self.shared.knowledge.lock().unwrap().crashes().is_blocked(self.digest)
+    }
+
+    /// After a connection broke under the request: looks whether its replica has ended, and tells control.
+    /// One request ended ten replicas in ten tries where nothing of it outlived a try, and ends three now.
     pub(super) async fn look_for_crash(&self, choice: &Choice, began: Time) {
         let Ok(address) = choice.instance.address.parse() else { return };
         if !is_refused(address, REFUSAL_LIMIT).await {
             return;
         }
         self.shared.metrics.event("crash_seen");
-        let ran_for = self.shared.clock.now().since(began);
+        let now = self.shared.clock.now();
+        let ran_for = now.since(began);
+        let instance = &choice.instance.id;
+        self.shared.knowledge.lock().unwrap().crashes().crashed(
+            self.digest,
+            instance,
+            ran_for,
+            now,
+        );
+        self.shared.report_at_once();
         self.shared.journal.line(|| {
             format!(
                 "gateway: event=crash_seen request={} digest={} instance={} ran_ms={}",
--- a/crates/topazmount/src/fleet/exchange/mod.rs
+++ b/crates/topazmount/src/fleet/exchange/mod.rs
@@ -224,6 +224,9 @@
             return self.give_up(&plan, &progress, ErrorKind::RefusedByPolicy).await;
         }
         loop {
+            if self.is_blocked() {
+                return self.give_up(&plan, &progress, ErrorKind::CrashesReplicas).await;
+            }
             if self.left().is_zero() {
                 return self.give_up(&plan, &progress, time_over(&plan)).await;
             }
@@ -281,6 +284,7 @@
             }
             drop(in_flight);
             if let Some(kind) = self.next(&mut plan, end, &progress) {
+                let kind = if self.is_blocked() { ErrorKind::CrashesReplicas } else { kind };
                 return self.give_up(&plan, &progress, kind).await;
             }
         }
--- a/crates/topazmount/src/fleet/exchange/record.rs
+++ b/crates/topazmount/src/fleet/exchange/record.rs
@@ -25,12 +25,15 @@
     }
 
     pub(super) fn note_success(&self, choice: &Choice) {
-        self.shared
-            .knowledge
-            .lock()
-            .unwrap()
-            .balancer()
-            .succeeded(&choice.instance.id, self.shared.clock.now());
+        let now = self.shared.clock.now();
+        let was_suspected = {
+            let mut knowledge = self.shared.knowledge.lock().unwrap();
+            knowledge.balancer().succeeded(&choice.instance.id, now);
+            knowledge.crashes().completed(self.digest, now)
+        };
+        if was_suspected {
+            self.shared.report_at_once();
+        }
     }
 
     /// How long a sound replica may be silent after it was sent the request: the longer, the more
--- a/crates/topazmount/src/fleet/gateway.rs
+++ b/crates/topazmount/src/fleet/gateway.rs
@@ -20,7 +20,7 @@
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
-use topazmount_control::{FleetView, GatewayReport, Seen};
+use topazmount_control::{CrashNotes, FleetView, GatewayReport, Seen};
 use topazmount_gateway::{HttpLimits, Knowledge};
 use topazmount_types::{ErrorKind, Time};
 use topazmount_wire::ClusterKey;
@@ -51,6 +51,8 @@
     pub(super) peers: Arc<Peers>,
     /// Connections to replicas at rest.
     pub(super) pool: Pool,
+    /// Wakes the watcher, to report at once.
+    nudge: Sender<()>,
     is_stopping: AtomicBool,
     /// Whether new requests are refused.
     pub(super) is_closed: AtomicBool,
@@ -62,8 +64,6 @@
     shared: Arc<Shared>,
     stop_time: Duration,
     seeds: Seeds,
-    /// Wakes the watcher, to report at once.
-    nudge: Sender<()>,
 }
 
 impl Gateway {
@@ -82,6 +82,7 @@
         let mut knowledge = Knowledge::new(&settings.zone, settings.gateway(), rand::random());
         settings.policy_table(knowledge.policies())?;
         knowledge.set_own_address(peers.own_address());
+        let (nudge, nudges) = async_channel::bounded(1);
         let shared = Arc::new(Shared {
             clock,
             dialect,
@@ -90,6 +91,7 @@
             metrics: Metrics::default(),
             peers: peers.clone(),
             pool: Pool::default(),
+            nudge,
             is_stopping: AtomicBool::new(false),
             is_closed: AtomicBool::new(false),
             open_requests: AtomicUsize::new(0),
@@ -118,10 +120,9 @@
             is_ready: false,
         };
         let news = News { shared: shared.clone(), report };
-        let (nudge, nudges) = async_channel::bounded(1);
         executor.spawn(watcher.run(news, nudges)).detach();
         log::info!("gateway: event=start name={} zone={}", settings.name, settings.zone);
-        Ok(Gateway { shared, stop_time: settings.stop_time(), seeds, nudge })
+        Ok(Gateway { shared, stop_time: settings.stop_time(), seeds })
     }
 
     /// Takes changed settings into use; addresses and names stay until the next start.
@@ -141,7 +142,7 @@
     pub async fn stop(self) {
         log::info!("gateway: event=stop");
         self.shared.is_stopping.store(true, Ordering::SeqCst);
-        let _ = self.nudge.try_send(());
+        self.shared.report_at_once();
         let began = self.shared.clock.now();
         let ends_at = began + self.stop_time.saturating_sub(STOP_MARGIN);
         loop {
@@ -161,6 +162,11 @@
 }
 
 impl Shared {
+    /// Has the watcher report at once; where it is about to, nothing more is needed.
+    pub(super) fn report_at_once(&self) {
+        let _ = self.nudge.try_send(());
+    }
+
     pub(super) fn is_stopping(&self) -> bool {
         self.is_stopping.load(Ordering::SeqCst)
     }
@@ -176,6 +182,8 @@
             for (name, counters) in knowledge.policies().report() {
                 self.metrics.set_policy(name, counters);
             }
+            let blocked = knowledge.crashes().blocked_count();
+            self.metrics.set_state("blocked_requests", blocked as i64);
             self.metrics.set_state("replicas", knowledge.balancer().instances().count() as i64);
         }
         self.metrics.set_state("ready", i64::from(is_ready));
@@ -235,6 +243,11 @@
         (self.shared.knowledge.lock().unwrap().seen(), Some(report))
     }
 
+    fn crashes(&mut self) -> CrashNotes {
+        let now = self.shared.clock.now();
+        self.shared.knowledge.lock().unwrap().crashes().notes(now)
+    }
+
     fn read(&mut self, view: FleetView, asked_at: Time) {
         let catalog = view.document.as_ref().and_then(|document| {
             let catalog = self.shared.dialect.catalog(&document.bytes);
@@ -260,6 +273,18 @@
         for id in &view.removed {
             log::info!("gateway: event=instance_removed id={id} revision={}", view.revision);
         }
-        self.shared.knowledge.lock().unwrap().apply(&view, catalog, asked_at);
+        let (blocked, released) = {
+            let mut knowledge = self.shared.knowledge.lock().unwrap();
+            knowledge.apply(&view, catalog, asked_at);
+            knowledge.apply_blocked(&view, self.shared.clock.now())
+        };
+        for digest in blocked {
+            self.shared.metrics.event("request_blocked");
+            log::warn!("gateway: event=request_blocked digest={digest}");
+        }
+        for digest in released {
+            self.shared.metrics.event("request_released");
+            log::info!("gateway: event=request_released digest={digest}");
+        }
     }
 }
--- a/crates/topazmount/src/fleet/watcher.rs
+++ b/crates/topazmount/src/fleet/watcher.rs
@@ -10,7 +10,8 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 use topazmount_control::{
-    FleetRequest, FleetResponse, FleetView, GatewayReport, Request, Response, Seen, WatchRequest,
+    CrashNotes, FleetRequest, FleetResponse, FleetView, GatewayReport, Request, Response, Seen,
+    WatchRequest,
 };
 use topazmount_types::Time;
 use topazmount_wire::ClusterKey;
@@ -31,6 +32,10 @@
 pub trait NewsReader: Send + 'static {
     /// What it has seen, and what it reports of itself.
     fn request(&mut self) -> (Seen, Option<GatewayReport>);
+    /// What it saw of crashes lately.
+    fn crashes(&mut self) -> CrashNotes {
+        CrashNotes::default()
+    }
     /// Takes news that was asked for at `asked_at`.
     fn read(&mut self, view: FleetView, asked_at: Time);
 }
@@ -110,7 +115,14 @@
             let target = self.target(leader.take(), &mut turn);
             let asked_at = self.clock.now();
             let (seen, gateway) = reader.request();
-            match self.ask(target, seen, gateway, &nudges).await {
+            let watch = WatchRequest {
+                gateway,
+                seen,
+                wants_gateways: self.wants_gateways,
+                wait: HOLD,
+                crashes: reader.crashes(),
+            };
+            match self.ask(target, watch, &nudges).await {
                 Asked::Nudged => leader = Some(target),
                 Asked::Answered(view) => {
                     self.note_connected(target, true);
@@ -136,15 +148,13 @@
     async fn ask(
         &mut self,
         target: SocketAddr,
-        seen: Seen,
-        gateway: Option<GatewayReport>,
+        watch: WatchRequest,
         nudges: &Receiver<()>,
     ) -> Asked {
         let client = self.clients.entry(target).or_insert_with(|| {
             let key = self.key.clone();
             ControlClient::with_limit(&self.executor, target, key, self.connect_limit)
         });
-        let watch = WatchRequest { gateway, seen, wants_gateways: self.wants_gateways, wait: HOLD };
         let request = Request::Fleet(FleetRequest::Watch(watch));
         let asking = async {
             match client.ask(request, HOLD + ANSWER_MARGIN).await {
