--- a/crates/control/tests/common/mod.rs
+++ b/crates/control/tests/common/mod.rs
@@ -54,6 +54,10 @@
     run: u64,
     /// Inputs that wait while it is frozen.
     held: Option<Vec<MemberInput>>,
+    /// Since when it is suspended.
+    suspended_at: Option<Time>,
+    /// How far its clock is behind.
+    behind: Duration,
     /// Who asked what it has not answered yet.
     asked: BTreeMap<Token, Host>,
 }
@@ -74,6 +78,8 @@
     cuts: BTreeSet<(Host, Host)>,
     next_token: u64,
     seed: u64,
+    /// Whether the clocks of machines stand still while these are suspended.
+    pub do_clocks_stop: bool,
     /// Requests to join are lost.
     are_changes_frozen: bool,
     /// Answers to requests of the operator.
@@ -96,6 +102,7 @@
             cuts: BTreeSet::new(),
             next_token: 0,
             seed: seed * 1_000_000,
+            do_clocks_stop: false,
             are_changes_frozen: false,
             answers: BTreeMap::new(),
             told: VecDeque::new(),
@@ -133,6 +140,8 @@
         machine.member = Some(member);
         machine.run += 1;
         machine.held = None;
+        machine.suspended_at = None;
+        machine.behind = Duration::ZERO;
         machine.asked.clear();
         self.tell(host, "starts".to_owned());
     }
@@ -190,6 +199,42 @@
         }
     }
 
+    /// Suspends a machine: nothing runs there, and its clock may stand still.
+    pub fn suspend(&mut self, host: Host) {
+        if self.is_up(host) && !self.is_frozen(host) {
+            self.freeze(host);
+            self.machines.get_mut(&host).unwrap().suspended_at = Some(self.now);
+        }
+    }
+
+    /// Ends that. The first thing that the process sees is a request that came in meanwhile.
+    pub fn resume(&mut self, host: Host, request: Request) -> Option<Token> {
+        let token = self.token();
+        let (now, do_clocks_stop) = (self.now, self.do_clocks_stop);
+        let machine = self.machines.get_mut(&host)?;
+        let since = machine.suspended_at.take()?;
+        if do_clocks_stop {
+            machine.behind += now.since(since);
+        }
+        machine.held.as_mut()?.insert(0, MemberInput::Request(token, request));
+        self.thaw(host);
+        Some(token)
+    }
+
+    /// What a machine's clock says.
+    pub fn clock_of(&self, host: Host) -> Time {
+        self.machines.get(&host).map_or(self.now, |machine| self.now - machine.behind)
+    }
+
+    /// Members that believe to lead with a lease, by their own clocks.
+    pub fn holders(&self) -> Vec<Host> {
+        let holds = |host: &Host| {
+            let clock = self.clock_of(*host);
+            self.member(*host).is_some_and(|member| member.replica().has_lease(clock))
+        };
+        self.machines.keys().copied().filter(|host| !self.is_frozen(*host) && holds(host)).collect()
+    }
+
     /// Cuts two machines off from each other.
     pub fn cut(&mut self, left: Host, right: Host) {
         self.cuts.insert((left, right));
@@ -228,13 +273,14 @@
     }
 
     fn step(&mut self, host: Host, inputs: Vec<MemberInput>) {
+        let clock = self.clock_of(host);
         let Some(machine) = self.machines.get_mut(&host) else { return };
         if let Some(held) = &mut machine.held {
             held.extend(inputs.into_iter().filter(|input| !matches!(input, MemberInput::Tick)));
             return;
         }
         let Some(member) = &mut machine.member else { return };
-        for output in member.step(self.now, inputs).unwrap() {
+        for output in member.step(clock, inputs).unwrap() {
             self.perform(host, output);
         }
     }
@@ -322,11 +368,7 @@
 
     /// The member that leads with a lease.
     pub fn leader(&self) -> Option<Host> {
-        let is_leading = |host: &Host| {
-            let has_lease = self.member(*host).is_some_and(|m| m.replica().has_lease(self.now));
-            has_lease && !self.is_frozen(*host)
-        };
-        self.machines.keys().copied().find(is_leading)
+        self.holders().first().copied()
     }
 
     /// Whether the group counts this machine's member, and it knows.
--- a/crates/topazmount/src/fleet/watcher.rs
+++ b/crates/topazmount/src/fleet/watcher.rs
@@ -25,6 +25,9 @@
 /// Time for which a member that did not answer is not asked again while there are others.
 const AVOIDANCE: Duration = Duration::from_millis(1_500);
 
+/// Suspended time from which on it is told; less is the reading of two clocks one after the other.
+const TOLD_SUSPENSION: Duration = Duration::from_millis(100);
+
 /// Members that are known at a time; more than any group has.
 const MOST_MEMBERS: usize = 32;
 
@@ -81,6 +84,8 @@
     is_connected: bool,
     /// When a member answered last.
     answered_at: Time,
+    /// Time for which the machine has been suspended, as told last.
+    suspended: Duration,
 }
 
 impl Watcher {
@@ -104,6 +109,7 @@
             connect_limit: ConnectLimit::default(),
             is_connected: true,
             answered_at: clock.now(),
+            suspended: Duration::ZERO,
         }
     }
 
@@ -112,6 +118,7 @@
         let mut turn: usize = rand::random_range(0..self.seeds.get().len().max(1));
         let mut leader: Option<SocketAddr> = None;
         loop {
+            self.tell_suspension();
             let target = self.target(leader.take(), &mut turn);
             let asked_at = self.clock.now();
             let (seen, gateway) = reader.request();
@@ -218,6 +225,15 @@
         self.clients.retain(|address, _| members.contains(address) || seeds.contains(address));
     }
 
+    fn tell_suspension(&mut self) {
+        let suspended = self.clock.suspended();
+        let time = suspended.saturating_sub(self.suspended);
+        if time >= TOLD_SUSPENSION {
+            self.suspended = suspended;
+            log::warn!("link: event=suspended for_ms={}", time.as_millis());
+        }
+    }
+
     /// Logs when all members have stopped answering, and when one does again.
     fn note_connected(&mut self, target: SocketAddr, is_answered: bool) {
         let now = self.clock.now();
