Connections to control members that go silent are noticed and made anew

Cause: a member's messages to a peer went out on a connection on which nothing ever came back, and a client of control kept its connection after requests without an answer. One that goes silent without a reset stayed so until the system gave up, a quarter of an hour later: a group whose links all went silent had no leader for as long. Change: a peer says Heard for each message, and 600 ms without it end the connection; a client ends one on which nothing came for the time of a request. Incoming ones that rest for 60 s are closed. Sending has a limit. One small type counts it.

--- a/crates/control/src/protocol.rs
+++ b/crates/control/src/protocol.rs
@@ -24,6 +24,8 @@
     Request(RequestNumber, Request),
     /// Answer to the request of that number on the same connection.
     Response(RequestNumber, Response),
+    /// A member's message has come: shows its sender that the connection carries something.
+    Heard,
 }
 
 /// What a member can be asked.
--- a/crates/topazmount/src/control_client.rs
+++ b/crates/topazmount/src/control_client.rs
@@ -2,6 +2,7 @@
 
 use crate::Executor;
 use crate::frames::{self, ConnectLimit, FrameReader, FrameWriter};
+use crate::silence::Traffic;
 use async_channel::{Receiver, Sender};
 use eyre::{Result, eyre};
 use std::collections::HashMap;
@@ -13,6 +14,10 @@
 
 /// Pause after a failed connection, during which requests fail at once.
 const RECONNECT_PAUSE: Duration = Duration::from_millis(100);
+/// Longest time for a request to go out: a member that does not read is as good as silent.
+const SEND_LIMIT: Duration = Duration::from_millis(1_000);
+/// Part of the time in which no answer came for which the connection must have been silent to be given up.
+const SURELY_WAITED: f64 = 0.8;
 /// Requests that wait for a connection.
 const QUEUE: usize = 1_024;
 
@@ -23,6 +28,8 @@
 #[derive(Clone)]
 pub struct ControlClient {
     queue: Sender<(Request, Answer)>,
+    /// Tells that an answer did not come in a time.
+    doubts: Sender<Duration>,
 }
 
 impl ControlClient {
@@ -39,9 +46,11 @@
         limit: ConnectLimit,
     ) -> Self {
         let (queue, requests) = async_channel::bounded(QUEUE);
-        let task = serve_queue(executor.clone(), address, key, requests, limit);
-        executor.spawn(task).detach();
-        ControlClient { queue }
+        let (doubts, doubted) = async_channel::bounded(1);
+        let executor = executor.clone();
+        let link = Link { executor: executor.clone(), address, key, requests, doubted };
+        executor.spawn(link.run(limit)).detach();
+        ControlClient { queue, doubts }
     }
 
     /// Sends a request; `answer` is called once, with `None` when no answer can come.
@@ -61,87 +70,131 @@
         self.send(request, move |response| {
             let _ = sender.try_send(response);
         });
-        frames::within(limit, async move {
-            receiver.recv().await?.ok_or_else(|| eyre!("the control member is unreachable"))
-        })
-        .await
+        let answered = frames::within(limit, async { Ok(receiver.recv().await?) }).await;
+        let Ok(answer) = answered else {
+            // A doubt that waits already says as much.
+            let _ = self.doubts.try_send(limit);
+            return Err(eyre!("no answer within {limit:?}"));
+        };
+        answer.ok_or_else(|| eyre!("the control member is unreachable"))
     }
 }
 
-async fn serve_queue(
+/// What keeps the connection of a client.
+struct Link {
     executor: Executor,
     address: SocketAddr,
     key: ClusterKey,
     requests: Receiver<(Request, Answer)>,
-    mut limit: ConnectLimit,
-) {
-    while let Ok(first) = requests.recv().await {
-        match frames::connect(address, &key, limit).await {
-            Ok((writer, reader)) => {
-                limit.succeeded();
-                serve_connection(&executor, writer, reader, first, &requests).await;
-            }
-            Err(error) => {
-                log::debug!("link: {address} is unreachable: {error}.");
-                limit.failed();
-                first.1(None);
-                fail_queued(&requests);
-                async_io::Timer::after(RECONNECT_PAUSE).await;
+    doubted: Receiver<Duration>,
+}
+
+/// What a connection waits for.
+enum Next {
+    Request(Box<(Request, Answer)>),
+    Doubt(Duration),
+    Ended,
+}
+
+impl Link {
+    async fn run(self, mut limit: ConnectLimit) {
+        while let Ok(first) = self.requests.recv().await {
+            match frames::connect(self.address, &self.key, limit).await {
+                Ok((writer, reader)) => {
+                    limit.succeeded();
+                    self.serve_connection(writer, reader, first).await;
+                }
+                Err(error) => {
+                    log::debug!("link: {} is unreachable: {error}.", self.address);
+                    limit.failed();
+                    first.1(None);
+                    fail_queued(&self.requests);
+                    async_io::Timer::after(RECONNECT_PAUSE).await;
+                }
             }
         }
     }
-}
 
-fn fail_queued(requests: &Receiver<(Request, Answer)>) {
-    while let Ok((_, answer)) = requests.try_recv() {
-        answer(None);
+    /// Sends requests until the connection ends, or has gone silent.
+    async fn serve_connection(
+        &self,
+        mut writer: FrameWriter,
+        reader: FrameReader,
+        first: (Request, Answer),
+    ) {
+        let pending = Pending::default();
+        let traffic = Arc::new(Traffic::default());
+        let (closed_sender, closed) = async_channel::bounded::<()>(1);
+        let read = read_answers(reader, pending.clone(), traffic.clone(), closed_sender);
+        let _reading = self.executor.spawn(read);
+        let mut number = 0u64;
+        let mut next = Next::Request(Box::new(first));
+        loop {
+            match next {
+                Next::Request(asked) => {
+                    let (request, answer) = *asked;
+                    number += 1;
+                    pending.lock().unwrap().insert(number, answer);
+                    traffic.sent();
+                    let frame = Frame::Request(number, request);
+                    if frames::within(SEND_LIMIT, writer.send(&frame)).await.is_err() {
+                        break;
+                    }
+                }
+                // The one that waited began when the request was handed over, a moment before it was sent.
+                Next::Doubt(waited) if traffic.is_silent(waited.mul_f64(SURELY_WAITED)) => {
+                    log::info!("link: event=silent member={}", self.address);
+                    break;
+                }
+                Next::Doubt(_) => {}
+                Next::Ended => break,
+            }
+            next = self.next(&closed).await;
+        }
+        let unanswered: Vec<Answer> =
+            pending.lock().unwrap().drain().map(|(_, answer)| answer).collect();
+        for answer in unanswered {
+            answer(None);
+        }
     }
-}
 
-async fn serve_connection(
-    executor: &Executor,
-    mut writer: FrameWriter,
-    reader: FrameReader,
-    first: (Request, Answer),
-    requests: &Receiver<(Request, Answer)>,
-) {
-    let pending = Pending::default();
-    let (closed_sender, closed) = async_channel::bounded::<()>(1);
-    let read = read_answers(reader, pending.clone(), closed_sender);
-    let _reading = executor.spawn(read);
-    let mut number = 0u64;
-    let mut next = Some(first);
-    loop {
-        let (request, answer) = match next.take() {
-            Some(first) => first,
-            None => {
-                let received =
-                    futures_lite::future::or(async { requests.recv().await.ok() }, async {
-                        let _ = closed.recv().await;
-                        None
-                    });
-                match received.await {
-                    Some(received) => received,
-                    None => break,
-                }
+    async fn next(&self, closed: &Receiver<()>) -> Next {
+        let request = async {
+            match self.requests.recv().await {
+                Ok(asked) => Next::Request(Box::new(asked)),
+                Err(_) => Next::Ended,
             }
         };
-        number += 1;
-        pending.lock().unwrap().insert(number, answer);
-        if writer.send(&Frame::Request(number, request)).await.is_err() {
-            break;
-        }
+        let doubt = async {
+            match self.doubted.recv().await {
+                Ok(waited) => Next::Doubt(waited),
+                // The last client is gone; what was asked may still be answered.
+                Err(_) => futures_lite::future::pending().await,
+            }
+        };
+        let ended = async {
+            let _ = closed.recv().await;
+            Next::Ended
+        };
+        futures_lite::future::or(ended, futures_lite::future::or(doubt, request)).await
     }
-    let unanswered: Vec<Answer> =
-        pending.lock().unwrap().drain().map(|(_, answer)| answer).collect();
-    for answer in unanswered {
+}
+
+fn fail_queued(requests: &Receiver<(Request, Answer)>) {
+    while let Ok((_, answer)) = requests.try_recv() {
         answer(None);
     }
 }
 
 /// Ends when the connection does; `_closed` is dropped then, which wakes the writer.
-async fn read_answers(mut reader: FrameReader, pending: Pending, _closed: Sender<()>) {
+async fn read_answers(
+    mut reader: FrameReader,
+    pending: Pending,
+    traffic: Arc<Traffic>,
+    _closed: Sender<()>,
+) {
     while let Ok(Frame::Response(number, response)) = reader.receive::<Frame>().await {
+        traffic.heard();
         let answer = pending.lock().unwrap().remove(&number);
         if let Some(answer) = answer {
             answer(Some(response));
--- a/crates/topazmount/src/control_links.rs
+++ b/crates/topazmount/src/control_links.rs
@@ -2,7 +2,9 @@
 
 use crate::Executor;
 use crate::frames::{self, ConnectLimit, FrameReader, FrameWriter};
+use crate::silence::Traffic;
 use async_channel::{Receiver, Sender};
+use async_executor::Task;
 use async_net::{TcpListener, TcpStream};
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -18,6 +20,12 @@
 const ANSWER_QUEUE: usize = 1_024;
 /// Pause after a failed connection to a peer.
 const PEER_PAUSE: Duration = Duration::from_millis(100);
+/// Silence after which a connection to a peer is made anew: an election timeout, in which a leader sends six
+/// messages. Without it a link that went silent stayed so for as long as the system repeats unacknowledged bytes.
+const LINK_SILENCE: Duration = Duration::from_millis(600);
+/// Rest after which an incoming connection is closed: nobody who still uses one is silent for so long, and one that went
+/// silent would hold a descriptor for ever.
+const LONGEST_REST: Duration = Duration::from_secs(60);
 
 /// Who waits for an answer.
 pub(crate) enum Requester {
@@ -27,7 +35,8 @@
     Local(Sender<Response>),
 }
 
-pub(crate) struct Shared {
+/// What connections hand to the member, and who waits for its answers.
+pub struct Shared {
     pub(crate) inputs: Sender<MemberInput>,
     pub(crate) waiting: Mutex<Waiting>,
 }
@@ -39,6 +48,12 @@
 }
 
 impl Shared {
+    /// Nobody waits; the second part is what the member takes its inputs from.
+    pub fn new() -> (Arc<Self>, Receiver<MemberInput>) {
+        let (inputs, receiver) = async_channel::unbounded();
+        (Arc::new(Shared { inputs, waiting: Mutex::default() }), receiver)
+    }
+
     pub(crate) fn add(&self, requester: Requester) -> Token {
         let mut waiting = self.waiting.lock().unwrap();
         waiting.next_token += 1;
@@ -48,56 +63,109 @@
     }
 }
 
-pub(crate) struct Peers {
-    pub(crate) executor: Executor,
-    pub(crate) own: String,
-    pub(crate) key: ClusterKey,
+/// Connections of this member to its peers.
+pub struct Peers {
+    /// Runs their tasks.
+    pub executor: Executor,
+    /// Address at which this member listens for peers.
+    pub own: String,
+    /// Key of all connections of the group.
+    pub key: ClusterKey,
 }
 
 impl Peers {
     /// A queue whose task keeps a connection to the peer.
-    pub(crate) fn open_queue(&self, address: &str) -> Sender<Envelope> {
+    pub fn open_queue(&self, address: &str) -> Sender<Envelope> {
         let (sender, receiver) = async_channel::bounded(PEER_QUEUE);
         if let Ok(address) = address.parse() {
-            let task = send_to_peer(address, self.own.clone(), self.key.clone(), receiver);
-            self.executor.spawn(task).detach();
+            let link = PeerLink {
+                executor: self.executor.clone(),
+                address,
+                own: self.own.clone(),
+                key: self.key.clone(),
+                limit: ConnectLimit::default(),
+            };
+            self.executor.spawn(link.run(receiver)).detach();
         }
         sender
     }
 }
 
-async fn send_to_peer(
+/// Keeps a connection to one peer.
+struct PeerLink {
+    executor: Executor,
     address: SocketAddr,
     own: String,
     key: ClusterKey,
-    queue: Receiver<Envelope>,
-) {
-    let mut writer: Option<FrameWriter> = None;
-    let mut limit = ConnectLimit::default();
-    while let Ok(envelope) = queue.recv().await {
-        if writer.is_none() {
-            writer = match frames::connect(address, &key, limit).await {
-                Ok((writer, _)) => {
-                    limit.succeeded();
-                    Some(writer)
-                }
-                Err(_) => {
-                    limit.failed();
-                    async_io::Timer::after(PEER_PAUSE).await;
+    limit: ConnectLimit,
+}
+
+/// An open connection to a peer.
+struct OpenLink {
+    writer: FrameWriter,
+    traffic: Arc<Traffic>,
+    /// Ends with the connection.
+    reading: Task<()>,
+}
+
+impl OpenLink {
+    /// Whether a message that is sent now may arrive.
+    fn is_good(&self) -> bool {
+        !self.reading.is_finished() && !self.traffic.is_silent(LINK_SILENCE)
+    }
+}
+
+impl PeerLink {
+    /// Sends what is queued until the member stops. What can't be sent is lost; the log sends it again.
+    async fn run(mut self, queue: Receiver<Envelope>) {
+        let mut open: Option<OpenLink> = None;
+        while let Ok(envelope) = queue.recv().await {
+            if open.as_ref().is_some_and(|link| link.traffic.is_silent(LINK_SILENCE)) {
+                log::info!("link: event=silent peer={}", self.address);
+            }
+            open = open.filter(OpenLink::is_good);
+            if open.is_none() {
+                open = self.connect().await;
+                if open.is_none() {
                     while queue.try_recv().is_ok() {}
-                    None
                 }
-            };
+            }
+            let Some(link) = &mut open else { continue };
+            link.traffic.sent();
+            let frame = Frame::Peer(self.own.clone(), envelope);
+            // A peer that does not read would hold the queue up for ever.
+            if frames::within(LINK_SILENCE, link.writer.send(&frame)).await.is_err() {
+                open = None;
+            }
         }
-        if let Some(open) = &mut writer
-            && open.send(&Frame::Peer(own.clone(), envelope)).await.is_err()
-        {
-            writer = None;
+    }
+
+    async fn connect(&mut self) -> Option<OpenLink> {
+        match frames::connect(self.address, &self.key, self.limit).await {
+            Ok((writer, reader)) => {
+                self.limit.succeeded();
+                let traffic = Arc::new(Traffic::default());
+                let reading = self.executor.spawn(note_word(reader, traffic.clone()));
+                Some(OpenLink { writer, traffic, reading })
+            }
+            Err(_) => {
+                self.limit.failed();
+                async_io::Timer::after(PEER_PAUSE).await;
+                None
+            }
         }
     }
 }
 
-pub(crate) async fn accept_loop(
+/// Notes that a peer has heard something, until the connection ends.
+async fn note_word(mut reader: FrameReader, traffic: Arc<Traffic>) {
+    while reader.receive::<Frame>().await.is_ok() {
+        traffic.heard();
+    }
+}
+
+/// Serves connections of peers and of those who ask, for ever.
+pub async fn accept_loop(
     executor: Executor,
     listener: TcpListener,
     key: ClusterKey,
@@ -154,13 +222,19 @@
     shared: &Shared,
 ) -> eyre::Report {
     loop {
-        let input = match reader.receive::<Frame>().await {
-            Ok(Frame::Peer(address, envelope)) => MemberInput::Peer(address, envelope),
+        let input = match frames::within(LONGEST_REST, reader.receive::<Frame>()).await {
+            Ok(Frame::Peer(address, envelope)) => {
+                // Where the queue is full there are other answers to hear.
+                let _ = answers.try_send(Frame::Heard);
+                MemberInput::Peer(address, envelope)
+            }
             Ok(Frame::Request(number, request)) => {
                 let requester = Requester::Connection { answers: answers.clone(), number };
                 MemberInput::Request(shared.add(requester), request)
             }
-            Ok(Frame::Response(..)) => return eyre::eyre!("a response that nobody asked for"),
+            Ok(Frame::Response(..) | Frame::Heard) => {
+                return eyre::eyre!("an answer to nothing that was asked");
+            }
             Err(error) => return error,
         };
         if shared.inputs.send(input).await.is_err() {
--- a/crates/topazmount/src/control_process.rs
+++ b/crates/topazmount/src/control_process.rs
@@ -12,7 +12,7 @@
 use eyre::{Result, WrapErr};
 use std::collections::HashMap;
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex};
+use std::sync::Arc;
 use std::time::Duration;
 use topazmount_consensus::{Config, Envelope, MemberInfo, Standing};
 use topazmount_control::{
@@ -133,8 +133,8 @@
     let standing = member.replica().membership().standing(id);
     log::info!("control: {} listens at {address} as {id}, standing {standing:?}.", info.name);
 
-    let (inputs, receiver) = async_channel::unbounded();
-    let shared = Arc::new(Shared { inputs: inputs.clone(), waiting: Mutex::default() });
+    let (shared, receiver) = Shared::new();
+    let inputs = shared.inputs.clone();
     let peers = Peers { executor: executor.clone(), own: info.address, key: key.clone() };
     let (ending, ended) = async_channel::bounded::<()>(1);
     let thread = std::thread::Builder::new().name("control".to_owned()).spawn({
--- a/crates/topazmount/src/lib.rs
+++ b/crates/topazmount/src/lib.rs
@@ -11,7 +11,7 @@
 pub mod clock;
 pub mod configuration_file;
 pub mod control_client;
-mod control_links;
+pub mod control_links;
 mod control_log;
 pub mod control_process;
 pub mod engine_client;
@@ -26,6 +26,7 @@
 pub mod node_process;
 pub mod operator;
 pub mod runtime;
+pub mod silence;
 pub mod sse;
 
 /// Executor on which all tasks of a process run.
