A late heartbeat of an earlier life does not end the replica that has its address

Cause: who fell silent may come back under its identifier. Where another replica had taken its address by then, a heartbeat that a cut had delayed registered the old one again, and the new one was removed for good. Change: a registration makes those that fell silent at its address final. Such heartbeats are answered, logged and counted. Open: a first heartbeat of a life that was never known, delayed until after its successor's registration, still takes the address.

--- a/crates/control/src/fleet/protocol.rs
+++ b/crates/control/src/fleet/protocol.rs
@@ -153,6 +153,8 @@
 pub enum FleetResponse {
     /// Committed, or nothing had to be.
     Done,
+    /// The heartbeat is of a replica that left or that another one replaced; nothing is changed.
+    Superseded,
     /// The newest document.
     Document(Option<Document>),
     /// News.
--- a/crates/control/src/fleet/state.rs
+++ b/crates/control/src/fleet/state.rs
@@ -51,10 +51,13 @@
     },
 }
 
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 struct Removal {
     revision: u64,
     is_final: bool,
+    /// Where it was; empty if it was never known.
+    #[serde(default)]
+    address: String,
 }
 
 /// Replicated state. Invariants: the document's version and each model's version only rise; a
@@ -160,7 +163,11 @@
         if !self.is_news(&instance) {
             return;
         }
-        // An address has one replica at a time: whoever had it before is gone.
+        // An address has one replica at a time: whoever had it before is gone, also who fell silent there. A
+        // heartbeat of it that comes late would otherwise end the one that is there now, for good.
+        for removal in self.removals.values_mut() {
+            removal.is_final |= removal.address == instance.address;
+        }
         let before = self
             .instances
             .values()
@@ -179,17 +186,19 @@
     }
 
     fn remove(&mut self, id: InstanceId, is_final: bool) {
-        let was_known = self.instances.remove(&id).is_some();
-        if !was_known && !is_final {
+        let known = self.instances.remove(&id);
+        if known.is_none() && !is_final {
             return;
         }
         self.revision += 1;
-        self.removals.insert(id, Removal { revision: self.revision, is_final });
+        let address = known.map(|known| known.address).unwrap_or_default();
+        self.removals.insert(id, Removal { revision: self.revision, is_final, address });
         if self.removals.len() > KEPT_REMOVALS {
             let oldest = self.removals.iter().min_by_key(|(_, removal)| removal.revision);
-            if let Some((id, removal)) = oldest.map(|(id, removal)| (id.clone(), *removal)) {
+            if let Some((id, revision)) = oldest.map(|(id, removal)| (id.clone(), removal.revision))
+            {
                 self.removals.remove(&id);
-                self.forgotten_to = removal.revision;
+                self.forgotten_to = revision;
             }
         }
     }
--- a/crates/control/src/fleet_member.rs
+++ b/crates/control/src/fleet_member.rs
@@ -57,6 +57,13 @@
     }
 
     fn on_heartbeat(&mut self, now: Time, token: Token, report: InstanceReport) {
+        if self.state.fleet.is_gone(&report.instance.id) {
+            let response = match self.replica.may_read(now) {
+                true => Response::Fleet(FleetResponse::Superseded),
+                false => self.not_leader(now),
+            };
+            return self.respond(token, response);
+        }
         if self.replica.role() == Role::Leader {
             self.fleet.heartbeat(now, &report);
         }
--- a/crates/control/tests/fleet_member.rs
+++ b/crates/control/tests/fleet_member.rs
@@ -399,6 +399,29 @@
     assert_eq!(view.staleness, Some(Duration::ZERO));
 }
 
+/// Its own heartbeats go on meanwhile, and nothing of the old life counts for it.
+#[test]
+fn a_late_heartbeat_of_an_earlier_life_is_answered_and_changes_nothing() {
+    let mut world = World::new(0);
+    world.run_for(Duration::from_secs(4));
+    let life = |id: &str| {
+        let instance = Instance { address: "one:1".to_owned(), ..instance(id) };
+        FleetRequest::Heartbeat(InstanceReport { instance, models: Vec::new() })
+    };
+    assert_eq!(world.ask(life("old")), Response::Fleet(FleetResponse::Done));
+    world.run_for(Duration::from_secs(6));
+    assert!(world.member.state().fleet.instances().is_empty(), "it was silent");
+    assert_eq!(world.ask(life("new")), Response::Fleet(FleetResponse::Done));
+    let revision = world.member.state().fleet.revision();
+    for _ in 0..3 {
+        assert_eq!(world.ask(life("old")), Response::Fleet(FleetResponse::Superseded));
+        assert_eq!(world.ask(life("new")), Response::Fleet(FleetResponse::Done));
+        world.run_for(Duration::from_secs(2));
+    }
+    assert_eq!(world.member.state().fleet.revision(), revision);
+    assert!(world.member.state().fleet.instances().contains_key("new"));
+}
+
 #[test]
 fn a_draining_replica_is_acknowledged_when_it_is_committed() {
     let mut world = World::new(1);
--- a/crates/control/tests/fleet_state.rs
+++ b/crates/control/tests/fleet_state.rs
@@ -90,6 +90,48 @@
     assert_eq!(ids(&state), ["new"]);
 }
 
+/// What happens to a replica's old and new life at one address.
+#[derive(Clone, Copy)]
+enum Life {
+    /// A heartbeat of the old life.
+    Old,
+    /// A heartbeat of the new life.
+    New,
+    /// The old life falls silent.
+    OldExpires,
+    /// The new life falls silent.
+    NewExpires,
+}
+
+/// A heartbeat of the old life that a cut had delayed comes in last, whatever was known of it: it ends nothing.
+macro_rules! late_heartbeats {
+    ($($name:ident: $($life:ident),+ => $left:expr;)*) => {$(
+        #[test]
+        fn $name() {
+            let mut state = FleetState::default();
+            for life in [$(Life::$life),+] {
+                match life {
+                    Life::Old => register(&mut state, "old", "1:1"),
+                    Life::New => register(&mut state, "new", "1:1"),
+                    Life::OldExpires => state.apply(FleetCommand::Expire("old".to_owned())),
+                    Life::NewExpires => state.apply(FleetCommand::Expire("new".to_owned())),
+                }
+            }
+            assert_eq!(ids(&state), $left);
+        }
+    )*};
+}
+
+late_heartbeats! {
+    after_the_new_life_replaced_it: Old, New, Old => ["new"];
+    after_it_expired_and_the_new_life_came: Old, OldExpires, New, Old => ["new"];
+    again_and_again: Old, OldExpires, New, Old, Old, New => ["new"];
+    before_the_new_life_came: Old, OldExpires, Old, New => ["new"];
+    after_both_expired: Old, OldExpires, New, NewExpires, Old => [""; 0];
+    the_new_life_comes_back: Old, OldExpires, New, NewExpires, Old, New => ["new"];
+    without_a_new_life_it_comes_back: Old, OldExpires, Old => ["old"];
+}
+
 #[test]
 fn changes_since_any_revision_lead_to_the_same_list() {
     let mut state = FleetState::default();
--- a/crates/topazmount/src/fleet/control_service.rs
+++ b/crates/topazmount/src/fleet/control_service.rs
@@ -163,7 +163,12 @@
     async fn take(&self, call: ControlCall) -> HttpAnswer {
         match call {
             ControlCall::Heartbeat(report) => {
+                let id = report.instance.id.clone();
                 let answer = self.ask(FleetRequest::Heartbeat(report)).await;
+                if let Some((FleetResponse::Superseded, _)) = &answer {
+                    self.metrics.event("heartbeat_superseded");
+                    log::info!("control: event=heartbeat_superseded id={id}");
+                }
                 match answer {
                     Some((_, leader)) => self.dialect.heartbeat_answer(self.control_of(leader)),
                     None => self.unavailable(),
