Control's word on crashes goes before a gateway's own; doubts about a connection need 600 ms of silence

Cause, both found on reading: a gateway blocked by its own three crashes although control, which hears of all, may know another request that explains them; and a call with a few milliseconds left could end a sound connection that others used. Change: the own count holds only without news for 2 s; a client's connection is given up after 600 ms without a word, as a peer's.

--- a/crates/gateway/src/crashes.rs
+++ b/crates/gateway/src/crashes.rs
@@ -11,6 +11,9 @@
 /// How long what was seen is told again. Control may have no leader for an election, and a gateway may be cut off
 /// for longer.
 const TOLD_FOR: Duration = Duration::from_secs(30);
+/// Time without news from control after which a gateway goes by what it saw itself: several of the 400 ms for which a
+/// request for news is held. Until then control knows better, since it knows who else ran at a replica.
+const ALONE_AFTER: Duration = Duration::from_secs(2);
 /// Crashes and completions that are told at a time, 4 KB at most; the oldest are left out.
 const MOST_TOLD: usize = 64;
 /// Requests of which it is remembered that they ran well, 48 KB at most. They speak for a request that is
@@ -43,6 +46,8 @@
 pub struct Crashes {
     /// What control says.
     blocked: HashSet<RequestDigest>,
+    /// When control was heard last.
+    heard_at: Time,
     /// What this gateway saw itself.
     own: CrashLedger,
     seen: VecDeque<(Time, CrashNote)>,
@@ -52,8 +57,14 @@
 
 impl Crashes {
     /// Whether a request must not be sent to any replica.
-    pub fn is_blocked(&self, request: RequestDigest) -> bool {
-        self.blocked.contains(&request) || self.own.is_blocked(request)
+    pub fn is_blocked(&self, request: RequestDigest, now: Time) -> bool {
+        let is_alone = now >= self.heard_at + ALONE_AFTER;
+        self.blocked.contains(&request) || is_alone && self.own.is_blocked(request)
+    }
+
+    /// Notes that a member of control vouched for what it tells.
+    pub fn heard(&mut self, now: Time) {
+        self.heard_at = self.heard_at.max(now);
     }
 
     /// Number of requests that control has blocked.
--- a/crates/gateway/src/knowledge.rs
+++ b/crates/gateway/src/knowledge.rs
@@ -149,6 +149,9 @@
         view: &FleetView,
         now: Time,
     ) -> (Vec<RequestDigest>, Vec<RequestDigest>) {
+        if view.staleness.is_some() {
+            self.crashes.heard(now);
+        }
         match &view.blocked {
             Some((changes, blocked)) if *changes > self.seen.blocked => {
                 self.seen.blocked = *changes;
--- a/crates/topazmount/src/control_client.rs
+++ b/crates/topazmount/src/control_client.rs
@@ -2,7 +2,7 @@
 
 use crate::Executor;
 use crate::frames::{self, ConnectLimit, FrameReader, FrameWriter};
-use crate::silence::Traffic;
+use crate::silence::{LINK_SILENCE, Traffic};
 use async_channel::{Receiver, Sender};
 use eyre::{Result, eyre};
 use std::collections::HashMap;
@@ -16,8 +16,6 @@
 const RECONNECT_PAUSE: Duration = Duration::from_millis(100);
 /// Longest time for a request to go out: a member that does not read is as good as silent.
 const SEND_LIMIT: Duration = Duration::from_millis(1_000);
-/// Part of the time in which no answer came for which the connection must have been silent to be given up.
-const SURELY_WAITED: f64 = 0.8;
 /// Requests that wait for a connection.
 const QUEUE: usize = 1_024;
 
@@ -28,8 +26,8 @@
 #[derive(Clone)]
 pub struct ControlClient {
     queue: Sender<(Request, Answer)>,
-    /// Tells that an answer did not come in a time.
-    doubts: Sender<Duration>,
+    /// Tells that an answer did not come in its time.
+    doubts: Sender<()>,
 }
 
 impl ControlClient {
@@ -73,7 +71,7 @@
         let answered = frames::within(limit, async { Ok(receiver.recv().await?) }).await;
         let Ok(answer) = answered else {
             // A doubt that waits already says as much.
-            let _ = self.doubts.try_send(limit);
+            let _ = self.doubts.try_send(());
             return Err(eyre!("no answer within {limit:?}"));
         };
         answer.ok_or_else(|| eyre!("the control member is unreachable"))
@@ -86,13 +84,13 @@
     address: SocketAddr,
     key: ClusterKey,
     requests: Receiver<(Request, Answer)>,
-    doubted: Receiver<Duration>,
+    doubted: Receiver<()>,
 }
 
 /// What a connection waits for.
 enum Next {
     Request(Box<(Request, Answer)>),
-    Doubt(Duration),
+    Doubt,
     Ended,
 }
 
@@ -141,12 +139,12 @@
                         break;
                     }
                 }
-                // The one that waited began when the request was handed over, a moment before it was sent.
-                Next::Doubt(waited) if traffic.is_silent(waited.mul_f64(SURELY_WAITED)) => {
+                // A request without an answer is no sign by itself: its limit may have been a few milliseconds.
+                Next::Doubt if traffic.is_silent(LINK_SILENCE) => {
                     log::info!("link: event=silent member={}", self.address);
                     break;
                 }
-                Next::Doubt(_) => {}
+                Next::Doubt => {}
                 Next::Ended => break,
             }
             next = self.next(&closed).await;
@@ -167,7 +165,7 @@
         };
         let doubt = async {
             match self.doubted.recv().await {
-                Ok(waited) => Next::Doubt(waited),
+                Ok(()) => Next::Doubt,
                 // The last client is gone; what was asked may still be answered.
                 Err(_) => futures_lite::future::pending().await,
             }
--- a/crates/topazmount/src/control_links.rs
+++ b/crates/topazmount/src/control_links.rs
@@ -2,7 +2,7 @@
 
 use crate::Executor;
 use crate::frames::{self, ConnectLimit, FrameReader, FrameWriter};
-use crate::silence::Traffic;
+use crate::silence::{LINK_SILENCE, Traffic};
 use async_channel::{Receiver, Sender};
 use async_executor::Task;
 use async_net::{TcpListener, TcpStream};
@@ -20,9 +20,6 @@
 const ANSWER_QUEUE: usize = 1_024;
 /// Pause after a failed connection to a peer.
 const PEER_PAUSE: Duration = Duration::from_millis(100);
-/// Silence after which a connection to a peer is made anew: an election timeout, in which a leader sends six
-/// messages. Without it a link that went silent stayed so for as long as the system repeats unacknowledged bytes.
-const LINK_SILENCE: Duration = Duration::from_millis(600);
 /// Rest after which an incoming connection is closed: nobody who still uses one is silent for so long, and one that went
 /// silent would hold a descriptor for ever.
 const LONGEST_REST: Duration = Duration::from_secs(60);
--- a/crates/topazmount/src/fleet/exchange/crash.rs
+++ b/crates/topazmount/src/fleet/exchange/crash.rs
@@ -13,7 +13,8 @@
 impl Exchange<'_> {
     /// Whether replicas crash under the request, so that it must not be sent on.
     pub(super) fn is_blocked(&self) -> bool {
-        self.shared.knowledge.lock().unwrap().crashes().is_blocked(self.digest)
+        let now = self.shared.clock.now();
+        self.shared.knowledge.lock().unwrap().crashes().is_blocked(self.digest, now)
     }
 
     /// After a connection broke under the request: looks whether its replica has ended, and tells control.
--- a/crates/topazmount/src/silence.rs
+++ b/crates/topazmount/src/silence.rs
@@ -7,6 +7,10 @@
 use std::sync::Mutex;
 use std::time::{Duration, Instant};
 
+/// Silence after which a connection to a control member is made anew: an election timeout, in which a leader sends six
+/// messages, and less than the 750 ms of a request for news.
+pub const LINK_SILENCE: Duration = Duration::from_millis(600);
+
 /// What was sent and heard on one connection.
 #[derive(Debug, Default)]
 pub struct Traffic {
