--- a/crates/control/src/fleet/crashes.rs
+++ b/crates/control/src/fleet/crashes.rs
@@ -21,9 +21,9 @@
 /// Crashes closer to each other count as one, and a run that began less before a crash as one after it: reports
 /// of gateways take some milliseconds, and a loss of power ends all replicas within that time.
 const SAME_MOMENT: Duration = Duration::from_millis(30);
-/// Requests remembered at a time; 200 KB at most. A loss of 60 replicas with 16 runs each accuses 960.
+/// Requests remembered at a time; 300 KB at most in a snapshot. A loss of 60 replicas with 16 runs each accuses 960.
 const MOST_SUSPECTS: usize = 1_024;
-/// Requests blocked at a time; the list of them is sent to each gateway when it changes, 4 KB at most.
+/// Requests blocked at a time; the list of them is sent to each gateway when it changes, 4.4 KB at most.
 const MOST_BLOCKED: usize = 256;
 /// Crashes remembered of a request.
 const MOST_CRASHES: usize = 8;
--- a/crates/control/tests/crashes.rs
+++ b/crates/control/tests/crashes.rs
@@ -195,6 +195,29 @@
         assert!(story.is_blocked(CAUSE));
     }
 
+    /// In bytes: the list that each gateway gets when it changes, what a gateway tells at most, and all that is kept.
+    what_is_sent_and_kept_is_small => {
+        let mut story = Story::new();
+        let mut replica = 0;
+        for number in 0..300 {
+            for _ in 0..3 {
+                replica += 1;
+                story.crash(u64::MAX - replica, &[RequestDigest(u64::MAX - number)]);
+            }
+        }
+        let size = |bytes: Result<Vec<u8>, rmp_serde::encode::Error>| bytes.unwrap().len();
+        let blocked = story.ledger.blocked();
+        assert_eq!(blocked.len(), 256);
+        let list = size(rmp_serde::to_vec(&blocked));
+        let age = Duration::from_millis(29_999);
+        let note = CrashNote { age, ..crash(RequestDigest(u64::MAX), u64::MAX) };
+        let told = size(rmp_serde::to_vec(&crashes([note; 64])));
+        let all = (0..8_800).map(|number| crash(RequestDigest(number / 8), u64::MAX - number));
+        story.ledger.note(story.now, &crashes(all));
+        let kept = size(rmp_serde::to_vec(&story.ledger));
+        assert!(list <= 4_500 && told <= 2_200 && kept <= 300_000, "{list}, {told}, {kept}");
+    }
+
     /// The clock of the next leader may be behind by seconds.
     a_leader_whose_clock_is_behind_counts_on => {
         let mut story = Story::new();
--- a/crates/gateway/src/crashes.rs
+++ b/crates/gateway/src/crashes.rs
@@ -14,7 +14,7 @@
 /// Time without news from control after which a gateway goes by what it saw itself: several of the 400 ms for which a
 /// request for news is held. Until then control knows better, since it knows who else ran at a replica.
 const ALONE_AFTER: Duration = Duration::from_secs(2);
-/// Crashes and completions that are told at a time, 4 KB at most; the oldest are left out.
+/// Crashes and completions that are told at a time, 2.2 KB at most; the oldest are left out.
 const MOST_TOLD: usize = 64;
 /// Requests of which it is remembered that they ran well, 48 KB at most. They speak for a request that is
 /// blocked although it runs well, such as one that many clients send alike.
