Tenants' limits are kept over all gateways together, by grants of stripes

Change: a limit is divided into three stripes; for each one gateway at a time grants from a bucket, and a request asks one by a datagram before it is sent on. Who may grant follows from the leader's list of gateways and leases on its answers; a new granter begins with the bucket empty at the end of the one before it. Without a granter a gateway spends its part of what may be used beyond limits. Units of requests that did not run go back; refused clients are told to return one after another. Ruled out: a fixed share for each gateway (13,000 tokens in 8 s, a long prompt has 9,190 and up to 57,000); grants by control (560 questions a second at its leader); leases of credit kept at gateways (headroom of 9,600 tokens each, about one prompt); one granter a tenant (nobody grants for 3 to 6 s where it is lost; with three stripes two carry the half of a limit that tenants use).

--- a/crates/control/src/fleet/leader.rs
+++ b/crates/control/src/fleet/leader.rs
@@ -13,7 +13,7 @@
 /// Silence after which a replica counts as gone: several heartbeats, which may be seconds late.
 const REPLICA_SILENCE: Duration = Duration::from_secs(5);
 /// Silence after which a gateway is no longer named to clients.
-const GATEWAY_SILENCE: Duration = Duration::from_millis(1_500);
+pub const GATEWAY_SILENCE: Duration = Duration::from_millis(1_500);
 /// Longest time for which an answer is held.
 const LONGEST_WAIT: Duration = Duration::from_secs(2);
 
--- a/crates/control/src/fleet/mod.rs
+++ b/crates/control/src/fleet/mod.rs
@@ -14,6 +14,7 @@
 
 pub use crashes::{BlockedRequest, CRASHES_TO_BLOCK, CrashLedger, CrashNote, CrashNotes};
 pub(crate) use leader::FleetLeader;
+pub use leader::GATEWAY_SILENCE;
 pub use orders::{FleetAction, LoadMode, OrderEnd, OrderReport, ReplicaReport, WeightsOrder};
 pub use protocol::{
     Availability, FleetRequest, FleetResponse, FleetView, GatewayReport, InstanceReport,
--- a/crates/control/src/fleet/protocol.rs
+++ b/crates/control/src/fleet/protocol.rs
@@ -124,6 +124,13 @@
     pub blocked: Option<(u64, Vec<BlockedRequest>)>,
 }
 
+impl FleetView {
+    /// Whether a leader with a lease gave it: nobody else had named another list of gateways by then.
+    pub fn is_leased(&self) -> bool {
+        self.gateway_count > 0 && self.staleness == Some(Duration::ZERO)
+    }
+}
+
 /// A request about the fleet.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum FleetRequest {
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -21,9 +21,9 @@
 pub use events::{ChangeReason, MembershipEvent};
 pub use fleet::{
     Availability, BlockedRequest, CRASHES_TO_BLOCK, CrashLedger, CrashNote, CrashNotes, Document,
-    FleetAction, FleetCommand, FleetRequest, FleetResponse, FleetState, FleetView, GatewayReport,
-    InstanceReport, InstanceStatus, LoadMode, LoadedModel, OrderEnd, OrderReport, ReplicaReport,
-    RolloutSettings, Seen, WatchRequest, WeightsOrder,
+    FleetAction, FleetCommand, FleetRequest, FleetResponse, FleetState, FleetView, GATEWAY_SILENCE,
+    GatewayReport, InstanceReport, InstanceStatus, LoadMode, LoadedModel, OrderEnd, OrderReport,
+    ReplicaReport, RolloutSettings, Seen, WatchRequest, WeightsOrder,
 };
 pub use ledger::{ActionResult, ClaimId, ClaimOutcome, Ledger, LookupOutcome};
 pub use member::{Founding, Member, MemberError, MemberInput, MemberOutput, MemberSettings, Token};
--- a/crates/gateway/src/catalog.rs
+++ b/crates/gateway/src/catalog.rs
@@ -1,8 +1,10 @@
 //! The service catalog: routes, services, tenants and limits, checked as a whole.
 
+use crate::quota::TenantLimit;
 use std::collections::{BTreeMap, HashMap};
 use std::time::Duration;
 use thiserror::Error;
+use topazmount_types::TenantId;
 
 /// What may be done again with a route's requests.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -140,7 +142,7 @@
 }
 
 /// A tenant.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Tenant {
     /// Name.
     pub name: String,
@@ -150,6 +152,8 @@
     pub priority: u32,
     /// Whether its cached prompt parts are kept from all other tenants.
     pub is_isolated: bool,
+    /// How much it may use over all gateways together; `None` where that is not limited.
+    pub limit: Option<TenantLimit>,
 }
 
 /// What a catalog is made of, as read from a document.
@@ -211,6 +215,8 @@
     /// For each host its routes, the longest prefix first.
     hosts: HashMap<String, Vec<usize>>,
     keys: HashMap<String, usize>,
+    /// Tenants that have limits, by the hash of their names.
+    limits: HashMap<u64, TenantLimit>,
 }
 
 impl Catalog {
@@ -225,7 +231,10 @@
         }
         let hosts = index_hosts(&parts.routes)?;
         let keys = index_keys(parts.tenants.as_deref().unwrap_or_default())?;
-        Ok(Catalog { parts, services, hosts, keys })
+        let tenants = parts.tenants.iter().flatten();
+        let limits = tenants.filter_map(|one| Some((TenantId::from_name(&one.name).0, one.limit?)));
+        let limits = limits.collect();
+        Ok(Catalog { parts, services, hosts, keys, limits })
     }
 
     /// Version.
@@ -266,6 +275,11 @@
         self.parts.tenants.is_some()
     }
 
+    /// The limit of a tenant, by the hash of its name.
+    pub fn tenant_limit(&self, tenant: u64) -> Option<&TenantLimit> {
+        self.limits.get(&tenant)
+    }
+
     /// The tenant that holds a key.
     pub fn tenant(&self, key: &str) -> Option<&Tenant> {
         let tenants = self.parts.tenants.as_deref().unwrap_or_default();
--- a/crates/gateway/src/knowledge.rs
+++ b/crates/gateway/src/knowledge.rs
@@ -1,5 +1,6 @@
 //! What one gateway knows and for how long it may rely on it.
 
+mod limits;
 mod placement;
 
 use crate::balancer::{Balancer, Choice, ChoiceRequest, SURELY_KEPT};
@@ -7,6 +8,7 @@
 use crate::catalog::{Catalog, Route, Tenant};
 use crate::connections::{ConnectionSettings, Connections};
 use crate::crashes::Crashes;
+use crate::quota::{QuotaSettings, Quotas};
 use crate::shards::Gateways;
 use crate::split::Splits;
 use rand::SeedableRng;
@@ -37,6 +39,8 @@
     pub connections: ConnectionSettings,
     /// Age up to which a replica almost surely holds what it was seen to read or use.
     pub surely_kept: Duration,
+    /// How far tenants' limits may be exceeded.
+    pub quota: QuotaSettings,
 }
 
 impl Default for GatewaySettings {
@@ -46,6 +50,7 @@
             budget: BudgetSettings::default(),
             connections: ConnectionSettings::default(),
             surely_kept: SURELY_KEPT,
+            quota: QuotaSettings::default(),
         }
     }
 }
@@ -83,6 +88,7 @@
     budgets: HashMap<String, RetryBudget>,
     connections: Connections,
     crashes: Crashes,
+    quotas: Quotas,
     policies: PolicyTable,
 }
 
@@ -104,6 +110,7 @@
             budgets: HashMap::new(),
             connections: Connections::default(),
             crashes: Crashes::default(),
+            quotas: Quotas::default(),
             policies: PolicyTable::default(),
         };
         knowledge.set_settings(settings);
@@ -115,6 +122,7 @@
         self.settings = settings;
         self.connections.set(settings.connections);
         self.balancer.set_surely_kept(settings.surely_kept);
+        self.quotas.set(settings.quota);
     }
 
     /// What it has seen, for the next request for news.
@@ -215,7 +223,8 @@
             self.seen.statuses = *count;
             statuses.iter().for_each(|status| self.balancer.set_status(status));
         }
-        if let Some((count, gateways)) = &view.gateways {
+        // A leader without a lease may have been deposed: its list must move no grants, and is told again.
+        if let Some((count, gateways)) = view.gateways.as_ref().filter(|_| view.is_leased()) {
             self.seen.gateways = *count;
             self.set_gateways(gateways, asked_at);
         }
--- a/crates/gateway/src/knowledge/placement.rs
+++ b/crates/gateway/src/knowledge/placement.rs
@@ -38,6 +38,7 @@
     pub fn set_own_address(&mut self, own: SocketAddr) {
         self.own_port = own.port();
         self.gateways.set_own(own);
+        self.quotas.set_own(own);
     }
 
     pub(super) fn set_gateways(&mut self, reports: &[GatewayReport], now: Time) {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -15,6 +15,7 @@
 mod plan;
 mod prompt;
 mod question;
+mod quota;
 mod shards;
 mod split;
 mod stores;
@@ -32,6 +33,7 @@
 pub use plan::{AttemptEnd, NextStep, RequestPlan};
 pub use prompt::{Prompt, PromptPart};
 pub use question::{ChoiceQuestion, Offer};
+pub use quota::{GrantAnswer, Granting, LimitUnit, QuotaSettings, STRIPES, StripeId, TenantLimit};
 pub use shards::{Gateways, MOST_TOLD, Shard};
 pub use stores::{
     MOST_READERS, StoreChange, StoreEvents, StoreKey, StoredPrompt, Stores, cache_salt,
--- /dev/null
+++ b/crates/gateway/src/quota/authority.rs
@@ -0,0 +1,146 @@
+//! For which stripes of limits this gateway may grant, so that no other one does at the same time.
+//!
+//! All gateways rank each other alike for a stripe, by the list that the leader of the control group keeps. The first
+//! one of the newest list that a gateway has may grant, for [`LEASE`] from when it asked for its newest answer of the
+//! leader. Whoever becomes the first waits until whoever was it before can't grant any more:
+//!
+//! - The first one was dropped from the list: the leader had not heard from it for [`GATEWAY_SILENCE`], so that the
+//!   rest of [`LEASE`] is enough.
+//! - Else, and where the leader is new and may not have heard from the first one yet: two [`LEASE`]s. Whoever grants has
+//!   asked the new leader within the first one or can't grant after it; in the second one it is seen in the list.
+
+use std::collections::{HashMap, HashSet};
+use std::time::Duration;
+use topazmount_consensus::Term;
+use topazmount_control::GATEWAY_SILENCE;
+use topazmount_routing::rendezvous_weight;
+use topazmount_types::{ReplicaId, Time};
+
+/// Time for which a gateway may grant after it asked for an answer that the leader then gave. The loss of a leader takes up to
+/// 2.5 s (an election and the limits on calls that hang), in which grants must go on.
+pub(super) const LEASE: Duration = Duration::from_secs(3);
+/// What is left of the lease of a gateway when the leader drops it.
+const REST_OF_LEASE: Duration =
+    Duration::from_millis(LEASE.as_millis() as u64 - GATEWAY_SILENCE.as_millis() as u64);
+/// Time for which a gateway is remembered that is no longer named: a bucket that rested for as long is full.
+const MEMORY: Duration = Duration::from_secs(60);
+
+/// A gateway of the newest list, or one that was lately.
+#[derive(Clone, Copy, Debug)]
+enum Standing {
+    Named,
+    /// A leader that had heard of all who may grant did not hear from it any more.
+    Dropped(Time),
+    /// A list did not name it whose leader was new.
+    Missing(Time),
+}
+
+impl Standing {
+    fn gone_since(self) -> Option<Time> {
+        match self {
+            Standing::Named => None,
+            Standing::Dropped(at) | Standing::Missing(at) => Some(at),
+        }
+    }
+
+    /// From when on it can't grant, and from when on another one may.
+    fn ends(self) -> (Time, Time) {
+        match self {
+            Standing::Named => (Time::NEVER, Time::NEVER),
+            Standing::Dropped(at) => (at + REST_OF_LEASE, at + REST_OF_LEASE),
+            Standing::Missing(at) => (at + LEASE, at + LEASE * 2),
+        }
+    }
+}
+
+/// What this gateway has heard of the leader's lists, without a break longer than a lease.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Authority {
+    own: Option<ReplicaId>,
+    gateways: HashMap<ReplicaId, Standing>,
+    /// Term of the newest list, and when the first one of that term came.
+    term: Option<(Term, Time)>,
+    /// When the newest answer of a leader was asked for.
+    confirmed_at: Option<Time>,
+    /// When the answers without a break began.
+    began_at: Time,
+}
+
+impl Authority {
+    pub(super) fn set_own(&mut self, own: ReplicaId) {
+        self.own = Some(own);
+    }
+
+    /// Takes an answer of a leader that holds its lease; `list` is the list in it, if that changed.
+    pub(super) fn confirm(
+        &mut self,
+        asked_at: Time,
+        list: Option<(Term, Vec<ReplicaId>)>,
+        now: Time,
+    ) {
+        if self.confirmed_at.is_none_or(|at| now >= at + LEASE) {
+            self.began_at = now;
+        }
+        self.confirmed_at = self.confirmed_at.max(Some(asked_at));
+        if let Some((term, ids)) = list {
+            self.set_list(term, &ids.into_iter().collect(), now);
+        }
+    }
+
+    fn set_list(&mut self, term: Term, named: &HashSet<ReplicaId>, now: Time) {
+        if self.term.is_none_or(|(known, _)| known != term) {
+            self.term = Some((term, now));
+        }
+        let is_settled = self.term.is_some_and(|(_, since)| now >= since + LEASE);
+        for (id, standing) in &mut self.gateways {
+            if matches!(standing, Standing::Named) && !named.contains(id) {
+                *standing = match is_settled {
+                    true => Standing::Dropped(now),
+                    false => Standing::Missing(now),
+                };
+            }
+        }
+        self.gateways.extend(named.iter().map(|id| (*id, Standing::Named)));
+        self.gateways.retain(|_, one| one.gone_since().is_none_or(|at| now < at + MEMORY));
+    }
+
+    /// Who grants a stripe, as far as is known. Whoever is no longer named still counts until another one may grant: a
+    /// new leader's first lists are short.
+    pub(super) fn first(&self, stripe: u64, now: Time) -> Option<ReplicaId> {
+        let may_grant = |one: &Standing| one.gone_since().is_none_or(|at| now < at + REST_OF_LEASE);
+        let open = self.gateways.iter().filter(|(_, one)| may_grant(one)).map(|(id, _)| *id);
+        open.max_by_key(|id| rendezvous_weight(stripe, *id))
+    }
+
+    /// Since when this gateway may have granted a stripe without a break; `None` where it may not.
+    pub(super) fn holds(&self, stripe: u64, now: Time) -> Option<Held> {
+        let own = self.own?;
+        let is_confirmed = self.confirmed_at.is_some_and(|at| now < at + LEASE);
+        if !is_confirmed || now < self.began_at + LEASE * 2 {
+            return None;
+        }
+        let weight = rendezvous_weight(stripe, own);
+        let mut held = Held { first_at: self.began_at, others_ended_at: self.began_at + LEASE };
+        for (id, standing) in &self.gateways {
+            if rendezvous_weight(stripe, *id) <= weight {
+                continue;
+            }
+            let (ends_at, next_from) = standing.ends();
+            if now < next_from {
+                return None;
+            }
+            held.first_at = held.first_at.max(standing.gone_since()?);
+            held.others_ended_at = held.others_ended_at.max(ends_at);
+        }
+        Some(held)
+    }
+}
+
+/// That a gateway may grant a stripe.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) struct Held {
+    /// Since when it has been the first without a break.
+    pub first_at: Time,
+    /// From when on nobody else could grant.
+    pub others_ended_at: Time,
+}
--- a/crates/gateway/tests/common/mod.rs
+++ b/crates/gateway/tests/common/mod.rs
@@ -66,6 +66,7 @@
         api_keys: vec![key.to_owned()],
         priority: 1,
         is_isolated: false,
+        limit: None,
     }
 }
 
--- a/crates/topazmount/src/fleet/dialect.rs
+++ b/crates/topazmount/src/fleet/dialect.rs
@@ -21,6 +21,8 @@
     pub model: Option<String>,
     /// Prompt, for a language model.
     pub prompt: Option<Prompt>,
+    /// Tokens in and most tokens out, together, where it tells them.
+    pub tokens: Option<u32>,
     /// Last event that the client has, when it resumes a stream.
     pub last_event: Option<String>,
 }
--- /dev/null
+++ b/crates/topazmount/src/fleet/exchange/limit.rs
@@ -0,0 +1,145 @@
+//! Asks whether a request is within its tenant's limit.
+
+use super::Exchange;
+use crate::fleet::gateway::Shared;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::Duration;
+use topazmount_gateway::{GrantAnswer, Granting, STRIPES, StripeId};
+use topazmount_types::Time;
+
+/// Time that a granter has for its answer: the way there and back, a few milliseconds, and a moment in which its
+/// machine is busy.
+const GRANT_LIMIT: Duration = Duration::from_millis(60);
+/// Time within which units of a request that has not run are given back. Later another gateway may grant.
+const GIVE_BACK_TIME: Duration = Duration::from_secs(1);
+/// Time after which a client should come back that is refused since no granter answers; up to as much is added, so that
+/// clients return one after another.
+const NO_GRANTER_WAIT: Duration = Duration::from_millis(300);
+
+/// Why a request must not run now.
+pub(super) enum OverLimit {
+    /// Its tenant has used up its limit for so long.
+    Used(Duration),
+    /// Nobody could grant; it is worth a try after so long.
+    NoGranter(Duration),
+}
+
+/// Units that a request was granted; given back when it is dropped, unless the request may have run.
+pub(super) struct Grant<'a> {
+    shared: &'a Shared,
+    from: Option<(Granting, StripeId)>,
+    amount: u32,
+    at: Time,
+    may_have_run: AtomicBool,
+}
+
+impl Grant<'_> {
+    /// Sets whether a replica may have run the request.
+    pub(super) fn set_used(&self, may_have_run: bool) {
+        self.may_have_run.store(may_have_run, Ordering::SeqCst);
+    }
+}
+
+impl Drop for Grant<'_> {
+    fn drop(&mut self) {
+        let now = self.shared.clock.now();
+        let Some((granting, stripe)) = self.from else { return };
+        if self.may_have_run.load(Ordering::SeqCst) || now >= self.at + GIVE_BACK_TIME {
+            return;
+        }
+        match granting {
+            Granting::Own => {
+                self.shared.knowledge.lock().unwrap().give_back(stripe, self.amount, now);
+            }
+            Granting::Other(granter) => self.shared.peers.give_back(granter, stripe, self.amount),
+        }
+    }
+}
+
+impl<'e> Exchange<'e> {
+    /// Has the request's units granted, by whichever stripe has them; `None` where nothing limits its tenant.
+    pub(super) async fn ask_limit(&self) -> Result<Option<Grant<'e>>, OverLimit> {
+        let counted =
+            self.shared.knowledge.lock().unwrap().counted(self.admission, self.tags.tokens);
+        let Some((tenant, amount)) = counted else { return Ok(None) };
+        let grant = |from, at| Grant {
+            shared: self.shared,
+            from,
+            amount,
+            at,
+            may_have_run: AtomicBool::new(false),
+        };
+        let first = rand::random_range(0..STRIPES);
+        let mut shortest: Option<Duration> = None;
+        for turn in 0..STRIPES {
+            let stripe = StripeId { tenant, stripe: (first + turn) % STRIPES };
+            let asked_at = self.shared.clock.now();
+            let granting = self.shared.knowledge.lock().unwrap().granting(stripe, asked_at);
+            let Some(granting) = granting else { continue };
+            match self.ask_granter(granting, stripe, amount).await {
+                Some(GrantAnswer::Granted) => {
+                    return Ok(Some(grant(Some((granting, stripe)), asked_at)));
+                }
+                Some(GrantAnswer::Over(wait)) => {
+                    shortest = Some(shortest.map_or(wait, |known| known.min(wait)));
+                }
+                Some(GrantAnswer::NotHolder) | None => {}
+            }
+        }
+        self.spend_ungranted(tenant, amount, shortest).map(|at| Some(grant(None, at)))
+    }
+
+    async fn ask_granter(
+        &self,
+        granting: Granting,
+        stripe: StripeId,
+        amount: u32,
+    ) -> Option<GrantAnswer> {
+        let granter = match granting {
+            Granting::Own => {
+                let now = self.shared.clock.now();
+                return Some(self.shared.knowledge.lock().unwrap().grant(stripe, amount, now));
+            }
+            Granting::Other(granter) => granter,
+        };
+        let limit = GRANT_LIMIT.min(self.left());
+        let answer = self.shared.peers.ask_grant(granter, stripe, amount, limit).await;
+        if answer.is_none() {
+            self.note_silent_granter(granter);
+        }
+        answer
+    }
+
+    fn note_silent_granter(&self, granter: SocketAddr) {
+        let now = self.shared.clock.now();
+        self.shared.knowledge.lock().unwrap().note_silent_granter(granter, now);
+        self.shared.metrics.event("granter_silent");
+        let request = &self.tags.id;
+        self.shared
+            .journal
+            .line(|| format!("gateway: event=granter_silent granter={granter} request={request}"));
+    }
+
+    /// Where nothing is granted, this gateway's part of what may be used beyond the limit is left.
+    fn spend_ungranted(
+        &self,
+        tenant: u64,
+        amount: u32,
+        wait: Option<Duration>,
+    ) -> Result<Time, OverLimit> {
+        let now = self.shared.clock.now();
+        let is_spent = self.shared.knowledge.lock().unwrap().spend_ungranted(tenant, amount, now);
+        if is_spent {
+            self.shared.metrics.event("ungranted_spent");
+            return Ok(now);
+        }
+        Err(match wait {
+            Some(wait) => OverLimit::Used(wait),
+            None => {
+                self.shared.metrics.event("no_granter");
+                OverLimit::NoGranter(NO_GRANTER_WAIT.mul_f64(1.0 + rand::random::<f64>()))
+            }
+        })
+    }
+}
--- a/crates/topazmount/src/fleet/exchange/mod.rs
+++ b/crates/topazmount/src/fleet/exchange/mod.rs
@@ -4,6 +4,7 @@
 mod choose;
 mod connection;
 mod crash;
+mod limit;
 mod record;
 mod relay;
 mod resume;
@@ -16,6 +17,7 @@
 use crate::http1::{BodyReader, RequestHead, ResponseHead, Wire};
 use async_net::TcpStream;
 use futures_lite::AsyncWriteExt;
+use limit::{Grant, OverLimit};
 use std::future::Future;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
@@ -223,52 +225,69 @@
         if !self.is_admitted_by_policy(&plan) {
             return self.give_up(&plan, &progress, ErrorKind::RefusedByPolicy).await;
         }
+        if self.is_blocked() {
+            return self.give_up(&plan, &progress, ErrorKind::CrashesReplicas).await;
+        }
+        let grant = match self.ask_limit().await {
+            Ok(grant) => grant,
+            Err(over) => return self.refuse_over_limit(&plan, over).await,
+        };
+        self.run_attempts(&mut plan, &mut progress, grant.as_ref()).await
+    }
+
+    /// Sends an admitted request to replicas until one answers or there is nothing left to try.
+    async fn run_attempts(
+        &mut self,
+        plan: &mut RequestPlan,
+        progress: &mut Progress,
+        grant: Option<&Grant<'_>>,
+    ) -> Ending {
         loop {
             if self.is_blocked() {
-                return self.give_up(&plan, &progress, ErrorKind::CrashesReplicas).await;
+                return self.give_up(plan, progress, ErrorKind::CrashesReplicas).await;
             }
             if self.left().is_zero() {
-                return self.give_up(&plan, &progress, time_over(&plan)).await;
+                return self.give_up(plan, progress, time_over(plan)).await;
             }
-            let Some(mut in_flight) = self.choose(&plan).await else {
-                return self.give_up(&plan, &progress, plan.refusal()).await;
+            let Some(mut in_flight) = self.choose(plan).await else {
+                return self.give_up(plan, progress, plan.refusal()).await;
             };
             plan.begin(in_flight.choice.instance.id.clone());
+            set_used(grant, true);
             let began = self.shared.clock.now();
-            let attempt = self.attempt(&plan, &in_flight, &progress).await;
+            let attempt = self.attempt(plan, &in_flight, progress).await;
             let end = match attempt {
                 Attempt::Success(head, body) => {
                     self.note_success(&in_flight.choice);
                     self.log_attempt(&in_flight.choice, "success");
-                    return self.pass_on(head, &body, &plan).await;
+                    return self.pass_on(head, &body, plan).await;
                 }
                 Attempt::Failure(head, body) => {
                     self.log_attempt(&in_flight.choice, "failure");
                     drop(in_flight);
-                    match self.next(&mut plan, AttemptEnd::Failed, &progress) {
+                    match self.next(plan, AttemptEnd::Failed, progress) {
                         None => continue,
                         Some(_) if progress.has_begun => return Ending::Cut,
-                        Some(_) => return self.pass_on(head, &body, &plan).await,
+                        Some(_) => return self.pass_on(head, &body, plan).await,
                     }
                 }
                 Attempt::Stream(begin) => {
                     let end;
-                    (in_flight, end) =
-                        self.relay_resuming(&mut plan, in_flight, begin, &mut progress).await;
+                    (in_flight, end) = self.relay_resuming(plan, in_flight, begin, progress).await;
                     match end {
                         StreamEnd::Complete => {
                             self.note_success(&in_flight.choice);
                             self.log_attempt(&in_flight.choice, "success");
                             self.shared.metrics.longest_pause(progress.pace.longest_pause);
-                            self.log_stream(&plan, &progress.pace);
+                            self.log_stream(plan, &progress.pace);
                             return Ending::Whole;
                         }
                         StreamEnd::ClientBroke => {
-                            self.log_end(&plan, 0, "client_gone");
+                            self.log_end(plan, 0, "client_gone");
                             return Ending::Cut;
                         }
                         StreamEnd::TimeOver => {
-                            self.log_end(&plan, 0, "time_over");
+                            self.log_end(plan, 0, "time_over");
                             return Ending::Cut;
                         }
                         StreamEnd::NotResumed(end) => end,
@@ -283,9 +302,11 @@
                 self.look_for_crash(&in_flight.choice, began).await;
             }
             drop(in_flight);
-            if let Some(kind) = self.next(&mut plan, end, &progress) {
+            let next = self.next(plan, end, progress);
+            set_used(grant, plan.may_have_run());
+            if let Some(kind) = next {
                 let kind = if self.is_blocked() { ErrorKind::CrashesReplicas } else { kind };
-                return self.give_up(&plan, &progress, kind).await;
+                return self.give_up(plan, progress, kind).await;
             }
         }
     }
@@ -339,11 +360,31 @@
         progress: &Progress,
         kind: ErrorKind,
     ) -> Ending {
-        self.log_end(plan, kind.status(), kind.name());
         if progress.has_begun {
+            self.log_end(plan, kind.status(), kind.name());
             return Ending::Cut;
         }
-        let answer = self.shared.dialect.refusal(kind, self.shared.retry_after(kind));
+        self.refuse(plan, kind, self.shared.retry_after(kind)).await
+    }
+
+    /// Refuses a request that nothing was sent of.
+    async fn refuse_over_limit(&mut self, plan: &RequestPlan, over: OverLimit) -> Ending {
+        match over {
+            OverLimit::Used(wait) => self.refuse(plan, ErrorKind::TenantLimit, Some(wait)).await,
+            OverLimit::NoGranter(wait) => {
+                self.refuse(plan, ErrorKind::Overloaded, Some(wait)).await
+            }
+        }
+    }
+
+    async fn refuse(
+        &mut self,
+        plan: &RequestPlan,
+        kind: ErrorKind,
+        retry_after: Option<Duration>,
+    ) -> Ending {
+        self.log_end(plan, kind.status(), kind.name());
+        let answer = self.shared.dialect.refusal(kind, retry_after);
         let bytes = own_answer(&answer, self.head, self.keeps_alive);
         match self.client.write_all(&bytes).await {
             Ok(()) => Ending::Whole,
@@ -352,6 +393,12 @@
     }
 }
 
+fn set_used(grant: Option<&Grant<'_>>, may_have_run: bool) {
+    if let Some(grant) = grant {
+        grant.set_used(may_have_run);
+    }
+}
+
 /// Kind of the answer to a request whose time is over.
 fn time_over(plan: &RequestPlan) -> ErrorKind {
     match plan.run_state() {
--- a/crates/topazmount/src/fleet/gateway.rs
+++ b/crates/topazmount/src/fleet/gateway.rs
@@ -276,6 +276,7 @@
         let (blocked, released) = {
             let mut knowledge = self.shared.knowledge.lock().unwrap();
             knowledge.apply(&view, catalog, asked_at);
+            knowledge.confirm_grants(&view, asked_at, self.shared.clock.now());
             knowledge.apply_blocked(&view, self.shared.clock.now())
         };
         for digest in blocked {
--- a/crates/topazmount/src/fleet/peers.rs
+++ b/crates/topazmount/src/fleet/peers.rs
@@ -10,7 +10,7 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
-use topazmount_gateway::{ChoiceQuestion, LoadNews, Offer};
+use topazmount_gateway::{ChoiceQuestion, GrantAnswer, LoadNews, Offer, StripeId};
 use topazmount_types::Digest;
 use topazmount_wire::{ClusterKey, decode_payload, encode_payload, open_datagram, seal_datagram};
 
@@ -28,6 +28,18 @@
     Question(u64, ChoiceQuestion),
     /// The answer to the question of that number; none where no replica may be asked.
     Answer(u64, Option<Offer>),
+    /// Asks for units of a stripe of a tenant's limit, by the number of the question.
+    Grant(u64, StripeId, u32),
+    /// The answer to that.
+    Granted(u64, GrantAnswer),
+    /// Units that were granted for a request that has not run.
+    GiveBack(StripeId, u32),
+}
+
+/// An answer to a question.
+enum Answer {
+    Choice(Option<Offer>),
+    Grant(GrantAnswer),
 }
 
 /// Ways to the other gateways.
@@ -37,7 +49,7 @@
     own: SocketAddr,
     node: u64,
     next_question: AtomicU64,
-    questions: Mutex<HashMap<u64, Sender<Option<Offer>>>>,
+    questions: Mutex<HashMap<u64, Sender<Answer>>>,
     waiting: (Sender<Outgoing>, Receiver<Outgoing>),
 }
 
@@ -105,13 +117,53 @@
         question: ChoiceQuestion,
         limit: Duration,
     ) -> Option<Option<Offer>> {
+        match self.question(coordinator, |number| Message::Question(number, question), limit).await
+        {
+            Some(Answer::Choice(offer)) => Some(offer),
+            _ => None,
+        }
+    }
+
+    /// Asks another gateway to grant, and waits for its answer for so long; `None` where none comes.
+    pub(super) async fn ask_grant(
+        &self,
+        granter: SocketAddr,
+        stripe: StripeId,
+        amount: u32,
+        limit: Duration,
+    ) -> Option<GrantAnswer> {
+        match self.question(granter, |number| Message::Grant(number, stripe, amount), limit).await {
+            Some(Answer::Grant(answer)) => Some(answer),
+            _ => None,
+        }
+    }
+
+    /// Tells a granter of units that were not used.
+    pub(super) fn give_back(&self, granter: SocketAddr, stripe: StripeId, amount: u32) {
+        self.send(vec![granter], Message::GiveBack(stripe, amount));
+    }
+
+    async fn question(
+        &self,
+        to: SocketAddr,
+        message: impl FnOnce(u64) -> Message,
+        limit: Duration,
+    ) -> Option<Answer> {
         let number = self.next_question.fetch_add(1, Ordering::Relaxed);
         let (answered, answer) = async_channel::bounded(1);
         self.questions.lock().unwrap().insert(number, answered);
         let _asked = Asked { peers: self, number };
-        self.send(vec![coordinator], Message::Question(number, question));
+        self.send(vec![to], message(number));
         super::http_service::within(limit, answer.recv()).await?.ok()
     }
+
+    fn answered(&self, number: u64, answer: Answer) {
+        let asked = self.questions.lock().unwrap().remove(&number);
+        if let Some(asked) = asked {
+            // Only the first answer counts.
+            let _ = asked.try_send(answer);
+        }
+    }
 }
 
 /// Sends what waits, for ever.
@@ -145,13 +197,28 @@
                 let offer = shared.knowledge.lock().unwrap().answer(&question, now);
                 peers.send(vec![sender], Message::Answer(number, offer));
             }
-            Some(Message::Answer(number, offer)) => {
-                let asked = peers.questions.lock().unwrap().remove(&number);
-                if let Some(asked) = asked {
-                    let _ = asked.try_send(offer);
-                }
+            Some(Message::Answer(number, offer)) => peers.answered(number, Answer::Choice(offer)),
+            Some(Message::Grant(number, stripe, amount)) => {
+                let answer = shared.knowledge.lock().unwrap().grant(stripe, amount, now);
+                shared.metrics.event(grant_event(answer));
+                peers.send(vec![sender], Message::Granted(number, answer));
+            }
+            Some(Message::Granted(number, answer)) => {
+                peers.answered(number, Answer::Grant(answer));
+            }
+            Some(Message::GiveBack(stripe, amount)) => {
+                shared.knowledge.lock().unwrap().give_back(stripe, amount, now);
             }
             None => shared.metrics.event("bad_datagram"),
         }
     }
 }
+
+/// Name of a granter's answer in metrics.
+fn grant_event(answer: GrantAnswer) -> &'static str {
+    match answer {
+        GrantAnswer::Granted => "grant_given",
+        GrantAnswer::Over(_) => "grant_refused",
+        GrantAnswer::NotHolder => "grant_not_held",
+    }
+}
--- a/crates/topazmount/src/fleet/settings.rs
+++ b/crates/topazmount/src/fleet/settings.rs
@@ -7,7 +7,7 @@
 use std::path::{Path, PathBuf};
 use std::time::Duration;
 use topazmount_control::RolloutSettings;
-use topazmount_gateway::{BudgetSettings, ConnectionSettings, GatewaySettings};
+use topazmount_gateway::{BudgetSettings, ConnectionSettings, GatewaySettings, QuotaSettings};
 use topazmount_routing::{BUILT_IN, PolicyProgram, PolicyTable, ProgramLimits, ShareSettings};
 
 /// Settings of one process.
@@ -135,6 +135,19 @@
     pub retry_slack: f64,
     /// Window of the retry budget, in seconds.
     pub retry_window_s: f64,
+    /// Window over which tenants' use is counted, in seconds.
+    #[serde(default = "quota_window_s")]
+    pub quota_window_s: f64,
+    /// Share by which tenants may exceed their limits in a window.
+    #[serde(default)]
+    pub quota_overrun: f64,
+    /// Units beyond that, over all gateways.
+    #[serde(default)]
+    pub quota_slack: f64,
+}
+
+fn quota_window_s() -> f64 {
+    QuotaSettings::default().window.as_secs_f64()
 }
 
 impl FleetSettings {
@@ -163,6 +176,13 @@
         eyre::ensure!(is_number(bounds.retry_ratio), "bounds.retry_ratio: must be 0 or more");
         eyre::ensure!(is_number(bounds.retry_slack), "bounds.retry_slack: must be 0 or more");
         eyre::ensure!(is_number(bounds.retry_window_s), "bounds.retry_window_s: must be 0 or more");
+        let window = bounds.quota_window_s;
+        eyre::ensure!(
+            is_number(window) && window > 0.0,
+            "bounds.quota_window_s: must be more than 0"
+        );
+        eyre::ensure!(is_number(bounds.quota_overrun), "bounds.quota_overrun: must be 0 or more");
+        eyre::ensure!(is_number(bounds.quota_slack), "bounds.quota_slack: must be 0 or more");
         settings.check_policies()?;
         Ok(settings)
     }
@@ -235,6 +255,11 @@
                 most_idle: Duration::from_millis(self.connections.most_idle_ms),
             },
             surely_kept: Duration::from_millis(self.caches.surely_kept_ms),
+            quota: QuotaSettings {
+                window: Duration::from_secs_f64(bounds.quota_window_s),
+                overrun: bounds.quota_overrun,
+                slack: bounds.quota_slack,
+            },
         }
     }
 
