A connection that breaks under a request is a suspicion, which its replica's end confirms later

Cause: whether a replica had ended was asked once, right after the break. A replica that answers what was sent after the break acquits them, and so does a planned end. Ruled out: suspicions sent to control and matched there (a note for each broken attempt of each gateway, while the list of replicas tells gateways the same within a heartbeat).

--- a/crates/control/src/fleet/mod.rs
+++ b/crates/control/src/fleet/mod.rs
@@ -21,4 +21,4 @@
     InstanceStatus, LoadedModel, Seen, WatchRequest,
 };
 pub use rollout::RolloutSettings;
-pub use state::{Document, FleetCommand, FleetState};
+pub use state::{Document, FleetCommand, FleetState, RemovedInstance};
--- a/crates/control/src/fleet/protocol.rs
+++ b/crates/control/src/fleet/protocol.rs
@@ -2,7 +2,7 @@
 
 use super::crashes::{BlockedRequest, CrashNotes};
 use super::orders::OrderReport;
-use super::state::Document;
+use super::state::{Document, RemovedInstance};
 use serde::{Deserialize, Serialize};
 use std::time::Duration;
 use topazmount_consensus::Term;
@@ -112,7 +112,7 @@
     /// Changed replicas.
     pub instances: Vec<Instance>,
     /// Removed replicas.
-    pub removed: Vec<InstanceId>,
+    pub removed: Vec<RemovedInstance>,
     /// Statuses of replicas that changed: term and count after them, and the statuses.
     pub statuses: Option<((Term, u64), Vec<InstanceStatus>)>,
     /// Gateways, when asked for and changed: term and count of the list, and the list.
--- a/crates/control/src/fleet/state.rs
+++ b/crates/control/src/fleet/state.rs
@@ -18,6 +18,15 @@
     pub bytes: Vec<u8>,
 }
 
+/// A replica that is no longer registered.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RemovedInstance {
+    /// Replica.
+    pub id: InstanceId,
+    /// Whether it had said that it leaves. Otherwise it fell silent, or its next life is at its address.
+    pub was_announced: bool,
+}
+
 /// A change to the fleet.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum FleetCommand {
@@ -58,6 +67,9 @@
     /// Where it was; empty if it was never known.
     #[serde(default)]
     address: String,
+    /// Whether it had said that it leaves.
+    #[serde(default)]
+    was_announced: bool,
 }
 
 /// Replicated state. Invariants: the document's version and each model's version only rise; a
@@ -124,12 +136,15 @@
     }
 
     /// Replicas changed and removed after a revision; `true` stands for the whole list.
-    pub fn changes_since(&self, revision: u64) -> (Vec<Instance>, Vec<InstanceId>, bool) {
+    pub fn changes_since(&self, revision: u64) -> (Vec<Instance>, Vec<RemovedInstance>, bool) {
         let is_full = revision < self.forgotten_to || revision > self.revision;
         let since = if is_full { 0 } else { revision };
         let changed = self.instances.values().filter(|one| one.changed_at > since || is_full);
         let removed = self.removals.iter().filter(|(_, removal)| removal.revision > since);
-        let removed = removed.map(|(id, _)| id.clone());
+        let removed = removed.map(|(id, removal)| RemovedInstance {
+            id: id.clone(),
+            was_announced: removal.was_announced,
+        });
         (changed.cloned().collect(), if is_full { Vec::new() } else { removed.collect() }, is_full)
     }
 
@@ -142,12 +157,12 @@
                 }
             }
             FleetCommand::Register(instance) => self.register(instance),
-            FleetCommand::Depart(id) => self.remove(id, true),
+            FleetCommand::Depart(id) => self.remove(id, true, true),
             FleetCommand::Expire(id) => {
                 if self.instances.get(&id).is_some_and(|one| !one.is_draining) {
-                    self.remove(id, false);
+                    self.remove(id, false, false);
                 } else if self.instances.contains_key(&id) {
-                    self.remove(id, true);
+                    self.remove(id, true, true);
                 }
             }
             FleetCommand::NameWeights { model, version } => {
@@ -172,8 +187,8 @@
             .instances
             .values()
             .find(|other| other.address == instance.address && other.id != instance.id);
-        if let Some(before) = before.map(|before| before.id.clone()) {
-            self.remove(before, true);
+        if let Some((before, is_draining)) = before.map(|one| (one.id.clone(), one.is_draining)) {
+            self.remove(before, true, is_draining);
         }
         self.revision += 1;
         self.removals.remove(&instance.id);
@@ -185,14 +200,15 @@
         self.instances.insert(next.id.clone(), next);
     }
 
-    fn remove(&mut self, id: InstanceId, is_final: bool) {
+    fn remove(&mut self, id: InstanceId, is_final: bool, was_announced: bool) {
         let known = self.instances.remove(&id);
         if known.is_none() && !is_final {
             return;
         }
         self.revision += 1;
         let address = known.map(|known| known.address).unwrap_or_default();
-        self.removals.insert(id, Removal { revision: self.revision, is_final, address });
+        let revision = self.revision;
+        self.removals.insert(id, Removal { revision, is_final, address, was_announced });
         if self.removals.len() > KEPT_REMOVALS {
             let oldest = self.removals.iter().min_by_key(|(_, removal)| removal.revision);
             if let Some((id, revision)) = oldest.map(|(id, removal)| (id.clone(), removal.revision))
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -23,7 +23,7 @@
     Availability, BlockedRequest, CRASHES_TO_BLOCK, CrashLedger, CrashNote, CrashNotes, Document,
     FleetAction, FleetCommand, FleetRequest, FleetResponse, FleetState, FleetView, GATEWAY_SILENCE,
     GatewayReport, InstanceReport, InstanceStatus, LoadMode, LoadedModel, OrderEnd, OrderReport,
-    ReplicaReport, RolloutSettings, Seen, WatchRequest, WeightsOrder,
+    RemovedInstance, ReplicaReport, RolloutSettings, Seen, WatchRequest, WeightsOrder,
 };
 pub use ledger::{ActionResult, ClaimId, ClaimOutcome, Ledger, LookupOutcome};
 pub use member::{Founding, Member, MemberError, MemberInput, MemberOutput, MemberSettings, Token};
--- a/crates/control/tests/fleet_state.rs
+++ b/crates/control/tests/fleet_state.rs
@@ -151,10 +151,29 @@
         if is_full {
             known.clear();
         }
-        known.retain(|one| !removed.contains(&one.id));
+        known.retain(|one| removed.iter().all(|gone| gone.id != one.id));
         known.retain(|one| changed.iter().all(|other| other.id != one.id));
         known.extend(changed);
         known.sort_by(|left, right| left.id.cmp(&right.id));
         assert_eq!(known, expected, "from revision {revision}");
     }
 }
+
+/// Whoever sees a replica go must know whether that was planned.
+#[test]
+fn a_removal_says_whether_it_was_announced() {
+    let removed_by = |last: &dyn Fn(&mut FleetState)| {
+        let mut state = FleetState::default();
+        register(&mut state, "old", "9:1");
+        let before = state.revision();
+        last(&mut state);
+        let (_, removed, _) = state.changes_since(before);
+        removed.iter().find(|gone| gone.id == "old").map(|gone| gone.was_announced)
+    };
+    let depart = |state: &mut FleetState| state.apply(FleetCommand::Depart("old".to_owned()));
+    let expire = |state: &mut FleetState| state.apply(FleetCommand::Expire("old".to_owned()));
+    let replace = |state: &mut FleetState| register(state, "new", "9:1");
+    assert_eq!(removed_by(&depart), Some(true));
+    assert_eq!(removed_by(&expire), Some(false));
+    assert_eq!(removed_by(&replace), Some(false));
+}
--- a/crates/gateway/src/balancer/mod.rs
+++ b/crates/gateway/src/balancer/mod.rs
@@ -27,6 +27,7 @@
 use rand_chacha::ChaCha8Rng;
 use replica::Replica;
 use std::collections::{BTreeMap, HashMap, HashSet};
+use std::net::SocketAddr;
 use std::time::Duration;
 use topazmount_control::{Availability, InstanceStatus};
 use topazmount_routing::PolicyTable;
@@ -136,6 +137,16 @@
         self.replicas.values().filter(move |replica| replica.instance.service == service)
     }
 
+    /// Where a replica listens.
+    pub fn address_of(&self, id: &str) -> Option<SocketAddr> {
+        self.replicas.get(id)?.instance.address.parse().ok()
+    }
+
+    /// Whether a replica has said that it leaves.
+    pub fn is_leaving(&self, id: &str) -> bool {
+        self.replicas.get(id).is_some_and(|replica| replica.instance.is_draining)
+    }
+
     /// Replicas known.
     pub fn instances(&self) -> impl Iterator<Item = &Instance> {
         self.replicas.values().map(|replica| &replica.instance)
--- a/crates/gateway/src/crashes.rs
+++ b/crates/gateway/src/crashes.rs
@@ -6,7 +6,7 @@
 use std::collections::{HashMap, HashSet, VecDeque};
 use std::time::Duration;
 use topazmount_control::{BlockedRequest, CrashLedger, CrashNote, CrashNotes};
-use topazmount_types::{ReplicaId, RequestDigest, Time};
+use topazmount_types::{InstanceId, ReplicaId, RequestDigest, Time};
 
 /// How long what was seen is told again. Control may have no leader for an election, and a gateway may be cut off
 /// for longer.
@@ -16,6 +16,11 @@
 const ALONE_AFTER: Duration = Duration::from_secs(2);
 /// Crashes and completions that are told at a time, 2.2 KB at most; the oldest are left out.
 const MOST_TOLD: usize = 64;
+/// How long a request is suspected after it broke off, unless it is known that its replica lives or has ended: the
+/// silence after which control gives a replica up, 5 s, and time for the word of it.
+const SUSPECTED_FOR: Duration = Duration::from_secs(8);
+/// Requests suspected at a time, 30 KB at most; the oldest are forgotten. A crash takes some ten requests of one gateway.
+const MOST_SUSPECTED: usize = 256;
 /// Requests of which it is remembered that they ran well, 48 KB at most. They speak for a request that is
 /// blocked although it runs well, such as one that many clients send alike.
 const MOST_COMPLETED: usize = 1_024;
@@ -40,6 +45,14 @@
     }
 }
 
+/// A request whose connection broke: its replica may have ended, or only the connection.
+struct Suspicion {
+    request: RequestDigest,
+    instance: InstanceId,
+    ran_for: Duration,
+    broke_at: Time,
+}
+
 /// What one gateway knows of crashes. Invariant: a request that it saw run well is told to control as such for as long
 /// as its crashes would be.
 #[derive(Default)]
@@ -50,6 +63,7 @@
     heard_at: Time,
     /// What this gateway saw itself.
     own: CrashLedger,
+    suspected: VecDeque<Suspicion>,
     seen: VecDeque<(Time, CrashNote)>,
     cleared: VecDeque<(Time, RequestDigest)>,
     completed: Completed,
@@ -72,19 +86,49 @@
         self.blocked.len()
     }
 
-    /// Notes that a replica crashed that had had a request for so long.
-    pub fn crashed(
-        &mut self,
-        request: RequestDigest,
-        instance: &str,
-        ran_for: Duration,
-        now: Time,
-    ) {
+    /// Notes that the connection broke on which a replica had had a request for so long. Whether the replica has ended is
+    /// often known later: its listener may outlive its worker, and its next life may listen at once.
+    pub fn broke(&mut self, request: RequestDigest, instance: &str, ran_for: Duration, now: Time) {
+        self.suspected.retain(|one| now < one.broke_at + SUSPECTED_FOR);
+        if self.suspected.len() >= MOST_SUSPECTED {
+            self.suspected.pop_front();
+        }
+        let instance = instance.to_owned();
+        self.suspected.push_back(Suspicion { request, instance, ran_for, broke_at: now });
+    }
+
+    /// Whether it would tell something if a replica had ended.
+    pub fn is_suspected(&self, instance: &str) -> bool {
+        self.suspected.iter().any(|one| one.instance == instance)
+    }
+
+    /// Notes that a replica has ended without a word: what broke off at it counts as crashes. Returns for how many
+    /// requests.
+    pub fn ended(&mut self, instance: &str, now: Time) -> usize {
+        let suspected = std::mem::take(&mut self.suspected);
+        let (ended, others): (VecDeque<Suspicion>, VecDeque<Suspicion>) =
+            suspected.into_iter().partition(|one| one.instance == instance);
+        self.suspected = others;
+        let fresh = ended.iter().filter(|one| now < one.broke_at + SUSPECTED_FOR);
+        let count = fresh.clone().count();
+        for one in fresh {
+            self.crashed(one.request, instance, one.ran_for, one.broke_at);
+        }
+        count
+    }
+
+    /// Notes that a replica answered what was sent to it at a moment: it outlived what broke off before.
+    pub fn acquit(&mut self, instance: &str, sent_at: Time) {
+        self.suspected.retain(|one| one.instance != instance || one.broke_at >= sent_at);
+    }
+
+    /// Notes that a replica crashed, at a moment, that had had a request for so long.
+    pub fn crashed(&mut self, request: RequestDigest, instance: &str, ran_for: Duration, at: Time) {
         let replica = ReplicaId::from_name(instance);
         let note = CrashNote { request, replica, ran_for, age: Duration::ZERO };
         self.cleared.retain(|(_, cleared)| *cleared != request);
-        self.seen.push_back((now, note));
-        self.own.note(now, &CrashNotes { crashes: vec![note], completed: Vec::new() });
+        self.seen.push_back((at, note));
+        self.own.note(at, &CrashNotes { crashes: vec![note], completed: Vec::new() });
     }
 
     /// Notes that a request ran to its end. Returns whether control should hear of it at once.
--- a/crates/gateway/src/knowledge.rs
+++ b/crates/gateway/src/knowledge.rs
@@ -150,6 +150,21 @@
         &mut self.crashes
     }
 
+    /// Takes from a view which replicas have ended without a word, before it is applied. Returns the replicas under which
+    /// requests had broken off: these are counted as crashes now.
+    pub fn confirm_crashes(&mut self, view: &FleetView, now: Time) -> Vec<(InstanceId, usize)> {
+        if view.revision <= self.seen.revision {
+            return Vec::new();
+        }
+        let ended = view.removed.iter().filter(|removed| !removed.was_announced);
+        let confirmed = ended.map(|one| (one.id.clone(), self.crashes.ended(&one.id, now)));
+        let confirmed = confirmed.filter(|(_, requests)| *requests > 0).collect();
+        for removed in view.removed.iter().filter(|removed| removed.was_announced) {
+            self.crashes.acquit(&removed.id, Time::NEVER);
+        }
+        confirmed
+    }
+
     /// Takes the list of requests that must not be sent on, if a view has a newer one. Returns those that
     /// are new in it, and those that are gone from it.
     pub fn apply_blocked(
@@ -251,8 +266,8 @@
                 view.instances.iter().map(|instance| instance.id.clone()).collect();
             self.balancer.retain(&ids);
         }
-        for id in &view.removed {
-            self.balancer.remove(id);
+        for removed in &view.removed {
+            self.balancer.remove(&removed.id);
         }
         for instance in &view.instances {
             self.balancer.upsert(instance.clone());
--- a/crates/gateway/tests/crashes.rs
+++ b/crates/gateway/tests/crashes.rs
@@ -105,3 +105,52 @@
     assert!(knowledge.crashes().is_blocked(REQUEST, START));
     assert_eq!(knowledge.seen().blocked, 2);
 }
+
+/// What a connection that broke off is worth, by what comes to be known of its replica.
+mod suspicions {
+    use super::*;
+
+    fn suspected() -> Crashes {
+        let mut crashes = Crashes::default();
+        crashes.broke(REQUEST, "i-0", RUN, START);
+        assert!(crashes.notes(START).is_empty());
+        crashes
+    }
+
+    #[test]
+    fn it_counts_from_the_break_once_the_replica_has_ended() {
+        let mut crashes = suspected();
+        assert_eq!(crashes.ended("i-0", after(3)), 1);
+        let notes = crashes.notes(after(3));
+        assert_eq!((notes.crashes[0].age, notes.crashes[0].ran_for), (SECOND * 3, RUN));
+        assert_eq!(crashes.ended("i-0", after(3)), 0);
+    }
+
+    #[test]
+    fn another_replica_says_nothing() {
+        assert_eq!(suspected().ended("i-1", after(1)), 0);
+    }
+
+    #[test]
+    fn what_the_replica_outlived_does_not_count() {
+        let mut crashes = suspected();
+        crashes.acquit("i-0", START);
+        assert!(crashes.is_suspected("i-0"));
+        crashes.acquit("i-0", after(1));
+        assert_eq!(crashes.ended("i-0", after(2)), 0);
+    }
+
+    #[test]
+    fn it_is_forgotten_in_time() {
+        assert_eq!(suspected().ended("i-0", after(9)), 0);
+    }
+
+    #[test]
+    fn their_number_is_bounded() {
+        let mut crashes = Crashes::default();
+        for number in 0..1_000 {
+            crashes.broke(RequestDigest(number), "i-0", RUN, START);
+        }
+        assert_eq!(crashes.ended("i-0", START), 256);
+    }
+}
--- a/crates/topazmount/src/fleet/exchange/crash.rs
+++ b/crates/topazmount/src/fleet/exchange/crash.rs
@@ -1,15 +1,10 @@
 //! Tells a replica that ended under a request from a connection that broke.
 
+use super::super::crash_watch;
 use super::Exchange;
-use crate::http1::is_refused;
-use std::time::Duration;
 use topazmount_gateway::Choice;
 use topazmount_types::Time;
 
-/// Time for a replica to refuse a connection. A process that has ended is refused for by its machine, which
-/// takes the way there and back; one without power, behind a cut or at work says nothing in it.
-const REFUSAL_LIMIT: Duration = Duration::from_millis(100);
-
 impl Exchange<'_> {
     /// Whether replicas crash under the request, so that it must not be sent on.
     pub(super) fn is_blocked(&self) -> bool {
@@ -17,32 +12,34 @@
         self.shared.knowledge.lock().unwrap().crashes().is_blocked(self.digest, now)
     }
 
-    /// After a connection broke under the request: looks whether its replica has ended, and tells control.
-    /// One request ended ten replicas in ten tries where nothing of it outlived a try, and ends three now.
+    /// After a connection broke under the request: suspects it, and looks whether its replica has ended. One request ended
+    /// ten replicas in ten tries where nothing of it outlived a try, and ends four at most now.
     pub(super) async fn look_for_crash(&self, choice: &Choice, began: Time) {
-        let Ok(address) = choice.instance.address.parse() else { return };
-        if !is_refused(address, REFUSAL_LIMIT).await {
-            return;
-        }
-        self.shared.metrics.event("crash_seen");
+        let instance = &choice.instance.id;
         let now = self.shared.clock.now();
         let ran_for = now.since(began);
-        let instance = &choice.instance.id;
-        self.shared.knowledge.lock().unwrap().crashes().crashed(
-            self.digest,
-            instance,
-            ran_for,
-            now,
-        );
-        self.shared.report_at_once();
+        {
+            let mut knowledge = self.shared.knowledge.lock().unwrap();
+            // Its end is planned, and says nothing of what it ran.
+            if knowledge.balancer().is_leaving(instance) {
+                return;
+            }
+            knowledge.crashes().broke(self.digest, instance, ran_for, now);
+        }
         self.shared.journal.line(|| {
             format!(
-                "gateway: event=crash_seen request={} digest={} instance={} ran_ms={}",
+                "gateway: event=broke_off request={} digest={} instance={instance} ran_ms={}",
                 self.tags.id,
                 self.digest,
-                choice.instance.id,
                 ran_for.as_millis()
             )
         });
+        let Ok(address) = choice.instance.address.parse() else { return };
+        if crash_watch::is_ended(self.shared, instance, address).await {
+            return;
+        }
+        if self.shared.broken_at.try_send(instance.clone()).is_err() {
+            self.shared.metrics.event("crash_watch_full");
+        }
     }
 }
--- a/crates/topazmount/src/fleet/exchange/mod.rs
+++ b/crates/topazmount/src/fleet/exchange/mod.rs
@@ -258,7 +258,7 @@
             let attempt = self.attempt(plan, &in_flight, progress).await;
             let end = match attempt {
                 Attempt::Success(head, body) => {
-                    self.note_success(&in_flight.choice);
+                    self.note_success(&in_flight.choice, began);
                     self.log_attempt(&in_flight.choice, "success");
                     return self.pass_on(head, &body, plan).await;
                 }
@@ -276,7 +276,7 @@
                     (in_flight, end) = self.relay_resuming(plan, in_flight, begin, progress).await;
                     match end {
                         StreamEnd::Complete => {
-                            self.note_success(&in_flight.choice);
+                            self.note_success(&in_flight.choice, began);
                             self.log_attempt(&in_flight.choice, "success");
                             self.shared.metrics.longest_pause(progress.pace.longest_pause);
                             self.log_stream(plan, &progress.pace);
--- a/crates/topazmount/src/fleet/exchange/record.rs
+++ b/crates/topazmount/src/fleet/exchange/record.rs
@@ -1,5 +1,6 @@
 //! What a request teaches of its replica, and what is logged and counted of it.
 
+use super::super::crash_watch;
 use super::{Exchange, InFlight, Pace};
 use crate::http1::ResponseHead;
 use std::sync::atomic::Ordering;
@@ -24,11 +25,13 @@
         }
     }
 
-    pub(super) fn note_success(&self, choice: &Choice) {
+    /// Notes that a request that was sent to a replica at a moment ran well there.
+    pub(super) fn note_success(&self, choice: &Choice, sent_at: Time) {
         let now = self.shared.clock.now();
         let was_suspected = {
             let mut knowledge = self.shared.knowledge.lock().unwrap();
             knowledge.balancer().succeeded(&choice.instance.id, now);
+            knowledge.crashes().acquit(&choice.instance.id, sent_at);
             knowledge.crashes().completed(self.digest, now)
         };
         if was_suspected {
@@ -67,7 +70,15 @@
         let mut knowledge = self.shared.knowledge.lock().unwrap();
         let balancer = knowledge.balancer();
         match end {
-            AttemptEnd::WrongInstance => balancer.is_replaced(&choice.instance.id, now),
+            AttemptEnd::WrongInstance => {
+                balancer.is_replaced(&choice.instance.id, now);
+                // Its next life has its address: what broke off at it before met its end.
+                let requests = knowledge.crashes().ended(&choice.instance.id, now);
+                drop(knowledge);
+                if requests > 0 {
+                    crash_watch::tell(self.shared, &choice.instance.id, requests, "next_life");
+                }
+            }
             AttemptEnd::OtherWeights => {
                 let model = self.tags.model.as_deref().unwrap_or_default();
                 balancer.forget_version(&choice.instance.id, model);
--- a/crates/topazmount/src/fleet/gateway.rs
+++ b/crates/topazmount/src/fleet/gateway.rs
@@ -1,6 +1,7 @@
 //! The gateway process: takes clients' requests and forwards them to registered replicas.
 
 use super::clients;
+use super::crash_watch;
 use super::dialect::{ControlCall, Dialect, HttpAnswer};
 use super::http_service::{self, Service};
 use super::journal::Journal;
@@ -22,7 +23,7 @@
 use std::time::Duration;
 use topazmount_control::{CrashNotes, FleetView, GatewayReport, Seen};
 use topazmount_gateway::{HttpLimits, Knowledge};
-use topazmount_types::{ErrorKind, Time};
+use topazmount_types::{ErrorKind, InstanceId, Time};
 use topazmount_wire::ClusterKey;
 
 /// Time for which a stopping gateway still takes requests: clients hold an answer of the directory
@@ -51,6 +52,8 @@
     pub(super) peers: Arc<Peers>,
     /// Connections to replicas at rest.
     pub(super) pool: Pool,
+    /// Replicas at which a connection broke under a request.
+    pub(super) broken_at: Sender<InstanceId>,
     /// Wakes the watcher, to report at once.
     nudge: Sender<()>,
     is_stopping: AtomicBool,
@@ -83,6 +86,7 @@
         settings.policy_table(knowledge.policies())?;
         knowledge.set_own_address(peers.own_address());
         let (nudge, nudges) = async_channel::bounded(1);
+        let (broken_at, broken) = async_channel::bounded(crash_watch::MOST_WAITING);
         let shared = Arc::new(Shared {
             clock,
             dialect,
@@ -91,6 +95,7 @@
             metrics: Metrics::default(),
             peers: peers.clone(),
             pool: Pool::default(),
+            broken_at,
             nudge,
             is_stopping: AtomicBool::new(false),
             is_closed: AtomicBool::new(false),
@@ -110,6 +115,7 @@
         }
         executor.spawn(peers::send_waiting(peers.clone())).detach();
         executor.spawn(peers::listen(peers, shared.clone())).detach();
+        executor.spawn(crash_watch::run(executor.clone(), shared.clone(), broken)).detach();
         executor.spawn(store_reader::run(executor.clone(), shared.clone())).detach();
         let seeds = Seeds::new(settings.seed_peers());
         let watcher = Watcher::new(executor, clock, key, seeds.clone(), true);
@@ -270,15 +276,25 @@
                 instance.changed_at
             );
         }
-        for id in &view.removed {
-            log::info!("gateway: event=instance_removed id={id} revision={}", view.revision);
+        for removed in &view.removed {
+            log::info!(
+                "gateway: event=instance_removed id={} announced={} revision={}",
+                removed.id,
+                removed.was_announced,
+                view.revision
+            );
         }
-        let (blocked, released) = {
+        let (crashed, (blocked, released)) = {
             let mut knowledge = self.shared.knowledge.lock().unwrap();
+            let now = self.shared.clock.now();
+            let crashed = knowledge.confirm_crashes(&view, now);
             knowledge.apply(&view, catalog, asked_at);
-            knowledge.confirm_grants(&view, asked_at, self.shared.clock.now());
-            knowledge.apply_blocked(&view, self.shared.clock.now())
+            knowledge.confirm_grants(&view, asked_at, now);
+            (crashed, knowledge.apply_blocked(&view, now))
         };
+        for (instance, requests) in crashed {
+            crash_watch::tell(&self.shared, &instance, requests, "replaced");
+        }
         for digest in blocked {
             self.shared.metrics.event("request_blocked");
             log::warn!("gateway: event=request_blocked digest={digest}");
--- a/crates/topazmount/src/fleet/mod.rs
+++ b/crates/topazmount/src/fleet/mod.rs
@@ -7,6 +7,7 @@
 mod caller;
 mod clients;
 mod control_service;
+mod crash_watch;
 mod dialect;
 mod directory;
 mod exchange;
