--- a/deploy/days/play.sh
+++ b/deploy/days/play.sh
@@ -11,6 +11,13 @@
 here=$(dirname "$0")
 out=$(mktemp -d)
 trap 'rm -rf "$out"' EXIT
+# The first class of a kind in the site file, or the last one.
+class() {
+    grep -o "name = \"[^\"]*\", aim_ms.*" "$site" | grep "kind = \"$1\"" | sed 's/name = "\([^"]*\)".*/\1/' | "$2" -n 1
+}
+named() {
+    sed "s/@stream/$(class stream head)/; s/@chat/$(class stream tail)/; s/@once/$(class unsafe head)/; s/@safe/$(class safe head)/"
+}
 number=0
 while IFS='|' read -r name plan faults closing; do
     name=$(echo "$name" | tr -d ' ')
@@ -23,7 +30,7 @@
         echo "plan = [ $plan ]"
         echo "faults = [ $faults ]"
         [[ -z "${closing// /}" ]] || echo "closing = $closing"
-    } > "$out/$name.toml"
+    } | named > "$out/$name.toml"
 done < "$here/days.txt"
 play() {
     local day=$3 name
