Any member in contact answers heartbeats that say nothing new; the leader hears of them together

Cause: each heartbeat was answered by the leader, and replicas were directed to it. Change: a follower that is current answers by what it has applied, and tells the leader every 300 ms of all that it heard. What is new (a registration, a replica that leaves) still goes to the leader and its log. Ruled out: heartbeats in the log (2,500 entries a second at 3,005 replicas).

--- a/crates/control/src/fleet/protocol.rs
+++ b/crates/control/src/fleet/protocol.rs
@@ -154,8 +154,10 @@
 /// A request about the fleet.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum FleetRequest {
-    /// A replica's heartbeat; answered by the leader only.
+    /// A replica's heartbeat; one that says nothing new is answered by any member in contact.
     Heartbeat(InstanceReport),
+    /// Heartbeats that another member has answered; taken by the leader only.
+    HeartbeatsHeard(Vec<InstanceReport>),
     /// A replica leaves; answered by the leader only.
     Depart(InstanceId),
     /// Puts a document in force; answered by the leader only.
--- a/crates/control/src/fleet_member.rs
+++ b/crates/control/src/fleet_member.rs
@@ -1,14 +1,12 @@
 //! How a member answers about the fleet.
 
-use crate::fleet::{
-    CrashNotes, FleetCommand, FleetRequest, FleetResponse, FleetView, InstanceReport,
-};
+use crate::fleet::{CrashNotes, FleetCommand, FleetRequest, FleetResponse, FleetView};
 use crate::member::{Member, MemberOutput, Token};
 use crate::protocol::Response;
 use crate::state::Command;
 use std::time::Duration;
 use topazmount_consensus::{Disk, Role};
-use topazmount_types::Time;
+use topazmount_types::{Instance, Time};
 
 impl<D: Disk> Member<D> {
     pub(crate) fn on_fleet(&mut self, now: Time, token: Token, request: FleetRequest) {
@@ -22,6 +20,9 @@
                 self.respond(token, Response::Fleet(FleetResponse::Done));
             }
             FleetRequest::Heartbeat(report) => self.on_heartbeat(now, token, report),
+            FleetRequest::HeartbeatsHeard(reports) => {
+                self.on_heartbeats_heard(now, token, &reports);
+            }
             FleetRequest::Depart(id) => {
                 let is_gone = self.state.fleet.is_gone(&id);
                 self.change(now, token, FleetCommand::Depart(id), is_gone);
@@ -56,19 +57,8 @@
         }
     }
 
-    fn on_heartbeat(&mut self, now: Time, token: Token, report: InstanceReport) {
-        if self.state.fleet.is_gone(&report.instance.id) {
-            let response = match self.replica.may_read(now) {
-                true => Response::Fleet(FleetResponse::Superseded),
-                false => self.not_leader(now),
-            };
-            return self.respond(token, response);
-        }
-        if self.replica.role() == Role::Leader {
-            self.fleet.heartbeat(now, &report);
-        }
-        let is_known = !self.state.fleet.is_news(&report.instance);
-        self.change(now, token, FleetCommand::Register(report.instance), is_known);
+    pub(crate) fn register(&mut self, now: Time, token: Token, instance: Instance, is_known: bool) {
+        self.change(now, token, FleetCommand::Register(instance), is_known);
     }
 
     /// Commits a change, unless it is known to hold already: then a lease is enough to say so.
@@ -84,7 +74,7 @@
         self.respond(token, response);
     }
 
-    fn respond(&mut self, token: Token, response: Response) {
+    pub(crate) fn respond(&mut self, token: Token, response: Response) {
         self.outputs.push(MemberOutput::Respond(token, response));
     }
 
@@ -92,6 +82,7 @@
         if !self.replica.has_lease(now) {
             if self.replica.role() != Role::Leader {
                 self.fleet.follow(now);
+                self.tell_heartbeats(now);
             }
             return;
         }
--- /dev/null
+++ b/crates/control/src/heartbeats.rs
@@ -0,0 +1,94 @@
+//! Heartbeats of replicas, which any member in contact with the leader answers.
+//!
+//! A heartbeat that says nothing new needs no entry in the log, only the leader's knowledge that the replica lives: a
+//! follower answers it by itself, and tells the leader of all that it heard together. Where all heartbeats went to
+//! the leader, 1,004 replicas took 91% of the processor of its machine and the middle member 3%, by a sweep to 300 machines.
+
+use crate::fleet::{FleetRequest, FleetResponse, InstanceReport};
+use crate::member::{Member, MemberOutput, Token};
+use crate::protocol::{Request, Response};
+use std::collections::BTreeMap;
+use std::time::Duration;
+use topazmount_consensus::{Disk, Role};
+use topazmount_types::{InstanceId, Time};
+
+/// Time between two words to the leader: a sixteenth of the silence after which a replica counts as gone.
+const TELLING: Duration = Duration::from_millis(300);
+
+/// Heartbeats that a follower has answered and not told of.
+#[derive(Debug, Default)]
+pub(crate) struct Heartbeats {
+    heard: BTreeMap<InstanceId, InstanceReport>,
+    told_at: Time,
+}
+
+impl Heartbeats {
+    fn note(&mut self, report: InstanceReport) {
+        self.heard.insert(report.instance.id.clone(), report);
+    }
+
+    /// What the leader should hear now.
+    fn due(&mut self, now: Time) -> Option<Vec<InstanceReport>> {
+        if self.heard.is_empty() || now < self.told_at + TELLING {
+            return None;
+        }
+        self.told_at = now;
+        Some(std::mem::take(&mut self.heard).into_values().collect())
+    }
+}
+
+impl<D: Disk> Member<D> {
+    pub(crate) fn on_heartbeat(&mut self, now: Time, token: Token, report: InstanceReport) {
+        let leads = self.replica.role() == Role::Leader;
+        // What a follower has applied is committed; whether something newer is, it knows while it is current.
+        let may_answer =
+            if leads { self.replica.may_read(now) } else { self.replica.is_current(now) };
+        if self.state.fleet.is_gone(&report.instance.id) {
+            let response = match may_answer {
+                true => Response::Fleet(FleetResponse::Superseded),
+                false => self.not_leader(now),
+            };
+            return self.respond(token, response);
+        }
+        let is_known = !self.state.fleet.is_news(&report.instance);
+        if !leads && is_known && may_answer {
+            self.heartbeats.note(report);
+            return self.respond(token, Response::Fleet(FleetResponse::Done));
+        }
+        if leads {
+            self.fleet.heartbeat(now, &report);
+        }
+        self.register(now, token, report.instance, is_known);
+    }
+
+    /// Takes another member's word on what it heard; a replica that is not registered has to come itself.
+    pub(crate) fn on_heartbeats_heard(
+        &mut self,
+        now: Time,
+        token: Token,
+        reports: &[InstanceReport],
+    ) {
+        if !self.replica.has_lease(now) {
+            let response = self.not_leader(now);
+            return self.respond(token, response);
+        }
+        let known = reports.iter().filter(|one| !self.state.fleet.is_news(&one.instance));
+        for report in known {
+            self.fleet.heartbeat(now, report);
+        }
+        self.respond(token, Response::Fleet(FleetResponse::Done));
+    }
+
+    pub(crate) fn tell_heartbeats(&mut self, now: Time) {
+        if !self.replica.is_in_contact(now) {
+            // What was heard before must not count as heard later.
+            self.heartbeats = Heartbeats::default();
+            return;
+        }
+        let Some(leader) = self.known_leader(now) else { return };
+        if let Some(reports) = self.heartbeats.due(now) {
+            let request = Request::Fleet(FleetRequest::HeartbeatsHeard(reports));
+            self.outputs.push(MemberOutput::Tell(leader.address, request));
+        }
+    }
+}
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -9,6 +9,7 @@
 mod events;
 mod fleet;
 mod fleet_member;
+mod heartbeats;
 mod joining;
 mod ledger;
 mod member;
--- a/crates/control/src/member.rs
+++ b/crates/control/src/member.rs
@@ -3,6 +3,7 @@
 use crate::configuration::ConfigurationUpdate;
 use crate::events::MembershipEvent;
 use crate::fleet::{FleetAction, FleetLeader, FleetResponse, RolloutSettings};
+use crate::heartbeats::Heartbeats;
 use crate::joining::Joining;
 use crate::protocol::{ChangeReply, ChangeRequest, NodeReport, Request, Response};
 use crate::standing::Noted;
@@ -94,6 +95,8 @@
     Respond(Token, Response),
     /// Send something to a replica, and tell with [`crate::FleetRequest::OrderEnded`] how it ended.
     Act(FleetAction),
+    /// Send a request to the member at this address; nobody waits for the answer.
+    Tell(String, Request),
     /// Ask the member at this address, and tell with [`MemberInput::JoinAnswered`] what it said.
     Ask(String, Request),
     /// Log and count what was decided about the membership.
@@ -117,6 +120,7 @@
     /// Where peers were last heard from: a joining member does not know the membership yet.
     peer_addresses: BTreeMap<MemberId, String>,
     pub(crate) noted: Noted,
+    pub(crate) heartbeats: Heartbeats,
     /// Leader: since when all voters have answered without a break.
     pub(crate) complete_since: Option<Time>,
     /// Leader: the change of the membership that could not be proposed last, and why.
@@ -166,6 +170,7 @@
             fleet,
             peer_addresses: BTreeMap::new(),
             noted: Noted::new(now),
+            heartbeats: Heartbeats::default(),
             complete_since: None,
             hindered: None,
             joining,
--- a/crates/control/tests/common/mod.rs
+++ b/crates/control/tests/common/mod.rs
@@ -267,6 +267,10 @@
                     None => drop(self.answers.insert(token, response)),
                 }
             }
+            MemberOutput::Tell(to, request) => {
+                let token = self.token();
+                self.send(host, host_of(&to), MemberInput::Request(token, request));
+            }
             MemberOutput::Act(_) => {}
             MemberOutput::Note(event) => {
                 let is_chatter = matches!(event, MembershipEvent::JoinAnswered { .. });
--- a/crates/control/tests/fleet_member.rs
+++ b/crates/control/tests/fleet_member.rs
@@ -139,7 +139,10 @@
                     self.responses.insert(token, response);
                 }
                 MemberOutput::Act(action) => self.act(action),
-                MemberOutput::Send(..) | MemberOutput::Ask(..) | MemberOutput::Note(_) => {}
+                MemberOutput::Send(..)
+                | MemberOutput::Tell(..)
+                | MemberOutput::Ask(..)
+                | MemberOutput::Note(_) => {}
             }
         }
         if self.led_at.is_none() && self.member.replica().has_lease(self.now) {
--- a/crates/lab/src/scale/control.rs
+++ b/crates/lab/src/scale/control.rs
@@ -94,7 +94,10 @@
     fn take(&mut self, from: usize, output: MemberOutput) {
         match output {
             MemberOutput::Respond(token, response) => self.answers.push((token, response)),
-            MemberOutput::Act(_) | MemberOutput::Ask(..) | MemberOutput::Note(_) => {}
+            MemberOutput::Act(_)
+            | MemberOutput::Tell(..)
+            | MemberOutput::Ask(..)
+            | MemberOutput::Note(_) => {}
             MemberOutput::Send(address, envelope) => {
                 let to = (0..MEMBERS).find(|number| info(*number).address == address);
                 let frame = Frame::Peer(info(from).address, envelope);
--- a/crates/lab/src/sim/members.rs
+++ b/crates/lab/src/sim/members.rs
@@ -213,7 +213,7 @@
                 let packet = Packet::Peer(address(number).to_string(), Box::new(envelope));
                 self.send_later(delay, place, Place::Member(target), None, packet);
             }
-            MemberOutput::Act(_) => {}
+            MemberOutput::Act(_) | MemberOutput::Tell(..) => {}
             MemberOutput::Ask(to, request) => {
                 let Some(target) = member_at(&to, self.members.len()) else { return };
                 self.totals.control_messages += 1;
--- a/crates/topazmount/src/control_process.rs
+++ b/crates/topazmount/src/control_process.rs
@@ -185,7 +185,7 @@
     clock: Clock,
     peers: Peers,
     queues: HashMap<String, Sender<Envelope>>,
-    /// Clients of members that were asked to take this process in.
+    /// Clients of members that were asked to take this process in, or are told something.
     asked: HashMap<String, ControlClient>,
     shared: Arc<Shared>,
     actions: Option<Sender<FleetAction>>,
@@ -261,6 +261,12 @@
                     let _ = actions.try_send(action);
                 }
             }
+            MemberOutput::Tell(address, request) => {
+                if let Some(client) = self.client(&address) {
+                    // What is not heard is made good by the next.
+                    client.send(request, |_| {});
+                }
+            }
             MemberOutput::Ask(address, request) => self.ask(address, request),
             MemberOutput::Note(event) => {
                 if matches!(&event, MembershipEvent::InForce { standing: Standing::Voter, .. }) {
@@ -284,22 +290,27 @@
         }
     }
 
-    /// Asks another member. Its client is kept between requests, so that the time for a connection
-    /// grows on a slow link.
-    fn ask(&mut self, address: String, request: Request) {
+    /// A client of another member.
+    fn client(&mut self, address: &str) -> Option<ControlClient> {
         let target = match address.parse() {
             Ok(target) => target,
             Err(error) => {
                 log::warn!("control: event=bad_address address={address} problem={error}");
-                return;
+                return None;
             }
         };
         let peers = &self.peers;
         let client = self
             .asked
-            .entry(address.clone())
-            .or_insert_with(|| ControlClient::new(&peers.executor, target, peers.key.clone()))
-            .clone();
+            .entry(address.to_owned())
+            .or_insert_with(|| ControlClient::new(&peers.executor, target, peers.key.clone()));
+        Some(client.clone())
+    }
+
+    /// Asks another member. Its client is kept between requests, so that the time for a connection
+    /// grows on a slow link.
+    fn ask(&mut self, address: String, request: Request) {
+        let Some(client) = self.client(&address) else { return };
         let inputs = self.shared.inputs.clone();
         let asking = async move {
             let response = client.ask(request, ASK_LIMIT).await;
