Large frames between processes are deflated

Cause: after a loss of all power each of 300 gateways is sent the list of 3,005 replicas and their statuses, some 270 KB (by the size of its fields), half of them over a link of 60 Mbit/s. Change: payloads of 1 KB and more are deflated (flate2, fast), and refused where they unpack to more than 16 MB; the version of the protocol is 2. Ruled out: numbers for services and zones (a third of an entry at most).

--- a/crates/topazmount/src/frames.rs
+++ b/crates/topazmount/src/frames.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 use topazmount_wire::{
     ClusterKey, HELLO_LENGTH, Hello, LENGTH_PREFIX, Opener, Role, Sealer, decode_payload,
-    encode_payload, frame_length, session_keys,
+    encode_payload, frame_length, pack, session_keys, unpack,
 };
 
 /// Time for a peer to accept a connection and greet.
@@ -32,7 +32,7 @@
     /// # Errors
     /// When the value is too large or the connection broke.
     pub async fn send<T: Serialize>(&mut self, value: &T) -> Result<()> {
-        let frame = self.sealer.seal(&encode_payload(value)?)?;
+        let frame = self.sealer.seal(&pack(&encode_payload(value)?))?;
         self.stream.write_all(&frame).await?;
         Ok(())
     }
@@ -48,7 +48,7 @@
         self.stream.read_exact(&mut prefix).await?;
         let mut frame = vec![0u8; frame_length(prefix)?];
         self.stream.read_exact(&mut frame).await?;
-        Ok(decode_payload(self.opener.open(&frame)?)?)
+        Ok(decode_payload(&unpack(self.opener.open(&frame)?)?)?)
     }
 }
 
--- a/crates/wire/src/session.rs
+++ b/crates/wire/src/session.rs
@@ -3,7 +3,7 @@
 use thiserror::Error;
 
 /// Protocol version; a peer with another one is refused.
-const VERSION: u8 = 1;
+const VERSION: u8 = 2;
 /// Bytes of the tag.
 const TAG_LENGTH: usize = 16;
 /// Bytes of the length prefix.
