Granters of limits begin after one lease and an answer asked for after it

By reading, the waits also had a hole: a gateway that was dropped and asked again within its lease is not in an answer that its successor asked for before that.

--- a/crates/gateway/src/quota/authority.rs
+++ b/crates/gateway/src/quota/authority.rs
@@ -2,12 +2,12 @@
 //!
 //! All gateways rank each other alike for a stripe, by the list that the leader of the control group keeps. The first
 //! one of the newest list that a gateway has may grant, for [`LEASE`] from when it asked for its newest answer of the
-//! leader. Whoever becomes the first waits until whoever was it before can't grant any more:
+//! leader. Whoever becomes the first must have asked for an answer, in which it still is the first, after whoever was it
+//! before could not grant any more without having asked the leader too, and so being in that list:
 //!
-//! - The first one was dropped from the list: the leader had not heard from it for [`GATEWAY_SILENCE`], so that the
-//!   rest of [`LEASE`] is enough.
-//! - Else, and where the leader is new and may not have heard from the first one yet: two [`LEASE`]s. Whoever grants has
-//!   asked the new leader within the first one or can't grant after it; in the second one it is seen in the list.
+//! - The first one was dropped from the list: the leader had not heard from it for [`GATEWAY_SILENCE`], and the rest of
+//!   [`LEASE`] ends its lease.
+//! - Else, and where the leader is new and may not have heard from the first one yet: a whole [`LEASE`].
 
 use std::collections::{HashMap, HashSet};
 use std::time::Duration;
@@ -43,12 +43,12 @@
         }
     }
 
-    /// From when on it can't grant, and from when on another one may.
-    fn ends(self) -> (Time, Time) {
+    /// From when on it can't grant if it has not asked the leader again.
+    fn ends_at(self) -> Time {
         match self {
-            Standing::Named => (Time::NEVER, Time::NEVER),
-            Standing::Dropped(at) => (at + REST_OF_LEASE, at + REST_OF_LEASE),
-            Standing::Missing(at) => (at + LEASE, at + LEASE * 2),
+            Standing::Named => Time::NEVER,
+            Standing::Dropped(at) => at + REST_OF_LEASE,
+            Standing::Missing(at) => at + LEASE,
         }
     }
 }
@@ -115,24 +115,17 @@
     /// Since when this gateway may have granted a stripe without a break; `None` where it may not.
     pub(super) fn holds(&self, stripe: u64, now: Time) -> Option<Held> {
         let own = self.own?;
-        let is_confirmed = self.confirmed_at.is_some_and(|at| now < at + LEASE);
-        if !is_confirmed || now < self.began_at + LEASE * 2 {
-            return None;
-        }
+        let confirmed_at = self.confirmed_at.filter(|at| now < *at + LEASE)?;
         let weight = rendezvous_weight(stripe, own);
         let mut held = Held { first_at: self.began_at, others_ended_at: self.began_at + LEASE };
         for (id, standing) in &self.gateways {
             if rendezvous_weight(stripe, *id) <= weight {
                 continue;
             }
-            let (ends_at, next_from) = standing.ends();
-            if now < next_from {
-                return None;
-            }
             held.first_at = held.first_at.max(standing.gone_since()?);
-            held.others_ended_at = held.others_ended_at.max(ends_at);
+            held.others_ended_at = held.others_ended_at.max(standing.ends_at());
         }
-        Some(held)
+        (confirmed_at >= held.others_ended_at).then_some(held)
     }
 }
 
