More of what may be used beyond limits is left to gateways that reach no granter

Change: 0.45 of the excess instead of 0.1 is the gateways' own, three quarters of it at once; stripes have 0.46. Ruled out: a provisional share of a new first gateway (a new leader's short lists make several first, one after the other, so that the sum has no bound).

--- a/crates/gateway/src/quota/limit.rs
+++ b/crates/gateway/src/quota/limit.rs
@@ -7,10 +7,13 @@
 pub const STRIPES: u8 = 3;
 /// Part of what may be used beyond a limit that each stripe adds to its burst. The first takes most, so that one of them
 /// can grant the largest request.
-const EXCESS: [f64; STRIPES as usize] = [0.5, 0.15, 0.15];
-/// Part of what may be used beyond a limit that all gateways together may spend without a grant. The rest, a tenth, is
-/// kept back for clocks that don't go alike.
-const UNGRANTED: f64 = 0.1;
+const EXCESS: [f64; STRIPES as usize] = [0.3, 0.08, 0.08];
+/// Part of what may be used beyond a limit that all gateways together may spend without a grant: where 79 gateways have
+/// started anew and nobody may grant yet, a short prompt or two of each tenant at each of them. The rest, a
+/// tenth, is kept back for clocks that don't go alike.
+const UNGRANTED: f64 = 0.45;
+/// Part of a gateway's share of that which it may spend at once; the rest comes over the window.
+const UNGRANTED_AT_ONCE: f64 = 0.75;
 
 /// What a limit counts.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -81,8 +84,9 @@
     /// Rate and burst of what one of so many gateways may spend without a grant.
     pub(super) fn ungranted(&self, limit: &TenantLimit, gateways: usize) -> Allowance {
         let share = UNGRANTED * self.excess(limit) / gateways.max(1) as f64;
-        // Half at once and half over the window: any window then has the whole at most.
-        Allowance { rate: share / 2.0 / self.window.as_secs_f64(), burst: share / 2.0 }
+        let burst = share * UNGRANTED_AT_ONCE;
+        // Any window then has the whole share at most.
+        Allowance { rate: (share - burst) / self.window.as_secs_f64(), burst }
     }
 }
 
