Prompts that would be late are refused at once, the less urgent first

Change: a prompt of a route that is not the most urgent is refused with 503 where the estimate at its choice is over 0.7 of its target and something waits there; the client is told when to come, spread over half of that time to both sides.

--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -12,6 +12,7 @@
 mod crashes;
 mod estimator;
 mod knowledge;
+mod lateness;
 mod plan;
 mod prompt;
 mod question;
@@ -30,6 +31,7 @@
 pub use crashes::Crashes;
 pub use estimator::PrefillEstimator;
 pub use knowledge::{Admission, GatewaySettings, Knowledge};
+pub use lateness::Prospect;
 pub use plan::{AttemptEnd, NextStep, RequestPlan};
 pub use prompt::{Prompt, PromptPart};
 pub use question::{ChoiceQuestion, Offer};
