--- a/crates/topazmount/src/fleet/settings.rs
+++ b/crates/topazmount/src/fleet/settings.rs
@@ -146,6 +146,9 @@
     pub quota_slack: f64,
 }
 
+/// Longest window over which use is counted, in seconds: an hour.
+const LONGEST_QUOTA_WINDOW_S: f64 = 3_600.0;
+
 fn quota_window_s() -> f64 {
     QuotaSettings::default().window.as_secs_f64()
 }
@@ -177,10 +180,8 @@
         eyre::ensure!(is_number(bounds.retry_slack), "bounds.retry_slack: must be 0 or more");
         eyre::ensure!(is_number(bounds.retry_window_s), "bounds.retry_window_s: must be 0 or more");
         let window = bounds.quota_window_s;
-        eyre::ensure!(
-            is_number(window) && window > 0.0,
-            "bounds.quota_window_s: must be more than 0"
-        );
+        let is_window = window > 0.0 && window <= LONGEST_QUOTA_WINDOW_S;
+        eyre::ensure!(is_window, "bounds.quota_window_s: must be more than 0 and at most 3600");
         eyre::ensure!(is_number(bounds.quota_overrun), "bounds.quota_overrun: must be 0 or more");
         eyre::ensure!(is_number(bounds.quota_slack), "bounds.quota_slack: must be 0 or more");
         settings.check_policies()?;
