Sight: incarnation and count of what replicas say, and what is made of a version that goes back

Start and count are decoded in the adapter and carried; beliefs are formed as before. Checked by the compiler and the tests of the crate only.

--- /dev/null
+++ b/crates/control/src/fleet/events.rs
@@ -0,0 +1,57 @@
+//! What the leader learns of the weights at replicas, so that a log can tell which incarnation said what, and what was made
+//! of it.
+
+use std::fmt;
+use topazmount_types::{InstanceId, Start};
+
+/// Where word of a replica's weights came from.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum WordSource {
+    /// Its heartbeat, which may be seconds old.
+    Heartbeat,
+    /// Its report, which was asked for.
+    Report,
+    /// Its answer to an order.
+    Order,
+}
+
+/// A change, or a refused change, of what the leader takes a replica to hold.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum BeliefChange {
+    /// The version was taken over.
+    Taken,
+    /// The version is older than the one known, which was kept.
+    Kept,
+}
+
+/// Word of a replica's weights that differs from what was known.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct WeightsEvent {
+    /// Replica.
+    pub instance: InstanceId,
+    /// Incarnation that said it.
+    pub start: Start,
+    /// Number of the heartbeat, or of the orders that the report counts.
+    pub count: u64,
+    /// Where it comes from.
+    pub source: WordSource,
+    /// Model.
+    pub model: String,
+    /// Version that was known.
+    pub before: Option<u32>,
+    /// Version that was said.
+    pub said: u32,
+    /// What was made of it.
+    pub change: BeliefChange,
+}
+
+impl fmt::Display for WeightsEvent {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let before = self.before.unwrap_or(0);
+        write!(
+            f,
+            "event=weights_heard instance={} start={} count={} by={:?} model={} before={before} said={} belief={:?}",
+            self.instance, self.start, self.count, self.source, self.model, self.said, self.change
+        )
+    }
+}
--- a/crates/control/src/fleet/leader.rs
+++ b/crates/control/src/fleet/leader.rs
@@ -1,5 +1,6 @@
 //! What only the leading member keeps of the fleet, in memory.
 
+use super::events::WeightsEvent;
 use super::gateways::GatewayList;
 use super::orders::{FleetAction, OrderReport};
 use super::protocol::{FleetView, InstanceReport, InstanceStatus, WatchRequest};
@@ -54,7 +55,12 @@
     /// Takes a heartbeat of a replica.
     pub(crate) fn heartbeat(&mut self, now: Time, report: &InstanceReport) {
         self.heard.insert(report.instance.id.clone(), now);
-        self.rollout.heard(&report.instance.id, &report.models);
+        self.rollout.heard(report);
+    }
+
+    /// Word of weights that differed from what was known, since this was asked last.
+    pub(crate) fn take_events(&mut self) -> Vec<WeightsEvent> {
+        self.rollout.take_events()
     }
 
     pub(crate) fn order_ended(&mut self, now: Time, report: OrderReport) {
--- a/crates/control/src/fleet/mod.rs
+++ b/crates/control/src/fleet/mod.rs
@@ -5,6 +5,7 @@
 //! replica and gateway was last heard of, who waits for news, and the roll-out of weights.
 
 mod crashes;
+mod events;
 mod gateways;
 mod leader;
 mod orders;
@@ -14,6 +15,7 @@
 mod state;
 
 pub use crashes::{BlockedRequest, CRASHES_TO_BLOCK, CrashLedger, CrashNote, CrashNotes};
+pub use events::{BeliefChange, WeightsEvent, WordSource};
 pub use gateways::GATEWAY_SILENCE;
 pub(crate) use leader::FleetLeader;
 pub use orders::{FleetAction, LoadMode, OrderEnd, OrderReport, ReplicaReport, WeightsOrder};
--- a/crates/control/src/fleet/orders.rs
+++ b/crates/control/src/fleet/orders.rs
@@ -3,7 +3,7 @@
 use super::protocol::LoadedModel;
 use serde::{Deserialize, Serialize};
 use topazmount_consensus::Term;
-use topazmount_types::InstanceId;
+use topazmount_types::{InstanceId, Start};
 
 /// What happens to requests that run at a replica while it loads weights.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -73,6 +73,9 @@
     pub is_busy: bool,
     /// Orders taken.
     pub sequence: u64,
+    /// When the incarnation that reports started.
+    #[serde(default)]
+    pub start: Start,
 }
 
 /// The shell's word on an action.
--- a/crates/control/src/fleet/protocol.rs
+++ b/crates/control/src/fleet/protocol.rs
@@ -47,6 +47,9 @@
     pub instance: Instance,
     /// Models that it holds; empty for services without weights.
     pub models: Vec<LoadedModel>,
+    /// Number of this heartbeat, rising within an incarnation, by which a late one is known; 0 where it has none.
+    #[serde(default)]
+    pub count: u64,
 }
 
 /// What a gateway reports of itself with each request for news.
--- a/crates/control/src/fleet/rollout.rs
+++ b/crates/control/src/fleet/rollout.rs
@@ -1,12 +1,13 @@
 //! Rolls named weights out to replicas by orders that only one holder gives.
 
+use super::events::{BeliefChange, WeightsEvent, WordSource};
 use super::orders::{FleetAction, LoadMode, OrderEnd, OrderReport, ReplicaReport, WeightsOrder};
-use super::protocol::{Availability, InstanceStatus, LoadedModel};
+use super::protocol::{Availability, InstanceReport, InstanceStatus, LoadedModel};
 use super::schedule::Schedule;
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 use topazmount_consensus::Term;
-use topazmount_types::{Instance, InstanceId, Time};
+use topazmount_types::{Instance, InstanceId, Start, Time};
 
 /// Time after an accepted order before the replica is first asked how it stands.
 const FIRST_QUESTION: Duration = Duration::from_millis(800);
@@ -74,6 +75,17 @@
     sequences: BTreeMap<InstanceId, u64>,
     /// Replicas that have seen a higher fence than this holder's; it orders nothing there again.
     fenced: BTreeSet<InstanceId>,
+    /// Word of weights that differed from what was known, not yet told.
+    events: Vec<WeightsEvent>,
+}
+
+/// Who says something of a replica's weights.
+#[derive(Clone, Copy)]
+struct Word<'a> {
+    instance: &'a str,
+    start: Start,
+    count: u64,
+    source: WordSource,
 }
 
 impl Rollout {
@@ -104,19 +116,41 @@
 
     /// Takes what a heartbeat says of loaded weights. A heartbeat may be seconds old, so it never
     /// takes a version back.
-    pub(crate) fn heard(&mut self, id: &str, models: &[LoadedModel]) {
+    pub(crate) fn heard(&mut self, report: &InstanceReport) {
+        let word = Word {
+            instance: &report.instance.id,
+            start: report.instance.start,
+            count: report.count,
+            source: WordSource::Heartbeat,
+        };
+        self.take_word(word, &report.models);
+    }
+
+    fn take_word(&mut self, word: Word<'_>, models: &[LoadedModel]) {
         if models.is_empty() {
             return;
         }
-        let known = self.loaded.entry(id.to_owned()).or_default();
+        let known = self.loaded.entry(word.instance.to_owned()).or_default();
         for model in models {
+            let before = known.iter().find(|one| one.model == model.model).map(|one| one.version);
+            let change = match before {
+                Some(version) if version == model.version => continue,
+                Some(version) if version > model.version => BeliefChange::Kept,
+                _ => BeliefChange::Taken,
+            };
             match known.iter_mut().find(|one| one.model == model.model) {
                 Some(one) => one.version = one.version.max(model.version),
                 None => known.push(model.clone()),
             }
+            self.events.push(word.event(model, before, change));
         }
     }
 
+    /// Word of weights that differed from what was known, since this was asked last.
+    pub(crate) fn take_events(&mut self) -> Vec<WeightsEvent> {
+        std::mem::take(&mut self.events)
+    }
+
     /// Forgets replicas that are neither registered nor about to be.
     pub(crate) fn forget(&mut self, is_known: impl Fn(&str) -> bool) {
         self.loaded.retain(|id, _| is_known(id));
@@ -139,7 +173,13 @@
             OrderEnd::Holds => {
                 let loaded = LoadedModel { model: target.model.clone(), version: target.version };
                 self.targets.remove(id);
-                self.heard(id, &[loaded]);
+                let word = Word {
+                    instance: id,
+                    start: Start::UNSAID,
+                    count: 0,
+                    source: WordSource::Order,
+                };
+                self.take_word(word, &[loaded]);
             }
             // An order that got no answer may be carried out seconds later. Given again with the
             // same sequence, at most one of the two is carried out.
@@ -162,7 +202,9 @@
             return;
         };
         self.sequences.insert(id.to_owned(), report.sequence);
-        self.heard(id, &report.models);
+        let (start, count) = (report.start, report.sequence);
+        let word = Word { instance: id, start, count, source: WordSource::Report };
+        self.take_word(word, &report.models);
         let Some(target) = self.targets.get(id) else { return };
         let holds = self.version_of(id, &target.model) >= Some(target.version);
         if holds && !report.is_busy {
@@ -344,6 +386,21 @@
     }
 }
 
+impl Word<'_> {
+    fn event(self, said: &LoadedModel, before: Option<u32>, change: BeliefChange) -> WeightsEvent {
+        WeightsEvent {
+            instance: self.instance.to_owned(),
+            start: self.start,
+            count: self.count,
+            source: self.source,
+            model: said.model.clone(),
+            before,
+            said: said.version,
+            change,
+        }
+    }
+}
+
 impl Target {
     fn is_loading(&self) -> bool {
         !matches!(self.phase, Phase::Pausing { .. } | Phase::Resting { .. })
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -22,10 +22,11 @@
 pub use configuration::{Configuration, ConfigurationUpdate, HistoryRow};
 pub use events::{ChangeReason, MembershipEvent};
 pub use fleet::{
-    Availability, BlockedRequest, CRASHES_TO_BLOCK, CrashLedger, CrashNote, CrashNotes, Document,
-    FleetAction, FleetCommand, FleetRequest, FleetResponse, FleetState, FleetView, GATEWAY_SILENCE,
-    GatewayNews, GatewayReport, InstanceReport, InstanceStatus, LoadMode, LoadedModel, OrderEnd,
-    OrderReport, RemovedInstance, ReplicaReport, RolloutSettings, Seen, WatchRequest, WeightsOrder,
+    Availability, BeliefChange, BlockedRequest, CRASHES_TO_BLOCK, CrashLedger, CrashNote,
+    CrashNotes, Document, FleetAction, FleetCommand, FleetRequest, FleetResponse, FleetState,
+    FleetView, GATEWAY_SILENCE, GatewayNews, GatewayReport, InstanceReport, InstanceStatus,
+    LoadMode, LoadedModel, OrderEnd, OrderReport, RemovedInstance, ReplicaReport, RolloutSettings,
+    Seen, WatchRequest, WeightsEvent, WeightsOrder, WordSource,
 };
 pub use ledger::{ActionResult, ClaimId, ClaimOutcome, Ledger, LookupOutcome};
 pub use member::{Founding, Member, MemberError, MemberInput, MemberOutput, MemberSettings, Token};
--- a/crates/control/src/member.rs
+++ b/crates/control/src/member.rs
@@ -2,7 +2,7 @@
 
 use crate::configuration::ConfigurationUpdate;
 use crate::events::MembershipEvent;
-use crate::fleet::{FleetAction, FleetLeader, FleetResponse, RolloutSettings};
+use crate::fleet::{FleetAction, FleetLeader, FleetResponse, RolloutSettings, WeightsEvent};
 use crate::heartbeats::Heartbeats;
 use crate::identity::{IDENTITY_FILE, first_identity, first_state, read_identity};
 use crate::joining::Joining;
@@ -100,6 +100,8 @@
     Ask(String, Request),
     /// Log and count what was decided about the membership.
     Note(MembershipEvent),
+    /// As leader: a replica said something of its weights that was not known.
+    Weights(WeightsEvent),
 }
 
 struct Waiting {
@@ -249,6 +251,8 @@
         self.refuse_if_deposed(now);
         self.answer_watchers(now);
         self.note_membership(now);
+        let heard = self.fleet.take_events();
+        self.outputs.extend(heard.into_iter().map(MemberOutput::Weights));
         Ok(std::mem::take(&mut self.outputs))
     }
 
--- a/crates/control/tests/fleet_member.rs
+++ b/crates/control/tests/fleet_member.rs
@@ -10,7 +10,7 @@
     WatchRequest, WeightsOrder,
 };
 use topazmount_settings::SourceFiles;
-use topazmount_types::{Instance, Time};
+use topazmount_types::{Instance, Start, Time};
 
 const STEP: Duration = Duration::from_millis(10);
 const HEARTBEAT: Duration = Duration::from_millis(1_200);
@@ -64,6 +64,7 @@
         slots: 4,
         is_draining: false,
         changed_at: 0,
+        start: Start::UNSAID,
     }
 }
 
@@ -142,7 +143,8 @@
                 MemberOutput::Send(..)
                 | MemberOutput::Tell(..)
                 | MemberOutput::Ask(..)
-                | MemberOutput::Note(_) => {}
+                | MemberOutput::Note(_)
+                | MemberOutput::Weights(_) => {}
             }
         }
         if self.led_at.is_none() && self.member.replica().has_lease(self.now) {
@@ -161,7 +163,7 @@
             FleetAction::Question { instance, .. } => {
                 let (version, is_busy, sequence) = self.replicas[&instance].reported;
                 let models = vec![LoadedModel { model: MODEL.to_owned(), version }];
-                let report = ReplicaReport { models, is_busy, sequence };
+                let report = ReplicaReport { models, is_busy, sequence, start: Start::UNSAID };
                 OrderReport::Question(instance, Some(report))
             }
         };
@@ -171,7 +173,7 @@
     fn heartbeat(&mut self, id: &str) {
         let models =
             vec![LoadedModel { model: MODEL.to_owned(), version: self.replicas[id].version }];
-        let report = InstanceReport { instance: instance(id), models };
+        let report = InstanceReport { instance: instance(id), models, count: 0 };
         self.send(FleetRequest::Heartbeat(report));
     }
 
@@ -409,7 +411,7 @@
     world.run_for(Duration::from_secs(4));
     let life = |id: &str| {
         let instance = Instance { address: "one:1".to_owned(), ..instance(id) };
-        FleetRequest::Heartbeat(InstanceReport { instance, models: Vec::new() })
+        FleetRequest::Heartbeat(InstanceReport { instance, models: Vec::new(), count: 0 })
     };
     assert_eq!(world.ask(life("old")), Response::Fleet(FleetResponse::Done));
     world.run_for(Duration::from_secs(6));
@@ -430,7 +432,7 @@
     let mut world = World::new(1);
     world.run_for(Duration::from_secs(4));
     let draining = Instance { is_draining: true, ..instance("r00") };
-    let report = InstanceReport { instance: draining, models: Vec::new() };
+    let report = InstanceReport { instance: draining, models: Vec::new(), count: 0 };
     let answer = world.ask(FleetRequest::Heartbeat(report));
     assert_eq!(answer, Response::Fleet(FleetResponse::Done));
     assert!(world.member.state().fleet.instances()["r00"].is_draining);
--- a/crates/control/tests/fleet_state.rs
+++ b/crates/control/tests/fleet_state.rs
@@ -1,7 +1,7 @@
 //! Replicated state of the fleet: versions only rise, and who left stays away.
 
 use topazmount_control::{Document, FleetCommand, FleetState};
-use topazmount_types::Instance;
+use topazmount_types::{Instance, Start};
 
 fn instance(id: &str, address: &str) -> Instance {
     Instance {
@@ -12,6 +12,7 @@
         slots: 4,
         is_draining: false,
         changed_at: 0,
+        start: Start::UNSAID,
     }
 }
 
--- a/crates/control/tests/heartbeats.rs
+++ b/crates/control/tests/heartbeats.rs
@@ -5,7 +5,7 @@
 use common::{Host, World};
 use std::time::Duration;
 use topazmount_control::{FleetRequest, FleetResponse, InstanceReport, Request, Response};
-use topazmount_types::Instance;
+use topazmount_types::{Instance, Start};
 
 const HOSTS: [Host; 3] = [1, 2, 3];
 const SETTLING: Duration = Duration::from_secs(8);
@@ -21,8 +21,13 @@
         slots: 4,
         is_draining,
         changed_at: 0,
+        start: Start::UNSAID,
     };
-    Request::Fleet(FleetRequest::Heartbeat(InstanceReport { instance, models: Vec::new() }))
+    Request::Fleet(FleetRequest::Heartbeat(InstanceReport {
+        instance,
+        models: Vec::new(),
+        count: 0,
+    }))
 }
 
 struct Story {
--- a/crates/control/tests/watchers.rs
+++ b/crates/control/tests/watchers.rs
@@ -10,7 +10,7 @@
     FleetRequest, FleetResponse, FleetView, GatewayReport, InstanceReport, Request, Response, Seen,
     Token, WatchRequest,
 };
-use topazmount_types::Instance;
+use topazmount_types::{Instance, Start};
 
 const HOSTS: [Host; 3] = [1, 2, 3];
 const SETTLING: Duration = Duration::from_secs(8);
@@ -100,8 +100,9 @@
         slots: 16,
         is_draining: false,
         changed_at: 0,
+        start: Start::UNSAID,
     };
-    InstanceReport { instance, models: Vec::new() }
+    InstanceReport { instance, models: Vec::new(), count: 0 }
 }
 
 impl Gateway {
--- a/crates/lab/src/scale/control.rs
+++ b/crates/lab/src/scale/control.rs
@@ -97,7 +97,8 @@
             MemberOutput::Act(_)
             | MemberOutput::Tell(..)
             | MemberOutput::Ask(..)
-            | MemberOutput::Note(_) => {}
+            | MemberOutput::Note(_)
+            | MemberOutput::Weights(_) => {}
             MemberOutput::Send(address, envelope) => {
                 let to = (0..MEMBERS).find(|number| info(*number).address == address);
                 let frame = Frame::Peer(info(from).address, envelope);
--- a/crates/topazmount/src/control_log.rs
+++ b/crates/topazmount/src/control_log.rs
@@ -5,7 +5,7 @@
 use std::sync::Mutex;
 use std::time::{Duration, Instant};
 use topazmount_consensus::{Disk, MemberId, Term};
-use topazmount_control::{Member, MembershipEvent};
+use topazmount_control::{BeliefChange, Member, MembershipEvent, WeightsEvent};
 use topazmount_types::Time;
 
 /// Time after which the same line about the same matter is written again.
@@ -70,6 +70,30 @@
         }
     }
 
+    /// Logs what the leader made of a replica's word on its weights. A replica may say the same with each heartbeat.
+    pub(crate) fn weights(&self, event: &WeightsEvent) {
+        match event.change {
+            BeliefChange::Taken => log::info!("weights: {event}"),
+            BeliefChange::Kept => {
+                let matter = format!("{} {} {}", event.instance, event.start, event.said);
+                self.once(matter, || log::info!("weights: {event}"));
+            }
+        }
+    }
+
+    /// Logs about a matter, unless that was done lately.
+    fn once(&self, matter: String, log: impl FnOnce()) {
+        let mut lines = self.lines.lock().unwrap();
+        if lines.get(&matter).is_some_and(|(_, at)| at.elapsed() < REPEAT_AFTER) {
+            return;
+        }
+        if lines.len() >= MOST_MATTERS {
+            lines.clear();
+        }
+        log();
+        lines.insert(matter, (String::new(), Instant::now()));
+    }
+
     /// Logs a line, unless it is the newest one about its matter and still fresh.
     fn line(&self, matter: String, line: String) {
         let mut lines = self.lines.lock().unwrap();
--- a/crates/topazmount/src/control_process.rs
+++ b/crates/topazmount/src/control_process.rs
@@ -274,6 +274,7 @@
                 }
                 self.log.membership(&event);
             }
+            MemberOutput::Weights(event) => self.log.weights(&event),
         }
     }
 
--- a/crates/topazmount/src/fleet/exchange/attempt.rs
+++ b/crates/topazmount/src/fleet/exchange/attempt.rs
@@ -307,6 +307,9 @@
         if tags.is_unexpected {
             let is_other = tags.instance.is_none_or(|id| id != choice.instance.id);
             let named_weights = choice.version.is_some() && self.tags.prompt.is_some();
+            if named_weights && !is_other {
+                self.log_refused_weights(choice, tags.version);
+            }
             return Attempt::Ended(match (is_other, named_weights) {
                 (true, _) => AttemptEnd::WrongInstance,
                 (false, true) => AttemptEnd::OtherWeights,
--- a/crates/topazmount/src/fleet/exchange/record.rs
+++ b/crates/topazmount/src/fleet/exchange/record.rs
@@ -135,6 +135,21 @@
         });
     }
 
+    /// Logs that a replica refused the weights that the request named, and which it says it holds, where it does.
+    pub(super) fn log_refused_weights(&self, choice: &Choice, said: Option<u32>) {
+        self.shared.metrics.event("weights_refused");
+        self.shared.journal.line(|| {
+            format!(
+                "gateway: event=weights_refused request={} instance={} start={} expected={} said={}",
+                self.tags.id,
+                choice.instance.id,
+                choice.instance.start,
+                choice.version.unwrap_or(0),
+                said.unwrap_or(0)
+            )
+        });
+    }
+
     /// Logs a stream that came to its end, and its pace.
     pub(super) fn log_stream(&self, plan: &RequestPlan, pace: &Pace) {
         let first = pace.first_at.map_or(Duration::ZERO, |at| at.since(self.received));
--- a/crates/types/src/instance.rs
+++ b/crates/types/src/instance.rs
@@ -1,14 +1,36 @@
-//! A registered replica.
+//! A registered replica and its incarnations.
 
 use serde::{Deserialize, Serialize};
+use std::fmt;
 
-/// Identifier of one life of a replica; a restart draws a new one.
+/// Identifier of a replica. One that starts again may keep it; its [`Start`] tells its incarnations apart.
 pub type InstanceId = String;
 
+/// When an incarnation of a replica started, as the replica says: milliseconds of Unix time, by its own clock. Only
+/// compared with other starts under the same identifier, never with a clock of ours.
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+pub struct Start(pub u64);
+
+impl Start {
+    /// Of a replica that does not say when it started.
+    pub const UNSAID: Start = Start(0);
+}
+
+impl fmt::Display for Start {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match *self {
+            Start::UNSAID => formatter.write_str("unsaid"),
+            Start(millis) => write!(formatter, "{millis}"),
+        }
+    }
+}
+
 /// What the control group has committed of a replica.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Instance {
-    /// Identifier of this life.
+    /// Identifier.
     pub id: InstanceId,
     /// Service that it belongs to.
     pub service: String,
@@ -22,4 +44,7 @@
     pub is_draining: bool,
     /// Registry revision of the last change.
     pub changed_at: u64,
+    /// When this incarnation started.
+    #[serde(default)]
+    pub start: Start,
 }
