--- a/crates/gateway/tests/common/mod.rs
+++ b/crates/gateway/tests/common/mod.rs
@@ -6,7 +6,7 @@
     Catalog, CatalogParts, ChoiceRequest, EngineParameters, Prompt, PromptPart, Route, RouteKind,
     Service, SplitPart, Tenant,
 };
-use topazmount_types::Instance;
+use topazmount_types::{Instance, Start};
 
 /// A route of a service.
 pub fn route(name: &str, host: &str, prefix: &str, service: &str) -> Route {
@@ -99,6 +99,7 @@
         slots: 32,
         is_draining: false,
         changed_at: 1,
+        start: Start::UNSAID,
     }
 }
 
