What control and gateways tell each other of a replica names its incarnation

Statuses, removals, orders and departures carry the start; statuses say when a version was taken back, and news names the newest weights. Nothing is decided by it yet. Checked by the compiler only.

--- a/crates/control/src/fleet/orders.rs
+++ b/crates/control/src/fleet/orders.rs
@@ -31,6 +31,10 @@
     pub fence: Term,
     /// Orders that the replica must have taken before, so that a late copy is not carried out.
     pub expected_sequence: u64,
+    /// Incarnation that it is meant for. The replica can't check it: one that is carried out by the next incarnation is
+    /// noticed by what that one says.
+    #[serde(default)]
+    pub start: Start,
 }
 
 /// Something for the leader's shell to send.
--- a/crates/control/src/fleet/protocol.rs
+++ b/crates/control/src/fleet/protocol.rs
@@ -6,7 +6,7 @@
 use serde::{Deserialize, Serialize};
 use std::time::Duration;
 use topazmount_consensus::Term;
-use topazmount_types::{Instance, InstanceId};
+use topazmount_types::{Instance, InstanceId, Start};
 
 /// A model and the version of its weights at a replica.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -38,6 +38,13 @@
     pub availability: Availability,
     /// Models that it holds.
     pub models: Vec<LoadedModel>,
+    /// Incarnation that this is about; it says nothing of another one.
+    #[serde(default)]
+    pub start: Start,
+    /// When the leader last took a version of this incarnation back: its term, and how often in it. A status with a
+    /// later one replaces what is known of the models; others only raise it.
+    #[serde(default)]
+    pub correction: (Term, u32),
 }
 
 /// What a replica reports of itself.
@@ -145,6 +152,9 @@
     /// Requests that must not be sent on, when that changed: count of changes, and all of them.
     #[serde(default)]
     pub blocked: Option<(u64, Vec<BlockedRequest>)>,
+    /// Newest version named for each model, as this member has applied it.
+    #[serde(default)]
+    pub weights: Vec<LoadedModel>,
 }
 
 impl FleetView {
@@ -161,8 +171,8 @@
     Heartbeat(InstanceReport),
     /// Heartbeats that another member has answered; taken by the leader only.
     HeartbeatsHeard(Vec<InstanceReport>),
-    /// A replica leaves; answered by the leader only.
-    Depart(InstanceId),
+    /// A replica leaves; answered by the leader only. An earlier incarnation than the one known has left already.
+    Depart(InstanceId, Start),
     /// Puts a document in force; answered by the leader only.
     PutDocument(Document),
     /// The newest document; answered by the leader only.
--- a/crates/control/src/fleet/rollout.rs
+++ b/crates/control/src/fleet/rollout.rs
@@ -111,7 +111,13 @@
             (false, true) => Availability::Paused,
             (false, false) => Availability::Open,
         };
-        InstanceStatus { id: id.to_owned(), availability, models }
+        InstanceStatus {
+            id: id.to_owned(),
+            availability,
+            models,
+            start: Start::UNSAID,
+            correction: (0, 0),
+        }
     }
 
     /// Takes what a heartbeat says of loaded weights. A heartbeat may be seconds old, so it never
@@ -419,6 +425,7 @@
             mode: LoadMode::KeepRuns,
             fence,
             expected_sequence,
+            start: instance.start,
         }
     }
 }
--- a/crates/control/src/fleet/state.rs
+++ b/crates/control/src/fleet/state.rs
@@ -3,7 +3,7 @@
 use super::crashes::{CrashLedger, CrashNotes};
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
-use topazmount_types::{Instance, InstanceId, Time};
+use topazmount_types::{Instance, InstanceId, Start, Time};
 
 /// Removed replicas that are remembered.
 const KEPT_REMOVALS: usize = 4_096;
@@ -25,6 +25,9 @@
     pub id: InstanceId,
     /// Whether it had said that it leaves. Otherwise it fell silent, or its next life is at its address.
     pub was_announced: bool,
+    /// Its last incarnation.
+    #[serde(default)]
+    pub start: Start,
 }
 
 /// A change to the fleet.
@@ -144,6 +147,7 @@
         let removed = removed.map(|(id, removal)| RemovedInstance {
             id: id.clone(),
             was_announced: removal.was_announced,
+            start: Start::UNSAID,
         });
         (changed.cloned().collect(), if is_full { Vec::new() } else { removed.collect() }, is_full)
     }
--- a/crates/control/src/fleet_member.rs
+++ b/crates/control/src/fleet_member.rs
@@ -23,7 +23,7 @@
             FleetRequest::HeartbeatsHeard(reports) => {
                 self.on_heartbeats_heard(now, token, &reports);
             }
-            FleetRequest::Depart(id) => {
+            FleetRequest::Depart(id, _) => {
                 let is_gone = self.state.fleet.is_gone(&id);
                 self.change(now, token, FleetCommand::Depart(id), is_gone);
             }
--- a/crates/control/tests/heartbeats.rs
+++ b/crates/control/tests/heartbeats.rs
@@ -101,7 +101,7 @@
 
     a_replica_that_left_is_told_so_by_a_follower => {
         let mut story = Story::new();
-        let depart = Request::Fleet(FleetRequest::Depart("r".to_owned()));
+        let depart = Request::Fleet(FleetRequest::Depart("r".to_owned(), Start::UNSAID));
         assert!(story.is_done(story.leader, depart));
         story.world.run(MOMENT * 5);
         let answer = story.answer(story.follower, report("r", false));
--- a/crates/gateway/tests/balancer.rs
+++ b/crates/gateway/tests/balancer.rs
@@ -9,13 +9,19 @@
     AttemptEnd, Balancer, Choice, ChoiceRequest, NextStep, Prompt, PromptEvent, RequestPlan,
 };
 use topazmount_routing::PolicyTable;
-use topazmount_types::{ErrorKind, Time};
+use topazmount_types::{ErrorKind, Start, Time};
 
 const NOW: Time = Time::from_secs(1_000);
 
 fn status(id: &str, availability: Availability, version: u32) -> InstanceStatus {
     let models = vec![LoadedModel { model: "model".to_owned(), version }];
-    InstanceStatus { id: id.to_owned(), availability, models }
+    InstanceStatus {
+        id: id.to_owned(),
+        availability,
+        models,
+        start: Start::UNSAID,
+        correction: (0, 0),
+    }
 }
 
 fn pool(count: usize, seed: u64) -> Balancer {
--- a/crates/gateway/tests/overload.rs
+++ b/crates/gateway/tests/overload.rs
@@ -16,7 +16,7 @@
     Catalog, CatalogParts, Choice, ChoiceRequest, GatewaySettings, Knowledge, Prompt, Prospect,
     Service,
 };
-use topazmount_types::Time;
+use topazmount_types::{Start, Time};
 
 const ENGINES: usize = 8;
 const PLACES: usize = 16;
@@ -109,6 +109,8 @@
         id: id.clone(),
         availability: Availability::Open,
         models: vec![LoadedModel { model: "model".to_owned(), version: 1 }],
+        start: Start::UNSAID,
+        correction: (0, 0),
     };
     let view = FleetView {
         revision: 1,
--- a/crates/gateway/tests/shards.rs
+++ b/crates/gateway/tests/shards.rs
@@ -13,7 +13,7 @@
     Catalog, CatalogParts, Choice, ChoiceQuestion, ChoiceRequest, GatewaySettings, Gateways,
     Knowledge, LoadNews, MOST_TOLD, Prompt, PromptEvent, Service, Shard,
 };
-use topazmount_types::Time;
+use topazmount_types::{Start, Time};
 
 const NOW: Time = Time::from_secs(1_000);
 const PORT: u16 = 7_000;
@@ -46,6 +46,8 @@
         id: id.clone(),
         availability: Availability::Open,
         models: model(),
+        start: Start::UNSAID,
+        correction: (0, 0),
     };
     let view = FleetView {
         revision: 1,
--- a/crates/gateway/tests/stores.rs
+++ b/crates/gateway/tests/stores.rs
@@ -10,7 +10,7 @@
     StoreParameters, Stores, cache_salt,
 };
 use topazmount_routing::PolicyTable;
-use topazmount_types::Time;
+use topazmount_types::{Start, Time};
 
 const NOW: Time = Time::from_secs(1_000);
 const STORE: &str = "10.0.9.9:1";
@@ -149,7 +149,13 @@
         let id = format!("replica-{number}");
         balancer.upsert(instance(&id, "pool", "north"));
         let models = vec![LoadedModel { model: "model".to_owned(), version: 1 }];
-        balancer.set_status(&InstanceStatus { id, availability: Availability::Open, models });
+        balancer.set_status(&InstanceStatus {
+            id,
+            availability: Availability::Open,
+            models,
+            start: Start::UNSAID,
+            correction: (0, 0),
+        });
     }
     balancer.stores().set([parameters(STORE)].into_iter());
     balancer
@@ -209,7 +215,13 @@
     let models = vec![LoadedModel { model: "model".to_owned(), version: 2 }];
     let loaded = (0..4).map(|number| format!("replica-{number}"));
     let loaded = loaded.into_iter().find(|id| *id != old.instance.id).unwrap();
-    balancer.set_status(&InstanceStatus { id: loaded, availability: Availability::Paused, models });
+    balancer.set_status(&InstanceStatus {
+        id: loaded,
+        availability: Availability::Paused,
+        models,
+        start: Start::UNSAID,
+        correction: (0, 0),
+    });
     assert_eq!(balancer.save(&old, &request(&one, &engine), None, NOW), None);
     let mut newest = old;
     newest.version = Some(2);
--- a/crates/topazmount/src/fleet/control_service.rs
+++ b/crates/topazmount/src/fleet/control_service.rs
@@ -174,7 +174,7 @@
                     None => self.unavailable(),
                 }
             }
-            ControlCall::Depart(id) => self.change(FleetRequest::Depart(id)).await,
+            ControlCall::Depart(id, start) => self.change(FleetRequest::Depart(id, start)).await,
             ControlCall::PutDocument(document) => {
                 let version = document.version;
                 let answer = self.change(FleetRequest::PutDocument(document)).await;
--- a/crates/topazmount/src/fleet/dialect.rs
+++ b/crates/topazmount/src/fleet/dialect.rs
@@ -6,7 +6,7 @@
     Document, GatewayReport, InstanceReport, OrderEnd, ReplicaReport, WeightsOrder,
 };
 use topazmount_gateway::{Catalog, CatalogProblem, Prompt, StoreEvents};
-use topazmount_types::{ErrorKind, InstanceId};
+use topazmount_types::{ErrorKind, InstanceId, Start};
 
 /// What a client's request says of itself.
 #[derive(Clone, Debug, Default, PartialEq)]
@@ -74,8 +74,8 @@
 pub enum ControlCall {
     /// A replica's heartbeat.
     Heartbeat(InstanceReport),
-    /// A replica leaves.
-    Depart(InstanceId),
+    /// A replica leaves; its incarnation.
+    Depart(InstanceId, Start),
     /// A new catalog: the document, which can be read and is valid.
     PutDocument(Document),
     /// The newest catalog.
@@ -107,7 +107,7 @@
     pub fn name(&self) -> &'static str {
         match self {
             ControlCall::Heartbeat(_) => "heartbeat",
-            ControlCall::Depart(_) => "depart",
+            ControlCall::Depart(..) => "depart",
             ControlCall::PutDocument(_) => "put_document",
             ControlCall::ReadDocument => "read_document",
             ControlCall::NameWeights { .. } => "name_weights",
--- a/crates/topazmount/src/fleet/orders.rs
+++ b/crates/topazmount/src/fleet/orders.rs
@@ -44,8 +44,9 @@
                 Err(_) => OrderEnd::Unknown,
             };
             log::info!(
-                "weights: event=order instance={} model={} version={} fence={} sequence={} end={end:?}",
+                "weights: event=order instance={} start={} model={} version={} fence={} sequence={} end={end:?}",
                 order.instance,
+                order.start,
                 order.model,
                 order.version,
                 order.fence,
