Control: beliefs by incarnation: nothing that is remembered of a replica outlives it

Cause: the holder kept the highest version ever heard under an identifier; targets, counts and fences were kept by identifier too, so that a replica which starts again under it was never ordered to load. Change: one record an incarnation (weights, target, orders counted, fence), which a later start ends; the registry and followers judge word by start; a heartbeat that is the newest by its number and says an older version makes the holder ask, and the report is believed, so that a late order which took weights back is mended too. Statuses go out only for the incarnation that is registered and was heard, so that a new leader does not open what another one barred. Word of an undeclared service ends no replica of a declared one. Ruled out: believing heartbeats that say less (they may be seconds old); ordering by the count of orders alone (it starts anew).

--- a/crates/control/src/fleet/events.rs
+++ b/crates/control/src/fleet/events.rs
@@ -20,7 +20,9 @@
 pub enum BeliefChange {
     /// The version was taken over.
     Taken,
-    /// The version is older than the one known, which was kept.
+    /// The version is older than the one known, and was taken over.
+    TakenBack,
+    /// The version is older than the one known, which was kept; the replica is asked.
     Kept,
 }
 
--- a/crates/control/src/fleet/leader.rs
+++ b/crates/control/src/fleet/leader.rs
@@ -3,7 +3,7 @@
 use super::events::WeightsEvent;
 use super::gateways::GatewayList;
 use super::orders::{FleetAction, OrderReport};
-use super::protocol::{FleetView, InstanceReport, InstanceStatus, WatchRequest};
+use super::protocol::{FleetView, InstanceReport, InstanceStatus, LoadedModel, WatchRequest};
 use super::rollout::{Rollout, RolloutSettings};
 use super::state::{FleetCommand, FleetState};
 use crate::member::Token;
@@ -55,7 +55,7 @@
     /// Takes a heartbeat of a replica.
     pub(crate) fn heartbeat(&mut self, now: Time, report: &InstanceReport) {
         self.heard.insert(report.instance.id.clone(), now);
-        self.rollout.heard(report);
+        self.rollout.heard(now, report);
     }
 
     /// Word of weights that differed from what was known, since this was asked last.
@@ -78,7 +78,7 @@
         if self.term.is_none_or(|(known, _)| known != term) {
             self.term = Some((term, now));
             self.heard.clear();
-            self.rollout.reset();
+            self.rollout.reset(term);
             self.statuses.clear();
             self.looked_at = Time::ZERO;
         }
@@ -89,10 +89,10 @@
         }
         self.looked_at = now;
         let mut expired = Vec::new();
-        for id in state.instances().keys() {
+        for (id, instance) in state.instances() {
             let heard = *self.heard.entry(id.clone()).or_insert(now);
             if now >= heard.max(since) + REPLICA_SILENCE {
-                expired.push(FleetCommand::Expire(id.clone()));
+                expired.push(FleetCommand::FallSilent(id.clone(), instance.start));
             }
         }
         // A replica that was just heard of is registered a moment later.
@@ -119,8 +119,8 @@
 
     fn refresh_statuses(&mut self, now: Time, state: &FleetState) {
         self.statuses.retain(|id, _| state.instances().contains_key(id));
-        for id in state.instances().keys() {
-            let status = self.rollout.status(now, id);
+        for (id, instance) in state.instances() {
+            let Some(status) = self.rollout.status(now, instance) else { continue };
             if self.statuses.get(id).is_none_or(|(known, _)| *known != status) {
                 self.statuses_count += 1;
                 self.statuses.insert(id.clone(), (status, self.statuses_count));
@@ -131,7 +131,7 @@
     /// Notes that this member does not lead.
     pub(crate) fn follow(&mut self, now: Time) {
         if self.term.take().is_some() {
-            self.rollout.reset();
+            self.rollout.reset(Term::default());
             self.statuses.clear();
         }
         self.gateways.forget(now);
@@ -204,6 +204,12 @@
     fn view(&self, state: &FleetState, base: &FleetView, request: &WatchRequest) -> FleetView {
         let seen = &request.seen;
         let mut view = base.clone();
+        let weights = state.weights().iter();
+        let named = |(model, version): (&String, &u32)| LoadedModel {
+            model: model.clone(),
+            version: *version,
+        };
+        view.weights = weights.map(named).collect();
         view.revision = state.revision();
         view.document = state.document().filter(|one| one.version > seen.document).cloned();
         if state.revision() != seen.revision {
--- a/crates/control/src/fleet/mod.rs
+++ b/crates/control/src/fleet/mod.rs
@@ -4,6 +4,7 @@
 //! versions named for models, and the requests under which replicas crash. `FleetLeader` is what only the leader keeps in memory: when each
 //! replica and gateway was last heard of, who waits for news, and the roll-out of weights.
 
+mod belief;
 mod crashes;
 mod events;
 mod gateways;
@@ -24,4 +25,4 @@
     InstanceReport, InstanceStatus, LoadedModel, Seen, WatchRequest,
 };
 pub use rollout::RolloutSettings;
-pub use state::{Document, FleetCommand, FleetState, RemovedInstance};
+pub use state::{Document, FleetCommand, FleetState, ForeignCause, Registration, RemovedInstance};
--- a/crates/control/src/fleet/orders.rs
+++ b/crates/control/src/fleet/orders.rs
@@ -85,8 +85,8 @@
 /// The shell's word on an action.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum OrderReport {
-    /// An order ended.
-    Order(InstanceId, OrderEnd),
+    /// An order to an incarnation ended.
+    Order(InstanceId, Start, OrderEnd),
     /// A question was answered, or not.
     Question(InstanceId, Option<ReplicaReport>),
 }
--- a/crates/control/src/fleet/protocol.rs
+++ b/crates/control/src/fleet/protocol.rs
@@ -2,7 +2,7 @@
 
 use super::crashes::{BlockedRequest, CrashNotes};
 use super::orders::OrderReport;
-use super::state::{Document, RemovedInstance};
+use super::state::{Document, ForeignCause, RemovedInstance};
 use serde::{Deserialize, Serialize};
 use std::time::Duration;
 use topazmount_consensus::Term;
@@ -197,6 +197,8 @@
     Done,
     /// The heartbeat is of a replica that left or that another one replaced; nothing is changed.
     Superseded,
+    /// The heartbeat can't be that replica's; nothing is changed.
+    Foreign(ForeignCause),
     /// The newest document.
     Document(Option<Document>),
     /// News.
--- a/crates/control/src/fleet/rollout.rs
+++ b/crates/control/src/fleet/rollout.rs
@@ -1,10 +1,11 @@
 //! Rolls named weights out to replicas by orders that only one holder gives.
 
-use super::events::{BeliefChange, WeightsEvent, WordSource};
+use super::belief::{Belief, REPORT_LAG, Word};
+use super::events::{WeightsEvent, WordSource};
 use super::orders::{FleetAction, LoadMode, OrderEnd, OrderReport, ReplicaReport, WeightsOrder};
 use super::protocol::{Availability, InstanceReport, InstanceStatus, LoadedModel};
 use super::schedule::Schedule;
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 use std::time::Duration;
 use topazmount_consensus::Term;
 use topazmount_types::{Instance, InstanceId, Start, Time};
@@ -13,8 +14,6 @@
 const FIRST_QUESTION: Duration = Duration::from_millis(800);
 /// Time between two such questions.
 const QUESTION_INTERVAL: Duration = Duration::from_millis(150);
-/// Age up to which a report may miss an order that was accepted.
-const REPORT_LAG: Duration = Duration::from_millis(1_300);
 /// Time before the end of its bound at which a replica with an older version gets no requests, so
 /// that none waits there beyond it.
 const OVERDUE_MARGIN: Duration = Duration::from_millis(1_500);
@@ -63,93 +62,99 @@
     version: u32,
 }
 
+/// What the holder knows of one incarnation of a replica; a later one begins with nothing of it.
+#[derive(Clone, Debug, Default)]
+struct Replica {
+    belief: Belief,
+    target: Option<Target>,
+    /// Orders that it has taken, as it reported since the last question.
+    sequence: Option<u64>,
+    /// Whether it has seen a higher fence than this holder's, which orders nothing there again.
+    is_fenced: bool,
+}
+
 /// The roll-out as its one holder knows it. Invariants: it acts only for a leader with a lease
 /// whose predecessor's last order is at least `lease` old; it goes straight to the newest version;
-/// at most a bounded part of a service's replicas loads at once.
+/// at most a bounded part of a service's replicas loads at once; what is known of an incarnation ends with it.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Rollout {
     settings: RolloutSettings,
     schedule: Schedule,
-    targets: BTreeMap<InstanceId, Target>,
-    loaded: BTreeMap<InstanceId, Vec<LoadedModel>>,
-    sequences: BTreeMap<InstanceId, u64>,
-    /// Replicas that have seen a higher fence than this holder's; it orders nothing there again.
-    fenced: BTreeSet<InstanceId>,
+    replicas: BTreeMap<InstanceId, Replica>,
+    /// Term in which this member holds the roll-out.
+    term: Term,
     /// Word of weights that differed from what was known, not yet told.
     events: Vec<WeightsEvent>,
 }
 
-/// Who says something of a replica's weights.
-#[derive(Clone, Copy)]
-struct Word<'a> {
-    instance: &'a str,
-    start: Start,
-    count: u64,
-    source: WordSource,
-}
-
 impl Rollout {
     pub(crate) fn new(settings: RolloutSettings) -> Self {
         Rollout { settings, ..Rollout::default() }
     }
 
-    /// Forgets everything: another member may have given orders meanwhile.
-    pub(crate) fn reset(&mut self) {
-        *self = Rollout::new(self.settings);
+    /// Forgets everything as a term begins: another member may have given orders meanwhile.
+    pub(crate) fn reset(&mut self, term: Term) {
+        *self = Rollout { term, ..Rollout::new(self.settings) };
     }
 
-    /// What gateways need to know of a replica.
-    pub(crate) fn status(&self, now: Time, id: &str) -> InstanceStatus {
-        let models = self.loaded.get(id).cloned().unwrap_or_default();
-        let is_overdue = models.iter().any(|loaded| {
+    /// What gateways need to know of an incarnation; `None` where nothing was heard of its weights, so that what an
+    /// earlier holder said of it stays in force.
+    pub(crate) fn status(&self, now: Time, instance: &Instance) -> Option<InstanceStatus> {
+        let replica = self.replica_of(instance)?;
+        let belief = &replica.belief;
+        let is_overdue = belief.models().iter().any(|loaded| {
             let due = self.schedule.due(&loaded.model, loaded.version);
             due.is_some_and(|named| now >= named + self.settings.spread - OVERDUE_MARGIN)
         });
-        let is_loading = self.targets.get(id).is_some_and(|target| target.is_paused());
+        let is_loading = replica.target.as_ref().is_some_and(Target::is_paused);
         let availability = match (is_overdue, is_loading) {
             (true, _) => Availability::Barred,
             (false, true) => Availability::Paused,
             (false, false) => Availability::Open,
         };
-        InstanceStatus {
-            id: id.to_owned(),
+        Some(InstanceStatus {
+            id: instance.id.clone(),
             availability,
-            models,
-            start: Start::UNSAID,
-            correction: (0, 0),
+            models: belief.models().to_vec(),
+            start: belief.start(),
+            correction: belief.correction(),
+        })
+    }
+
+    /// What is known of a registered incarnation.
+    fn replica_of(&self, instance: &Instance) -> Option<&Replica> {
+        let replica = self.replicas.get(&instance.id)?;
+        (replica.belief.start() == instance.start).then_some(replica)
+    }
+
+    /// The replica that word is about, with nothing of an earlier incarnation; `None` where the word itself is of an
+    /// earlier one.
+    fn replica_for(&mut self, id: &str, start: Start) -> Option<&mut Replica> {
+        let replica = self.replicas.entry(id.to_owned()).or_default();
+        if start < replica.belief.start() {
+            return None;
         }
+        if start > replica.belief.start() {
+            *replica = Replica { belief: Belief::new(start), ..Replica::default() };
+        }
+        Some(replica)
     }
 
-    /// Takes what a heartbeat says of loaded weights. A heartbeat may be seconds old, so it never
-    /// takes a version back.
-    pub(crate) fn heard(&mut self, report: &InstanceReport) {
+    /// Takes what a heartbeat says of loaded weights.
+    pub(crate) fn heard(&mut self, now: Time, report: &InstanceReport) {
+        if report.models.is_empty() {
+            return;
+        }
+        let Instance { id, start, .. } = &report.instance;
         let word = Word {
-            instance: &report.instance.id,
-            start: report.instance.start,
+            instance: id,
+            start: *start,
             count: report.count,
             source: WordSource::Heartbeat,
         };
-        self.take_word(word, &report.models);
-    }
-
-    fn take_word(&mut self, word: Word<'_>, models: &[LoadedModel]) {
-        if models.is_empty() {
-            return;
-        }
-        let known = self.loaded.entry(word.instance.to_owned()).or_default();
-        for model in models {
-            let before = known.iter().find(|one| one.model == model.model).map(|one| one.version);
-            let change = match before {
-                Some(version) if version == model.version => continue,
-                Some(version) if version > model.version => BeliefChange::Kept,
-                _ => BeliefChange::Taken,
-            };
-            match known.iter_mut().find(|one| one.model == model.model) {
-                Some(one) => one.version = one.version.max(model.version),
-                None => known.push(model.clone()),
-            }
-            self.events.push(word.event(model, before, change));
-        }
+        let Some(replica) = self.replica_for(id, *start) else { return };
+        let events = replica.belief.heard(now, word, &report.models);
+        self.events.extend(events);
     }
 
     /// Word of weights that differed from what was known, since this was asked last.
@@ -159,40 +164,47 @@
 
     /// Forgets replicas that are neither registered nor about to be.
     pub(crate) fn forget(&mut self, is_known: impl Fn(&str) -> bool) {
-        self.loaded.retain(|id, _| is_known(id));
+        self.replicas.retain(|id, _| is_known(id));
     }
 
     /// Takes the shell's word on an action.
     pub(crate) fn ended(&mut self, now: Time, report: OrderReport) {
         match report {
-            OrderReport::Order(id, end) => self.order_ended(now, &id, end),
-            OrderReport::Question(id, report) => self.question_ended(now, &id, report),
+            OrderReport::Order(id, start, end) => self.order_ended(now, &id, start, end),
+            OrderReport::Question(id, Some(report)) => self.reported(now, &id, report),
+            OrderReport::Question(id, None) => {
+                let replica = self.replicas.get_mut(&id);
+                if let Some(target) = replica.and_then(|replica| replica.target.as_mut()) {
+                    target.phase = Phase::Resting { until: now + RETRY_PAUSE };
+                }
+            }
         }
     }
 
-    fn order_ended(&mut self, now: Time, id: &str, end: OrderEnd) {
-        let Some(target) = self.targets.get_mut(id) else { return };
+    fn order_ended(&mut self, now: Time, id: &str, start: Start, end: OrderEnd) {
+        let Some(replica) = self.replicas.get_mut(id) else { return };
+        // What became of an order to an earlier incarnation says nothing of this one.
+        if replica.belief.start() != start {
+            return;
+        }
+        let Some(target) = &mut replica.target else { return };
         match end {
             OrderEnd::Accepted => {
                 target.phase = Phase::Loading { since: now, ask_at: now + FIRST_QUESTION };
             }
             OrderEnd::Holds => {
                 let loaded = LoadedModel { model: target.model.clone(), version: target.version };
-                self.targets.remove(id);
-                let word = Word {
-                    instance: id,
-                    start: Start::UNSAID,
-                    count: 0,
-                    source: WordSource::Order,
-                };
-                self.take_word(word, &[loaded]);
+                let word = Word { instance: id, start, count: 0, source: WordSource::Order };
+                replica.target = None;
+                let events = replica.belief.heard(now, word, &[loaded]);
+                self.events.extend(events);
             }
             // An order that got no answer may be carried out seconds later. Given again with the
             // same sequence, at most one of the two is carried out.
             OrderEnd::Unknown | OrderEnd::Conflict => target.phase = Phase::Granted,
             OrderEnd::Fenced => {
-                self.targets.remove(id);
-                self.fenced.insert(id.to_owned());
+                replica.target = None;
+                replica.is_fenced = true;
             }
             OrderEnd::Refused => {
                 target.phase = Phase::Resting { until: now + RETRY_PAUSE };
@@ -200,41 +212,18 @@
         }
     }
 
-    fn question_ended(&mut self, now: Time, id: &str, report: Option<ReplicaReport>) {
-        let Some(report) = report else {
-            if let Some(target) = self.targets.get_mut(id) {
-                target.phase = Phase::Resting { until: now + RETRY_PAUSE };
-            }
-            return;
-        };
-        self.sequences.insert(id.to_owned(), report.sequence);
-        let (start, count) = (report.start, report.sequence);
+    fn reported(&mut self, now: Time, id: &str, report: ReplicaReport) {
+        let term = self.term;
+        let Some(known) = self.replicas.get(id) else { return };
+        // A replica whose reports don't say when it started is taken for the incarnation that is known.
+        let start = if report.start == Start::UNSAID { known.belief.start() } else { report.start };
+        let count = report.sequence;
         let word = Word { instance: id, start, count, source: WordSource::Report };
-        self.take_word(word, &report.models);
-        let Some(target) = self.targets.get(id) else { return };
-        let holds = self.version_of(id, &target.model) >= Some(target.version);
-        if holds && !report.is_busy {
-            self.targets.remove(id);
-            return;
-        }
-        let Some(target) = self.targets.get_mut(id) else { return };
-        let ask_at = now + QUESTION_INTERVAL;
-        match target.phase {
-            // A report lags: what was accepted lately may not show yet.
-            Phase::Loading { since, .. } if report.is_busy || now < since + REPORT_LAG => {
-                target.phase = Phase::Loading { since, ask_at };
-            }
-            Phase::Loading { .. } => target.phase = Phase::Resting { until: now + RETRY_PAUSE },
-            Phase::Asking { .. } if report.is_busy => {
-                target.phase = Phase::Loading { since: now, ask_at };
-            }
-            _ => {}
-        }
-    }
-
-    fn version_of(&self, id: &str, model: &str) -> Option<u32> {
-        let models = self.loaded.get(id)?;
-        models.iter().find(|one| one.model == model).map(|one| one.version)
+        let Some(replica) = self.replica_for(id, start) else { return };
+        replica.sequence = Some(count);
+        let events = replica.belief.reported(now, term, word, &report.models);
+        replica.question_ended(now, report.is_busy);
+        self.events.extend(events);
     }
 
     /// Notes when versions were first seen named.
@@ -250,14 +239,16 @@
         instances: &BTreeMap<InstanceId, Instance>,
         weights: &BTreeMap<String, u32>,
     ) -> Vec<FleetAction> {
-        self.targets.retain(|id, _| instances.get(id).is_some_and(|one| !one.is_draining));
-        self.sequences.retain(|id, _| instances.contains_key(id));
-        self.fenced.retain(|id| instances.contains_key(id));
+        for (id, replica) in &mut self.replicas {
+            let instance = instances.get(id).filter(|one| one.start == replica.belief.start());
+            if instance.is_none_or(|one| one.is_draining) {
+                replica.target = None;
+            }
+        }
         self.admit(now, instances, weights);
         self.grant_orders(now, instances);
-        let ids: Vec<InstanceId> = self.targets.keys().cloned().collect();
-        let steps = ids.iter().filter_map(|id| self.advance(now, fence, &instances[id], weights));
-        steps.collect()
+        let registered = instances.values();
+        registered.filter_map(|one| self.advance(now, fence, one, weights)).collect()
     }
 
     /// Has gateways pass over those that load next.
@@ -272,14 +263,12 @@
             services.entry(&instance.service).or_default().push(instance);
         }
         for replicas in services.values() {
-            let under_way =
-                replicas.iter().filter(|one| self.targets.contains_key(&one.id)).count();
-            let may_be_ordered = |one: &&&Instance| {
-                !self.targets.contains_key(&one.id) && !self.fenced.contains(&one.id)
-            };
-            let lacking = replicas.iter().filter(may_be_ordered);
-            let lacking = lacking.filter_map(|one| {
-                let (model, newest, named) = self.lacking(&one.id, weights)?;
+            let known = replicas.iter().filter_map(|one| Some((one, self.replica_of(one)?)));
+            let known: Vec<_> = known.collect();
+            let under_way = known.iter().filter(|(_, replica)| replica.target.is_some()).count();
+            let free = known.iter().filter(|(_, one)| one.target.is_none() && !one.is_fenced);
+            let lacking = free.filter_map(|(one, replica)| {
+                let (model, newest, named) = self.lacking(&replica.belief, weights)?;
                 Some((named + self.settings.spread, one.id.clone(), model, newest))
             });
             let mut lacking: Vec<_> = lacking.collect();
@@ -287,7 +276,8 @@
             let starting = Schedule::starting(replicas.len(), under_way);
             for (deadline, id, model, version) in lacking.into_iter().take(starting) {
                 let phase = Phase::Pausing { since: now, deadline };
-                self.targets.insert(id, Target { phase, model, version });
+                let replica = self.replicas.entry(id).or_default();
+                replica.target = Some(Target { phase, model, version });
             }
         }
     }
@@ -300,7 +290,7 @@
             *room.entry(&instance.service).or_default() += 1;
         }
         room.values_mut().for_each(|count| *count = Schedule::at_once(*count));
-        for (id, target) in &self.targets {
+        for (id, target) in self.targets() {
             if target.is_loading()
                 && let Some(free) = room.get_mut(instances[id].service.as_str())
             {
@@ -308,7 +298,7 @@
             }
         }
         let mut waiting: Vec<(Time, InstanceId)> = Vec::new();
-        for (id, target) in &self.targets {
+        for (id, target) in self.targets() {
             if let Phase::Pausing { since, deadline } = target.phase
                 && Schedule::is_pause_over(now, since, deadline)
             {
@@ -318,7 +308,8 @@
         waiting.sort();
         for (_, id) in waiting {
             let free = room.get_mut(instances[&id].service.as_str());
-            let (Some(free), Some(target)) = (free, self.targets.get_mut(&id)) else { continue };
+            let target = self.replicas.get_mut(&id).and_then(|replica| replica.target.as_mut());
+            let (Some(free), Some(target)) = (free, target) else { continue };
             if *free > 0 {
                 *free -= 1;
                 target.phase = Phase::Granted;
@@ -326,11 +317,18 @@
         }
     }
 
+    fn targets(&self) -> impl Iterator<Item = (&InstanceId, &Target)> {
+        self.replicas.iter().filter_map(|(id, replica)| Some((id, replica.target.as_ref()?)))
+    }
+
     /// A model of which a replica lacks the newest version: the model, that version, and when the
     /// first version that it lacks was named.
-    fn lacking(&self, id: &str, weights: &BTreeMap<String, u32>) -> Option<(String, u32, Time)> {
-        let models = self.loaded.get(id)?;
-        models.iter().find_map(|loaded| {
+    fn lacking(
+        &self,
+        belief: &Belief,
+        weights: &BTreeMap<String, u32>,
+    ) -> Option<(String, u32, Time)> {
+        belief.models().iter().find_map(|loaded| {
             let newest = weights.get(&loaded.model).copied()?;
             let named = self.schedule.due(&loaded.model, loaded.version)?;
             (newest > loaded.version).then(|| (loaded.model.clone(), newest, named))
@@ -344,26 +342,29 @@
         instance: &Instance,
         weights: &BTreeMap<String, u32>,
     ) -> Option<FleetAction> {
-        let known_sequence = self.sequences.get(&instance.id).copied();
-        let target = self.targets.get_mut(&instance.id)?;
+        let replica = self.replicas.get_mut(&instance.id)?;
+        if replica.belief.start() != instance.start {
+            return None;
+        }
         let question = FleetAction::Question {
             instance: instance.id.clone(),
             address: instance.address.clone(),
         };
+        let Some(target) = &mut replica.target else {
+            return replica.belief.asks(now).then_some(question);
+        };
         match target.phase {
             Phase::Granted => {
                 target.phase = Phase::Asking { since: now };
-                self.sequences.remove(&instance.id);
+                replica.sequence = None;
                 Some(question)
             }
-            Phase::Asking { since } => match known_sequence {
+            // The sequence counts this order; the next one asks anew.
+            Phase::Asking { since } => match replica.sequence.take() {
                 Some(expected_sequence) => {
                     target.phase = Phase::Ordering { since: now };
                     target.version = weights.get(&target.model).copied()?.max(target.version);
-                    let order = target.order(instance, fence, expected_sequence);
-                    // The sequence counts this order; the next one asks anew.
-                    self.sequences.remove(&instance.id);
-                    Some(FleetAction::Order(order))
+                    Some(FleetAction::Order(target.order(instance, fence, expected_sequence)))
                 }
                 None if now >= since + ORDER_LIMIT => {
                     target.phase = Phase::Resting { until: now + RETRY_PAUSE };
@@ -384,7 +385,7 @@
                 Some(question)
             }
             Phase::Resting { until } if now >= until => {
-                self.targets.remove(&instance.id);
+                replica.target = None;
                 None
             }
             _ => None,
@@ -392,17 +393,25 @@
     }
 }
 
-impl Word<'_> {
-    fn event(self, said: &LoadedModel, before: Option<u32>, change: BeliefChange) -> WeightsEvent {
-        WeightsEvent {
-            instance: self.instance.to_owned(),
-            start: self.start,
-            count: self.count,
-            source: self.source,
-            model: said.model.clone(),
-            before,
-            said: said.version,
-            change,
+impl Replica {
+    /// Goes on after a report.
+    fn question_ended(&mut self, now: Time, is_busy: bool) {
+        let Some(target) = &mut self.target else { return };
+        if self.belief.version(&target.model) >= Some(target.version) && !is_busy {
+            self.target = None;
+            return;
+        }
+        let ask_at = now + QUESTION_INTERVAL;
+        match target.phase {
+            // A report lags: what was accepted lately may not show yet.
+            Phase::Loading { since, .. } if is_busy || now < since + REPORT_LAG => {
+                target.phase = Phase::Loading { since, ask_at };
+            }
+            Phase::Loading { .. } => target.phase = Phase::Resting { until: now + RETRY_PAUSE },
+            Phase::Asking { .. } if is_busy => {
+                target.phase = Phase::Loading { since: now, ask_at };
+            }
+            _ => {}
         }
     }
 }
--- a/crates/control/src/fleet/state.rs
+++ b/crates/control/src/fleet/state.rs
@@ -2,6 +2,7 @@
 
 use super::crashes::{CrashLedger, CrashNotes};
 use serde::{Deserialize, Serialize};
+use std::cmp::Ordering;
 use std::collections::BTreeMap;
 use topazmount_types::{Instance, InstanceId, Start, Time};
 
@@ -16,6 +17,9 @@
     /// The text.
     #[serde(with = "serde_bytes")]
     pub bytes: Vec<u8>,
+    /// Services that it declares.
+    #[serde(default)]
+    pub services: Vec<String>,
 }
 
 /// A replica that is no longer registered.
@@ -37,10 +41,14 @@
     PutDocument(Document),
     /// Adds a replica, or changes what is known of it.
     Register(Instance),
-    /// Removes a replica that said that it leaves; it never comes back under this identifier.
+    /// Removes a replica that said that it leaves, whichever incarnation is known: this one never comes back.
     Depart(InstanceId),
-    /// Removes a replica that fell silent; it may come back.
+    /// Removes a replica that fell silent, whichever incarnation is known; it may come back.
     Expire(InstanceId),
+    /// Removes an incarnation that said that it leaves. A later one stays, or may come.
+    Leave(InstanceId, Start),
+    /// Removes an incarnation that fell silent; it may come back. A later one stays.
+    FallSilent(InstanceId, Start),
     /// Names a version of a model's weights.
     NameWeights {
         /// Model.
@@ -73,11 +81,36 @@
     /// Whether it had said that it leaves.
     #[serde(default)]
     was_announced: bool,
+    /// Its last incarnation.
+    #[serde(default)]
+    start: Start,
+}
+
+/// What a replica's word of itself is to the registry.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Registration {
+    /// It changes what is registered.
+    News,
+    /// It says what is registered.
+    Known,
+    /// It is of an incarnation that left, or that a later one, or another replica at its address, has replaced.
+    Superseded,
+    /// Nobody who speaks for a replica says this.
+    Foreign(ForeignCause),
+}
+
+/// Why word under a replica's identifier can't be that replica's.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum ForeignCause {
+    /// It names a service that is not declared, and would end a replica of one that is.
+    UndeclaredService,
+    /// It names another service or address than the same incarnation before.
+    OtherPlace,
 }
 
 /// Replicated state. Invariants: the document's version and each model's version only rise; a
-/// draining replica never counts as ready again; a replica that left, or whose address was taken
-/// over, never comes back.
+/// draining incarnation never counts as ready again; an incarnation that left, or whose address was taken
+/// over, or that a later one has replaced, never comes back; nothing of an earlier one is kept for a later one.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct FleetState {
     document: Option<Document>,
@@ -124,18 +157,58 @@
 
     /// Whether a registration would change anything.
     pub fn is_news(&self, instance: &Instance) -> bool {
-        if self.is_gone(&instance.id) {
-            return false;
+        self.judge(instance) == Registration::News
+    }
+
+    /// What a replica's word of itself is to what is registered, in whichever order word comes in.
+    pub fn judge(&self, said: &Instance) -> Registration {
+        if self.is_gone(&said.id, said.start) {
+            return Registration::Superseded;
+        }
+        if let Some(cause) = self.foreign_cause(said) {
+            return Registration::Foreign(cause);
         }
-        match self.instances.get(&instance.id) {
-            None => true,
-            Some(known) => !is_same(known, &merged(known, instance.clone())),
+        let Some(known) = self.instances.get(&said.id) else { return Registration::News };
+        match said.start.cmp(&known.start) {
+            Ordering::Less => Registration::Superseded,
+            Ordering::Greater => Registration::News,
+            Ordering::Equal if *known == merged(known, said.clone()) => Registration::Known,
+            Ordering::Equal => Registration::News,
+        }
+    }
+
+    /// Guards replicas against another writer's word under their identifier, or at their address. Registration of a service
+    /// that is not declared is no fault by itself: that of its replicas may come before the document that declares it.
+    fn foreign_cause(&self, said: &Instance) -> Option<ForeignCause> {
+        let ends = |known: &&Instance| known.id == said.id || known.address == said.address;
+        let mut ended = self.instances.values().filter(ends);
+        if !self.is_declared(&said.service) && ended.any(|known| self.is_declared(&known.service)) {
+            return Some(ForeignCause::UndeclaredService);
         }
+        let known = self.instances.get(&said.id)?;
+        let is_same = known.start == said.start && said.start != Start::UNSAID;
+        let is_elsewhere = known.service != said.service || known.address != said.address;
+        let is_other = is_same && is_elsewhere && self.is_declared(&known.service);
+        is_other.then_some(ForeignCause::OtherPlace)
+    }
+
+    /// Whether the document declares a service; where it does not say, it may.
+    fn is_declared(&self, service: &str) -> bool {
+        let services = self.document.as_ref().map_or(&[][..], |document| &document.services);
+        services.is_empty() || services.iter().any(|declared| declared == service)
     }
 
-    /// Whether a replica left for good.
-    pub fn is_gone(&self, id: &str) -> bool {
-        self.removals.get(id).is_some_and(|removal| removal.is_final)
+    /// Whether an incarnation left for good.
+    pub fn is_gone(&self, id: &str, start: Start) -> bool {
+        self.removals.get(id).is_some_and(|removal| removal.is_final && start <= removal.start)
+    }
+
+    /// Whether a departure would change anything. One that names no incarnation means the one that is known.
+    pub fn is_leaving_news(&self, id: &str, start: Start) -> bool {
+        match self.instances.get(id) {
+            Some(known) => start == Start::UNSAID || start >= known.start,
+            None => !self.is_gone(id, start),
+        }
     }
 
     /// Replicas changed and removed after a revision; `true` stands for the whole list.
@@ -147,7 +220,7 @@
         let removed = removed.map(|(id, removal)| RemovedInstance {
             id: id.clone(),
             was_announced: removal.was_announced,
-            start: Start::UNSAID,
+            start: removal.start,
         });
         (changed.cloned().collect(), if is_full { Vec::new() } else { removed.collect() }, is_full)
     }
@@ -161,14 +234,10 @@
                 }
             }
             FleetCommand::Register(instance) => self.register(instance),
-            FleetCommand::Depart(id) => self.remove(id, true, true),
-            FleetCommand::Expire(id) => {
-                if self.instances.get(&id).is_some_and(|one| !one.is_draining) {
-                    self.remove(id, false, false);
-                } else if self.instances.contains_key(&id) {
-                    self.remove(id, true, true);
-                }
-            }
+            FleetCommand::Depart(id) => self.leave(id, Start::UNSAID),
+            FleetCommand::Leave(id, start) => self.leave(id, start),
+            FleetCommand::Expire(id) => self.fall_silent(id, None),
+            FleetCommand::FallSilent(id, start) => self.fall_silent(id, Some(start)),
             FleetCommand::NameWeights { model, version } => {
                 let known = self.weights.entry(model).or_default();
                 *known = version.max(*known);
@@ -187,6 +256,7 @@
         for removal in self.removals.values_mut() {
             removal.is_final |= removal.address == instance.address;
         }
+        self.removals.remove(&instance.id);
         let before = self
             .instances
             .values()
@@ -195,24 +265,43 @@
             self.remove(before, true, is_draining);
         }
         self.revision += 1;
-        self.removals.remove(&instance.id);
         let mut next = match self.instances.get(&instance.id) {
-            Some(known) => merged(known, instance),
-            None => instance,
+            Some(known) if known.start == instance.start => merged(known, instance),
+            _ => instance,
         };
         next.changed_at = self.revision;
         self.instances.insert(next.id.clone(), next);
     }
 
+    fn leave(&mut self, id: InstanceId, start: Start) {
+        if self.is_leaving_news(&id, start) {
+            self.remove(id.clone(), true, true);
+            if let Some(removal) = self.removals.get_mut(&id) {
+                removal.start = removal.start.max(start);
+            }
+        }
+    }
+
+    /// A draining replica that falls silent has left.
+    fn fall_silent(&mut self, id: InstanceId, start: Option<Start>) {
+        let Some(known) = self.instances.get(&id) else { return };
+        if start.is_none_or(|start| start == known.start) {
+            let is_draining = known.is_draining;
+            self.remove(id, is_draining, is_draining);
+        }
+    }
+
     fn remove(&mut self, id: InstanceId, is_final: bool, was_announced: bool) {
         let known = self.instances.remove(&id);
         if known.is_none() && !is_final {
             return;
         }
         self.revision += 1;
+        let before = self.removals.get(&id).map(|removal| removal.start).unwrap_or_default();
+        let start = known.as_ref().map_or(before, |known| known.start);
         let address = known.map(|known| known.address).unwrap_or_default();
         let revision = self.revision;
-        self.removals.insert(id, Removal { revision, is_final, address, was_announced });
+        self.removals.insert(id, Removal { revision, is_final, address, was_announced, start });
         if self.removals.len() > KEPT_REMOVALS {
             let oldest = self.removals.iter().min_by_key(|(_, removal)| removal.revision);
             if let Some((id, revision)) = oldest.map(|(id, removal)| (id.clone(), removal.revision))
@@ -229,7 +318,3 @@
     let is_draining = known.is_draining || reported.is_draining;
     Instance { is_draining, changed_at: known.changed_at, ..reported }
 }
-
-fn is_same(left: &Instance, right: &Instance) -> bool {
-    left == right
-}
--- a/crates/control/src/fleet_member.rs
+++ b/crates/control/src/fleet_member.rs
@@ -23,9 +23,9 @@
             FleetRequest::HeartbeatsHeard(reports) => {
                 self.on_heartbeats_heard(now, token, &reports);
             }
-            FleetRequest::Depart(id, _) => {
-                let is_gone = self.state.fleet.is_gone(&id);
-                self.change(now, token, FleetCommand::Depart(id), is_gone);
+            FleetRequest::Depart(id, start) => {
+                let is_known = !self.state.fleet.is_leaving_news(&id, start);
+                self.change(now, token, FleetCommand::Leave(id, start), is_known);
             }
             FleetRequest::PutDocument(document) => {
                 let is_old = document.version <= self.state.fleet.version();
--- a/crates/control/src/heartbeats.rs
+++ b/crates/control/src/heartbeats.rs
@@ -5,7 +5,7 @@
 //! the leader, 1,004 replicas took 91% of the processor of its machine and 3% of the middle member's; spread, and with lists told by
 //! changes, 36% and 5% (means over a day of 40 s).
 
-use crate::fleet::{FleetRequest, FleetResponse, InstanceReport};
+use crate::fleet::{FleetRequest, FleetResponse, InstanceReport, Registration};
 use crate::member::{Member, MemberOutput, Token};
 use crate::protocol::{Request, Response};
 use std::collections::BTreeMap;
@@ -25,7 +25,12 @@
 
 impl Heartbeats {
     fn note(&mut self, report: InstanceReport) {
-        self.heard.insert(report.instance.id.clone(), report);
+        let order = |one: &InstanceReport| (one.instance.start, one.count);
+        let known = self.heard.get(&report.instance.id);
+        // A late one must not take the place of a newer one, nor of a later incarnation's.
+        if known.is_none_or(|known| order(known) <= order(&report)) {
+            self.heard.insert(report.instance.id.clone(), report);
+        }
     }
 
     /// What the leader should hear now.
@@ -44,14 +49,20 @@
         // What a follower has applied is committed; whether something newer is, it knows while it is current.
         let may_answer =
             if leads { self.replica.may_read(now) } else { self.replica.is_current(now) };
-        if self.state.fleet.is_gone(&report.instance.id) {
+        let judged = self.state.fleet.judge(&report.instance);
+        let refusal = match judged {
+            Registration::Superseded => Some(FleetResponse::Superseded),
+            Registration::Foreign(cause) => Some(FleetResponse::Foreign(cause)),
+            Registration::Known | Registration::News => None,
+        };
+        if let Some(refusal) = refusal {
             let response = match may_answer {
-                true => Response::Fleet(FleetResponse::Superseded),
+                true => Response::Fleet(refusal),
                 false => self.not_leader(now),
             };
             return self.respond(token, response);
         }
-        let is_known = !self.state.fleet.is_news(&report.instance);
+        let is_known = judged == Registration::Known;
         if !leads && is_known && may_answer {
             self.heartbeats.note(report);
             return self.respond(token, Response::Fleet(FleetResponse::Done));
@@ -73,7 +84,9 @@
             let response = self.not_leader(now);
             return self.respond(token, response);
         }
-        let known = reports.iter().filter(|one| !self.state.fleet.is_news(&one.instance));
+        let is_known =
+            |one: &&InstanceReport| self.state.fleet.judge(&one.instance) == Registration::Known;
+        let known = reports.iter().filter(is_known);
         for report in known {
             self.fleet.heartbeat(now, report);
         }
--- a/crates/control/tests/fleet_state.rs
+++ b/crates/control/tests/fleet_state.rs
@@ -29,7 +29,7 @@
     let mut state = FleetState::default();
     for (version, text) in [(3, "three"), (2, "two"), (3, "another three"), (5, "five"), (4, "4")] {
         let bytes = text.as_bytes().to_vec();
-        state.apply(FleetCommand::PutDocument(Document { version, bytes }));
+        state.apply(FleetCommand::PutDocument(Document { version, bytes, services: Vec::new() }));
     }
     let document = state.document().unwrap();
     assert_eq!((document.version, document.bytes.as_slice()), (5, b"five".as_slice()));
--- a/crates/control/tests/fleet_world/mod.rs
+++ b/crates/control/tests/fleet_world/mod.rs
@@ -166,7 +166,7 @@
                 self.orders.push((self.now, order.clone()));
                 let replica = self.replicas.get_mut(&order.instance).unwrap();
                 let end = replica.take(self.now, order.clone());
-                OrderReport::Order(order.instance, end)
+                OrderReport::Order(order.instance, order.start, end)
             }
             FleetAction::Question { instance, .. } => {
                 let replica = &self.replicas[&instance];
--- a/crates/control/tests/suspension.rs
+++ b/crates/control/tests/suspension.rs
@@ -92,7 +92,7 @@
     fn change(&mut self) {
         for host in HOSTS {
             let version = self.next_version;
-            let document = Document { version, bytes: Vec::new() };
+            let document = Document { version, ..Document::default() };
             let request = Request::Fleet(FleetRequest::PutDocument(document));
             if let Some(token) = self.world.ask(host, request) {
                 self.changes.insert(token, version);
--- a/crates/topazmount/src/control_log.rs
+++ b/crates/topazmount/src/control_log.rs
@@ -73,7 +73,7 @@
     /// Logs what the leader made of a replica's word on its weights. A replica may say the same with each heartbeat.
     pub(crate) fn weights(&self, event: &WeightsEvent) {
         match event.change {
-            BeliefChange::Taken => log::info!("weights: {event}"),
+            BeliefChange::Taken | BeliefChange::TakenBack => log::info!("weights: {event}"),
             BeliefChange::Kept => {
                 let matter = format!("{} {} {}", event.instance, event.start, event.said);
                 self.once(matter, || log::info!("weights: {event}"));
--- a/crates/topazmount/src/fleet/control_service.rs
+++ b/crates/topazmount/src/fleet/control_service.rs
@@ -170,6 +170,11 @@
                     log::info!("control: event=heartbeat_superseded id={id}");
                 }
                 match answer {
+                    Some((FleetResponse::Foreign(cause), _)) => {
+                        self.metrics.event("heartbeat_foreign");
+                        log::info!("control: event=heartbeat_foreign id={id} reason={cause:?}");
+                        self.dialect.plain_answer(409, "this is not that replica's")
+                    }
                     Some((_, leader)) => self.dialect.heartbeat_answer(self.control_of(leader)),
                     None => self.unavailable(),
                 }
--- a/crates/topazmount/src/fleet/orders.rs
+++ b/crates/topazmount/src/fleet/orders.rs
@@ -52,7 +52,7 @@
                 order.fence,
                 order.expected_sequence
             );
-            OrderReport::Order(order.instance, end)
+            OrderReport::Order(order.instance, order.start, end)
         }
         FleetAction::Question { instance, address } => {
             let answer = send(&address, dialect.report_call()).await;
