--- a/crates/control/src/fleet/state.rs
+++ b/crates/control/src/fleet/state.rs
@@ -169,6 +169,9 @@
             return Registration::Foreign(cause);
         }
         let Some(known) = self.instances.get(&said.id) else { return Registration::News };
+        if self.outranks(said, known) {
+            return Registration::News;
+        }
         match said.start.cmp(&known.start) {
             Ordering::Less => Registration::Superseded,
             Ordering::Greater => Registration::News,
@@ -192,6 +195,11 @@
         is_other.then_some(ForeignCause::OtherPlace)
     }
 
+    /// Whether a replica's own word comes after another writer's under its identifier, whatever start that one named.
+    fn outranks(&self, said: &Instance, known: &Instance) -> bool {
+        self.is_declared(&said.service) && !self.is_declared(&known.service)
+    }
+
     /// Whether the document declares a service; where it does not say, it may.
     fn is_declared(&self, service: &str) -> bool {
         let services = self.document.as_ref().map_or(&[][..], |document| &document.services);
@@ -266,7 +274,9 @@
         }
         self.revision += 1;
         let mut next = match self.instances.get(&instance.id) {
-            Some(known) if known.start == instance.start => merged(known, instance),
+            Some(known) if known.start == instance.start && !self.outranks(&instance, known) => {
+                merged(known, instance)
+            }
             _ => instance,
         };
         next.changed_at = self.revision;
--- a/crates/control/tests/fleet_state.rs
+++ b/crates/control/tests/fleet_state.rs
@@ -1,6 +1,6 @@
 //! Replicated state of the fleet: versions only rise, and who left stays away.
 
-use topazmount_control::{Document, FleetCommand, FleetState};
+use topazmount_control::{Document, FleetCommand, FleetState, ForeignCause, Registration};
 use topazmount_types::{Instance, Start};
 
 fn instance(id: &str, address: &str) -> Instance {
@@ -178,3 +178,120 @@
     assert_eq!(removed_by(&expire), Some(false));
     assert_eq!(removed_by(&replace), Some(false));
 }
+
+/// What is said of one identifier, by incarnations that started one after the other.
+#[derive(Clone, Copy)]
+enum Said {
+    /// An incarnation's heartbeat.
+    Ready(u64),
+    /// An incarnation drains.
+    Draining(u64),
+    /// An incarnation leaves.
+    Left(u64),
+    /// An incarnation fell silent.
+    Silent(u64),
+    /// A departure that names no incarnation.
+    LeftUnnamed,
+    /// Another writer's heartbeat: a service that nobody declared.
+    Undeclared(u64),
+    /// Another writer's heartbeat: the incarnation, at another address.
+    Elsewhere(u64),
+}
+
+fn say(state: &mut FleetState, said: Said) {
+    let of = |start| Instance { start: Start(start), ..instance("r", "1:1") };
+    let command = match said {
+        Said::Ready(start) => FleetCommand::Register(of(start)),
+        Said::Draining(start) => {
+            FleetCommand::Register(Instance { is_draining: true, ..of(start) })
+        }
+        Said::Left(start) => FleetCommand::Leave("r".to_owned(), Start(start)),
+        Said::Silent(start) => FleetCommand::FallSilent("r".to_owned(), Start(start)),
+        Said::LeftUnnamed => FleetCommand::Depart("r".to_owned()),
+        Said::Undeclared(start) => {
+            FleetCommand::Register(Instance { service: "nobody".to_owned(), ..of(start) })
+        }
+        Said::Elsewhere(start) => {
+            FleetCommand::Register(Instance { address: "9:9".to_owned(), ..of(start) })
+        }
+    };
+    state.apply(command);
+}
+
+fn declared(services: &[&str]) -> FleetState {
+    let mut state = FleetState::default();
+    let services = services.iter().map(|name| (*name).to_owned()).collect();
+    state.apply(FleetCommand::PutDocument(Document { version: 1, services, bytes: Vec::new() }));
+    state
+}
+
+/// Whatever the order in which word of a replica's incarnations comes in, what belongs to an earlier one counts nothing
+/// for a later one: the last column is the incarnation that is left, and whether it drains.
+macro_rules! orders_of_arrival {
+    ($($name:ident: $($said:ident $(($start:literal))?),+ => $left:expr;)*) => {$(
+        #[test]
+        fn $name() {
+            let mut state = declared(&["pool"]);
+            for said in [$(Said::$said $(($start))?),+] {
+                say(&mut state, said);
+            }
+            let left = state.instances().get("r");
+            assert_eq!(left.map(|one| (one.start.0, one.is_draining)), $left);
+            assert!(left.is_none_or(|one| one.service == "pool" && one.address == "1:1"));
+        }
+    )*};
+}
+
+orders_of_arrival! {
+    a_later_start_replaces_the_earlier_one: Ready(1), Ready(2) => Some((2, false));
+    a_late_heartbeat_of_the_earlier_start: Ready(1), Ready(2), Ready(1) => Some((2, false));
+    the_earlier_start_is_heard_first_after_the_later_one: Ready(2), Ready(1) => Some((2, false));
+    draining_ends_with_the_incarnation: Draining(1), Ready(2) => Some((2, false));
+    a_late_draining_of_the_earlier_start: Ready(2), Draining(1) => Some((2, false));
+    a_late_departure_of_the_earlier_start: Ready(1), Ready(2), Left(1) => Some((2, false));
+    a_departure_before_the_next_start: Ready(1), Left(1), Ready(2) => Some((2, false));
+    a_departed_start_stays_away: Ready(1), Left(1), Ready(1) => None;
+    a_departure_is_heard_before_the_heartbeat: Left(2), Ready(2) => None;
+    an_earlier_departure_is_heard_first: Left(1), Ready(2) => Some((2, false));
+    a_departure_ends_all_earlier_starts: Ready(2), Left(2), Ready(1) => None;
+    a_later_departure_ends_the_earlier_start: Ready(1), Left(2) => None;
+    an_unnamed_departure_ends_whom_it_finds: Ready(1), Ready(2), LeftUnnamed, Ready(2) => None;
+    an_unnamed_departure_spares_the_next_start: Ready(1), LeftUnnamed, Ready(2) => Some((2, false));
+    silence_of_the_earlier_start: Ready(1), Ready(2), Silent(1) => Some((2, false));
+    silence_and_back: Ready(2), Silent(2), Ready(2) => Some((2, false));
+    silence_and_the_next_start: Ready(1), Silent(1), Ready(2) => Some((2, false));
+    silence_of_a_draining_start: Draining(1), Silent(1), Ready(1) => None;
+    after_silence_a_start_that_a_stepped_clock_dates_back: Ready(2), Silent(2), Ready(1) => Some((1, false));
+    without_a_start_nothing_of_a_started_one_changes: Ready(2), Draining(0), Ready(0) => Some((2, false));
+    a_start_is_learned_later: Ready(0), Ready(2) => Some((2, false));
+    another_writer_names_an_undeclared_service: Ready(1), Undeclared(1) => Some((1, false));
+    another_writer_invents_a_later_start: Ready(1), Undeclared(7), Ready(1) => Some((1, false));
+    another_writer_comes_first: Undeclared(1), Ready(1) => Some((1, false));
+    another_writer_comes_first_with_a_start_that_never_was: Undeclared(7), Silent(7), Ready(1) => Some((1, false));
+    another_writer_goes_on_with_a_start_that_never_was: Undeclared(7), Ready(1), Undeclared(7) => Some((1, false));
+    another_writer_names_another_address: Ready(1), Elsewhere(1) => Some((1, false));
+}
+
+/// Another writer's word at the address of a live replica must not end that one for good.
+#[test]
+fn an_undeclared_service_takes_no_address_of_a_declared_one() {
+    let mut state = declared(&["pool"]);
+    register(&mut state, "r", "1:1");
+    let other = Instance { service: "nobody".to_owned(), ..instance("x", "1:1") };
+    let cause = ForeignCause::UndeclaredService;
+    assert_eq!(state.judge(&other), Registration::Foreign(cause));
+    state.apply(FleetCommand::Register(other.clone()));
+    assert_eq!(ids(&state), ["r"]);
+    // Once the replica is gone, its address is free.
+    state.apply(FleetCommand::Expire("r".to_owned()));
+    assert_eq!(state.judge(&other), Registration::News);
+}
+
+/// Replicas may be heard of before the document that declares their service.
+#[test]
+fn an_undeclared_service_is_registered_where_it_ends_nobody() {
+    let mut state = declared(&["pool"]);
+    let early = Instance { service: "next".to_owned(), ..instance("n", "2:2") };
+    state.apply(FleetCommand::Register(early.clone()));
+    assert_eq!(state.judge(&early), Registration::Known);
+}
--- a/crates/control/tests/fleet_world/mod.rs
+++ b/crates/control/tests/fleet_world/mod.rs
@@ -59,6 +59,7 @@
     pub orders: Vec<(Time, WeightsOrder)>,
     pub most_loading: usize,
     pub led_at: Option<Time>,
+    settings: MemberSettings,
 }
 
 pub fn instance(id: &str) -> Instance {
@@ -87,7 +88,8 @@
             seeds: Vec::new(),
         };
         let now = Time::from_secs(1_000);
-        let member = Member::open(MemoryDisk::default(), settings, Some(&founding), now).unwrap();
+        let disk = MemoryDisk::default();
+        let member = Member::open(disk, settings.clone(), Some(&founding), now).unwrap();
         let mut world = World {
             member,
             now,
@@ -97,6 +99,7 @@
             orders: Vec::new(),
             most_loading: 0,
             led_at: None,
+            settings,
         };
         for number in 0..replicas {
             world.add(&format!("r{number:02}"), Manner::Obeys);
@@ -122,6 +125,13 @@
         self.replicas.insert(id.to_owned(), replica);
     }
 
+    /// The member starts again, and leads in a new term with nothing but its disk.
+    pub fn change_leader(&mut self) {
+        let disk = self.member.disk().clone();
+        self.member = Member::open(disk, self.settings.clone(), None, self.now).unwrap();
+        self.led_at = None;
+    }
+
     pub fn send(&mut self, request: FleetRequest) -> Token {
         self.next_token += 1;
         let token = Token(self.next_token);
@@ -201,9 +211,11 @@
 
     /// A replica crashes and starts again under its identifier with a version of the weights. It knows nothing of before.
     pub fn restart(&mut self, id: &str, start: u64, version: u32) {
-        let manner = self.replicas[id].manner;
-        self.add(id, manner);
+        let before = self.replicas.remove(id).unwrap();
+        self.add(id, before.manner);
         let replica = self.replicas.get_mut(id).unwrap();
+        // An order on its way reaches whoever lives there by then.
+        replica.late = before.late;
         replica.start = Start(start);
         replica.version = version;
         replica.reported = (version, false, 0);
