Tests: late orders, late heartbeats and ends of orders across incarnations; heartbeats without a start are not ordered by number

Found by the test of a replica that never says when it started: its numbers begin anew unseen, so that its heartbeats counted as late for as long as it had lived before.

--- a/crates/control/src/fleet/belief.rs
+++ b/crates/control/src/fleet/belief.rs
@@ -63,9 +63,10 @@
         self.models.iter().find(|one| one.model == model).map(|one| one.version)
     }
 
-    /// Whether a heartbeat is older than one that was heard. Those without a number can't be ordered.
-    pub(super) fn is_late(&self, count: u64) -> bool {
-        count > 0 && count < self.count
+    /// Whether a heartbeat is older than one that was heard. Numbers begin anew with each start, so that they order nothing
+    /// where none is said.
+    fn is_late(&self, count: u64) -> bool {
+        self.start != Start::UNSAID && count > 0 && count < self.count
     }
 
     /// Takes a heartbeat of this incarnation. Returns what differed from what was known.
--- a/crates/control/tests/fleet_world/mod.rs
+++ b/crates/control/tests/fleet_world/mod.rs
@@ -9,7 +9,7 @@
     CrashNotes, FleetAction, FleetRequest, FleetResponse, FleetView, Founding, InstanceReport,
     InstanceStatus, LoadedModel, Member, MemberInput, MemberOutput, MemberSettings, OrderEnd,
     OrderReport, ReplicaReport, Request, Response, RolloutSettings, Seen, Token, WatchRequest,
-    WeightsOrder,
+    WeightsEvent, WeightsOrder,
 };
 use topazmount_settings::SourceFiles;
 use topazmount_types::{Instance, Start, Time};
@@ -59,6 +59,8 @@
     pub orders: Vec<(Time, WeightsOrder)>,
     pub most_loading: usize,
     pub led_at: Option<Time>,
+    /// What the leader made of word of weights.
+    pub heard: Vec<WeightsEvent>,
     settings: MemberSettings,
 }
 
@@ -99,6 +101,7 @@
             orders: Vec::new(),
             most_loading: 0,
             led_at: None,
+            heard: Vec::new(),
             settings,
         };
         for number in 0..replicas {
@@ -161,8 +164,8 @@
                 MemberOutput::Send(..)
                 | MemberOutput::Tell(..)
                 | MemberOutput::Ask(..)
-                | MemberOutput::Note(_)
-                | MemberOutput::Weights(_) => {}
+                | MemberOutput::Note(_) => {}
+                MemberOutput::Weights(event) => self.heard.push(event),
             }
         }
         if self.led_at.is_none() && self.member.replica().has_lease(self.now) {
--- a/crates/control/tests/restarted_replicas.rs
+++ b/crates/control/tests/restarted_replicas.rs
@@ -2,9 +2,12 @@
 
 mod fleet_world;
 
-use fleet_world::{SPREAD, World};
+use fleet_world::{HEARTBEAT, Manner, SPREAD, World};
 use std::time::Duration;
-use topazmount_control::Availability;
+use topazmount_control::{
+    Availability, BeliefChange, FleetRequest, OrderEnd, OrderReport, WordSource,
+};
+use topazmount_types::Start;
 
 /// Time for which a replica is down between two starts.
 const DOWN: Duration = Duration::from_millis(400);
@@ -50,3 +53,99 @@
     let versions: Vec<u32> = restarted.iter().map(|id| world.replicas[*id].version).collect();
     assert_eq!(versions, [2; 4], "{} orders", world.orders.len() - orders_before);
 }
+
+/// An order without an answer may be carried out by the next incarnation, whose count of orders can fit. The older weights that
+/// it brings are noticed and replaced within the bound, and the log tells both versions and the incarnation.
+#[test]
+fn a_late_order_that_the_next_incarnation_carries_out_is_made_good() {
+    let mut world = world_on_second_version();
+    // Its second order, which expects one before, is lost on its way.
+    world.replicas.get_mut("r05").unwrap().manner = Manner::LateOnce;
+    world.name(3);
+    while world.replicas["r05"].late.is_none() {
+        world.run_for(Duration::from_millis(10));
+    }
+    let (order, _) = world.replicas.get_mut("r05").unwrap().late.take().unwrap();
+    assert_eq!((order.version, order.expected_sequence), (3, 1));
+    world.restart("r05", SECOND, 1);
+    world.name(4);
+    world.run_for(SPREAD);
+    let now = world.now;
+    let replica = world.replicas.get_mut("r05").unwrap();
+    assert_eq!((replica.version, replica.sequence), (4, 1), "one order in this life");
+    assert_eq!(replica.carry_out(now, &order), OrderEnd::Accepted, "its count fits");
+    world.run_for(Duration::from_secs(1));
+    assert_eq!(world.replicas["r05"].version, 3);
+    world.run_for(SPREAD);
+    assert_eq!(world.replicas["r05"].version, 4);
+    let status = world.status("r05");
+    assert_eq!((status.models[0].version, status.start), (4, Start(SECOND)));
+    assert!(status.correction.1 > 0, "gateways take back what they believed");
+    let taken_back = world.heard.iter().find(|event| event.change == BeliefChange::TakenBack);
+    let event = taken_back.expect("a line tells of it");
+    assert_eq!((event.before, event.said, event.start), (Some(4), 3, Start(SECOND)));
+    assert_eq!(event.source, WordSource::Report);
+}
+
+/// The end of an order to the earlier incarnation comes in when the next one has an order to come.
+#[test]
+fn the_end_of_an_order_to_an_earlier_incarnation_says_nothing_of_the_next_one() {
+    let mut world = world_on_second_version();
+    world.replicas.get_mut("r07").unwrap().manner = Manner::Refuses;
+    world.restart("r07", SECOND, 1);
+    world.run_for(HEARTBEAT);
+    for end in [OrderEnd::Holds, OrderEnd::Fenced, OrderEnd::Accepted] {
+        let report = OrderReport::Order("r07".to_owned(), Start(FIRST + 7), end);
+        world.send(FleetRequest::OrderEnded(report));
+        world.run_for(Duration::from_millis(100));
+        assert_eq!(world.status("r07").models[0].version, 1, "{end:?}");
+    }
+    world.replicas.get_mut("r07").unwrap().manner = Manner::Obeys;
+    world.run_for(SPREAD);
+    assert_eq!(world.replicas["r07"].version, 2);
+}
+
+/// Heartbeats that come out of order, of one incarnation and of the one before, neither raise nor lower what is known.
+#[test]
+fn late_heartbeats_change_nothing_that_is_known_of_weights() {
+    let mut world = world_on_second_version();
+    let of_before = world.next_heartbeat("r03");
+    world.restart("r03", SECOND, 1);
+    let first = world.next_heartbeat("r03");
+    world.run_for(SPREAD);
+    assert_eq!(world.replicas["r03"].version, 2);
+    let (orders, heard) = (world.orders.len(), world.heard.len());
+    for late in [of_before, first] {
+        world.send(FleetRequest::Heartbeat(late));
+        let status = world.status("r03");
+        assert_eq!((status.models[0].version, status.start), (2, Start(SECOND)));
+    }
+    world.run_for(SPREAD);
+    assert_eq!(world.orders.len(), orders, "no order follows");
+    assert_eq!(world.heard.len(), heard, "nothing was made of them");
+}
+
+/// A replica that never says when it started is heard as before: its heartbeats raise versions, and its report is believed where
+/// it goes back.
+#[test]
+fn a_replica_without_a_start_that_goes_back_is_asked_and_ordered_again() {
+    let mut world = World::new(6);
+    world.run_for(Duration::from_secs(10));
+    world.name(2);
+    world.run_for(SPREAD);
+    world.restart("r02", 0, 1);
+    world.run_for(SPREAD);
+    assert_eq!(world.replicas["r02"].version, 2);
+}
+
+/// A new leader must not open what the one before barred, before it has heard from it.
+#[test]
+fn a_new_leader_says_nothing_of_replicas_that_it_has_not_heard() {
+    let mut world = world_on_second_version();
+    world.replicas.get_mut("r01").unwrap().is_silent = true;
+    world.change_leader();
+    world.run_for(Duration::from_secs(3));
+    let (_, statuses) = world.view().statuses.unwrap();
+    assert_eq!(statuses.len(), 11);
+    assert!(statuses.iter().all(|status| status.id != "r01"));
+}
