--- a/crates/control/src/fleet/mod.rs
+++ b/crates/control/src/fleet/mod.rs
@@ -14,6 +14,7 @@
 mod rollout;
 mod schedule;
 mod state;
+mod target;
 
 pub use crashes::{BlockedRequest, CRASHES_TO_BLOCK, CrashLedger, CrashNote, CrashNotes};
 pub use events::{BeliefChange, WeightsEvent, WordSource};
--- a/crates/control/src/fleet/rollout.rs
+++ b/crates/control/src/fleet/rollout.rs
@@ -2,9 +2,10 @@
 
 use super::belief::{Belief, REPORT_LAG, Word};
 use super::events::{WeightsEvent, WordSource};
-use super::orders::{FleetAction, LoadMode, OrderEnd, OrderReport, ReplicaReport, WeightsOrder};
+use super::orders::{FleetAction, OrderEnd, OrderReport, ReplicaReport};
 use super::protocol::{Availability, InstanceReport, InstanceStatus, LoadedModel};
 use super::schedule::Schedule;
+use super::target::{Phase, Target};
 use std::collections::BTreeMap;
 use std::time::Duration;
 use topazmount_consensus::Term;
@@ -39,29 +40,6 @@
     }
 }
 
-#[derive(Clone, Copy, Debug, PartialEq)]
-enum Phase {
-    /// Gateways are told to pass it over; its version must be there by the deadline.
-    Pausing { since: Time, deadline: Time },
-    /// Its order may be given.
-    Granted,
-    /// A question is under way before the order.
-    Asking { since: Time },
-    /// An order is under way.
-    Ordering { since: Time },
-    /// It loads.
-    Loading { since: Time, ask_at: Time },
-    /// Something failed; it is tried again.
-    Resting { until: Time },
-}
-
-#[derive(Clone, Debug)]
-struct Target {
-    phase: Phase,
-    model: String,
-    version: u32,
-}
-
 /// What the holder knows of one incarnation of a replica; a later one begins with nothing of it.
 #[derive(Clone, Debug, Default)]
 struct Replica {
@@ -415,26 +393,3 @@
         }
     }
 }
-
-impl Target {
-    fn is_loading(&self) -> bool {
-        !matches!(self.phase, Phase::Pausing { .. } | Phase::Resting { .. })
-    }
-
-    fn is_paused(&self) -> bool {
-        !matches!(self.phase, Phase::Resting { .. })
-    }
-
-    fn order(&self, instance: &Instance, fence: Term, expected_sequence: u64) -> WeightsOrder {
-        WeightsOrder {
-            instance: instance.id.clone(),
-            address: instance.address.clone(),
-            model: self.model.clone(),
-            version: self.version,
-            mode: LoadMode::KeepRuns,
-            fence,
-            expected_sequence,
-            start: instance.start,
-        }
-    }
-}
--- a/crates/control/tests/incarnations.rs
+++ b/crates/control/tests/incarnations.rs
@@ -188,7 +188,7 @@
             return;
         }
         let bound = |one: &&(u32, Time)| now >= one.1.max(self.led_since + CALM) + SPREAD;
-        let Some((oldest, _)) = self.named.iter().filter(bound).next_back().copied() else {
+        let Some((oldest, _)) = self.named.iter().rfind(bound).copied() else {
             return;
         };
         let view = self.world.view();
