--- a/crates/gateway/src/balancer/candidates.rs
+++ b/crates/gateway/src/balancer/candidates.rs
@@ -27,7 +27,9 @@
         now: Time,
     ) -> Vec<InstanceId> {
         let may_serve = |replica: &&Replica| {
-            shard.is_none_or(|shard| shard.contains(replica.key)) && replica.may_take(request)
+            shard.is_none_or(|shard| shard.contains(replica.place))
+                && replica.may_take(request)
+                && !replica.went_back(request, now)
         };
         let mut serving: Vec<&Replica> = self.serving(request.service).filter(may_serve).collect();
         // Weights that are not known may be too old.
--- a/crates/gateway/src/balancer/choice.rs
+++ b/crates/gateway/src/balancer/choice.rs
@@ -3,7 +3,7 @@
 use crate::catalog::EngineParameters;
 use crate::prompt::Prompt;
 use topazmount_routing::RouteRequest;
-use topazmount_types::{Instance, InstanceId, ModelId, Priority, TenantId, WeightsVersion};
+use topazmount_types::{Instance, ModelId, Priority, TenantId, WeightsVersion};
 
 /// What a choice is made for.
 #[derive(Clone, Copy, Debug)]
@@ -21,10 +21,10 @@
     pub namespace: u64,
     /// The tenant whose parts are kept from all others, if it is one.
     pub wall: Option<&'a str>,
-    /// Replicas that were tried already.
-    pub exclude: &'a [InstanceId],
-    /// The only replica that may be chosen, if there is one.
-    pub held_to: Option<&'a InstanceId>,
+    /// Names of the incarnations that were tried already.
+    pub exclude: &'a [String],
+    /// Name of the only incarnation that may be chosen, if there is one.
+    pub held_to: Option<&'a String>,
     /// Parameters of the service's engines, if it has any.
     pub engine: Option<&'a EngineParameters>,
 }
@@ -80,6 +80,8 @@
     pub taken_share: f64,
     /// Version of the model's weights that it is believed to hold.
     pub version: Option<u32>,
+    /// Version that a prompt must name there: the one that it is believed to hold, else the newest named for the model.
+    pub expected: Option<u32>,
     /// Address of a replica with the same weights, or of a store, that probably holds more of the
     /// prompt.
     pub source: Option<String>,
--- a/crates/gateway/src/balancer/holders.rs
+++ b/crates/gateway/src/balancer/holders.rs
@@ -60,6 +60,11 @@
         self.view.learn(parts, slot, incarnation, now);
     }
 
+    /// Forgets what an incarnation was sent that has ended: while it is believed to come, nobody else is noted for it.
+    pub(super) fn ended(&mut self, slot: u32) {
+        self.coming.retain(|_, coming| coming.slot != slot);
+    }
+
     /// For each replica that holds leading parts: what it keeps.
     pub(super) fn kept(
         &self,
--- /dev/null
+++ b/crates/gateway/src/balancer/incarnations.rs
@@ -0,0 +1,181 @@
+//! Which incarnations of replicas are known, and what control and refusals say of their weights.
+//!
+//! What is believed of a replica ends with its incarnation: the next one under the same identifier holds and knows
+//! nothing of before. The control group's list says which one is there, whichever started later by the replica's clock.
+
+use super::Balancer;
+use super::choice::{Choice, ChoiceRequest};
+use super::replica::Replica;
+use std::collections::HashSet;
+use std::time::Duration;
+use topazmount_control::{InstanceStatus, LoadedModel};
+use topazmount_types::{Instance, InstanceId, Start, Time};
+
+/// Time for which a replica that went back to older weights gets no request for a model, unless its status comes before:
+/// the leader learns of it with its next heartbeat, 1.2 s later at most, and tells within the 400 ms of a held question.
+pub const WENT_BACK_PAUSE: Duration = Duration::from_millis(1_600);
+
+/// What was taken back of the beliefs on a replica.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Change {
+    /// Another incarnation is there.
+    Replaced {
+        /// The one that ended.
+        earlier: Instance,
+        /// When the new one started.
+        start: Start,
+    },
+    /// It holds older weights than was believed.
+    WentBack {
+        /// Replica.
+        id: InstanceId,
+        /// Its incarnation.
+        start: Start,
+        /// Model.
+        model: String,
+        /// Version that was believed.
+        before: u32,
+        /// Version that it holds, where that is known.
+        said: Option<u32>,
+    },
+}
+
+/// What was taken back by one piece of news.
+pub type Changes = Vec<Change>;
+
+/// What follows from a replica's refusal of the version that a request named.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Refused {
+    /// The same replica may be asked again, with what is believed now.
+    AskAgain,
+    /// It holds older weights; another replica may be asked.
+    WentBack(Change),
+    /// It was refused for something else; another replica may be asked.
+    Unexplained,
+}
+
+impl Balancer {
+    /// Adds a replica, or takes over what changed of it. One that is known with another start has ended, and nothing of
+    /// it is inherited.
+    pub fn upsert(&mut self, instance: Instance) -> Option<Change> {
+        let mut earlier = None;
+        if let Some(known) = self.replicas.get_mut(&instance.id) {
+            if known.instance.start == instance.start {
+                known.instance = instance;
+                return None;
+            }
+            earlier = Some(known.instance.clone());
+            self.remove(&instance.id);
+        }
+        let (id, slot, start) = (instance.id.clone(), self.next_slot, instance.start);
+        self.next_slot += 1;
+        self.by_slot.insert(slot, id.clone());
+        let mut replica = Replica::new(instance, slot);
+        replica.earlier = earlier.as_ref().map(|one| (one.start, one.is_draining));
+        self.by_key.insert(replica.key.0, id.clone());
+        self.replicas.insert(id, replica);
+        earlier.map(|earlier| Change::Replaced { earlier, start })
+    }
+
+    /// Forgets a replica.
+    pub fn remove(&mut self, id: &str) {
+        if let Some(replica) = self.replicas.remove(id) {
+            self.by_slot.remove(&replica.slot);
+            self.by_key.remove(&replica.key.0);
+            self.holders.ended(replica.slot);
+        }
+    }
+
+    /// Forgets all replicas but these.
+    pub fn retain(&mut self, ids: &HashSet<InstanceId>) {
+        let gone: Vec<InstanceId> =
+            self.replicas.keys().filter(|id| !ids.contains(*id)).cloned().collect();
+        gone.iter().for_each(|id| self.remove(id));
+    }
+
+    /// Replicas known.
+    pub fn instances(&self) -> impl Iterator<Item = &Instance> {
+        self.replicas.values().map(|replica| &replica.instance)
+    }
+
+    /// The incarnation that is known under an identifier.
+    pub fn instance(&self, id: &str) -> Option<&Instance> {
+        self.replicas.get(id).map(|replica| &replica.instance)
+    }
+
+    /// Takes what the leader knows of a replica. A status of another incarnation counts nothing for this one.
+    pub fn set_status(&mut self, status: &InstanceStatus) -> Changes {
+        let known = self.replicas.get_mut(&status.id);
+        let Some(replica) = known.filter(|one| one.instance.start == status.start) else {
+            return Changes::new();
+        };
+        replica.availability = status.availability;
+        replica.went_back_until = Time::ZERO;
+        if status.correction <= replica.correction {
+            for loaded in &status.models {
+                replica.note_version(&loaded.model, loaded.version);
+            }
+            return Changes::new();
+        }
+        replica.correction = status.correction;
+        let before = std::mem::replace(&mut replica.models, status.models.clone());
+        let went_back = |known: &LoadedModel| {
+            let said = replica.version(Some(&known.model));
+            (said < Some(known.version)).then(|| replica.went_back_from(known, said))
+        };
+        before.iter().filter_map(went_back).collect()
+    }
+
+    /// Takes the newest version named for each model. A member that lags tells an older one.
+    pub fn set_named(&mut self, weights: &[LoadedModel]) {
+        for loaded in weights {
+            let known = self.named.entry(loaded.model.clone()).or_default();
+            *known = loaded.version.max(*known);
+        }
+    }
+
+    /// Newest version named for a model, if any ever was.
+    pub(super) fn named(&self, model: Option<&str>) -> Option<u32> {
+        self.named.get(model?).copied()
+    }
+
+    /// Version that a prompt must name at a replica. Where one is named for the model, none begins without: followers tell
+    /// of a replica before its status comes, and its weights may be older than the 8 s bound on them allows.
+    pub(super) fn expected(&self, replica: &Replica, request: &ChoiceRequest<'_>) -> Option<u32> {
+        replica.version(request.model).or(self.named(request.model))
+    }
+
+    /// Takes a replica's refusal of the version that a request named, and the version that it says it holds, if it does.
+    /// What it is taken for must not be newer weights alone: a replica that started again may hold older ones.
+    pub fn refused_version(
+        &mut self,
+        choice: &Choice,
+        model: &str,
+        said: Option<u32>,
+        now: Time,
+    ) -> Refused {
+        let Some(expected) = choice.expected else { return Refused::Unexplained };
+        let named = self.named(Some(model));
+        let Some(replica) = self.chosen_mut(choice) else { return Refused::Unexplained };
+        match said {
+            Some(said) if said == expected => return Refused::Unexplained,
+            Some(said) if said > expected => {
+                replica.note_version(model, said);
+                return Refused::AskAgain;
+            }
+            // Only the named one is left to name, or none where none was.
+            None if named.is_none_or(|named| named > expected) => {
+                replica.forget_version(model);
+                return Refused::AskAgain;
+            }
+            _ => {}
+        }
+        replica.forget_version(model);
+        if let Some(said) = said {
+            replica.note_version(model, said);
+        }
+        replica.went_back_until = now + WENT_BACK_PAUSE;
+        let before = LoadedModel { model: model.to_owned(), version: expected };
+        Refused::WentBack(replica.went_back_from(&before, said))
+    }
+}
--- a/crates/gateway/src/balancer/mod.rs
+++ b/crates/gateway/src/balancer/mod.rs
@@ -9,7 +9,9 @@
 mod choice;
 mod cost;
 mod holders;
+mod incarnations;
 mod news;
+mod progress;
 mod replica;
 mod sharded;
 mod source;
@@ -22,16 +24,15 @@
 pub use choice::{Choice, ChoiceRequest};
 use cost::PREFILL_PRIOR;
 use holders::Holders;
+pub use incarnations::{Change, Changes, Refused, WENT_BACK_PAUSE};
 pub use news::{LoadNews, PromptEvent, TOLD_TOKENS};
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 use replica::Replica;
-use std::collections::{BTreeMap, HashMap, HashSet};
-use std::net::SocketAddr;
+use std::collections::{BTreeMap, HashMap};
 use std::time::Duration;
-use topazmount_control::{Availability, InstanceStatus};
 use topazmount_routing::PolicyTable;
-use topazmount_types::{Incarnation, Instance, InstanceId, Time};
+use topazmount_types::{Incarnation, InstanceId, Time};
 
 /// Age up to which what a replica read is taken from it where settings do not say it.
 pub(crate) const SURELY_KEPT: Duration = Duration::from_millis(1_500);
@@ -43,6 +44,8 @@
     by_slot: HashMap<u32, InstanceId>,
     by_key: HashMap<u64, InstanceId>,
     holders: Holders,
+    /// Newest version named for each model; it only rises.
+    named: HashMap<String, u32>,
     stores: Stores,
     /// Age up to which a replica almost surely holds what it was seen to read or use. Later a store
     /// is the better source, although its link is slower.
@@ -65,6 +68,7 @@
             by_slot: HashMap::new(),
             by_key: HashMap::new(),
             holders: Holders::default(),
+            named: HashMap::new(),
             stores: Stores::default(),
             surely_kept: SURELY_KEPT,
             prefill: HashMap::new(),
@@ -80,78 +84,11 @@
         self.surely_kept = age;
     }
 
-    /// Adds a replica, or takes over what changed of it.
-    pub fn upsert(&mut self, instance: Instance) {
-        if let Some(known) = self.replicas.get_mut(&instance.id) {
-            known.instance = instance;
-            return;
-        }
-        let (id, slot) = (instance.id.clone(), self.next_slot);
-        self.next_slot += 1;
-        self.by_slot.insert(slot, id.clone());
-        let replica = Replica::new(instance, slot);
-        self.by_key.insert(replica.key.0, id.clone());
-        self.replicas.insert(id, replica);
-    }
-
-    /// Forgets a replica.
-    pub fn remove(&mut self, id: &str) {
-        if let Some(replica) = self.replicas.remove(id) {
-            self.by_slot.remove(&replica.slot);
-            self.by_key.remove(&replica.key.0);
-        }
-    }
-
-    /// Forgets all replicas but these.
-    pub fn retain(&mut self, ids: &HashSet<InstanceId>) {
-        let gone: Vec<InstanceId> =
-            self.replicas.keys().filter(|id| !ids.contains(*id)).cloned().collect();
-        gone.iter().for_each(|id| self.remove(id));
-    }
-
-    /// Takes what the leader knows of a replica.
-    pub fn set_status(&mut self, status: &InstanceStatus) {
-        let Some(replica) = self.replicas.get_mut(&status.id) else { return };
-        replica.availability = status.availability;
-        for loaded in &status.models {
-            replica.note_version(&loaded.model, loaded.version);
-        }
-    }
-
-    /// Takes the version that a replica named with an answer.
-    pub fn saw_version(&mut self, id: &str, model: &str, version: u32) {
-        if let Some(replica) = self.replicas.get_mut(id) {
-            replica.note_version(model, version);
-        }
-    }
-
-    /// Notes that a replica holds other weights than was believed.
-    pub fn forget_version(&mut self, id: &str, model: &str) {
-        if let Some(replica) = self.replicas.get_mut(id) {
-            replica.models.retain(|loaded| loaded.model != model);
-        }
-    }
-
     /// Replicas of a service.
     fn serving(&self, service: &str) -> impl Iterator<Item = &Replica> {
         self.replicas.values().filter(move |replica| replica.instance.service == service)
     }
 
-    /// Where a replica listens.
-    pub fn address_of(&self, id: &str) -> Option<SocketAddr> {
-        self.replicas.get(id)?.instance.address.parse().ok()
-    }
-
-    /// Whether a replica has said that it leaves.
-    pub fn is_leaving(&self, id: &str) -> bool {
-        self.replicas.get(id).is_some_and(|replica| replica.instance.is_draining)
-    }
-
-    /// Replicas known.
-    pub fn instances(&self) -> impl Iterator<Item = &Instance> {
-        self.replicas.values().map(|replica| &replica.instance)
-    }
-
     /// Chooses a replica, or none when no replica of the service may be asked.
     pub fn choose(
         &mut self,
@@ -195,6 +132,7 @@
             is_clear: replica.waiting_tokens(now) == 0,
             taken_share: replica.taken_share(now),
             version: replica.version(request.model),
+            expected: self.expected(replica, request),
             source: source.map(|source| source.address),
             save_to: None,
             has_prompt: request.prompt.is_some(),
@@ -245,43 +183,6 @@
         !self.open_replicas(request, None, now).is_empty()
     }
 
-    /// Notes that a request was sent to its choice.
-    pub fn sent(&mut self, choice: &Choice, request: &ChoiceRequest<'_>, now: Time) {
-        let Some(replica) = self.replicas.get_mut(&choice.instance.id) else { return };
-        replica.in_flight += 1;
-        replica.pending_prefill += u64::from(choice.expected_prefill);
-        if let Some(version) = choice.version {
-            let incarnation = replica.incarnation(version);
-            self.holders.sent(&request.shared(), choice.slot, incarnation, now);
-        }
-    }
-
-    /// Notes the first token of a request, `waited` after it was sent: its prompt is read.
-    pub fn first_token(
-        &mut self,
-        choice: &Choice,
-        request: &ChoiceRequest<'_>,
-        waited: Duration,
-        now: Time,
-    ) {
-        let waited_ms = waited.as_secs_f64() * 1_000.0;
-        if choice.is_clear && request.prompt.is_some() {
-            let estimate = self.prefill.entry(request.service.to_owned());
-            let estimate = estimate.or_insert_with(|| PrefillEstimator::new(PREFILL_PRIOR));
-            estimate.note(choice.expected_prefill, waited_ms);
-        }
-        let expected_ms = f64::from(choice.expected_prefill) / self.prefill_rate(request.service);
-        let Some(replica) = self.replicas.get_mut(&choice.instance.id) else { return };
-        let expected = u64::from(choice.expected_prefill);
-        replica.pending_prefill = replica.pending_prefill.saturating_sub(expected);
-        replica.note_delay((waited_ms - expected_ms).max(0.0), now);
-        replica.heard_at = now;
-        if let Some(version) = choice.version {
-            let incarnation = replica.incarnation(version);
-            self.holders.read(&request.shared(), choice.slot, incarnation, now);
-        }
-    }
-
     /// What other nodes should know of a prompt. Where each tells all others, short prompts are not
     /// worth a message, nor is their end.
     pub fn news(
@@ -306,7 +207,7 @@
     }
 
     fn news_of(&self, choice: &Choice, parts: Vec<u64>, event: PromptEvent) -> Option<LoadNews> {
-        let replica = self.replicas.get(&choice.instance.id)?;
+        let replica = self.chosen(choice)?;
         Some(LoadNews {
             node: 0,
             replica: replica.key.0,
@@ -334,47 +235,4 @@
             PromptEvent::Failed => replica.note_failure_elsewhere(now),
         }
     }
-
-    /// Whether a replica must not begin on requests any more: its weights are too old.
-    pub fn is_barred(&self, id: &str) -> bool {
-        let replica = self.replicas.get(id);
-        replica.is_some_and(|replica| replica.availability == Availability::Barred)
-    }
-
-    /// Whether a replica sent anything after a moment.
-    pub fn was_heard_since(&self, id: &str, since: Time) -> bool {
-        self.replicas.get(id).is_some_and(|replica| replica.heard_at > since)
-    }
-
-    /// Notes that a request no longer occupies its choice. `has_first_token` tells whether
-    /// [`Balancer::first_token`] was called for it.
-    pub fn ended(&mut self, choice: &Choice, has_first_token: bool) {
-        let Some(replica) = self.replicas.get_mut(&choice.instance.id) else { return };
-        replica.in_flight = replica.in_flight.saturating_sub(1);
-        if !has_first_token {
-            let expected = u64::from(choice.expected_prefill);
-            replica.pending_prefill = replica.pending_prefill.saturating_sub(expected);
-        }
-    }
-
-    /// Notes that a replica answered as it should.
-    pub fn succeeded(&mut self, id: &str, now: Time) {
-        if let Some(replica) = self.replicas.get_mut(id) {
-            replica.note_success(now);
-        }
-    }
-
-    /// Notes that a replica failed; it is passed over for a while.
-    pub fn failed(&mut self, id: &str, now: Time) {
-        if let Some(replica) = self.replicas.get_mut(id) {
-            replica.note_failure(now);
-        }
-    }
-
-    /// Notes that another replica has the address; it is passed over for the longest time.
-    pub fn is_replaced(&mut self, id: &str, now: Time) {
-        if let Some(replica) = self.replicas.get_mut(id) {
-            replica.note_replaced(now);
-        }
-    }
 }
--- a/crates/gateway/src/balancer/news.rs
+++ b/crates/gateway/src/balancer/news.rs
@@ -11,7 +11,7 @@
 pub struct LoadNews {
     /// Who tells: a hash of the node's address.
     pub node: u64,
-    /// Replica: a hash of its identifier.
+    /// Replica: a hash of its incarnation's name.
     pub replica: u64,
     /// Prompt tokens that wait there of this node's requests.
     pub pending_prefill: u64,
--- a/crates/gateway/src/balancer/replica.rs
+++ b/crates/gateway/src/balancer/replica.rs
@@ -1,10 +1,11 @@
 //! What a node knows of one replica.
 
-use super::ChoiceRequest;
+use super::{Change, ChoiceRequest};
 use std::collections::HashMap;
 use std::time::Duration;
+use topazmount_consensus::Term;
 use topazmount_control::{Availability, LoadedModel};
-use topazmount_types::{Incarnation, Instance, ReplicaId, Time};
+use topazmount_types::{Incarnation, Instance, ReplicaId, Start, Time};
 
 /// Weight of a new observation in a replica's smoothed delay.
 const DELAY_GAIN: f64 = 0.4;
@@ -28,9 +29,15 @@
 #[derive(Clone, Debug)]
 pub(super) struct Replica {
     pub(super) instance: Instance,
-    /// Its name among nodes, which number replicas differently.
+    /// Name of this incarnation.
+    pub(super) name: String,
+    /// Its name among nodes, which number replicas differently. It names the incarnation, so that word of an earlier one
+    /// counts nothing for this one.
     pub(super) key: ReplicaId,
-    /// Number of this life of a replica; never used again.
+    /// What it is where prompts and shards find their replicas: by the identifier alone, so that a restart, which changes
+    /// nothing of where it stands, moves no prompt and no shard, and nodes that have not heard of it yet agree.
+    pub(super) place: ReplicaId,
+    /// Number of this incarnation here; never used again.
     pub(super) slot: u32,
     /// This node's requests there.
     pub(super) in_flight: u32,
@@ -38,6 +45,12 @@
     pub(super) pending_prefill: u64,
     pub(super) availability: Availability,
     pub(super) models: Vec<LoadedModel>,
+    /// The latest correction by which its models were replaced.
+    pub(super) correction: (Term, u32),
+    /// Until when no request for a model goes there: it was found to hold older weights than was believed.
+    pub(super) went_back_until: Time,
+    /// The incarnation before it under its identifier, and whether that had said that it leaves.
+    pub(super) earlier: Option<(Start, bool)>,
     /// When anything was last received from it.
     pub(super) heard_at: Time,
     peers: HashMap<u64, PeerLoad>,
@@ -50,14 +63,20 @@
 
 impl Replica {
     pub(super) fn new(instance: Instance, slot: u32) -> Self {
+        let name = instance.incarnation_name();
         Replica {
-            key: ReplicaId::from_name(&instance.id),
+            key: ReplicaId::from_name(&name),
+            place: ReplicaId::from_name(&instance.id),
+            name,
             instance,
             slot,
             in_flight: 0,
             pending_prefill: 0,
             availability: Availability::Open,
             models: Vec::new(),
+            correction: (0, 0),
+            went_back_until: Time::ZERO,
+            earlier: None,
             heard_at: Time::ZERO,
             peers: HashMap::new(),
             failures: 0,
@@ -112,7 +131,7 @@
         self.models.iter().find(|one| one.model == model).map(|one| one.version)
     }
 
-    /// Weights never go back.
+    /// Takes word that may be late: it says that the weights are as new as that at least.
     pub(super) fn note_version(&mut self, model: &str, version: u32) {
         match self.models.iter_mut().find(|one| one.model == model) {
             Some(known) => known.version = known.version.max(version),
@@ -120,12 +139,32 @@
         }
     }
 
+    pub(super) fn forget_version(&mut self, model: &str) {
+        self.models.retain(|loaded| loaded.model != model);
+    }
+
+    /// What is told where it holds older weights than was believed.
+    pub(super) fn went_back_from(&self, before: &LoadedModel, said: Option<u32>) -> Change {
+        Change::WentBack {
+            id: self.instance.id.clone(),
+            start: self.instance.start,
+            model: before.model.clone(),
+            before: before.version,
+            said,
+        }
+    }
+
     /// Whether it may be sent a request, as far as anybody but the request's own failures says.
     pub(super) fn may_take(&self, request: &ChoiceRequest<'_>) -> bool {
         !self.instance.is_draining
             && self.availability != Availability::Barred
-            && !request.exclude.contains(&self.instance.id)
-            && request.held_to.is_none_or(|id| *id == self.instance.id)
+            && !request.exclude.contains(&self.name)
+            && request.held_to.is_none_or(|name| *name == self.name)
+    }
+
+    /// Whether it holds older weights than was believed, as a request found that names a model.
+    pub(super) fn went_back(&self, request: &ChoiceRequest<'_>, now: Time) -> bool {
+        request.model.is_some() && now < self.went_back_until
     }
 
     /// Whether others may take parts of prompts from it. One that is about to load still holds what
@@ -134,7 +173,7 @@
         self.availability != Availability::Barred
     }
 
-    /// What its cache belongs to: this life of it, with these weights.
+    /// What its cache belongs to: this incarnation, with these weights.
     pub(super) fn incarnation(&self, version: u32) -> Incarnation {
         Incarnation((u64::from(self.slot) << 32) | u64::from(version))
     }
--- a/crates/gateway/src/balancer/sharded.rs
+++ b/crates/gateway/src/balancer/sharded.rs
@@ -7,7 +7,7 @@
 use crate::shards::Shard;
 use rand::Rng;
 use topazmount_routing::rendezvous_weight;
-use topazmount_types::InstanceId;
+use topazmount_types::Time;
 
 /// Shards that are asked for one prompt at most.
 const MOST_SHARDS: usize = 3;
@@ -38,7 +38,7 @@
     pub(crate) fn shard_of(&self, choice: &Choice) -> Option<Shard> {
         let replica = self.replicas.get(&choice.instance.id)?;
         let count = self.shard_count(&choice.instance.service);
-        (count > 0).then(|| Shard::of(replica.key, count))
+        (count > 0).then(|| Shard::of(replica.place, count))
     }
 
     /// Shards that a prompt may go to, its own first: those of the first homes of its shared parts. A
@@ -52,7 +52,7 @@
         let key = shared_of(&chain).last().copied().unwrap_or_else(|| self.rng.random());
         let serving = self.serving(request.service);
         let mut homes: Vec<_> =
-            serving.map(|one| (rendezvous_weight(key, one.key), one.key)).collect();
+            serving.map(|one| (rendezvous_weight(key, one.place), one.place)).collect();
         homes.sort_unstable_by(|left, right| right.cmp(left));
         let mut shards: Vec<Shard> = Vec::with_capacity(MOST_SHARDS);
         for (_, home) in homes {
@@ -75,15 +75,16 @@
         choice.estimate_ms > alone_ms + SPILL_MS
     }
 
-    /// Replicas that a question names by their hashes; unknown ones are passed over.
-    pub(crate) fn ids_of(&self, keys: &[u64]) -> Vec<InstanceId> {
-        keys.iter().filter_map(|key| self.by_key.get(key).cloned()).collect()
+    /// Names of the incarnations that a question names by their hashes; unknown ones are passed over.
+    pub(crate) fn names_of(&self, keys: &[u64]) -> Vec<String> {
+        let known = keys.iter().filter_map(|key| self.replicas.get(self.by_key.get(key)?));
+        known.map(|replica| replica.name.clone()).collect()
     }
 
     /// What a coordinator says of its choice.
     pub(crate) fn offer(&self, choice: &Choice) -> Option<Offer> {
         Some(Offer {
-            replica: self.replicas.get(&choice.instance.id)?.key.0,
+            replica: self.chosen(choice)?.key.0,
             expected_prefill: choice.expected_prefill,
             known_tokens: choice.known_tokens,
             estimate_ms: choice.estimate_ms,
@@ -99,9 +100,17 @@
 
     /// The choice that a coordinator's offer makes; none where this node knows that the replica must
     /// not be asked.
-    pub(crate) fn adopt(&self, offer: &Offer, request: &ChoiceRequest<'_>) -> Option<Choice> {
+    pub(crate) fn adopt(
+        &self,
+        offer: &Offer,
+        request: &ChoiceRequest<'_>,
+        now: Time,
+    ) -> Option<Choice> {
         let replica = self.replicas.get(self.by_key.get(&offer.replica)?)?;
-        if replica.instance.service != request.service || !replica.may_take(request) {
+        if replica.instance.service != request.service
+            || !replica.may_take(request)
+            || replica.went_back(request, now)
+        {
             return None;
         }
         let known = replica.version(request.model);
@@ -118,6 +127,7 @@
             is_clear: offer.is_clear,
             taken_share: offer.taken_share,
             version: known.max(offer.version),
+            expected: known.max(offer.version).or(self.named(request.model)),
             source: offer.source.clone().filter(|_| is_same_version),
             save_to: offer.save_to.clone().filter(|_| is_same_version),
             has_prompt: request.prompt.is_some(),
--- a/crates/gateway/src/balancer/view.rs
+++ b/crates/gateway/src/balancer/view.rs
@@ -93,9 +93,9 @@
             return Vec::new();
         };
         let serving = self.serving(request.service);
-        let serving = serving.filter(|one| shard.is_none_or(|shard| shard.contains(one.key)));
+        let serving = serving.filter(|one| shard.is_none_or(|shard| shard.contains(one.place)));
         let mut order: Vec<(&InstanceId, ReplicaId)> =
-            serving.map(|one| (&one.instance.id, one.key)).collect();
+            serving.map(|one| (&one.instance.id, one.place)).collect();
         let homes = match self.has_coordinators {
             true => order.len(),
             false => order.len().div_ceil(REPLICAS_PER_HOME).min(order.len()),
--- a/crates/gateway/src/crashes.rs
+++ b/crates/gateway/src/crashes.rs
@@ -1,12 +1,13 @@
 //! What a gateway knows of requests under which replicas crash.
 //!
 //! The control group counts what all gateways saw and says what is blocked. What this gateway saw counts here too, so
-//! that a request that comes to it again and again is blocked while control can't be reached.
+//! that a request that comes to it again and again is blocked while control can't be reached. Replicas are named by their
+//! incarnations, so that the end of one says nothing of what broke off at the next.
 
 use std::collections::{HashMap, HashSet, VecDeque};
 use std::time::Duration;
 use topazmount_control::{BlockedRequest, CrashLedger, CrashNote, CrashNotes};
-use topazmount_types::{InstanceId, ReplicaId, RequestDigest, Time};
+use topazmount_types::{ReplicaId, RequestDigest, Time};
 
 /// How long what was seen is told again. Control may have no leader for an election, and a gateway may be cut off
 /// for longer.
@@ -48,7 +49,8 @@
 /// A request whose connection broke: its replica may have ended, or only the connection.
 struct Suspicion {
     request: RequestDigest,
-    instance: InstanceId,
+    /// Name of its replica's incarnation.
+    incarnation: String,
     ran_for: Duration,
     broke_at: Time,
 }
@@ -88,43 +90,55 @@
 
     /// Notes that the connection broke on which a replica had had a request for so long. Whether the replica has ended is
     /// often known later: its listener may outlive its worker, and its next life may listen at once.
-    pub fn broke(&mut self, request: RequestDigest, instance: &str, ran_for: Duration, now: Time) {
+    pub fn broke(
+        &mut self,
+        request: RequestDigest,
+        incarnation: &str,
+        ran_for: Duration,
+        now: Time,
+    ) {
         self.suspected.retain(|one| now < one.broke_at + SUSPECTED_FOR);
         if self.suspected.len() >= MOST_SUSPECTED {
             self.suspected.pop_front();
         }
-        let instance = instance.to_owned();
-        self.suspected.push_back(Suspicion { request, instance, ran_for, broke_at: now });
+        let incarnation = incarnation.to_owned();
+        self.suspected.push_back(Suspicion { request, incarnation, ran_for, broke_at: now });
     }
 
     /// Whether it would tell something if a replica had ended.
-    pub fn is_suspected(&self, instance: &str) -> bool {
-        self.suspected.iter().any(|one| one.instance == instance)
+    pub fn is_suspected(&self, incarnation: &str) -> bool {
+        self.suspected.iter().any(|one| one.incarnation == incarnation)
     }
 
     /// Notes that a replica has ended without a word: what broke off at it counts as crashes. Returns for how many
     /// requests.
-    pub fn ended(&mut self, instance: &str, now: Time) -> usize {
+    pub fn ended(&mut self, incarnation: &str, now: Time) -> usize {
         let suspected = std::mem::take(&mut self.suspected);
         let (ended, others): (VecDeque<Suspicion>, VecDeque<Suspicion>) =
-            suspected.into_iter().partition(|one| one.instance == instance);
+            suspected.into_iter().partition(|one| one.incarnation == incarnation);
         self.suspected = others;
         let fresh = ended.iter().filter(|one| now < one.broke_at + SUSPECTED_FOR);
         let count = fresh.clone().count();
         for one in fresh {
-            self.crashed(one.request, instance, one.ran_for, one.broke_at);
+            self.crashed(one.request, incarnation, one.ran_for, one.broke_at);
         }
         count
     }
 
     /// Notes that a replica answered what was sent to it at a moment: it outlived what broke off before.
-    pub fn acquit(&mut self, instance: &str, sent_at: Time) {
-        self.suspected.retain(|one| one.instance != instance || one.broke_at >= sent_at);
+    pub fn acquit(&mut self, incarnation: &str, sent_at: Time) {
+        self.suspected.retain(|one| one.incarnation != incarnation || one.broke_at >= sent_at);
     }
 
     /// Notes that a replica crashed, at a moment, that had had a request for so long.
-    pub fn crashed(&mut self, request: RequestDigest, instance: &str, ran_for: Duration, at: Time) {
-        let replica = ReplicaId::from_name(instance);
+    pub fn crashed(
+        &mut self,
+        request: RequestDigest,
+        incarnation: &str,
+        ran_for: Duration,
+        at: Time,
+    ) {
+        let replica = ReplicaId::from_name(incarnation);
         let note = CrashNote { request, replica, ran_for, age: Duration::ZERO };
         self.cleared.retain(|(_, cleared)| *cleared != request);
         self.seen.push_back((at, note));
--- a/crates/gateway/src/knowledge.rs
+++ b/crates/gateway/src/knowledge.rs
@@ -2,8 +2,9 @@
 
 mod limits;
 mod placement;
+mod replicas;
 
-use crate::balancer::{Balancer, Choice, ChoiceRequest, SURELY_KEPT};
+use crate::balancer::{Balancer, Changes, Choice, ChoiceRequest, SURELY_KEPT};
 use crate::budget::{BudgetSettings, RetryBudget};
 use crate::catalog::{Catalog, Route, Tenant};
 use crate::connections::{ConnectionSettings, Connections};
@@ -13,13 +14,13 @@
 use crate::split::Splits;
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
-use std::collections::{BTreeMap, HashMap, HashSet};
+use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 use topazmount_control::{FleetView, Seen};
 use topazmount_routing::PolicyTable;
-use topazmount_types::{ErrorKind, InstanceId, RequestDigest, Time};
+use topazmount_types::{ErrorKind, RequestDigest, Time};
 
 /// Least time after which a refused client should come back.
 const SOON: Duration = Duration::from_millis(250);
@@ -154,21 +155,6 @@
         &mut self.crashes
     }
 
-    /// Takes from a view which replicas have ended without a word, before it is applied. Returns the replicas under which
-    /// requests had broken off: these are counted as crashes now.
-    pub fn confirm_crashes(&mut self, view: &FleetView, now: Time) -> Vec<(InstanceId, usize)> {
-        if view.revision <= self.seen.revision {
-            return Vec::new();
-        }
-        let ended = view.removed.iter().filter(|removed| !removed.was_announced);
-        let confirmed = ended.map(|one| (one.id.clone(), self.crashes.ended(&one.id, now)));
-        let confirmed = confirmed.filter(|(_, requests)| *requests > 0).collect();
-        for removed in view.removed.iter().filter(|removed| removed.was_announced) {
-            self.crashes.acquit(&removed.id, Time::NEVER);
-        }
-        confirmed
-    }
-
     /// Takes the list of requests that must not be sent on, if a view has a newer one. Returns those that
     /// are new in it, and those that are gone from it.
     pub fn apply_blocked(
@@ -228,8 +214,8 @@
     }
 
     /// Takes news that was asked for at `asked_at`. `catalog` is the view's document as read by
-    /// the dialect, if the view has one that can be read.
-    pub fn apply(&mut self, view: &FleetView, catalog: Option<Catalog>, asked_at: Time) {
+    /// the dialect, if the view has one that can be read. Returns which beliefs on replicas it took back.
+    pub fn apply(&mut self, view: &FleetView, catalog: Option<Catalog>, asked_at: Time) -> Changes {
         if let Some(catalog) = catalog
             && catalog.version() > self.seen.document
         {
@@ -237,10 +223,11 @@
             self.balancer.stores().set(catalog.stores());
             self.catalog = Some(Arc::new(catalog));
         }
-        self.apply_instances(view);
+        let mut changes = self.apply_instances(view);
+        self.balancer.set_named(&view.weights);
         if let Some((count, statuses)) = &view.statuses {
             self.seen.statuses = *count;
-            statuses.iter().for_each(|status| self.balancer.set_status(status));
+            changes.extend(statuses.iter().flat_map(|status| self.balancer.set_status(status)));
         }
         // A leader without a lease may have been deposed: its list must move no grants, and is told again.
         if let Some(news) = view.gateways.as_ref().filter(|_| view.is_leased()) {
@@ -258,25 +245,7 @@
             self.confirmed_until = self.confirmed_until.max(until);
             self.unconfirmed_since = None;
         }
-    }
-
-    /// A list of replicas only moves forward: an older one of a member that lags is passed over.
-    fn apply_instances(&mut self, view: &FleetView) {
-        if view.revision <= self.seen.revision {
-            return;
-        }
-        if view.is_full {
-            let ids: HashSet<InstanceId> =
-                view.instances.iter().map(|instance| instance.id.clone()).collect();
-            self.balancer.retain(&ids);
-        }
-        for removed in &view.removed {
-            self.balancer.remove(&removed.id);
-        }
-        for instance in &view.instances {
-            self.balancer.upsert(instance.clone());
-        }
-        self.seen.revision = view.revision;
+        changes
     }
 
     /// Decides whether a request may be served, and where it belongs.
--- a/crates/gateway/src/knowledge/placement.rs
+++ b/crates/gateway/src/knowledge/placement.rs
@@ -63,7 +63,7 @@
     pub fn answer(&mut self, question: &ChoiceQuestion, now: Time) -> Option<Offer> {
         let catalog = self.catalog.clone()?;
         let prompt = question.prompt();
-        let exclude = self.balancer.ids_of(&question.exclude);
+        let exclude = self.balancer.names_of(&question.exclude);
         let request = ChoiceRequest {
             service: &question.service,
             tenant: question.tenant,
@@ -80,8 +80,8 @@
     }
 
     /// The choice that a coordinator's offer makes, if this gateway may follow it.
-    pub fn adopt(&self, offer: &Offer, request: &ChoiceRequest<'_>) -> Option<Choice> {
-        self.balancer.adopt(offer, request)
+    pub fn adopt(&self, offer: &Offer, request: &ChoiceRequest<'_>, now: Time) -> Option<Choice> {
+        self.balancer.adopt(offer, request, now)
     }
 
     /// Whether a prompt is better asked for at a further shard.
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -21,7 +21,10 @@
 mod split;
 mod stores;
 
-pub use balancer::{Balancer, Choice, ChoiceRequest, LoadNews, PromptEvent, TOLD_TOKENS};
+pub use balancer::{
+    Balancer, Change, Changes, Choice, ChoiceRequest, LoadNews, PromptEvent, Refused, TOLD_TOKENS,
+    WENT_BACK_PAUSE,
+};
 pub use budget::{BudgetSettings, RetryBudget};
 pub use catalog::{
     Catalog, CatalogParts, CatalogProblem, EngineParameters, HttpLimits, Route, RouteKind, Service,
--- a/crates/gateway/src/plan.rs
+++ b/crates/gateway/src/plan.rs
@@ -1,6 +1,6 @@
 //! What follows an attempt: another one, or which answer.
 
-use topazmount_types::{ErrorKind, InstanceId, RunState};
+use topazmount_types::{ErrorKind, RunState};
 
 /// How an attempt at a replica ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -11,8 +11,11 @@
     NotRun,
     /// Another replica has the address, and said so.
     WrongInstance,
-    /// The replica holds newer weights than the request named, and said that it did not run it.
+    /// The replica did not run the request, since it holds other weights than that named; it is asked again, with what is
+    /// believed of it now.
     OtherWeights,
+    /// The replica did not run the request, since it holds older weights than that named.
+    OldWeights,
     /// The connection ended, or something that is no answer came, after bytes were handed over.
     Broken,
     /// A whole answer that reports a failure came.
@@ -52,9 +55,12 @@
     attempts_left: u32,
     may_have_run: bool,
     has_arrived: bool,
-    tried: Vec<InstanceId>,
-    /// The one replica that may be sent the request next.
-    held_to: Option<InstanceId>,
+    /// Names of the incarnations tried: what reached an earlier one may run there or have run, and says nothing of the next.
+    tried: Vec<String>,
+    /// Name of the one incarnation that may be sent the request next.
+    held_to: Option<String>,
+    /// Whether the incarnation tried last was asked again already, so that weights that change all the time hold nobody.
+    was_asked_again: bool,
 }
 
 impl RequestPlan {
@@ -68,16 +74,17 @@
             has_arrived: false,
             tried: Vec::new(),
             held_to: None,
+            was_asked_again: false,
         }
     }
 
-    /// Replicas tried so far.
-    pub fn tried(&self) -> &[InstanceId] {
+    /// Names of the incarnations tried so far.
+    pub fn tried(&self) -> &[String] {
         &self.tried
     }
 
-    /// The replica that must be sent the request next, if not any other may be.
-    pub fn held_to(&self) -> Option<&InstanceId> {
+    /// Name of the incarnation that must be sent the request next, if not any other may be.
+    pub fn held_to(&self) -> Option<&String> {
         self.held_to.as_ref()
     }
 
@@ -101,13 +108,23 @@
         if self.may_have_run { RunState::Unknown } else { RunState::NotRun }
     }
 
-    /// Notes that an attempt begins.
-    pub fn begin(&mut self, instance: InstanceId) {
+    /// Notes that an attempt begins at an incarnation of a replica, by its name.
+    pub fn begin(&mut self, incarnation: String) {
         self.attempts_left = self.attempts_left.saturating_sub(1);
-        self.tried.push(instance);
+        self.was_asked_again = self.held_to.as_ref() == Some(&incarnation);
+        self.tried.push(incarnation);
         self.held_to = None;
     }
 
+    /// Lets go of the incarnation that the request was held to, which is there no more. Returns whether another replica may
+    /// be sent it.
+    pub fn let_go(&mut self) -> bool {
+        let Some(held_to) = self.held_to.take() else { return false };
+        self.tried.push(held_to);
+        self.attempts_left = self.attempts_left.saturating_sub(1);
+        self.attempts_left > 0
+    }
+
     /// Decides what follows an attempt.
     pub fn end(&mut self, end: AttemptEnd) -> NextStep {
         let may_be_at_work = matches!(
@@ -123,7 +140,7 @@
             // Nothing was sent, so the replica does not count among those that were sent it.
             AttemptEnd::Unreachable => self.attempts_left += 1,
             // The same replica is asked again, so that no further one counts.
-            AttemptEnd::OtherWeights => {
+            AttemptEnd::OtherWeights if !self.was_asked_again => {
                 self.attempts_left += 1;
                 self.held_to = self.tried.pop();
                 self.has_arrived = true;
--- a/crates/gateway/src/question.rs
+++ b/crates/gateway/src/question.rs
@@ -27,14 +27,14 @@
     pub namespace: u64,
     /// The tenant whose parts are kept from all others, if it is one.
     pub wall: Option<String>,
-    /// Hashes of the identifiers of replicas that were tried already.
+    /// Hashes of the names of incarnations that were tried already.
     pub exclude: Vec<u64>,
 }
 
 /// The replica that a coordinator names, and what it expects there.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Offer {
-    /// Hash of the replica's identifier.
+    /// Hash of the name of the replica's incarnation.
     pub replica: u64,
     /// Prompt tokens that it is expected to compute.
     pub expected_prefill: u32,
@@ -62,7 +62,7 @@
     /// The question for a request; `None` where it has no prompt.
     pub fn new(request: &ChoiceRequest<'_>, shard: Shard) -> Option<Self> {
         let prompt = request.prompt?;
-        let exclude = request.exclude.iter().map(|id| ReplicaId::from_name(id).0);
+        let exclude = request.exclude.iter().map(|name| ReplicaId::from_name(name).0);
         Some(ChoiceQuestion {
             shard,
             service: request.service.to_owned(),
--- a/crates/gateway/tests/balancer.rs
+++ b/crates/gateway/tests/balancer.rs
@@ -95,13 +95,14 @@
     }
     balancer.set_status(&status("replica-1", Availability::Barred, 1));
     assert_eq!(choose_for(&mut balancer, &prompt, &[]).unwrap().instance.id, "replica-0");
-    assert!(!balancer.is_barred("replica-0"));
+    let waiting = choose_for(&mut balancer, &prompt, &[]).unwrap();
+    assert!(!balancer.is_barred(&waiting));
     balancer.set_status(&status("replica-0", Availability::Barred, 1));
     assert!(choose_for(&mut balancer, &prompt, &[]).is_none());
     // What waits there is taken back.
-    assert!(balancer.is_barred("replica-0"));
+    assert!(balancer.is_barred(&waiting));
     balancer.set_status(&status("replica-0", Availability::Open, 2));
-    assert!(!balancer.is_barred("replica-0"));
+    assert!(!balancer.is_barred(&waiting));
 }
 
 /// A replica that is passed over before a load still holds what it read.
@@ -139,7 +140,7 @@
     let next = plan.end(AttemptEnd::OtherWeights);
     assert_eq!(next, NextStep::Retry { otherwise: ErrorKind::NoReplica, is_repeat: true });
     assert!(plan.tried().is_empty());
-    balancer.forget_version(&first.instance.id, "model");
+    balancer.forget_version(&first, "model");
     let again = ChoiceRequest { held_to: plan.held_to(), ..request(&prompt) };
     let again = balancer.choose(&again, NOW, &mut PolicyTable::default()).unwrap();
     assert_eq!((&again.instance.id, again.version), (&first.instance.id, None));
@@ -162,10 +163,11 @@
 fn a_replica_that_failed_is_passed_over_for_a_while() {
     let mut balancer = pool(2, 1);
     let prompt = prompt(&[(1, 100), (2, 100)]);
-    let home = choose_for(&mut balancer, &prompt, &[]).unwrap().instance.id;
-    balancer.failed(&home, NOW);
+    let choice = choose_for(&mut balancer, &prompt, &[]).unwrap();
+    let home = choice.instance.id.clone();
+    balancer.failed(&choice, NOW);
     assert_ne!(choose_for(&mut balancer, &prompt, &[]).unwrap().instance.id, home);
-    balancer.succeeded(&home, NOW + Duration::from_millis(1));
+    balancer.succeeded(&choice, NOW + Duration::from_millis(1));
     assert_eq!(choose_for(&mut balancer, &prompt, &[]).unwrap().instance.id, home);
 }
 
--- a/crates/gateway/tests/shards.rs
+++ b/crates/gateway/tests/shards.rs
@@ -213,7 +213,7 @@
     let coordinator = fleet[asker].gateways().coordinators("pool", shard, now)[0];
     let question = ChoiceQuestion::new(request, shard).unwrap();
     let offer = fleet[number_of(coordinator)].answer(&question, now).unwrap();
-    fleet[asker].adopt(&offer, request).unwrap()
+    fleet[asker].adopt(&offer, request, NOW).unwrap()
 }
 
 fn number_of(address: SocketAddr) -> usize {
@@ -309,13 +309,13 @@
         let question = ChoiceQuestion::new(request, shard).unwrap();
         let mut offer = fleet[1].answer(&question, NOW).unwrap();
         offer.source = Some("10.9.9.9:1".to_owned());
-        let same = fleet[0].adopt(&offer, request).unwrap();
+        let same = fleet[0].adopt(&offer, request, NOW).unwrap();
         assert_eq!((same.version, same.source.is_some()), (Some(1), true));
-        fleet[0].balancer().saw_version(&same.instance.id, "model", 2);
-        let newer = fleet[0].adopt(&offer, request).unwrap();
+        fleet[0].balancer().saw_version(&same, "model", 2);
+        let newer = fleet[0].adopt(&offer, request, NOW).unwrap();
         assert_eq!((newer.version, newer.source), (Some(2), None));
         let exclude = [newer.instance.id.clone()];
         let request = ChoiceRequest { exclude: &exclude, ..*request };
-        assert!(fleet[0].adopt(&offer, &request).is_none(), "it was tried already");
+        assert!(fleet[0].adopt(&offer, &request, NOW).is_none(), "it was tried already");
     });
 }
--- a/crates/topazmount/src/fleet/exchange/attempt.rs
+++ b/crates/topazmount/src/fleet/exchange/attempt.rs
@@ -176,7 +176,7 @@
     }
 
     fn is_barred(&self, choice: &Choice) -> bool {
-        self.shared.knowledge.lock().unwrap().balancer().is_barred(&choice.instance.id)
+        self.shared.knowledge.lock().unwrap().balancer().is_barred(choice)
     }
 
     /// Whether a request whose replica is silent is better sent to another one: nothing forbids
@@ -198,7 +198,7 @@
             time_left: self.left(),
             tenant: self.admission.tenant.as_ref().map(|tenant| tenant.name.clone()),
             cache_salt: has_prompt.then(|| self.cache_salt(version)),
-            expected_version: version,
+            expected_version: choice.expected.filter(|_| has_prompt),
             // Without a known version nothing may be shared with other replicas.
             fetch_from: choice.source.clone().filter(|_| version.is_some()),
             save_to: choice.save_to.clone().filter(|_| version.is_some()),
@@ -306,13 +306,10 @@
         let tags = self.shared.dialect.answer(&head);
         if tags.is_unexpected {
             let is_other = tags.instance.is_none_or(|id| id != choice.instance.id);
-            let named_weights = choice.version.is_some() && self.tags.prompt.is_some();
-            if named_weights && !is_other {
-                self.log_refused_weights(choice, tags.version);
-            }
+            let named_weights = choice.expected.is_some() && self.tags.prompt.is_some();
             return Attempt::Ended(match (is_other, named_weights) {
                 (true, _) => AttemptEnd::WrongInstance,
-                (false, true) => AttemptEnd::OtherWeights,
+                (false, true) => self.judge_refused_version(choice, tags.version),
                 (false, false) => AttemptEnd::NotRun,
             });
         }
--- a/crates/topazmount/src/fleet/exchange/choose.rs
+++ b/crates/topazmount/src/fleet/exchange/choose.rs
@@ -117,6 +117,6 @@
             return None;
         };
         knowledge.gateways().note_answer();
-        Some(offer.and_then(|offer| knowledge.adopt(&offer, &request)))
+        Some(offer.and_then(|offer| knowledge.adopt(&offer, &request, now)))
     }
 }
--- a/crates/topazmount/src/fleet/exchange/connection.rs
+++ b/crates/topazmount/src/fleet/exchange/connection.rs
@@ -20,7 +20,8 @@
             let mut knowledge = self.shared.knowledge.lock().unwrap();
             knowledge.connections().may_use(service, connection, plan.is_repeatable(), now)
         };
-        let taken = self.shared.pool.take(&choice.instance.id, now, may_use).await;
+        let incarnation = choice.instance.incarnation_name();
+        let taken = self.shared.pool.take(&incarnation, now, may_use).await;
         let kind = if taken.is_some() { "connection_kept" } else { "connection_new" };
         self.shared.metrics.event(kind);
         taken
@@ -33,13 +34,16 @@
         let now = self.shared.clock.now();
         let bounds = {
             let mut knowledge = self.shared.knowledge.lock().unwrap();
-            if !knowledge.connections().may_keep(end.answer_end(&wire, is_request_sent)) {
+            // Nothing is sent to an incarnation that has ended.
+            let has_ended = knowledge.balancer().has_ended(choice);
+            let end = end.answer_end(&wire, is_request_sent);
+            if has_ended || !knowledge.connections().may_keep(end) {
                 return;
             }
             let longest = knowledge.connections().most_idle(service, true, now);
             RestBounds { most: knowledge.most_kept(service), longest }
         };
-        self.shared.pool.put(&choice.instance.id, wire, end, bounds, now);
+        self.shared.pool.put(&choice.instance.incarnation_name(), wire, end, bounds, now);
     }
 
     /// Notes that a kept connection broke before any byte came.
--- a/crates/topazmount/src/fleet/exchange/crash.rs
+++ b/crates/topazmount/src/fleet/exchange/crash.rs
@@ -15,17 +15,21 @@
     /// After a connection broke under the request: suspects it, and looks whether its replica has ended. One request ended
     /// ten replicas in ten tries where nothing of it outlived a try, and ends four at most now.
     pub(super) async fn look_for_crash(&self, choice: &Choice, began: Time) {
-        let instance = &choice.instance.id;
         let now = self.shared.clock.now();
         let ran_for = now.since(began);
-        {
+        let instance = &choice.instance.id;
+        let name = choice.instance.incarnation_name();
+        let crashed = {
             let mut knowledge = self.shared.knowledge.lock().unwrap();
             // Its end is planned, and says nothing of what it ran.
-            if knowledge.balancer().is_leaving(instance) {
+            if knowledge.balancer().is_leaving(choice) {
                 return;
             }
-            knowledge.crashes().broke(self.digest, instance, ran_for, now);
-        }
+            knowledge.crashes().broke(self.digest, &name, ran_for, now);
+            // The next incarnation was known first.
+            let has_ended = knowledge.balancer().has_ended(choice);
+            if has_ended { knowledge.crashes().ended(&name, now) } else { 0 }
+        };
         self.shared.journal.line(|| {
             format!(
                 "gateway: event=broke_off request={} digest={} instance={instance} ran_ms={}",
@@ -34,11 +38,13 @@
                 ran_for.as_millis()
             )
         });
-        let Ok(address) = choice.instance.address.parse() else { return };
-        if crash_watch::is_ended(self.shared, instance, address).await {
+        if crashed > 0 {
+            return crash_watch::tell(self.shared, instance, crashed, "next_incarnation");
+        }
+        if crash_watch::is_ended(self.shared, &choice.instance).await {
             return;
         }
-        if self.shared.broken_at.try_send(instance.clone()).is_err() {
+        if self.shared.broken_at.try_send(choice.instance.clone()).is_err() {
             self.shared.metrics.event("crash_watch_full");
         }
     }
--- a/crates/topazmount/src/fleet/exchange/mod.rs
+++ b/crates/topazmount/src/fleet/exchange/mod.rs
@@ -5,6 +5,7 @@
 mod choose;
 mod connection;
 mod crash;
+mod late;
 mod limit;
 mod record;
 mod relay;
@@ -22,7 +23,7 @@
 use std::time::Duration;
 use topazmount_gateway::{
     Admission, AttemptEnd, Choice, ChoiceRequest, EngineParameters, NextStep, PromptEvent,
-    Prospect, RequestPlan, cache_salt,
+    RequestPlan, cache_salt,
 };
 use topazmount_types::{ErrorKind, RequestDigest, RunState, TenantId, Time};
 
@@ -249,13 +250,17 @@
                 return self.give_up(plan, progress, time_over(plan)).await;
             }
             let Some(mut in_flight) = self.choose(plan).await else {
+                // The incarnation that it was held to has ended.
+                if plan.let_go() {
+                    continue;
+                }
                 return self.give_up(plan, progress, plan.refusal()).await;
             };
             if let Some(wait) = self.wait_if_late(plan, &in_flight.choice) {
                 drop(in_flight);
                 return self.refuse(plan, ErrorKind::Overloaded, Some(wait)).await;
             }
-            plan.begin(in_flight.choice.instance.id.clone());
+            plan.begin(in_flight.choice.instance.incarnation_name());
             set_used(grant, true);
             let began = self.shared.clock.now();
             let attempt = self.attempt(plan, &in_flight, progress).await;
@@ -314,36 +319,6 @@
         }
     }
 
-    /// How long the client should stay away, where its prompt would be late at its choice. What was sent to a replica
-    /// already, or has a part of its answer, goes on.
-    fn wait_if_late(&self, plan: &RequestPlan, choice: &Choice) -> Option<Duration> {
-        let is_begun = !plan.tried().is_empty() || self.tags.last_event.is_some();
-        if is_begun || self.tags.prompt.is_none() {
-            return None;
-        }
-        let prospect = Prospect {
-            estimate: Duration::from_secs_f64(choice.estimate_ms.max(0.0) / 1_000.0),
-            spent: self.shared.clock.now().since(self.received),
-            target: self.admission.route.target_latency,
-            rank: self.admission.route.priority,
-            is_clear: choice.is_clear,
-            taken_share: choice.taken_share,
-        };
-        let wait = prospect.wait_if_late(rand::random())?;
-        self.shared.metrics.event("refused_late");
-        self.shared.journal.line(|| {
-            format!(
-                "gateway: event=refused_late request={} instance={} estimate_ms={:.0} target_ms={} wait_ms={}",
-                self.tags.id,
-                choice.instance.id,
-                choice.estimate_ms,
-                prospect.target.as_millis(),
-                wait.as_millis()
-            )
-        });
-        Some(wait)
-    }
-
     fn is_admitted_by_policy(&self, plan: &RequestPlan) -> bool {
         let request = self.choice_request(plan);
         let has_prompt = request.prompt.is_some();
--- a/crates/topazmount/src/fleet/exchange/record.rs
+++ b/crates/topazmount/src/fleet/exchange/record.rs
@@ -5,7 +5,7 @@
 use crate::http1::ResponseHead;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
-use topazmount_gateway::{AttemptEnd, Choice, PromptEvent, RequestPlan};
+use topazmount_gateway::{AttemptEnd, Choice, PromptEvent, Refused, RequestPlan};
 use topazmount_types::{RunState, Time};
 
 /// Part of the target latency after which a replica that sent nothing is given up, where the
@@ -18,10 +18,12 @@
 
 impl Exchange<'_> {
     pub(super) fn note_version(&self, choice: &Choice, head: &ResponseHead) {
-        let version = self.shared.dialect.answer(head).version;
+        let tags = self.shared.dialect.answer(head);
+        // A refusal may be another replica's, and is judged by itself.
+        let version = tags.version.filter(|_| !tags.is_unexpected);
         if let (Some(model), Some(version)) = (&self.tags.model, version) {
             let mut knowledge = self.shared.knowledge.lock().unwrap();
-            knowledge.balancer().saw_version(&choice.instance.id, model, version);
+            knowledge.balancer().saw_version(choice, model, version);
         }
     }
 
@@ -30,8 +32,8 @@
         let now = self.shared.clock.now();
         let was_suspected = {
             let mut knowledge = self.shared.knowledge.lock().unwrap();
-            knowledge.balancer().succeeded(&choice.instance.id, now);
-            knowledge.crashes().acquit(&choice.instance.id, sent_at);
+            knowledge.balancer().succeeded(choice, now);
+            knowledge.crashes().acquit(&choice.instance.incarnation_name(), sent_at);
             knowledge.crashes().completed(self.digest, now)
         };
         if was_suspected {
@@ -57,9 +59,9 @@
         let now = self.shared.clock.now();
         let mut knowledge = self.shared.knowledge.lock().unwrap();
         let balancer = knowledge.balancer();
-        let has_failed = !balancer.was_heard_since(&choice.instance.id, sent_at);
+        let has_failed = !balancer.was_heard_since(choice, sent_at);
         if has_failed {
-            balancer.failed(&choice.instance.id, now);
+            balancer.failed(choice, now);
         }
         has_failed
     }
@@ -71,25 +73,23 @@
         let balancer = knowledge.balancer();
         match end {
             AttemptEnd::WrongInstance => {
-                balancer.is_replaced(&choice.instance.id, now);
-                // Its next life has its address: what broke off at it before met its end.
-                let requests = knowledge.crashes().ended(&choice.instance.id, now);
+                balancer.is_replaced(choice, now);
+                // Another replica has its address: what broke off at it before met its end.
+                let requests = knowledge.crashes().ended(&choice.instance.incarnation_name(), now);
                 drop(knowledge);
                 if requests > 0 {
                     crash_watch::tell(self.shared, &choice.instance.id, requests, "next_life");
                 }
             }
-            AttemptEnd::OtherWeights => {
-                let model = self.tags.model.as_deref().unwrap_or_default();
-                balancer.forget_version(&choice.instance.id, model);
-            }
+            // What it holds was noted when it was judged.
+            AttemptEnd::OtherWeights | AttemptEnd::OldWeights => {}
             // A full replica is sound, and silence was noted when it was seen.
             AttemptEnd::NotRun
             | AttemptEnd::Silent
             | AttemptEnd::Abandoned
             | AttemptEnd::TimedOut => {}
             AttemptEnd::Unreachable | AttemptEnd::Broken | AttemptEnd::Failed => {
-                balancer.failed(&choice.instance.id, now);
+                balancer.failed(choice, now);
                 in_flight.has_failed.store(true, Ordering::SeqCst);
             }
         }
@@ -135,6 +135,25 @@
         });
     }
 
+    /// Judges a replica's refusal of the version that the request named; the model of a prompt is known.
+    pub(super) fn judge_refused_version(&self, choice: &Choice, said: Option<u32>) -> AttemptEnd {
+        self.log_refused_weights(choice, said);
+        let model = self.tags.model.as_deref().unwrap_or_default();
+        let now = self.shared.clock.now();
+        let refused = {
+            let mut knowledge = self.shared.knowledge.lock().unwrap();
+            knowledge.balancer().refused_version(choice, model, said, now)
+        };
+        match refused {
+            Refused::AskAgain => AttemptEnd::OtherWeights,
+            Refused::Unexplained => AttemptEnd::NotRun,
+            Refused::WentBack(change) => {
+                self.shared.note_change(&change, "refusal");
+                AttemptEnd::OldWeights
+            }
+        }
+    }
+
     /// Logs that a replica refused the weights that the request named, and which it says it holds, where it does.
     pub(super) fn log_refused_weights(&self, choice: &Choice, said: Option<u32>) {
         self.shared.metrics.event("weights_refused");
@@ -144,7 +163,7 @@
                 self.tags.id,
                 choice.instance.id,
                 choice.instance.start,
-                choice.version.unwrap_or(0),
+                choice.expected.unwrap_or(0),
                 said.unwrap_or(0)
             )
         });
--- a/crates/topazmount/src/fleet/exchange/resume.rs
+++ b/crates/topazmount/src/fleet/exchange/resume.rs
@@ -85,7 +85,7 @@
         if !self.may_repeat() {
             return Resumed::Here(held);
         }
-        plan.begin(in_flight.choice.instance.id.clone());
+        plan.begin(in_flight.choice.instance.incarnation_name());
         match self.ask_beside(plan, &in_flight, held, progress).await {
             Beside::Own(held) => Resumed::Here(held),
             Beside::Refused(held, end) => {
--- a/crates/topazmount/src/fleet/gateway.rs
+++ b/crates/topazmount/src/fleet/gateway.rs
@@ -23,7 +23,7 @@
 use std::time::Duration;
 use topazmount_control::{CrashNotes, FleetView, GatewayReport, Seen};
 use topazmount_gateway::{HttpLimits, Knowledge};
-use topazmount_types::{ErrorKind, InstanceId, Time};
+use topazmount_types::{ErrorKind, Instance, Time};
 use topazmount_wire::ClusterKey;
 
 /// Time for which a stopping gateway still takes requests: clients hold an answer of the directory
@@ -53,7 +53,7 @@
     /// Connections to replicas at rest.
     pub(super) pool: Pool,
     /// Replicas at which a connection broke under a request.
-    pub(super) broken_at: Sender<InstanceId>,
+    pub(super) broken_at: Sender<Instance>,
     /// Wakes the watcher, to report at once.
     nudge: Sender<()>,
     is_stopping: AtomicBool,
@@ -268,8 +268,9 @@
         }
         for instance in &view.instances {
             log::info!(
-                "gateway: event=instance id={} service={} address={} draining={} revision={}",
+                "gateway: event=instance id={} start={} service={} address={} draining={} revision={}",
                 instance.id,
+                instance.start,
                 instance.service,
                 instance.address,
                 instance.is_draining,
@@ -278,20 +279,22 @@
         }
         for removed in &view.removed {
             log::info!(
-                "gateway: event=instance_removed id={} announced={} revision={}",
+                "gateway: event=instance_removed id={} start={} announced={} revision={}",
                 removed.id,
+                removed.start,
                 removed.was_announced,
                 view.revision
             );
         }
-        let (crashed, (blocked, released)) = {
+        let (crashed, (blocked, released), changes) = {
             let mut knowledge = self.shared.knowledge.lock().unwrap();
             let now = self.shared.clock.now();
             let crashed = knowledge.confirm_crashes(&view, now);
-            knowledge.apply(&view, catalog, asked_at);
+            let changes = knowledge.apply(&view, catalog, asked_at);
             knowledge.confirm_grants(&view, asked_at, now);
-            (crashed, knowledge.apply_blocked(&view, now))
+            (crashed, knowledge.apply_blocked(&view, now), changes)
         };
+        changes.iter().for_each(|change| self.shared.note_change(change, "status"));
         for (instance, requests) in crashed {
             crash_watch::tell(&self.shared, &instance, requests, "replaced");
         }
--- a/crates/topazmount/src/fleet/mod.rs
+++ b/crates/topazmount/src/fleet/mod.rs
@@ -5,6 +5,7 @@
 
 mod answer;
 mod caller;
+mod changes;
 mod clients;
 mod control_service;
 mod crash_watch;
--- a/crates/topazmount/src/fleet/pool.rs
+++ b/crates/topazmount/src/fleet/pool.rs
@@ -5,7 +5,7 @@
 use std::sync::Mutex;
 use std::time::Duration;
 use topazmount_gateway::{AnswerEnd, IdleConnection};
-use topazmount_types::{InstanceId, Time};
+use topazmount_types::Time;
 
 /// Least time between two looks through all connections for those that have rested too long.
 const SWEEP_INTERVAL: Duration = Duration::from_secs(1);
@@ -63,7 +63,8 @@
 
 #[derive(Default)]
 struct Places {
-    by_replica: HashMap<InstanceId, Vec<Resting>>,
+    /// By the names of incarnations: one to an earlier incarnation carries nothing that is meant for the next.
+    by_replica: HashMap<String, Vec<Resting>>,
     swept_at: Time,
 }
 
@@ -71,7 +72,7 @@
     /// Puts a connection to rest, and closes what is beyond the bounds.
     pub(super) fn put(
         &self,
-        id: &str,
+        incarnation: &str,
         wire: Wire,
         end: ConnectionEnd,
         bounds: RestBounds,
@@ -79,7 +80,7 @@
     ) {
         let mut places = self.resting.lock().unwrap();
         places.sweep(bounds.longest, now);
-        let resting = places.by_replica.entry(id.to_owned()).or_default();
+        let resting = places.by_replica.entry(incarnation.to_owned()).or_default();
         resting.push(Resting { wire, since: now, announced: end.announced });
         let surplus = resting.len().saturating_sub(bounds.most);
         resting.drain(..surplus);
@@ -89,14 +90,14 @@
     /// One on which anything came meanwhile, or that was closed, is dropped.
     pub(super) async fn take(
         &self,
-        id: &str,
+        incarnation: &str,
         now: Time,
         may_use: impl Fn(IdleConnection) -> bool,
     ) -> Option<(Wire, Duration)> {
         loop {
             let Resting { mut wire, since, .. } = {
                 let mut places = self.resting.lock().unwrap();
-                let resting = places.by_replica.get_mut(id)?;
+                let resting = places.by_replica.get_mut(incarnation)?;
                 let last = resting.last()?;
                 let connection =
                     IdleConnection { idle: now.since(last.since), announced: last.announced };
@@ -112,6 +113,11 @@
         }
     }
 
+    /// Closes the connections to an incarnation that has ended.
+    pub(super) fn close(&self, incarnation: &str) {
+        self.resting.lock().unwrap().by_replica.remove(incarnation);
+    }
+
     /// Number of connections at rest.
     pub(super) fn count(&self) -> usize {
         self.resting.lock().unwrap().by_replica.values().map(Vec::len).sum()
--- a/crates/types/src/instance.rs
+++ b/crates/types/src/instance.rs
@@ -48,3 +48,19 @@
     #[serde(default)]
     pub start: Start,
 }
+
+impl Instance {
+    /// Name of this incarnation, see [`incarnation_name`].
+    pub fn incarnation_name(&self) -> String {
+        incarnation_name(&self.id, self.start)
+    }
+}
+
+/// Name that tells an incarnation from all others under its identifier; the identifier alone where no start is said. A
+/// `#` is in no identifier, since these come as part of a request's target.
+pub fn incarnation_name(id: &str, start: Start) -> String {
+    match start {
+        Start::UNSAID => id.to_owned(),
+        Start(millis) => format!("{id}#{millis}"),
+    }
+}
