Logs of breaks name the incarnation, and what the new lines mean

The recipe for crashes one after the other counted two incarnations of an identifier as one replica.

--- a/crates/gateway/tests/incarnations.rs
+++ b/crates/gateway/tests/incarnations.rs
@@ -242,7 +242,7 @@
     the_same_correction_told_again_only_raises => &[(2, (3, 1)), (1, (3, 1))], 2, 0;
     an_older_correction_only_raises => &[(2, (3, 2)), (1, (3, 1))], 2, 0;
     one_of_a_later_term_counts => &[(2, (3, 2)), (1, (4, 0))], 1, 1;
-    it_rises_again_after_one => &[(2, (0, 0)), (1, (3, 1)), (2, (3, 1))], 2, 0 + 1;
+    it_rises_again_after_one => &[(2, (0, 0)), (1, (3, 1)), (2, (3, 1))], 2, 1;
 }
 
 fn view(revision: u64, instances: Vec<Instance>) -> FleetView {
--- a/crates/topazmount/src/fleet/exchange/crash.rs
+++ b/crates/topazmount/src/fleet/exchange/crash.rs
@@ -32,9 +32,10 @@
         };
         self.shared.journal.line(|| {
             format!(
-                "gateway: event=broke_off request={} digest={} instance={instance} ran_ms={}",
+                "gateway: event=broke_off request={} digest={} instance={instance} start={} ran_ms={}",
                 self.tags.id,
                 self.digest,
+                choice.instance.start,
                 ran_for.as_millis()
             )
         });
