What another writer says in a replica's name changes nothing

What makes a heartbeat or departure another writer's is `ControlCall::Foreign` with a fixed reason: 400, one bounded log line and a counter. Departures and pages of store events carry their incarnation; a store that tells another one is read anew. Answers that are no reports are logged in the same bounds.

--- a/crates/gateway/src/stores.rs
+++ b/crates/gateway/src/stores.rs
@@ -10,7 +10,7 @@
 use std::hash::{DefaultHasher, Hash, Hasher};
 use std::time::Duration;
 use topazmount_routing::rendezvous_weight;
-use topazmount_types::{ReplicaId, Time};
+use topazmount_types::{ReplicaId, Start, Time};
 
 /// Most gateways that follow one store: it holds few calls at a time.
 pub const MOST_READERS: usize = 10;
@@ -42,6 +42,8 @@
 pub struct StoreEvents {
     /// Names the life of the store: a restart empties it.
     pub epoch: u64,
+    /// Incarnation of the store, where it says so: it begins empty.
+    pub start: Start,
     /// Where the next page begins.
     pub next: u64,
     /// Whether events between the last page and this one are lost.
@@ -66,6 +68,7 @@
     cfg: StoreParameters,
     is_up: bool,
     epoch: u64,
+    start: Start,
     next: u64,
     parts: HashMap<(u64, u64), u32>,
     saving: HashMap<(u64, u64), Time>,
@@ -116,13 +119,14 @@
     /// Takes a page of events. Returns whether the store's contents had to be forgotten.
     pub fn apply(&mut self, key: StoreKey, page: StoreEvents) -> bool {
         let Some(store) = self.get_mut(key) else { return false };
-        let is_new = page.has_gap || page.epoch != store.epoch;
+        let is_new = page.has_gap || page.epoch != store.epoch || page.start != store.start;
         if is_new {
             store.parts.clear();
             store.saving.clear();
         }
         store.is_up = true;
         store.epoch = page.epoch;
+        store.start = page.start;
         store.next = page.next;
         for change in page.changes {
             let part = (hash_of(&change.salt), change.part);
@@ -207,6 +211,7 @@
             cfg,
             is_up: false,
             epoch: 0,
+            start: Start::UNSAID,
             next: 0,
             parts: HashMap::new(),
             saving: HashMap::new(),
--- a/crates/gateway/tests/stores.rs
+++ b/crates/gateway/tests/stores.rs
@@ -31,7 +31,7 @@
         tokens: *tokens,
     };
     let changes = held.iter().map(change).collect();
-    StoreEvents { epoch, next: 5, has_gap: false, changes }
+    StoreEvents { epoch, start: Start::UNSAID, next: 5, has_gap: false, changes }
 }
 
 fn stores(events: StoreEvents) -> (Stores, StoreKey) {
@@ -69,6 +69,7 @@
 
 cases! { is_empty_after:
     a_restart => page(8, &[]);
+    another_incarnation_of_the_same_epoch => StoreEvents { start: Start(2), ..page(7, &[]) };
     a_gap => StoreEvents { has_gap: true, ..page(7, &[]) };
 }
 
--- a/crates/topazmount/src/fleet/control_service.rs
+++ b/crates/topazmount/src/fleet/control_service.rs
@@ -2,6 +2,7 @@
 
 use super::dialect::{ControlCall, Dialect, HttpAnswer};
 use super::directory::Directory;
+use super::foreign_log::ForeignLog;
 use super::http_service::{self, Service};
 use super::metrics::{Metrics, MetricsService};
 use super::orders;
@@ -29,6 +30,9 @@
 /// How long clients may keep the directory's answer.
 const DIRECTORY_TTL: Duration = Duration::from_millis(600);
 
+/// Characters of a problem that are logged: it may repeat what was sent.
+const SHOWN_PROBLEM: usize = 200;
+
 /// What a control plane process needs.
 pub struct ControlPlaneOptions {
     /// Settings.
@@ -51,7 +55,8 @@
     leaders: Mutex<HashMap<SocketAddr, ControlClient>>,
     /// Port at which all members answer replicas and operators.
     control_port: Option<u16>,
-    metrics: Metrics,
+    metrics: Arc<Metrics>,
+    foreign: Arc<ForeignLog>,
 }
 
 impl ControlPlane {
@@ -75,6 +80,8 @@
         let handle = control_process::start(executor, control_options).await?;
         let member = handle.local();
         let directory = Directory::default();
+        let metrics = Arc::new(Metrics::default());
+        let foreign = Arc::new(ForeignLog::new(metrics.clone()));
         let calls = Arc::new(Calls {
             executor: executor.clone(),
             dialect: dialect.clone(),
@@ -83,7 +90,8 @@
             directory: directory.clone(),
             leaders: Mutex::default(),
             control_port: settings.listen.control.map(|address| address.port()),
-            metrics: Metrics::default(),
+            metrics,
+            foreign: foreign.clone(),
         });
         if let Some(address) = settings.listen.metrics {
             let calls = calls.clone();
@@ -96,9 +104,8 @@
         for address in [settings.listen.control, settings.listen.directory].into_iter().flatten() {
             http_service::serve(executor, address, calls.clone()).await?;
         }
-        let sending =
-            orders::run(executor.clone(), actions, member, dialect, settings.name.clone());
-        executor.spawn(sending).detach();
+        let sender = orders::Sender { member, dialect, holder: settings.name.clone(), foreign };
+        executor.spawn(orders::run(executor.clone(), actions, sender)).detach();
         let watcher = Watcher::new(executor, Clock::start(), key, Seeds::new(vec![internal]), true);
         let (_, no_nudges) = async_channel::bounded(1);
         executor.spawn(watcher.run(directory, no_nudges)).detach();
@@ -175,6 +182,11 @@
                 }
             }
             ControlCall::Depart(id, start) => self.change(FleetRequest::Depart(id, start)).await,
+            ControlCall::Foreign { call, id, reason } => {
+                self.foreign.note(call.foreign_event(), &id, reason);
+                self.dialect
+                    .plain_answer(400, &format!("no {} of a replica: {reason}", call.name()))
+            }
             ControlCall::PutDocument(document) => {
                 let version = document.version;
                 let answer = self.change(FleetRequest::PutDocument(document)).await;
@@ -207,7 +219,8 @@
             ControlCall::Readiness => self.dialect.plain_answer(200, "ready"),
             ControlCall::Unknown => self.dialect.plain_answer(404, "no such call"),
             ControlCall::Malformed(problem) => {
-                log::info!("control: event=refused problem={problem:?}");
+                let shown: String = problem.chars().take(SHOWN_PROBLEM).collect();
+                log::info!("control: event=refused problem={shown:?}");
                 self.dialect.plain_answer(400, &problem)
             }
         }
--- a/crates/topazmount/src/fleet/dialect.rs
+++ b/crates/topazmount/src/fleet/dialect.rs
@@ -76,6 +76,15 @@
     Heartbeat(InstanceReport),
     /// A replica leaves; its incarnation.
     Depart(InstanceId, Start),
+    /// Said in a replica's name by another writer, who names nothing to use: it changes nothing.
+    Foreign {
+        /// What it was sent as.
+        call: ReplicaCall,
+        /// Identifier under which it came, of any length and any characters.
+        id: String,
+        /// What gave it away, as a fixed word.
+        reason: &'static str,
+    },
     /// A new catalog: the document, which can be read and is valid.
     PutDocument(Document),
     /// The newest catalog.
@@ -106,8 +115,9 @@
     /// Name in metrics.
     pub fn name(&self) -> &'static str {
         match self {
-            ControlCall::Heartbeat(_) => "heartbeat",
-            ControlCall::Depart(..) => "depart",
+            ControlCall::Heartbeat(_) => ReplicaCall::Heartbeat.name(),
+            ControlCall::Depart(..) => ReplicaCall::Depart.name(),
+            ControlCall::Foreign { call, .. } => call.name(),
             ControlCall::PutDocument(_) => "put_document",
             ControlCall::ReadDocument => "read_document",
             ControlCall::NameWeights { .. } => "name_weights",
@@ -119,6 +129,33 @@
     }
 }
 
+/// What replicas tell the control plane.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ReplicaCall {
+    /// A heartbeat.
+    Heartbeat,
+    /// A departure.
+    Depart,
+}
+
+impl ReplicaCall {
+    /// Name in metrics.
+    pub fn name(self) -> &'static str {
+        match self {
+            ReplicaCall::Heartbeat => "heartbeat",
+            ReplicaCall::Depart => "depart",
+        }
+    }
+
+    /// Name of the event that such a call came from another writer.
+    pub fn foreign_event(self) -> &'static str {
+        match self {
+            ReplicaCall::Heartbeat => "heartbeat_foreign",
+            ReplicaCall::Depart => "departure_foreign",
+        }
+    }
+}
+
 /// An answer of the control plane or the directory.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct HttpAnswer {
--- a/crates/topazmount/src/fleet/mod.rs
+++ b/crates/topazmount/src/fleet/mod.rs
@@ -11,6 +11,7 @@
 mod dialect;
 mod directory;
 mod exchange;
+mod foreign_log;
 mod gateway;
 mod http_service;
 mod journal;
@@ -26,7 +27,10 @@
 mod watcher;
 
 pub use control_service::{ControlPlane, ControlPlaneOptions};
-pub use dialect::{AnswerTags, ControlCall, Dialect, HttpAnswer, HttpCall, RequestTags, Upstream};
+pub use dialect::{
+    AnswerTags, ControlCall, Dialect, HttpAnswer, HttpCall, ReplicaCall, RequestTags, Upstream,
+};
+pub use foreign_log::ForeignLines;
 pub use gateway::{Gateway, GatewayOptions};
 pub use metrics::{METRICS_PATH, Metrics};
 pub use process::{run_control, run_gateway};
--- a/crates/topazmount/src/fleet/orders.rs
+++ b/crates/topazmount/src/fleet/orders.rs
@@ -2,6 +2,7 @@
 
 use super::caller::Caller;
 use super::dialect::{Dialect, HttpCall};
+use super::foreign_log::ForeignLog;
 use crate::Executor;
 use crate::control_process::LocalMember;
 use crate::http1::ClientAnswer;
@@ -16,49 +17,62 @@
 /// Largest answer.
 const MAX_ANSWER: usize = 256 * 1024;
 
+/// Who sends orders and questions.
+#[derive(Clone)]
+pub(super) struct Sender {
+    /// Hears how they ended.
+    pub(super) member: LocalMember,
+    /// Names, formats and calls.
+    pub(super) dialect: Arc<dyn Dialect>,
+    /// Who gives the orders.
+    pub(super) holder: String,
+    /// Takes note of answers that are no reports.
+    pub(super) foreign: Arc<ForeignLog>,
+}
+
 /// Sends actions until the member stops.
-pub async fn run(
-    executor: Executor,
-    actions: Receiver<FleetAction>,
-    member: LocalMember,
-    dialect: Arc<dyn Dialect>,
-    holder: String,
-) {
+pub(super) async fn run(executor: Executor, actions: Receiver<FleetAction>, sender: Sender) {
     while let Ok(action) = actions.recv().await {
-        let (member, dialect, holder) = (member.clone(), dialect.clone(), holder.clone());
+        let sender = sender.clone();
         let sending = async move {
-            let report = act(&*dialect, action, &holder).await;
+            let report = sender.act(action).await;
             let request = Request::Fleet(FleetRequest::OrderEnded(report));
-            let _ = member.ask(request, LIMIT).await;
+            let _ = sender.member.ask(request, LIMIT).await;
         };
         executor.spawn(sending).detach();
     }
 }
 
-async fn act(dialect: &dyn Dialect, action: FleetAction, holder: &str) -> OrderReport {
-    match action {
-        FleetAction::Order(order) => {
-            let answer = send(&order.address, dialect.order(&order, holder)).await;
-            let end = match &answer {
-                Ok(answer) => dialect.order_end(answer.head.status),
-                Err(_) => OrderEnd::Unknown,
-            };
-            log::info!(
-                "weights: event=order instance={} start={} model={} version={} fence={} sequence={} end={end:?}",
-                order.instance,
-                order.start,
-                order.model,
-                order.version,
-                order.fence,
-                order.expected_sequence
-            );
-            OrderReport::Order(order.instance, end)
-        }
-        FleetAction::Question { instance, address } => {
-            let answer = send(&address, dialect.report_call()).await;
-            let is_good = |answer: &ClientAnswer| answer.head.status == 200;
-            let report = answer.ok().filter(is_good).and_then(|one| dialect.report(&one.body));
-            OrderReport::Question(instance, report)
+impl Sender {
+    async fn act(&self, action: FleetAction) -> OrderReport {
+        match action {
+            FleetAction::Order(order) => {
+                let answer = send(&order.address, self.dialect.order(&order, &self.holder)).await;
+                let end = match &answer {
+                    Ok(answer) => self.dialect.order_end(answer.head.status),
+                    Err(_) => OrderEnd::Unknown,
+                };
+                log::info!(
+                    "weights: event=order instance={} start={} model={} version={} fence={} sequence={} end={end:?}",
+                    order.instance,
+                    order.start,
+                    order.model,
+                    order.version,
+                    order.fence,
+                    order.expected_sequence
+                );
+                OrderReport::Order(order.instance, end)
+            }
+            FleetAction::Question { instance, address } => {
+                let answer = send(&address, self.dialect.report_call()).await;
+                let is_good = |answer: &ClientAnswer| answer.head.status == 200;
+                let body = answer.ok().filter(is_good).map(|answer| answer.body);
+                let report = body.as_ref().and_then(|body| self.dialect.report(body));
+                if body.is_some() && report.is_none() {
+                    self.foreign.note("report_foreign", &instance, "unreadable");
+                }
+                OrderReport::Question(instance, report)
+            }
         }
     }
 }
