--- a/crates/control/src/fleet/rollout.rs
+++ b/crates/control/src/fleet/rollout.rs
@@ -2,9 +2,10 @@
 
 use super::belief::{Belief, REPORT_LAG, Word};
 use super::events::{WeightsEvent, WordSource};
-use super::orders::{FleetAction, LoadMode, OrderEnd, OrderReport, ReplicaReport, WeightsOrder};
+use super::orders::{FleetAction, OrderEnd, OrderReport, ReplicaReport};
 use super::protocol::{Availability, InstanceReport, InstanceStatus, LoadedModel};
 use super::schedule::Schedule;
+use super::target::{Phase, Target};
 use std::collections::BTreeMap;
 use std::time::Duration;
 use topazmount_consensus::Term;
@@ -39,29 +40,6 @@
     }
 }
 
-#[derive(Clone, Copy, Debug, PartialEq)]
-enum Phase {
-    /// Gateways are told to pass it over; its version must be there by the deadline.
-    Pausing { since: Time, deadline: Time },
-    /// Its order may be given.
-    Granted,
-    /// A question is under way before the order.
-    Asking { since: Time },
-    /// An order is under way.
-    Ordering { since: Time },
-    /// It loads.
-    Loading { since: Time, ask_at: Time },
-    /// Something failed; it is tried again.
-    Resting { until: Time },
-}
-
-#[derive(Clone, Debug)]
-struct Target {
-    phase: Phase,
-    model: String,
-    version: u32,
-}
-
 /// What the holder knows of one incarnation of a replica; a later one begins with nothing of it.
 #[derive(Clone, Debug, Default)]
 struct Replica {
@@ -69,6 +47,8 @@
     target: Option<Target>,
     /// Orders that it has taken, as it reported since the last question.
     sequence: Option<u64>,
+    /// Orders in a row that it refused or left unanswered.
+    failures: u32,
     /// Whether it has seen a higher fence than this holder's, which orders nothing there again.
     is_fenced: bool,
 }
@@ -92,9 +72,10 @@
         Rollout { settings, ..Rollout::default() }
     }
 
-    /// Forgets everything as a term begins: another member may have given orders meanwhile.
+    /// Forgets everything but when versions were named as a term begins: another member may have given orders meanwhile.
     pub(crate) fn reset(&mut self, term: Term) {
-        *self = Rollout { term, ..Rollout::new(self.settings) };
+        let schedule = std::mem::take(&mut self.schedule);
+        *self = Rollout { term, schedule, ..Rollout::new(self.settings) };
     }
 
     /// What gateways need to know of an incarnation; `None` where nothing was heard of its weights, so that what an
@@ -190,6 +171,7 @@
         let Some(target) = &mut replica.target else { return };
         match end {
             OrderEnd::Accepted => {
+                replica.failures = 0;
                 target.phase = Phase::Loading { since: now, ask_at: now + FIRST_QUESTION };
             }
             OrderEnd::Holds => {
@@ -199,14 +181,16 @@
                 let events = replica.belief.heard(now, word, &[loaded]);
                 self.events.extend(events);
             }
-            // An order that got no answer may be carried out seconds later. Given again with the
-            // same sequence, at most one of the two is carried out.
-            OrderEnd::Unknown | OrderEnd::Conflict => target.phase = Phase::Granted,
+            OrderEnd::Conflict => target.phase = Phase::Granted,
             OrderEnd::Fenced => {
                 replica.target = None;
                 replica.is_fenced = true;
             }
-            OrderEnd::Refused => {
+            // An order that got no answer may be carried out seconds later. Given again with the same sequence, at
+            // most one of the two is carried out. Meanwhile its place goes to others: where it was kept, three of 12
+            // replicas that left orders unanswered held up all others for the whole bound of 8 s.
+            OrderEnd::Refused | OrderEnd::Unknown => {
+                replica.failures += 1;
                 target.phase = Phase::Resting { until: now + RETRY_PAUSE };
             }
         }
@@ -269,12 +253,14 @@
             let free = known.iter().filter(|(_, one)| one.target.is_none() && !one.is_fenced);
             let lacking = free.filter_map(|(one, replica)| {
                 let (model, newest, named) = self.lacking(&replica.belief, weights)?;
-                Some((named + self.settings.spread, one.id.clone(), model, newest))
+                let deadline = named + self.settings.spread;
+                Some((replica.failures, deadline, one.id.clone(), model, newest))
             });
             let mut lacking: Vec<_> = lacking.collect();
+            // Whoever fails orders comes after all others, else it would be the first again and again.
             lacking.sort();
             let starting = Schedule::starting(replicas.len(), under_way);
-            for (deadline, id, model, version) in lacking.into_iter().take(starting) {
+            for (_, deadline, id, model, version) in lacking.into_iter().take(starting) {
                 let phase = Phase::Pausing { since: now, deadline };
                 let replica = self.replicas.entry(id).or_default();
                 replica.target = Some(Target { phase, model, version });
@@ -415,26 +401,3 @@
         }
     }
 }
-
-impl Target {
-    fn is_loading(&self) -> bool {
-        !matches!(self.phase, Phase::Pausing { .. } | Phase::Resting { .. })
-    }
-
-    fn is_paused(&self) -> bool {
-        !matches!(self.phase, Phase::Resting { .. })
-    }
-
-    fn order(&self, instance: &Instance, fence: Term, expected_sequence: u64) -> WeightsOrder {
-        WeightsOrder {
-            instance: instance.id.clone(),
-            address: instance.address.clone(),
-            model: self.model.clone(),
-            version: self.version,
-            mode: LoadMode::KeepRuns,
-            fence,
-            expected_sequence,
-            start: instance.start,
-        }
-    }
-}
