--- /dev/null
+++ b/crates/control/tests/review_incarnations.rs
@@ -0,0 +1,199 @@
+//! What a cold review found: beliefs that still outlive what they are about.
+
+mod review_world;
+
+use review_world::{MODEL, Manner, SPREAD, STEP, World};
+use std::time::Duration;
+use topazmount_control::{
+    Document, FleetCommand, FleetRequest, FleetResponse, FleetState, InstanceReport, LoadedModel,
+    OrderReport, Registration, ReplicaReport, Response,
+};
+use topazmount_types::{Instance, Start};
+
+const LATER: u64 = 2_000_000;
+const EARLIER: u64 = 1_000_000;
+
+fn loaded(version: u32) -> Vec<LoadedModel> {
+    vec![LoadedModel { model: MODEL.to_owned(), version }]
+}
+
+fn is_registered(world: &mut World, id: &str) -> bool {
+    world.view().instances.iter().any(|one| one.id == id)
+}
+
+/// The clock stepped back over a restart: the next incarnation is heard just after the silence of the later start was
+/// noted. It is registered, and must be ordered.
+#[test]
+fn a_start_that_stepped_back_is_ordered_also_when_heard_just_after_the_silence() {
+    let mut world = World::new(0);
+    (0..12).for_each(|number| world.add_started(&format!("r{number:02}"), LATER));
+    world.run_for(Duration::from_secs(10));
+    world.name(2);
+    world.run_for(SPREAD);
+    assert!(world.replicas.values().all(|one| one.version == 2));
+    world.replicas.get_mut("r03").unwrap().is_silent = true;
+    let mut steps = 0;
+    while is_registered(&mut world, "r03") {
+        world.run_for(STEP);
+        steps += 1;
+        assert!(steps < 1_000);
+    }
+    world.restart("r03", EARLIER, 1);
+    world.run_for(SPREAD * 3);
+    assert!(is_registered(&mut world, "r03"));
+    assert_eq!(world.replicas["r03"].version, 2, "orders: {}", world.orders.len());
+}
+
+/// Another writer's heartbeat under an identifier comes before the replica's own; it names a service that is not declared, and
+/// a later start.
+#[test]
+fn a_replica_whose_identifier_another_writer_used_first_is_ordered() {
+    let mut world = World::new(0);
+    (0..12).for_each(|number| world.add_started(&format!("r{number:02}"), EARLIER));
+    world.run_for(Duration::from_secs(1));
+    let service = world.view().instances[0].service.clone();
+    let document = Document { version: 1, bytes: vec![1], services: vec![service] };
+    let put = world.ask(FleetRequest::PutDocument(document));
+    assert_eq!(put, Response::Fleet(FleetResponse::Done));
+    world.add_started("r99", EARLIER);
+    let mut foreign: InstanceReport = world.next_heartbeat("r99");
+    foreign.instance.service = "undeclared".to_owned();
+    foreign.instance.start = Start(LATER);
+    world.send(FleetRequest::Heartbeat(foreign));
+    world.run_for(Duration::from_secs(10));
+    let known = world.view().instances.into_iter().find(|one| one.id == "r99").unwrap();
+    assert_eq!(known.start, Start(EARLIER), "its own word counts for the registry");
+    world.name(2);
+    world.run_for(SPREAD * 3);
+    assert_eq!(world.replicas["r00"].version, 2);
+    let told = world.view().statuses.unwrap().1.iter().any(|status| status.id == "r99");
+    assert!(told, "gateways are told of it");
+    assert_eq!(world.replicas["r99"].version, 2);
+}
+
+/// What answers at a replica's address names a later start once: another process that was there for a moment, or a report that
+/// names a start where heartbeats name none.
+fn is_ordered_after_a_report_of_a_later_start(own: u64) {
+    let mut world = World::new(0);
+    (0..12).for_each(|number| world.add_started(&format!("r{number:02}"), own));
+    world.run_for(Duration::from_secs(10));
+    let report =
+        ReplicaReport { models: loaded(1), is_busy: false, sequence: 0, start: Start(LATER) };
+    world.send(FleetRequest::OrderEnded(OrderReport::Question("r03".to_owned(), Some(report))));
+    world.run_for(Duration::from_secs(3));
+    world.name(2);
+    world.run_for(SPREAD * 3);
+    assert_eq!(world.replicas["r02"].version, 2);
+    assert_eq!(world.replicas["r03"].version, 2);
+}
+
+#[test]
+fn a_report_of_a_later_start_does_not_take_a_replica_away_for_good() {
+    is_ordered_after_a_report_of_a_later_start(EARLIER);
+}
+
+#[test]
+fn a_start_in_reports_alone_does_not_take_a_replica_away_for_good() {
+    is_ordered_after_a_report_of_a_later_start(0);
+}
+
+/// Three of 12 replicas answer no question before their order, and heartbeats of them still come.
+#[test]
+fn replicas_that_answer_no_question_do_not_hold_up_the_others() {
+    let mut world = World::new(0);
+    (0..12).for_each(|number| world.add_started(&format!("r{number:02}"), EARLIER));
+    world.run_for(Duration::from_secs(10));
+    world.deaf = ["r00", "r01", "r02"].into_iter().map(str::to_owned).collect();
+    world.name(2);
+    world.run_for(SPREAD);
+    let late: Vec<_> = world
+        .replicas
+        .iter()
+        .filter(|(id, one)| one.version < 2 && !world.deaf.contains(*id))
+        .map(|(id, _)| id.clone())
+        .collect();
+    assert_eq!(late, Vec::<String>::new(), "still on version 1 after the bound");
+}
+
+/// A replica refuses one order, and newer versions are named all the while.
+#[test]
+fn one_refusal_does_not_starve_a_replica() {
+    let mut world = World::new(0);
+    (0..12).for_each(|number| world.add_started(&format!("r{number:02}"), EARLIER));
+    world.run_for(Duration::from_secs(10));
+    world.replicas.get_mut("r00").unwrap().manner = Manner::Refuses;
+    world.name(2);
+    while !world.orders.iter().any(|(_, order)| order.instance == "r00") {
+        world.run_for(STEP);
+    }
+    world.run_for(STEP);
+    world.replicas.get_mut("r00").unwrap().manner = Manner::Obeys;
+    for version in 3..23 {
+        world.run_for(Duration::from_secs(3));
+        world.name(version);
+    }
+    let orders = |id: &str| world.orders.iter().filter(|(_, order)| order.instance == id).count();
+    let (own, other) = (orders("r00"), orders("r05"));
+    let versions: Vec<u32> = world.replicas.values().map(|one| one.version).collect();
+    assert!(world.replicas["r00"].version > 1, "orders {own}, of another {other}; {versions:?}");
+}
+
+fn instance(start: u64, address: &str) -> Instance {
+    Instance {
+        id: "a".to_owned(),
+        service: "pool".to_owned(),
+        address: address.to_owned(),
+        zone: "north".to_owned(),
+        slots: 4,
+        is_draining: false,
+        changed_at: 0,
+        start: Start(start),
+    }
+}
+
+/// The clock stepped back while another replica took the address of the one that crashed.
+#[test]
+fn a_start_that_stepped_back_comes_back_after_its_address_was_taken() {
+    let mut state = FleetState::default();
+    state.apply(FleetCommand::Register(instance(LATER, "x:1")));
+    let other = Instance { id: "b".to_owned(), ..instance(LATER, "x:1") };
+    state.apply(FleetCommand::Register(other));
+    assert_eq!(state.judge(&instance(EARLIER, "y:1")), Registration::News);
+}
+
+/// Another writer's departure that names a start in the far future.
+#[test]
+fn a_departure_by_another_writer_does_not_end_an_identifier_for_good() {
+    let mut state = FleetState::default();
+    state.apply(FleetCommand::Register(instance(EARLIER, "x:1")));
+    state.apply(FleetCommand::Leave("a".to_owned(), Start(u64::MAX)));
+    assert!(state.instances().contains_key("a") || state.judge(&instance(LATER, "x:1")) == Registration::News);
+}
+
+/// A departure without a body that arrives after the next incarnation has registered.
+#[test]
+fn a_late_departure_without_a_start_does_not_end_the_next_incarnation() {
+    let mut state = FleetState::default();
+    state.apply(FleetCommand::Register(instance(EARLIER, "x:1")));
+    state.apply(FleetCommand::Register(instance(LATER, "x:1")));
+    state.apply(FleetCommand::Leave("a".to_owned(), Start::UNSAID));
+    assert!(state.instances().contains_key("a"));
+}
+
+/// A replica that heartbeats say older weights of, and that leaves questions unanswered.
+#[test]
+fn questions_in_doubt_are_bounded() {
+    let mut world = World::new(0);
+    (0..12).for_each(|number| world.add_started(&format!("r{number:02}"), EARLIER));
+    world.run_for(Duration::from_secs(10));
+    world.name(2);
+    world.run_for(SPREAD);
+    let mut said = world.next_heartbeat("r03");
+    said.models = loaded(1);
+    world.deaf.insert("r03".to_owned());
+    world.send(FleetRequest::Heartbeat(said));
+    let before = world.questions;
+    world.run_for(Duration::from_secs(60));
+    let asked = world.questions - before;
+    assert!(asked <= 20, "{asked} questions in 60 s, though its heartbeats say version 2 again");
+}
--- /dev/null
+++ b/crates/gateway/tests/review_bars.rs
@@ -0,0 +1,38 @@
+//! What a cold review found: only the leader's statuses bar old weights.
+
+mod common;
+
+use common::{choice_request, instance, prompt};
+use std::time::Duration;
+use topazmount_control::{Availability, InstanceStatus, LoadedModel};
+use topazmount_gateway::Balancer;
+use topazmount_routing::PolicyTable;
+use topazmount_types::{Start, Time};
+
+const NOW: Time = Time::from_secs(1_000);
+
+fn loaded(version: u32) -> Vec<LoadedModel> {
+    vec![LoadedModel { model: "model".to_owned(), version }]
+}
+
+/// Members that follow tell of a newer version; none that leads tells of the replica for longer than the bound.
+#[test]
+fn a_gateway_that_hears_followers_alone_sends_nothing_to_weights_beyond_their_bound() {
+    let mut balancer = Balancer::new("north", 1);
+    balancer.upsert(instance("i-0", "pool", "north"));
+    let status = InstanceStatus {
+        id: "i-0".to_owned(),
+        availability: Availability::Open,
+        models: loaded(1),
+        start: Start::UNSAID,
+        correction: (0, 0),
+    };
+    balancer.set_status(&status);
+    balancer.set_named(&loaded(2));
+    let prompt = prompt(&[(1, 2_500), (100, 3_800), (1_000, 900)]);
+    let request = choice_request(&prompt, None);
+    let later = NOW + Duration::from_secs(20);
+    let choice = balancer.choose(&request, later, &mut PolicyTable::default());
+    let expected = choice.map(|choice| choice.expected);
+    assert_ne!(expected, Some(Some(1)), "20 s after version 2 was heard of, a prompt begins on version 1");
+}
