--- a/crates/control/tests/review_world/mod.rs
+++ b/crates/control/tests/review_world/mod.rs
@@ -33,6 +33,10 @@
     LateOnce,
     /// Orders get no answer and are not carried out.
     Mute,
+    /// Says that another order is under way.
+    Conflicts,
+    /// Takes an order and never ends its load.
+    Hangs,
 }
 
 pub struct Replica {
@@ -283,6 +287,14 @@
         match self.manner {
             Manner::Refuses => OrderEnd::Refused,
             Manner::Mute => OrderEnd::Unknown,
+            Manner::Conflicts => OrderEnd::Conflict,
+            Manner::Hangs => {
+                let _ = self.carry_out(now, &order);
+                if let Some((_, at)) = &mut self.loading {
+                    *at = now + Duration::from_secs(10_000);
+                }
+                OrderEnd::Accepted
+            }
             Manner::Fences => OrderEnd::Fenced,
             Manner::LateOnce => {
                 self.manner = Manner::Obeys;
