--- a/crates/control/tests/review_incarnations.rs
+++ b/crates/control/tests/review_incarnations.rs
@@ -305,3 +305,21 @@
 fn replicas_whose_loads_never_end_do_not_hold_up_the_others() {
     held_up_by(Manner::Hangs);
 }
+
+/// A replica is cut off for 5 s. Meanwhile another writer's heartbeat names its address, and a service that is not declared.
+#[test]
+fn another_writer_at_the_address_of_a_silent_replica_does_not_end_it_for_good() {
+    let mut state = FleetState::default();
+    let services = vec!["pool".to_owned()];
+    state.apply(FleetCommand::PutDocument(Document { version: 1, bytes: vec![1], services }));
+    state.apply(FleetCommand::Register(instance(EARLIER, "x:1")));
+    state.apply(FleetCommand::FallSilent("a".to_owned(), Start(EARLIER)));
+    assert_eq!(state.judge(&instance(EARLIER, "x:1")), Registration::News, "control");
+    let foreign = Instance {
+        id: "z".to_owned(),
+        service: "undeclared".to_owned(),
+        ..instance(EARLIER, "x:1")
+    };
+    state.apply(FleetCommand::Register(foreign));
+    assert_eq!(state.judge(&instance(EARLIER, "x:1")), Registration::News);
+}
