--- a/crates/control/tests/late_schedule.rs
+++ b/crates/control/tests/late_schedule.rs
@@ -1,4 +1,4 @@
-//! What a cold review found: a member that was out of touch while a version was named, and leads next.
+//! A member that was out of touch while a version was named, and leads next.
 
 mod common;
 
