--- a/crates/control/src/fleet/mod.rs
+++ b/crates/control/src/fleet/mod.rs
@@ -4,6 +4,7 @@
 //! versions named for models, and the requests under which replicas crash. `FleetLeader` is what only the leader keeps in memory: when each
 //! replica and gateway was last heard of, who waits for news, and the roll-out of weights.
 
+mod belief;
 mod crashes;
 mod events;
 mod gateways;
@@ -13,6 +14,7 @@
 mod rollout;
 mod schedule;
 mod state;
+mod target;
 
 pub use crashes::{BlockedRequest, CRASHES_TO_BLOCK, CrashLedger, CrashNote, CrashNotes};
 pub use events::{BeliefChange, WeightsEvent, WordSource};
@@ -24,4 +26,4 @@
     InstanceReport, InstanceStatus, LoadedModel, Seen, WatchRequest,
 };
 pub use rollout::RolloutSettings;
-pub use state::{Document, FleetCommand, FleetState, RemovedInstance};
+pub use state::{Document, FleetCommand, FleetState, ForeignCause, Registration, RemovedInstance};
