Metrics: what a member's messages cost, by kind

Cause: nobody could tell what the busiest member's load is made of. Ruled out: time of the member's thread by kind, as a batch shares one sync. Measured: nothing yet.

--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -12,6 +12,7 @@
 mod heartbeats;
 mod identity;
 mod joining;
+mod kinds;
 mod ledger;
 mod member;
 mod protocol;
--- a/crates/topazmount/src/control_links.rs
+++ b/crates/topazmount/src/control_links.rs
@@ -2,6 +2,7 @@
 
 use crate::Executor;
 use crate::frames::{self, ConnectLimit, FrameReader, FrameWriter};
+use crate::message_meter::{MessageMeter, Way};
 use crate::silence::{LINK_SILENCE, Traffic};
 use async_channel::{Receiver, Sender};
 use async_executor::Task;
@@ -36,6 +37,8 @@
 pub struct Shared {
     pub(crate) inputs: Sender<MemberInput>,
     pub(crate) waiting: Mutex<Waiting>,
+    /// What its messages cost.
+    pub(crate) meter: Arc<MessageMeter>,
 }
 
 #[derive(Default)]
@@ -48,7 +51,8 @@
     /// Nobody waits; the second part is what the member takes its inputs from.
     pub fn new() -> (Arc<Self>, Receiver<MemberInput>) {
         let (inputs, receiver) = async_channel::unbounded();
-        (Arc::new(Shared { inputs, waiting: Mutex::default() }), receiver)
+        let (waiting, meter) = Default::default();
+        (Arc::new(Shared { inputs, waiting, meter }), receiver)
     }
 
     pub(crate) fn add(&self, requester: Requester) -> Token {
@@ -68,6 +72,8 @@
     pub own: String,
     /// Key of all connections of the group.
     pub key: ClusterKey,
+    /// Where messages are counted.
+    pub meter: Arc<MessageMeter>,
 }
 
 impl Peers {
@@ -81,6 +87,7 @@
                 own: self.own.clone(),
                 key: self.key.clone(),
                 limit: ConnectLimit::default(),
+                meter: self.meter.clone(),
             };
             self.executor.spawn(link.run(receiver)).detach();
         }
@@ -95,6 +102,7 @@
     own: String,
     key: ClusterKey,
     limit: ConnectLimit,
+    meter: Arc<MessageMeter>,
 }
 
 /// An open connection to a peer.
@@ -131,8 +139,9 @@
             link.traffic.sent();
             let frame = Frame::Peer(self.own.clone(), envelope);
             // A peer that does not read would hold the queue up for ever.
-            if frames::within(LINK_SILENCE, link.writer.send(&frame)).await.is_err() {
-                open = None;
+            match frames::within(LINK_SILENCE, link.writer.send(&frame)).await {
+                Ok(cost) => self.meter.count(Way::Out, frame.kind(), cost),
+                Err(_) => open = None,
             }
         }
     }
@@ -200,15 +209,16 @@
         }
     };
     let (answers, queue) = async_channel::bounded(ANSWER_QUEUE);
-    let _writing = executor.spawn(write_answers(writer, queue));
+    let _writing = executor.spawn(write_answers(writer, queue, shared.meter.clone()));
     let reason = read_requests(&mut reader, &answers, &shared).await;
     log::debug!("link: {peer} closed: {reason}.");
 }
 
-async fn write_answers(mut writer: FrameWriter, queue: Receiver<Frame>) {
+async fn write_answers(mut writer: FrameWriter, queue: Receiver<Frame>, meter: Arc<MessageMeter>) {
     while let Ok(frame) = queue.recv().await {
-        if writer.send(&frame).await.is_err() {
-            return;
+        match writer.send(&frame).await {
+            Ok(cost) => meter.count(Way::Out, frame.kind(), cost),
+            Err(_) => return,
         }
     }
 }
@@ -219,20 +229,25 @@
     shared: &Shared,
 ) -> eyre::Report {
     loop {
-        let input = match frames::within(LONGEST_REST, reader.receive::<Frame>()).await {
-            Ok(Frame::Peer(address, envelope)) => {
+        let (frame, cost) = match frames::within(LONGEST_REST, reader.receive_with_cost()).await {
+            Ok(received) => received,
+            Err(error) => return error,
+        };
+        let frame: Frame = frame;
+        shared.meter.count(Way::In, frame.kind(), cost);
+        let input = match frame {
+            Frame::Peer(address, envelope) => {
                 // Where the queue is full there are other answers to hear.
                 let _ = answers.try_send(Frame::Heard);
                 MemberInput::Peer(address, envelope)
             }
-            Ok(Frame::Request(number, request)) => {
+            Frame::Request(number, request) => {
                 let requester = Requester::Connection { answers: answers.clone(), number };
                 MemberInput::Request(shared.add(requester), request)
             }
-            Ok(Frame::Response(..) | Frame::Heard) => {
+            Frame::Response(..) | Frame::Heard => {
                 return eyre::eyre!("an answer to nothing that was asked");
             }
-            Err(error) => return error,
         };
         if shared.inputs.send(input).await.is_err() {
             return eyre::eyre!("the process is stopping");
--- a/crates/topazmount/src/control_process.rs
+++ b/crates/topazmount/src/control_process.rs
@@ -7,13 +7,14 @@
 use crate::control_log::ControlLog;
 use crate::file_disk::FileDisk;
 use crate::frames;
+use crate::message_meter::{FrameCost, MessageMeter, Way};
 use async_channel::{Receiver, Sender};
 use async_net::TcpListener;
 use eyre::{Result, WrapErr};
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use topazmount_consensus::{Config, Envelope, MemberInfo, Standing};
 use topazmount_control::{
     FleetAction, Founding, Frame, Member, MemberInput, MemberOutput, MemberSettings,
@@ -57,6 +58,11 @@
 }
 
 impl LocalMember {
+    /// What the member's messages cost so far.
+    pub fn meter(&self) -> &MessageMeter {
+        &self.shared.meter
+    }
+
     /// Sends a request and waits for the answer.
     ///
     /// # Errors
@@ -135,7 +141,12 @@
 
     let (shared, receiver) = Shared::new();
     let inputs = shared.inputs.clone();
-    let peers = Peers { executor: executor.clone(), own: info.address, key: key.clone() };
+    let peers = Peers {
+        executor: executor.clone(),
+        own: info.address,
+        key: key.clone(),
+        meter: shared.meter.clone(),
+    };
     let (ending, ended) = async_channel::bounded::<()>(1);
     let thread = std::thread::Builder::new().name("control".to_owned()).spawn({
         let shared = shared.clone();
@@ -197,7 +208,11 @@
         while let Some(batch) = next_batch(inputs, self.wait()) {
             let now = self.clock.now();
             let ticked = batch.into_iter().chain([MemberInput::Tick]);
-            let outputs = match self.member.step(now, ticked) {
+            let began = Instant::now();
+            let stepped = self.member.step(now, ticked);
+            let cost = FrameCost { bytes: 0, busy: began.elapsed() };
+            self.shared.meter.count(Way::Step, "batch", cost);
+            let outputs = match stepped {
                 Ok(outputs) => outputs,
                 Err(error) => {
                     // Serving on after a failed sync could forget what was promised: only what a
--- a/crates/topazmount/src/fleet/control_service.rs
+++ b/crates/topazmount/src/fleet/control_service.rs
@@ -224,6 +224,7 @@
             Ok(Response::Status(status)) => self.note_group(&status),
             other => log::warn!("control: event=no_status problem={other:?}"),
         }
+        self.metrics.set_messages(self.member.meter());
         self.metrics.render()
     }
 
--- a/crates/topazmount/src/fleet/metrics.rs
+++ b/crates/topazmount/src/fleet/metrics.rs
@@ -3,6 +3,7 @@
 use super::dialect::HttpAnswer;
 use super::http_service::Service;
 use crate::http1::RequestHead;
+use crate::message_meter::MessageMeter;
 use prometheus::{
     Encoder, GaugeVec, HistogramOpts, HistogramVec, IntCounterVec, IntGaugeVec, Opts, Registry,
     TextEncoder,
@@ -25,6 +26,9 @@
     latency: HistogramVec,
     state: IntGaugeVec,
     policies: GaugeVec,
+    messages: IntCounterVec,
+    message_bytes: IntCounterVec,
+    message_busy: IntCounterVec,
 }
 
 impl Default for Metrics {
@@ -42,6 +46,11 @@
         let calls =
             counter("calls", "Calls to the control plane by kind and status.", &["call", "status"]);
         let events = counter("events", "Changes of what the process believes.", &["event"]);
+        let by_kind = ["way", "kind"];
+        let messages = counter("messages", "Messages between members and watchers.", &by_kind);
+        let message_bytes = counter("message_bytes", "Their bytes.", &by_kind);
+        let help = "Microseconds for encoding, decoding and, of way step, the member's thread.";
+        let message_busy = counter("message_busy_us", help, &by_kind);
         let options = HistogramOpts::new("seconds", "Time from reading a request, by what ended.")
             .buckets(BUCKETS.to_vec());
         let latency =
@@ -54,7 +63,19 @@
             GaugeVec::new(Opts::new("policy", "What each policy did."), &["policy", "figure"])
                 .expect("names and labels are valid and differ");
         registry.register(Box::new(policies.clone())).expect("each is registered once");
-        Metrics { registry, answers, attempts, calls, events, latency, state, policies }
+        Metrics {
+            registry,
+            answers,
+            attempts,
+            calls,
+            events,
+            latency,
+            state,
+            policies,
+            messages,
+            message_bytes,
+            message_busy,
+        }
     }
 }
 
@@ -115,6 +136,22 @@
         }
     }
 
+    /// Takes over what a member's messages cost so far.
+    pub fn set_messages(&self, meter: &MessageMeter) {
+        for ((way, kind), totals) in meter.totals() {
+            let busy = u64::try_from(totals.busy.as_micros()).unwrap_or(u64::MAX);
+            let figures = [
+                (&self.messages, totals.count),
+                (&self.message_bytes, totals.bytes),
+                (&self.message_busy, busy),
+            ];
+            for (counter, value) in figures {
+                let counter = counter.with_label_values(&[way.name(), kind]);
+                counter.inc_by(value.saturating_sub(counter.get()));
+            }
+        }
+    }
+
     /// All figures as text.
     pub fn render(&self) -> String {
         let mut text = Vec::new();
--- a/crates/topazmount/src/frames.rs
+++ b/crates/topazmount/src/frames.rs
@@ -1,11 +1,12 @@
 //! Frames over a TCP stream: greeting, then sealed frames in both directions.
 
+use crate::message_meter::FrameCost;
 use async_net::TcpStream;
 use eyre::{Result, WrapErr, eyre};
 use futures_lite::{AsyncReadExt, AsyncWriteExt};
 use serde::{Serialize, de::DeserializeOwned};
 use std::net::SocketAddr;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use topazmount_wire::{
     ClusterKey, HELLO_LENGTH, Hello, LENGTH_PREFIX, Opener, Role, Sealer, decode_payload,
     encode_payload, frame_length, pack, session_keys, unpack,
@@ -31,10 +32,12 @@
     ///
     /// # Errors
     /// When the value is too large or the connection broke.
-    pub async fn send<T: Serialize>(&mut self, value: &T) -> Result<()> {
+    pub async fn send<T: Serialize>(&mut self, value: &T) -> Result<FrameCost> {
+        let began = Instant::now();
         let frame = self.sealer.seal(&pack(&encode_payload(value)?))?;
+        let cost = FrameCost { bytes: frame.len(), busy: began.elapsed() };
         self.stream.write_all(&frame).await?;
-        Ok(())
+        Ok(cost)
     }
 }
 
@@ -44,11 +47,22 @@
     /// # Errors
     /// When the connection broke, or the peer broke the protocol; the connection must be dropped.
     pub async fn receive<T: DeserializeOwned>(&mut self) -> Result<T> {
+        Ok(self.receive_with_cost().await?.0)
+    }
+
+    /// Receives one value, and tells what it cost.
+    ///
+    /// # Errors
+    /// As [`FrameReader::receive`].
+    pub async fn receive_with_cost<T: DeserializeOwned>(&mut self) -> Result<(T, FrameCost)> {
         let mut prefix = [0u8; LENGTH_PREFIX];
         self.stream.read_exact(&mut prefix).await?;
         let mut frame = vec![0u8; frame_length(prefix)?];
         self.stream.read_exact(&mut frame).await?;
-        Ok(decode_payload(&unpack(self.opener.open(&frame)?)?)?)
+        let began = Instant::now();
+        let bytes = prefix.len() + frame.len();
+        let value = decode_payload(&unpack(self.opener.open(&frame)?)?)?;
+        Ok((value, FrameCost { bytes, busy: began.elapsed() }))
     }
 }
 
--- a/crates/topazmount/src/lib.rs
+++ b/crates/topazmount/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod http_guard;
 pub mod http_pool;
 pub mod logging;
+pub mod message_meter;
 pub mod metrics;
 pub mod node_process;
 pub mod operator;
--- a/crates/topazmount/tests/silent_links.rs
+++ b/crates/topazmount/tests/silent_links.rs
@@ -138,7 +138,8 @@
     let executor = executor();
     let (address, inputs) = peer_inputs(&executor);
     let relay = Relay::start(address);
-    let peers = Peers { executor, own: "127.0.0.1:1".to_owned(), key: key() };
+    let own = "127.0.0.1:1".to_owned();
+    let peers = Peers { executor, own, key: key(), meter: Default::default() };
     let queue = peers.open_queue(&relay.address.to_string());
     let mut number = 0;
     let mut arrives = || {
@@ -164,7 +165,8 @@
     let executor = executor();
     let (address, inputs) = peer_inputs(&executor);
     let relay = Relay::start(address);
-    let peers = Peers { executor, own: "127.0.0.1:1".to_owned(), key: key() };
+    let own = "127.0.0.1:1".to_owned();
+    let peers = Peers { executor, own, key: key(), meter: Default::default() };
     let queue = peers.open_queue(&relay.address.to_string());
     for number in 0..2 {
         queue.try_send(message(number)).unwrap();
