--- a/crates/control/src/fleet/belief.rs
+++ b/crates/control/src/fleet/belief.rs
@@ -63,9 +63,10 @@
         self.models.iter().find(|one| one.model == model).map(|one| one.version)
     }
 
-    /// Whether a heartbeat is older than one that was heard. Those without a number can't be ordered.
-    pub(super) fn is_late(&self, count: u64) -> bool {
-        count > 0 && count < self.count
+    /// Whether a heartbeat is older than one that was heard. Numbers begin anew with each start, so that they order nothing
+    /// where none is said.
+    fn is_late(&self, count: u64) -> bool {
+        self.start != Start::UNSAID && count > 0 && count < self.count
     }
 
     /// Takes a heartbeat of this incarnation. Returns what differed from what was known.
@@ -98,7 +99,8 @@
         let is_current = now >= self.changed_at + REPORT_LAG;
         let events = self.take(now, word, models, |_| is_current);
         let is_doubtful = events.iter().any(|event| event.change == BeliefChange::Kept);
-        self.ask_at = is_doubtful.then_some(now + DOUBT_PAUSE);
+        // A report that only lags is no reason to ask.
+        self.ask_at = self.ask_at.filter(|_| is_doubtful).map(|_| now + DOUBT_PAUSE);
         if events.iter().any(|event| event.change == BeliefChange::TakenBack) {
             let (known, times) = self.correction;
             self.correction = (term, if known == term { times + 1 } else { 1 });
