Watchers that are behind are told of replicas in bounded pieces

Cause: 300 gateways that start together are each told of 3,000 replicas in one answer. Those ahead of a member that lags are no longer told the whole list, which they passed over, and directories nothing of replicas.

--- a/crates/control/src/fleet/leader.rs
+++ b/crates/control/src/fleet/leader.rs
@@ -3,9 +3,11 @@
 use super::events::WeightsEvent;
 use super::gateways::GatewayList;
 use super::orders::{FleetAction, OrderReport};
-use super::protocol::{FleetView, InstanceReport, InstanceStatus, LoadedModel, WatchRequest};
+use super::pieces::{MOST_TOLD, PieceRate};
+use super::protocol::{FleetView, InstanceReport, LoadedModel, Seen, WatchRequest};
 use super::rollout::{Rollout, RolloutSettings};
 use super::state::{FleetCommand, FleetState};
+use super::statuses::StatusList;
 use crate::member::Token;
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -38,13 +40,12 @@
     heard: BTreeMap<InstanceId, Time>,
     gateways: GatewayList,
     looked_at: Time,
-    /// Statuses with the count at which each changed last.
-    statuses: BTreeMap<InstanceId, (InstanceStatus, u64)>,
-    statuses_count: u64,
+    statuses: StatusList,
     /// Registry revision at which the statuses were refreshed last.
     statuses_revision: u64,
     rollout: Rollout,
     watchers: Vec<Watcher>,
+    pieces: PieceRate,
 }
 
 impl FleetLeader {
@@ -117,14 +118,7 @@
     }
 
     fn refresh_statuses(&mut self, now: Time, state: &FleetState) {
-        self.statuses.retain(|id, _| state.instances().contains_key(id));
-        for (id, instance) in state.instances() {
-            let Some(status) = self.rollout.status(now, instance) else { continue };
-            if self.statuses.get(id).is_none_or(|(known, _)| *known != status) {
-                self.statuses_count += 1;
-                self.statuses.insert(id.clone(), (status, self.statuses_count));
-            }
-        }
+        self.statuses.refresh(state, |instance| self.rollout.status(now, instance));
     }
 
     /// Notes when versions of weights were named, as a member whose state is current: whoever leads next then bars
@@ -176,7 +170,9 @@
         }
         let mut answers = Vec::new();
         for (watcher, is_due) in std::mem::take(&mut self.watchers).into_iter().zip(is_due) {
-            if !is_due {
+            let is_vouched = base.staleness.is_some();
+            let is_behind = is_due && is_vouched && self.is_behind(state, &watcher.request);
+            if !is_due || (is_behind && !self.pieces.take(now)) {
                 self.watchers.push(watcher);
                 continue;
             }
@@ -189,18 +185,28 @@
     fn is_due(&self, now: Time, state: &FleetState, base: &FleetView, watcher: &Watcher) -> bool {
         // A member that can't vouch for what it knows answers at once, so that another is asked.
         let is_over = now >= watcher.until || base.staleness.is_none();
-        is_over || (now >= watcher.news_from && self.has_news(state, &watcher.request))
+        // What a requester lacks that is behind has come long ago: there is nothing to gather.
+        let has_gathered = || now >= watcher.news_from || self.is_behind(state, &watcher.request);
+        is_over || (self.has_news(state, &watcher.request) && has_gathered())
+    }
+
+    /// Whether a requester lacks about as much as one answer has, or more.
+    fn is_behind(&self, state: &FleetState, request: &WatchRequest) -> bool {
+        let seen = &request.seen;
+        let has_other_term = self.term.is_some_and(|(term, _)| seen.statuses.0 < term);
+        let lacks_many = state.revision().saturating_sub(seen.revision) >= MOST_TOLD as u64;
+        lacks_many || (has_other_term && self.statuses.count() > 0)
     }
 
     /// Whether there is something that a requester should hear at once. Changes of the list of gateways wait for its next
     /// answer where it is a gateway itself: a new one is not needed sooner, and one that is gone is passed over.
     fn has_news(&self, state: &FleetState, request: &WatchRequest) -> bool {
         let seen = &request.seen;
-        let has_replicas = state.revision() != seen.revision
+        let has_replicas = state.revision() > seen.revision
             || state.version() > seen.document
             || state.crashes().changes() > seen.blocked;
         let Some((term, _)) = self.term else { return has_replicas };
-        let has_statuses = seen.statuses != (term, self.statuses_count);
+        let has_statuses = wants_statuses(seen) && seen.statuses != (term, self.statuses.count());
         let is_directory = request.gateway.is_none() && request.wants_gateways;
         let has_gateways = is_directory && seen.gateways != (term, self.gateways.count());
         has_replicas || has_statuses || has_gateways
@@ -216,21 +222,22 @@
         };
         view.weights = weights.map(named).collect();
         view.revision = state.revision();
-        view.document = state.document().filter(|one| one.version > seen.document).cloned();
-        if state.revision() != seen.revision {
-            (view.instances, view.removed, view.is_full) = state.changes_since(seen.revision);
+        // A member that lags has nothing to tell those who are ahead of it.
+        if state.revision() > seen.revision {
+            let changes = state.earliest_changes(seen.revision, MOST_TOLD);
+            (view.instances, view.removed) = (changes.changed, changes.removed);
+            (view.is_full, view.revision) = (changes.is_full, changes.revision);
+            view.has_more = changes.revision < state.revision();
         }
+        view.document = state.document().filter(|one| one.version > seen.document).cloned();
         let crashes = state.crashes();
         if crashes.changes() > seen.blocked {
             view.blocked = Some((crashes.changes(), crashes.blocked()));
         }
         let Some((term, _)) = self.term else { return view };
         view.gateway_count = self.gateways.len() as u32;
-        if seen.statuses != (term, self.statuses_count) {
-            let since = if seen.statuses.0 == term { seen.statuses.1 } else { 0 };
-            let changed = self.statuses.values().filter(|(_, changed_at)| *changed_at > since);
-            let changed = changed.map(|(status, _)| status.clone()).collect();
-            view.statuses = Some(((term, self.statuses_count), changed));
+        if wants_statuses(seen) {
+            view.statuses = self.statuses.news(term, seen, state, &view.instances);
         }
         if request.wants_gateways {
             view.gateways = self.gateways.news(term, seen.gateways);
@@ -238,3 +245,7 @@
         view
     }
 }
+
+fn wants_statuses(seen: &Seen) -> bool {
+    seen.statuses != (Term::MAX, u64::MAX)
+}
--- a/crates/control/src/fleet/mod.rs
+++ b/crates/control/src/fleet/mod.rs
@@ -10,10 +10,12 @@
 mod gateways;
 mod leader;
 mod orders;
+mod pieces;
 mod protocol;
 mod rollout;
 mod schedule;
 mod state;
+mod statuses;
 mod target;
 
 pub use crashes::{BlockedRequest, CRASHES_TO_BLOCK, CrashLedger, CrashNote, CrashNotes};
--- a/crates/control/src/fleet/protocol.rs
+++ b/crates/control/src/fleet/protocol.rs
@@ -72,7 +72,8 @@
     pub is_ready: bool,
 }
 
-/// What the requester has seen already.
+/// What the requester has seen already. One that wants no documents, replicas or statuses says that it has seen the highest
+/// number.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Seen {
     /// Version of its document.
@@ -155,6 +156,9 @@
     /// Newest version named for each model, as this member has applied it.
     #[serde(default)]
     pub weights: Vec<LoadedModel>,
+    /// Whether the member knows of further changes of replicas, after `revision`.
+    #[serde(default)]
+    pub has_more: bool,
 }
 
 impl FleetView {
--- a/crates/control/src/fleet/state.rs
+++ b/crates/control/src/fleet/state.rs
@@ -1,6 +1,7 @@
 //! Replicated state of the fleet.
 
 use super::crashes::{CrashLedger, CrashNotes};
+use super::pieces::end_of_piece;
 use serde::{Deserialize, Serialize};
 use std::cmp::Ordering;
 use std::collections::BTreeMap;
@@ -34,6 +35,19 @@
     pub start: Start,
 }
 
+/// Changes of the list of replicas.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ReplicaChanges {
+    /// Replicas that are new or have changed.
+    pub changed: Vec<Instance>,
+    /// Replicas that are gone.
+    pub removed: Vec<RemovedInstance>,
+    /// Whether `changed` begins the whole list anew.
+    pub is_full: bool,
+    /// Revision of the list after them.
+    pub revision: u64,
+}
+
 /// A change to the fleet.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum FleetCommand {
@@ -221,16 +235,31 @@
 
     /// Replicas changed and removed after a revision; `true` stands for the whole list.
     pub fn changes_since(&self, revision: u64) -> (Vec<Instance>, Vec<RemovedInstance>, bool) {
+        let changes = self.earliest_changes(revision, usize::MAX);
+        (changes.changed, changes.removed, changes.is_full)
+    }
+
+    /// The earliest `most` changes after a revision, and the revision that they lead to. Removals that are forgotten are
+    /// made good by a whole list, which goes at least as far as what is forgotten.
+    pub fn earliest_changes(&self, revision: u64, most: usize) -> ReplicaChanges {
         let is_full = revision < self.forgotten_to || revision > self.revision;
         let since = if is_full { 0 } else { revision };
-        let changed = self.instances.values().filter(|one| one.changed_at > since || is_full);
-        let removed = self.removals.iter().filter(|(_, removal)| removal.revision > since);
+        let changed = || self.instances.values().filter(|one| one.changed_at > since || is_full);
+        let is_later = |removal: &Removal| removal.revision > since && !is_full;
+        let removed = || self.removals.iter().filter(|(_, removal)| is_later(removal));
+        let all = changed().map(|one| one.changed_at);
+        let all = all.chain(removed().map(|(_, removal)| removal.revision));
+        let least = if is_full { self.forgotten_to } else { 0 };
+        let end = end_of_piece(all, most).map_or(self.revision, |end| end.max(least));
+        let removed = removed().filter(|(_, removal)| removal.revision <= end);
         let removed = removed.map(|(id, removal)| RemovedInstance {
             id: id.clone(),
             was_announced: removal.was_announced,
             start: removal.start,
         });
-        (changed.cloned().collect(), if is_full { Vec::new() } else { removed.collect() }, is_full)
+        let removed = removed.collect();
+        let changed = changed().filter(|one| one.changed_at <= end).cloned().collect();
+        ReplicaChanges { changed, removed, is_full, revision: end }
     }
 
     /// Applies one change.
--- a/crates/control/tests/fleet_state.rs
+++ b/crates/control/tests/fleet_state.rs
@@ -160,6 +160,58 @@
     }
 }
 
+#[test]
+fn changes_in_pieces_lead_to_the_same_list() {
+    let mut state = FleetState::default();
+    for step in 0..60u32 {
+        let id = format!("i{}", step % 7);
+        match step % 5 {
+            3 => state.apply(FleetCommand::Expire(id)),
+            4 => state.apply(FleetCommand::Depart(format!("i{}", 100 + step))),
+            _ => register(&mut state, &format!("{id}-{step}"), &format!("{}:1", step % 9)),
+        }
+    }
+    let expected: Vec<Instance> = state.instances().values().cloned().collect();
+    for most in [1, 2, 5, 1_000] {
+        let (mut known, mut revision): (Vec<Instance>, u64) = Default::default();
+        while revision < state.revision() {
+            let piece = state.earliest_changes(revision, most);
+            assert!(piece.changed.len() + piece.removed.len() <= most, "more than {most}");
+            assert!(piece.revision > revision, "no progress at {revision}");
+            known.retain(|one| piece.removed.iter().all(|gone| gone.id != one.id));
+            known.retain(|one| piece.changed.iter().all(|other| other.id != one.id));
+            known.extend(piece.changed);
+            revision = piece.revision;
+        }
+        known.sort_by(|left, right| left.id.cmp(&right.id));
+        assert_eq!(known, expected, "in pieces of {most}");
+    }
+}
+
+/// 4,096 removals are remembered; whoever has not heard of older ones is told the whole list, in pieces too.
+#[test]
+fn a_whole_list_comes_to_an_end_in_pieces() {
+    let mut state = FleetState::default();
+    for number in 0..4_200u32 {
+        register(&mut state, &format!("i{number}"), "9:1");
+    }
+    for number in 0..20u32 {
+        register(&mut state, &format!("late{number}"), &format!("{number}:2"));
+    }
+    let (mut revision, mut told, mut pieces) = (1, Vec::new(), 0);
+    while revision < state.revision() {
+        let piece = state.earliest_changes(revision, 5);
+        if piece.is_full {
+            assert_eq!(pieces, 0, "the list begins once");
+        }
+        told.extend(piece.changed.into_iter().map(|one| one.id));
+        (revision, pieces) = (piece.revision, pieces + 1);
+    }
+    told.sort();
+    let expected: Vec<String> = state.instances().keys().cloned().collect();
+    assert_eq!(told, expected);
+}
+
 /// Whoever sees a replica go must know whether that was planned.
 #[test]
 fn a_removal_says_whether_it_was_announced() {
--- a/crates/gateway/src/knowledge.rs
+++ b/crates/gateway/src/knowledge.rs
@@ -77,6 +77,8 @@
     settings: GatewaySettings,
     catalog: Option<Arc<Catalog>>,
     seen: Seen,
+    /// Whether it has heard only of a part of the replicas that a member knows.
+    is_behind: bool,
     confirmed_until: Time,
     /// When a request first met it unconfirmed, since it was confirmed last.
     unconfirmed_since: Option<Time>,
@@ -103,6 +105,7 @@
             settings,
             catalog: None,
             seen: Seen::default(),
+            is_behind: false,
             confirmed_until: Time::ZERO,
             unconfirmed_since: None,
             gateway_count: 0,
--- a/crates/gateway/src/knowledge/replicas.rs
+++ b/crates/gateway/src/knowledge/replicas.rs
@@ -53,6 +53,12 @@
         if view.revision <= self.seen.revision {
             return changes;
         }
+        // Each piece of the leader's comes with the statuses of its replicas, a follower's without: after one of these the
+        // leader has to tell all statuses.
+        if self.is_behind && view.statuses.is_none() {
+            self.seen.statuses = Default::default();
+        }
+        self.is_behind = view.has_more;
         if view.is_full {
             let ids: HashSet<InstanceId> =
                 view.instances.iter().map(|instance| instance.id.clone()).collect();
--- a/crates/gateway/tests/knowledge.rs
+++ b/crates/gateway/tests/knowledge.rs
@@ -121,6 +121,31 @@
     assert_eq!(ids, ["b"]);
 }
 
+/// While a gateway is told of replicas in pieces, a follower's piece has no statuses: it must not count as if these had come.
+#[rstest]
+#[case::pieces_of_the_leader(true, true, (3, 9))]
+#[case::a_piece_of_a_follower(true, false, (0, 0))]
+#[case::news_of_a_follower_to_one_that_knows_all(false, false, (3, 8))]
+fn statuses_are_asked_for_anew_after_a_followers_piece(
+    #[case] has_more: bool,
+    #[case] is_of_leader: bool,
+    #[case] expected: (u64, u64),
+) {
+    let mut knowledge = knowledge();
+    let piece = |revision, id: &str, statuses| FleetView {
+        revision,
+        instances: vec![instance(id, "first", "north")],
+        statuses,
+        has_more,
+        ..FleetView::default()
+    };
+    knowledge.apply(&piece(5, "a", Some(((3, 8), Vec::new()))), None, START);
+    let second = piece(6, "b", is_of_leader.then(|| ((3, 9), Vec::new())));
+    knowledge.apply(&second, None, START);
+    assert_eq!(knowledge.seen().statuses, expected);
+    assert_eq!(knowledge.seen().revision, 6);
+}
+
 #[test]
 fn a_split_is_exact_over_any_run_of_requests() {
     let mut knowledge = knowledge();
--- a/crates/topazmount/src/fleet/directory.rs
+++ b/crates/topazmount/src/fleet/directory.rs
@@ -47,17 +47,13 @@
 impl NewsReader for Directory {
     fn request(&mut self) -> (Seen, Option<GatewayReport>) {
         let mut seen = self.state.lock().unwrap().seen;
-        // Only the gateways matter here.
-        seen.document = u64::MAX;
+        // Only the gateways matter here: all else would be told to each member's directory at each change of a replica.
+        (seen.document, seen.revision, seen.statuses) = (u64::MAX, u64::MAX, (u64::MAX, u64::MAX));
         (seen, None)
     }
 
     fn read(&mut self, view: FleetView, _asked_at: Time) {
         let mut state = self.state.lock().unwrap();
-        state.seen.revision = view.revision;
-        if let Some((count, _)) = &view.statuses {
-            state.seen.statuses = *count;
-        }
         if let Some((changes, blocked)) = &view.blocked {
             state.seen.blocked = *changes;
             let count = blocked.len();
--- a/crates/topazmount/src/fleet/watcher.rs
+++ b/crates/topazmount/src/fleet/watcher.rs
@@ -143,7 +143,10 @@
                     self.note_members(&view);
                     let named = view.leader.as_ref().and_then(|address| address.parse().ok());
                     let is_sure = view.staleness.is_some();
-                    leader = if is_sure { named.or(Some(target)) } else { named };
+                    // The member that has begun to tell of all replicas goes on: so those that start together are spread.
+                    let goes_on = is_sure && view.has_more;
+                    let next = if is_sure { named.or(Some(target)) } else { named };
+                    leader = if goes_on { Some(target) } else { next };
                     reader.read(*view, asked_at);
                     match is_sure {
                         true => self.pause = FIRST_PAUSE,
