--- a/crates/control/src/fleet/state.rs
+++ b/crates/control/src/fleet/state.rs
@@ -122,6 +122,16 @@
     OtherPlace,
 }
 
+impl ForeignCause {
+    /// Name in answers and logs.
+    pub fn name(self) -> &'static str {
+        match self {
+            ForeignCause::UndeclaredService => "undeclared_service",
+            ForeignCause::OtherPlace => "other_place",
+        }
+    }
+}
+
 /// Replicated state. Invariants: the document's version and each model's version only rise; a
 /// draining incarnation never counts as ready again; an incarnation that left, or whose address was taken
 /// over, or that a later one has replaced, never comes back; nothing of an earlier one is kept for a later one.
