Weights whose bound is over stay barred, whoever leads

Cause: that a bound is over was known to the leader alone; one that has just started counts the bound from its own start, so that replicas that come back with older weights right after an election were told of as open (VERSION, 15.7 to 18.0 s after the acknowledgement). Change: the leader commits it (RetireWeights); any leader bars by it, and members tell gateways, which pass over such weights whatever a status says.

--- a/crates/control/src/fleet/leader.rs
+++ b/crates/control/src/fleet/leader.rs
@@ -21,6 +21,8 @@
 /// The same for each replica that there is. A look takes 0.4 us a replica: 3,000 of them took 6.3% of a core at a look each
 /// 20 ms and 0.9% with this (release build, 3 s of a group in memory).
 const LOOK_TIME_FOR_EACH: Duration = Duration::from_micros(50);
+/// Pause before what was proposed of weights is proposed again: time for the log, which a lost leader may cut.
+const RETIRE_PAUSE: Duration = Duration::from_millis(500);
 /// Longest time for which an answer is held.
 const LONGEST_WAIT: Duration = Duration::from_secs(2);
 
@@ -44,6 +46,8 @@
     /// Registry revision at which the statuses were refreshed last.
     statuses_revision: u64,
     rollout: Rollout,
+    /// When it was proposed last that older weights are over.
+    retired_at: Time,
     watchers: Vec<Watcher>,
     pieces: PieceRate,
 }
@@ -111,6 +115,7 @@
         self.refresh_statuses(now, state);
         self.statuses_revision = state.revision();
         let mut commands = expired;
+        commands.extend(self.retire_weights(now, state));
         if state.crashes().is_due(now) {
             commands.push(FleetCommand::ForgetCrashes { at: now });
         }
@@ -118,7 +123,21 @@
     }
 
     fn refresh_statuses(&mut self, now: Time, state: &FleetState) {
-        self.statuses.refresh(state, |instance| self.rollout.status(now, instance));
+        self.statuses
+            .refresh(state, |instance| self.rollout.status(now, instance, state.oldest_weights()));
+    }
+
+    /// That a bound is over goes into the log: the next leader may have started since, and counts a bound from there.
+    fn retire_weights(&mut self, now: Time, state: &FleetState) -> Vec<FleetCommand> {
+        if now < self.retired_at + RETIRE_PAUSE {
+            return Vec::new();
+        }
+        let over = self.rollout.to_retire(now, state.oldest_weights());
+        if !over.is_empty() {
+            self.retired_at = now;
+        }
+        let retire = |(model, version)| FleetCommand::RetireWeights { model, version };
+        over.into_iter().map(retire).collect()
     }
 
     /// Notes when versions of weights were named, as a member whose state is current: whoever leads next then bars
@@ -221,6 +240,7 @@
             version: *version,
         };
         view.weights = weights.map(named).collect();
+        view.oldest_weights = state.oldest_weights().iter().map(named).collect();
         view.revision = state.revision();
         // A member that lags has nothing to tell those who are ahead of it.
         if state.revision() > seen.revision {
--- a/crates/control/src/fleet/protocol.rs
+++ b/crates/control/src/fleet/protocol.rs
@@ -156,6 +156,9 @@
     /// Newest version named for each model, as this member has applied it.
     #[serde(default)]
     pub weights: Vec<LoadedModel>,
+    /// Oldest version of each model's weights that may still begin on requests, as this member has applied it.
+    #[serde(default)]
+    pub oldest_weights: Vec<LoadedModel>,
     /// Whether the member knows of further changes of replicas, after `revision`.
     #[serde(default)]
     pub has_more: bool,
--- a/crates/control/src/fleet/rollout.rs
+++ b/crates/control/src/fleet/rollout.rs
@@ -85,12 +85,18 @@
 
     /// What gateways need to know of an incarnation; `None` where nothing was heard of its weights, so that what an
     /// earlier holder said of it stays in force.
-    pub(crate) fn status(&self, now: Time, instance: &Instance) -> Option<InstanceStatus> {
+    pub(crate) fn status(
+        &self,
+        now: Time,
+        instance: &Instance,
+        oldest: &BTreeMap<String, u32>,
+    ) -> Option<InstanceStatus> {
         let replica = self.replica_of(instance)?;
         let belief = &replica.belief;
         let is_overdue = belief.models().iter().any(|loaded| {
             let due = self.schedule.due(&loaded.model, loaded.version);
-            due.is_some_and(|named| now >= named + self.settings.spread - OVERDUE_MARGIN)
+            let is_due = due.is_some_and(|named| now >= named + self.bar_after());
+            is_due || oldest.get(&loaded.model).is_some_and(|oldest| loaded.version < *oldest)
         });
         let is_loading = replica.target.is_some();
         let availability = match (is_overdue, is_loading) {
@@ -107,6 +113,23 @@
         })
     }
 
+    fn bar_after(&self) -> Duration {
+        self.settings.spread.saturating_sub(OVERDUE_MARGIN)
+    }
+
+    /// Versions whose bound is over while what the log says of the oldest ones lags behind that.
+    pub(crate) fn to_retire(
+        &self,
+        now: Time,
+        oldest: &BTreeMap<String, u32>,
+    ) -> Vec<(String, u32)> {
+        let over = self.schedule.named_before(now - self.bar_after());
+        let is_news = |(model, version): &(&String, u32)| {
+            oldest.get(*model).is_none_or(|oldest| oldest < version)
+        };
+        over.filter(is_news).map(|(model, version)| (model.clone(), version)).collect()
+    }
+
     /// What is known of a registered incarnation.
     fn replica_of(&self, instance: &Instance) -> Option<&Replica> {
         let replica = self.replicas.get(&instance.id)?;
--- a/crates/control/src/fleet/schedule.rs
+++ b/crates/control/src/fleet/schedule.rs
@@ -44,6 +44,14 @@
         named.iter().find(|(one, _)| *one > version).map(|(_, at)| *at)
     }
 
+    /// The newest version of each model that was named before a moment.
+    pub(crate) fn named_before(&self, moment: Time) -> impl Iterator<Item = (&String, u32)> {
+        self.named.iter().filter_map(move |(model, named)| {
+            let before = named.iter().rev().find(|(_, at)| *at <= moment);
+            Some((model, before?.0))
+        })
+    }
+
     /// Replicas of a service, of so many, that may load at the same time.
     pub(crate) fn at_once(replicas: usize) -> usize {
         replicas.div_ceil(REPLICAS_PER_LOAD)
--- a/crates/control/src/fleet/state.rs
+++ b/crates/control/src/fleet/state.rs
@@ -70,6 +70,13 @@
         /// Version.
         version: u32,
     },
+    /// Older versions of a model's weights than this one may not begin on requests any more: its bound is over.
+    RetireWeights {
+        /// Model.
+        model: String,
+        /// Oldest version that may begin.
+        version: u32,
+    },
     /// Takes what gateways saw of crashes.
     NoteCrashes {
         /// The leader's clock. It is not kept from going back, as that of the ledger of calls is: only
@@ -146,6 +153,9 @@
     weights: BTreeMap<String, u32>,
     #[serde(default)]
     crashes: CrashLedger,
+    /// Oldest version of each model's weights that may begin on requests. It outlasts the leader that counted the bound.
+    #[serde(default)]
+    oldest_weights: BTreeMap<String, u32>,
 }
 
 impl FleetState {
@@ -174,6 +184,11 @@
         &self.weights
     }
 
+    /// Oldest version of each model's weights that may still begin on requests, where the bound of one is over.
+    pub fn oldest_weights(&self) -> &BTreeMap<String, u32> {
+        &self.oldest_weights
+    }
+
     /// Requests under which replicas crash.
     pub fn crashes(&self) -> &CrashLedger {
         &self.crashes
@@ -297,6 +312,10 @@
                 let known = self.weights.entry(model).or_default();
                 *known = version.max(*known);
             }
+            FleetCommand::RetireWeights { model, version } => {
+                let known = self.oldest_weights.entry(model).or_default();
+                *known = version.max(*known);
+            }
             FleetCommand::NoteCrashes { at, notes } => self.crashes.note(at, &notes),
             FleetCommand::ForgetCrashes { at } => self.crashes.forget(at),
         }
--- a/crates/gateway/src/balancer/candidates.rs
+++ b/crates/gateway/src/balancer/candidates.rs
@@ -30,6 +30,7 @@
             shard.is_none_or(|shard| shard.contains(replica.place))
                 && replica.may_take(request)
                 && !replica.went_back(request, now)
+                && !self.is_outdated(replica, request.model)
         };
         let mut serving: Vec<&Replica> = self.serving(request.service).filter(may_serve).collect();
         // Weights that are not known may be too old.
--- a/crates/gateway/src/balancer/incarnations.rs
+++ b/crates/gateway/src/balancer/incarnations.rs
@@ -134,6 +134,21 @@
         }
     }
 
+    /// Takes the oldest version of each model's weights that may begin on requests; it only rises.
+    pub fn set_oldest(&mut self, weights: &[LoadedModel]) {
+        for loaded in weights {
+            let known = self.oldest.entry(loaded.model.clone()).or_default();
+            *known = loaded.version.max(*known);
+        }
+    }
+
+    /// Whether the bound on a replica's weights is over, whatever its status says: a follower tells of it without one.
+    pub(super) fn is_outdated(&self, replica: &Replica, model: Option<&str>) -> bool {
+        let oldest = model.and_then(|model| self.oldest.get(model));
+        let held = replica.version(model);
+        oldest.is_some_and(|oldest| held.is_some_and(|held| held < *oldest))
+    }
+
     /// Newest version named for a model, if any ever was.
     pub(super) fn named(&self, model: Option<&str>) -> Option<u32> {
         self.named.get(model?).copied()
--- a/crates/gateway/src/balancer/mod.rs
+++ b/crates/gateway/src/balancer/mod.rs
@@ -46,6 +46,8 @@
     holders: Holders,
     /// Newest version named for each model; it only rises.
     named: HashMap<String, u32>,
+    /// Oldest version of each model's weights that may begin on requests.
+    oldest: HashMap<String, u32>,
     stores: Stores,
     /// Age up to which a replica almost surely holds what it was seen to read or use. Later a store
     /// is the better source, although its link is slower.
@@ -69,6 +71,7 @@
             by_key: HashMap::new(),
             holders: Holders::default(),
             named: HashMap::new(),
+            oldest: HashMap::new(),
             stores: Stores::default(),
             surely_kept: SURELY_KEPT,
             prefill: HashMap::new(),
--- a/crates/gateway/src/balancer/sharded.rs
+++ b/crates/gateway/src/balancer/sharded.rs
@@ -110,6 +110,7 @@
         if replica.instance.service != request.service
             || !replica.may_take(request)
             || replica.went_back(request, now)
+            || self.is_outdated(replica, request.model)
         {
             return None;
         }
--- a/crates/gateway/src/knowledge.rs
+++ b/crates/gateway/src/knowledge.rs
@@ -228,6 +228,7 @@
         }
         let mut changes = self.apply_instances(view);
         self.balancer.set_named(&view.weights);
+        self.balancer.set_oldest(&view.oldest_weights);
         if let Some((count, statuses)) = &view.statuses {
             self.seen.statuses = *count;
             changes.extend(statuses.iter().flat_map(|status| self.balancer.set_status(status)));
--- a/crates/gateway/tests/late_bars.rs
+++ b/crates/gateway/tests/late_bars.rs
@@ -40,3 +40,24 @@
         "20 s after version 2 was heard of, a prompt begins on version 1"
     );
 }
+
+/// A follower says which versions are over, and nothing of the replica itself.
+#[test]
+fn a_gateway_passes_over_weights_that_are_over_whatever_the_status_says() {
+    let mut balancer = Balancer::new("north", 1);
+    balancer.upsert(instance("i-0", "pool", "north"));
+    let status = InstanceStatus {
+        id: "i-0".to_owned(),
+        availability: Availability::Open,
+        models: loaded(1),
+        start: Start::UNSAID,
+        correction: (0, 0),
+    };
+    balancer.set_status(&status);
+    balancer.set_oldest(&loaded(2));
+    let prompt = prompt(&[(1, 2_500), (100, 3_800), (1_000, 900)]);
+    let request = choice_request(&prompt, None);
+    assert!(balancer.choose(&request, NOW, &mut PolicyTable::default()).is_none());
+    balancer.set_status(&InstanceStatus { models: loaded(2), ..status });
+    assert!(balancer.choose(&request, NOW, &mut PolicyTable::default()).is_some());
+}
