Sight: what a replica's answer asks of its caller is decoded and logged

Retry-After of answers that turn a request away, and Server-Leaving, are read in the adapter into a Pushback of the product's own, and each is a line and a count. Nothing acts on it yet.

--- a/crates/topazmount/src/fleet/dialect.rs
+++ b/crates/topazmount/src/fleet/dialect.rs
@@ -5,7 +5,7 @@
 use topazmount_control::{
     Document, GatewayReport, InstanceReport, OrderEnd, ReplicaReport, WeightsOrder,
 };
-use topazmount_gateway::{Catalog, CatalogProblem, Prompt, StoreEvents};
+use topazmount_gateway::{Catalog, CatalogProblem, Prompt, Pushback, StoreEvents};
 use topazmount_types::{ErrorKind, InstanceId, Start};
 
 /// What a client's request says of itself.
@@ -65,6 +65,8 @@
     pub instance: Option<InstanceId>,
     /// Version of the weights that it was made with.
     pub version: Option<u32>,
+    /// What it asks of its caller.
+    pub pushback: Pushback,
     /// Whether its body is encoded, which no client asked for.
     pub is_encoded: bool,
 }
--- a/crates/topazmount/src/fleet/exchange/mod.rs
+++ b/crates/topazmount/src/fleet/exchange/mod.rs
@@ -7,6 +7,7 @@
 mod crash;
 mod late;
 mod limit;
+mod pushback;
 mod record;
 mod relay;
 mod resume;
