What a replica asked of a gateway is kept and looked at just before bytes go out

Cause: Retry-After and Server-Leaving of a replica were read by nobody; an attempt that was turned away left no trace. Change: one record by incarnation (gateway/src/pushback.rs). Resting and leaving replicas are no candidates, a coordinator is told of them with the question, and the record is looked at again before each attempt is written, on new and kept connections. A replica that asked for rest does not count among those that may be sent the request (the budget does); where all rest, the refusal names when the first comes back. Connections to one that leaves are closed.

--- a/crates/gateway/src/balancer/candidates.rs
+++ b/crates/gateway/src/balancer/candidates.rs
@@ -28,9 +28,8 @@
     ) -> Vec<InstanceId> {
         let may_serve = |replica: &&Replica| {
             shard.is_none_or(|shard| shard.contains(replica.place))
-                && replica.may_take(request)
-                && !replica.went_back(request, now)
-                && !self.is_outdated(replica, request.model)
+                && self.could_serve(replica, request, now)
+                && !self.wants_none(replica, now)
         };
         let mut serving: Vec<&Replica> = self.serving(request.service).filter(may_serve).collect();
         // Weights that are not known may be too old.
@@ -51,6 +50,18 @@
         if unpaused.is_empty() { ids(&|_| true) } else { unpaused }
     }
 
+    /// Whether a replica may be asked, apart from what it asked of this process.
+    pub(super) fn could_serve(
+        &self,
+        replica: &Replica,
+        request: &ChoiceRequest<'_>,
+        now: Time,
+    ) -> bool {
+        replica.may_take(request)
+            && !replica.went_back(request, now)
+            && !self.is_outdated(replica, request.model)
+    }
+
     pub(super) fn candidates(
         &mut self,
         open: &[InstanceId],
--- a/crates/gateway/src/balancer/incarnations.rs
+++ b/crates/gateway/src/balancer/incarnations.rs
@@ -65,6 +65,7 @@
                 return None;
             }
             earlier = Some(known.instance.clone());
+            self.pushbacks.ended(&known.name);
             self.remove(&instance.id);
         }
         let (id, slot, start) = (instance.id.clone(), self.next_slot, instance.start);
--- a/crates/gateway/src/balancer/mod.rs
+++ b/crates/gateway/src/balancer/mod.rs
@@ -12,12 +12,14 @@
 mod incarnations;
 mod news;
 mod progress;
+mod pushback;
 mod replica;
 mod sharded;
 mod source;
 mod view;
 
 use crate::estimator::PrefillEstimator;
+use crate::pushback::Pushbacks;
 use crate::shards::Shard;
 use crate::stores::{Stores, cache_salt};
 use choice::shared_of;
@@ -56,6 +58,8 @@
     prefill: HashMap<String, PrefillEstimator>,
     /// Whether gateways are so many that coordinators place prompts.
     has_coordinators: bool,
+    /// What incarnations asked of this process.
+    pushbacks: Pushbacks,
     next_slot: u32,
     rng: ChaCha8Rng,
     sequence: u64,
@@ -76,6 +80,7 @@
             surely_kept: SURELY_KEPT,
             prefill: HashMap::new(),
             has_coordinators: false,
+            pushbacks: Pushbacks::default(),
             next_slot: 0,
             rng: ChaCha8Rng::seed_from_u64(seed),
             sequence: 0,
--- a/crates/gateway/src/balancer/progress.rs
+++ b/crates/gateway/src/balancer/progress.rs
@@ -101,7 +101,10 @@
     }
 
     /// Whether a replica has said that it leaves, or had when the next incarnation took its place.
-    pub fn is_leaving(&self, choice: &Choice) -> bool {
+    pub fn is_leaving(&self, choice: &Choice, now: Time) -> bool {
+        if self.pushbacks.is_leaving(&choice.instance.incarnation_name(), now) {
+            return true;
+        }
         let Some(replica) = self.replicas.get(&choice.instance.id) else { return false };
         let had_said = (choice.instance.start, true);
         match replica.instance.start == choice.instance.start {
--- /dev/null
+++ b/crates/gateway/src/balancer/pushback.rs
@@ -0,0 +1,53 @@
+//! What replicas asked of this process, and what follows for choices among them.
+
+use super::Balancer;
+use super::choice::{Choice, ChoiceRequest};
+use super::replica::Replica;
+use crate::pushback::{Heard, Pushback, PushbackSettings};
+use crate::shards::Shard;
+use std::time::Duration;
+use topazmount_types::Time;
+
+impl Balancer {
+    /// Changes how long what replicas ask is believed.
+    pub fn set_pushback(&mut self, cfg: PushbackSettings) {
+        self.pushbacks.set(cfg);
+    }
+
+    /// Takes what an answer of the chosen incarnation asks. One that has ended asks nothing of the next.
+    pub fn hear_pushback(&mut self, choice: &Choice, said: Pushback, now: Time) -> Option<Heard> {
+        if self.has_ended(choice) {
+            return None;
+        }
+        self.pushbacks.hear(&choice.instance.incarnation_name(), said, now)
+    }
+
+    /// Whether a request may be sent to its choice at this moment: it may have asked for rest since it was chosen.
+    pub fn may_send(&self, choice: &Choice, now: Time) -> bool {
+        self.pushbacks.may_call(&choice.instance.incarnation_name(), now)
+    }
+
+    pub(super) fn wants_none(&self, replica: &Replica, now: Time) -> bool {
+        !self.pushbacks.may_call(&replica.name, now)
+    }
+
+    /// Names of the replicas of a shard that this process must not call; another one can't know of them.
+    pub(crate) fn unwilling(&self, service: &str, shard: Shard, now: Time) -> Vec<String> {
+        if self.pushbacks.is_empty() {
+            return Vec::new();
+        }
+        let in_shard = self.serving(service).filter(|one| shard.contains(one.place));
+        in_shard.filter(|one| self.wants_none(one, now)).map(|one| one.name.clone()).collect()
+    }
+
+    /// Time until the first replica that could otherwise be sent a request has rested; `None` where one may be sent it
+    /// now, or none rests.
+    pub fn first_rested(&self, request: &ChoiceRequest<'_>, now: Time) -> Option<Duration> {
+        if self.has_choice(request, now) {
+            return None;
+        }
+        let could_serve = |replica: &&Replica| self.could_serve(replica, request, now);
+        let serving = self.serving(request.service).filter(could_serve);
+        serving.filter_map(|one| self.pushbacks.rests_for(&one.name, now)).min()
+    }
+}
--- a/crates/gateway/src/balancer/sharded.rs
+++ b/crates/gateway/src/balancer/sharded.rs
@@ -108,9 +108,8 @@
     ) -> Option<Choice> {
         let replica = self.replicas.get(self.by_key.get(&offer.replica)?)?;
         if replica.instance.service != request.service
-            || !replica.may_take(request)
-            || replica.went_back(request, now)
-            || self.is_outdated(replica, request.model)
+            || !self.could_serve(replica, request, now)
+            || self.wants_none(replica, now)
         {
             return None;
         }
--- a/crates/gateway/src/knowledge.rs
+++ b/crates/gateway/src/knowledge.rs
@@ -9,10 +9,11 @@
 use crate::catalog::{Catalog, Route, Tenant};
 use crate::connections::{ConnectionSettings, Connections};
 use crate::crashes::Crashes;
+use crate::pushback::PushbackSettings;
 use crate::quota::{QuotaSettings, Quotas};
 use crate::shards::Gateways;
 use crate::split::Splits;
-use rand::SeedableRng;
+use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
@@ -43,6 +44,8 @@
     pub surely_kept: Duration,
     /// How far tenants' limits may be exceeded.
     pub quota: QuotaSettings,
+    /// How long what replicas ask is believed.
+    pub pushback: PushbackSettings,
 }
 
 impl Default for GatewaySettings {
@@ -53,6 +56,7 @@
             connections: ConnectionSettings::default(),
             surely_kept: SURELY_KEPT,
             quota: QuotaSettings::default(),
+            pushback: PushbackSettings::default(),
         }
     }
 }
@@ -131,6 +135,7 @@
         self.connections.set(settings.connections);
         self.balancer.set_surely_kept(settings.surely_kept);
         self.quotas.set(settings.quota);
+        self.balancer.set_pushback(settings.pushback);
     }
 
     /// What it has seen, for the next request for news.
@@ -298,6 +303,14 @@
         (SOON + now.since(since)).min(LONGEST_WAIT)
     }
 
+    /// When a client whose request no replica may be sent should come back: when the first one has rested, spread over
+    /// half of that time more so that they don't come at one moment; `None` where none rests.
+    pub fn retry_after_rest(&mut self, request: &ChoiceRequest<'_>, now: Time) -> Option<Duration> {
+        let rest = self.balancer.first_rested(request, now)?;
+        let spread = (rest / 2).max(SOON).mul_f64(self.rng.random_range(0.0..1.0));
+        Some(rest + spread)
+    }
+
     /// Chooses a replica.
     pub fn choose(&mut self, request: &ChoiceRequest<'_>, now: Time) -> Option<Choice> {
         self.choose_within(request, None, now)
--- a/crates/gateway/src/knowledge/placement.rs
+++ b/crates/gateway/src/knowledge/placement.rs
@@ -58,6 +58,17 @@
         self.balancer.set_coordinated(self.gateways.are_many(now));
     }
 
+    /// The question for a request to the coordinator of a shard; `None` where it has no prompt.
+    pub fn question(
+        &self,
+        request: &ChoiceRequest<'_>,
+        shard: Shard,
+        now: Time,
+    ) -> Option<ChoiceQuestion> {
+        let unwilling = self.balancer.unwilling(request.service, shard, now);
+        ChoiceQuestion::new(request, shard, &unwilling)
+    }
+
     /// Answers another gateway's question about a shard that this one coordinates; `None` where it
     /// knows no replica that may be asked.
     pub fn answer(&mut self, question: &ChoiceQuestion, now: Time) -> Option<Offer> {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -38,7 +38,7 @@
 pub use lateness::Prospect;
 pub use plan::{AttemptEnd, NextStep, RequestPlan};
 pub use prompt::{Prompt, PromptPart};
-pub use pushback::Pushback;
+pub use pushback::{Heard, Pushback, PushbackSettings, Pushbacks};
 pub use question::{ChoiceQuestion, Offer};
 pub use quota::{GrantAnswer, Granting, LimitUnit, QuotaSettings, STRIPES, StripeId, TenantLimit};
 pub use shards::{Gateways, MOST_TOLD, Shard};
--- a/crates/gateway/src/plan.rs
+++ b/crates/gateway/src/plan.rs
@@ -9,6 +9,10 @@
     Unreachable,
     /// The replica said that it did not run the request.
     NotRun,
+    /// The same, and it asked for rest.
+    TurnedAway,
+    /// It asked for rest, or said that it leaves, after it was chosen: no byte of this attempt was handed over.
+    HeldBack,
     /// Another replica has the address, and said so.
     WrongInstance,
     /// The replica did not run the request, since it holds other weights than that named; it is asked again, with what is
@@ -138,7 +142,12 @@
         self.may_have_run |= may_be_at_work;
         match end {
             // Nothing was sent, so the replica does not count among those that were sent it.
-            AttemptEnd::Unreachable => self.attempts_left += 1,
+            AttemptEnd::Unreachable | AttemptEnd::HeldBack => self.attempts_left += 1,
+            // Nothing runs there; the budget bounds how many are asked.
+            AttemptEnd::TurnedAway => {
+                self.attempts_left += 1;
+                self.has_arrived = true;
+            }
             // The same replica is asked again, so that no further one counts.
             AttemptEnd::OtherWeights if !self.was_asked_again => {
                 self.attempts_left += 1;
--- a/crates/gateway/src/pushback.rs
+++ b/crates/gateway/src/pushback.rs
@@ -1,6 +1,14 @@
 //! What replicas ask of their callers: to rest for a while, or to turn elsewhere since they leave.
+//!
+//! It is asked of this process alone, and holds for the incarnation that asked: neither a heartbeat that says otherwise nor
+//! absence from the control group's list ends it, since these say nothing of load, and may be late.
 
+use std::collections::HashMap;
 use std::time::Duration;
+use topazmount_types::Time;
+
+/// Incarnations remembered; of more, those heard of the longest ago are forgotten.
+const MOST_REMEMBERED: usize = 4_096;
 
 /// What one answer of a replica asks of the process that it answers.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -12,3 +20,118 @@
     /// Name of a field that can't be read, and then asks nothing.
     pub unreadable: Option<&'static str>,
 }
+
+/// How long what a replica asks is believed at most, so that none is lost for good by one bad word.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct PushbackSettings {
+    /// Longest rest.
+    pub longest_rest: Duration,
+    /// Longest time for which one that said that it leaves is left alone, since it last said so.
+    pub longest_leave: Duration,
+}
+
+impl Default for PushbackSettings {
+    fn default() -> Self {
+        PushbackSettings {
+            longest_rest: Duration::from_secs(60),
+            longest_leave: Duration::from_secs(600),
+        }
+    }
+}
+
+/// What is believed anew since an answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Heard {
+    /// The replica rests for so long from now on, longer than was believed.
+    pub rests_for: Option<Duration>,
+    /// It leaves, which was not known.
+    pub leaves: bool,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Asked {
+    rests_until: Time,
+    leaves_until: Time,
+    heard_at: Time,
+}
+
+/// What incarnations of replicas asked of this process, by their names.
+#[derive(Clone, Debug, Default)]
+pub struct Pushbacks {
+    cfg: PushbackSettings,
+    asked: HashMap<String, Asked>,
+}
+
+impl Pushbacks {
+    /// Changes the settings.
+    pub fn set(&mut self, cfg: PushbackSettings) {
+        self.cfg = cfg;
+    }
+
+    /// Takes what an answer of an incarnation asks. A rest ends when the latest time is over that the incarnation ever
+    /// named: a success, a shorter time or none never ends it, since these belong to requests that came before.
+    pub fn hear(&mut self, incarnation: &str, said: Pushback, now: Time) -> Option<Heard> {
+        if said.rest.is_none() && !said.is_leaving {
+            return None;
+        }
+        self.bound(now);
+        let asked = self.asked.entry(incarnation.to_owned()).or_insert(Asked {
+            rests_until: Time::ZERO,
+            leaves_until: Time::ZERO,
+            heard_at: now,
+        });
+        let was_leaving = now < asked.leaves_until;
+        asked.heard_at = now;
+        if said.is_leaving {
+            asked.leaves_until = now + self.cfg.longest_leave;
+        }
+        let rest = said.rest.map(|rest| rest.min(self.cfg.longest_rest));
+        let rests_for = rest.filter(|rest| now + *rest > asked.rests_until.max(now));
+        if let Some(rest) = rests_for {
+            asked.rests_until = now + rest;
+        }
+        let leaves = said.is_leaving && !was_leaving;
+        (rests_for.is_some() || leaves).then_some(Heard { rests_for, leaves })
+    }
+
+    /// Whether a call may be sent to an incarnation.
+    pub fn may_call(&self, incarnation: &str, now: Time) -> bool {
+        self.asked
+            .get(incarnation)
+            .is_none_or(|asked| now >= asked.rests_until && now >= asked.leaves_until)
+    }
+
+    /// Whether an incarnation has said that it leaves.
+    pub fn is_leaving(&self, incarnation: &str, now: Time) -> bool {
+        self.asked.get(incarnation).is_some_and(|asked| now < asked.leaves_until)
+    }
+
+    /// Time until an incarnation's rest is over; `None` where it does not rest, or leaves.
+    pub fn rests_for(&self, incarnation: &str, now: Time) -> Option<Duration> {
+        let asked = self.asked.get(incarnation)?;
+        let rests = now < asked.rests_until && now >= asked.leaves_until;
+        rests.then(|| asked.rests_until.since(now))
+    }
+
+    /// Forgets an incarnation that has ended.
+    pub fn ended(&mut self, incarnation: &str) {
+        self.asked.remove(incarnation);
+    }
+
+    /// Whether nothing is remembered.
+    pub fn is_empty(&self) -> bool {
+        self.asked.is_empty()
+    }
+
+    fn bound(&mut self, now: Time) {
+        if self.asked.len() < MOST_REMEMBERED {
+            return;
+        }
+        self.asked.retain(|_, asked| now < asked.rests_until.max(asked.leaves_until));
+        while self.asked.len() >= MOST_REMEMBERED {
+            let oldest = self.asked.iter().min_by_key(|(_, asked)| asked.heard_at);
+            let Some(name) = oldest.map(|(name, _)| name.clone()) else { return };
+            self.asked.remove(&name);
+        }
+    }
+}
--- a/crates/gateway/src/question.rs
+++ b/crates/gateway/src/question.rs
@@ -27,7 +27,7 @@
     pub namespace: u64,
     /// The tenant whose parts are kept from all others, if it is one.
     pub wall: Option<String>,
-    /// Hashes of the names of incarnations that were tried already.
+    /// Hashes of the names of incarnations that were tried already, or want nothing of the asking gateway.
     pub exclude: Vec<u64>,
 }
 
@@ -59,10 +59,12 @@
 }
 
 impl ChoiceQuestion {
-    /// The question for a request; `None` where it has no prompt.
-    pub fn new(request: &ChoiceRequest<'_>, shard: Shard) -> Option<Self> {
+    /// The question for a request; `None` where it has no prompt. `unwilling` names the incarnations of the shard that the
+    /// asking gateway must not call.
+    pub fn new(request: &ChoiceRequest<'_>, shard: Shard, unwilling: &[String]) -> Option<Self> {
         let prompt = request.prompt?;
-        let exclude = request.exclude.iter().map(|name| ReplicaId::from_name(name).0);
+        let names = request.exclude.iter().chain(unwilling);
+        let exclude = names.map(|name| ReplicaId::from_name(name).0);
         Some(ChoiceQuestion {
             shard,
             service: request.service.to_owned(),
--- a/crates/gateway/tests/incarnations.rs
+++ b/crates/gateway/tests/incarnations.rs
@@ -293,9 +293,9 @@
         balancer.upsert(started("i-0", FIRST));
         let choice = choose(&mut balancer, &long_prompt(), &[]).unwrap();
         balancer.upsert(Instance { is_draining, ..started("i-0", FIRST) });
-        assert_eq!(balancer.is_leaving(&choice), is_draining);
+        assert_eq!(balancer.is_leaving(&choice, NOW), is_draining);
         balancer.upsert(started("i-0", NEXT));
-        assert_eq!(balancer.is_leaving(&choice), is_draining);
+        assert_eq!(balancer.is_leaving(&choice, NOW), is_draining);
         assert!(balancer.has_ended(&choice));
     }
 }
--- a/crates/gateway/tests/shards.rs
+++ b/crates/gateway/tests/shards.rs
@@ -211,7 +211,7 @@
 fn ask(fleet: &mut [Knowledge], asker: usize, request: &ChoiceRequest<'_>, now: Time) -> Choice {
     let shard = fleet[asker].shards_for(request, NOW)[0];
     let coordinator = fleet[asker].gateways().coordinators("pool", shard, now)[0];
-    let question = ChoiceQuestion::new(request, shard).unwrap();
+    let question = ChoiceQuestion::new(request, shard, &[]).unwrap();
     let offer = fleet[number_of(coordinator)].answer(&question, now).unwrap();
     fleet[asker].adopt(&offer, request, NOW).unwrap()
 }
@@ -306,7 +306,7 @@
     let mut fleet: Vec<Knowledge> = (0..40).map(|number| gateway(number, 40, 64)).collect();
     with_request(&subject(1), |request| {
         let shard = fleet[0].shards_for(request, NOW)[0];
-        let question = ChoiceQuestion::new(request, shard).unwrap();
+        let question = ChoiceQuestion::new(request, shard, &[]).unwrap();
         let mut offer = fleet[1].answer(&question, NOW).unwrap();
         offer.source = Some("10.9.9.9:1".to_owned());
         let same = fleet[0].adopt(&offer, request, NOW).unwrap();
--- a/crates/topazmount/src/fleet/exchange/answers.rs
+++ b/crates/topazmount/src/fleet/exchange/answers.rs
@@ -6,7 +6,7 @@
 use crate::http1::ResponseHead;
 use futures_lite::AsyncWriteExt;
 use std::time::Duration;
-use topazmount_gateway::RequestPlan;
+use topazmount_gateway::{ChoiceRequest, RequestPlan};
 use topazmount_types::ErrorKind;
 
 impl Exchange<'_> {
@@ -36,7 +36,19 @@
             self.log_end(plan, kind.status(), kind.name());
             return Ending::Cut;
         }
-        self.refuse(plan, kind, self.shared.retry_after(kind)).await
+        let wait = self.retry_after(plan, kind);
+        self.refuse(plan, kind, wait).await
+    }
+
+    fn retry_after(&self, plan: &RequestPlan, kind: ErrorKind) -> Option<Duration> {
+        let usual = self.shared.retry_after(kind)?;
+        if kind != ErrorKind::NoReplica {
+            return Some(usual);
+        }
+        let now = self.shared.clock.now();
+        let request = ChoiceRequest { exclude: &[], held_to: None, ..self.choice_request(plan) };
+        let rested = self.shared.knowledge.lock().unwrap().retry_after_rest(&request, now);
+        Some(rested.unwrap_or(usual))
     }
 
     /// Refuses a request that nothing was sent of.
--- a/crates/topazmount/src/fleet/exchange/attempt.rs
+++ b/crates/topazmount/src/fleet/exchange/attempt.rs
@@ -33,6 +33,8 @@
     Ended(Attempt),
     /// The connection broke before any byte came.
     Mute,
+    /// Nothing was sent: the replica wants none any more.
+    HeldBack,
 }
 
 impl Exchange<'_> {
@@ -50,10 +52,11 @@
             let unreachable = AttemptEnd::Unreachable;
             return self.ask_on_new(plan, in_flight, progress, unreachable).await;
         };
-        if let Asked::Ended(attempt) = self.ask(wire, plan, in_flight, progress).await {
-            return attempt;
+        match self.ask(wire, plan, in_flight, progress).await {
+            Asked::Ended(attempt) => attempt,
+            Asked::HeldBack => Attempt::Ended(AttemptEnd::HeldBack),
+            Asked::Mute => self.after_kept_broke(idle, plan, in_flight, progress).await,
         }
-        self.after_kept_broke(idle, plan, in_flight, progress).await
     }
 
     /// A kept connection broke before any byte came. The replica may have forgotten it, or ended
@@ -74,7 +77,8 @@
         self.ask_on_new(plan, in_flight, progress, AttemptEnd::Broken).await
     }
 
-    /// Sends the request on a new connection; `unreachable` is the end where none comes up.
+    /// Sends the request on a new connection; `unreachable` is the end where none comes up, or the replica wants none any
+    /// more, after an earlier connection may have carried it.
     async fn ask_on_new(
         &self,
         plan: &RequestPlan,
@@ -87,6 +91,10 @@
         };
         match self.ask(wire, plan, in_flight, progress).await {
             Asked::Ended(attempt) => attempt,
+            Asked::HeldBack if unreachable == AttemptEnd::Unreachable => {
+                Attempt::Ended(AttemptEnd::HeldBack)
+            }
+            Asked::HeldBack => Attempt::Ended(unreachable),
             Asked::Mute => Attempt::Ended(AttemptEnd::Broken),
         }
     }
@@ -107,6 +115,10 @@
         let choice = &in_flight.choice;
         let bytes = self.upstream_bytes(choice, progress);
         let sent_at = self.shared.clock.now();
+        // Looked at last: answers to other requests came while this one waited for a coordinator or a connection.
+        if !self.shared.knowledge.lock().unwrap().balancer().may_send(choice, sent_at) {
+            return Asked::HeldBack;
+        }
         let mut first = pin!(self.first_answer(wire, &bytes, choice));
         let silent_at = sent_at + self.silence_limit(choice);
         let mut is_judged = false;
@@ -315,7 +327,9 @@
             });
         }
         if tags.is_not_run {
-            return Attempt::Ended(AttemptEnd::NotRun);
+            let asked_for_rest = tags.pushback.rest.is_some();
+            let end = if asked_for_rest { AttemptEnd::TurnedAway } else { AttemptEnd::NotRun };
+            return Attempt::Ended(end);
         }
         match head.status {
             200..300 => Attempt::Success(head, body),
--- a/crates/topazmount/src/fleet/exchange/choose.rs
+++ b/crates/topazmount/src/fleet/exchange/choose.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddr;
 use std::sync::atomic::AtomicBool;
 use std::time::Duration;
-use topazmount_gateway::{Choice, ChoiceQuestion, PromptEvent, RequestPlan, Shard};
+use topazmount_gateway::{Choice, PromptEvent, RequestPlan, Shard};
 
 /// Time that a coordinator has for its answer: the way there and back, a few milliseconds, and a moment
 /// in which its machine is busy. Then the next one is asked, and after it this gateway decides by itself.
@@ -101,7 +101,8 @@
         coordinator: SocketAddr,
     ) -> Option<Option<Choice>> {
         let request = self.choice_request(plan);
-        let question = ChoiceQuestion::new(&request, shard)?;
+        let now = self.shared.clock.now();
+        let question = self.shared.knowledge.lock().unwrap().question(&request, shard, now)?;
         let limit = ANSWER_LIMIT.min(self.left());
         let answer = self.shared.peers.ask(coordinator, question, limit).await;
         let now = self.shared.clock.now();
--- a/crates/topazmount/src/fleet/exchange/connection.rs
+++ b/crates/topazmount/src/fleet/exchange/connection.rs
@@ -34,10 +34,11 @@
         let now = self.shared.clock.now();
         let bounds = {
             let mut knowledge = self.shared.knowledge.lock().unwrap();
-            // Nothing is sent to an incarnation that has ended.
-            let has_ended = knowledge.balancer().has_ended(choice);
+            // Nothing is sent to an incarnation that has ended or leaves.
+            let balancer = knowledge.balancer();
+            let is_over = balancer.has_ended(choice) || balancer.is_leaving(choice, now);
             let end = end.answer_end(&wire, is_request_sent);
-            if has_ended || !knowledge.connections().may_keep(end) {
+            if is_over || !knowledge.connections().may_keep(end) {
                 return;
             }
             let longest = knowledge.connections().most_idle(service, true, now);
--- a/crates/topazmount/src/fleet/exchange/crash.rs
+++ b/crates/topazmount/src/fleet/exchange/crash.rs
@@ -22,7 +22,7 @@
         let crashed = {
             let mut knowledge = self.shared.knowledge.lock().unwrap();
             // Its end is planned, and says nothing of what it ran.
-            if knowledge.balancer().is_leaving(choice) {
+            if knowledge.balancer().is_leaving(choice, now) {
                 return;
             }
             knowledge.crashes().broke(self.digest, &name, ran_for, now);
--- a/crates/topazmount/src/fleet/exchange/pushback.rs
+++ b/crates/topazmount/src/fleet/exchange/pushback.rs
@@ -2,27 +2,47 @@
 
 use super::super::dialect::AnswerTags;
 use super::Exchange;
+use std::time::Duration;
 use topazmount_gateway::Choice;
 
 impl Exchange<'_> {
-    /// Notes what an answer on a connection to the chosen replica asks; it may answer an earlier request.
+    /// Notes what an answer on a connection to the chosen replica asks; it may answer an earlier request. It is heard with
+    /// the head, before the body, which may come late or never.
     pub(super) fn note_pushback(&self, choice: &Choice, tags: &AnswerTags, status: u16) {
         let asked = tags.pushback;
         let asks = asked.rest.is_some() || asked.is_leaving || asked.unreadable.is_some();
-        if !asks && !tags.is_not_run {
+        let is_other = tags.instance.as_ref().is_some_and(|id| *id != choice.instance.id);
+        if is_other || !(asks || tags.is_not_run) {
             return;
         }
+        let now = self.shared.clock.now();
+        let heard = {
+            let mut knowledge = self.shared.knowledge.lock().unwrap();
+            knowledge.balancer().hear_pushback(choice, asked, now)
+        };
+        if heard.is_some_and(|heard| heard.leaves) {
+            self.shared.pool.close(&choice.instance.incarnation_name());
+        }
+        // A replica that leaves says so in each answer; what is known already is no news.
+        if heard.is_none() && asked.unreadable.is_none() && !tags.is_not_run {
+            return;
+        }
+        let millis = |rest: Option<Duration>| {
+            rest.map_or_else(|| "none".to_owned(), |rest| rest.as_millis().to_string())
+        };
         self.shared.metrics.event("pushback");
         self.shared.journal.line(|| {
             format!(
-                "gateway: event=pushback request={} instance={} start={} status={status} not_run={} rest_ms={} leaving={} unreadable={}",
+                "gateway: event=pushback request={} instance={} start={} status={status} not_run={} rest_ms={} leaving={} \
+                 unreadable={} rests_for_ms={}",
                 self.tags.id,
                 choice.instance.id,
                 choice.instance.start,
                 tags.is_not_run,
-                asked.rest.map_or_else(|| "none".to_owned(), |rest| rest.as_millis().to_string()),
+                millis(asked.rest),
                 asked.is_leaving,
-                asked.unreadable.unwrap_or("none")
+                asked.unreadable.unwrap_or("none"),
+                millis(heard.and_then(|heard| heard.rests_for))
             )
         });
     }
--- a/crates/topazmount/src/fleet/exchange/record.rs
+++ b/crates/topazmount/src/fleet/exchange/record.rs
@@ -83,8 +83,10 @@
             }
             // What it holds was noted when it was judged.
             AttemptEnd::OtherWeights | AttemptEnd::OldWeights => {}
-            // A full replica is sound, and silence was noted when it was seen.
+            // A full replica is sound, what it asked was noted as it came, and silence when it was seen.
             AttemptEnd::NotRun
+            | AttemptEnd::TurnedAway
+            | AttemptEnd::HeldBack
             | AttemptEnd::Silent
             | AttemptEnd::Abandoned
             | AttemptEnd::TimedOut => {}
--- a/crates/topazmount/src/fleet/settings.rs
+++ b/crates/topazmount/src/fleet/settings.rs
@@ -7,7 +7,9 @@
 use std::path::{Path, PathBuf};
 use std::time::Duration;
 use topazmount_control::RolloutSettings;
-use topazmount_gateway::{BudgetSettings, ConnectionSettings, GatewaySettings, QuotaSettings};
+use topazmount_gateway::{
+    BudgetSettings, ConnectionSettings, GatewaySettings, PushbackSettings, QuotaSettings,
+};
 use topazmount_routing::{BUILT_IN, PolicyProgram, PolicyTable, ProgramLimits, ShareSettings};
 
 /// Settings of one process.
@@ -41,6 +43,9 @@
     /// What a gateway believes of caches.
     #[serde(default)]
     pub caches: CacheBelief,
+    /// How long a gateway believes what replicas ask of it.
+    #[serde(default)]
+    pub pushback: BelievedPushback,
     /// Policy programs that decide on a gateway, or are shadowed there.
     #[serde(default, rename = "policy")]
     pub policies: Vec<FleetPolicy>,
@@ -117,6 +122,26 @@
     }
 }
 
+/// How long a gateway believes what replicas ask of it, in seconds.
+#[derive(Clone, Copy, Debug, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct BelievedPushback {
+    /// Longest rest.
+    pub longest_rest_s: f64,
+    /// Longest time for which a replica that said that it leaves is left alone, since it last said so.
+    pub longest_leave_s: f64,
+}
+
+impl Default for BelievedPushback {
+    fn default() -> Self {
+        let cfg = PushbackSettings::default();
+        BelievedPushback {
+            longest_rest_s: cfg.longest_rest.as_secs_f64(),
+            longest_leave_s: cfg.longest_leave.as_secs_f64(),
+        }
+    }
+}
+
 /// Bounds, as the operator sets them.
 #[derive(Clone, Copy, Debug, PartialEq, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -149,6 +174,9 @@
 /// Longest window over which use is counted, in seconds: an hour.
 const LONGEST_QUOTA_WINDOW_S: f64 = 3_600.0;
 
+/// Longest time for which a replica's word may be believed, in seconds: a day.
+const LONGEST_PUSHBACK_S: f64 = 86_400.0;
+
 fn quota_window_s() -> f64 {
     QuotaSettings::default().window.as_secs_f64()
 }
@@ -184,6 +212,16 @@
         eyre::ensure!(is_window, "bounds.quota_window_s: must be more than 0 and at most 3600");
         eyre::ensure!(is_number(bounds.quota_overrun), "bounds.quota_overrun: must be 0 or more");
         eyre::ensure!(is_number(bounds.quota_slack), "bounds.quota_slack: must be 0 or more");
+        let pushback = &settings.pushback;
+        let is_time = |seconds: f64| (0.0..=LONGEST_PUSHBACK_S).contains(&seconds);
+        eyre::ensure!(
+            is_time(pushback.longest_rest_s),
+            "pushback.longest_rest_s: must be 0 to 86400"
+        );
+        eyre::ensure!(
+            is_time(pushback.longest_leave_s),
+            "pushback.longest_leave_s: must be 0 to 86400"
+        );
         settings.check_policies()?;
         Ok(settings)
     }
@@ -261,6 +299,10 @@
                 overrun: bounds.quota_overrun,
                 slack: bounds.quota_slack,
             },
+            pushback: PushbackSettings {
+                longest_rest: Duration::from_secs_f64(self.pushback.longest_rest_s),
+                longest_leave: Duration::from_secs_f64(self.pushback.longest_leave_s),
+            },
         }
     }
 
