Orders, questions and store calls keep to what replicas and stores ask

Same cause elsewhere: a control member went on asking and ordering a replica that had turned it away. The record moves to topazmount-admission; the leader keeps one over its terms. A replica that rests before its order gives its place to others.

--- a/crates/admission/src/lib.rs
+++ b/crates/admission/src/lib.rs
@@ -1,12 +1,14 @@
-//! Who may go next, and who may not go at all: queues, tenant limits, retry budgets and circuit
-//! breakers. All of them are plain data driven by the time that the caller passes in.
+//! Who may go next, and who may not go at all: queues, tenant limits, retry budgets, circuit
+//! breakers and the pushback of replicas. All of them are plain data driven by the time that the caller passes in.
 
 mod breaker;
 mod bucket;
+mod pushback;
 mod queue;
 mod retry;
 
 pub use breaker::{Breaker, BreakerSettings, BreakerState};
 pub use bucket::TokenBucket;
+pub use pushback::{Heard, Pushback, PushbackSettings, Pushbacks};
 pub use queue::{Queue, QueueFull, Waiting};
 pub use retry::{Backoff, RetryBudget};
--- a/crates/gateway/src/pushback.rs
+++ b/crates/admission/src/pushback.rs
@@ -3,6 +3,7 @@
 //! It is asked of this process alone, and holds for the incarnation that asked: neither a heartbeat that says otherwise nor
 //! absence from the control group's list ends it, since these say nothing of load, and may be late.
 
+use serde::{Deserialize, Serialize};
 use std::collections::HashMap;
 use std::time::Duration;
 use topazmount_types::Time;
@@ -11,16 +12,24 @@
 const MOST_REMEMBERED: usize = 4_096;
 
 /// What one answer of a replica asks of the process that it answers.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Pushback {
     /// Time from the answer on for which the replica wants nothing from this process.
     pub rest: Option<Duration>,
     /// Whether it says that it leaves.
     pub is_leaving: bool,
-    /// Name of a field that can't be read, and then asks nothing.
+    /// Name of a field that can't be read, and then asks nothing; not told to other processes.
+    #[serde(skip)]
     pub unreadable: Option<&'static str>,
 }
 
+impl Pushback {
+    /// Whether it asks anything.
+    pub fn asks(&self) -> bool {
+        self.rest.is_some() || self.is_leaving
+    }
+}
+
 /// How long what a replica asks is believed at most, so that none is lost for good by one bad word.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct PushbackSettings {
@@ -71,7 +80,7 @@
     /// Takes what an answer of an incarnation asks. A rest ends when the latest time is over that the incarnation ever
     /// named: a success, a shorter time or none never ends it, since these belong to requests that came before.
     pub fn hear(&mut self, incarnation: &str, said: Pushback, now: Time) -> Option<Heard> {
-        if said.rest.is_none() && !said.is_leaving {
+        if !said.asks() {
             return None;
         }
         self.bound(now);
@@ -94,7 +103,7 @@
         (rests_for.is_some() || leaves).then_some(Heard { rests_for, leaves })
     }
 
-    /// Whether a call may be sent to an incarnation.
+    /// Whether a call of any kind may be sent to an incarnation.
     pub fn may_call(&self, incarnation: &str, now: Time) -> bool {
         self.asked
             .get(incarnation)
--- a/crates/control/src/fleet/orders.rs
+++ b/crates/control/src/fleet/orders.rs
@@ -2,6 +2,7 @@
 
 use super::protocol::LoadedModel;
 use serde::{Deserialize, Serialize};
+use topazmount_admission::Pushback;
 use topazmount_consensus::Term;
 use topazmount_types::{InstanceId, Start};
 
@@ -46,6 +47,8 @@
     Question {
         /// Replica.
         instance: InstanceId,
+        /// Incarnation that is asked.
+        start: Start,
         /// Its address.
         address: String,
     },
@@ -89,4 +92,6 @@
     Order(InstanceId, Start, OrderEnd),
     /// A question was answered, or not.
     Question(InstanceId, Option<ReplicaReport>),
+    /// The answer of an incarnation to either asks something of this member; told before how the action ended.
+    Pushback(InstanceId, Start, Pushback),
 }
--- a/crates/control/src/fleet/rollout.rs
+++ b/crates/control/src/fleet/rollout.rs
@@ -8,8 +8,9 @@
 use super::target::{Phase, Target};
 use std::collections::BTreeMap;
 use std::time::Duration;
+use topazmount_admission::{Pushback, Pushbacks};
 use topazmount_consensus::Term;
-use topazmount_types::{Instance, InstanceId, Start, Time};
+use topazmount_types::{Instance, InstanceId, Start, Time, incarnation_name};
 
 /// Time after an accepted order before the replica is first asked how it stands.
 const FIRST_QUESTION: Duration = Duration::from_millis(800);
@@ -68,6 +69,8 @@
     replicas: BTreeMap<InstanceId, Replica>,
     /// Term in which this member holds the roll-out.
     term: Term,
+    /// What incarnations asked of this member, which it owes them in later terms too.
+    pushbacks: Pushbacks,
     /// Word of weights that differed from what was known, not yet told.
     events: Vec<WeightsEvent>,
 }
@@ -77,10 +80,12 @@
         Rollout { settings, ..Rollout::default() }
     }
 
-    /// Forgets everything but when versions were named as a term begins: another member may have given orders meanwhile.
+    /// Forgets everything but when versions were named and what replicas asked as a term begins: another member may have
+    /// given orders meanwhile.
     pub(crate) fn reset(&mut self, term: Term) {
         let schedule = std::mem::take(&mut self.schedule);
-        *self = Rollout { term, schedule, ..Rollout::new(self.settings) };
+        let pushbacks = std::mem::take(&mut self.pushbacks);
+        *self = Rollout { term, schedule, pushbacks, ..Rollout::new(self.settings) };
     }
 
     /// What gateways need to know of an incarnation; `None` where nothing was heard of its weights, so that what an
@@ -183,6 +188,20 @@
             OrderReport::Order(id, start, end) => self.order_ended(now, &id, start, end),
             OrderReport::Question(id, Some(report)) => self.reported(now, &id, report),
             OrderReport::Question(id, None) => self.unanswered(now, &id),
+            OrderReport::Pushback(id, start, said) => self.pushed_back(now, &id, start, said),
+        }
+    }
+
+    /// A replica asks for rest, or says that it leaves. One that has not begun to load gives its place to others.
+    fn pushed_back(&mut self, now: Time, id: &str, start: Start, said: Pushback) {
+        if self.pushbacks.hear(&incarnation_name(id, start), said, now).is_none() {
+            return;
+        }
+        let spread = self.settings.spread;
+        let replica = self.replicas.get_mut(id).filter(|one| one.belief.start() == start);
+        let is_waiting = |target: &Target| !matches!(target.phase, Phase::Loading { .. });
+        if let Some(replica) = replica.filter(|one| one.target.as_ref().is_some_and(is_waiting)) {
+            replica.failed(now, spread);
         }
     }
 
@@ -293,7 +312,8 @@
             let under_way = known.iter().filter(|(_, replica)| replica.target.is_some()).count();
             let is_free =
                 |one: &Replica| one.target.is_none() && !one.is_fenced && now >= one.rests_until;
-            let free = known.iter().filter(|(_, one)| is_free(one));
+            let may_call = |one: &Instance| self.pushbacks.may_call(&one.incarnation_name(), now);
+            let free = known.iter().filter(|(one, replica)| is_free(replica) && may_call(one));
             let lacking = free.filter_map(|(one, replica)| {
                 let (model, newest, named) = self.lacking(&replica.belief, weights)?;
                 let deadline = named + self.settings.spread;
@@ -371,12 +391,14 @@
         instance: &Instance,
         weights: &BTreeMap<String, u32>,
     ) -> Option<FleetAction> {
+        let may_call = self.pushbacks.may_call(&instance.incarnation_name(), now);
         let replica = self.replicas.get_mut(&instance.id)?;
-        if replica.belief.start() != instance.start {
+        if replica.belief.start() != instance.start || !may_call {
             return None;
         }
         let question = FleetAction::Question {
             instance: instance.id.clone(),
+            start: instance.start,
             address: instance.address.clone(),
         };
         let Some(target) = &mut replica.target else {
--- a/crates/control/tests/fleet_world/mod.rs
+++ b/crates/control/tests/fleet_world/mod.rs
@@ -4,6 +4,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
+use topazmount_admission::Pushback;
 use topazmount_consensus::{Config, MemberInfo, MemoryDisk};
 use topazmount_control::{
     CrashNotes, FleetAction, FleetRequest, FleetResponse, FleetView, Founding, InstanceReport,
@@ -70,6 +71,10 @@
     /// Replicas that leave questions unanswered.
     pub deaf: BTreeSet<String>,
     pub questions: usize,
+    /// Replicas whose answers ask something, and turn down what they answer.
+    pub unwilling: BTreeMap<String, Pushback>,
+    /// When which replica was called, with a question or an order.
+    pub calls: Vec<(Time, String)>,
     settings: MemberSettings,
 }
 
@@ -113,6 +118,8 @@
             heard: Vec::new(),
             deaf: BTreeSet::new(),
             questions: 0,
+            unwilling: BTreeMap::new(),
+            calls: Vec::new(),
             settings,
         };
         for number in 0..replicas {
@@ -185,6 +192,21 @@
     }
 
     pub fn act(&mut self, action: FleetAction) {
+        let (id, start) = match &action {
+            FleetAction::Order(order) => (order.instance.clone(), order.start),
+            FleetAction::Question { instance, start, .. } => (instance.clone(), *start),
+        };
+        self.calls.push((self.now, id.clone()));
+        if let Some(said) = self.unwilling.get(&id).copied() {
+            let pushback = OrderReport::Pushback(id.clone(), start, said);
+            self.send(FleetRequest::OrderEnded(pushback));
+            let ended = match action {
+                FleetAction::Order(_) => OrderReport::Order(id, start, OrderEnd::Refused),
+                FleetAction::Question { .. } => OrderReport::Question(id, None),
+            };
+            self.send(FleetRequest::OrderEnded(ended));
+            return;
+        }
         let report = match action {
             FleetAction::Order(order) => {
                 self.orders.push((self.now, order.clone()));
--- a/crates/gateway/src/balancer/mod.rs
+++ b/crates/gateway/src/balancer/mod.rs
@@ -19,7 +19,6 @@
 mod view;
 
 use crate::estimator::PrefillEstimator;
-use crate::pushback::Pushbacks;
 use crate::shards::Shard;
 use crate::stores::{Stores, cache_salt};
 use choice::shared_of;
@@ -33,6 +32,7 @@
 use replica::Replica;
 use std::collections::{BTreeMap, HashMap};
 use std::time::Duration;
+use topazmount_admission::Pushbacks;
 use topazmount_routing::PolicyTable;
 use topazmount_types::{Incarnation, InstanceId, Time};
 
--- a/crates/gateway/src/balancer/pushback.rs
+++ b/crates/gateway/src/balancer/pushback.rs
@@ -3,9 +3,9 @@
 use super::Balancer;
 use super::choice::{Choice, ChoiceRequest};
 use super::replica::Replica;
-use crate::pushback::{Heard, Pushback, PushbackSettings};
 use crate::shards::Shard;
 use std::time::Duration;
+use topazmount_admission::{Heard, Pushback, PushbackSettings};
 use topazmount_types::Time;
 
 impl Balancer {
--- a/crates/gateway/tests/pushback.rs
+++ b/crates/gateway/tests/pushback.rs
@@ -7,11 +7,9 @@
 use rstest::rstest;
 use std::collections::BTreeMap;
 use std::time::Duration;
+use topazmount_admission::{Heard, Pushback, PushbackSettings, Pushbacks};
 use topazmount_control::{FleetView, RemovedInstance};
-use topazmount_gateway::{
-    Balancer, Choice, ChoiceRequest, GatewaySettings, Heard, Knowledge, Pushback, PushbackSettings,
-    Pushbacks,
-};
+use topazmount_gateway::{Balancer, Choice, ChoiceRequest, GatewaySettings, Knowledge};
 use topazmount_routing::PolicyTable;
 use topazmount_types::{Instance, Start, Time};
 
--- a/crates/topazmount/src/fleet/caller.rs
+++ b/crates/topazmount/src/fleet/caller.rs
@@ -27,6 +27,11 @@
         Ok(Caller { address, kept: None })
     }
 
+    /// Whom it calls.
+    pub(super) fn address(&self) -> SocketAddr {
+        self.address
+    }
+
     /// Makes a call and reads the whole answer of at most `most` bytes. The first call of a caller
     /// goes out once at most; a later one may go out twice, where its kept connection breaks.
     ///
--- a/crates/topazmount/src/fleet/dialect.rs
+++ b/crates/topazmount/src/fleet/dialect.rs
@@ -2,10 +2,11 @@
 
 use crate::http1::{RequestHead, ResponseHead};
 use std::time::Duration;
+use topazmount_admission::Pushback;
 use topazmount_control::{
     Document, GatewayReport, InstanceReport, OrderEnd, ReplicaReport, WeightsOrder,
 };
-use topazmount_gateway::{Catalog, CatalogProblem, Prompt, Pushback, StoreEvents};
+use topazmount_gateway::{Catalog, CatalogProblem, Prompt, StoreEvents};
 use topazmount_types::{ErrorKind, InstanceId, Start};
 
 /// What a client's request says of itself.
--- a/crates/topazmount/src/fleet/exchange/pushback.rs
+++ b/crates/topazmount/src/fleet/exchange/pushback.rs
@@ -10,7 +10,7 @@
     /// the head, before the body, which may come late or never.
     pub(super) fn note_pushback(&self, choice: &Choice, tags: &AnswerTags, status: u16) {
         let asked = tags.pushback;
-        let asks = asked.rest.is_some() || asked.is_leaving || asked.unreadable.is_some();
+        let asks = asked.asks() || asked.unreadable.is_some();
         let is_other = tags.instance.as_ref().is_some_and(|id| *id != choice.instance.id);
         if is_other || !(asks || tags.is_not_run) {
             return;
--- a/crates/topazmount/src/fleet/orders.rs
+++ b/crates/topazmount/src/fleet/orders.rs
@@ -11,6 +11,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 use topazmount_control::{FleetAction, FleetRequest, OrderEnd, OrderReport, Request};
+use topazmount_types::Start;
 
 /// Longest wait for the answer to an order or a question.
 const LIMIT: Duration = Duration::from_millis(500);
@@ -35,19 +36,22 @@
     while let Ok(action) = actions.recv().await {
         let sender = sender.clone();
         let sending = async move {
-            let report = sender.act(action).await;
-            let request = Request::Fleet(FleetRequest::OrderEnded(report));
-            let _ = sender.member.ask(request, LIMIT).await;
+            for report in sender.act(action).await {
+                let request = Request::Fleet(FleetRequest::OrderEnded(report));
+                let _ = sender.member.ask(request, LIMIT).await;
+            }
         };
         executor.spawn(sending).detach();
     }
 }
 
 impl Sender {
-    async fn act(&self, action: FleetAction) -> OrderReport {
+    /// Returns what is to be told of it, in order.
+    async fn act(&self, action: FleetAction) -> Vec<OrderReport> {
         match action {
             FleetAction::Order(order) => {
                 let answer = send(&order.address, self.dialect.order(&order, &self.holder)).await;
+                let said = self.pushback(&answer, &order.instance, order.start);
                 let end = match &answer {
                     Ok(answer) => self.dialect.order_end(answer.head.status),
                     Err(_) => OrderEnd::Unknown,
@@ -61,20 +65,42 @@
                     order.fence,
                     order.expected_sequence
                 );
-                OrderReport::Order(order.instance, order.start, end)
+                let ended = OrderReport::Order(order.instance, order.start, end);
+                said.into_iter().chain([ended]).collect()
             }
-            FleetAction::Question { instance, address } => {
+            FleetAction::Question { instance, start, address } => {
                 let answer = send(&address, self.dialect.report_call()).await;
+                let said = self.pushback(&answer, &instance, start);
                 let is_good = |answer: &ClientAnswer| answer.head.status == 200;
                 let body = answer.ok().filter(is_good).map(|answer| answer.body);
                 let report = body.as_ref().and_then(|body| self.dialect.report(body));
                 if body.is_some() && report.is_none() {
                     self.foreign.note("report_foreign", &instance, "unreadable");
                 }
-                OrderReport::Question(instance, report)
+                let ended = OrderReport::Question(instance, report);
+                said.into_iter().chain([ended]).collect()
             }
         }
     }
+
+    /// What an answer asks of this member.
+    fn pushback(
+        &self,
+        answer: &Result<ClientAnswer>,
+        instance: &str,
+        start: Start,
+    ) -> Option<OrderReport> {
+        let said = self.dialect.answer(&answer.as_ref().ok()?.head).pushback;
+        if !said.asks() {
+            return None;
+        }
+        log::info!(
+            "weights: event=pushback instance={instance} start={start} rest_ms={} leaving={}",
+            said.rest.map_or_else(|| "none".to_owned(), |rest| rest.as_millis().to_string()),
+            said.is_leaving
+        );
+        Some(OrderReport::Pushback(instance.to_owned(), start, said))
+    }
 }
 
 /// Each call goes out once: an order may be carried out without an answer.
--- a/crates/topazmount/src/fleet/settings.rs
+++ b/crates/topazmount/src/fleet/settings.rs
@@ -6,10 +6,9 @@
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::time::Duration;
+use topazmount_admission::PushbackSettings;
 use topazmount_control::RolloutSettings;
-use topazmount_gateway::{
-    BudgetSettings, ConnectionSettings, GatewaySettings, PushbackSettings, QuotaSettings,
-};
+use topazmount_gateway::{BudgetSettings, ConnectionSettings, GatewaySettings, QuotaSettings};
 use topazmount_routing::{BUILT_IN, PolicyProgram, PolicyTable, ProgramLimits, ShareSettings};
 
 /// Settings of one process.
--- a/crates/topazmount/src/fleet/store_reader.rs
+++ b/crates/topazmount/src/fleet/store_reader.rs
@@ -8,6 +8,7 @@
 use std::collections::HashSet;
 use std::sync::Arc;
 use std::time::Duration;
+use topazmount_admission::{Pushback, Pushbacks};
 use topazmount_gateway::StoreKey;
 
 /// How often the list of stores is looked at.
@@ -49,13 +50,19 @@
         Ok(caller) => caller,
         Err(error) => return log::error!("gateway: event=store_refused error={error:#}"),
     };
+    let name = caller.address().to_string();
+    let mut asked = Pushbacks::default();
     loop {
+        if !asked.may_call(&name, shared.clock.now()) {
+            Timer::after(FAILURE_PAUSE).await;
+            continue;
+        }
         let position = shared.knowledge.lock().unwrap().balancer().stores().position(key);
         let Some(position) = position else { return };
         let now = shared.clock.now();
         let is_ours = shared.knowledge.lock().unwrap().follows_store(address, now);
         let result = match is_ours {
-            true => read_page(shared, key, address, &mut caller, position).await,
+            true => read_page(shared, key, &mut caller, &mut asked, position).await,
             false => Err(eyre!("enough other gateways follow it")),
         };
         match result {
@@ -74,12 +81,18 @@
 async fn read_page(
     shared: &Shared,
     key: StoreKey,
-    address: &str,
     caller: &mut Caller,
+    asked: &mut Pushbacks,
     position: u64,
 ) -> Result<()> {
     let req = shared.dialect.store_events_call(position, HOLD);
     let answer = caller.call(req, MAX_PAGE, HOLD + ANSWER_MARGIN).await?;
+    // A store is no replica, which others may take the place of: only a time of rest counts.
+    let said = Pushback { is_leaving: false, ..shared.dialect.answer(&answer.head).pushback };
+    if let Some(heard) = asked.hear(&caller.address().to_string(), said, shared.clock.now()) {
+        let rest = heard.rests_for.unwrap_or_default().as_millis();
+        log::info!("gateway: event=store_pushback address={} rest_ms={rest}", caller.address());
+    }
     if answer.head.status != 200 {
         bail!("status {}", answer.head.status);
     }
@@ -88,7 +101,10 @@
     let (epoch, next) = (page.epoch, page.next);
     if shared.knowledge.lock().unwrap().balancer().stores().apply(key, page) {
         shared.metrics.event("store_renewed");
-        log::info!("gateway: event=store_renewed address={address} epoch={epoch} next={next}");
+        log::info!(
+            "gateway: event=store_renewed address={} epoch={epoch} next={next}",
+            caller.address()
+        );
     }
     Ok(())
 }
