A load that never ends holds up nobody: it leaves the queue as well as its place

Cause: a load counted as under way until it was given up after 6 s, and so kept the next replica from being passed over in time; both places then waited for its pause.

--- a/crates/control/src/fleet/rollout.rs
+++ b/crates/control/src/fleet/rollout.rs
@@ -43,6 +43,13 @@
     }
 }
 
+impl RolloutSettings {
+    /// Time after a version was named from which on requests must not be sent to older weights.
+    pub fn bar_after(&self) -> Duration {
+        self.spread.saturating_sub(OVERDUE_MARGIN)
+    }
+}
+
 /// What the holder knows of one incarnation of a replica; a later one begins with nothing of it.
 #[derive(Clone, Debug, Default)]
 struct Replica {
@@ -100,7 +107,7 @@
         let belief = &replica.belief;
         let is_overdue = belief.models().iter().any(|loaded| {
             let due = self.schedule.due(&loaded.model, loaded.version);
-            let is_due = due.is_some_and(|named| now >= named + self.bar_after());
+            let is_due = due.is_some_and(|named| now >= named + self.settings.bar_after());
             is_due || oldest.get(&loaded.model).is_some_and(|oldest| loaded.version < *oldest)
         });
         let is_loading = replica.target.is_some();
@@ -118,17 +125,13 @@
         })
     }
 
-    fn bar_after(&self) -> Duration {
-        self.settings.spread.saturating_sub(OVERDUE_MARGIN)
-    }
-
     /// Versions whose bound is over while what the log says of the oldest ones lags behind that.
     pub(crate) fn to_retire(
         &self,
         now: Time,
         oldest: &BTreeMap<String, u32>,
     ) -> Vec<(String, u32)> {
-        let over = self.schedule.named_before(now - self.bar_after());
+        let over = self.schedule.named_before(now - self.settings.bar_after());
         let is_news = |(model, version): &(&String, u32)| {
             oldest.get(*model).is_none_or(|oldest| oldest < version)
         };
@@ -309,7 +312,9 @@
         for replicas in services.values() {
             let known = replicas.iter().filter_map(|one| Some((one, self.replica_of(one)?)));
             let known: Vec<_> = known.collect();
-            let under_way = known.iter().filter(|(_, replica)| replica.target.is_some()).count();
+            let is_under_way =
+                |one: &Replica| one.target.as_ref().is_some_and(|target| target.is_under_way(now));
+            let under_way = known.iter().filter(|(_, replica)| is_under_way(replica)).count();
             let is_free =
                 |one: &Replica| one.target.is_none() && !one.is_fenced && now >= one.rests_until;
             let may_call = |one: &Instance| self.pushbacks.may_call(&one.incarnation_name(), now);
--- a/crates/control/src/fleet/target.rs
+++ b/crates/control/src/fleet/target.rs
@@ -6,7 +6,7 @@
 use topazmount_types::{Instance, Time};
 
 /// Time after which a load that has not ended takes no place any more: one and a half times what one is given. It may never
-/// end: of 12 replicas with two places one such held up three others for the bound of 8 s, and holds up one with this.
+/// end: of 12 replicas with two places one such held up three others for the bound of 8 s.
 const LONGEST_PLACE: Duration = Duration::from_millis(1_500);
 
 /// Steps of a load.
@@ -42,6 +42,12 @@
         }
     }
 
+    /// Whether it is on its way to a load or in one that may yet end. One that never ends must not keep another from being
+    /// passed over in good time: of 12 replicas with two places it left one on old weights after the bound of 8 s.
+    pub(super) fn is_under_way(&self, now: Time) -> bool {
+        matches!(self.phase, Phase::Pausing { .. }) || self.takes_place(now)
+    }
+
     pub(super) fn order(
         &self,
         instance: &Instance,
