A gateway that hears followers alone counts the bound on old weights itself

While no leader tells news nobody bars replicas on old weights. From 6.5 s after a leader's last word on, and after a newer version was heard of, a prompt names the newest version: a replica that has loaded meanwhile serves it, another refuses. Ruled out: barring such replicas, which would also lose those that have loaded. The test's call of set_named gets the moment of the news; what it asserts is unchanged.

--- a/crates/gateway/src/balancer/incarnations.rs
+++ b/crates/gateway/src/balancer/incarnations.rs
@@ -8,7 +8,7 @@
 use super::replica::Replica;
 use std::collections::HashSet;
 use std::time::Duration;
-use topazmount_control::{InstanceStatus, LoadedModel};
+use topazmount_control::{InstanceStatus, LoadedModel, RolloutSettings};
 use topazmount_types::{Instance, InstanceId, Start, Time};
 
 /// Time for which a replica that went back to older weights gets no request for a model, unless its status comes before:
@@ -128,10 +128,13 @@
     }
 
     /// Takes the newest version named for each model. A member that lags tells an older one.
-    pub fn set_named(&mut self, weights: &[LoadedModel]) {
+    pub fn set_named(&mut self, weights: &[LoadedModel], now: Time) {
         for loaded in weights {
             let known = self.named.entry(loaded.model.clone()).or_default();
-            *known = loaded.version.max(*known);
+            if loaded.version > *known {
+                *known = loaded.version;
+                self.unled.named(loaded, now);
+            }
         }
     }
 
@@ -157,8 +160,36 @@
 
     /// Version that a prompt must name at a replica. Where one is named for the model, none begins without: followers tell
     /// of a replica before its status comes, and its weights may be older than the 8 s bound on them allows.
-    pub(super) fn expected(&self, replica: &Replica, request: &ChoiceRequest<'_>) -> Option<u32> {
-        replica.version(request.model).or(self.named(request.model))
+    pub(super) fn expected(
+        &self,
+        held: Option<u32>,
+        request: &ChoiceRequest<'_>,
+        now: Time,
+    ) -> Option<u32> {
+        self.version_to_name(held, request, now).or(self.named(request.model))
+    }
+
+    /// The version that a replica is believed to hold, or the newest where the bound on that one is over by this node's own
+    /// count: it may have loaded meanwhile, which nobody told, and refuses otherwise.
+    pub(super) fn version_to_name(
+        &self,
+        held: Option<u32>,
+        request: &ChoiceRequest<'_>,
+        now: Time,
+    ) -> Option<u32> {
+        let held = held?;
+        let is_over = request.model.is_some_and(|model| self.unled.is_over(model, held, now));
+        Some(if is_over { self.named(request.model).unwrap_or(held) } else { held })
+    }
+
+    /// Notes that a leader with a lease told news.
+    pub fn heard_leader(&mut self, now: Time) {
+        self.unled.led(now);
+    }
+
+    /// Sets the bounds on a roll-out.
+    pub fn set_rollout(&mut self, cfg: RolloutSettings) {
+        self.unled.set(cfg);
     }
 
     /// Takes a replica's refusal of the version that a request named, and the version that it says it holds, if it does.
--- a/crates/gateway/src/balancer/mod.rs
+++ b/crates/gateway/src/balancer/mod.rs
@@ -16,6 +16,7 @@
 mod replica;
 mod sharded;
 mod source;
+mod unled;
 mod view;
 
 use crate::estimator::PrefillEstimator;
@@ -35,6 +36,7 @@
 use topazmount_admission::Pushbacks;
 use topazmount_routing::PolicyTable;
 use topazmount_types::{Incarnation, InstanceId, Time};
+use unled::Unled;
 
 /// Age up to which what a replica read is taken from it where settings do not say it.
 pub(crate) const SURELY_KEPT: Duration = Duration::from_millis(1_500);
@@ -48,6 +50,8 @@
     holders: Holders,
     /// Newest version named for each model; it only rises.
     named: HashMap<String, u32>,
+    /// What this node may count for itself while nobody leads.
+    unled: Unled,
     /// Oldest version of each model's weights that may begin on requests.
     oldest: HashMap<String, u32>,
     stores: Stores,
@@ -75,6 +79,7 @@
             by_key: HashMap::new(),
             holders: Holders::default(),
             named: HashMap::new(),
+            unled: Unled::default(),
             oldest: HashMap::new(),
             stores: Stores::default(),
             surely_kept: SURELY_KEPT,
@@ -139,8 +144,8 @@
             home_rank: candidate.home_rank,
             is_clear: replica.waiting_tokens(now) == 0,
             taken_share: replica.taken_share(now),
-            version: replica.version(request.model),
-            expected: self.expected(replica, request),
+            version: self.version_to_name(replica.version(request.model), request, now),
+            expected: self.expected(replica.version(request.model), request, now),
             source: source.map(|source| source.address),
             save_to: None,
             has_prompt: request.prompt.is_some(),
--- a/crates/gateway/src/knowledge.rs
+++ b/crates/gateway/src/knowledge.rs
@@ -19,7 +19,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 use topazmount_admission::PushbackSettings;
-use topazmount_control::{FleetView, Seen};
+use topazmount_control::{FleetView, RolloutSettings, Seen};
 use topazmount_routing::PolicyTable;
 use topazmount_types::{ErrorKind, RequestDigest, Time};
 
@@ -46,6 +46,8 @@
     pub quota: QuotaSettings,
     /// How long what replicas ask is believed.
     pub pushback: PushbackSettings,
+    /// Bounds of a roll-out of weights.
+    pub rollout: RolloutSettings,
 }
 
 impl Default for GatewaySettings {
@@ -57,6 +59,7 @@
             surely_kept: SURELY_KEPT,
             quota: QuotaSettings::default(),
             pushback: PushbackSettings::default(),
+            rollout: RolloutSettings::default(),
         }
     }
 }
@@ -136,6 +139,7 @@
         self.balancer.set_surely_kept(settings.surely_kept);
         self.quotas.set(settings.quota);
         self.balancer.set_pushback(settings.pushback);
+        self.balancer.set_rollout(settings.rollout);
     }
 
     /// What it has seen, for the next request for news.
@@ -232,7 +236,10 @@
             self.catalog = Some(Arc::new(catalog));
         }
         let mut changes = self.apply_instances(view);
-        self.balancer.set_named(&view.weights);
+        if view.is_leased() {
+            self.balancer.heard_leader(asked_at);
+        }
+        self.balancer.set_named(&view.weights, asked_at);
         self.balancer.set_oldest(&view.oldest_weights);
         if let Some((count, statuses)) = &view.statuses {
             self.seen.statuses = *count;
--- a/crates/gateway/tests/late_bars.rs
+++ b/crates/gateway/tests/late_bars.rs
@@ -28,7 +28,7 @@
         correction: (0, 0),
     };
     balancer.set_status(&status);
-    balancer.set_named(&loaded(2));
+    balancer.set_named(&loaded(2), NOW);
     let prompt = prompt(&[(1, 2_500), (100, 3_800), (1_000, 900)]);
     let request = choice_request(&prompt, None);
     let later = NOW + Duration::from_secs(20);
@@ -61,3 +61,31 @@
     balancer.set_status(&InstanceStatus { models: loaded(2), ..status });
     assert!(balancer.choose(&request, NOW, &mut PolicyTable::default()).is_some());
 }
+
+/// A leader that has just begun counts anew, and leaves replicas open until it has ordered them: its word goes first.
+#[test]
+fn while_a_leader_tells_news_its_statuses_say_which_weights_are_over() {
+    let mut balancer = Balancer::new("north", 1);
+    balancer.upsert(instance("i-0", "pool", "north"));
+    let status = InstanceStatus {
+        id: "i-0".to_owned(),
+        availability: Availability::Open,
+        models: loaded(1),
+        start: Start::UNSAID,
+        correction: (0, 0),
+    };
+    balancer.set_status(&status);
+    balancer.set_named(&loaded(2), NOW);
+    let prompt = prompt(&[(1, 2_500), (100, 3_800), (1_000, 900)]);
+    let request = choice_request(&prompt, None);
+    let expected_at = |after: u64, balancer: &mut Balancer| {
+        let now = NOW + Duration::from_millis(after);
+        balancer.choose(&request, now, &mut PolicyTable::default()).unwrap().expected
+    };
+    balancer.heard_leader(NOW + Duration::from_secs(20));
+    assert_eq!(expected_at(20_400, &mut balancer), Some(1));
+    assert_eq!(expected_at(26_499, &mut balancer), Some(1), "6.5 s after a leader's last word");
+    assert_eq!(expected_at(26_500, &mut balancer), Some(2));
+    balancer.heard_leader(NOW + Duration::from_secs(27));
+    assert_eq!(expected_at(27_400, &mut balancer), Some(1));
+}
--- a/crates/gateway/tests/refused_versions.rs
+++ b/crates/gateway/tests/refused_versions.rs
@@ -39,7 +39,7 @@
     let mut balancer = Balancer::new("north", 1);
     balancer.upsert(instance("i-0", "pool", "north"));
     balancer.set_status(&status("i-0", version));
-    balancer.set_named(&named.map(loaded).unwrap_or_default());
+    balancer.set_named(&named.map(loaded).unwrap_or_default(), NOW);
     balancer
 }
 
--- a/crates/topazmount/src/fleet/settings.rs
+++ b/crates/topazmount/src/fleet/settings.rs
@@ -302,6 +302,7 @@
                 longest_rest: Duration::from_secs_f64(self.pushback.longest_rest_s),
                 longest_leave: Duration::from_secs_f64(self.pushback.longest_leave_s),
             },
+            rollout: self.rollout(),
         }
     }
 
