Older path: a declared engine that asks for rest gets it

429 and 503 with Retry-After of a declared engine were a refusal like any other. The time is kept by incarnation and looked at with each choice; the reader of the field is one for both paths. Not held back: a connection that comes up meanwhile, and calls of applications.

--- a/crates/node/src/chat/retry.rs
+++ b/crates/node/src/chat/retry.rs
@@ -63,6 +63,7 @@
             AttemptFailure::Refused(RefusalCause::OtherWeights) => {
                 state.refuse_weights(weights, now);
             }
+            AttemptFailure::Refused(RefusalCause::Resting(rest)) => state.rest(rest, now),
             AttemptFailure::Refused(_) => {}
         }
     }
--- a/crates/node/src/io.rs
+++ b/crates/node/src/io.rs
@@ -34,6 +34,8 @@
 pub enum RefusalCause {
     /// It has more work than it takes.
     Busy,
+    /// The same, and it wants nothing for so long.
+    Resting(Duration),
     /// It is leaving.
     Leaving,
     /// It has other weights.
--- a/crates/routing/src/replica.rs
+++ b/crates/routing/src/replica.rs
@@ -2,7 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 use std::time::Duration;
-use topazmount_admission::{Breaker, BreakerSettings, BreakerState};
+use topazmount_admission::{Breaker, BreakerSettings, BreakerState, PushbackSettings};
 use topazmount_types::{Incarnation, ModelId, ReplicaId, Time, WeightsVersion, ZoneId};
 
 /// Retention assumed before an eviction was observed.
@@ -67,6 +67,8 @@
     pub breaker: Breaker,
     /// Until when the replica is passed over for a weights version that it refused.
     pub lacks_weights: Option<(WeightsVersion, Time)>,
+    /// Until when its present incarnation wants nothing of this node.
+    pub rests_until: Time,
 }
 
 impl ReplicaState {
@@ -84,6 +86,7 @@
             retention: INITIAL_RETENTION,
             breaker: Breaker::default(),
             lacks_weights: None,
+            rests_until: Time::ZERO,
         }
     }
 
@@ -91,7 +94,10 @@
     pub fn is_available(&self, weights: WeightsVersion, now: Time) -> bool {
         let lacks =
             self.lacks_weights.is_some_and(|(lacking, until)| lacking == weights && now < until);
-        self.leaving.is_none() && !lacks && self.breaker.state(now) != BreakerState::Open
+        self.leaving.is_none()
+            && !lacks
+            && now >= self.rests_until
+            && self.breaker.state(now) != BreakerState::Open
     }
 
     /// Notes an incarnation. A new one starts with an empty cache and is not leaving. Returns
@@ -106,6 +112,7 @@
             self.leaving = None;
         }
         self.load_at = None;
+        self.rests_until = Time::ZERO;
         self.retention = INITIAL_RETENTION;
         was_known
     }
@@ -115,6 +122,12 @@
         self.leaving = Some(self.incarnation);
     }
 
+    /// Notes that it wants nothing for so long. The latest end that it names holds.
+    pub fn rest(&mut self, time: Duration, now: Time) {
+        let longest = PushbackSettings::default().longest_rest;
+        self.rests_until = self.rests_until.max(now + time.min(longest));
+    }
+
     /// Notes a load report.
     pub fn observe_load(&mut self, load: LoadReport, now: Time) {
         self.load = load;
--- a/crates/topazmount/src/engine_client.rs
+++ b/crates/topazmount/src/engine_client.rs
@@ -5,11 +5,13 @@
 //! `engine-load`; a body field `position` in chunks numbers tokens.
 
 use crate::http_pool::{HttpPool, connect};
+use crate::http1::retry_after;
 use crate::sse::{EngineChunk, Line, parse_line};
 use async_net::TcpStream;
 use futures_lite::AsyncBufReadExt;
 use http_types::{Body, Method, Request, Response, Url};
 use std::net::SocketAddr;
+use std::time::{Duration, SystemTime};
 use topazmount_control::ActionResult;
 use topazmount_node::{
     ActionFailure, AttemptFailure, Dispatch, FinishReason, NodeInput, RefusalCause,
@@ -117,7 +119,7 @@
     let cause = match u16::from(response.status()) {
         200 => return None,
         503 if is_leaving => RefusalCause::Leaving,
-        429 | 503 => RefusalCause::Busy,
+        429 | 503 => rest_of(response).map_or(RefusalCause::Busy, RefusalCause::Resting),
         409 => RefusalCause::OtherWeights,
         400..=499 => RefusalCause::Invalid,
         _ => return Some(AttemptFailure::Lost),
@@ -125,6 +127,13 @@
     Some(AttemptFailure::Refused(cause))
 }
 
+/// The longest time for which the engine wants nothing, where it names one that can be read.
+fn rest_of(response: &Response) -> Option<Duration> {
+    let now = SystemTime::now();
+    let values = response.header("retry-after")?.iter();
+    values.filter_map(|value| retry_after(value.as_str().as_bytes(), now)).max()
+}
+
 /// Feeds an answer's chunks; `None` when it broke off.
 async fn relay(
     attempt: AttemptId,
--- a/crates/topazmount/src/http1/mod.rs
+++ b/crates/topazmount/src/http1/mod.rs
@@ -8,6 +8,7 @@
 mod client;
 mod framing;
 mod head;
+mod retry_after;
 mod wire;
 mod write;
 
@@ -15,6 +16,7 @@
 pub use client::{ClientAnswer, connect, is_refused, read_answer_head};
 pub use framing::{Framing, request_framing, response_framing};
 pub use head::{HeadError, Headers, RequestHead, ResponseHead};
+pub use retry_after::retry_after;
 pub use wire::Wire;
 pub use write::{answer_head, chunk, request_bytes, simple_answer};
 
