What an incarnation asks before its start is told stays its own

Change: what was heard after the next start, by the clocks of both, goes over to the next incarnation, and so does what comes after it was told.

--- a/crates/admission/src/pushback.rs
+++ b/crates/admission/src/pushback.rs
@@ -6,8 +6,11 @@
 use serde::{Deserialize, Serialize};
 use std::collections::HashMap;
 use std::time::Duration;
-use topazmount_types::Time;
+use topazmount_types::{Start, Time};
 
+/// What the clocks of a replica and of this process may be apart where a rest is weighed against a start. What is taken for
+/// the next incarnation's by mistake costs it one rest; a leave, which lasts, gets no such tolerance.
+const CLOCK_TOLERANCE: Duration = Duration::from_millis(250);
 /// Incarnations remembered; of more, those heard of the longest ago are forgotten.
 const MOST_REMEMBERED: usize = 4_096;
 
@@ -62,6 +65,9 @@
     rests_until: Time,
     leaves_until: Time,
     heard_at: Time,
+    /// When the rest and the leave were last heard.
+    rest_heard: Time,
+    leave_heard: Time,
 }
 
 /// What incarnations of replicas asked of this process, by their names.
@@ -88,16 +94,20 @@
             rests_until: Time::ZERO,
             leaves_until: Time::ZERO,
             heard_at: now,
+            rest_heard: Time::ZERO,
+            leave_heard: Time::ZERO,
         });
         let was_leaving = now < asked.leaves_until;
         asked.heard_at = now;
         if said.is_leaving {
             asked.leaves_until = now + self.cfg.longest_leave;
+            asked.leave_heard = now;
         }
         let rest = said.rest.map(|rest| rest.min(self.cfg.longest_rest));
         let rests_for = rest.filter(|rest| now + *rest > asked.rests_until.max(now));
         if let Some(rest) = rests_for {
             asked.rests_until = now + rest;
+            asked.rest_heard = now;
         }
         let leaves = said.is_leaving && !was_leaving;
         (rests_for.is_some() || leaves).then_some(Heard { rests_for, leaves })
@@ -122,9 +132,20 @@
         rests.then(|| asked.rests_until.since(now))
     }
 
-    /// Forgets an incarnation that has ended.
-    pub fn ended(&mut self, incarnation: &str) {
-        self.asked.remove(incarnation);
+    /// Forgets an incarnation that has ended, but for what was heard of it after the next one's start: that one had answered
+    /// at its address before anybody told of it. Without this, of clients' requests to engines that had just started again, four
+    /// reached one in its rest, and five one that had said that it leaves, as soon as its start was known (a soak's seed).
+    pub fn replaced(&mut self, incarnation: &str, next: &str, start: Start) {
+        let Some(mut asked) = self.asked.remove(incarnation) else { return };
+        if asked.rest_heard + CLOCK_TOLERANCE < start.as_time() {
+            asked.rests_until = Time::ZERO;
+        }
+        if asked.leave_heard < start.as_time() {
+            asked.leaves_until = Time::ZERO;
+        }
+        if asked.rests_until.max(asked.leaves_until) > Time::ZERO {
+            self.asked.insert(next.to_owned(), asked);
+        }
     }
 
     /// Whether nothing is remembered.
--- a/crates/control/src/fleet/rollout.rs
+++ b/crates/control/src/fleet/rollout.rs
@@ -197,6 +197,7 @@
 
     /// A replica asks for rest, or says that it leaves. One that has not begun to load gives its place to others.
     fn pushed_back(&mut self, now: Time, id: &str, start: Start, said: Pushback) {
+        // Only the incarnation that was asked may have answered; where the next one did, it says so again to the next call.
         if self.pushbacks.hear(&incarnation_name(id, start), said, now).is_none() {
             return;
         }
--- a/crates/gateway/src/balancer/incarnations.rs
+++ b/crates/gateway/src/balancer/incarnations.rs
@@ -65,7 +65,8 @@
                 return None;
             }
             earlier = Some(known.instance.clone());
-            self.pushbacks.ended(&known.name);
+            let next = instance.incarnation_name();
+            self.pushbacks.replaced(&known.name, &next, instance.start);
             self.remove(&instance.id);
         }
         let (id, slot, start) = (instance.id.clone(), self.next_slot, instance.start);
--- a/crates/gateway/src/balancer/pushback.rs
+++ b/crates/gateway/src/balancer/pushback.rs
@@ -14,12 +14,17 @@
         self.pushbacks.set(cfg);
     }
 
-    /// Takes what an answer of the chosen incarnation asks. One that has ended asks nothing of the next.
+    /// Takes what an answer asks that came from where the chosen incarnation was. One that has ended asks nothing of the
+    /// next; but what comes after the next one's start is that one's.
     pub fn hear_pushback(&mut self, choice: &Choice, said: Pushback, now: Time) -> Option<Heard> {
-        if self.has_ended(choice) {
-            return None;
-        }
-        self.pushbacks.hear(&choice.instance.incarnation_name(), said, now)
+        let known = self.replicas.get(&choice.instance.id).map(|replica| &replica.instance);
+        let next = known.filter(|known| known.start != choice.instance.start);
+        let name = match next {
+            None => choice.instance.incarnation_name(),
+            Some(next) if now >= next.start.as_time() => next.incarnation_name(),
+            Some(_) => return None,
+        };
+        self.pushbacks.hear(&name, said, now)
     }
 
     /// Whether a request may be sent to its choice at this moment: it may have asked for rest since it was chosen.
--- a/crates/gateway/tests/pushback.rs
+++ b/crates/gateway/tests/pushback.rs
@@ -14,8 +14,9 @@
 use topazmount_types::{Instance, Start, Time};
 
 const NOW: Time = Time::from_secs(1_000);
-const FIRST: Start = Start(5_000);
-const NEXT: Start = Start(6_000);
+const FIRST: Start = Start(900_000);
+/// Starts again half a second after what was asked, which was at the moment of 1,000,000 ms.
+const NEXT: Start = Start(1_000_500);
 
 const fn millis(millis: u64) -> Duration {
     Duration::from_millis(millis)
@@ -150,6 +151,42 @@
     assert!(is_chosen(&mut balancer, NOW));
 }
 
+/// A replica starts again, and answers requests that were meant for the incarnation before it; its start is told later.
+#[rstest]
+// When the next incarnation starts, in milliseconds from the answer on; whether it is left alone for what was asked.
+#[case::before(-400, rest(millis(2_000)), true)]
+#[case::before_it_leaves(-400, LEAVING, true)]
+#[case::at_about_that_time(200, rest(millis(2_000)), true)]
+#[case::at_about_that_time_it_leaves(200, LEAVING, false)]
+#[case::after(300, rest(millis(2_000)), false)]
+#[case::after_it_left(300, LEAVING, false)]
+fn what_an_incarnation_asks_before_its_start_is_told_is_its_own(
+    #[case] starts_after: i64,
+    #[case] said: Pushback,
+    #[case] is_left_alone: bool,
+) {
+    let start = Start(1_000_000u64.checked_add_signed(starts_after).unwrap());
+    let (mut balancer, _) = asked(said);
+    balancer.upsert(started("i-0", start));
+    assert_eq!(is_chosen(&mut balancer, NOW + millis(700)), !is_left_alone);
+}
+
+/// The answer to a request that was sent before the next incarnation was known comes after that.
+#[rstest]
+#[case::of_the_next(-400, true)]
+#[case::of_the_one_before(400, false)]
+fn what_comes_after_the_next_start_is_the_next_incarnation_s(
+    #[case] starts_after: i64,
+    #[case] is_left_alone: bool,
+    #[values(rest(millis(2_000)), LEAVING)] said: Pushback,
+) {
+    let (mut balancer, choice) = asked(Pushback::default());
+    let start = Start(1_000_000u64.checked_add_signed(starts_after).unwrap());
+    balancer.upsert(started("i-0", start));
+    balancer.hear_pushback(&choice, said, NOW);
+    assert_eq!(is_chosen(&mut balancer, NOW + millis(700)), !is_left_alone);
+}
+
 #[test]
 fn a_replica_that_leaves_is_left_alone_also_where_it_is_the_last() {
     let (mut balancer, choice) = asked(LEAVING);
@@ -251,8 +288,12 @@
                 *until = (*until).max(self.now + millis(rest_ms.unwrap_or(0)));
             }
             Step::Restart(at) => {
-                self.starts[at] += 1;
+                // Its connections break, and what it said before lies further back than clocks may be apart.
+                self.under_way[at].clear();
+                self.now = self.now + millis(300);
+                self.starts[at] = self.now.as_micros() / 1_000;
                 balancer.upsert(started(&format!("i-{at}"), Start(self.starts[at])));
+                self.now = self.now + millis(1);
             }
             Step::Flicker(at) => {
                 balancer.remove(&format!("i-{at}"));
@@ -264,7 +305,7 @@
 
 proptest! {
     /// Whatever comes in whichever order: nothing goes to a replica that rests, one whose rest is over is used again, and
-    /// no request is refused while one is free. Answers are on their way while their replica starts again.
+    /// no request is refused while one is free.
     #[test]
     fn random_series_keep_to_what_was_asked(
         seed: u64,
--- a/crates/types/src/instance.rs
+++ b/crates/types/src/instance.rs
@@ -1,13 +1,14 @@
 //! A registered replica and its incarnations.
 
+use crate::Time;
 use serde::{Deserialize, Serialize};
 use std::fmt;
 
 /// Identifier of a replica. One that starts again may keep it; its [`Start`] tells its incarnations apart.
 pub type InstanceId = String;
 
-/// When an incarnation of a replica started, as the replica says: milliseconds of Unix time, by its own clock. Only
-/// compared with other starts under the same identifier, never with a clock of ours.
+/// When an incarnation of a replica started, as the replica says: milliseconds of Unix time, by its own clock. Compared
+/// with other starts under the same identifier, and with a clock of ours only where nothing else tells who said something.
 #[derive(
     Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
 )]
@@ -16,6 +17,11 @@
 impl Start {
     /// Of a replica that does not say when it started.
     pub const UNSAID: Start = Start(0);
+
+    /// The same moment by a process's clock, whose origin is Unix time's; what clocks are apart comes in addition.
+    pub fn as_time(self) -> Time {
+        Time::from_millis(self.0.min(u64::MAX / 1_000))
+    }
 }
 
 impl fmt::Display for Start {
