--- a/crates/gateway/tests/shards.rs
+++ b/crates/gateway/tests/shards.rs
@@ -6,6 +6,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::time::Duration;
+use topazmount_admission::Pushback;
 use topazmount_control::{
     Availability, FleetView, GatewayNews, GatewayReport, InstanceStatus, LoadedModel,
 };
@@ -319,3 +320,30 @@
         assert!(fleet[0].adopt(&offer, &request, NOW).is_none(), "it was tried already");
     });
 }
+
+/// A coordinator hears nothing of what a replica asked of the gateway that asks: the question says whom not to name.
+#[test]
+fn a_coordinator_names_no_replica_that_rests_or_leaves_for_the_asking_gateway() {
+    let rest = Pushback { rest: Some(Duration::from_secs(3)), ..Pushback::default() };
+    let leaving = Pushback { is_leaving: true, ..Pushback::default() };
+    for said in [rest, leaving] {
+        let mut fleet: Vec<Knowledge> = (0..60).map(|number| gateway(number, 60, 64)).collect();
+        with_request(&subject(7), |request| {
+            let first = ask(&mut fleet, 17, request, NOW);
+            fleet[17].balancer().hear_pushback(&first, said, NOW);
+            let shard = fleet[17].shards_for(request, NOW)[0];
+            let coordinator = fleet[17].gateways().coordinators("pool", shard, NOW)[0];
+            let question = fleet[17].question(request, shard, NOW).unwrap();
+            let offer = fleet[number_of(coordinator)].answer(&question, NOW).unwrap();
+            let second = fleet[17].adopt(&offer, request, NOW).unwrap();
+            assert_ne!(second.instance.id, first.instance.id);
+            assert_eq!(
+                question.exclude.len(),
+                1,
+                "a question grows by what the shard's replicas asked alone"
+            );
+            let other = fleet[18].question(request, shard, NOW).unwrap();
+            assert!(other.exclude.is_empty(), "it was not asked of another gateway");
+        });
+    }
+}
