--- a/crates/topazmount/src/fleet/exchange/answers.rs
+++ b/crates/topazmount/src/fleet/exchange/answers.rs
@@ -26,6 +26,22 @@
         }
     }
 
+    /// Ends a request that no replica served: with a replica's whole failure, if there is one, since it says more than any
+    /// answer of the gateway's own; else with the gateway's. Of 502 in place of 500 the client learns neither what
+    /// failed nor that an answer was ready.
+    pub(super) async fn end_without(
+        &mut self,
+        plan: &RequestPlan,
+        progress: &Progress,
+        kind: ErrorKind,
+        failure: Option<(ResponseHead, Vec<u8>)>,
+    ) -> Ending {
+        match failure.filter(|_| !progress.has_begun) {
+            Some((head, body)) => self.pass_on(head, &body, plan).await,
+            None => self.give_up(plan, progress, kind).await,
+        }
+    }
+
     pub(super) async fn give_up(
         &mut self,
         plan: &RequestPlan,
--- a/crates/topazmount/src/fleet/exchange/mod.rs
+++ b/crates/topazmount/src/fleet/exchange/mod.rs
@@ -243,19 +243,21 @@
         progress: &mut Progress,
         grant: Option<&Grant<'_>>,
     ) -> Ending {
+        // A replica's whole failure, while others are tried.
+        let mut failure = None;
         loop {
             if self.is_blocked() {
                 return self.give_up(plan, progress, ErrorKind::CrashesReplicas).await;
             }
             if self.left().is_zero() {
-                return self.give_up(plan, progress, time_over(plan)).await;
+                return self.end_without(plan, progress, time_over(plan), failure).await;
             }
             let Some(mut in_flight) = self.choose(plan).await else {
                 // The incarnation that it was held to has ended.
                 if plan.let_go() {
                     continue;
                 }
-                return self.give_up(plan, progress, plan.refusal()).await;
+                return self.end_without(plan, progress, plan.refusal(), failure).await;
             };
             if let Some(wait) = self.wait_if_late(plan, &in_flight.choice) {
                 drop(in_flight);
@@ -275,7 +277,10 @@
                     self.log_attempt(&in_flight.choice, "failure");
                     drop(in_flight);
                     match self.next(plan, AttemptEnd::Failed, progress) {
-                        None => continue,
+                        None => {
+                            failure = Some((head, body));
+                            continue;
+                        }
                         Some(_) if progress.has_begun => return Ending::Cut,
                         Some(_) => return self.pass_on(head, &body, plan).await,
                     }
@@ -314,8 +319,10 @@
             let next = self.next(plan, end, progress);
             set_used(grant, plan.may_have_run());
             if let Some(kind) = next {
-                let kind = if self.is_blocked() { ErrorKind::CrashesReplicas } else { kind };
-                return self.give_up(plan, progress, kind).await;
+                if self.is_blocked() {
+                    return self.give_up(plan, progress, ErrorKind::CrashesReplicas).await;
+                }
+                return self.end_without(plan, progress, kind, failure).await;
             }
         }
     }
