--- a/crates/admission/src/pushback.rs
+++ b/crates/admission/src/pushback.rs
@@ -56,6 +56,8 @@
 pub struct Heard {
     /// The replica rests for so long from now on, longer than was believed.
     pub rests_for: Option<Duration>,
+    /// What that adds to the rest that was known.
+    pub adds: Duration,
     /// It leaves, which was not known.
     pub leaves: bool,
 }
@@ -105,12 +107,14 @@
         }
         let rest = said.rest.map(|rest| rest.min(self.cfg.longest_rest));
         let rests_for = rest.filter(|rest| now + *rest > asked.rests_until.max(now));
+        let mut adds = Duration::ZERO;
         if let Some(rest) = rests_for {
+            adds = (now + rest).since(asked.rests_until.max(now));
             asked.rests_until = now + rest;
             asked.rest_heard = now;
         }
         let leaves = said.is_leaving && !was_leaving;
-        (rests_for.is_some() || leaves).then_some(Heard { rests_for, leaves })
+        (rests_for.is_some() || leaves).then_some(Heard { rests_for, adds, leaves })
     }
 
     /// Whether a call of any kind may be sent to an incarnation.
@@ -148,6 +152,13 @@
         }
     }
 
+    /// How many incarnations rest, and how many leave.
+    pub fn counts(&self, now: Time) -> (usize, usize) {
+        let leaving = self.asked.values().filter(|asked| now < asked.leaves_until).count();
+        let is_resting = |asked: &&Asked| now < asked.rests_until && now >= asked.leaves_until;
+        (self.asked.values().filter(is_resting).count(), leaving)
+    }
+
     /// Whether nothing is remembered.
     pub fn is_empty(&self) -> bool {
         self.asked.is_empty()
--- a/crates/gateway/src/balancer/pushback.rs
+++ b/crates/gateway/src/balancer/pushback.rs
@@ -27,6 +27,11 @@
         self.pushbacks.hear(&name, said, now)
     }
 
+    /// How many replicas rest by what they asked of this process, and how many leave.
+    pub fn pushback_counts(&self, now: Time) -> (usize, usize) {
+        self.pushbacks.counts(now)
+    }
+
     /// Whether a request may be sent to its choice at this moment: it may have asked for rest since it was chosen.
     pub fn may_send(&self, choice: &Choice, now: Time) -> bool {
         self.pushbacks.may_call(&choice.instance.incarnation_name(), now)
--- a/crates/gateway/tests/pushback.rs
+++ b/crates/gateway/tests/pushback.rs
@@ -85,14 +85,17 @@
 #[test]
 fn only_what_is_new_is_told() {
     let mut pushbacks = Pushbacks::default();
-    let rested = |rest| Some(Heard { rests_for: Some(rest), leaves: false });
-    assert_eq!(pushbacks.hear("i-0", rest(millis(900)), NOW), rested(millis(900)));
+    let rested = |rest, adds| Some(Heard { rests_for: Some(rest), adds, leaves: false });
+    assert_eq!(pushbacks.hear("i-0", rest(millis(900)), NOW), rested(millis(900), millis(900)));
     assert_eq!(pushbacks.hear("i-0", rest(millis(800)), NOW + millis(50)), None);
-    assert_eq!(pushbacks.hear("i-0", rest(millis(900)), NOW + millis(50)), rested(millis(900)));
-    let left = Some(Heard { rests_for: None, leaves: true });
+    let longer = pushbacks.hear("i-0", rest(millis(900)), NOW + millis(50));
+    assert_eq!(longer, rested(millis(900), millis(50)));
+    assert_eq!(pushbacks.counts(NOW + millis(50)), (1, 0));
+    let left = Some(Heard { rests_for: None, adds: Duration::ZERO, leaves: true });
     assert_eq!(pushbacks.hear("i-0", LEAVING, NOW + millis(60)), left);
     assert_eq!(pushbacks.hear("i-0", LEAVING, NOW + millis(70)), None);
     assert_eq!(pushbacks.hear("i-0", Pushback::default(), NOW + millis(80)), None);
+    assert_eq!(pushbacks.counts(NOW + millis(80)), (0, 1));
 }
 
 #[test]
--- a/crates/topazmount/src/fleet/exchange/pushback.rs
+++ b/crates/topazmount/src/fleet/exchange/pushback.rs
@@ -20,6 +20,9 @@
             let mut knowledge = self.shared.knowledge.lock().unwrap();
             knowledge.balancer().hear_pushback(choice, asked, now)
         };
+        if let Some(heard) = heard {
+            self.shared.metrics.rest(&self.admission.service, heard.adds);
+        }
         if heard.is_some_and(|heard| heard.leaves) {
             self.shared.pool.close(&choice.instance.incarnation_name());
         }
--- a/crates/topazmount/src/fleet/gateway.rs
+++ b/crates/topazmount/src/fleet/gateway.rs
@@ -190,6 +190,9 @@
             }
             let blocked = knowledge.crashes().blocked_count();
             self.metrics.set_state("blocked_requests", blocked as i64);
+            let (resting, leaving) = knowledge.balancer().pushback_counts(self.clock.now());
+            self.metrics.set_state("resting_replicas", resting as i64);
+            self.metrics.set_state("leaving_replicas", leaving as i64);
             self.metrics.set_state("replicas", knowledge.balancer().instances().count() as i64);
         }
         self.metrics.set_state("ready", i64::from(is_ready));
--- a/crates/topazmount/src/fleet/metrics.rs
+++ b/crates/topazmount/src/fleet/metrics.rs
@@ -29,6 +29,7 @@
     messages: IntCounterVec,
     message_bytes: IntCounterVec,
     message_busy: IntCounterVec,
+    rests: IntCounterVec,
 }
 
 impl Default for Metrics {
@@ -49,6 +50,8 @@
         let by_kind = ["way", "kind"];
         let messages = counter("messages", "Messages between members and watchers.", &by_kind);
         let message_bytes = counter("message_bytes", "Their bytes.", &by_kind);
+        let help = "Milliseconds for which replicas asked this process for rest.";
+        let rests = counter("rest_ms", help, &["service"]);
         let help = "Microseconds for encoding, decoding and, of way step, the member's thread.";
         let message_busy = counter("message_busy_us", help, &by_kind);
         let options = HistogramOpts::new("seconds", "Time from reading a request, by what ended.")
@@ -75,6 +78,7 @@
             messages,
             message_bytes,
             message_busy,
+            rests,
         }
     }
 }
@@ -91,6 +95,11 @@
         self.attempts.with_label_values(&[end]).inc();
     }
 
+    /// Counts time for which a replica of a service asked for rest, beyond what was known.
+    pub fn rest(&self, service: &str, time: Duration) {
+        self.rests.with_label_values(&[service]).inc_by(time.as_millis() as u64);
+    }
+
     /// Notes the first event of a stream, `after` the request was read.
     pub fn first_event(&self, after: Duration) {
         self.latency.with_label_values(&["first_event"]).observe(after.as_secs_f64());
