--- a/crates/control/tests/restarted_replicas.rs
+++ b/crates/control/tests/restarted_replicas.rs
@@ -2,10 +2,10 @@
 
 mod fleet_world;
 
-use fleet_world::{HEARTBEAT, Manner, SPREAD, World};
+use fleet_world::{HEARTBEAT, LEASE, MODEL, Manner, SPREAD, STEP, World};
 use std::time::Duration;
 use topazmount_control::{
-    Availability, BeliefChange, FleetRequest, OrderEnd, OrderReport, WordSource,
+    Availability, BeliefChange, FleetRequest, InstanceStatus, OrderEnd, OrderReport, WordSource,
 };
 use topazmount_types::Start;
 
@@ -173,3 +173,38 @@
     assert_eq!(world.replicas["late"].version, 2);
     assert_eq!(world.status("late").availability, Availability::Open);
 }
+
+/// Half of the replicas leave their orders unanswered and hold version 1 when the bound of version 2 is over; then all members
+/// start again. From the first moment at which one leads, before any replica was heard, gateways are told that version 1
+/// is over, and no status says otherwise until the replicas have loaded.
+#[test]
+fn weights_that_unanswered_orders_left_old_are_never_told_open_after_a_restart_of_all_members() {
+    let mut world = World::new(0);
+    (0..12).for_each(|number| world.add_started(&format!("r{number:02}"), FIRST));
+    world.run_for(Duration::from_secs(10));
+    let old: Vec<String> = (0..6).map(|number| format!("r{number:02}")).collect();
+    old.iter().for_each(|id| world.replicas.get_mut(id).unwrap().manner = Manner::Mute);
+    world.name(2);
+    world.run_for(SPREAD);
+    assert_eq!(world.replicas.values().filter(|one| one.version == 1).count(), 6);
+    world.change_leader();
+    while world.led_at.is_none() {
+        world.run_for(STEP);
+    }
+    let end = world.now + LEASE + HEARTBEAT * 2;
+    while world.now < end {
+        let view = world.view();
+        let oldest = view.oldest_weights.iter().find(|one| one.model == MODEL);
+        assert_eq!(oldest.map(|one| one.version), Some(2));
+        let (_, statuses) = view.statuses.unwrap();
+        let is_open = |one: &&InstanceStatus| {
+            one.availability != Availability::Barred
+                && one.models.iter().any(|held| held.version < 2)
+        };
+        assert_eq!(statuses.iter().filter(is_open).count(), 0);
+        world.run_for(STEP);
+    }
+    old.iter().for_each(|id| world.replicas.get_mut(id).unwrap().manner = Manner::Obeys);
+    world.run_for(SPREAD * 2);
+    assert!(world.replicas.values().all(|one| one.version == 2));
+}
