--- a/crates/gateway/tests/late_bars.rs
+++ b/crates/gateway/tests/late_bars.rs
@@ -15,9 +15,8 @@
     vec![LoadedModel { model: "model".to_owned(), version }]
 }
 
-/// Members that follow tell of a newer version; none that leads tells of the replica for longer than the bound.
-#[test]
-fn a_gateway_that_hears_followers_alone_sends_nothing_to_weights_beyond_their_bound() {
+/// A gateway that knows one replica, which its leader has told of as open on version 1.
+fn on_first_version() -> (Balancer, InstanceStatus) {
     let mut balancer = Balancer::new("north", 1);
     balancer.upsert(instance("i-0", "pool", "north"));
     let status = InstanceStatus {
@@ -28,6 +27,13 @@
         correction: (0, 0),
     };
     balancer.set_status(&status);
+    (balancer, status)
+}
+
+/// Members that follow tell of a newer version; none that leads tells of the replica for longer than the bound.
+#[test]
+fn a_gateway_that_hears_followers_alone_sends_nothing_to_weights_beyond_their_bound() {
+    let (mut balancer, _) = on_first_version();
     balancer.set_named(&loaded(2), NOW);
     let prompt = prompt(&[(1, 2_500), (100, 3_800), (1_000, 900)]);
     let request = choice_request(&prompt, None);
@@ -44,16 +50,7 @@
 /// A follower says which versions are over, and nothing of the replica itself.
 #[test]
 fn a_gateway_passes_over_weights_that_are_over_whatever_the_status_says() {
-    let mut balancer = Balancer::new("north", 1);
-    balancer.upsert(instance("i-0", "pool", "north"));
-    let status = InstanceStatus {
-        id: "i-0".to_owned(),
-        availability: Availability::Open,
-        models: loaded(1),
-        start: Start::UNSAID,
-        correction: (0, 0),
-    };
-    balancer.set_status(&status);
+    let (mut balancer, status) = on_first_version();
     balancer.set_oldest(&loaded(2));
     let prompt = prompt(&[(1, 2_500), (100, 3_800), (1_000, 900)]);
     let request = choice_request(&prompt, None);
@@ -65,16 +62,7 @@
 /// A leader that has just begun counts anew, and leaves replicas open until it has ordered them: its word goes first.
 #[test]
 fn while_a_leader_tells_news_its_statuses_say_which_weights_are_over() {
-    let mut balancer = Balancer::new("north", 1);
-    balancer.upsert(instance("i-0", "pool", "north"));
-    let status = InstanceStatus {
-        id: "i-0".to_owned(),
-        availability: Availability::Open,
-        models: loaded(1),
-        start: Start::UNSAID,
-        correction: (0, 0),
-    };
-    balancer.set_status(&status);
+    let (mut balancer, _) = on_first_version();
     balancer.set_named(&loaded(2), NOW);
     let prompt = prompt(&[(1, 2_500), (100, 3_800), (1_000, 900)]);
     let request = choice_request(&prompt, None);
