A request that was chosen for an incarnation which has ended is held back

Cause (reading the change): just before bytes go out only what the chosen incarnation asked was looked at. Where the next one had been told of meanwhile, its identifier is the same, so that it would have got the request in its own rest or after its own word that it leaves. Such a request is chosen anew.

--- a/crates/gateway/src/balancer/pushback.rs
+++ b/crates/gateway/src/balancer/pushback.rs
@@ -32,9 +32,10 @@
         self.pushbacks.counts(now)
     }
 
-    /// Whether a request may be sent to its choice at this moment: it may have asked for rest since it was chosen.
+    /// Whether a request may be sent to its choice at this moment: it may have asked for rest since it was chosen, or have
+    /// ended, so that the next incarnation would get what was never weighed for it.
     pub fn may_send(&self, choice: &Choice, now: Time) -> bool {
-        self.pushbacks.may_call(&choice.instance.incarnation_name(), now)
+        !self.has_ended(choice) && self.pushbacks.may_call(&choice.instance.incarnation_name(), now)
     }
 
     pub(super) fn wants_none(&self, replica: &Replica, now: Time) -> bool {
--- a/crates/gateway/src/plan.rs
+++ b/crates/gateway/src/plan.rs
@@ -11,7 +11,7 @@
     NotRun,
     /// The same, and it asked for rest.
     TurnedAway,
-    /// It asked for rest, or said that it leaves, after it was chosen: no byte of this attempt was handed over.
+    /// It asked for rest, said that it leaves, or ended after it was chosen: no byte of this attempt was handed over.
     HeldBack,
     /// Another replica has the address, and said so.
     WrongInstance,
