A leave that is carried over to the next incarnation counts for 10 s

Cause (reading): clocks of machines may be seconds apart; a gateway whose clock is ahead takes the last words of a replica that left for those of the next incarnation under its identifier, and would have left that alone for 600 s.

--- a/crates/admission/src/pushback.rs
+++ b/crates/admission/src/pushback.rs
@@ -11,6 +11,9 @@
 /// What the clocks of a replica and of this process may be apart where a rest is weighed against a start. What is taken for
 /// the next incarnation's by mistake costs it one rest; a leave, which lasts, gets no such tolerance.
 const CLOCK_TOLERANCE: Duration = Duration::from_millis(250);
+/// Longest time, since it was heard, for which a leave that was heard under the earlier incarnation's name counts for the next
+/// one: by then one that leaves has mostly ended, and where clocks were seconds apart it may have been the earlier one's.
+const CARRIED_LEAVE: Duration = Duration::from_secs(10);
 /// Incarnations remembered; of more, those heard of the longest ago are forgotten.
 const MOST_REMEMBERED: usize = 4_096;
 
@@ -33,7 +36,8 @@
     }
 }
 
-/// How long what a replica asks is believed at most, so that none is lost for good by one bad word.
+/// How long what a replica asks is believed at most, so that none is lost for good by one bad word. The defaults are far
+/// beyond the rests of 1 to 4 s and the leaves of some seconds that were seen.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct PushbackSettings {
     /// Longest rest.
@@ -147,6 +151,7 @@
         if asked.leave_heard < start.as_time() {
             asked.leaves_until = Time::ZERO;
         }
+        asked.leaves_until = asked.leaves_until.min(asked.leave_heard + CARRIED_LEAVE);
         if asked.rests_until.max(asked.leaves_until) > Time::ZERO {
             self.asked.insert(next.to_owned(), asked);
         }
--- a/crates/gateway/tests/pushback.rs
+++ b/crates/gateway/tests/pushback.rs
@@ -174,6 +174,15 @@
     assert_eq!(is_chosen(&mut balancer, NOW + millis(700)), !is_left_alone);
 }
 
+/// A process whose clock is seconds ahead takes the last words of a replica that left for those of the next incarnation.
+#[test]
+fn a_leave_that_was_taken_for_the_next_incarnation_s_does_not_keep_it_away_for_long() {
+    let (mut balancer, _) = asked(LEAVING);
+    balancer.upsert(started("i-0", Start(999_000)));
+    assert!(!is_chosen(&mut balancer, NOW + millis(9_900)));
+    assert!(is_chosen(&mut balancer, NOW + millis(10_000)));
+}
+
 /// The answer to a request that was sent before the next incarnation was known comes after that.
 #[rstest]
 #[case::of_the_next(-400, true)]
