Gateways read the limits that replicas name, and say so

Cause: Server-Limit was unknown to the code, so that logs could not tell a limit that nobody heard from one that was heard and exceeded. Change: the adapter decodes it; a gateway remembers it by incarnation and writes limit_named and limit_ended, each attempt names the limit that was known when its replica was chosen, and limited_replicas counts them. Nothing is decided by it yet. An answer to a request that was sent before the known word came may be older: it neither raises nor ends a limit.

--- a/crates/admission/src/lib.rs
+++ b/crates/admission/src/lib.rs
@@ -5,10 +5,12 @@
 mod bucket;
 mod pushback;
 mod queue;
+mod request_limit;
 mod retry;
 
 pub use breaker::{Breaker, BreakerSettings, BreakerState};
 pub use bucket::TokenBucket;
 pub use pushback::{Heard, Pushback, PushbackSettings, Pushbacks};
 pub use queue::{Queue, QueueFull, Waiting};
+pub use request_limit::{LimitChange, RequestLimit, RequestLimits};
 pub use retry::{Backoff, RetryBudget};
--- a/crates/admission/src/pushback.rs
+++ b/crates/admission/src/pushback.rs
@@ -3,6 +3,7 @@
 //! It is asked of this process alone, and holds for the incarnation that asked: neither a heartbeat that says otherwise nor
 //! absence from the control group's list ends it, since these say nothing of load, and may be late.
 
+use crate::RequestLimit;
 use serde::{Deserialize, Serialize};
 use std::collections::HashMap;
 use std::time::Duration;
@@ -24,6 +25,9 @@
     pub rest: Option<Duration>,
     /// Whether it says that it leaves.
     pub is_leaving: bool,
+    /// Requests a second that it takes from all its callers together; told to other processes by their own messages.
+    #[serde(skip)]
+    pub limit: Option<RequestLimit>,
     /// Name of a field that can't be read, and then asks nothing; not told to other processes.
     #[serde(skip)]
     pub unreadable: Option<&'static str>,
--- a/crates/gateway/src/balancer/choice.rs
+++ b/crates/gateway/src/balancer/choice.rs
@@ -2,6 +2,7 @@
 
 use crate::catalog::EngineParameters;
 use crate::prompt::Prompt;
+use topazmount_admission::RequestLimit;
 use topazmount_routing::RouteRequest;
 use topazmount_types::{Instance, ModelId, Priority, TenantId, WeightsVersion};
 
@@ -87,6 +88,8 @@
     pub source: Option<String>,
     /// Address of the store that the replica should send the prompt's parts to.
     pub save_to: Option<String>,
+    /// Limit that the replica had named when it was chosen.
+    pub limit: Option<RequestLimit>,
     /// Whether the request has a prompt.
     pub(super) has_prompt: bool,
     pub(super) slot: u32,
--- a/crates/gateway/src/balancer/incarnations.rs
+++ b/crates/gateway/src/balancer/incarnations.rs
@@ -67,6 +67,7 @@
             earlier = Some(known.instance.clone());
             let next = instance.incarnation_name();
             self.pushbacks.replaced(&known.name, &next, instance.start);
+            self.limits.forget(known.key.0);
             self.remove(&instance.id);
         }
         let (id, slot, start) = (instance.id.clone(), self.next_slot, instance.start);
--- a/crates/gateway/src/balancer/mod.rs
+++ b/crates/gateway/src/balancer/mod.rs
@@ -33,7 +33,7 @@
 use replica::Replica;
 use std::collections::{BTreeMap, HashMap};
 use std::time::Duration;
-use topazmount_admission::Pushbacks;
+use topazmount_admission::{Pushbacks, RequestLimits};
 use topazmount_routing::PolicyTable;
 use topazmount_types::{Incarnation, InstanceId, Time};
 use unled::Unled;
@@ -64,6 +64,8 @@
     has_coordinators: bool,
     /// What incarnations asked of this process.
     pushbacks: Pushbacks,
+    /// Limits that incarnations named.
+    limits: RequestLimits,
     next_slot: u32,
     rng: ChaCha8Rng,
     sequence: u64,
@@ -86,6 +88,7 @@
             prefill: HashMap::new(),
             has_coordinators: false,
             pushbacks: Pushbacks::default(),
+            limits: RequestLimits::default(),
             next_slot: 0,
             rng: ChaCha8Rng::seed_from_u64(seed),
             sequence: 0,
@@ -148,6 +151,7 @@
             expected: self.expected(replica.version(request.model), request, now),
             source: source.map(|source| source.address),
             save_to: None,
+            limit: self.limits.limit(replica.key.0),
             has_prompt: request.prompt.is_some(),
             slot: replica.slot,
         })
--- a/crates/gateway/src/balancer/pushback.rs
+++ b/crates/gateway/src/balancer/pushback.rs
@@ -5,8 +5,8 @@
 use super::replica::Replica;
 use crate::shards::Shard;
 use std::time::Duration;
-use topazmount_admission::{Heard, Pushback, PushbackSettings};
-use topazmount_types::Time;
+use topazmount_admission::{Heard, LimitChange, Pushback, PushbackSettings, RequestLimit};
+use topazmount_types::{Instance, ReplicaId, Time};
 
 impl Balancer {
     /// Changes how long what replicas ask is believed.
@@ -17,16 +17,36 @@
     /// Takes what an answer asks that came from where the chosen incarnation was. One that has ended asks nothing of the
     /// next; but what comes after the next one's start is that one's.
     pub fn hear_pushback(&mut self, choice: &Choice, said: Pushback, now: Time) -> Option<Heard> {
-        let known = self.replicas.get(&choice.instance.id).map(|replica| &replica.instance);
-        let next = known.filter(|known| known.start != choice.instance.start);
-        let name = match next {
-            None => choice.instance.incarnation_name(),
-            Some(next) if now >= next.start.as_time() => next.incarnation_name(),
-            Some(_) => return None,
-        };
+        let name = self.answering(choice, now)?.incarnation_name();
         self.pushbacks.hear(&name, said, now)
     }
 
+    /// Takes what an answer says of its replica's limit; the request was sent at `sent_at`.
+    pub fn hear_limit(
+        &mut self,
+        choice: &Choice,
+        limit: Option<RequestLimit>,
+        sent_at: Time,
+        now: Time,
+    ) -> Option<LimitChange> {
+        let key = key_of(self.answering(choice, now)?);
+        self.limits.hear(key, limit, sent_at, now)
+    }
+
+    /// The incarnation that answers where the chosen one was; `None` where the answer is of one that has ended.
+    fn answering<'a>(&'a self, choice: &'a Choice, now: Time) -> Option<&'a Instance> {
+        let known = self.replicas.get(&choice.instance.id).map(|replica| &replica.instance);
+        match known.filter(|known| known.start != choice.instance.start) {
+            None => Some(&choice.instance),
+            Some(next) => (now >= next.start.as_time()).then_some(next),
+        }
+    }
+
+    /// How many replicas name a limit.
+    pub fn limited_count(&self) -> usize {
+        self.limits.count()
+    }
+
     /// How many replicas rest by what they asked of this process, and how many leave.
     pub fn pushback_counts(&self, now: Time) -> (usize, usize) {
         self.pushbacks.counts(now)
@@ -62,3 +82,8 @@
         serving.filter_map(|one| self.pushbacks.rests_for(&one.name, now)).min()
     }
 }
+
+/// Hash of an incarnation's name, by which gateways speak of it.
+fn key_of(instance: &Instance) -> u64 {
+    ReplicaId::from_name(&instance.incarnation_name()).0
+}
--- a/crates/gateway/src/balancer/sharded.rs
+++ b/crates/gateway/src/balancer/sharded.rs
@@ -130,6 +130,7 @@
             expected: self.expected(known.max(offer.version), request, now),
             source: offer.source.clone().filter(|_| is_same_version),
             save_to: offer.save_to.clone().filter(|_| is_same_version),
+            limit: self.limits.limit(replica.key.0),
             has_prompt: request.prompt.is_some(),
             slot: replica.slot,
         })
--- a/crates/gateway/tests/pushback.rs
+++ b/crates/gateway/tests/pushback.rs
@@ -26,7 +26,7 @@
     Pushback { rest: Some(time), ..Pushback::default() }
 }
 
-const LEAVING: Pushback = Pushback { rest: None, is_leaving: true, unreadable: None };
+const LEAVING: Pushback = Pushback { rest: None, is_leaving: true, limit: None, unreadable: None };
 
 fn started(id: &str, start: Start) -> Instance {
     Instance { start, ..instance(id, "pool", "north") }
--- a/crates/topazmount/src/fleet/exchange/attempt.rs
+++ b/crates/topazmount/src/fleet/exchange/attempt.rs
@@ -119,7 +119,7 @@
         if !self.shared.knowledge.lock().unwrap().balancer().may_send(choice, sent_at) {
             return Asked::HeldBack;
         }
-        let mut first = pin!(self.first_answer(wire, &bytes, choice));
+        let mut first = pin!(self.first_answer(wire, &bytes, choice, sent_at));
         let silent_at = sent_at + self.silence_limit(choice);
         let mut is_judged = false;
         let mut answer = until(self.next_look(silent_at, is_judged), first.as_mut()).await;
@@ -233,7 +233,13 @@
 
     /// Writes the request and reads what the replica sends first; it may answer before it has
     /// read the whole body.
-    async fn first_answer(&self, wire: Wire, bytes: &[u8], choice: &Choice) -> First {
+    async fn first_answer(
+        &self,
+        wire: Wire,
+        bytes: &[u8],
+        choice: &Choice,
+        sent_at: Time,
+    ) -> First {
         let mut writer = wire.writer();
         let is_sent = AtomicBool::new(false);
         let write = async {
@@ -241,10 +247,16 @@
             is_sent.store(written.is_ok(), Ordering::SeqCst);
             futures_lite::future::pending::<First>().await
         };
-        futures_lite::future::or(self.read_first(wire, &is_sent, choice), write).await
+        futures_lite::future::or(self.read_first(wire, &is_sent, choice, sent_at), write).await
     }
 
-    async fn read_first(&self, mut wire: Wire, is_sent: &AtomicBool, choice: &Choice) -> First {
+    async fn read_first(
+        &self,
+        mut wire: Wire,
+        is_sent: &AtomicBool,
+        choice: &Choice,
+        sent_at: Time,
+    ) -> First {
         for earlier in 0..=MAX_LATE_ANSWERS {
             let head = match read_answer_head(&mut wire).await {
                 Ok(head) => head,
@@ -255,7 +267,7 @@
                 return First::Broken("ambiguous length");
             };
             let tags = self.shared.dialect.answer(&head);
-            self.note_pushback(choice, &tags, head.status);
+            self.note_pushback(choice, &tags, head.status, sent_at);
             let mut reader = BodyReader::new(framing);
             if tags.request_id.as_ref().is_some_and(|id| *id != self.tags.id) {
                 // A late answer to somebody else's request.
--- a/crates/topazmount/src/fleet/exchange/pushback.rs
+++ b/crates/topazmount/src/fleet/exchange/pushback.rs
@@ -3,12 +3,21 @@
 use super::super::dialect::AnswerTags;
 use super::Exchange;
 use std::time::Duration;
+use topazmount_admission::{LimitChange, RequestLimit};
 use topazmount_gateway::Choice;
+use topazmount_types::Time;
 
 impl Exchange<'_> {
     /// Notes what an answer on a connection to the chosen replica asks; it may answer an earlier request. It is heard with
     /// the head, before the body, which may come late or never.
-    pub(super) fn note_pushback(&self, choice: &Choice, tags: &AnswerTags, status: u16) {
+    pub(super) fn note_pushback(
+        &self,
+        choice: &Choice,
+        tags: &AnswerTags,
+        status: u16,
+        sent_at: Time,
+    ) {
+        self.note_limit(choice, tags, sent_at);
         let asked = tags.pushback;
         let asks = asked.asks() || asked.unreadable.is_some();
         let is_other = tags.instance.as_ref().is_some_and(|id| *id != choice.instance.id);
@@ -49,4 +58,40 @@
             )
         });
     }
+
+    /// Notes the limit that an answer names, or that it names none. A value that can't be read says neither.
+    fn note_limit(&self, choice: &Choice, tags: &AnswerTags, sent_at: Time) {
+        let limit = tags.pushback.limit;
+        let is_of_replica = tags.is_sealed || tags.is_not_run;
+        let is_other = tags.instance.as_ref().is_some_and(|id| *id != choice.instance.id);
+        let says_none = limit.is_none() && is_of_replica && tags.pushback.unreadable.is_none();
+        if is_other || tags.is_unexpected || !(limit.is_some() || says_none) {
+            return;
+        }
+        let now = self.shared.clock.now();
+        let change = {
+            let mut knowledge = self.shared.knowledge.lock().unwrap();
+            knowledge.balancer().hear_limit(choice, limit, sent_at, now)
+        };
+        let Some(change) = change else { return };
+        let (event, limit) = match change {
+            LimitChange::Named(limit) => ("limit_named", Some(limit)),
+            LimitChange::Ended => ("limit_ended", None),
+        };
+        self.shared.metrics.event(event);
+        self.shared.journal.line(|| {
+            format!(
+                "gateway: event={event} request={} instance={} start={} per_second={}",
+                self.tags.id,
+                choice.instance.id,
+                choice.instance.start,
+                per_second(limit)
+            )
+        });
+    }
+}
+
+/// A limit as logs name it.
+pub(super) fn per_second(limit: Option<RequestLimit>) -> String {
+    limit.map_or_else(|| "none".to_owned(), |limit| limit.rate().to_string())
 }
--- a/crates/topazmount/src/fleet/exchange/record.rs
+++ b/crates/topazmount/src/fleet/exchange/record.rs
@@ -1,6 +1,7 @@
 //! What a request teaches of its replica, and what is logged and counted of it.
 
 use super::super::crash_watch;
+use super::pushback::per_second;
 use super::{Exchange, InFlight, Pace};
 use crate::http1::ResponseHead;
 use std::sync::atomic::Ordering;
@@ -121,7 +122,7 @@
         self.shared.journal.line(|| {
             format!(
                 "gateway: event=attempt request={} instance={} address={} home_rank={} \
-                 version={} known={} source={} save={} prefill={} estimate_ms={:.0} end={end} after_ms={}",
+                 version={} known={} source={} save={} prefill={} estimate_ms={:.0} limit={} end={end} after_ms={}",
                 self.tags.id,
                 choice.instance.id,
                 choice.instance.address,
@@ -132,6 +133,7 @@
                 choice.save_to.as_deref().unwrap_or("none"),
                 choice.expected_prefill,
                 choice.estimate_ms,
+                per_second(choice.limit),
                 self.shared.clock.now().since(self.received).as_millis()
             )
         });
--- a/crates/topazmount/src/fleet/gateway.rs
+++ b/crates/topazmount/src/fleet/gateway.rs
@@ -193,6 +193,8 @@
             let (resting, leaving) = knowledge.balancer().pushback_counts(self.clock.now());
             self.metrics.set_state("resting_replicas", resting as i64);
             self.metrics.set_state("leaving_replicas", leaving as i64);
+            let limited = knowledge.balancer().limited_count();
+            self.metrics.set_state("limited_replicas", limited as i64);
             self.metrics.set_state("replicas", knowledge.balancer().instances().count() as i64);
         }
         self.metrics.set_state("ready", i64::from(is_ready));
