Requests to a replica that names a limit are granted, over all gateways together

What callers saw: nothing; replicas in need got up to 26 requests in 4 s where 12 were allowed (the users' record), since each gateway went on at the rate of its choices. Cause: the limit that a replica names in its answers was known to no gateway, and no account was kept over all of them. Change: the stripes by which tenants' limits are granted have a second user: a replica's limit is one stripe, one gateway at a time grants of it, and no byte goes out to such a replica without a grant. A replica whose limit is used up is no candidate for as long as the granter says; the request goes to another one, or is rejected with the time until the first comes free. A limit that is named, changed or ended is told to the other gateways, and to those that start. An answer without it to a later request ends it. Why it holds: a stripe never has two granters, a new one begins with what the one before can't have given, and whoever reaches no granter sends nothing there. A request arrives within half a second of its grant, so that of any 4 s the requests of 4.5 s and a burst of a quarter of a second and one arrive; 6 s and five are borne. Ruled out: a share of the limit for each gateway: with more gateways than requests a second none could ever send, and one that has just started would add its guess. Spending without a grant, as tenants have: others can take the request.

--- a/crates/admission/src/request_limit.rs
+++ b/crates/admission/src/request_limit.rs
@@ -5,8 +5,11 @@
 
 use serde::{Deserialize, Serialize};
 use std::collections::HashMap;
-use topazmount_types::Time;
+use std::time::Duration;
+use topazmount_types::{Start, Time};
 
+/// What the clocks of a replica and of this process may be apart where a limit is weighed against a start.
+const CLOCK_TOLERANCE: Duration = Duration::from_millis(250);
 /// Incarnations remembered; of more, those that spoke the longest ago are forgotten.
 const MOST_REMEMBERED: usize = 4_096;
 
@@ -37,10 +40,15 @@
     Ended,
 }
 
-#[derive(Clone, Copy, Debug)]
-struct Named {
-    limit: Option<RequestLimit>,
-    said_at: Time,
+/// What is known of an incarnation's limit.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Named {
+    /// The limit; `None` where it names none any more.
+    pub limit: Option<RequestLimit>,
+    /// When that was said.
+    pub said_at: Time,
+    /// Until when no grant is to be had.
+    spent_until: Time,
 }
 
 /// The limits that incarnations named, by the hashes of their names.
@@ -64,26 +72,39 @@
     ) -> Option<LimitChange> {
         let known = self.named.get(&incarnation).copied();
         let Some(known) = known else {
-            return self.set(incarnation, limit?, now);
+            return self.set(incarnation, Some(limit?), now);
         };
         let may_be_older = sent_at < known.said_at;
         match limit {
             _ if may_be_older && known.limit.is_none() => None,
             Some(limit) if may_be_older && known.limit <= Some(limit) => None,
-            Some(limit) => self.set(incarnation, limit, now),
             None if may_be_older => None,
-            None => {
-                self.named.insert(incarnation, Named { limit: None, said_at: now });
-                known.limit.map(|_| LimitChange::Ended)
-            }
+            _ => self.set(incarnation, limit, now),
         }
     }
 
-    fn set(&mut self, incarnation: u64, limit: RequestLimit, now: Time) -> Option<LimitChange> {
+    /// Takes what another process was told of an incarnation's limit, and when.
+    pub fn told(&mut self, incarnation: u64, limit: Option<RequestLimit>, said_at: Time) {
+        let is_news = self.named.get(&incarnation).is_none_or(|known| known.said_at < said_at);
+        if is_news {
+            self.set(incarnation, limit, said_at);
+        }
+    }
+
+    fn set(
+        &mut self,
+        incarnation: u64,
+        limit: Option<RequestLimit>,
+        said_at: Time,
+    ) -> Option<LimitChange> {
         self.bound(incarnation);
-        let before = self.named.insert(incarnation, Named { limit: Some(limit), said_at: now });
-        let is_new = before.and_then(|before| before.limit) != Some(limit);
-        is_new.then_some(LimitChange::Named(limit))
+        let named = Named { limit, said_at, spent_until: Time::ZERO };
+        let before = self.named.insert(incarnation, named).and_then(|before| before.limit);
+        match limit {
+            _ if before == limit => None,
+            Some(limit) => Some(LimitChange::Named(limit)),
+            None => Some(LimitChange::Ended),
+        }
     }
 
     /// The limit of an incarnation.
@@ -91,14 +112,41 @@
         self.named.get(&incarnation)?.limit
     }
 
+    /// What is known of an incarnation's limit, if it ever named one.
+    pub fn named(&self, incarnation: u64) -> Option<Named> {
+        self.named.get(&incarnation).copied()
+    }
+
+    /// Incarnations that name a limit.
+    pub fn all(&self) -> impl Iterator<Item = (u64, Named)> {
+        let limited = self.named.iter().filter(|(_, named)| named.limit.is_some());
+        limited.map(|(incarnation, named)| (*incarnation, *named))
+    }
+
+    /// Notes that no grant for an incarnation is to be had until a moment.
+    pub fn note_spent(&mut self, incarnation: u64, until: Time) {
+        if let Some(named) = self.named.get_mut(&incarnation) {
+            named.spent_until = until;
+        }
+    }
+
+    /// Time until a grant for an incarnation may be had; `None` where one may be had now, or none is needed.
+    pub fn spent_for(&self, incarnation: u64, now: Time) -> Option<Duration> {
+        let named = self.named.get(&incarnation).filter(|named| named.limit.is_some())?;
+        (now < named.spent_until).then(|| named.spent_until.since(now))
+    }
+
     /// How many incarnations name a limit.
     pub fn count(&self) -> usize {
-        self.named.values().filter(|named| named.limit.is_some()).count()
+        self.all().count()
     }
 
-    /// Forgets an incarnation that has ended.
-    pub fn forget(&mut self, incarnation: u64) {
-        self.named.remove(&incarnation);
+    /// Forgets an incarnation that has ended, but for what was heard after the start of the next one, which answered then.
+    pub fn replaced(&mut self, incarnation: u64, next: u64, start: Start) {
+        let Some(named) = self.named.remove(&incarnation) else { return };
+        if named.said_at + CLOCK_TOLERANCE >= start.as_time() {
+            self.named.entry(next).or_insert(named);
+        }
     }
 
     fn bound(&mut self, incarnation: u64) {
--- a/crates/gateway/src/balancer/incarnations.rs
+++ b/crates/gateway/src/balancer/incarnations.rs
@@ -9,7 +9,7 @@
 use std::collections::HashSet;
 use std::time::Duration;
 use topazmount_control::{InstanceStatus, LoadedModel, RolloutSettings};
-use topazmount_types::{Instance, InstanceId, Start, Time};
+use topazmount_types::{Instance, InstanceId, ReplicaId, Start, Time};
 
 /// Time for which a replica that went back to older weights gets no request for a model, unless its status comes before:
 /// the leader learns of it with its next heartbeat, 1.2 s later at most, and tells within the 400 ms of a held question.
@@ -67,7 +67,8 @@
             earlier = Some(known.instance.clone());
             let next = instance.incarnation_name();
             self.pushbacks.replaced(&known.name, &next, instance.start);
-            self.limits.forget(known.key.0);
+            let next = ReplicaId::from_name(&next).0;
+            self.limits.replaced(known.key.0, next, instance.start);
             self.remove(&instance.id);
         }
         let (id, slot, start) = (instance.id.clone(), self.next_slot, instance.start);
--- a/crates/gateway/src/balancer/mod.rs
+++ b/crates/gateway/src/balancer/mod.rs
@@ -28,6 +28,7 @@
 use holders::Holders;
 pub use incarnations::{Change, Changes, Refused, WENT_BACK_PAUSE};
 pub use news::{LoadNews, PromptEvent, TOLD_TOKENS};
+pub(crate) use pushback::key_of;
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 use replica::Replica;
--- a/crates/gateway/src/balancer/pushback.rs
+++ b/crates/gateway/src/balancer/pushback.rs
@@ -5,7 +5,9 @@
 use super::replica::Replica;
 use crate::shards::Shard;
 use std::time::Duration;
-use topazmount_admission::{Heard, LimitChange, Pushback, PushbackSettings, RequestLimit};
+use topazmount_admission::{
+    Heard, LimitChange, Pushback, PushbackSettings, RequestLimit, RequestLimits,
+};
 use topazmount_types::{Instance, ReplicaId, Time};
 
 impl Balancer {
@@ -42,6 +44,16 @@
         }
     }
 
+    /// The limit that the chosen replica names now.
+    pub fn limit_of(&self, choice: &Choice) -> Option<RequestLimit> {
+        self.limits.limit(key_of(&choice.instance))
+    }
+
+    /// Limits that replicas name.
+    pub(crate) fn limits(&mut self) -> &mut RequestLimits {
+        &mut self.limits
+    }
+
     /// How many replicas name a limit.
     pub fn limited_count(&self) -> usize {
         self.limits.count()
@@ -60,30 +72,35 @@
 
     pub(super) fn wants_none(&self, replica: &Replica, now: Time) -> bool {
         !self.pushbacks.may_call(&replica.name, now)
+            || self.limits.spent_for(replica.key.0, now).is_some()
     }
 
     /// Names of the replicas of a shard that this process must not call; another one can't know of them.
     pub(crate) fn unwilling(&self, service: &str, shard: Shard, now: Time) -> Vec<String> {
-        if self.pushbacks.is_empty() {
+        if self.pushbacks.is_empty() && self.limits.count() == 0 {
             return Vec::new();
         }
         let in_shard = self.serving(service).filter(|one| shard.contains(one.place));
         in_shard.filter(|one| self.wants_none(one, now)).map(|one| one.name.clone()).collect()
     }
 
-    /// Time until the first replica that could otherwise be sent a request has rested; `None` where one may be sent it
-    /// now, or none rests.
+    /// Time until the first replica that could otherwise be sent a request has rested, or may be sent one within its limit;
+    /// `None` where one may be sent it now, or none of them will.
     pub fn first_rested(&self, request: &ChoiceRequest<'_>, now: Time) -> Option<Duration> {
         if self.has_choice(request, now) {
             return None;
         }
         let could_serve = |replica: &&Replica| self.could_serve(replica, request, now);
         let serving = self.serving(request.service).filter(could_serve);
-        serving.filter_map(|one| self.pushbacks.rests_for(&one.name, now)).min()
+        let free_in = |one: &Replica| {
+            let rests_for = self.pushbacks.rests_for(&one.name, now);
+            rests_for.max(self.limits.spent_for(one.key.0, now))
+        };
+        serving.filter_map(free_in).min()
     }
 }
 
 /// Hash of an incarnation's name, by which gateways speak of it.
-fn key_of(instance: &Instance) -> u64 {
+pub(crate) fn key_of(instance: &Instance) -> u64 {
     ReplicaId::from_name(&instance.incarnation_name()).0
 }
--- a/crates/gateway/src/knowledge.rs
+++ b/crates/gateway/src/knowledge.rs
@@ -4,6 +4,8 @@
 mod placement;
 mod replicas;
 
+pub use limits::LimitNews;
+
 use crate::balancer::{Balancer, Changes, Choice, ChoiceRequest, SURELY_KEPT};
 use crate::budget::{BudgetSettings, RetryBudget};
 use crate::catalog::{Catalog, Route, Tenant};
@@ -103,6 +105,8 @@
     crashes: Crashes,
     quotas: Quotas,
     policies: PolicyTable,
+    /// Where gateways take datagrams that were named since the last look.
+    newcomers: Vec<SocketAddr>,
 }
 
 impl Knowledge {
@@ -127,6 +131,7 @@
             crashes: Crashes::default(),
             quotas: Quotas::default(),
             policies: PolicyTable::default(),
+            newcomers: Vec::new(),
         };
         knowledge.set_settings(settings);
         knowledge
--- a/crates/gateway/src/knowledge/limits.rs
+++ b/crates/gateway/src/knowledge/limits.rs
@@ -1,11 +1,26 @@
-//! Limits of tenants: who grants, and what is granted.
+//! Limits of tenants and of replicas: who grants, and what is granted.
 
 use super::{Admission, Knowledge};
-use crate::quota::{GrantAnswer, Granting, StripeId};
+use crate::balancer::{Choice, key_of};
+use crate::quota::{GrantAnswer, Granting, LimitOwner, StripeId};
+use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
+use std::time::Duration;
+use topazmount_admission::RequestLimit;
 use topazmount_control::FleetView;
 use topazmount_types::{TenantId, Time};
 
+/// What a gateway was told of a replica's limit.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LimitNews {
+    /// Hash of the name of the replica's incarnation.
+    pub replica: u64,
+    /// Its limit; `None` where it names none any more.
+    pub limit: Option<RequestLimit>,
+    /// How long ago it said so.
+    pub age: Duration,
+}
+
 impl Knowledge {
     /// What an admitted request counts of its tenant's limit: the hash of the tenant's name, and the units; `None` where
     /// nothing limits it.
@@ -27,12 +42,12 @@
 
     /// Who grants of a stripe; `None` where nobody is known that answers.
     pub fn granting(&self, stripe: StripeId, now: Time) -> Option<Granting> {
-        self.quotas.granting(stripe, now)
+        self.quotas.granting(LimitOwner::Tenant, stripe, now)
     }
 
     /// Grants of a stripe, if this gateway may.
     pub fn grant(&mut self, stripe: StripeId, amount: u32, now: Time) -> GrantAnswer {
-        let limit = self.catalog.as_ref().and_then(|all| all.tenant_limit(stripe.tenant).copied());
+        let limit = self.catalog.as_ref().and_then(|all| all.tenant_limit(stripe.owner).copied());
         match limit {
             Some(limit) => self.quotas.grant(stripe, &limit, amount, now),
             None => GrantAnswer::NotHolder,
@@ -46,7 +61,7 @@
 
     /// Notes that a granter did not answer.
     pub fn note_silent_granter(&mut self, address: SocketAddr, now: Time) {
-        self.quotas.note_silent(address, now);
+        self.quotas.note_silent(LimitOwner::Tenant, address, now);
     }
 
     /// Takes from this gateway's part of what all may spend without a grant.
@@ -56,4 +71,61 @@
         limit
             .is_some_and(|limit| self.quotas.spend_ungranted(tenant, &limit, amount, gateways, now))
     }
+
+    /// What is known of the limit of a chosen replica, if it ever named one.
+    pub fn limit_news(&mut self, choice: &Choice, now: Time) -> Option<LimitNews> {
+        let replica = key_of(&choice.instance);
+        let named = self.balancer.limits().named(replica)?;
+        Some(LimitNews { replica, limit: named.limit, age: now.since(named.said_at) })
+    }
+
+    /// Takes what another gateway was told of a replica's limit.
+    pub fn told_limit(&mut self, news: &LimitNews, now: Time) {
+        self.balancer.limits().told(news.replica, news.limit, now - news.age);
+    }
+
+    /// What gateways that have just been named should hear of the limits that this one grants of, each time once.
+    pub fn news_for_newcomers(&mut self, now: Time) -> (Vec<SocketAddr>, Vec<LimitNews>) {
+        let newcomers = std::mem::take(&mut self.newcomers);
+        if newcomers.is_empty() {
+            return Default::default();
+        }
+        let quotas = &self.quotas;
+        let is_granted_here = |replica: u64| {
+            let stripe = StripeId::of_replica(replica);
+            quotas.granting(LimitOwner::Replica, stripe, now) == Some(Granting::Own)
+        };
+        let limits = self.balancer.limits().all().filter(|(replica, _)| is_granted_here(*replica));
+        let news = limits.map(|(replica, named)| LimitNews {
+            replica,
+            limit: named.limit,
+            age: now.since(named.said_at),
+        });
+        (newcomers, news.collect())
+    }
+
+    /// Who grants requests to a replica that names a limit; `None` where nobody is known that answers.
+    pub fn granting_send(&self, replica: u64, now: Time) -> Option<Granting> {
+        self.quotas.granting(LimitOwner::Replica, StripeId::of_replica(replica), now)
+    }
+
+    /// Grants one request to a replica, if this gateway may. Where it knows better than the gateway that asks, a replica
+    /// that names no limit any more is granted freely.
+    pub fn grant_send(&mut self, asked: &LimitNews, now: Time) -> GrantAnswer {
+        self.told_limit(asked, now);
+        match self.balancer.limits().limit(asked.replica) {
+            Some(limit) => self.quotas.grant_send(asked.replica, limit, now),
+            None => GrantAnswer::Granted,
+        }
+    }
+
+    /// Notes that a granter of a replica's limit did not answer.
+    pub fn note_silent_send_granter(&mut self, address: SocketAddr, now: Time) {
+        self.quotas.note_silent(LimitOwner::Replica, address, now);
+    }
+
+    /// Notes that nothing may be sent to a replica for so long, since its limit is used up or nobody grants of it.
+    pub fn note_spent(&mut self, replica: u64, wait: Duration, now: Time) {
+        self.balancer.limits().note_spent(replica, now + wait);
+    }
 }
--- a/crates/gateway/src/knowledge/placement.rs
+++ b/crates/gateway/src/knowledge/placement.rs
@@ -52,6 +52,10 @@
             if let Ok(address) = report.address.parse::<SocketAddr>() {
                 let peer = SocketAddr::new(address.ip(), self.own_port);
                 self.named.insert(report.address.clone(), peer);
+                // One that has started again changes whether it is ready.
+                if !self.gateways.is_own(peer) {
+                    self.newcomers.push(peer);
+                }
             }
         }
         self.gateways.set(self.named.values().copied(), now);
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -33,7 +33,7 @@
 pub use connections::{AnswerEnd, ConnectionSettings, Connections, IdleConnection};
 pub use crashes::Crashes;
 pub use estimator::PrefillEstimator;
-pub use knowledge::{Admission, GatewaySettings, Knowledge};
+pub use knowledge::{Admission, GatewaySettings, Knowledge, LimitNews};
 pub use lateness::Prospect;
 pub use plan::{AttemptEnd, NextStep, RequestPlan};
 pub use prompt::{Prompt, PromptPart};
--- a/crates/gateway/src/quota/granter.rs
+++ b/crates/gateway/src/quota/granter.rs
@@ -13,6 +13,15 @@
 /// Stripes that are remembered; those that have rested longest are forgotten, since their buckets are full again.
 const MOST_STRIPES: usize = 4_096;
 
+/// When those that are refused are told to come back.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Refused {
+    /// One after another, each when those before it have been served.
+    InTurn,
+    /// When there is enough for the first: they may take something else meanwhile, and leave their turn unused.
+    Together,
+}
+
 #[derive(Clone, Debug)]
 struct Granted {
     allowance: Allowance,
@@ -38,7 +47,7 @@
         }
     }
 
-    fn take(&mut self, amount: f64, now: Time) -> GrantAnswer {
+    fn take(&mut self, amount: f64, refused: Refused, now: Time) -> GrantAnswer {
         let passed = now.since(self.used_at).as_secs_f64();
         self.promised = (self.promised - self.allowance.rate * passed).max(0.0);
         self.used_at = now;
@@ -49,9 +58,10 @@
         if amount > self.allowance.burst {
             return GrantAnswer::Over(LONGEST_WAIT);
         }
-        // Each one that is refused is told to come when those before it have been served: they return one after another.
         let lacking = amount + self.promised - self.bucket.level(now);
-        self.promised += amount;
+        if refused == Refused::InTurn {
+            self.promised += amount;
+        }
         let wait = Duration::try_from_secs_f64(lacking / self.allowance.rate);
         GrantAnswer::Over(wait.unwrap_or(LONGEST_WAIT).min(LONGEST_WAIT))
     }
@@ -76,6 +86,7 @@
         allowance: Allowance,
         held: Held,
         amount: u32,
+        refused: Refused,
         now: Time,
     ) -> GrantAnswer {
         let granted =
@@ -85,7 +96,7 @@
             *granted = Granted::new(allowance, held, now);
         }
         granted.set(allowance, now);
-        let answer = granted.take(f64::from(amount), now);
+        let answer = granted.take(f64::from(amount), refused, now);
         self.forget_excess();
         answer
     }
--- a/crates/gateway/src/quota/limit.rs
+++ b/crates/gateway/src/quota/limit.rs
@@ -1,6 +1,7 @@
-//! How much a tenant may use, and how that is divided.
+//! How much of a limit may be used, and how that is divided.
 
 use std::time::Duration;
+use topazmount_admission::RequestLimit;
 
 /// Parts that a tenant's limit is divided into, each granted by a gateway of its own. Tenants use about half of their
 /// limits: with three parts, two carry a tenant while the gateway of the third is being replaced.
@@ -15,6 +16,11 @@
 /// Part of a gateway's share of that which it may spend at once; the rest comes over the window.
 const UNGRANTED_AT_ONCE: f64 = 0.75;
 
+/// Least rate of requests to a replica that names a limit, in requests a second: a limit that is named no more must be noticed.
+const PROBE_RATE: f64 = 0.1;
+/// Time in which the burst of a replica's limit beyond one request comes together.
+const REPLICA_BURST: Duration = Duration::from_millis(250);
+
 /// What a limit counts.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum LimitUnit {
@@ -96,3 +102,14 @@
     pub rate: f64,
     pub burst: f64,
 }
+
+impl Allowance {
+    /// What may be sent to a replica that names a limit.
+    ///
+    /// A request arrives within half a second of its grant. Of any 4 s, the requests of 4.5 s at the limit's rate and the
+    /// burst arrive at most; replicas bear those of 6 s and five more.
+    pub(super) fn of_replica(limit: RequestLimit) -> Self {
+        let rate = limit.rate().max(PROBE_RATE);
+        Allowance { rate, burst: 1.0 + rate * REPLICA_BURST.as_secs_f64() }
+    }
+}
--- a/crates/gateway/src/quota/mod.rs
+++ b/crates/gateway/src/quota/mod.rs
@@ -1,23 +1,27 @@
-//! Limits of tenants over all gateways together.
+//! Limits of tenants, and of replicas, over all gateways together.
 //!
 //! A tenant's limit is divided into [`STRIPES`]. One gateway at a time grants of a stripe, from a bucket; whoever has a
 //! request asks it. The sum of all grants keeps the limit, since a stripe never has two granters ([`authority`]), a
 //! new granter begins with the bucket empty at the time at which the one before it had to end, and a grant is given
 //! between the sending of its request and the arrival at a replica. Who reaches no granter spends its part of what may
 //! be used beyond the limit.
+//!
+//! The limit that a replica names is one stripe, of one request each. Nothing is sent to such a replica without a grant:
+//! others may be sent the request.
 
 mod authority;
 mod granter;
 mod limit;
 
 use authority::Authority;
-use granter::Granter;
+use granter::{Granter, Refused};
+use limit::Allowance;
 pub use limit::{LimitUnit, QuotaSettings, STRIPES, TenantLimit};
 use serde::{Deserialize, Serialize};
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::time::Duration;
-use topazmount_admission::TokenBucket;
+use topazmount_admission::{RequestLimit, TokenBucket};
 use topazmount_consensus::Term;
 use topazmount_types::{ReplicaId, Time};
 
@@ -27,19 +31,24 @@
 /// Gateways whose addresses are remembered beyond those that are named; 300 KB at most.
 const MOST_REMEMBERED: usize = 4_096;
 
-/// A stripe of a tenant's limit.
+/// A stripe of a limit.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct StripeId {
-    /// Hash of the tenant's name.
-    pub tenant: u64,
+    /// Hash of the name of whose limit it is: a tenant, or an incarnation of a replica.
+    pub owner: u64,
     /// Which of its stripes.
     pub stripe: u8,
 }
 
 impl StripeId {
+    /// The only stripe of a replica's limit.
+    pub fn of_replica(incarnation: u64) -> Self {
+        StripeId { owner: incarnation, stripe: 0 }
+    }
+
     /// What names it in rankings.
     fn key(self) -> u64 {
-        self.tenant.rotate_left(u32::from(self.stripe) * 8 + 1) ^ u64::from(self.stripe)
+        self.owner.rotate_left(u32::from(self.stripe) * 8 + 1) ^ u64::from(self.stripe)
     }
 }
 
@@ -54,6 +63,15 @@
     NotHolder,
 }
 
+/// Whose limit a grant is of.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum LimitOwner {
+    /// A tenant's.
+    Tenant,
+    /// A replica's. Older gateways know nothing of these and give no answer, though they grant of tenants' limits.
+    Replica,
+}
+
 /// Where a grant can be had.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Granting {
@@ -72,7 +90,7 @@
     addresses: HashMap<ReplicaId, SocketAddr>,
     granter: Granter,
     ungranted: HashMap<u64, TokenBucket>,
-    silent_until: HashMap<SocketAddr, Time>,
+    silent_until: HashMap<(LimitOwner, SocketAddr), Time>,
 }
 
 impl Quotas {
@@ -110,19 +128,25 @@
     }
 
     /// Who grants of a stripe; `None` where nobody is known that answers.
-    pub(crate) fn granting(&self, stripe: StripeId, now: Time) -> Option<Granting> {
+    pub(crate) fn granting(
+        &self,
+        owner: LimitOwner,
+        stripe: StripeId,
+        now: Time,
+    ) -> Option<Granting> {
         let first = self.authority.first(stripe.key(), now)?;
         if self.own == Some(first) {
             return Some(Granting::Own);
         }
         let address = self.addresses.get(&first)?;
-        let is_silent = self.silent_until.get(address).is_some_and(|until| now < *until);
+        let silent_until = self.silent_until.get(&(owner, *address));
+        let is_silent = silent_until.is_some_and(|until| now < *until);
         (!is_silent).then_some(Granting::Other(*address))
     }
 
-    pub(crate) fn note_silent(&mut self, address: SocketAddr, now: Time) {
+    pub(crate) fn note_silent(&mut self, owner: LimitOwner, address: SocketAddr, now: Time) {
         self.silent_until.retain(|_, until| now < *until);
-        self.silent_until.insert(address, now + SILENCE);
+        self.silent_until.insert((owner, address), now + SILENCE);
     }
 
     /// Grants of a stripe, if this gateway may.
@@ -137,7 +161,21 @@
             return GrantAnswer::NotHolder;
         };
         let allowance = self.settings.stripe(limit, stripe.stripe);
-        self.granter.grant(stripe, allowance, held, amount, now)
+        self.granter.grant(stripe, allowance, held, amount, Refused::InTurn, now)
+    }
+
+    /// Grants one request to a replica that names a limit, if this gateway may.
+    pub(crate) fn grant_send(
+        &mut self,
+        incarnation: u64,
+        limit: RequestLimit,
+        now: Time,
+    ) -> GrantAnswer {
+        let stripe = StripeId::of_replica(incarnation);
+        let Some(held) = self.authority.holds(stripe.key(), now) else {
+            return GrantAnswer::NotHolder;
+        };
+        self.granter.grant(stripe, Allowance::of_replica(limit), held, 1, Refused::Together, now)
     }
 
     /// Takes back what a request was granted that did not run.
--- a/crates/gateway/tests/quota.rs
+++ b/crates/gateway/tests/quota.rs
@@ -165,7 +165,7 @@
         self.asked += 1;
         let first = self.rng.random_range(0..STRIPES);
         for turn in 0..STRIPES {
-            let stripe = StripeId { tenant: tenant_hash(), stripe: (first + turn) % STRIPES };
+            let stripe = StripeId { owner: tenant_hash(), stripe: (first + turn) % STRIPES };
             if self.ask(number, stripe, amount) == Some(GrantAnswer::Granted) {
                 self.spent.push((self.now, f64::from(amount)));
                 return true;
@@ -348,7 +348,7 @@
     let mut world = World::new(gateways, 3);
     world.pass(Duration::from_secs(9), |_| {});
     if lose_one {
-        let stripe = StripeId { tenant: tenant_hash(), stripe: 0 };
+        let stripe = StripeId { owner: tenant_hash(), stripe: 0 };
         let knowledge = |world: &World, number: usize| {
             let gateway = world.gateways[number].as_ref().unwrap();
             gateway.knowledge.granting(stripe, world.now)
@@ -407,7 +407,7 @@
 fn refused_clients_return_one_after_another() {
     let mut world = World::new(1, 5);
     world.pass(Duration::from_secs(12), |_| {});
-    let stripe = StripeId { tenant: tenant_hash(), stripe: 0 };
+    let stripe = StripeId { owner: tenant_hash(), stripe: 0 };
     while world.ask(0, stripe, 100) == Some(GrantAnswer::Granted) {}
     let waits: Vec<Duration> = (0..5)
         .filter_map(|_| match world.ask(0, stripe, 100) {
@@ -425,7 +425,7 @@
 fn what_did_not_run_is_given_back() {
     let mut world = World::new(1, 5);
     world.pass(Duration::from_secs(12), |_| {});
-    let stripe = StripeId { tenant: tenant_hash(), stripe: 0 };
+    let stripe = StripeId { owner: tenant_hash(), stripe: 0 };
     while world.ask(0, stripe, 100) == Some(GrantAnswer::Granted) {}
     let now = world.now;
     world.gateways[0].as_mut().unwrap().knowledge.give_back(stripe, 100, now);
--- a/crates/topazmount/src/fleet/exchange/attempt.rs
+++ b/crates/topazmount/src/fleet/exchange/attempt.rs
@@ -4,6 +4,7 @@
 use super::super::dialect::Upstream;
 use super::super::pool::ConnectionEnd;
 use super::super::stream::EventSplitter;
+use super::limit::Grant;
 use super::{
     Attempt, Carrier, Exchange, First, InFlight, Progress, StreamBegin, WholeAnswer, until,
 };
@@ -116,7 +117,7 @@
         let bytes = self.upstream_bytes(choice, progress);
         let sent_at = self.shared.clock.now();
         // Looked at last: answers to other requests came while this one waited for a coordinator or a connection.
-        if !self.shared.knowledge.lock().unwrap().balancer().may_send(choice, sent_at) {
+        if !self.may_send(in_flight, sent_at).await {
             return Asked::HeldBack;
         }
         let mut first = pin!(self.first_answer(wire, &bytes, choice, sent_at));
@@ -153,6 +154,27 @@
         })
     }
 
+    /// Whether a request may go out now. A grant covers one send: a limit may have been named since the choice, and a kept
+    /// connection that broke may have carried the request.
+    async fn may_send(&self, in_flight: &InFlight<'_>, now: Time) -> bool {
+        let choice = &in_flight.choice;
+        let (may_send, is_limited) = {
+            let mut knowledge = self.shared.knowledge.lock().unwrap();
+            let balancer = knowledge.balancer();
+            (balancer.may_send(choice, now), balancer.limit_of(choice).is_some())
+        };
+        if !may_send || !is_limited {
+            return may_send;
+        }
+        if in_flight.grant.as_ref().is_some_and(Grant::take) {
+            return true;
+        }
+        let Some(grant) = self.ask_send_grant(choice).await else { return false };
+        let now = self.shared.clock.now();
+        let may_send = self.shared.knowledge.lock().unwrap().balancer().may_send(choice, now);
+        may_send && grant.take()
+    }
+
     /// Time until a replica that has not answered is looked at again. Only one that was sent a prompt
     /// may have weights that become too old.
     fn next_look(&self, silent_at: Time, is_judged: bool) -> Duration {
--- a/crates/topazmount/src/fleet/exchange/choose.rs
+++ b/crates/topazmount/src/fleet/exchange/choose.rs
@@ -1,5 +1,6 @@
 //! Which replica a request goes to next: by what this gateway knows, or as a coordinator says.
 
+use super::limit::Grant;
 use super::{Exchange, InFlight};
 use std::net::SocketAddr;
 use std::sync::atomic::AtomicBool;
@@ -10,16 +11,16 @@
 /// in which its machine is busy. Then the next one is asked, and after it this gateway decides by itself.
 const ANSWER_LIMIT: Duration = Duration::from_millis(60);
 
+/// Replicas that name a limit of which one request has grants asked, in one choice.
+const MOST_GRANTS_ASKED: usize = 8;
+
 /// No coordinator of a shard answered.
 struct Unanswered;
 
 impl<'e> Exchange<'e> {
     /// Chooses a replica and counts the request there; other gateways are told.
     pub(super) async fn choose(&self, plan: &RequestPlan) -> Option<InFlight<'e>> {
-        let choice = match self.choose_in_shards(plan).await {
-            Some(choice) => choice,
-            None => self.choose_alone(plan)?,
-        };
+        let (choice, grant) = self.choose_within_limits(plan).await?;
         let request = self.choice_request(plan);
         let now = self.shared.clock.now();
         let news = {
@@ -31,11 +32,32 @@
         Some(InFlight {
             shared: self.shared,
             choice,
+            grant,
             has_first_token: AtomicBool::new(false),
             has_failed: AtomicBool::new(false),
         })
     }
 
+    /// Chooses until a replica has no limit, or one within which the request is granted.
+    async fn choose_within_limits(
+        &self,
+        plan: &RequestPlan,
+    ) -> Option<(Choice, Option<Grant<'e>>)> {
+        for _ in 0..MOST_GRANTS_ASKED {
+            let choice = match self.choose_in_shards(plan).await {
+                Some(choice) => choice,
+                None => self.choose_alone(plan)?,
+            };
+            if choice.limit.is_none() {
+                return Some((choice, None));
+            }
+            if let Some(grant) = self.ask_send_grant(&choice).await {
+                return Some((choice, Some(grant)));
+            }
+        }
+        None
+    }
+
     fn choose_alone(&self, plan: &RequestPlan) -> Option<Choice> {
         let request = self.choice_request(plan);
         let now = self.shared.clock.now();
--- a/crates/topazmount/src/fleet/exchange/limit.rs
+++ b/crates/topazmount/src/fleet/exchange/limit.rs
@@ -1,11 +1,12 @@
-//! Asks whether a request is within its tenant's limit.
+//! Asks whether a request is within the limits of its tenant and of its replica.
 
 use super::Exchange;
 use crate::fleet::gateway::Shared;
+use crate::fleet::peers::send_grant_event;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
-use topazmount_gateway::{GrantAnswer, Granting, STRIPES, StripeId};
+use topazmount_gateway::{Choice, GrantAnswer, Granting, LimitNews, STRIPES, StripeId};
 use topazmount_types::Time;
 
 /// Time that a granter has for its answer: the way there and back, a few milliseconds, and a moment in which its
@@ -17,6 +18,12 @@
 /// clients return one after another.
 const NO_GRANTER_WAIT: Duration = Duration::from_millis(300);
 
+/// Time for which a replica that names a limit is passed over where nobody grants of it.
+const NO_SEND_GRANT_PAUSE: Duration = Duration::from_millis(200);
+/// Least time for which one whose limit is used up is passed over; up to as much as the whole is added, so that gateways don't
+/// ask again at one moment.
+const LEAST_SPENT_PAUSE: Duration = Duration::from_millis(50);
+
 /// Why a request must not run now.
 pub(super) enum OverLimit {
     /// Its tenant has used up its limit for so long.
@@ -35,6 +42,11 @@
 }
 
 impl Grant<'_> {
+    /// Takes the grant for one send; it is used only once.
+    pub(super) fn take(&self) -> bool {
+        !self.may_have_run.swap(true, Ordering::SeqCst)
+    }
+
     /// Sets whether a replica may have run the request.
     pub(super) fn set_used(&self, may_have_run: bool) {
         self.may_have_run.store(may_have_run, Ordering::SeqCst);
@@ -73,7 +85,7 @@
         let first = rand::random_range(0..STRIPES);
         let mut shortest: Option<Duration> = None;
         for turn in 0..STRIPES {
-            let stripe = StripeId { tenant, stripe: (first + turn) % STRIPES };
+            let stripe = StripeId { owner: tenant, stripe: (first + turn) % STRIPES };
             let asked_at = self.shared.clock.now();
             let granting = self.shared.knowledge.lock().unwrap().granting(stripe, asked_at);
             let Some(granting) = granting else { continue };
@@ -142,4 +154,66 @@
             }
         })
     }
+
+    /// Asks for one request to a replica that names a limit. Where it is not granted, the replica is no candidate for a while.
+    pub(super) async fn ask_send_grant(&self, choice: &Choice) -> Option<Grant<'e>> {
+        let asked_at = self.shared.clock.now();
+        let (asked, granting) = {
+            let mut knowledge = self.shared.knowledge.lock().unwrap();
+            let asked = knowledge.limit_news(choice, asked_at)?;
+            (asked, knowledge.granting_send(asked.replica, asked_at))
+        };
+        let answer = match granting {
+            None => None,
+            Some(Granting::Own) => {
+                let answer = self.shared.knowledge.lock().unwrap().grant_send(&asked, asked_at);
+                self.shared.metrics.event(send_grant_event(answer));
+                Some(answer)
+            }
+            Some(Granting::Other(granter)) => self.ask_send_granter(granter, asked).await,
+        };
+        if answer == Some(GrantAnswer::Granted) {
+            let from = granting.map(|granting| (granting, StripeId::of_replica(asked.replica)));
+            let may_have_run = AtomicBool::new(false);
+            return Some(Grant {
+                shared: self.shared,
+                from,
+                amount: 1,
+                at: asked_at,
+                may_have_run,
+            });
+        }
+        self.note_spent(choice, asked.replica, answer);
+        None
+    }
+
+    async fn ask_send_granter(&self, granter: SocketAddr, asked: LimitNews) -> Option<GrantAnswer> {
+        let limit = GRANT_LIMIT.min(self.left());
+        let answer = self.shared.peers.ask_send_grant(granter, asked, limit).await;
+        if answer.is_none() {
+            let now = self.shared.clock.now();
+            self.shared.knowledge.lock().unwrap().note_silent_send_granter(granter, now);
+            self.shared.metrics.event("send_granter_silent");
+        }
+        answer
+    }
+
+    fn note_spent(&self, choice: &Choice, replica: u64, answer: Option<GrantAnswer>) {
+        let (event, pause) = match answer {
+            Some(GrantAnswer::Over(wait)) => ("limit_spent", wait.max(LEAST_SPENT_PAUSE)),
+            _ => ("limit_not_granted", NO_SEND_GRANT_PAUSE),
+        };
+        let pause = pause.mul_f64(1.0 + rand::random::<f64>());
+        let now = self.shared.clock.now();
+        self.shared.knowledge.lock().unwrap().note_spent(replica, pause, now);
+        self.shared.metrics.event(event);
+        self.shared.journal.line(|| {
+            format!(
+                "gateway: event={event} request={} instance={} pause_ms={}",
+                self.tags.id,
+                choice.instance.id,
+                pause.as_millis()
+            )
+        });
+    }
 }
--- a/crates/topazmount/src/fleet/exchange/mod.rs
+++ b/crates/topazmount/src/fleet/exchange/mod.rs
@@ -140,6 +140,8 @@
 struct InFlight<'a> {
     shared: &'a Shared,
     choice: Choice,
+    /// Grant for a replica that had named a limit when it was chosen.
+    grant: Option<Grant<'a>>,
     has_first_token: AtomicBool,
     has_failed: AtomicBool,
 }
--- a/crates/topazmount/src/fleet/exchange/pushback.rs
+++ b/crates/topazmount/src/fleet/exchange/pushback.rs
@@ -59,6 +59,17 @@
         });
     }
 
+    /// Other gateways learn of a changed limit before they send much.
+    fn tell_limit(&self, choice: &Choice, now: Time) {
+        let (news, others) = {
+            let mut knowledge = self.shared.knowledge.lock().unwrap();
+            (knowledge.limit_news(choice, now), knowledge.gateways().others(now))
+        };
+        if let Some(news) = news {
+            self.shared.peers.tell_limit(others, news);
+        }
+    }
+
     /// Notes the limit that an answer names, or that it names none. A value that can't be read says neither.
     fn note_limit(&self, choice: &Choice, tags: &AnswerTags, sent_at: Time) {
         let limit = tags.pushback.limit;
@@ -74,6 +85,7 @@
             knowledge.balancer().hear_limit(choice, limit, sent_at, now)
         };
         let Some(change) = change else { return };
+        self.tell_limit(choice, now);
         let (event, limit) = match change {
             LimitChange::Named(limit) => ("limit_named", Some(limit)),
             LimitChange::Ended => ("limit_ended", None),
--- a/crates/topazmount/src/fleet/gateway.rs
+++ b/crates/topazmount/src/fleet/gateway.rs
@@ -247,6 +247,17 @@
     report: GatewayReport,
 }
 
+impl News {
+    /// Gateways that have just been named learn the limits that this one grants of before they send much.
+    fn tell_newcomers(&self) {
+        let now = self.shared.clock.now();
+        let (newcomers, limits) = self.shared.knowledge.lock().unwrap().news_for_newcomers(now);
+        for news in limits {
+            self.shared.peers.tell_limit(newcomers.clone(), news);
+        }
+    }
+}
+
 impl NewsReader for News {
     fn request(&mut self) -> (Seen, Option<GatewayReport>) {
         let is_ready = self.shared.is_ready();
@@ -299,6 +310,7 @@
             knowledge.confirm_grants(&view, asked_at, now);
             (crashed, knowledge.apply_blocked(&view, now), changes)
         };
+        self.tell_newcomers();
         changes.iter().for_each(|change| self.shared.note_change(change, "status"));
         for (instance, requests) in crashed {
             crash_watch::tell(&self.shared, &instance, requests, "replaced");
--- a/crates/topazmount/src/fleet/peers.rs
+++ b/crates/topazmount/src/fleet/peers.rs
@@ -10,7 +10,7 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
-use topazmount_gateway::{ChoiceQuestion, GrantAnswer, LoadNews, Offer, StripeId};
+use topazmount_gateway::{ChoiceQuestion, GrantAnswer, LimitNews, LoadNews, Offer, StripeId};
 use topazmount_types::Digest;
 use topazmount_wire::{ClusterKey, decode_payload, encode_datagram, open_datagram, seal_datagram};
 
@@ -34,6 +34,10 @@
     Granted(u64, GrantAnswer),
     /// Units that were granted for a request that has not run.
     GiveBack(StripeId, u32),
+    /// What it was told of a replica's limit.
+    Limit(LimitNews),
+    /// Asks for one request to a replica that names a limit, by the number of the question; answered by `Granted`.
+    GrantSend(u64, LimitNews),
 }
 
 /// An answer to a question.
@@ -138,6 +142,25 @@
         }
     }
 
+    /// Asks another gateway to grant one request to a replica that names a limit, and waits for its answer for so long;
+    /// `None` where none comes.
+    pub(super) async fn ask_send_grant(
+        &self,
+        granter: SocketAddr,
+        asked: LimitNews,
+        limit: Duration,
+    ) -> Option<GrantAnswer> {
+        match self.question(granter, |number| Message::GrantSend(number, asked), limit).await {
+            Some(Answer::Grant(answer)) => Some(answer),
+            _ => None,
+        }
+    }
+
+    /// Tells others of a replica's limit, without waiting.
+    pub(super) fn tell_limit(&self, to: Vec<SocketAddr>, news: LimitNews) {
+        self.send(to, Message::Limit(news));
+    }
+
     /// Tells a granter of units that were not used.
     pub(super) fn give_back(&self, granter: SocketAddr, stripe: StripeId, amount: u32) {
         self.send(vec![granter], Message::GiveBack(stripe, amount));
@@ -209,6 +232,14 @@
             Some(Message::GiveBack(stripe, amount)) => {
                 shared.knowledge.lock().unwrap().give_back(stripe, amount, now);
             }
+            Some(Message::Limit(news)) => {
+                shared.knowledge.lock().unwrap().told_limit(&news, now);
+            }
+            Some(Message::GrantSend(number, asked)) => {
+                let answer = shared.knowledge.lock().unwrap().grant_send(&asked, now);
+                shared.metrics.event(send_grant_event(answer));
+                peers.send(vec![sender], Message::Granted(number, answer));
+            }
             None => shared.metrics.event("bad_datagram"),
         }
     }
@@ -222,3 +253,12 @@
         GrantAnswer::NotHolder => "grant_not_held",
     }
 }
+
+/// The same for requests to replicas that name a limit.
+pub(super) fn send_grant_event(answer: GrantAnswer) -> &'static str {
+    match answer {
+        GrantAnswer::Granted => "send_granted",
+        GrantAnswer::Over(_) => "send_refused",
+        GrantAnswer::NotHolder => "send_not_held",
+    }
+}
