Builds that speak different forms understand each other

Cause: each side ended a connection whose greeting named another number than its own, so that the control group fell into two that could not hear each other, and gateways heard members of their own build only. A greeting is where two builds meet, and held one number, not what each can speak. Change: who accepts answers in the form of who connects; who connects begins with the newest form and falls back to the one in which the other side greets. Frames of the first form are neither packed nor read as today's: kinds of messages that those builds lack, the list of removed replicas and that of gateways are put into their types (crates/control/src/first_form). Fields that were added are passed over by them, and have defaults here. Ruled out: one greeting with a range in it: builds in production end such a connection.

--- a/crates/consensus/src/message.rs
+++ b/crates/consensus/src/message.rs
@@ -21,7 +21,7 @@
 
 /// When a follower replied, by its own clock. A leader returns it with its next append, by which the follower knows how
 /// old that append is at most. The moment of arrival does not tell: appends wait in the sockets of a suspended machine.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ReplyMark {
     /// Process that replied: the clock of another one may differ.
     pub life: u64,
@@ -71,6 +71,7 @@
         /// Leader's clock at sending, echoed in the reply to measure the lease from.
         sent_at: Time,
         /// Newest reply of the receiver that the leader had; none where the leader can't vouch for its commit position.
+        #[serde(default)]
         returned: Option<ReplyMark>,
     },
     /// Answer to an append.
@@ -83,7 +84,8 @@
         previous_index: Index,
         /// Echo of the append's time.
         sent_at: Time,
-        /// When this was sent.
+        /// When this was sent; a member of a build that does not say it sends the default.
+        #[serde(default)]
         mark: ReplyMark,
     },
     /// A piece of a snapshot.
--- /dev/null
+++ b/crates/control/src/first_form/outgoing.rs
@@ -0,0 +1,138 @@
+//! Today's frames as the first builds read them.
+
+use super::WholeList;
+use crate::fleet::{
+    BlockedRequest, Document, FleetRequest, FleetResponse, FleetView, InstanceStatus,
+};
+use crate::protocol::{Frame, Request, RequestNumber, Response};
+use serde::Serialize;
+use std::time::Duration;
+use topazmount_consensus::{Envelope, Term};
+use topazmount_types::{Instance, InstanceId};
+
+/// A frame, with what the first builds can't read put into their types.
+#[derive(Serialize)]
+pub struct OutgoingFrame<'a>(Outgoing<'a>);
+
+#[derive(Serialize)]
+enum Outgoing<'a> {
+    Peer(&'a str, &'a Envelope),
+    Request(RequestNumber, OutgoingRequest<'a>),
+    Response(RequestNumber, OutgoingResponse<'a>),
+    Heard,
+}
+
+#[derive(Serialize)]
+#[serde(untagged)]
+enum OutgoingRequest<'a> {
+    Same(&'a Request),
+    Changed(ChangedRequest<'a>),
+}
+
+#[derive(Serialize)]
+enum ChangedRequest<'a> {
+    Fleet(ChangedFleetRequest<'a>),
+}
+
+#[derive(Serialize)]
+enum ChangedFleetRequest<'a> {
+    Depart(&'a InstanceId),
+}
+
+#[derive(Serialize)]
+#[serde(untagged)]
+enum OutgoingResponse<'a> {
+    Same(&'a Response),
+    Changed(ChangedResponse<'a>),
+}
+
+#[derive(Serialize)]
+enum ChangedResponse<'a> {
+    Fleet(ChangedFleetResponse<'a>),
+}
+
+#[derive(Serialize)]
+enum ChangedFleetResponse<'a> {
+    Superseded,
+    View(ChangedView<'a>),
+}
+
+#[derive(Serialize)]
+struct ChangedView<'a> {
+    staleness: Option<Duration>,
+    leader: &'a Option<String>,
+    members: &'a [String],
+    document: &'a Option<Document>,
+    revision: u64,
+    is_full: bool,
+    instances: &'a [Instance],
+    removed: Vec<&'a InstanceId>,
+    statuses: &'a Option<((Term, u64), Vec<InstanceStatus>)>,
+    gateways: Option<WholeList>,
+    gateway_count: u32,
+    blocked: &'a Option<(u64, Vec<BlockedRequest>)>,
+}
+
+impl<'a> OutgoingFrame<'a> {
+    /// `None` where the first builds have no such message; `gateways` is the whole list where the frame has changes of it.
+    pub(super) fn new(frame: &'a Frame, gateways: Option<WholeList>) -> Option<Self> {
+        let frame = match frame {
+            Frame::Peer(address, envelope) => Outgoing::Peer(address, envelope),
+            Frame::Request(number, request) => {
+                Outgoing::Request(*number, OutgoingRequest::new(request)?)
+            }
+            Frame::Response(number, response) => {
+                Outgoing::Response(*number, OutgoingResponse::new(response, gateways))
+            }
+            Frame::Heard => Outgoing::Heard,
+        };
+        Some(OutgoingFrame(frame))
+    }
+}
+
+impl<'a> OutgoingRequest<'a> {
+    fn new(request: &'a Request) -> Option<Self> {
+        match request {
+            Request::Fleet(FleetRequest::HeartbeatsHeard(_)) => None,
+            // One that departs is whoever is known.
+            Request::Fleet(FleetRequest::Depart(id, _)) => {
+                let depart = ChangedFleetRequest::Depart(id);
+                Some(OutgoingRequest::Changed(ChangedRequest::Fleet(depart)))
+            }
+            same => Some(OutgoingRequest::Same(same)),
+        }
+    }
+}
+
+impl<'a> OutgoingResponse<'a> {
+    fn new(response: &'a Response, gateways: Option<WholeList>) -> Self {
+        let changed = match response {
+            // Either way the heartbeat changes nothing.
+            Response::Fleet(FleetResponse::Foreign(_)) => ChangedFleetResponse::Superseded,
+            Response::Fleet(FleetResponse::View(view)) => {
+                ChangedFleetResponse::View(ChangedView::new(view, gateways))
+            }
+            same => return OutgoingResponse::Same(same),
+        };
+        OutgoingResponse::Changed(ChangedResponse::Fleet(changed))
+    }
+}
+
+impl<'a> ChangedView<'a> {
+    fn new(view: &'a FleetView, gateways: Option<WholeList>) -> Self {
+        ChangedView {
+            staleness: view.staleness,
+            leader: &view.leader,
+            members: &view.members,
+            document: &view.document,
+            revision: view.revision,
+            is_full: view.is_full,
+            instances: &view.instances,
+            removed: view.removed.iter().map(|removed| &removed.id).collect(),
+            statuses: &view.statuses,
+            gateways,
+            gateway_count: view.gateway_count,
+            blocked: &view.blocked,
+        }
+    }
+}
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -7,6 +7,7 @@
 
 mod configuration;
 mod events;
+mod first_form;
 mod fleet;
 mod fleet_member;
 mod heartbeats;
@@ -22,6 +23,7 @@
 
 pub use configuration::{Configuration, ConfigurationUpdate, HistoryRow};
 pub use events::{ChangeReason, MembershipEvent};
+pub use first_form::{FirstFormLink, FirstFrame, OutgoingFrame};
 pub use fleet::{
     Availability, BeliefChange, BlockedRequest, CRASHES_TO_BLOCK, CrashLedger, CrashNote,
     CrashNotes, Document, FleetAction, FleetCommand, FleetRequest, FleetResponse, FleetState,
--- a/crates/topazmount/src/control_client.rs
+++ b/crates/topazmount/src/control_client.rs
@@ -191,7 +191,7 @@
     traffic: Arc<Traffic>,
     _closed: Sender<()>,
 ) {
-    while let Ok(Frame::Response(number, response)) = reader.receive::<Frame>().await {
+    while let Ok(Frame::Response(number, response)) = reader.receive().await {
         traffic.heard();
         let answer = pending.lock().unwrap().remove(&number);
         if let Some(answer) = answer {
--- a/crates/topazmount/src/control_links.rs
+++ b/crates/topazmount/src/control_links.rs
@@ -167,7 +167,7 @@
 
 /// Notes that a peer has heard something, until the connection ends.
 async fn note_word(mut reader: FrameReader, traffic: Arc<Traffic>) {
-    while reader.receive::<Frame>().await.is_ok() {
+    while reader.receive().await.is_ok() {
         traffic.heard();
     }
 }
--- a/crates/topazmount/src/frames.rs
+++ b/crates/topazmount/src/frames.rs
@@ -4,37 +4,56 @@
 use async_net::TcpStream;
 use eyre::{Result, WrapErr, eyre};
 use futures_lite::{AsyncReadExt, AsyncWriteExt};
-use serde::{Serialize, de::DeserializeOwned};
 use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
+use topazmount_control::{FirstFormLink, Frame};
 use topazmount_wire::{
-    ClusterKey, HELLO_LENGTH, Hello, LENGTH_PREFIX, Opener, Role, Sealer, decode_payload,
+    ClusterKey, Form, HELLO_LENGTH, Hello, LENGTH_PREFIX, Opener, Role, Sealer, decode_payload,
     encode_payload, frame_length, pack, session_keys, unpack,
 };
 
 /// Time for a peer to accept a connection and greet.
 pub const GREETING_TIMEOUT: Duration = Duration::from_millis(1_000);
 
+/// What a connection to a process that speaks the first form has carried; none on others.
+type FirstForm = Option<Arc<Mutex<FirstFormLink>>>;
+
 /// Sending half.
 pub struct FrameWriter {
     stream: TcpStream,
     sealer: Sealer,
+    first_form: FirstForm,
 }
 
 /// Receiving half.
 pub struct FrameReader {
     stream: TcpStream,
     opener: Opener,
+    first_form: FirstForm,
 }
 
 impl FrameWriter {
-    /// Sends one value.
+    /// Sends one frame. One that the other side's build does not have is passed over.
     ///
     /// # Errors
-    /// When the value is too large or the connection broke.
-    pub async fn send<T: Serialize>(&mut self, value: &T) -> Result<FrameCost> {
+    /// When the frame is too large or the connection broke.
+    pub async fn send(&mut self, frame: &Frame) -> Result<FrameCost> {
         let began = Instant::now();
-        let frame = self.sealer.seal(&pack(&encode_payload(value)?))?;
+        let payload = match &self.first_form {
+            None => Some(pack(&encode_payload(frame)?)),
+            Some(link) => link
+                .lock()
+                .unwrap()
+                .outgoing(frame)
+                .map(|frame| encode_payload(&frame))
+                .transpose()?,
+        };
+        let Some(payload) = payload else {
+            log::debug!("link: event=passed_over kind={}", frame.kind());
+            return Ok(FrameCost::default());
+        };
+        let frame = self.sealer.seal(&payload)?;
         let cost = FrameCost { bytes: frame.len(), busy: began.elapsed() };
         self.stream.write_all(&frame).await?;
         Ok(cost)
@@ -42,27 +61,31 @@
 }
 
 impl FrameReader {
-    /// Receives one value.
+    /// Receives one frame.
     ///
     /// # Errors
     /// When the connection broke, or the peer broke the protocol; the connection must be dropped.
-    pub async fn receive<T: DeserializeOwned>(&mut self) -> Result<T> {
+    pub async fn receive(&mut self) -> Result<Frame> {
         Ok(self.receive_with_cost().await?.0)
     }
 
-    /// Receives one value, and tells what it cost.
+    /// Receives one frame, and tells what it cost.
     ///
     /// # Errors
     /// As [`FrameReader::receive`].
-    pub async fn receive_with_cost<T: DeserializeOwned>(&mut self) -> Result<(T, FrameCost)> {
+    pub async fn receive_with_cost(&mut self) -> Result<(Frame, FrameCost)> {
         let mut prefix = [0u8; LENGTH_PREFIX];
         self.stream.read_exact(&mut prefix).await?;
         let mut frame = vec![0u8; frame_length(prefix)?];
         self.stream.read_exact(&mut frame).await?;
         let began = Instant::now();
         let bytes = prefix.len() + frame.len();
-        let value = decode_payload(&unpack(self.opener.open(&frame)?)?)?;
-        Ok((value, FrameCost { bytes, busy: began.elapsed() }))
+        let payload = self.opener.open(&frame)?;
+        let frame = match &self.first_form {
+            None => decode_payload(&unpack(payload)?)?,
+            Some(link) => link.lock().unwrap().incoming(decode_payload(payload)?),
+        };
+        Ok((frame, FrameCost { bytes, busy: began.elapsed() }))
     }
 }
 
@@ -95,7 +118,7 @@
     }
 }
 
-/// Connects to a peer and greets it.
+/// Connects to a peer and greets it, in the form that it speaks: one that greets in an older form is greeted anew.
 ///
 /// # Errors
 /// When the peer does not answer in time or speaks another protocol.
@@ -104,40 +127,76 @@
     key: &ClusterKey,
     limit: ConnectLimit,
 ) -> Result<(FrameWriter, FrameReader)> {
-    within(limit.get(), async {
-        let stream = TcpStream::connect(address).await?;
-        greet(stream, key, Role::Client).await
-    })
-    .await
-    .wrap_err_with(|| format!("connecting to {address}"))
+    let greeted = within(limit.get(), async {
+        let newest = greet_in(Form::NEWEST, address, key).await?;
+        match newest {
+            Greeted::Alike(halves) => Ok(*halves),
+            Greeted::Older(form) => match greet_in(form, address, key).await? {
+                Greeted::Alike(halves) => Ok(*halves),
+                Greeted::Older(_) => Err(eyre!("it greets in another form each time")),
+            },
+        }
+    });
+    greeted.await.wrap_err_with(|| format!("connecting to {address}"))
 }
 
-/// Greets a peer that connected.
+/// What came of greeting a peer in a form.
+enum Greeted {
+    /// It greeted in the same form.
+    Alike(Box<(FrameWriter, FrameReader)>),
+    /// It speaks an older one.
+    Older(Form),
+}
+
+async fn greet_in(form: Form, address: SocketAddr, key: &ClusterKey) -> Result<Greeted> {
+    let mut stream = TcpStream::connect(address).await?;
+    stream.set_nodelay(true)?;
+    let own = Hello::in_form(form, rand::random());
+    stream.write_all(&own.encode()).await?;
+    let peer = read_hello(&mut stream).await?;
+    if peer.form() < form {
+        return Ok(Greeted::Older(peer.form()));
+    }
+    Ok(Greeted::Alike(Box::new(halves(stream, key, Role::Client, &own, &peer))))
+}
+
+/// Greets a peer that connected, in its form.
 ///
 /// # Errors
 /// When the peer does not greet in time or speaks another protocol.
 pub async fn accept(stream: TcpStream, key: &ClusterKey) -> Result<(FrameWriter, FrameReader)> {
-    within(GREETING_TIMEOUT, greet(stream, key, Role::Server)).await
+    let greeting = async {
+        let mut stream = stream;
+        stream.set_nodelay(true)?;
+        let peer = read_hello(&mut stream).await?;
+        let own = Hello::in_form(peer.form(), rand::random());
+        stream.write_all(&own.encode()).await?;
+        Ok(halves(stream, key, Role::Server, &own, &peer))
+    };
+    within(GREETING_TIMEOUT, greeting).await
 }
 
-async fn greet(
-    mut stream: TcpStream,
-    key: &ClusterKey,
-    role: Role,
-) -> Result<(FrameWriter, FrameReader)> {
-    stream.set_nodelay(true)?;
-    let own = Hello::new(rand::random());
-    stream.write_all(&own.encode()).await?;
+async fn read_hello(stream: &mut TcpStream) -> Result<Hello> {
     let mut bytes = [0u8; HELLO_LENGTH];
     stream.read_exact(&mut bytes).await?;
-    let peer = Hello::decode(&bytes)?;
+    Ok(Hello::decode(&bytes)?)
+}
+
+fn halves(
+    stream: TcpStream,
+    key: &ClusterKey,
+    role: Role,
+    own: &Hello,
+    peer: &Hello,
+) -> (FrameWriter, FrameReader) {
     let (client, server) = match role {
         Role::Client => (own, peer),
         Role::Server => (peer, own),
     };
-    let (sealer, opener) = session_keys(key, role, &client, &server);
-    let reader = FrameReader { stream: stream.clone(), opener };
-    Ok((FrameWriter { stream, sealer }, reader))
+    let (sealer, opener) = session_keys(key, role, client, server);
+    let first_form = (own.form() == Form::First).then(Arc::default);
+    let reader = FrameReader { stream: stream.clone(), opener, first_form: first_form.clone() };
+    (FrameWriter { stream, sealer, first_form }, reader)
 }
 
 /// Runs a future with a time limit.
