--- a/crates/control/tests/common/mod.rs
+++ b/crates/control/tests/common/mod.rs
@@ -2,12 +2,13 @@
 //! clock.
 #![allow(dead_code)]
 
+pub mod first_build;
 mod suspension;
 
 use serde::{Serialize, de::DeserializeOwned};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::time::Duration;
-use topazmount_consensus::{Config, MemberInfo, MemoryDisk, Standing};
+use topazmount_consensus::{Config, Envelope, MemberInfo, MemoryDisk, Message, Standing};
 use topazmount_control::{
     Founding, InstanceReport, LoadedModel, Member, MemberInput, MemberOutput, MemberSettings,
     MembershipEvent, Request, Response, Token,
@@ -48,6 +49,15 @@
     MemberInfo { name: address(host), address: address(host) }
 }
 
+/// The first builds neither mark their replies nor return marks.
+fn leave_out_marks(envelope: &mut Envelope) {
+    match &mut envelope.message {
+        Message::AppendReply { mark, .. } => *mark = Default::default(),
+        Message::Append { returned, .. } => *returned = None,
+        _ => {}
+    }
+}
+
 /// What the one replica of a play, on version 1 of its weights, says of itself.
 pub fn heartbeat(count: u64) -> InstanceReport {
     let instance = Instance {
@@ -99,6 +109,10 @@
     seed: u64,
     /// Machines whose messages go out without the names of fields, as those of older versions do.
     pub nameless: BTreeSet<Host>,
+    /// Machines that run one of the first builds: they do not mark their replies, and can't apply newer kinds of commands.
+    pub first_builds: BTreeSet<Host>,
+    /// Commands that such a machine was sent and can't read.
+    pub unreadable: Vec<String>,
     /// Whether the clocks of machines stand still while these are suspended.
     pub do_clocks_stop: bool,
     /// Requests to join are lost.
@@ -122,6 +136,8 @@
             transfers: VecDeque::new(),
             cuts: BTreeSet::new(),
             nameless: BTreeSet::new(),
+            first_builds: BTreeSet::new(),
+            unreadable: Vec::new(),
             next_token: 0,
             seed: seed * 1_000_000,
             do_clocks_stop: false,
@@ -283,7 +299,13 @@
     fn perform(&mut self, host: Host, output: MemberOutput) {
         match output {
             MemberOutput::Send(to, envelope) => {
-                let envelope = self.sent(host, envelope);
+                let mut envelope = self.sent(host, envelope);
+                if self.first_builds.contains(&host) {
+                    leave_out_marks(&mut envelope);
+                }
+                if self.first_builds.contains(&host_of(&to)) {
+                    self.unreadable.extend(first_build::unreadable_commands(&envelope));
+                }
                 self.send(host, host_of(&to), MemberInput::Peer(address(host), envelope));
             }
             MemberOutput::Ask(to, request) => {
--- a/crates/control/tests/mixed_versions.rs
+++ b/crates/control/tests/mixed_versions.rs
@@ -10,10 +10,10 @@
 use common::{Host, World, heartbeat};
 use std::time::Duration;
 use topazmount_control::{
-    Command, CrashNotes, FleetCommand, FleetRequest, FleetResponse, LoadedModel, Request, Response,
-    Seen, TimedCommand, WatchRequest,
+    Command, CrashNotes, FleetCommand, FleetRequest, FleetResponse, FleetView, LoadedModel,
+    Request, Response, Seen, TimedCommand, WatchRequest,
 };
-use topazmount_types::Time;
+use topazmount_types::{Instance, Start, Time};
 
 const HOSTS: [Host; 3] = [1, 2, 3];
 const SETTLING: Duration = Duration::from_secs(8);
@@ -40,7 +40,7 @@
     panic!("version {version} is not taken: {}", world.told());
 }
 
-fn weights(world: &mut World) -> Vec<LoadedModel> {
+fn view(world: &mut World) -> Box<FleetView> {
     let watch = WatchRequest {
         gateway: None,
         seen: Seen::default(),
@@ -49,11 +49,23 @@
         crashes: CrashNotes::default(),
     };
     match ask(world, FleetRequest::Watch(watch)) {
-        Some(FleetResponse::View(view)) => view.weights,
+        Some(FleetResponse::View(view)) => view,
         other => panic!("{other:?}"),
     }
 }
 
+fn weights(world: &mut World) -> Vec<LoadedModel> {
+    view(world).weights
+}
+
+fn oldest(world: &mut World) -> Vec<LoadedModel> {
+    view(world).oldest_weights
+}
+
+fn instances(world: &mut World) -> Vec<Instance> {
+    view(world).instances
+}
+
 /// Each member in turn is stopped, upgraded and started; a version is named while both kinds are there, whoever leads.
 fn upgraded_one_by_one(order: [Host; 3], is_upgrade: bool) {
     let mut world = World::found(&HOSTS);
@@ -78,7 +90,48 @@
     assert_eq!(weights(&mut world), [LoadedModel { model: "model".to_owned(), version: 8 }]);
 }
 
+/// A replica says that it leaves, another one falls silent, and the bound on the weights of before passes.
+fn replicas_come_and_go(world: &mut World) {
+    name(world, 2);
+    for id in ["leaves", "falls-silent"] {
+        let mut report = heartbeat(1);
+        report.instance.id = id.to_owned();
+        report.instance.address = format!("{id}:1");
+        assert!(ask(world, FleetRequest::Heartbeat(report)).is_some());
+    }
+    let leave = FleetRequest::Depart("leaves".to_owned(), Start(1));
+    assert!(ask(world, leave).is_some());
+    world.run(SETTLING * 2);
+}
+
 cases! {
+    /// Members of the first builds end where they meet a command that they can't read.
+    a_member_of_the_first_builds_is_sent_commands_that_it_can_not_read => {
+        for first_builds in [vec![1], vec![3], vec![2, 3]] {
+            let mut world = World::found(&HOSTS);
+            world.first_builds.extend(first_builds.clone());
+            replicas_come_and_go(&mut world);
+            assert!(world.unreadable.is_empty(), "{first_builds:?}: {:?}", world.unreadable);
+            assert!(instances(&mut world).is_empty(), "{}", world.told());
+        }
+    }
+
+    /// Once all members are of newer builds, it stays so while one of them is down.
+    newer_kinds_of_commands_wait_for_the_last_member_only => {
+        let mut world = World::found(&HOSTS);
+        world.first_builds.insert(3);
+        replicas_come_and_go(&mut world);
+        assert!(oldest(&mut world).is_empty(), "the bound is not over in the log");
+        world.first_builds.clear();
+        name(&mut world, 3);
+        world.run(SETTLING * 2);
+        assert_eq!(oldest(&mut world)[0].version, 3);
+        world.kill(3);
+        name(&mut world, 4);
+        world.run(SETTLING * 2);
+        assert_eq!(oldest(&mut world)[0].version, 4);
+    }
+
     an_upgrade_in_any_order_keeps_what_was_accepted => {
         for order in [[1, 2, 3], [3, 1, 2], [2, 3, 1]] {
             upgraded_one_by_one(order, true);
