A leader proposes only what all members can apply

Cause: a leader proposed whatever its own build can apply. Evidence: of the entries sent to a member in the first builds' part, Leave, FallSilent and RetireWeights can't be read by those builds' types (control/tests/mixed_versions.rs). Change: the group has a level, agreed on in the log with the commands themselves: it rises once every other member has marked its replies to the leader, which the first builds do not do, and never falls. Below it Depart and Expire are proposed, and the bound on older weights stays with its leader. Why it holds: what is in the log was proposed at a level that all members of that moment apply; a field of the command carries it, which older builds pass over. It holds on while a member is down.

--- a/crates/consensus/src/contact.rs
+++ b/crates/consensus/src/contact.rs
@@ -40,6 +40,15 @@
         self.returned_at = self.returned_at.max(own.map(|mark| mark.at));
     }
 
+    /// Whether the newest reply of each other member to this leader was marked, which the first builds do not do.
+    pub fn do_all_mark_replies(&self) -> bool {
+        let has_marked =
+            |id: &MemberId| self.progress.get(id).is_some_and(|one| one.replied.is_some());
+        let membership = self.membership();
+        let mut others = membership.voters.keys().chain(membership.learners.keys());
+        others.all(|id| *id == self.id || has_marked(id))
+    }
+
     /// Whether this leader's commit position has all that was acknowledged until an election timeout ago: an entry of
     /// its term is committed, and a quorum answered what it sent within two election timeouts.
     pub(crate) fn can_vouch(&self) -> bool {
--- a/crates/consensus/src/message.rs
+++ b/crates/consensus/src/message.rs
@@ -21,7 +21,7 @@
 
 /// When a follower replied, by its own clock. A leader returns it with its next append, by which the follower knows how
 /// old that append is at most. The moment of arrival does not tell: appends wait in the sockets of a suspended machine.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ReplyMark {
     /// Process that replied: the clock of another one may differ.
     pub life: u64,
@@ -84,9 +84,9 @@
         previous_index: Index,
         /// Echo of the append's time.
         sent_at: Time,
-        /// When this was sent; a member of a build that does not say it sends the default.
+        /// When this was sent; the first builds do not say it.
         #[serde(default)]
-        mark: ReplyMark,
+        mark: Option<ReplyMark>,
     },
     /// A piece of a snapshot.
     Snapshot {
--- a/crates/consensus/src/replication.rs
+++ b/crates/consensus/src/replication.rs
@@ -102,7 +102,7 @@
         previous_index: Index,
         sent_at: Time,
     ) {
-        let mark = ReplyMark { life: self.life, at: self.now };
+        let mark = Some(ReplyMark { life: self.life, at: self.now });
         self.send(to, Message::AppendReply { accepted, index, previous_index, sent_at, mark });
     }
 
@@ -132,7 +132,7 @@
         rejected: Option<Index>,
         index: Index,
         sent_at: Time,
-        mark: ReplyMark,
+        mark: Option<ReplyMark>,
     ) {
         if self.role != Role::Leader {
             return;
@@ -142,7 +142,7 @@
             return;
         };
         progress.acknowledge(sent_at);
-        progress.replied = Some(mark);
+        progress.replied = mark;
         let must_send = match rejected {
             Some(previous) => progress.reject(previous, index),
             None => {
--- a/crates/control/src/events.rs
+++ b/crates/control/src/events.rs
@@ -2,6 +2,7 @@
 //! never admitted from one that was admitted late, and from one that is counted twice.
 
 use crate::protocol::JoinAnswer;
+use crate::state::Level;
 use std::fmt;
 use topazmount_consensus::{
     MemberId, MemberInfo, Membership, MembershipChange, ProposeError, Standing,
@@ -63,6 +64,8 @@
         /// What hindered it; the change is tried again.
         hindrance: Option<ProposeError>,
     },
+    /// The group agreed that all members can apply the commands of a level.
+    LevelRaised(Level),
 }
 
 impl MembershipEvent {
@@ -73,6 +76,7 @@
             MembershipEvent::JoinAsked { .. } => "join_request",
             MembershipEvent::JoinAnswered { .. } => "join_answer",
             MembershipEvent::Proposed { .. } => "membership_change",
+            MembershipEvent::LevelRaised(_) => "level_raised",
         }
     }
 }
@@ -81,6 +85,7 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(f, "event={} ", self.name())?;
         match self {
+            MembershipEvent::LevelRaised(Level(level)) => write!(f, "level={level}"),
             MembershipEvent::InForce { membership, standing } => {
                 let voters = Members(membership.voters.iter());
                 let learners = Members(membership.learners.iter());
--- a/crates/control/src/fleet/state.rs
+++ b/crates/control/src/fleet/state.rs
@@ -92,6 +92,17 @@
     },
 }
 
+impl FleetCommand {
+    /// The same of whichever incarnation is known, for members that know nothing of incarnations.
+    pub(crate) fn without_incarnation(self) -> Self {
+        match self {
+            FleetCommand::Leave(id, _) => FleetCommand::Depart(id),
+            FleetCommand::FallSilent(id, _) => FleetCommand::Expire(id),
+            same => same,
+        }
+    }
+}
+
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 struct Removal {
     revision: u64,
--- a/crates/control/src/fleet_member.rs
+++ b/crates/control/src/fleet_member.rs
@@ -3,7 +3,7 @@
 use crate::fleet::{CrashNotes, FleetCommand, FleetRequest, FleetResponse, FleetView};
 use crate::member::{Member, MemberOutput, Token};
 use crate::protocol::Response;
-use crate::state::Command;
+use crate::state::{Command, Level};
 use std::time::Duration;
 use topazmount_consensus::{Disk, Role};
 use topazmount_types::{Instance, Time};
@@ -96,7 +96,12 @@
         self.fleet.note_weights(now, self.state.fleet.weights());
         let term = self.replica.term();
         let (commands, actions) = self.fleet.lead(now, term, &self.state.fleet);
+        let may_retire = self.level() >= Level::INCARNATIONS;
         for command in commands {
+            // Where a member can't apply it, the leader counts the bound by itself, and proposes it later.
+            if matches!(command, FleetCommand::RetireWeights { .. }) && !may_retire {
+                continue;
+            }
             self.propose_unasked(now, Command::Fleet(command));
         }
         self.outputs.extend(actions.into_iter().map(MemberOutput::Act));
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -38,4 +38,4 @@
     ChangeReply, ChangeRequest, Frame, JoinAnswer, MemberStatus, NodeReport, Request,
     RequestNumber, Response,
 };
-pub use state::{Command, ControlState, Reply, TimedCommand};
+pub use state::{Command, ControlState, Level, Reply, TimedCommand};
--- a/crates/control/src/member.rs
+++ b/crates/control/src/member.rs
@@ -10,7 +10,7 @@
 use crate::joining::Joining;
 use crate::protocol::{ChangeReply, ChangeRequest, NodeReport, Request, Response};
 use crate::standing::Noted;
-use crate::state::{Command, ControlState, Reply, TimedCommand};
+use crate::state::{Command, ControlState, Level, Reply, TimedCommand};
 use std::collections::BTreeMap;
 use std::time::Duration;
 use thiserror::Error;
@@ -331,9 +331,21 @@
         let _ = self.replica.propose(self.encode(now, command));
     }
 
+    /// Which kinds of commands this leader may propose. It is agreed on in the log, so that it holds while a member is
+    /// down.
+    pub(crate) fn level(&self) -> Level {
+        match self.replica.do_all_mark_replies() {
+            true => Level::INCARNATIONS.max(self.state.level),
+            false => self.state.level,
+        }
+    }
+
     fn encode(&self, now: Time, command: Command) -> Vec<u8> {
         let at = now.max(self.state.time);
-        rmp_serde::to_vec_named(&TimedCommand { at, command }).expect("a command is plain data")
+        let level = self.level();
+        let command = command.at_level(level);
+        let timed = TimedCommand { at, command, level };
+        rmp_serde::to_vec_named(&timed).expect("a command is plain data")
     }
 
     pub(crate) fn propose(&mut self, now: Time, token: Token, command: Command) {
@@ -392,7 +404,11 @@
         self.bytes_since_snapshot += bytes.len() as u64;
         let timed: TimedCommand =
             rmp_serde::from_slice(bytes).map_err(|error| MemberError::Decode(error.to_string()))?;
+        let before = self.state.level;
         let reply = self.state.apply(timed);
+        if self.state.level > before {
+            self.note(MembershipEvent::LevelRaised(self.state.level));
+        }
         if let Some(waiting) = self.waiting.remove(&entry.index) {
             let response =
                 if waiting.term == entry.term { response_of(reply) } else { self.not_leader(now) };
--- a/crates/control/src/state.rs
+++ b/crates/control/src/state.rs
@@ -56,6 +56,18 @@
     Fleet(FleetCommand),
 }
 
+impl Command {
+    /// The command as all members at a level can apply it.
+    pub(crate) fn at_level(self, level: Level) -> Self {
+        match self {
+            Command::Fleet(change) if level < Level::INCARNATIONS => {
+                Command::Fleet(change.without_incarnation())
+            }
+            same => same,
+        }
+    }
+}
+
 /// A command with the leader's time, so that all members expire alike.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct TimedCommand {
@@ -63,6 +75,20 @@
     pub at: Time,
     /// The command.
     pub command: Command,
+    /// Level of the group from this command on, if it is above the one before.
+    #[serde(default)]
+    pub level: Level,
+}
+
+/// Which kinds of commands all members can apply. It only rises: a member that can't has no way back into the group.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct Level(pub u8);
+
+impl Level {
+    /// What the first builds apply.
+    pub const FIRST: Level = Level(0);
+    /// Commands that name incarnations of replicas, and those that retire weights.
+    pub const INCARNATIONS: Level = Level(1);
 }
 
 /// Result of a command.
@@ -94,6 +120,9 @@
     /// Catalog, replicas and weights.
     #[serde(default)]
     pub fleet: FleetState,
+    /// Which kinds of commands all members can apply.
+    #[serde(default)]
+    pub level: Level,
 }
 
 impl ControlState {
@@ -105,6 +134,7 @@
     /// Applies one command.
     pub fn apply(&mut self, timed: TimedCommand) -> Reply {
         self.time = self.time.max(timed.at);
+        self.level = self.level.max(timed.level);
         let now = self.time;
         self.ledger.expire(now);
         match timed.command {
--- a/crates/control/tests/mixed_versions.rs
+++ b/crates/control/tests/mixed_versions.rs
@@ -10,7 +10,7 @@
 use common::{Host, World, heartbeat};
 use std::time::Duration;
 use topazmount_control::{
-    Command, CrashNotes, FleetCommand, FleetRequest, FleetResponse, FleetView, LoadedModel,
+    Command, CrashNotes, FleetCommand, FleetRequest, FleetResponse, FleetView, Level, LoadedModel,
     Request, Response, Seen, TimedCommand, WatchRequest,
 };
 use topazmount_types::{Instance, Start, Time};
@@ -164,6 +164,7 @@
         let command = TimedCommand {
             at: Time::from_secs(5),
             command: Command::Fleet(FleetCommand::NameWeights { model: "m".to_owned(), version: 4 }),
+            level: Level::FIRST,
         };
         for bytes in [rmp_serde::to_vec(&command), rmp_serde::to_vec_named(&command)] {
             assert_eq!(rmp_serde::from_slice::<TimedCommand>(&bytes.unwrap()).unwrap(), command);
--- a/crates/topazmount/src/control_log.rs
+++ b/crates/topazmount/src/control_log.rs
@@ -57,7 +57,9 @@
     /// Logs a step about the membership.
     pub(crate) fn membership(&self, event: &MembershipEvent) {
         match event {
-            MembershipEvent::InForce { .. } => log::info!("control: {event}"),
+            MembershipEvent::InForce { .. } | MembershipEvent::LevelRaised(_) => {
+                log::info!("control: {event}");
+            }
             MembershipEvent::JoinAsked { id, .. } => {
                 self.line(format!("join {id}"), event.to_string());
             }
--- a/crates/topazmount/src/frames.rs
+++ b/crates/topazmount/src/frames.rs
@@ -61,6 +61,11 @@
 }
 
 impl FrameReader {
+    /// The form that the other side speaks.
+    pub fn form(&self) -> Form {
+        if self.first_form.is_some() { Form::First } else { Form::Named }
+    }
+
     /// Receives one frame.
     ///
     /// # Errors
