--- a/crates/control/tests/common/first_build.rs
+++ b/crates/control/tests/common/first_build.rs
@@ -2,7 +2,7 @@
 
 use serde::Deserialize;
 use serde::de::IgnoredAny;
-use topazmount_consensus::{Envelope, Message, Payload};
+use topazmount_consensus::{Envelope, MemoryDisk, Message, Payload, Wal};
 
 #[derive(Deserialize)]
 struct TimedCommand {
@@ -41,3 +41,40 @@
     });
     read.map(|error| error.to_string()).collect()
 }
+
+#[derive(Deserialize)]
+struct ControlState {
+    #[serde(rename = "time")]
+    _time: u64,
+    #[serde(rename = "configuration")]
+    _configuration: IgnoredAny,
+    #[serde(rename = "ledger")]
+    _ledger: IgnoredAny,
+    #[serde(rename = "fleet")]
+    _fleet: FleetState,
+}
+
+#[derive(Deserialize)]
+struct FleetState {
+    #[serde(rename = "document")]
+    _document: IgnoredAny,
+    #[serde(rename = "instances")]
+    _instances: IgnoredAny,
+    #[serde(rename = "revision")]
+    _revision: u64,
+    #[serde(rename = "removals")]
+    _removals: IgnoredAny,
+    #[serde(rename = "forgotten_to")]
+    _forgotten_to: u64,
+    #[serde(rename = "weights")]
+    _weights: IgnoredAny,
+    #[serde(rename = "crashes")]
+    _crashes: IgnoredAny,
+}
+
+/// Why the state on a disk can't be read, if it can't.
+pub fn unreadable_state(disk: MemoryDisk) -> Option<String> {
+    let (_, recovered) = Wal::open(disk).unwrap();
+    let read = rmp_serde::from_slice::<ControlState>(&recovered.snapshot.data);
+    read.err().map(|error| error.to_string())
+}
--- a/crates/control/tests/common/mod.rs
+++ b/crates/control/tests/common/mod.rs
@@ -207,6 +207,11 @@
         }
     }
 
+    /// The disk of a machine whose process has ended.
+    pub fn disk(&self, host: Host) -> MemoryDisk {
+        self.machines[&host].disk.clone()
+    }
+
     /// Ends a process and empties its disk.
     pub fn wipe(&mut self, host: Host) {
         self.kill(host);
--- a/crates/control/tests/mixed_versions.rs
+++ b/crates/control/tests/mixed_versions.rs
@@ -7,7 +7,7 @@
 
 mod common;
 
-use common::{Host, World, heartbeat};
+use common::{Host, World, first_build, heartbeat};
 use std::time::Duration;
 use topazmount_control::{
     Command, CrashNotes, FleetCommand, FleetRequest, FleetResponse, FleetView, Level, LoadedModel,
@@ -116,6 +116,13 @@
         }
     }
 
+    /// A member that goes back to one of the first builds opens what the newer one left.
+    the_state_of_a_founding_member_can_not_be_read_by_the_first_builds => {
+        let mut world = World::found(&HOSTS);
+        world.kill(1);
+        assert_eq!(first_build::unreadable_state(world.disk(1)), None);
+    }
+
     /// Once all members are of newer builds, it stays so while one of them is down.
     newer_kinds_of_commands_wait_for_the_last_member_only => {
         let mut world = World::found(&HOSTS);
