The first state of a founding member has the names of its fields

What callers saw: where machines of a group that this build founded went back to an older one, members ended at their start, and no change was acknowledged. Cause: all states and commands are written with names but this first one; without them a field more makes it unreadable. Change: it is written with names as the others.

--- a/crates/control/src/identity.rs
+++ b/crates/control/src/identity.rs
@@ -36,6 +36,6 @@
     let voters = founding.members.iter().map(|info| (founding_identity(info), info.clone()));
     let membership = Membership::founding(voters.collect());
     let state = ControlState::founding(founding.source.clone());
-    let data = rmp_serde::to_vec(&state).expect("the state is plain data");
+    let data = rmp_serde::to_vec_named(&state).expect("the state is plain data");
     Replica::bootstrap_state(membership, data)
 }
