--- a/crates/admission/src/pushback.rs
+++ b/crates/admission/src/pushback.rs
@@ -40,8 +40,7 @@
     }
 }
 
-/// How long what a replica asks is believed at most, so that none is lost for good by one bad word. The defaults are far
-/// beyond the rests of 1 to 4 s and the leaves of some seconds that were seen.
+/// How long what a replica asks is believed at most, so that none is lost for good by one bad word.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct PushbackSettings {
     /// Longest rest.
@@ -145,8 +144,7 @@
     }
 
     /// Forgets an incarnation that has ended, but for what was heard of it after the next one's start: that one had answered
-    /// at its address before anybody told of it. Without this, of clients' requests to engines that had just started again, four
-    /// reached one in its rest, and five one that had said that it leaves, as soon as its start was known (a soak's seed).
+    /// at its address before anybody told of it.
     pub fn replaced(&mut self, incarnation: &str, next: &str, start: Start) {
         let Some(mut asked) = self.asked.remove(incarnation) else { return };
         if asked.rest_heard + CLOCK_TOLERANCE < start.as_time() {
--- a/crates/consensus/src/contact.rs
+++ b/crates/consensus/src/contact.rs
@@ -26,8 +26,7 @@
 
     /// Whether this member leads with a lease, or follows a leader that vouched for its commit position after this
     /// member's reply of less than two election timeouts ago. Counted from the arrival of appends instead, a follower
-    /// that wakes up takes those that waited in its sockets for fresh word: it vouched for 1.8 s where its state was
-    /// 2.8 s old, in random series of suspensions.
+    /// that wakes up would take those that waited in its sockets for fresh word.
     pub fn is_in_contact(&self, now: Time) -> bool {
         let limit = self.config.election_timeout * 2;
         let is_fresh = self.returned_at.is_some_and(|at| now < at + limit);
--- a/crates/control/src/fleet/pace.rs
+++ b/crates/control/src/fleet/pace.rs
@@ -1,7 +1,4 @@
 //! How many replicas of a service load at a time: from what is left to do, the time that is left, and what loads take here.
-//!
-//! A fixed sixth of a service at a time, reckoned with a second for each load, left 4 of 12 and 20 of 60 replicas on old weights at the
-//! bound of 8 s where loads take 1.2 s, and 4 of 12 where a leader began 3 s into it (members and replicas on a virtual clock).
 
 use std::collections::{BTreeMap, VecDeque};
 use std::time::Duration;
@@ -16,16 +13,15 @@
 const SHORTEST_PAUSE: Duration = Duration::from_millis(300);
 /// Time before the end of a bound at which loads should have ended: a late answer of a replica.
 const SLACK: Duration = Duration::from_millis(500);
-/// The same of the usual number of loads at a time: half of it. With a fifth 3 of 300 were late.
+/// The same of the usual number of loads at a time.
 const USUAL_SLACK: Duration = Duration::from_millis(250);
-/// The same where that can't be had any more. What was planned into the slack uses some of it up by its steps of a look; without
-/// this 20 of 40 replicas loaded at a time for the last 40 ms of it in place of 7.
+/// The same where that can't be had any more. A plan is kept to in steps of a look, which use up some of its slack.
 const LEAST_SLACK: Duration = Duration::from_millis(100);
 /// Loads of a width that are remembered: enough for the quantile, and few enough to follow a store that slows down.
 const MOST_KEPT: usize = 16;
 /// Widths that are remembered; a service loads at a few of them.
 const MOST_WIDTHS: usize = 32;
-/// Part of the loads that take no longer than what the plan gives one: with the median a quarter of slow replicas comes last and late.
+/// Part of the loads that take no longer than what the plan gives one. The median would leave slow replicas for the end.
 const QUANTILE: f64 = 0.75;
 /// A load that takes longer than so many times what others took counts as hung: loads of one service differ by a share, not by a factor.
 const HUNG_FACTOR: u32 = 2;
@@ -135,7 +131,7 @@
         of_widths.flat_map(move |width| pauses.iter().map(of_width(width)).collect::<Vec<_>>())
     };
     let is_in_time = |slack: Duration| move |one: &Reckoned| one.least_slack >= Some(slack);
-    // What fits with the usual number must not be widened for the sake of slack: 12 loads of 1.06 s two at a time take 7.6 s of 8.
+    // What fits with the usual number is not widened for the sake of slack.
     let pauses = LONG_PAUSES.iter().chain(&SHORT_PAUSES);
     let usual = pauses.map(of_width(*widths.start())).find(is_in_time(USUAL_SLACK));
     let fits = |slack: Duration| {
@@ -148,9 +144,8 @@
 }
 
 /// What a load is taken to need, where the loads that run say otherwise than those that ended: one well past these may hang, or all may be
-/// slower now, and until it counts as hung the next ones are taken to be as slow. At twice the time that it has run, since that
-/// says nothing of its end: with the time itself loads of 2.5 s left 10 of 60 late, with one and a half times a quarter of such loads
-/// among others of 0.63 s left 1 of 12 late.
+/// slower now, and until it counts as hung the next ones are taken to be as slow, at twice the time that it has run: that time says
+/// nothing of its end.
 fn taken_to_need(expected: Duration, longest: Duration) -> Duration {
     if longest > expected * 5 / 4 { longest * 2 } else { expected }
 }
@@ -174,8 +169,7 @@
 ) -> Reckoned {
     let load = taken_to_need(times.at(width).unwrap_or(first), work.longest);
     let ahead = (pause.as_secs_f64() * width as f64 / load.as_secs_f64()).ceil() as usize;
-    // With the usual number no more are kept from serving than take turns with those that load: on a day of high load with nine replicas (ten
-    // seeds) 4 away in place of 5 are worth 0.603 in place of 0.579, beside that no first load begins early to learn what loads take.
+    // With the usual number no more are kept from serving than take turns with those that load.
     let is_usual = width <= work.usual;
     let ahead = if is_usual { ahead.min(width) } else { ahead };
     let ahead = ahead.min(work.most_away.saturating_sub(width));
@@ -190,7 +184,7 @@
     let ready = ready.chain(std::iter::repeat(now + pause));
     let mut late = 0;
     let mut least_slack = Some(Duration::MAX);
-    // Those that are late however many load must not widen it: after orders without answers 55 of 90 were to load at a time.
+    // Those that are late however many load must not widen it.
     let soonest = work.orders_from.max(now + SHORTEST_PAUSE) + load;
     for (number, (deadline, ready)) in work.waiting.iter().zip(ready).enumerate() {
         let place = &mut free[number % width];
--- a/crates/topazmount/src/fleet/exchange/attempt.rs
+++ b/crates/topazmount/src/fleet/exchange/attempt.rs
@@ -190,8 +190,7 @@
     }
 
     /// How the attempt ends if a replica that has not answered is let go; `None` where it is held on to. It may be at
-    /// work, so that nothing is won by letting it go while the budget allows no other attempt: of 56 requests
-    /// at replicas that take 260 ms, 50 ms over the limit, 7 got 502 without this and none with it.
+    /// work, so that nothing is won by letting it go while the budget allows no other attempt.
     fn give_way(
         &self,
         plan: &RequestPlan,
