A late answer to an earlier request ends no limit

What callers saw: nothing yet; found by reading the change. A replica may send an extra answer to an earlier request first on a kept connection; without the field it ended the limit, and the answer that was due, sent before that end, could not name it again. Cause: the answer was dated by the request that waited on the connection, not by its own. Change: an answer that bears another request's identifier counts as older than all that is known: it may lower a limit only. Measured: a_late_answer_without_a_limit_ends_the_limit fails before (limit_ended 1, the limit stays ended) and passes now.

--- a/crates/topazmount/src/fleet/exchange/pushback.rs
+++ b/crates/topazmount/src/fleet/exchange/pushback.rs
@@ -77,6 +77,9 @@
         if is_other || tags.is_unexpected || !(limit.is_some() || says_none) {
             return;
         }
+        // A late answer to an earlier request says nothing of what holds since.
+        let is_late = tags.request_id.as_ref().is_some_and(|id| *id != self.tags.id);
+        let sent_at = if is_late { Time::ZERO } else { sent_at };
         let now = self.shared.clock.now();
         let change = {
             let mut knowledge = self.shared.knowledge.lock().unwrap();
