Requests that must run once go out on new connections only

Callers saw: 504 (outcome_timed_out) for a request that must run at most once, with nobody knowing whether it ran. Cause: it was sent on a pooled connection used within the last second, which may have gone silent right after its last response. Evidence: platform/tests/silent_connections.rs, a relay that swallows what passes on open connections. Why this works: the handshake of a new connection has just shown that the path works; no bound on the idle time does. Their connections are not pooled either, since nothing would use them and idle ones count against the replica's limit.

--- a/crates/gateway/src/connections.rs
+++ b/crates/gateway/src/connections.rs
@@ -1,9 +1,9 @@
 //! Decides which connections to replicas are pooled, and which requests may reuse one.
 //!
-//! A pooled connection saves a handshake, but the replica may have closed it, and then it is
-//! unknown whether a request that was sent on it has run. A request that must run at most once is
-//! therefore only sent on a recently used connection; a retryable one is sent again on a new
-//! connection if a pooled one breaks.
+//! A pooled connection saves a handshake, but it may have been closed, or may pass no data any
+//! more, and then it is unknown whether a request that was sent on it has run. A request that must
+//! run at most once can't be sent again, so it is only sent on a new connection, whose handshake
+//! has just shown that it works. A retryable one is sent again if a pooled connection breaks.
 
 use std::collections::HashMap;
 use std::time::Duration;
@@ -20,19 +20,13 @@
 pub struct ConnectionSettings {
     /// Whether connections are pooled.
     pub is_enabled: bool,
-    /// Maximum idle time of a connection for a request that must run at most once.
-    pub max_idle_non_retryable: Duration,
-    /// Maximum idle time of a connection for a retryable request.
+    /// Maximum idle time of a pooled connection.
     pub max_idle: Duration,
 }
 
 impl Default for ConnectionSettings {
     fn default() -> Self {
-        ConnectionSettings {
-            is_enabled: true,
-            max_idle_non_retryable: Duration::from_secs(1),
-            max_idle: Duration::from_secs(8),
-        }
+        ConnectionSettings { is_enabled: true, max_idle: Duration::from_secs(8) }
     }
 }
 
@@ -91,10 +85,9 @@
         self.cfg.is_enabled && end.is_clean()
     }
 
-    /// Maximum idle time of a connection to a service for a request.
-    pub fn max_idle(&self, service: &str, is_retryable: bool, now: Time) -> Duration {
-        let max_idle =
-            if is_retryable { self.cfg.max_idle } else { self.cfg.max_idle_non_retryable };
+    /// Maximum idle time of a connection to a service.
+    pub fn max_idle(&self, service: &str, now: Time) -> Duration {
+        let max_idle = self.cfg.max_idle;
         let Some(stale) = self.stale.get(service) else { return max_idle };
         let doublings = now.since(stale.at).as_secs_f64() / STALE_DOUBLING_TIME.as_secs_f64();
         max_idle.min(stale.idle.mul_f64(0.5 * 2f64.powf(doublings.min(16.0))))
@@ -111,13 +104,13 @@
         let announced = connection
             .announced_timeout
             .map_or(Duration::MAX, |time| time.mul_f64(ANNOUNCED_TIMEOUT_SHARE));
-        let max_idle = self.max_idle(service, is_retryable, now).min(announced);
-        self.cfg.is_enabled && connection.idle < max_idle
+        let max_idle = self.max_idle(service, now).min(announced);
+        is_retryable && self.cfg.is_enabled && connection.idle < max_idle
     }
 
     /// Records that a connection was stale after an idle time.
     pub fn on_stale_connection(&mut self, service: &str, idle: Duration, now: Time) {
-        let max_idle = self.max_idle(service, true, now);
+        let max_idle = self.max_idle(service, now);
         let idle = idle.min(max_idle);
         self.stale.insert(service.to_owned(), StaleConnection { idle, at: now });
     }
--- a/crates/topazmount/src/fleet/exchange/attempt.rs
+++ b/crates/topazmount/src/fleet/exchange/attempt.rs
@@ -63,9 +63,8 @@
         }
     }
 
-    /// Handles a pooled connection that ended before any byte arrived. The replica may have closed it
-    /// while idle, or may have ended while serving the request, so only repeatable requests are
-    /// sent again.
+    /// Sends the request again after its pooled connection ended before any byte arrived: the replica
+    /// may have closed it while idle, or may have ended while serving the request.
     async fn retry_after_stale_connection(
         &self,
         idle: Duration,
@@ -75,7 +74,7 @@
     ) -> AttemptResult {
         let choice = &in_flight.choice;
         self.record_stale_connection(choice, idle);
-        if !plan.is_retryable() || !self.take_retry() {
+        if !self.take_retry() {
             return AttemptResult::Ended(AttemptEnd::Broken);
         }
         // Also if connecting fails: the first connection may have delivered the request.
--- a/crates/topazmount/src/fleet/exchange/connection.rs
+++ b/crates/topazmount/src/fleet/exchange/connection.rs
@@ -26,8 +26,12 @@
         taken
     }
 
-    /// Returns a connection to the pool after a complete response, if it may be reused.
+    /// Returns a connection to the pool after a complete response, if it may be reused. Requests that
+    /// must run at most once open new ones, whose pooling would only use up the replica's connections.
     pub(super) fn return_to_pool(&self, choice: &Choice, connection: ReplicaConnection) {
+        if !self.admission.route.is_retryable() {
+            return;
+        }
         let ReplicaConnection { wire, keep_alive, is_request_sent } = connection;
         let service = &self.admission.service;
         let now = self.shared.clock.now();
@@ -40,7 +44,7 @@
             if is_gone || !gateway_state.connections().may_pool(end) {
                 return;
             }
-            let max_idle = gateway_state.connections().max_idle(service, true, now);
+            let max_idle = gateway_state.connections().max_idle(service, now);
             PoolLimits { max_connections: gateway_state.max_pooled_connections(service), max_idle }
         };
         self.shared.pool.put(&choice.instance.incarnation_name(), wire, keep_alive, limits, now);
--- a/crates/topazmount/src/fleet/gateway.rs
+++ b/crates/topazmount/src/fleet/gateway.rs
@@ -76,6 +76,7 @@
     /// If a required setting is missing or an address can't be bound.
     pub async fn start(executor: &Executor, options: GatewayOptions) -> Result<Self> {
         let GatewayOptions { settings, dialect } = options;
+        settings.warn_unused();
         let clients = settings.listen.clients;
         let clients = clients.ok_or_else(|| eyre!("listen.clients: required by a gateway"))?;
         let clock = Clock::start();
--- a/crates/topazmount/src/fleet/settings.rs
+++ b/crates/topazmount/src/fleet/settings.rs
@@ -91,9 +91,11 @@
 pub struct ConnectionPoolSettings {
     /// Whether connections are pooled.
     pub keep: bool,
-    /// Maximum idle time before a request that must run at most once, in milliseconds.
-    pub once_idle_ms: u64,
-    /// Maximum idle time before a request that may be repeated, in milliseconds.
+    /// Has no effect: requests that must run at most once are sent on new connections. Still accepted,
+    /// so that existing files remain valid.
+    pub once_idle_ms: Option<u64>,
+    /// Maximum idle time of a connection, in milliseconds. Only requests that may be repeated use
+    /// pooled connections.
     pub most_idle_ms: u64,
 }
 
@@ -102,7 +104,7 @@
         let defaults = ConnectionSettings::default();
         ConnectionPoolSettings {
             keep: defaults.is_enabled,
-            once_idle_ms: defaults.max_idle_non_retryable.as_millis() as u64,
+            once_idle_ms: None,
             most_idle_ms: defaults.max_idle.as_millis() as u64,
         }
     }
@@ -270,6 +272,13 @@
         Ok(settings)
     }
 
+    /// Logs settings that have no effect.
+    pub(super) fn warn_unused(&self) {
+        if let Some(value) = self.connections.once_idle_ms {
+            log::warn!("gateway: event=unused_setting key=connections.once_idle_ms value={value}");
+        }
+    }
+
     fn check_policies(&self) -> Result<()> {
         let mut names = BTreeSet::from([BUILT_IN]);
         for policy in &self.policies {
@@ -334,7 +343,6 @@
             },
             connections: ConnectionSettings {
                 is_enabled: self.connections.keep,
-                max_idle_non_retryable: Duration::from_millis(self.connections.once_idle_ms),
                 max_idle: Duration::from_millis(self.connections.most_idle_ms),
             },
             reliable_cache_age: Duration::from_millis(self.caches.surely_kept_ms),
