A gateway that starts learns from the leader what replicas asked of all their callers

Seen: a limit that replicas name is broken by gateways restarted in series, and each gateway that starts asks every leaving replica again. Cause: limits and leaving were known to gateways only; one that has just started acted as if nothing had been said. Why this works: gateways report to the leader what its list lacks and get the list with the view that they need anyway before they serve.

--- a/crates/admission/src/pushback.rs
+++ b/crates/admission/src/pushback.rs
@@ -1,8 +1,8 @@
 //! Pushback of replicas: they ask their callers to back off for a while, or to go elsewhere because
 //! they are leaving.
 //!
-//! A pushback concerns only the process that received it, and holds for the incarnation that sent
-//! it. Neither heartbeats nor the control group's list end it: they may be late and carry no load.
+//! A backoff concerns only the process that received it; leaving concerns all callers. Either holds
+//! for the incarnation that sent it. Neither heartbeats nor the control group's list end it: they may be late and carry no load.
 
 use crate::RequestLimit;
 use serde::{Deserialize, Serialize};
@@ -86,6 +86,18 @@
     leaving_reported_at: Time,
 }
 
+impl Record {
+    fn new(now: Time) -> Self {
+        Record {
+            backoff_until: Time::ZERO,
+            leaving_until: Time::ZERO,
+            updated_at: now,
+            backoff_reported_at: Time::ZERO,
+            leaving_reported_at: Time::ZERO,
+        }
+    }
+}
+
 /// Pushback records of replicas, by incarnation name.
 #[derive(Clone, Debug, Default)]
 pub struct PushbackRecords {
@@ -112,13 +124,7 @@
             return None;
         }
         self.evict(now);
-        let record = self.records.entry(incarnation.to_owned()).or_insert(Record {
-            backoff_until: Time::ZERO,
-            leaving_until: Time::ZERO,
-            updated_at: now,
-            backoff_reported_at: Time::ZERO,
-            leaving_reported_at: Time::ZERO,
-        });
+        let record = self.records.entry(incarnation.to_owned()).or_insert(Record::new(now));
         let was_leaving = now < record.leaving_until;
         record.updated_at = now;
         if pushback.is_leaving {
@@ -137,6 +143,22 @@
         (backoff.is_some() || is_leaving).then_some(PushbackChange { backoff, added, is_leaving })
     }
 
+    /// Records that an incarnation is leaving, as another process received it at `reported_at`.
+    pub fn record_leaving(&mut self, incarnation: &str, reported_at: Time, now: Time) {
+        self.evict(now);
+        let record = self.records.entry(incarnation.to_owned()).or_insert(Record::new(now));
+        if reported_at > record.leaving_reported_at {
+            record.leaving_reported_at = reported_at;
+            record.leaving_until = reported_at + self.cfg.max_leaving;
+        }
+    }
+
+    /// When an incarnation last reported that it is leaving; `None` if it does not count as leaving.
+    pub fn leaving_reported_at(&self, incarnation: &str, now: Time) -> Option<Time> {
+        let record = self.records.get(incarnation).filter(|record| now < record.leaving_until)?;
+        Some(record.leaving_reported_at)
+    }
+
     /// Whether a request of any kind may be sent to an incarnation.
     pub fn is_available(&self, incarnation: &str, now: Time) -> bool {
         self.records
--- a/crates/admission/src/request_limit.rs
+++ b/crates/admission/src/request_limit.rs
@@ -141,6 +141,11 @@
         (now < record.exhausted_until).then(|| record.exhausted_until.since(now))
     }
 
+    /// Whether there is no record.
+    pub fn is_empty(&self) -> bool {
+        self.records.is_empty()
+    }
+
     /// Number of incarnations that have a limit.
     pub fn count(&self) -> usize {
         self.active().count()
--- a/crates/control/src/fleet/leader.rs
+++ b/crates/control/src/fleet/leader.rs
@@ -3,13 +3,14 @@
 use super::batches::{BatchLimiter, MAX_PER_RESPONSE};
 use super::events::{RolloutEvent, WeightsEvent};
 use super::gateways::GatewayList;
+use super::notices::NoticeList;
 use super::orders::{ActionReport, FleetAction};
 use super::protocol::{FleetView, InstanceReport, LoadedModel, SeenVersions, WatchRequest};
 use super::rollout::{Rollout, RolloutSettings};
 use super::state::{FleetCommand, FleetState};
 use super::statuses::StatusList;
 use crate::member::Token;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, HashSet};
 use std::time::Duration;
 use topazmount_consensus::Term;
 use topazmount_types::{InstanceId, Time};
@@ -22,6 +23,8 @@
 const CHECK_INTERVAL_PER_REPLICA: Duration = Duration::from_micros(50);
 /// Interval at which retired weights are proposed again; a new leader may truncate the log entry.
 const RETIRE_INTERVAL: Duration = Duration::from_millis(500);
+/// Interval at which notices of replicas that have ended are removed.
+const NOTICE_CLEANUP_INTERVAL: Duration = Duration::from_secs(10);
 /// Maximum time for which a watch request is held.
 const MAX_WAIT: Duration = Duration::from_secs(2);
 
@@ -40,6 +43,9 @@
     term: Option<(Term, Time)>,
     last_heartbeat: BTreeMap<InstanceId, Time>,
     gateways: GatewayList,
+    notices: NoticeList,
+    /// When notices of ended replicas were last removed.
+    notices_cleaned_at: Time,
     checked_at: Time,
     statuses: StatusList,
     /// Registry revision of the last refresh of the statuses.
@@ -89,6 +95,7 @@
             self.last_heartbeat.clear();
             self.rollout.reset(term);
             self.statuses.clear();
+            self.notices.clear();
             self.checked_at = Time::ZERO;
         }
         let Some((_, since)) = self.term else { return Default::default() };
@@ -112,6 +119,7 @@
         let last_heartbeat = &self.last_heartbeat;
         self.rollout.retain_known(|id| last_heartbeat.contains_key(id));
         self.gateways.expire(now);
+        self.clean_up_notices(now, state);
         let orders_from = since + self.settings.lease;
         let (instances, weights) = (state.instances(), state.weights());
         let actions = self.rollout.step(now, orders_from, term, instances, weights);
@@ -125,6 +133,16 @@
         (commands, actions)
     }
 
+    fn clean_up_notices(&mut self, now: Time, state: &FleetState) {
+        if self.notices.is_empty() || now < self.notices_cleaned_at + NOTICE_CLEANUP_INTERVAL {
+            return;
+        }
+        self.notices_cleaned_at = now;
+        let registered: HashSet<String> =
+            state.instances().values().map(|instance| instance.incarnation_name()).collect();
+        self.notices.retain_registered(now, &registered);
+    }
+
     fn refresh_statuses(&mut self, now: Time, state: &FleetState) {
         self.statuses
             .refresh(state, |instance| self.rollout.status(now, instance, state.oldest_weights()));
@@ -163,6 +181,9 @@
         if let Some(report) = &request.gateway {
             self.gateways.on_report(now, report);
         }
+        if self.term.is_some() {
+            self.notices.on_report(now, &request.notices);
+        }
         let until = now + request.wait.min(MAX_WAIT);
         let update_from = self.gateways.update_from(&request);
         self.watchers.push(Watcher { token, request, update_from, until });
@@ -199,7 +220,7 @@
                 continue;
             }
             self.gateways.on_response_sent(&watcher.request, now);
-            responses.push((watcher.token, self.view(state, base, &watcher.request)));
+            responses.push((watcher.token, self.view(now, state, base, &watcher.request)));
         }
         responses
     }
@@ -234,7 +255,13 @@
         has_replicas || has_statuses || has_gateways
     }
 
-    fn view(&self, state: &FleetState, base: &FleetView, request: &WatchRequest) -> FleetView {
+    fn view(
+        &self,
+        now: Time,
+        state: &FleetState,
+        base: &FleetView,
+        request: &WatchRequest,
+    ) -> FleetView {
         let seen = &request.seen;
         let mut view = base.clone();
         let weights = state.weights().iter();
@@ -263,6 +290,9 @@
         if wants_statuses(seen) {
             view.statuses = self.statuses.update_since(term, seen, state, &view.instances);
         }
+        if request.gateway.is_some() {
+            view.notices = self.notices.update_since(now, term, seen.notices);
+        }
         if request.wants_gateways {
             view.gateways = self.gateways.update_since(term, seen.gateways);
         }
--- a/crates/control/src/fleet/mod.rs
+++ b/crates/control/src/fleet/mod.rs
@@ -11,6 +11,7 @@
 mod gateways;
 mod leader;
 mod loading_slots;
+mod notices;
 mod orders;
 mod plan;
 mod protocol;
@@ -25,6 +26,7 @@
 pub use events::{RecordChange, ReportSource, RolloutEvent, WeightsEvent};
 pub use gateways::GATEWAY_TIMEOUT;
 pub(crate) use leader::FleetLeader;
+pub use notices::{NoticeKind, NoticeSubject, ReplicaNotice};
 pub use orders::{ActionReport, FleetAction, LoadMode, OrderOutcome, ReplicaReport, WeightsOrder};
 pub use plan::RolloutPlan;
 pub use protocol::{
--- a/crates/control/src/fleet/protocol.rs
+++ b/crates/control/src/fleet/protocol.rs
@@ -1,6 +1,7 @@
 //! Requests and responses about the fleet, for gateways, replicas and operators.
 
 use super::crashes::{BlockedRequest, CrashReport};
+use super::notices::ReplicaNotice;
 use super::orders::ActionReport;
 use super::state::{Document, RegistrationConflict, RemovedInstance};
 use serde::{Deserialize, Serialize};
@@ -90,6 +91,9 @@
     /// Revision of the blocked requests.
     #[serde(default)]
     pub blocked: u64,
+    /// Term and count of the replicas' notices.
+    #[serde(default, skip_serializing_if = "is_default")]
+    pub notices: (Term, u64),
 }
 
 /// Changes of the list of gateways.
@@ -126,6 +130,9 @@
     /// Crashes that the requester saw lately; recorded by the leader only.
     #[serde(default)]
     pub crashes: CrashReport,
+    /// Replicas' notices that the leader's list lacks; recorded by the leader only.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub notices: Vec<ReplicaNotice>,
 }
 
 /// Updates of the fleet for one requester.
@@ -166,6 +173,9 @@
     /// Whether there are further changes of replicas after `revision`.
     #[serde(default)]
     pub has_more: bool,
+    /// All replicas' notices that the leader knows, with their term and count, if changed.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub notices: Option<((Term, u64), Vec<ReplicaNotice>)>,
 }
 
 impl FleetView {
@@ -176,6 +186,10 @@
     }
 }
 
+fn is_default<T: Default + PartialEq>(value: &T) -> bool {
+    *value == T::default()
+}
+
 /// A request about the fleet.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum FleetRequest {
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -27,9 +27,10 @@
     ActionReport, Availability, BlockedRequest, CRASHES_TO_BLOCK, CrashLedger, CrashRecord,
     CrashReport, Document, FleetAction, FleetCommand, FleetRequest, FleetResponse, FleetState,
     FleetView, GATEWAY_TIMEOUT, GatewayListUpdate, GatewayReport, InstanceReport, InstanceStatus,
-    LoadMode, LoadedModel, OrderOutcome, RecordChange, RegistrationConflict, RegistrationStatus,
-    RemovedInstance, ReplicaReport, ReportSource, RolloutEvent, RolloutPlan, RolloutSettings,
-    SeenVersions, WatchRequest, WeightsEvent, WeightsOrder,
+    LoadMode, LoadedModel, NoticeKind, NoticeSubject, OrderOutcome, RecordChange,
+    RegistrationConflict, RegistrationStatus, RemovedInstance, ReplicaNotice, ReplicaReport,
+    ReportSource, RolloutEvent, RolloutPlan, RolloutSettings, SeenVersions, WatchRequest,
+    WeightsEvent, WeightsOrder,
 };
 pub use ledger::{ActionResult, ClaimId, ClaimOutcome, Ledger, LookupOutcome};
 pub use legacy::{IncomingLegacyFrame, LegacyLink, OutgoingLegacyFrame};
--- a/crates/control/tests/crashes.rs
+++ b/crates/control/tests/crashes.rs
@@ -276,6 +276,7 @@
         wants_gateways: false,
         wait: Duration::ZERO,
         crashes: report,
+        notices: Vec::new(),
     };
     let token = world.request(host, Request::Fleet(FleetRequest::Watch(request)))?;
     world.run(Duration::from_millis(100));
--- a/crates/control/tests/exclusion_times.rs
+++ b/crates/control/tests/exclusion_times.rs
@@ -56,6 +56,7 @@
             wants_gateways: false,
             wait: Duration::ZERO,
             crashes: CrashReport::default(),
+            notices: Vec::new(),
         };
         let Some(FleetResponse::View(view)) = self.request(FleetRequest::Watch(watch)) else {
             return None;
--- a/crates/control/tests/fleet_world/mod.rs
+++ b/crates/control/tests/fleet_world/mod.rs
@@ -323,7 +323,9 @@
 
     pub fn watch(&mut self, seen: SeenVersions, wait: Duration) -> Token {
         let crashes = CrashReport::default();
-        let request = WatchRequest { gateway: None, seen, wants_gateways: false, wait, crashes };
+        let notices = Vec::new();
+        let request =
+            WatchRequest { gateway: None, seen, wants_gateways: false, wait, crashes, notices };
         self.send(FleetRequest::Watch(request))
     }
 
--- a/crates/control/tests/gateway_startup.rs
+++ b/crates/control/tests/gateway_startup.rs
@@ -56,6 +56,7 @@
             wants_gateways: true,
             wait: HOLD,
             crashes: Default::default(),
+            notices: Vec::new(),
         }))
     }
 
--- a/crates/control/tests/late_publication.rs
+++ b/crates/control/tests/late_publication.rs
@@ -55,6 +55,7 @@
             wants_gateways: false,
             wait: Duration::ZERO,
             crashes: CrashReport::default(),
+            notices: Vec::new(),
         };
         if let Some(FleetResponse::View(view)) = request(&mut world, FleetRequest::Watch(watch))
             && let Some((_, statuses)) = view.statuses
--- a/crates/control/tests/mixed_versions.rs
+++ b/crates/control/tests/mixed_versions.rs
@@ -43,6 +43,7 @@
         wants_gateways: true,
         wait: Duration::ZERO,
         crashes: CrashReport::default(),
+        notices: Vec::new(),
     };
     match send(world, FleetRequest::Watch(watch)) {
         Some(FleetResponse::View(view)) => view,
--- a/crates/control/tests/recorded_bytes.rs
+++ b/crates/control/tests/recorded_bytes.rs
@@ -171,7 +171,14 @@
 }
 
 fn seen() -> SeenVersions {
-    SeenVersions { document: 1, revision: 2, statuses: (3, 4), gateways: (5, 6), blocked: 7 }
+    SeenVersions {
+        document: 1,
+        revision: 2,
+        statuses: (3, 4),
+        gateways: (5, 6),
+        blocked: 7,
+        ..SeenVersions::default()
+    }
 }
 
 fn watch(gateway: Option<GatewayReport>) -> WatchRequest {
@@ -181,6 +188,7 @@
         wants_gateways: true,
         wait: Duration::from_millis(250),
         crashes: crash_notes(),
+        notices: Vec::new(),
     }
 }
 
@@ -224,6 +232,7 @@
         weights: models(),
         oldest_weights: models(),
         has_more: true,
+        notices: None,
     }
 }
 
--- a/crates/control/tests/suspension.rs
+++ b/crates/control/tests/suspension.rs
@@ -119,6 +119,7 @@
             wants_gateways: false,
             wait: Duration::ZERO,
             crashes: Default::default(),
+            notices: Vec::new(),
         };
         let token = self.world.request(host, Request::Fleet(FleetRequest::Watch(watch)));
         let response = token.and_then(|token| self.world.take_response(token));
--- a/crates/gateway/src/balancer/pushback.rs
+++ b/crates/gateway/src/balancer/pushback.rs
@@ -8,6 +8,7 @@
 use topazmount_admission::{
     LimitChange, Pushback, PushbackChange, PushbackSettings, RequestLimit, RequestLimits,
 };
+use topazmount_control::{NoticeKind, ReplicaNotice};
 use topazmount_types::{Instance, ReplicaId, Time};
 
 impl Balancer {
@@ -59,6 +60,43 @@
         &mut self.limits
     }
 
+    /// What replicas asked of all their callers, as far as this node knows.
+    pub(crate) fn notices(&self, now: Time) -> Vec<ReplicaNotice> {
+        if self.pushbacks.is_empty() && self.limits.is_empty() {
+            return Vec::new();
+        }
+        let notice = |replica: &Replica, kind, reported_at| ReplicaNotice {
+            incarnation: replica.name.clone(),
+            kind,
+            age: now.since(reported_at),
+        };
+        let mut notices = Vec::new();
+        for replica in self.replicas.values() {
+            if let Some(known) = self.limits.get(replica.incarnation_id.0) {
+                let kind = NoticeKind::Limit(known.limit);
+                notices.push(notice(replica, kind, known.reported_at));
+            }
+            if let Some(at) = self.pushbacks.leaving_reported_at(&replica.name, now) {
+                notices.push(notice(replica, NoticeKind::Leaving, at));
+            }
+        }
+        notices
+    }
+
+    /// Applies a notice that another node received.
+    pub(crate) fn apply_notice(&mut self, notice: &ReplicaNotice, now: Time) {
+        let reported_at = now - notice.age;
+        match notice.kind {
+            NoticeKind::Limit(limit) => {
+                let incarnation = ReplicaId::from_name(&notice.incarnation).0;
+                self.limits.record_update(incarnation, limit, reported_at);
+            }
+            NoticeKind::Leaving => {
+                self.pushbacks.record_leaving(&notice.incarnation, reported_at, now);
+            }
+        }
+    }
+
     /// Number of replicas that report a request limit.
     pub fn limited_count(&self) -> usize {
         self.limits.count()
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -1,10 +1,12 @@
 //! What one gateway knows of the fleet, and for how long it may rely on it.
 
 mod limits;
+mod notices;
 mod placement;
 mod replicas;
 
 pub use limits::LimitUpdate;
+use notices::LeaderNotices;
 
 use crate::balancer::{
     Balancer, Choice, ChoiceRequest, DEFAULT_RELIABLE_CACHE_AGE, ReplicaChanges,
@@ -110,6 +112,7 @@
     /// Datagram addresses of gateways that were listed since the last call of
     /// `limit_updates_for_new_gateways`.
     new_peers: Vec<SocketAddr>,
+    leader_notices: LeaderNotices,
 }
 
 impl GatewayState {
@@ -135,6 +138,7 @@
             quotas: Quotas::default(),
             policies: PolicyTable::default(),
             new_peers: Vec::new(),
+            leader_notices: LeaderNotices::default(),
         };
         state.set_settings(settings);
         state
@@ -233,9 +237,9 @@
         }
     }
 
-    /// Whether the catalog is currently confirmed.
+    /// Whether the catalog is currently confirmed, and the replicas' notices are known.
     pub fn is_confirmed(&self, now: Time) -> bool {
-        self.catalog.is_some() && now < self.confirmed_until
+        self.catalog.is_some() && now < self.confirmed_until && self.leader_notices.are_settled(now)
     }
 
     /// Applies a view that was requested at `asked_at`. `catalog` is the view's document as decoded
@@ -299,6 +303,9 @@
         let Some(catalog) = self.catalog.clone() else {
             return Err(ErrorKind::NoConfiguration);
         };
+        if !self.leader_notices.are_settled(now) {
+            return Err(ErrorKind::NoConfiguration);
+        }
         let is_confirmed = self.is_confirmed(now);
         let refusal = |kind| if is_confirmed { kind } else { ErrorKind::NoConfiguration };
         let Some((_, route)) = catalog.route(host, path) else {
--- a/crates/lab/src/scale/hollow.rs
+++ b/crates/lab/src/scale/hollow.rs
@@ -60,7 +60,7 @@
         while let Some(output) = queue.pop() {
             match output {
                 NodeOutput::AskControl { number: request_number, request, .. } => {
-                    self.ask(number, request_number, request);
+                    self.ask(number, request_number, *request);
                 }
                 NodeOutput::Keep(next) => {
                     let kept = NodeInput::Kept(next.revision);
--- a/crates/lab/src/sim/nodes.rs
+++ b/crates/lab/src/sim/nodes.rs
@@ -236,7 +236,7 @@
             }
             NodeOutput::AskControl { number: request_number, member, request } => {
                 self.totals.control_messages += 1;
-                let packet = Packet::Control(request_number, Box::new(request));
+                let packet = Packet::Control(request_number, request);
                 self.send(place, Place::Member(member), packet);
             }
             NodeOutput::ReadMachines => {
--- a/crates/node/src/io.rs
+++ b/crates/node/src/io.rs
@@ -228,7 +228,7 @@
         /// Which member.
         member: usize,
         /// The request.
-        request: Request,
+        request: Box<Request>,
     },
     /// Read the platform's list of machines.
     ReadMachines,
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -281,6 +281,7 @@
 
     fn send_ask(&mut self, ask: Ask) {
         let Ask { number, member, request } = ask;
+        let request = Box::new(request);
         self.outputs.push(NodeOutput::AskControl { number, member, request });
     }
 
--- a/crates/topazmount/src/fleet/exchange/pushback.rs
+++ b/crates/topazmount/src/fleet/exchange/pushback.rs
@@ -35,6 +35,7 @@
         }
         if change.is_some_and(|change| change.is_leaving) {
             self.shared.pool.close(&choice.instance.incarnation_name());
+            self.shared.request_report();
         }
         // A leaving replica repeats this in each response; only changes are logged.
         if change.is_none() && pushback.invalid_field.is_none() && !metadata.is_not_run {
@@ -91,6 +92,7 @@
         };
         let Some(change) = change else { return };
         self.send_limit_update(choice, now);
+        self.shared.request_report();
         let (event, limit) = match change {
             LimitChange::Set(limit) => ("limit_named", Some(limit)),
             LimitChange::Removed => ("limit_ended", None),
--- a/crates/topazmount/src/fleet/gateway.rs
+++ b/crates/topazmount/src/fleet/gateway.rs
@@ -21,7 +21,7 @@
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
-use topazmount_control::{CrashReport, FleetView, GatewayReport, SeenVersions};
+use topazmount_control::{CrashReport, FleetView, GatewayReport, ReplicaNotice, SeenVersions};
 use topazmount_gateway::{GatewayState, HttpLimits};
 use topazmount_types::{ErrorKind, Instance, Time};
 use topazmount_wire::ClusterKey;
@@ -278,6 +278,11 @@
         self.shared.gateway_state.lock().unwrap().crashes().report(now)
     }
 
+    fn notices(&mut self) -> Vec<ReplicaNotice> {
+        let now = self.shared.clock.now();
+        self.shared.gateway_state.lock().unwrap().notices_to_report(now)
+    }
+
     fn on_view(&mut self, view: FleetView, requested_at: Time) {
         let catalog = view.document.as_ref().and_then(|document| {
             let catalog = self.shared.dialect.parse_catalog(&document.bytes);
@@ -316,6 +321,7 @@
             let crashed = gateway_state.confirm_crashes(&view, now);
             let changes = gateway_state.apply(&view, catalog, requested_at);
             gateway_state.confirm_grants(&view, requested_at, now);
+            gateway_state.apply_notices(&view, now);
             (crashed, gateway_state.apply_blocked(&view, now), changes)
         };
         self.send_limits_to_new_gateways();
--- a/crates/topazmount/src/fleet/watcher.rs
+++ b/crates/topazmount/src/fleet/watcher.rs
@@ -10,8 +10,8 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 use topazmount_control::{
-    CrashReport, FleetRequest, FleetResponse, FleetView, GatewayReport, Request, Response,
-    SeenVersions, WatchRequest,
+    CrashReport, FleetRequest, FleetResponse, FleetView, GatewayReport, ReplicaNotice, Request,
+    Response, SeenVersions, WatchRequest,
 };
 use topazmount_types::Time;
 use topazmount_wire::ClusterKey;
@@ -42,6 +42,10 @@
     fn crash_notes(&mut self) -> CrashReport {
         CrashReport::default()
     }
+    /// Replicas' notices that the leader lacks.
+    fn notices(&mut self) -> Vec<ReplicaNotice> {
+        Vec::new()
+    }
     /// Applies a view that was requested at `requested_at`.
     fn on_view(&mut self, view: FleetView, requested_at: Time);
 }
@@ -134,6 +138,7 @@
                 wants_gateways: self.wants_gateways,
                 wait: HOLD_TIME,
                 crashes: handler.crash_notes(),
+                notices: handler.notices(),
             };
             match self.send_watch(target, watch, &report_requests).await {
                 WatchResult::ReportRequested => leader = Some(target),
--- a/crates/topazmount/src/node_process.rs
+++ b/crates/topazmount/src/node_process.rs
@@ -293,7 +293,7 @@
                     return;
                 };
                 let process = self.clone();
-                client.send(request, move |response| {
+                client.send(*request, move |response| {
                     let response = response.ok_or(ControlFailure::Unreachable);
                     // In a task of its own: a client that fails at once answers under the lock.
                     let executor = process.executor.clone();
--- a/crates/topazmount/tests/message_meter.rs
+++ b/crates/topazmount/tests/message_meter.rs
@@ -49,6 +49,7 @@
             wants_gateways: false,
             wait: Duration::ZERO,
             crashes: Default::default(),
+            notices: Vec::new(),
         };
         let request = Request::Fleet(FleetRequest::Watch(watch));
         block_on(client.ask(request, Duration::from_secs(5))).unwrap();
--- a/crates/topazmount/tests/silent_links.rs
+++ b/crates/topazmount/tests/silent_links.rs
@@ -77,6 +77,7 @@
         wants_gateways: false,
         wait,
         crashes: Default::default(),
+        notices: Vec::new(),
     }))
 }
 
