Gateways of two builds understand each other's datagrams, and dropped ones are counted

Which datagrams were dropped could not be told: no counter, no log line. Cause: datagrams carry the protocol version, which was raised; both sides refuse any other. Behind that older builds name replicas by their identifiers, their offers lack a field, and they can't grant, which the leader's list did not say. Why this works: datagrams are opened in either version and sent in the recipient's; the balancer finds replicas by either hash; the member that gets a report by the older protocol marks the gateway, and marked ones are nobody's granters, alike for all. Tests of the wire's datagrams now name the version (as strict); reports in tests name the new field.

--- a/crates/control/src/fleet/protocol.rs
+++ b/crates/control/src/fleet/protocol.rs
@@ -74,6 +74,10 @@
     pub region: String,
     /// Whether it takes new clients.
     pub is_ready: bool,
+    /// Whether it runs a legacy build, which grants no limits; set by the member that receives the
+    /// report.
+    #[serde(default, skip_serializing_if = "is_default")]
+    pub is_legacy: bool,
 }
 
 /// Version counters of what the requester has already applied. The highest value means that it
--- a/crates/control/src/legacy/mod.rs
+++ b/crates/control/src/legacy/mod.rs
@@ -33,11 +33,14 @@
     /// Converts a received frame.
     pub fn incoming(&self, frame: IncomingLegacyFrame) -> Frame {
         let mut frame = Frame::from(frame);
-        if let Frame::Request(_, Request::Fleet(FleetRequest::Watch(watch))) = &mut frame
-            && !self.has_gateways
-        {
-            // Changes are of no use without the list that they belong to.
-            watch.seen.gateways = Default::default();
+        if let Frame::Request(_, Request::Fleet(FleetRequest::Watch(watch))) = &mut frame {
+            if !self.has_gateways {
+                // Changes are of no use without the list that they belong to.
+                watch.seen.gateways = Default::default();
+            }
+            if let Some(gateway) = &mut watch.gateway {
+                gateway.is_legacy = true;
+            }
         }
         frame
     }
--- a/crates/control/tests/gateway_startup.rs
+++ b/crates/control/tests/gateway_startup.rs
@@ -49,6 +49,7 @@
             zone: "erie-hall".to_owned(),
             region: "great-lakes".to_owned(),
             is_ready: true,
+            is_legacy: false,
         };
         Request::Fleet(FleetRequest::Watch(WatchRequest {
             gateway: Some(report),
--- a/crates/control/tests/notices.rs
+++ b/crates/control/tests/notices.rs
@@ -30,6 +30,7 @@
         zone: "north".to_owned(),
         region: "here".to_owned(),
         is_ready: true,
+        is_legacy: false,
     });
     let request = WatchRequest {
         gateway,
--- a/crates/control/tests/recorded_bytes.rs
+++ b/crates/control/tests/recorded_bytes.rs
@@ -150,6 +150,7 @@
         zone: "a".to_owned(),
         region: "eu".to_owned(),
         is_ready: true,
+        is_legacy: false,
     }
 }
 
--- a/crates/control/tests/watch_updates.rs
+++ b/crates/control/tests/watch_updates.rs
@@ -86,6 +86,7 @@
             zone: "erie-hall".to_owned(),
             region: "great-lakes".to_owned(),
             is_ready: true,
+            is_legacy: false,
         },
         seen: SeenVersions::default(),
         token: None,
--- a/crates/gateway/src/balancer/incarnations.rs
+++ b/crates/gateway/src/balancer/incarnations.rs
@@ -78,6 +78,7 @@
         let mut replica = Replica::new(instance, slot);
         replica.previous = previous.as_ref().map(|replica| (replica.start, replica.is_draining));
         self.by_incarnation.insert(replica.incarnation_id.0, id.clone());
+        self.by_identifier.insert(replica.stable_id.0, id.clone());
         self.replicas.insert(id, replica);
         previous.map(|previous| ReplicaChange::Replaced { previous, start })
     }
@@ -87,6 +88,7 @@
         if let Some(replica) = self.replicas.remove(id) {
             self.by_slot.remove(&replica.slot);
             self.by_incarnation.remove(&replica.incarnation_id.0);
+            self.by_identifier.remove(&replica.stable_id.0);
             self.cache_records.on_ended(replica.slot);
         }
     }
--- a/crates/gateway/src/balancer/mod.rs
+++ b/crates/gateway/src/balancer/mod.rs
@@ -49,6 +49,8 @@
     replicas: BTreeMap<InstanceId, Replica>,
     by_slot: HashMap<u32, InstanceId>,
     by_incarnation: HashMap<u64, InstanceId>,
+    /// Replicas by the hashes of their identifiers, as in messages of legacy builds.
+    by_identifier: HashMap<u64, InstanceId>,
     cache_records: CacheRecords,
     /// Newest published version of each model; never decreases.
     published: HashMap<String, u32>,
@@ -82,6 +84,7 @@
             replicas: BTreeMap::new(),
             by_slot: HashMap::new(),
             by_incarnation: HashMap::new(),
+            by_identifier: HashMap::new(),
             cache_records: CacheRecords::default(),
             published: HashMap::new(),
             leaderless: LeaderlessBounds::default(),
@@ -103,6 +106,18 @@
         self.reliable_cache_age = age;
     }
 
+    /// The replica with this hash of an incarnation or, from a legacy build, of an identifier.
+    fn resolve(&self, key: u64) -> Option<&InstanceId> {
+        self.by_incarnation.get(&key).or_else(|| self.by_identifier.get(&key))
+    }
+
+    /// Hash of the identifier of the replica with this hash of an incarnation, for messages to legacy
+    /// builds. An unknown hash is returned unchanged.
+    pub fn identifier_hash(&self, incarnation: u64) -> u64 {
+        let known = self.by_incarnation.get(&incarnation).and_then(|id| self.replicas.get(id));
+        known.map_or(incarnation, |replica| replica.stable_id.0)
+    }
+
     /// Replicas of a service.
     fn serving(&self, service: &str) -> impl Iterator<Item = &Replica> {
         self.replicas.values().filter(move |replica| replica.instance.service == service)
@@ -250,8 +265,8 @@
 
     /// Applies a load update from another node.
     pub fn apply_load_update(&mut self, update: &LoadUpdate, now: Time) {
-        let Some(id) = self.by_incarnation.get(&update.replica) else { return };
-        let Some(replica) = self.replicas.get_mut(id) else { return };
+        let Some(id) = self.resolve(update.replica).cloned() else { return };
+        let Some(replica) = self.replicas.get_mut(&id) else { return };
         replica.record_peer_load(update.node, update.pending_prefill, update.in_flight, now);
         let incarnation: Incarnation = replica.incarnation(update.version);
         match update.event {
--- a/crates/gateway/src/balancer/sharded.rs
+++ b/crates/gateway/src/balancer/sharded.rs
@@ -79,7 +79,7 @@
 
     /// Names of the incarnations with these hashes; unknown ones are skipped.
     pub(crate) fn names_of(&self, keys: &[u64]) -> Vec<String> {
-        let known = keys.iter().filter_map(|key| self.replicas.get(self.by_incarnation.get(key)?));
+        let known = keys.iter().filter_map(|key| self.replicas.get(self.resolve(*key)?));
         known.map(|replica| replica.name.clone()).collect()
     }
 
@@ -108,7 +108,7 @@
         request: &ChoiceRequest<'_>,
         now: Time,
     ) -> Option<Choice> {
-        let replica = self.replicas.get(self.by_incarnation.get(&offer.replica)?)?;
+        let replica = self.replicas.get(self.resolve(offer.replica)?)?;
         if replica.instance.service != request.service
             || !self.is_eligible(replica, request, now)
             || self.is_unavailable(replica, now)
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -20,7 +20,7 @@
 use crate::split::Splits;
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, HashMap, HashSet};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -99,6 +99,8 @@
     gateways: GatewayList,
     /// Datagram addresses of the gateways in the leader's list, by their client addresses.
     peer_addresses: BTreeMap<String, SocketAddr>,
+    /// Datagram addresses of the listed gateways that run legacy builds.
+    legacy_peers: HashSet<SocketAddr>,
     /// Port at which all gateways receive datagrams.
     datagram_port: u16,
     balancer: Balancer,
@@ -128,6 +130,7 @@
             gateway_count: 0,
             gateways: GatewayList::default(),
             peer_addresses: BTreeMap::new(),
+            legacy_peers: HashSet::new(),
             datagram_port: 0,
             balancer: Balancer::new(zone, seed),
             splits: Splits::default(),
--- a/crates/gateway/src/state/limits.rs
+++ b/crates/gateway/src/state/limits.rs
@@ -37,8 +37,9 @@
             return;
         }
         let update = view.gateways.as_ref();
-        let list =
-            update.map(|update| (update.count.0, self.peer_addresses.values().copied().collect()));
+        // Gateways of legacy builds grant nothing.
+        let granters = self.peer_addresses.values().filter(|peer| !self.is_legacy(**peer));
+        let list = update.map(|update| (update.count.0, granters.copied().collect()));
         self.quotas.confirm(asked_at, list, now);
     }
 
--- a/crates/gateway/src/state/placement.rs
+++ b/crates/gateway/src/state/placement.rs
@@ -45,14 +45,21 @@
     pub(super) fn set_gateways(&mut self, update: &GatewayListUpdate, now: Time) {
         if update.is_full {
             self.peer_addresses.clear();
+            self.legacy_peers.clear();
         }
         for address in &update.removed {
-            self.peer_addresses.remove(address);
+            if let Some(peer) = self.peer_addresses.remove(address) {
+                self.legacy_peers.remove(&peer);
+            }
         }
         for report in &update.changed {
             if let Ok(address) = report.address.parse::<SocketAddr>() {
                 let peer = SocketAddr::new(address.ip(), self.datagram_port);
                 self.peer_addresses.insert(report.address.clone(), peer);
+                match report.is_legacy {
+                    true => self.legacy_peers.insert(peer),
+                    false => self.legacy_peers.remove(&peer),
+                };
                 // A restarted gateway is listed as changed, too.
                 if !self.gateways.is_own(peer) {
                     self.new_peers.push(peer);
@@ -63,6 +70,11 @@
         self.balancer.set_coordinated(self.gateways.uses_coordinators(now));
     }
 
+    /// Whether a gateway runs a legacy build, by its datagram address.
+    pub fn is_legacy(&self, peer: SocketAddr) -> bool {
+        self.legacy_peers.contains(&peer)
+    }
+
     /// The placement request to the coordinator of a shard; `None` for a request without prompt.
     pub fn placement_request(
         &self,
--- a/crates/gateway/tests/quota_simulation/mod.rs
+++ b/crates/gateway/tests/quota_simulation/mod.rs
@@ -274,6 +274,7 @@
         zone: "north".to_owned(),
         region: String::new(),
         is_ready: true,
+        is_legacy: false,
     }
 }
 
--- a/crates/gateway/tests/shards.rs
+++ b/crates/gateway/tests/shards.rs
@@ -41,6 +41,7 @@
         zone: "north".to_owned(),
         region: String::new(),
         is_ready: true,
+        is_legacy: false,
     };
     let ids: Vec<String> = (0..replicas).map(|number| format!("replica-{number}")).collect();
     let model = || vec![LoadedModel { model: "model".to_owned(), version: 1 }];
--- a/crates/topazmount/src/fleet/gateway.rs
+++ b/crates/topazmount/src/fleet/gateway.rs
@@ -48,7 +48,7 @@
     pub(super) dialect: Arc<dyn Dialect>,
     pub(super) gateway_state: Mutex<GatewayState>,
     pub(super) event_log: RateLimitedLog,
-    pub(super) metrics: Metrics,
+    pub(super) metrics: Arc<Metrics>,
     pub(super) peers: Arc<Peers>,
     /// Idle connections to replicas.
     pub(super) pool: Pool,
@@ -81,7 +81,8 @@
         let clients = clients.ok_or_else(|| eyre!("listen.clients: required by a gateway"))?;
         let clock = Clock::start();
         let key = ClusterKey::from_text(&settings.cluster_key);
-        let peers = Peers::bind(clients, settings.peer_port, key.clone()).await;
+        let metrics = Arc::new(Metrics::default());
+        let peers = Peers::bind(clients, settings.peer_port, key.clone(), metrics.clone()).await;
         let peers = Arc::new(peers.wrap_err("binding the socket for messages between gateways")?);
         let mut gateway_state =
             GatewayState::new(&settings.zone, settings.gateway_settings(), rand::random());
@@ -95,7 +96,7 @@
             dialect,
             gateway_state: Mutex::new(gateway_state),
             event_log: RateLimitedLog::default(),
-            metrics: Metrics::default(),
+            metrics,
             peers: peers.clone(),
             pool: Pool::default(),
             broken_connections,
@@ -116,7 +117,7 @@
             let service = MetricsService(move || std::future::ready(shared.render_metrics()));
             http_service::serve(executor, address, Arc::new(service)).await?;
         }
-        executor.spawn(peers::run_sender(peers.clone())).detach();
+        executor.spawn(peers::run_sender(peers.clone(), shared.clone())).detach();
         executor.spawn(peers::run_receiver(peers, shared.clone())).detach();
         executor
             .spawn(crash_watch::run(executor.clone(), shared.clone(), broken_receiver))
@@ -129,6 +130,7 @@
             zone: settings.zone.clone(),
             region: settings.region.clone(),
             is_ready: false,
+            is_legacy: false,
         };
         let watch = GatewayWatch { shared: shared.clone(), report };
         executor.spawn(watcher.run(watch, report_requests)).detach();
--- a/crates/topazmount/src/fleet/mod.rs
+++ b/crates/topazmount/src/fleet/mod.rs
@@ -6,6 +6,7 @@
 mod clients;
 mod control_service;
 mod crash_watch;
+mod datagram_drops;
 mod dialect;
 mod directory;
 mod exchange;
@@ -13,6 +14,7 @@
 mod gateway;
 mod http_client;
 mod http_service;
+mod legacy_datagrams;
 mod metrics;
 mod orders;
 mod peers;
@@ -34,6 +36,7 @@
 };
 pub use external_log::ExternalLogLimiter;
 pub use gateway::{Gateway, GatewayOptions};
+pub use legacy_datagrams::{decode_legacy, encode_legacy};
 pub use metrics::{METRICS_PATH, Metrics};
 pub use peers::GatewayMessage;
 pub use process::{run_control, run_gateway};
--- a/crates/topazmount/src/fleet/peers.rs
+++ b/crates/topazmount/src/fleet/peers.rs
@@ -1,6 +1,9 @@
 //! Datagrams between gateways: load and limit updates, and requests to shard coordinators and granters.
 
+use super::datagram_drops::{DatagramDrops, DropReason};
 use super::gateway::SharedState;
+use super::legacy_datagrams::{decode_legacy, encode_legacy};
+use super::metrics::Metrics;
 use async_channel::{Receiver, Sender};
 use async_net::UdpSocket;
 use serde::{Deserialize, Serialize};
@@ -13,12 +16,17 @@
     GrantResponse, LimitUpdate, LoadUpdate, PlacementOffer, PlacementRequest, StripeId,
 };
 use topazmount_types::Digest;
-use topazmount_wire::{ClusterKey, decode_payload, encode_datagram, open_datagram, seal_datagram};
+use topazmount_wire::{
+    ClusterKey, FrameError, ProtocolVersion, decode_payload, encode_datagram, open_datagram,
+    seal_datagram,
+};
 
 /// Largest datagram.
 const MAX_DATAGRAM_BYTES: usize = 2 * 1024;
 /// Maximum number of queued messages. Further ones are dropped; later updates make up for that.
 const MAX_PENDING: usize = 256;
+/// Maximum number of gateways whose protocol version is remembered.
+const MAX_REMEMBERED_VERSIONS: usize = 4_096;
 
 /// A message from one gateway to another.
 #[derive(Clone, Debug, Serialize, Deserialize)]
@@ -49,6 +57,22 @@
     SendGrantRequest(u64, LimitUpdate),
 }
 
+impl GatewayMessage {
+    /// Name in log lines.
+    fn name(&self) -> &'static str {
+        match self {
+            GatewayMessage::LoadUpdate(_) => "load_update",
+            GatewayMessage::PlacementRequest(..) => "placement_request",
+            GatewayMessage::PlacementResponse(..) => "placement_response",
+            GatewayMessage::GrantRequest(..) => "grant_request",
+            GatewayMessage::GrantResponse(..) => "grant_response",
+            GatewayMessage::UnitsReturned(..) => "units_returned",
+            GatewayMessage::LimitUpdate(_) => "limit_update",
+            GatewayMessage::SendGrantRequest(..) => "send_grant_request",
+        }
+    }
+}
+
 /// Response to a pending request.
 enum Response {
     Placement(Option<PlacementOffer>),
@@ -64,6 +88,9 @@
     next_request_id: AtomicU64,
     pending: Mutex<HashMap<u64, Sender<Response>>>,
     outgoing: (Sender<Outgoing>, Receiver<Outgoing>),
+    /// Protocol versions of the datagrams last received from gateways.
+    versions: Mutex<HashMap<SocketAddr, ProtocolVersion>>,
+    drops: DatagramDrops,
 }
 
 struct Outgoing {
@@ -89,6 +116,7 @@
         clients: SocketAddr,
         port: u16,
         key: ClusterKey,
+        metrics: Arc<Metrics>,
     ) -> std::io::Result<Self> {
         let own_address = SocketAddr::new(clients.ip(), port);
         let socket = UdpSocket::bind(own_address).await?;
@@ -102,6 +130,8 @@
             next_request_id: AtomicU64::new(rand::random()),
             pending: Mutex::default(),
             outgoing: async_channel::bounded(MAX_PENDING),
+            versions: Mutex::default(),
+            drops: DatagramDrops::new(metrics),
         })
     }
 
@@ -118,7 +148,96 @@
 
     fn send(&self, to: Vec<SocketAddr>, message: GatewayMessage) {
         if !to.is_empty() {
-            let _ = self.outgoing.0.try_send(Outgoing { to, message });
+            let result = self.outgoing.0.try_send(Outgoing { to, message });
+            if let Err(error) = result {
+                let message = error.into_inner().message;
+                self.drops.record(DropReason::QueueFull, || format!("message={}", message.name()));
+            }
+        }
+    }
+
+    fn record_version(&self, peer: SocketAddr, version: ProtocolVersion) {
+        let mut versions = self.versions.lock().unwrap();
+        if versions.len() >= MAX_REMEMBERED_VERSIONS && !versions.contains_key(&peer) {
+            versions.clear();
+        }
+        versions.insert(peer, version);
+    }
+
+    /// Protocol version of another gateway: that of its last datagram, else that of its build in the
+    /// leader's list.
+    fn version_of(&self, peer: SocketAddr, shared: &SharedState) -> ProtocolVersion {
+        if let Some(version) = self.versions.lock().unwrap().get(&peer) {
+            return *version;
+        }
+        match shared.gateway_state.lock().unwrap().is_legacy(peer) {
+            true => ProtocolVersion::Legacy,
+            false => ProtocolVersion::LATEST,
+        }
+    }
+
+    /// Encodes a message in a protocol version; `None` if it has to be dropped.
+    fn encode(
+        &self,
+        message: &GatewayMessage,
+        version: ProtocolVersion,
+        shared: &SharedState,
+    ) -> Option<Vec<u8>> {
+        let payload = match version {
+            ProtocolVersion::Named => Some(encode_datagram(message)),
+            ProtocolVersion::Legacy => {
+                let mut gateway_state = shared.gateway_state.lock().unwrap();
+                encode_legacy(message, gateway_state.balancer())
+            }
+        };
+        let detail = || format!("message={} version={}", message.name(), version.name());
+        let payload = match payload {
+            None => {
+                self.drops.record(DropReason::UnknownToRecipient, detail);
+                return None;
+            }
+            Some(Err(error)) => {
+                let detail = || format!("{} problem={error}", detail());
+                self.drops.record(DropReason::Unencodable, detail);
+                return None;
+            }
+            Some(Ok(payload)) => payload,
+        };
+        let datagram = seal_datagram(&self.key, version, &payload);
+        if datagram.len() > MAX_DATAGRAM_BYTES {
+            let detail = || format!("{} bytes={}", detail(), datagram.len());
+            self.drops.record(DropReason::TooLarge, detail);
+            return None;
+        }
+        Some(datagram)
+    }
+
+    /// Sends a message to all recipients, encoded once per protocol version.
+    async fn send_now(&self, to: &[SocketAddr], message: &GatewayMessage, shared: &SharedState) {
+        let (legacy, named): (Vec<SocketAddr>, Vec<SocketAddr>) =
+            to.iter().partition(|peer| self.version_of(**peer, shared) == ProtocolVersion::Legacy);
+        let groups = [(ProtocolVersion::Named, named), (ProtocolVersion::Legacy, legacy)];
+        for (version, recipients) in groups {
+            if recipients.is_empty() {
+                continue;
+            }
+            let Some(datagram) = self.encode(message, version, shared) else { continue };
+            for peer in recipients {
+                if let Err(error) = self.socket.send_to(&datagram, peer).await {
+                    let detail = || format!("peer={peer} problem={error}");
+                    self.drops.record(DropReason::SendFailed, detail);
+                }
+            }
+        }
+    }
+
+    /// Verifies and decodes a datagram.
+    fn decode(&self, datagram: &[u8], sender: SocketAddr) -> Result<GatewayMessage, FrameError> {
+        let (version, payload) = open_datagram(&self.key, datagram)?;
+        self.record_version(sender, version);
+        match version {
+            ProtocolVersion::Named => decode_payload(payload),
+            ProtocolVersion::Legacy => decode_legacy(payload),
         }
     }
 
@@ -218,16 +337,9 @@
 }
 
 /// Sends queued messages forever.
-pub(super) async fn run_sender(peers: Arc<Peers>) {
+pub(super) async fn run_sender(peers: Arc<Peers>, shared: Arc<SharedState>) {
     while let Ok(Outgoing { to, message }) = peers.outgoing.1.recv().await {
-        let Ok(payload) = encode_datagram(&message) else { continue };
-        let datagram = seal_datagram(&peers.key, &payload);
-        if datagram.len() > MAX_DATAGRAM_BYTES {
-            continue;
-        }
-        for address in to {
-            let _ = peers.socket.send_to(&datagram, address).await;
-        }
+        peers.send_now(&to, &message, &shared).await;
     }
 }
 
@@ -236,43 +348,47 @@
     let mut buffer = vec![0u8; MAX_DATAGRAM_BYTES];
     loop {
         let Ok((length, sender)) = peers.socket.recv_from(&mut buffer).await else { continue };
-        let payload = open_datagram(&peers.key, &buffer[..length]);
-        let message =
-            payload.ok().and_then(|payload| decode_payload::<GatewayMessage>(payload).ok());
+        let message = peers.decode(&buffer[..length], sender);
         let now = shared.clock.now();
         match message {
-            Some(GatewayMessage::LoadUpdate(update)) => {
+            Ok(GatewayMessage::LoadUpdate(update)) => {
+                shared.metrics.count_event("load_update");
                 shared.gateway_state.lock().unwrap().balancer().apply_load_update(&update, now);
             }
-            Some(GatewayMessage::PlacementRequest(request_id, request)) => {
+            Ok(GatewayMessage::PlacementRequest(request_id, request)) => {
                 shared.metrics.count_event("question_answered");
                 let offer = shared.gateway_state.lock().unwrap().place(&request, now);
                 peers.send(vec![sender], GatewayMessage::PlacementResponse(request_id, offer));
             }
-            Some(GatewayMessage::PlacementResponse(request_id, offer)) => {
+            Ok(GatewayMessage::PlacementResponse(request_id, offer)) => {
                 peers.complete(request_id, Response::Placement(offer))
             }
-            Some(GatewayMessage::GrantRequest(request_id, stripe, amount)) => {
+            Ok(GatewayMessage::GrantRequest(request_id, stripe, amount)) => {
                 let response = shared.gateway_state.lock().unwrap().grant(stripe, amount, now);
                 shared.metrics.count_event(grant_event(response));
                 peers.send(vec![sender], GatewayMessage::GrantResponse(request_id, response));
             }
-            Some(GatewayMessage::GrantResponse(request_id, response)) => {
+            Ok(GatewayMessage::GrantResponse(request_id, response)) => {
                 peers.complete(request_id, Response::Grant(response));
             }
-            Some(GatewayMessage::UnitsReturned(stripe, amount)) => {
+            Ok(GatewayMessage::UnitsReturned(stripe, amount)) => {
                 shared.gateway_state.lock().unwrap().return_units(stripe, amount, now);
             }
-            Some(GatewayMessage::LimitUpdate(update)) => {
+            Ok(GatewayMessage::LimitUpdate(update)) => {
                 let to = shared.gateway_state.lock().unwrap().apply_limit_update(&update, now);
                 peers.send_limit_update(to, update);
             }
-            Some(GatewayMessage::SendGrantRequest(request_id, update)) => {
+            Ok(GatewayMessage::SendGrantRequest(request_id, update)) => {
                 let response = shared.gateway_state.lock().unwrap().grant_send(&update, now);
                 shared.metrics.count_event(send_grant_event(response));
                 peers.send(vec![sender], GatewayMessage::GrantResponse(request_id, response));
             }
-            None => shared.metrics.count_event("bad_datagram"),
+            Err(error) => {
+                shared.metrics.count_event("bad_datagram");
+                shared.event_log.info(|| {
+                    format!("gateway: event=bad_datagram sender={sender} problem={error}")
+                });
+            }
         }
     }
 }
--- a/crates/wire/src/session.rs
+++ b/crates/wire/src/session.rs
@@ -185,23 +185,27 @@
 
 /// Creates an authenticated datagram. Datagrams can be lost, repeated and reordered; there is no
 /// replay protection.
-pub fn seal_datagram(cluster: &ClusterKey, payload: &[u8]) -> Vec<u8> {
+pub fn seal_datagram(cluster: &ClusterKey, version: ProtocolVersion, payload: &[u8]) -> Vec<u8> {
     let tag = tag(&datagram_key(cluster), 0, payload);
     let mut datagram = Vec::with_capacity(1 + TAG_LENGTH + payload.len());
-    datagram.push(ProtocolVersion::LATEST.number());
+    datagram.push(version.number());
     datagram.extend_from_slice(&tag.as_bytes()[..TAG_LENGTH]);
     datagram.extend_from_slice(payload);
     datagram
 }
 
-/// Verifies a datagram and returns its payload.
+/// Verifies a datagram and returns its version and payload.
 ///
 /// # Errors
 /// [`FrameError`] if the datagram is invalid.
-pub fn open_datagram<'a>(cluster: &ClusterKey, datagram: &'a [u8]) -> Result<&'a [u8], FrameError> {
-    let opener =
-        Opener { version: ProtocolVersion::LATEST, key: datagram_key(cluster), sequence: 0 };
-    opener.check(datagram)
+pub fn open_datagram<'a>(
+    cluster: &ClusterKey,
+    datagram: &'a [u8],
+) -> Result<(ProtocolVersion, &'a [u8]), FrameError> {
+    let number = *datagram.first().ok_or(FrameError::Length(0))?;
+    let version = ProtocolVersion::from_number(number).ok_or(FrameError::Version)?;
+    let opener = Opener { version, key: datagram_key(cluster), sequence: 0 };
+    Ok((version, opener.check(datagram)?))
 }
 
 fn datagram_key(cluster: &ClusterKey) -> [u8; 32] {
--- a/crates/wire/tests/frames.rs
+++ b/crates/wire/tests/frames.rs
@@ -100,10 +100,10 @@
 
 #[test]
 fn datagrams_of_other_keys_and_modified_datagrams_are_rejected() {
-    use topazmount_wire::{FrameError, open_datagram, seal_datagram};
+    use topazmount_wire::{FrameError, ProtocolVersion, open_datagram, seal_datagram};
     let (key, other) = (ClusterKey::from_text("one"), ClusterKey::from_text("other"));
-    let datagram = seal_datagram(&key, b"data");
-    assert_eq!(open_datagram(&key, &datagram).unwrap(), b"data");
+    let datagram = seal_datagram(&key, ProtocolVersion::LATEST, b"data");
+    assert_eq!(open_datagram(&key, &datagram).unwrap(), (ProtocolVersion::LATEST, &b"data"[..]));
     assert_eq!(open_datagram(&other, &datagram), Err(FrameError::Authentication));
     for position in 0..datagram.len() {
         let mut altered = datagram.clone();
--- a/crates/wire/tests/recorded_bytes.rs
+++ b/crates/wire/tests/recorded_bytes.rs
@@ -54,7 +54,7 @@
             add(&format!("frame_{name}_{number}"), frame);
         }
     }
-    add("datagram", &seal_datagram(&key(), b"payload"));
+    add("datagram", &seal_datagram(&key(), ProtocolVersion::LATEST, b"payload"));
     add("payload", &encode_payload(&(7u64, "text")).unwrap());
     add("payload_of_datagram", &encode_datagram(&(7u64, "text")).unwrap());
     add("plain", &compress(b"small"));
@@ -81,7 +81,9 @@
             }
         }
     }
-    assert_eq!(open_datagram(&key(), &recorded("datagram")).unwrap(), b"payload");
+    let datagram = recorded("datagram");
+    let (version, payload) = open_datagram(&key(), &datagram).unwrap();
+    assert_eq!((version, payload), (ProtocolVersion::LATEST, &b"payload"[..]));
     assert_eq!(decompress(&recorded("plain")).unwrap(), b"small");
     assert_eq!(decompress(&recorded("deflated")).unwrap(), LARGE);
 }
