A refusal no longer ends a stream that the client has a part of

Seen: a stream is cut in the middle (LOST) though other replicas could go on with it: the replica asked to resume it answers that it did not run it, and that counted as an attempt; the stream's attempts were spent. Cause: AttemptEnd::NotRun took one of the route's attempts, though the rule counts replicas that run a request. A stalled stream was then offered to nobody else, or, where the refusal came after the stalled replica was dropped, ended. Why this works: once the client has a part, a refusal does not count; each further replica still takes from the retry budget, none is asked twice, and replicas that may run it stay within the route's number. A stalled stream is offered to the next replica at once after a refusal.

--- a/crates/gateway/src/plan.rs
+++ b/crates/gateway/src/plan.rs
@@ -86,6 +86,8 @@
     /// Whether the last incarnation was already retried; a second version mismatch goes to another
     /// one.
     was_retried: bool,
+    /// Whether the client has received a part of the response.
+    is_response_begun: bool,
 }
 
 impl RequestPlan {
@@ -100,6 +102,7 @@
             tried: Vec::new(),
             pinned_to: None,
             was_retried: false,
+            is_response_begun: false,
         }
     }
 
@@ -128,6 +131,11 @@
         self.may_have_run
     }
 
+    /// Records that the client has received a part of the response.
+    pub fn begin_response(&mut self) {
+        self.is_response_begun = true;
+    }
+
     /// What a response may state about the request.
     pub fn run_state(&self) -> RunState {
         if self.may_have_run { RunState::Unknown } else { RunState::NotRun }
@@ -169,6 +177,11 @@
                 self.attempts_left += 1;
                 self.has_reached_replica = true;
             }
+            // A refusal must not end a response that the client has a part of; as above otherwise.
+            AttemptEnd::NotRun if self.is_response_begun => {
+                self.attempts_left += 1;
+                self.has_reached_replica = true;
+            }
             // The same replica is retried, so the attempt does not count.
             AttemptEnd::VersionMismatch if !self.was_retried => {
                 self.attempts_left += 1;
--- a/crates/gateway/tests/plan.rs
+++ b/crates/gateway/tests/plan.rs
@@ -69,6 +69,22 @@
     ));
 }
 
+/// Guards against a stream that is cut because a replica refused to resume it. The number of replicas
+/// that run it stays limited.
+#[rstest]
+#[case::refused(AttemptEnd::NotRun, true)]
+#[case::broken(AttemptEnd::Broken, false)]
+#[case::timed_out(AttemptEnd::TimedOut, false)]
+fn a_refusal_does_not_end_a_begun_response(#[case] end: AttemptEnd, #[case] is_retried: bool) {
+    let mut plan = plan(true, 2);
+    plan.begin_response();
+    assert!(matches!(plan.end(AttemptEnd::Broken), NextStep::Retry { needs_budget: true, .. }));
+    plan.begin("second".to_owned());
+    let next = plan.end(end);
+    assert_eq!(matches!(next, NextStep::Retry { needs_budget: true, .. }), is_retried, "{next:?}");
+    assert_eq!(plan.run_state(), RunState::Unknown);
+}
+
 #[test]
 fn a_failure_is_forwarded_if_no_retry_is_allowed() {
     assert_eq!(plan(false, 3).end(AttemptEnd::Failed), NextStep::Forward);
--- a/crates/topazmount/src/fleet/exchange/mod.rs
+++ b/crates/topazmount/src/fleet/exchange/mod.rs
@@ -293,6 +293,7 @@
                     }
                 }
                 AttemptResult::Stream(stream) => {
+                    plan.begin_response();
                     let end;
                     (in_flight, end) = self.relay_resuming(plan, in_flight, stream, progress).await;
                     match end {
--- a/crates/topazmount/src/fleet/exchange/resume.rs
+++ b/crates/topazmount/src/fleet/exchange/resume.rs
@@ -77,34 +77,39 @@
         self.log_attempt(&in_flight.choice, "silent_in_stream");
     }
 
-    /// Offers the stream to another replica; the stalled one is kept until the other accepts.
+    /// Offers the stream to other replicas until one accepts; the stalled one is kept until then.
     async fn resume(
         &self,
         plan: &mut RequestPlan,
-        stalled: Box<StreamStart>,
+        mut stalled: Box<StreamStart>,
         progress: &ClientProgress,
     ) -> Resumed<'e> {
-        let Some(in_flight) = self.choose(plan).await else { return Resumed::SameReplica(stalled) };
-        if !self.take_retry() {
-            return Resumed::SameReplica(stalled);
-        }
-        plan.begin(in_flight.choice.instance.incarnation_name());
-        match self.hand_over(plan, &in_flight, stalled, progress).await {
-            Handover::StalledResumed(stalled) => Resumed::SameReplica(stalled),
-            Handover::Refused(stalled, end) => {
-                self.record_failure(&in_flight, end);
-                self.log_attempt(&in_flight.choice, end.name());
-                plan.end(end);
-                Resumed::SameReplica(stalled)
+        while self.may_switch(plan) {
+            let Some(in_flight) = self.choose(plan).await else { break };
+            if !self.take_retry() {
+                break;
             }
-            Handover::Taken(AttemptResult::Stream(stream)) => {
-                Resumed::OtherReplica(in_flight, stream)
-            }
-            Handover::Taken(AttemptResult::Ended(end)) => Resumed::Failed(in_flight, end),
-            Handover::Taken(AttemptResult::Failure(..) | AttemptResult::Success(..)) => {
-                Resumed::Failed(in_flight, AttemptEnd::Failed)
+            plan.begin(in_flight.choice.instance.incarnation_name());
+            match self.hand_over(plan, &in_flight, stalled, progress).await {
+                Handover::StalledResumed(stalled) => return Resumed::SameReplica(stalled),
+                Handover::Refused(kept, end) => {
+                    self.record_failure(&in_flight, end);
+                    self.log_attempt(&in_flight.choice, end.name());
+                    plan.end(end);
+                    stalled = kept;
+                }
+                Handover::Taken(AttemptResult::Stream(stream)) => {
+                    return Resumed::OtherReplica(in_flight, stream);
+                }
+                Handover::Taken(AttemptResult::Ended(end)) => {
+                    return Resumed::Failed(in_flight, end);
+                }
+                Handover::Taken(AttemptResult::Failure(..) | AttemptResult::Success(..)) => {
+                    return Resumed::Failed(in_flight, AttemptEnd::Failed);
+                }
             }
         }
+        Resumed::SameReplica(stalled)
     }
 
     /// Sends the request to another replica while still reading from the stalled one, until the other
