--- a/crates/control/tests/membership.rs
+++ b/crates/control/tests/membership.rs
@@ -9,6 +9,10 @@
 /// deployments).
 const CATCH_UP: Duration = Duration::from_secs(4);
 
+/// Time after the last fault within which the group must be as intended (`recover_s` of the
+/// deployments).
+const RECOVERY: Duration = Duration::from_secs(12);
+
 /// Time after which the size of a group is confirmed.
 const SIZE_CONFIRMED: Duration = Duration::from_secs(15);
 
@@ -114,6 +118,30 @@
         assert_eq!((world.voters(), world.learners()), (5, 0), "{}", world.trace());
     }
 
+    /// Guards against a learner that counts although its machine lost its disk, asked to join, and was
+    /// replaced before it became a voter. Silence is counted anew by each leader.
+    a_learner_that_was_replaced_is_removed_in_time => {
+        for seed in 0..32 {
+            let mut world = World::with_founders(&[1, 2, 3], &[1, 2, 3, 4, 5], seed);
+            world.run(SIZE_CONFIRMED);
+            world.wipe(5);
+            world.start(5);
+            world.run_until("it is a learner", CATCH_UP, |world| world.learners() == 1);
+            world.remove(5);
+            world.set_seeds(6, &[1, 2]);
+            world.start(6);
+            world.run(CATCH_UP);
+            // Suspended rather than killed, so that the others have to notice it.
+            let leader = world.leader().unwrap();
+            world.freeze(leader);
+            world.run(Duration::from_millis(100 * seed));
+            world.thaw(leader);
+            world.run(RECOVERY);
+            let counted = (world.voters(), world.learners());
+            assert_eq!(counted, (5, 0), "seed {seed}: {}", world.trace());
+        }
+    }
+
     /// A leader must not take a new learner for silent before it could respond.
     a_new_learner_has_time_to_respond => {
         let mut world = World::with_founders(&[1, 2, 3], &[1, 2, 3, 4, 5], 0);
