A breaker's failures count for ten seconds

Seen: a replica of the older interface that fails single requests minutes apart is passed over as if it had failed twice in a row. Cause: failures since the last success were counted without a time. Evidence: admission/tests/breaker.rs, of whose 7 tests failures_far_apart_do_not_open_it fails before. Why it works: a failure older than failure_memory starts the count anew.

--- a/crates/admission/src/breaker.rs
+++ b/crates/admission/src/breaker.rs
@@ -8,6 +8,8 @@
 pub struct BreakerSettings {
     /// Consecutive failures that open the breaker.
     pub failure_threshold: u32,
+    /// Time after which a failure no longer counts towards the threshold.
+    pub failure_memory: Duration,
     /// How long it stays open the first time; doubled each time the probe fails.
     pub initial_open: Duration,
     /// Maximum time that it stays open.
@@ -18,6 +20,7 @@
     fn default() -> Self {
         BreakerSettings {
             failure_threshold: 2,
+            failure_memory: Duration::from_secs(10),
             initial_open: Duration::from_millis(500),
             max_open: Duration::from_secs(8),
         }
@@ -39,6 +42,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct Breaker {
     consecutive_failures: u32,
+    last_failure_at: Option<Time>,
     times_opened: u32,
     open_until: Option<Time>,
     is_probing: bool,
@@ -68,7 +72,12 @@
 
     /// Records a failure.
     pub fn on_failure(&mut self, now: Time, settings: &BreakerSettings) {
+        let is_recent = |at: Time| now < at + settings.failure_memory;
+        if !self.last_failure_at.is_some_and(is_recent) {
+            self.consecutive_failures = 0;
+        }
         self.consecutive_failures += 1;
+        self.last_failure_at = Some(now);
         let probe_failed = std::mem::take(&mut self.is_probing);
         let is_open = self.open_until.is_some_and(|until| now < until);
         if probe_failed || (self.consecutive_failures >= settings.failure_threshold && !is_open) {
