What the leader tells a gateway of a replica is logged and counted

A change of belief that had no line: event=notice, bounded like all lines of requests; topazmount_events{event="notice"}.

--- a/crates/admission/src/pushback.rs
+++ b/crates/admission/src/pushback.rs
@@ -144,13 +144,16 @@
     }
 
     /// Records that an incarnation is leaving, as another process received it at `reported_at`.
-    pub fn record_leaving(&mut self, incarnation: &str, reported_at: Time, now: Time) {
+    /// Returns whether this was not known.
+    pub fn record_leaving(&mut self, incarnation: &str, reported_at: Time, now: Time) -> bool {
         self.evict(now);
         let record = self.records.entry(incarnation.to_owned()).or_insert(Record::new(now));
+        let was_leaving = now < record.leaving_until;
         if reported_at > record.leaving_reported_at {
             record.leaving_reported_at = reported_at;
             record.leaving_until = reported_at + self.cfg.max_leaving;
         }
+        !was_leaving && now < record.leaving_until
     }
 
     /// When an incarnation last reported that it is leaving; `None` if it does not count as leaving.
--- a/crates/gateway/src/balancer/pushback.rs
+++ b/crates/gateway/src/balancer/pushback.rs
@@ -83,16 +83,16 @@
         notices
     }
 
-    /// Applies a notice that another node received.
-    pub(crate) fn apply_notice(&mut self, notice: &ReplicaNotice, now: Time) {
+    /// Applies a notice that another node received. Returns whether it is news to this node.
+    pub(crate) fn apply_notice(&mut self, notice: &ReplicaNotice, now: Time) -> bool {
         let reported_at = now - notice.age;
         match notice.kind {
             NoticeKind::Limit(limit) => {
                 let incarnation = ReplicaId::from_name(&notice.incarnation).0;
-                self.limits.record_update(incarnation, limit, reported_at);
+                self.limits.record_update(incarnation, limit, reported_at).is_some()
             }
             NoticeKind::Leaving => {
-                self.pushbacks.record_leaving(&notice.incarnation, reported_at, now);
+                self.pushbacks.record_leaving(&notice.incarnation, reported_at, now)
             }
         }
     }
--- a/crates/gateway/src/state/notices.rs
+++ b/crates/gateway/src/state/notices.rs
@@ -50,23 +50,27 @@
         notices
     }
 
-    /// Applies the notices of a view, after its replicas.
-    pub fn apply_notices(&mut self, view: &FleetView, now: Time) {
+    /// Applies the notices of a view, after its replicas. Returns those that are news to this gateway.
+    pub fn apply_notices(&mut self, view: &FleetView, now: Time) -> Vec<ReplicaNotice> {
         let is_from_leader = view.is_leased();
         self.leader_notices.has_leader_view |= is_from_leader;
         if view.leader.is_some() {
             self.leader_notices.leader_named_at.get_or_insert(now);
         }
         let Some((count, notices)) = view.notices.as_ref().filter(|_| is_from_leader) else {
-            return;
+            return Vec::new();
         };
         self.seen.notices = *count;
         self.leader_notices.by_subject.clear();
+        let mut news = Vec::new();
         for notice in notices {
-            self.balancer.apply_notice(notice, now);
+            if self.balancer.apply_notice(notice, now) {
+                news.push(notice.clone());
+            }
             let key = (notice.incarnation.clone(), notice.kind.subject());
             let known = Known { kind: notice.kind, received_at: now - notice.age };
             self.leader_notices.by_subject.insert(key, known);
         }
+        news
     }
 }
--- a/crates/gateway/tests/notices.rs
+++ b/crates/gateway/tests/notices.rs
@@ -109,6 +109,16 @@
     assert_eq!(state.notices_to_report(START + millis(400)).len(), reported);
 }
 
+#[rstest]
+#[case::limit(NoticeKind::Limit(limit(2.0)))]
+#[case::leaving(NoticeKind::Leaving)]
+fn a_notice_is_news_once(#[case] kind: NoticeKind) {
+    let mut state = gateway(&view(Some(Vec::new())));
+    let told = view(Some(vec![notice(kind, millis(700))]));
+    assert_eq!(state.apply_notices(&told, START).len(), 1);
+    assert_eq!(state.apply_notices(&told, START), []);
+}
+
 /// A limit that was removed is not brought back by the older one in the leader's list.
 #[test]
 fn a_newer_limit_of_a_gateway_replaces_the_leaders() {
--- a/crates/topazmount/src/fleet/exchange/pushback.rs
+++ b/crates/topazmount/src/fleet/exchange/pushback.rs
@@ -1,9 +1,10 @@
 //! Records pushback and request limits from replicas' responses.
 
 use super::super::dialect::ResponseMetadata;
+use super::super::log_text::per_second;
 use super::Exchange;
 use std::time::Duration;
-use topazmount_admission::{LimitChange, RequestLimit};
+use topazmount_admission::LimitChange;
 use topazmount_gateway::Choice;
 use topazmount_types::Time;
 
@@ -109,8 +110,3 @@
         });
     }
 }
-
-/// A limit as text for logs.
-pub(super) fn per_second(limit: Option<RequestLimit>) -> String {
-    limit.map_or_else(|| "none".to_owned(), |limit| limit.rate().to_string())
-}
--- a/crates/topazmount/src/fleet/exchange/record.rs
+++ b/crates/topazmount/src/fleet/exchange/record.rs
@@ -1,7 +1,7 @@
 //! Records the results of attempts in the gateway's state, the log and the metrics.
 
 use super::super::crash_watch;
-use super::pushback::per_second;
+use super::super::log_text::per_second;
 use super::{EventTiming, Exchange, InFlight};
 use crate::http1::ResponseHead;
 use std::sync::atomic::Ordering;
--- a/crates/topazmount/src/fleet/gateway.rs
+++ b/crates/topazmount/src/fleet/gateway.rs
@@ -4,6 +4,7 @@
 use super::crash_watch;
 use super::dialect::{ControlCall, Dialect, HttpResponse};
 use super::http_service::{self, Service};
+use super::log_text::per_second;
 use super::metrics::{Metrics, MetricsService};
 use super::peers::{self, Peers};
 use super::pool::Pool;
@@ -21,7 +22,9 @@
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
-use topazmount_control::{CrashReport, FleetView, GatewayReport, ReplicaNotice, SeenVersions};
+use topazmount_control::{
+    CrashReport, FleetView, GatewayReport, NoticeKind, ReplicaNotice, SeenVersions,
+};
 use topazmount_gateway::{GatewayState, HttpLimits};
 use topazmount_types::{ErrorKind, Instance, Time};
 use topazmount_wire::ClusterKey;
@@ -210,6 +213,23 @@
         self.metrics.render()
     }
 
+    /// Logs what the leader told of a replica.
+    fn log_notice(&self, notice: &ReplicaNotice) {
+        self.metrics.count_event("notice");
+        let (kind, limit) = match notice.kind {
+            NoticeKind::Limit(limit) => ("limit", limit),
+            NoticeKind::Leaving => ("leaving", None),
+        };
+        self.event_log.info(|| {
+            format!(
+                "gateway: event=notice incarnation={} kind={kind} per_second={} age_ms={}",
+                notice.incarnation,
+                per_second(limit),
+                notice.age.as_millis()
+            )
+        });
+    }
+
     fn is_ready(&self) -> bool {
         let now = self.clock.now();
         !self.is_stopping() && self.gateway_state.lock().unwrap().is_confirmed(now)
@@ -317,15 +337,16 @@
                 view.revision
             );
         }
-        let (crashed, (blocked, released), changes) = {
+        let (crashed, (blocked, released), changes, notices) = {
             let mut gateway_state = self.shared.gateway_state.lock().unwrap();
             let now = self.shared.clock.now();
             let crashed = gateway_state.confirm_crashes(&view, now);
             let changes = gateway_state.apply(&view, catalog, requested_at);
             gateway_state.confirm_grants(&view, requested_at, now);
-            gateway_state.apply_notices(&view, now);
-            (crashed, gateway_state.apply_blocked(&view, now), changes)
+            let notices = gateway_state.apply_notices(&view, now);
+            (crashed, gateway_state.apply_blocked(&view, now), changes, notices)
         };
+        notices.iter().for_each(|notice| self.shared.log_notice(notice));
         self.send_limits_to_new_gateways();
         changes.iter().for_each(|change| self.shared.handle_change(change, "status"));
         for (instance, requests) in crashed {
