A new leader has what replicas asked of all their callers

Cause: gateways believed that the leader had what its predecessor had, so they reported nothing until its empty list came. Why this works: members record notices whether they lead or not, and a gateway whose view comes from a follower reports all it knows.

--- a/crates/control/src/fleet/leader.rs
+++ b/crates/control/src/fleet/leader.rs
@@ -95,7 +95,6 @@
             self.last_heartbeat.clear();
             self.rollout.reset(term);
             self.statuses.clear();
-            self.notices.clear();
             self.checked_at = Time::ZERO;
         }
         let Some((_, since)) = self.term else { return Default::default() };
@@ -181,9 +180,8 @@
         if let Some(report) = &request.gateway {
             self.gateways.on_report(now, report);
         }
-        if self.term.is_some() {
-            self.notices.on_report(now, &request.notices);
-        }
+        // Also by a member that does not lead, so that it knows them if it becomes the leader.
+        self.notices.on_report(now, &request.notices);
         let until = now + request.wait.min(MAX_WAIT);
         let update_from = self.gateways.update_from(&request);
         self.watchers.push(Watcher { token, request, update_from, until });
--- a/crates/control/src/fleet/notices.rs
+++ b/crates/control/src/fleet/notices.rs
@@ -1,8 +1,8 @@
 //! What replicas asked of all their callers, kept so that a gateway that starts knows it.
 //!
 //! Replicas tell only their callers. Each gateway reports what the leader's list lacks, and the
-//! leader sends its list to all gateways. It is kept in memory: a new leader starts with an empty
-//! list, and the gateways report again.
+//! leader sends its list to all gateways. Lists are kept in memory. While no leader responds,
+//! gateways report all they know to the members they ask instead, so that the next leader has it.
 
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, HashSet};
@@ -62,7 +62,7 @@
     received_at: Time,
 }
 
-/// The leader's list. Invariant: the count rises with each change of a notice's content.
+/// A member's list; only the leader's is sent to gateways. Invariant: the count rises with each change of a notice's content.
 #[derive(Default)]
 pub(crate) struct NoticeList {
     entries: BTreeMap<(String, NoticeSubject), Entry>,
@@ -70,10 +70,6 @@
 }
 
 impl NoticeList {
-    pub(crate) fn clear(&mut self) {
-        *self = NoticeList::default();
-    }
-
     /// Applies a gateway's notices. The most recently received one on a subject holds.
     pub(crate) fn on_report(&mut self, now: Time, notices: &[ReplicaNotice]) {
         for notice in notices {
--- a/crates/control/src/fleet/protocol.rs
+++ b/crates/control/src/fleet/protocol.rs
@@ -134,7 +134,7 @@
     /// Crashes that the requester saw lately; recorded by the leader only.
     #[serde(default)]
     pub crashes: CrashReport,
-    /// Replicas' notices that the leader's list lacks; recorded by the leader only.
+    /// Replicas' notices that the leader's list lacks.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub notices: Vec<ReplicaNotice>,
 }
--- a/crates/gateway/src/state/notices.rs
+++ b/crates/gateway/src/state/notices.rs
@@ -57,6 +57,11 @@
         if view.leader.is_some() {
             self.leader_notices.leader_named_at.get_or_insert(now);
         }
+        if !is_from_leader {
+            // The next leader may lack what this one had.
+            self.leader_notices.by_subject.clear();
+            self.seen.notices = Default::default();
+        }
         let Some((count, notices)) = view.notices.as_ref().filter(|_| is_from_leader) else {
             return Vec::new();
         };
--- a/crates/gateway/tests/notices.rs
+++ b/crates/gateway/tests/notices.rs
@@ -109,6 +109,20 @@
     assert_eq!(state.notices_to_report(START + millis(400)).len(), reported);
 }
 
+/// Guards against a new leader that is not told what its predecessor knew. A follower's view shows that
+/// the leader may have changed.
+#[test]
+fn all_notices_are_reported_while_no_leader_responds() {
+    let told = vec![notice(NoticeKind::Leaving, millis(700))];
+    let mut state = gateway(&view(Some(told.clone())));
+    assert_eq!(state.notices_to_report(START), []);
+    apply(&mut state, &view(None), START + millis(400));
+    assert_eq!(state.notices_to_report(START + millis(400)).len(), 1);
+    assert_eq!(state.seen_versions().notices, (0, 0), "the list is requested again");
+    state.apply_notices(&view(Some(told)), START + millis(800));
+    assert_eq!(state.notices_to_report(START + millis(800)), []);
+}
+
 #[rstest]
 #[case::limit(NoticeKind::Limit(limit(2.0)))]
 #[case::leaving(NoticeKind::Leaving)]
