Followers pass on what replicas asked, and gateways tell them all as soon as the leader is silent

Cause: followers kept notices to themselves, and gateways reported to them only after a first view of theirs. Why this works: a follower's view has its list, and a watch that fails makes a gateway report all it knows with its next request.

--- a/crates/control/src/fleet/leader.rs
+++ b/crates/control/src/fleet/leader.rs
@@ -283,14 +283,15 @@
         if crashes.blocked_revision() > seen.blocked {
             view.blocked = Some((crashes.blocked_revision(), crashes.blocked()));
         }
+        if request.gateway.is_some() {
+            let term = self.term.map(|(term, _)| term).unwrap_or_default();
+            view.notices = self.notices.update_since(now, term, seen.notices);
+        }
         let Some((term, _)) = self.term else { return view };
         view.gateway_count = self.gateways.len() as u32;
         if wants_statuses(seen) {
             view.statuses = self.statuses.update_since(term, seen, state, &view.instances);
         }
-        if request.gateway.is_some() {
-            view.notices = self.notices.update_since(now, term, seen.notices);
-        }
         if request.wants_gateways {
             view.gateways = self.gateways.update_since(term, seen.gateways);
         }
--- a/crates/control/src/fleet/notices.rs
+++ b/crates/control/src/fleet/notices.rs
@@ -62,7 +62,7 @@
     received_at: Time,
 }
 
-/// A member's list; only the leader's is sent to gateways. Invariant: the count rises with each change of a notice's content.
+/// A member's list. Invariant: the count rises with each change of a notice's content.
 #[derive(Default)]
 pub(crate) struct NoticeList {
     entries: BTreeMap<(String, NoticeSubject), Entry>,
--- a/crates/control/src/fleet/protocol.rs
+++ b/crates/control/src/fleet/protocol.rs
@@ -177,7 +177,8 @@
     /// Whether there are further changes of replicas after `revision`.
     #[serde(default)]
     pub has_more: bool,
-    /// All replicas' notices that the leader knows, with their term and count, if changed.
+    /// All replicas' notices that the member knows, with their term and count, if changed. The term is
+    /// that of a leader; a list of another member may lack some.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub notices: Option<((Term, u64), Vec<ReplicaNotice>)>,
 }
--- a/crates/control/tests/next_leader_notices.rs
+++ b/crates/control/tests/next_leader_notices.rs
@@ -39,7 +39,7 @@
 /// Guards against a new leader that knows nothing of what gateways told its followers while there was
 /// no leader.
 #[test]
-fn a_new_leader_has_what_gateways_reported_to_followers() {
+fn members_and_a_new_leader_have_what_gateways_reported_to_followers() {
     for seed in 0..8 {
         let mut world = World::with_founders(&[1, 2, 3], &[1, 2, 3], seed);
         world.run(ELECTION);
@@ -51,7 +51,9 @@
             age: Duration::ZERO,
         };
         for follower in [1, 2, 3].into_iter().filter(|host| *host != leader) {
-            watch(&mut world, follower, vec![notice.clone()]);
+            let view = watch(&mut world, follower, vec![notice.clone()]);
+            let (_, notices) = view.and_then(|view| view.notices).expect("a list of its own");
+            assert_eq!(notices.len(), 1, "a follower passes on what it was told");
         }
         world.run(ELECTION);
         let next = world.leader().expect("the others elect a leader");
--- a/crates/gateway/src/state/notices.rs
+++ b/crates/gateway/src/state/notices.rs
@@ -3,11 +3,12 @@
 use super::GatewayState;
 use std::collections::HashMap;
 use std::time::Duration;
+use topazmount_consensus::Term;
 use topazmount_control::{FleetView, NoticeKind, NoticeSubject, ReplicaNotice};
 use topazmount_types::Time;
 
-/// Time after its first view for which a starting gateway waits for one of the leader. The leader's
-/// is the only one with notices, but a gateway must serve without a leader too.
+/// Time after its first view for which a starting gateway waits for one of the leader. Only the
+/// leader's notices are complete, but a gateway must serve without a leader too.
 const LEADER_VIEW_TIMEOUT: Duration = Duration::from_millis(500);
 
 /// The leader's list of notices as last received, and whether any was received.
@@ -58,24 +59,30 @@
             self.leader_notices.leader_named_at.get_or_insert(now);
         }
         if !is_from_leader {
-            // The next leader may lack what this one had.
-            self.leader_notices.by_subject.clear();
-            self.seen.notices = Default::default();
+            self.forget_leader_notices();
         }
-        let Some((count, notices)) = view.notices.as_ref().filter(|_| is_from_leader) else {
-            return Vec::new();
-        };
-        self.seen.notices = *count;
+        let Some((count, notices)) = view.notices.as_ref() else { return Vec::new() };
+        if is_from_leader {
+            self.set_leader_notices(*count, notices, now);
+        }
+        let mut news = notices.clone();
+        news.retain(|notice| self.balancer.apply_notice(notice, now));
+        news
+    }
+
+    /// Makes all notices be reported and requested again, as the next leader may lack what this one had.
+    pub fn forget_leader_notices(&mut self) {
+        self.leader_notices.by_subject.clear();
+        self.seen.notices = Default::default();
+    }
+
+    fn set_leader_notices(&mut self, count: (Term, u64), notices: &[ReplicaNotice], now: Time) {
+        self.seen.notices = count;
         self.leader_notices.by_subject.clear();
-        let mut news = Vec::new();
         for notice in notices {
-            if self.balancer.apply_notice(notice, now) {
-                news.push(notice.clone());
-            }
             let key = (notice.incarnation.clone(), notice.kind.subject());
             let known = Known { kind: notice.kind, received_at: now - notice.age };
             self.leader_notices.by_subject.insert(key, known);
         }
-        news
     }
 }
--- a/crates/gateway/tests/notices.rs
+++ b/crates/gateway/tests/notices.rs
@@ -109,6 +109,16 @@
     assert_eq!(state.notices_to_report(START + millis(400)).len(), reported);
 }
 
+/// Guards against requests of a gateway that starts while there is no leader.
+#[test]
+fn a_starting_gateway_applies_what_a_follower_knows() {
+    let told = view(Some(vec![notice(NoticeKind::Leaving, millis(700))]));
+    let mut state = gateway(&FleetView { gateway_count: 0, ..told });
+    let prompt = prompt(&[(1, 100)]);
+    assert!(state.choose(&request(&prompt), START).is_none());
+    assert_eq!(state.seen_versions().notices, (0, 0), "the leader's list is not known");
+}
+
 /// Guards against a new leader that is not told what its predecessor knew. A follower's view shows that
 /// the leader may have changed.
 #[test]
--- a/crates/topazmount/src/fleet/gateway.rs
+++ b/crates/topazmount/src/fleet/gateway.rs
@@ -305,6 +305,10 @@
         self.shared.gateway_state.lock().unwrap().notices_to_report(now)
     }
 
+    fn on_failure(&mut self) {
+        self.shared.gateway_state.lock().unwrap().forget_leader_notices();
+    }
+
     fn on_view(&mut self, view: FleetView, requested_at: Time) {
         let catalog = view.document.as_ref().and_then(|document| {
             let catalog = self.shared.dialect.parse_catalog(&document.bytes);
--- a/crates/topazmount/src/fleet/watcher.rs
+++ b/crates/topazmount/src/fleet/watcher.rs
@@ -46,6 +46,8 @@
     fn notices(&mut self) -> Vec<ReplicaNotice> {
         Vec::new()
     }
+    /// Called when a member did not respond.
+    fn on_failure(&mut self) {}
     /// Applies a view that was requested at `requested_at`.
     fn on_view(&mut self, view: FleetView, requested_at: Time);
 }
@@ -161,6 +163,7 @@
                     }
                 }
                 WatchResult::Failed => {
+                    handler.on_failure();
                     self.update_connected(target, false);
                     self.avoid_and_wait(target).await;
                 }
