Connections of requests that must run once are pooled for requests that may be repeated

Cause: since such requests open a connection each, and theirs were closed, so that requests that may be repeated opened their own too. Change: they go to the pool again, within its bound as before; still no request that must run once is sent on a pooled one. silent_connections and connections pass.

--- a/crates/topazmount/src/fleet/exchange/connection.rs
+++ b/crates/topazmount/src/fleet/exchange/connection.rs
@@ -26,12 +26,9 @@
         taken
     }
 
-    /// Returns a connection to the pool after a complete response, if it may be reused. Requests that
-    /// must run at most once open new ones, whose pooling would only use up the replica's connections.
+    /// Returns a connection to the pool after a complete response, if it may be reused. Connections of
+    /// requests that must run at most once serve retryable ones afterwards.
     pub(super) fn return_to_pool(&self, choice: &Choice, connection: ReplicaConnection) {
-        if !self.admission.route.is_retryable() {
-            return;
-        }
         let ReplicaConnection { wire, keep_alive, is_request_sent } = connection;
         let service = &self.admission.service;
         let now = self.shared.clock.now();
