--- a/crates/control/tests/recorded_bytes.rs
+++ b/crates/control/tests/recorded_bytes.rs
@@ -593,6 +593,10 @@
             }
             Request::Fleet(FleetRequest::Watch(mut watch)) => {
                 watch.seen.gateways = (0, 0);
+                // Gateways of the first builds are marked as such.
+                if let Some(gateway) = &mut watch.gateway {
+                    gateway.is_legacy = true;
+                }
                 Some(Request::Fleet(FleetRequest::Watch(watch)))
             }
             same => Some(same),
