--- a/crates/gateway/src/plan.rs
+++ b/crates/gateway/src/plan.rs
@@ -177,7 +177,8 @@
                 self.attempts_left += 1;
                 self.has_reached_replica = true;
             }
-            // A refusal must not end a response that the client has a part of; as above otherwise.
+            // A refusal must not end a response that the client has a part of, so the attempt does not
+            // count; the budget limits retries.
             AttemptEnd::NotRun if self.is_response_begun => {
                 self.attempts_left += 1;
                 self.has_reached_replica = true;
--- a/crates/topazmount/src/fleet/exchange/resume.rs
+++ b/crates/topazmount/src/fleet/exchange/resume.rs
@@ -77,7 +77,8 @@
         self.log_attempt(&in_flight.choice, "silent_in_stream");
     }
 
-    /// Offers the stream to other replicas until one accepts; the stalled one is kept until then.
+    /// Offers the stream to other replicas, one after another, until one takes it. The stalled one is kept
+    /// while they refuse within [`REFUSAL_TIMEOUT`].
     async fn resume(
         &self,
         plan: &mut RequestPlan,
