Reports of crashes are recorded in time linear in the suspects

Cause: each report that is applied counted the blocked requests once for each of up to 1,024 suspects. In a test, 300 reports took 2.88 s of processor time. Change: only suspects with enough crashes, or blocked, are decided on; the blocked ones are counted once; surplus suspects are found in one pass. Decisions are the same as before, so that members of other builds agree. Test: reports_of_three_hundred_gateways_are_recorded_within_a_heartbeat_interval failed before (2.88 s in place of at most 100 ms).

--- a/crates/control/src/fleet/crashes.rs
+++ b/crates/control/src/fleet/crashes.rs
@@ -235,14 +235,19 @@
 
     /// Blocks requests with enough crashes, and unblocks those with too few.
     fn update_blocks(&mut self, now: Time) {
+        // All others stay as they are.
+        let may_change = |suspect: &Suspect| {
+            suspect.blocked_until.is_some() || suspect.crashes.len() >= CRASHES_TO_BLOCK
+        };
         let decisions: Vec<(RequestDigest, bool)> = self
             .suspects
             .iter()
+            .filter(|(_, suspect)| may_change(suspect))
             .map(|(request, suspect)| (*request, self.should_block(*request, suspect)))
             .collect();
+        let is_blocked = |suspect: &&Suspect| suspect.blocked_until.is_some();
+        let mut blocked = self.suspects.values().filter(is_blocked).count();
         for (request, should_block) in decisions {
-            let blocked =
-                self.suspects.values().filter(|suspect| suspect.blocked_until.is_some()).count();
             let Some(suspect) = self.suspects.get_mut(&request) else { continue };
             match (suspect.blocked_until, should_block) {
                 (None, true) if blocked < MAX_BLOCKED => {
@@ -250,11 +255,13 @@
                     suspect.blocked_until = Some(now + time.min(MAX_BLOCK));
                     suspect.blocks += 1;
                     self.blocked_revision += 1;
+                    blocked += 1;
                 }
                 (Some(_), false) => {
                     suspect.blocked_until = None;
                     suspect.blocks = suspect.blocks.saturating_sub(1);
                     self.blocked_revision += 1;
+                    blocked -= 1;
                 }
                 _ => {}
             }
@@ -283,13 +290,17 @@
 
     /// Removes surplus suspects: those not blocked first, oldest first.
     fn remove_excess(&mut self) {
-        while self.suspects.len() > MAX_SUSPECTS {
-            let order = |(_, suspect): &(&RequestDigest, &Suspect)| {
-                (suspect.blocked_until, suspect.changed_at)
-            };
-            let Some((request, _)) = self.suspects.iter().min_by_key(order) else { return };
-            let request = *request;
-            self.suspects.remove(&request);
+        let excess = self.suspects.len().saturating_sub(MAX_SUSPECTS);
+        if excess == 0 {
+            return;
+        }
+        let order = |(request, suspect): (&RequestDigest, &Suspect)| {
+            (suspect.blocked_until, suspect.changed_at, *request)
+        };
+        let mut ordered: Vec<_> = self.suspects.iter().map(order).collect();
+        ordered.select_nth_unstable(excess - 1);
+        for (_, _, request) in &ordered[..excess] {
+            self.suspects.remove(request);
         }
     }
 }
--- a/crates/control/tests/crashes.rs
+++ b/crates/control/tests/crashes.rs
@@ -266,19 +266,44 @@
     }
 }
 
+/// Processor time of this thread.
+fn cpu_time() -> Duration {
+    let time = rustix::time::clock_gettime(rustix::time::ClockId::ThreadCPUTime);
+    Duration::new(time.tv_sec as u64, time.tv_nsec as u32)
+}
+
+/// One report of each of 300 gateways must not delay a member for longer than a heartbeat interval
+/// of the leader. Guards against large-scale-2: elections in series while many replicas crash.
+#[test]
+fn reports_of_three_hundred_gateways_are_recorded_within_a_heartbeat_interval() {
+    let mut scenario = Scenario::new();
+    let mut requests = (0..).map(RequestDigest);
+    let mut report = |replica| crashes(requests.by_ref().take(10).map(|id| crash(id, replica)));
+    (0..150).for_each(|replica| scenario.ledger.record(START, &report(replica)));
+    let reports: Vec<CrashReport> = (150..450).map(report).collect();
+    let began = cpu_time();
+    reports.iter().for_each(|report| scenario.ledger.record(START + GAP, report));
+    let took = cpu_time() - began;
+    let limit = topazmount_consensus::Config::default().heartbeat_interval;
+    assert!(took <= limit, "{took:?}, not {limit:?}");
+}
+
 /// Time within which a restarted group has a leader.
 const RECOVERY: Duration = Duration::from_secs(6);
 
-fn watch(world: &mut World, host: Host, report: CrashReport) -> Option<FleetView> {
-    let request = WatchRequest {
+fn watch_request(report: CrashReport) -> Request {
+    Request::Fleet(FleetRequest::Watch(WatchRequest {
         gateway: None,
         seen: SeenVersions::default(),
         wants_gateways: false,
         wait: Duration::ZERO,
         crashes: report,
         notices: Vec::new(),
-    };
-    let token = world.request(host, Request::Fleet(FleetRequest::Watch(request)))?;
+    }))
+}
+
+fn watch(world: &mut World, host: Host, report: CrashReport) -> Option<FleetView> {
+    let token = world.request(host, watch_request(report))?;
     world.run(Duration::from_millis(100));
     match world.take_response(token) {
         Some(Response::Fleet(FleetResponse::View(view))) => Some(*view),
