Reports of crashes that gateways repeat are proposed once

Cause: gateways repeat what they know with each request for 30 s. A report was proposed again while its first proposal waited for the commit, and, once there were more suspects than are kept (1,024), each time it named one that had been removed, which removed another one. Change: the leader remembers for a second what it proposed in its term, and drops suspects that are older than all that are kept. Only proposals change: what an entry does is the same for members of all builds. Tests, failed before: reports_repeated_before_they_are_committed_are_proposed_once (20 entries for 20 repetitions), repeated_reports_about_removed_suspects_are_not_proposed_again (24 entries more for 24 repeated reports).

--- a/crates/control/src/fleet/crashes.rs
+++ b/crates/control/src/fleet/crashes.rs
@@ -192,6 +192,21 @@
         }
     }
 
+    /// The part of a report that is worth recording. While the ledger is full, suspects older than
+    /// all others would be removed at once, and again with each repetition of the report.
+    pub fn worth_recording(&self, now: Time, report: &CrashReport) -> CrashReport {
+        let mut new = self.new_in(report);
+        if self.suspects.len() >= MAX_SUSPECTS {
+            let unblocked = self.suspects.values().filter(|it| it.blocked_until.is_none());
+            let oldest = unblocked.map(|suspect| suspect.changed_at).min();
+            new.crashes.retain(|crash| {
+                let is_known = self.suspects.contains_key(&crash.request);
+                is_known || oldest.is_none_or(|oldest| now - crash.age > oldest)
+            });
+        }
+        new
+    }
+
     /// Records a gateway's report.
     pub fn record(&mut self, now: Time, report: &CrashReport) {
         let new = self.new_in(report);
--- a/crates/control/src/fleet/mod.rs
+++ b/crates/control/src/fleet/mod.rs
@@ -14,6 +14,7 @@
 mod notices;
 mod orders;
 mod plan;
+mod proposed_crashes;
 mod protocol;
 mod publications;
 mod rollout;
@@ -29,6 +30,7 @@
 pub use notices::{NoticeKind, NoticeSubject, ReplicaNotice};
 pub use orders::{ActionReport, FleetAction, LoadMode, OrderOutcome, ReplicaReport, WeightsOrder};
 pub use plan::RolloutPlan;
+pub(crate) use proposed_crashes::ProposedCrashes;
 pub use protocol::{
     Availability, FleetRequest, FleetResponse, FleetView, GatewayListUpdate, GatewayReport,
     InstanceReport, InstanceStatus, LoadedModel, SeenVersions, WatchRequest,
--- a/crates/control/src/fleet_member.rs
+++ b/crates/control/src/fleet_member.rs
@@ -57,8 +57,12 @@
     /// after which callers retry. Gateways repeat their reports, so a member that is not the leader
     /// ignores them.
     fn record_crashes(&mut self, now: Time, report: &CrashReport) {
-        let report = self.state.fleet.crashes().new_in(report);
-        if self.replica.role() == Role::Leader && !report.is_empty() {
+        if self.replica.role() != Role::Leader {
+            return;
+        }
+        let mut report = self.state.fleet.crashes().worth_recording(now, report);
+        self.proposed_crashes.retain_new(now, self.replica.term(), &mut report);
+        if !report.is_empty() {
             self.propose_internal(
                 now,
                 Command::Fleet(FleetCommand::RecordCrashes { at: now, report }),
--- a/crates/control/src/member.rs
+++ b/crates/control/src/member.rs
@@ -3,7 +3,8 @@
 use crate::configuration::ConfigurationUpdate;
 use crate::events::MembershipEvent;
 use crate::fleet::{
-    FleetAction, FleetLeader, FleetResponse, RolloutEvent, RolloutSettings, WeightsEvent,
+    FleetAction, FleetLeader, FleetResponse, ProposedCrashes, RolloutEvent, RolloutSettings,
+    WeightsEvent,
 };
 use crate::heartbeats::Heartbeats;
 use crate::identity::{IDENTITY_FILE, initial_identity, initial_state, read_identity};
@@ -124,6 +125,8 @@
     pending: BTreeMap<Index, PendingRequest>,
     pub(crate) nodes: BTreeMap<NodeId, NodeReport>,
     pub(crate) fleet: FleetLeader,
+    /// As leader: crashes proposed lately.
+    pub(crate) proposed_crashes: ProposedCrashes,
     /// Last known addresses of peers; a joining member does not know the membership yet.
     peer_addresses: BTreeMap<MemberId, String>,
     pub(crate) reported_membership: ReportedMembership,
@@ -175,6 +178,7 @@
             pending: BTreeMap::new(),
             nodes: BTreeMap::new(),
             fleet,
+            proposed_crashes: ProposedCrashes::default(),
             peer_addresses: BTreeMap::new(),
             reported_membership: ReportedMembership::new(now),
             heartbeats: Heartbeats::default(),
--- a/crates/control/tests/crashes.rs
+++ b/crates/control/tests/crashes.rs
@@ -311,6 +311,11 @@
     }
 }
 
+/// Number of log entries that a member has applied.
+fn applied(world: &World, host: Host) -> u64 {
+    world.member(host).unwrap().replica().applied()
+}
+
 fn report_to_leader(world: &mut World, replica: u64) {
     let leader = world.leader().unwrap();
     watch(world, leader, crashes([crash(CAUSE, replica)]));
@@ -350,6 +355,40 @@
         assert!(is_blocked_at(&mut world, 1), "{}", world.trace());
     }
 
+    /// Guards against large-scale-2: reports that were repeated while they waited filled the log.
+    reports_repeated_before_they_are_committed_are_proposed_once => {
+        let mut world = group();
+        let leader = world.leader().unwrap();
+        let before = applied(&world, leader);
+        for _ in 0..20 {
+            world.request(leader, watch_request(crashes([crash(CAUSE, 1), crash(OTHER, 1)])));
+        }
+        world.run(GAP);
+        assert_eq!(applied(&world, leader) - before, 1);
+    }
+
+    /// Guards against large-scale-2: with more suspects than are kept, each report named some that
+    /// had been removed, and was proposed again.
+    repeated_reports_about_removed_suspects_are_not_proposed_again => {
+        let mut world = group();
+        let leader = world.leader().unwrap();
+        let reports: Vec<CrashReport> = (0..24u64)
+            .map(|replica| crashes((0..64).map(|id| crash(RequestDigest(64 * replica + id), replica))))
+            .collect();
+        let mut age = Duration::ZERO;
+        let mut report_all = |world: &mut World| {
+            for report in &reports {
+                let aged = report.crashes.iter().map(|crash| CrashRecord { age, ..*crash });
+                watch(world, leader, crashes(aged));
+                age += Duration::from_millis(100);
+            }
+            applied(world, leader)
+        };
+        let first = report_all(&mut world);
+        let second = report_all(&mut world);
+        assert_eq!(second, first);
+    }
+
     a_request_stays_blocked_with_the_next_leader => {
         let mut world = group();
         (0..3).for_each(|replica| report_to_leader(&mut world, replica));
