Slow steps of a control member and late tasks of its process are logged

A step that takes 100 ms or longer, and a task that runs 100 ms or more late, are logged, each at most ten times a second by their own length.

--- a/crates/topazmount/src/control_log.rs
+++ b/crates/topazmount/src/control_log.rs
@@ -13,6 +13,10 @@
 /// Matters that are remembered; more than the members of any group and the changes under way.
 const MOST_MATTERS: usize = 128;
 
+/// Time from which a step of the member, or a wait of its process, is logged: a good part of an
+/// election timeout.
+const SLOW: Duration = Duration::from_millis(100);
+
 /// Who leads, as this member believes.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 struct Leadership {
@@ -21,6 +25,19 @@
     has_lease: bool,
 }
 
+/// Logs how late the tasks of this process run, when that is long: messages of the member wait for
+/// these tasks.
+pub(crate) async fn log_late_tasks() {
+    loop {
+        let began = Instant::now();
+        async_io::Timer::after(SLOW).await;
+        let late = began.elapsed().saturating_sub(SLOW);
+        if late >= SLOW {
+            log::warn!("control: event=late_tasks late_ms={}", late.as_millis());
+        }
+    }
+}
+
 /// The log of one member.
 #[derive(Default)]
 pub(crate) struct ControlLog {
@@ -54,6 +71,16 @@
         );
     }
 
+    /// Logs a step of the member that took long.
+    pub(crate) fn step(&self, took: Duration, inputs: usize, outputs: usize) {
+        if took >= SLOW {
+            let took_ms = took.as_millis();
+            log::warn!(
+                "control: event=slow_step took_ms={took_ms} inputs={inputs} outputs={outputs}"
+            );
+        }
+    }
+
     /// Logs a step about the membership.
     pub(crate) fn membership(&self, event: &MembershipEvent) {
         match event {
--- a/crates/topazmount/src/control_process.rs
+++ b/crates/topazmount/src/control_process.rs
@@ -4,7 +4,7 @@
 use crate::clock::Clock;
 use crate::control_client::ControlClient;
 use crate::control_links::{Peers, Requester, Shared, accept_loop};
-use crate::control_log::ControlLog;
+use crate::control_log::{ControlLog, log_late_tasks};
 use crate::file_disk::FileDisk;
 use crate::frames;
 use crate::message_meter::{FrameCost, MessageMeter, Way};
@@ -166,6 +166,7 @@
     })?;
     let accepting = accept_loop(executor.clone(), listener, key, shared.clone());
     executor.spawn(accepting).detach();
+    executor.spawn(log_late_tasks()).detach();
     Ok(ControlHandle { inputs, shared, address, thread: Some(thread), ended })
 }
 
@@ -212,6 +213,7 @@
     fn run(mut self, inputs: &Receiver<MemberInput>) {
         while let Some(batch) = next_batch(inputs, self.wait()) {
             let now = self.clock.now();
+            let inputs_count = batch.len();
             let ticked = batch.into_iter().chain([MemberInput::Tick]);
             let began = Instant::now();
             let stepped = self.member.step(now, ticked);
@@ -229,6 +231,7 @@
                     continue;
                 }
             };
+            self.log.step(cost.busy, inputs_count, outputs.len());
             for output in outputs {
                 self.perform(output);
             }
