Weights load in time when loads take longer than assumed

Seen (whatever_a_load_takes): in the first roll-out of a leader with loads of 2.5 s, 1 of 6, 2 of 12, 3 of 18, 4 of 24 and 10 of 60 replicas miss the deadline, though it can be met; requests meet them on older weights, or are refused. Cause: (1) the first load began after the long pause of 1.2 s, so that how long loads take was known too late; (2) the plan took every replica as paused at once, though no more may be paused while others load, so that it narrowed from 39 loads to 22 while 40 ran and paused nobody; (3) among plans with little slack it took the narrowest, which any delay made late. Evidence: orders and plans of nine replicas with loads of 2.6 s: order 7 of 9 at 4.82 s, the last at 7.44 s, with a plan that expects none late. Change: one replica loads after the shortest pause while no load time is known; the plan simulates from when each replica can be paused; where less than 500 ms of slack is left it takes the plan with the most. Tests: whatever_a_load_takes, unchanged, failed before with the five figures above; whatever_a_load_takes_at_other_sizes, new, failed before (9, 15, 33, 48 and 90 replicas). All 17 of rollout_times hold.

--- a/crates/control/src/fleet/loading_slots.rs
+++ b/crates/control/src/fleet/loading_slots.rs
@@ -83,6 +83,11 @@
         }
     }
 
+    /// Whether a load of the service has been observed.
+    fn has_load_times(&self, service: &str) -> bool {
+        self.planner.times.get(service).is_some_and(LoadTimes::has_any)
+    }
+
     /// Outdated replicas that may be called, in loading order.
     fn outdated_replicas(
         &self,
@@ -231,20 +236,27 @@
         let targets =
             targets.filter_map(|(instance, replica)| Some((instance, replica.target.as_ref()?)));
         let mut occupied = 0;
-        let mut waiting: Vec<(Time, InstanceId)> = Vec::new();
+        let mut has_loads = false;
+        let mut paused: Vec<(Time, InstanceId)> = Vec::new();
         for (instance, target) in targets {
             occupied += usize::from(target.occupies_slot(now, hung_timeout));
-            if let Phase::Pausing { since, .. } = target.phase
-                && now >= since + plan.pause
-            {
-                waiting.push((since, instance.id.clone()));
+            match target.phase {
+                Phase::Pausing { since, .. } => paused.push((since, instance.id.clone())),
+                _ => has_loads = true,
             }
         }
-        waiting.sort();
+        paused.sort();
+        let is_paused_for =
+            |pause: Duration| move |(since, _): &&(Time, InstanceId)| now >= *since + pause;
+        let mut waiting: Vec<_> = paused.iter().filter(is_paused_for(plan.pause)).collect();
+        // The first load shows how long loads take, so it begins early.
+        if waiting.is_empty() && !has_loads && !self.has_load_times(&first.service) {
+            waiting.extend(paused.iter().find(is_paused_for(plan::MIN_PAUSE)));
+        }
         let free = plan.concurrency.max(1).saturating_sub(occupied);
         let concurrency = occupied + waiting.len().min(free);
         for (_, id) in waiting.into_iter().take(free) {
-            let target = self.replicas.get_mut(&id).and_then(|replica| replica.target.as_mut());
+            let target = self.replicas.get_mut(id).and_then(|replica| replica.target.as_mut());
             let Some(target) = target else { continue };
             target.phase = Phase::Granted;
             target.granted_at = now;
--- a/crates/control/src/fleet/plan.rs
+++ b/crates/control/src/fleet/plan.rs
@@ -1,6 +1,7 @@
 //! Plans how many replicas of a service load at a time, from the remaining work, the deadline and
 //! the observed load times.
 
+use std::cmp::Reverse;
 use std::collections::{BTreeMap, VecDeque};
 use std::time::Duration;
 use topazmount_types::Time;
@@ -11,13 +12,11 @@
 /// Pauses used if no concurrency leaves time for the long ones.
 const SHORT_PAUSES: [Duration; 2] = [Duration::from_millis(600), MIN_PAUSE];
 /// Time after which most gateways know of the pause.
-const MIN_PAUSE: Duration = Duration::from_millis(300);
+pub(super) const MIN_PAUSE: Duration = Duration::from_millis(300);
 /// Preferred time between the last load and the deadline; covers a late response of a replica.
 const PREFERRED_SLACK: Duration = Duration::from_millis(500);
 /// The same at the usual concurrency.
 const USUAL_SLACK: Duration = Duration::from_millis(250);
-/// The least accepted. Scheduling in discrete steps uses up part of it.
-const MIN_SLACK: Duration = Duration::from_millis(100);
 /// Load times kept per concurrency; few, so that estimates follow a store that slows down.
 const MAX_SAMPLES: usize = 16;
 /// Concurrencies for which load times are kept.
@@ -148,12 +147,13 @@
     // The usual concurrency is not raised just for more slack.
     let pauses = LONG_PAUSES.iter().chain(&SHORT_PAUSES);
     let usual = pauses.map(evaluate_at(*concurrencies.start())).find(is_in_time(USUAL_SLACK));
-    let fits = |slack: Duration| {
-        let long = evaluate_all(LONG_PAUSES).find(is_in_time(slack));
-        long.or_else(|| evaluate_all(SHORT_PAUSES).find(is_in_time(slack)))
-    };
-    let fitting = usual.or_else(|| fits(PREFERRED_SLACK)).or_else(|| fits(MIN_SLACK));
-    let fewest_late = || evaluate_all(SHORT_PAUSES).min_by_key(|evaluated| evaluated.plan.late);
+    let long = || evaluate_all(LONG_PAUSES).find(is_in_time(PREFERRED_SLACK));
+    let short = || evaluate_all(SHORT_PAUSES).find(is_in_time(PREFERRED_SLACK));
+    let fitting = usual.or_else(long).or_else(short);
+    // With less slack, any delay makes a replica late.
+    let most_slack =
+        |evaluated: &EvaluatedPlan| (evaluated.plan.late, Reverse(evaluated.min_slack));
+    let fewest_late = || evaluate_all(SHORT_PAUSES).min_by_key(most_slack);
     fitting.or_else(fewest_late).map(|evaluated| evaluated.plan).unwrap_or_default()
 }
 
@@ -171,7 +171,8 @@
     min_slack: Option<Duration>,
 }
 
-/// Simulates the loads over `concurrency` slots, each load in the next free slot.
+/// Simulates the loads over `concurrency` slots. A replica is paused as soon as enough others are
+/// available, and loads in the next slot that is free after its pause.
 fn evaluate(
     now: Time,
     workload: &Workload,
@@ -186,27 +187,25 @@
     let is_usual = concurrency <= workload.usual;
     let ahead = if is_usual { ahead.min(concurrency) } else { ahead };
     let ahead = ahead.min(workload.max_unavailable.saturating_sub(concurrency));
-    // If fewer replicas are paused than needed, slots wait for pauses to end.
-    let cycle = match ahead {
-        0 => load + pause,
-        _ => load.max(pause.mul_f64(concurrency as f64 / ahead as f64)),
-    };
-    let slot_time = cycle.max(times.slot_time(load, workload.hung));
-    let mut free = slots_free_at(now, workload, load, concurrency);
-    let ready = workload.paused.iter().map(|since| *since + pause);
-    let ready = ready.chain(std::iter::repeat(now + pause));
+    let occupied = times.slot_time(load, workload.hung);
+    let mut slots = slots_free_at(now, workload, load, concurrency);
+    let mut pauses = pauses_possible_at(now, workload, load, concurrency + ahead);
+    let mut paused = workload.paused.iter();
     let mut late = 0;
     let mut min_slack = Some(Duration::MAX);
     // Deadlines that can't be met at any concurrency must not raise it.
     let soonest = workload.orders_from.max(now + MIN_PAUSE) + load;
-    for (number, (deadline, ready)) in workload.waiting.iter().zip(ready).enumerate() {
-        let slot_free_at = &mut free[number % concurrency];
-        let begins = ready.max(*slot_free_at).max(workload.orders_from);
-        let end = begins + load;
-        *slot_free_at = begins + slot_time;
-        late += usize::from(end > *deadline);
+    for deadline in &workload.waiting {
+        let paused_at = paused.next().copied().or_else(|| pauses.pop_front());
+        let end = paused_at.and_then(|paused_at| {
+            let begins = slots.pop_front()?.max(paused_at + pause).max(workload.orders_from);
+            slots.push_back(begins + occupied);
+            pauses.push_back(begins + occupied);
+            Some(begins + load)
+        });
+        let slack = end.filter(|end| end <= deadline).map(|end| deadline.since(end));
+        late += usize::from(slack.is_none());
         if soonest <= *deadline {
-            let slack = (end <= *deadline).then(|| deadline.since(end));
             min_slack = min_slack.min(slack);
         }
     }
@@ -221,14 +220,41 @@
     EvaluatedPlan { plan, min_slack }
 }
 
-/// When each slot becomes free, given the running loads.
-fn slots_free_at(now: Time, workload: &Workload, load: Duration, concurrency: usize) -> Vec<Time> {
+/// When each of `concurrency` slots becomes free, in order.
+fn slots_free_at(
+    now: Time,
+    workload: &Workload,
+    load: Duration,
+    concurrency: usize,
+) -> VecDeque<Time> {
+    free_at(now, ends_of_running(now, workload, load), concurrency)
+}
+
+/// When further replicas may be paused, in order, if at most `unavailable` are paused or load.
+fn pauses_possible_at(
+    now: Time,
+    workload: &Workload,
+    load: Duration,
+    unavailable: usize,
+) -> VecDeque<Time> {
+    let ends = ends_of_running(now, workload, load);
+    let unpaused = unavailable.saturating_sub(workload.paused.len());
+    free_at(now, ends, unpaused)
+}
+
+/// Expected ends of the running loads, in order.
+fn ends_of_running(now: Time, workload: &Workload, load: Duration) -> Vec<Time> {
     let ends = workload.running.iter().map(|age| now + load.saturating_sub(*age));
-    let mut free: Vec<Time> = ends.collect();
-    free.sort();
-    let surplus = free.len().saturating_sub(concurrency);
-    free.drain(..surplus);
-    let mut all = vec![now; concurrency - free.len()];
-    all.append(&mut free);
-    all
+    let mut ends: Vec<Time> = ends.collect();
+    ends.sort();
+    ends
+}
+
+/// When each of `count` places becomes free, in order. If more are occupied, the first loads that
+/// end free none.
+fn free_at(now: Time, ends: Vec<Time>, count: usize) -> VecDeque<Time> {
+    let surplus = ends.len().saturating_sub(count);
+    let unoccupied = count.saturating_sub(ends.len());
+    let ends = ends.into_iter().skip(surplus);
+    std::iter::repeat_n(now, unoccupied).chain(ends).collect()
 }
--- a/crates/control/tests/rollout_times.rs
+++ b/crates/control/tests/rollout_times.rs
@@ -176,6 +176,18 @@
     check(sizes_and_loads());
 }
 
+/// Sizes and load times between those of the other tests.
+#[test]
+fn whatever_a_load_takes_at_other_sizes() {
+    let sizes = [2, 4, 9, 15, 33, 48, 90];
+    let loads_ms = [150, 450, 900, 1_500, 1_900, 2_200, 2_600, 2_800];
+    check(
+        sizes
+            .into_iter()
+            .flat_map(|replicas| loads_ms.map(|load_ms| Scenario::new(replicas, load_ms))),
+    );
+}
+
 /// Without loads of 2.5 s, which count as hung before any load has ended.
 #[test]
 fn loads_up_to_the_initial_estimate() {
