--- a/crates/control/tests/membership.rs
+++ b/crates/control/tests/membership.rs
@@ -142,6 +142,32 @@
         }
     }
 
+    /// Guards against control-group-seed-324: the same where all members were killed last, so that the
+    /// leader that removes the learner is elected late.
+    a_learner_that_was_replaced_is_removed_in_time_after_all_were_killed => {
+        let late: Vec<String> = (0..400).filter_map(|seed| {
+            let mut world = World::with_founders(&[1, 2, 3], &[1, 2, 3, 4, 5], seed);
+            world.run(SIZE_CONFIRMED);
+            world.wipe(5);
+            world.start(5);
+            world.run_until("it is a learner", CATCH_UP, |world| world.learners() == 1);
+            world.remove(5);
+            world.set_seeds(6, &[1, 2]);
+            let wiped = if seed % 2 == 0 { 4 } else { world.leader().unwrap() };
+            let hosts = world.hosts();
+            hosts.iter().for_each(|host| world.kill(*host));
+            world.wipe(wiped);
+            for host in hosts.into_iter().chain([6]) {
+                world.run(Duration::from_millis(37 * (seed % 23)));
+                world.start(host);
+            }
+            world.run(RECOVERY);
+            let counted = (world.voters(), world.learners());
+            (counted != (5, 0)).then(|| format!("{seed}: {counted:?}"))
+        }).collect();
+        assert!(late.is_empty(), "seeds {late:?}");
+    }
+
     /// A leader must not take a new learner for silent before it could respond.
     a_new_learner_has_time_to_respond => {
         let mut world = World::with_founders(&[1, 2, 3], &[1, 2, 3, 4, 5], 0);
