--- a/crates/control/src/fleet/plan.rs
+++ b/crates/control/src/fleet/plan.rs
@@ -122,8 +122,9 @@
     }
 }
 
-/// Chooses the lowest concurrency, at least the usual one, that meets all reachable deadlines, with
-/// a long pause if possible; otherwise the lowest one with the fewest late replicas.
+/// Chooses the lowest concurrency, at least the usual one, that meets all reachable deadlines with
+/// enough slack, with a long pause if possible; otherwise the one with the fewest late replicas and,
+/// among those, the most slack.
 pub(super) fn make_plan(
     now: Time,
     workload: &Workload,
@@ -151,10 +152,9 @@
     let short = || evaluate_all(SHORT_PAUSES).find(is_in_time(PREFERRED_SLACK));
     let fitting = usual.or_else(long).or_else(short);
     // With less slack, any delay makes a replica late.
-    let most_slack =
-        |evaluated: &EvaluatedPlan| (evaluated.plan.late, Reverse(evaluated.min_slack));
-    let fewest_late = || evaluate_all(SHORT_PAUSES).min_by_key(most_slack);
-    fitting.or_else(fewest_late).map(|evaluated| evaluated.plan).unwrap_or_default()
+    let lateness = |evaluated: &EvaluatedPlan| (evaluated.plan.late, Reverse(evaluated.min_slack));
+    let least_late = || evaluate_all(SHORT_PAUSES).min_by_key(lateness);
+    fitting.or_else(least_late).map(|evaluated| evaluated.plan).unwrap_or_default()
 }
 
 /// Expected load time, given the longest running load. If that load is much slower than the
@@ -187,20 +187,20 @@
     let is_usual = concurrency <= workload.usual;
     let ahead = if is_usual { ahead.min(concurrency) } else { ahead };
     let ahead = ahead.min(workload.max_unavailable.saturating_sub(concurrency));
-    let occupied = times.slot_time(load, workload.hung);
-    let mut slots = slots_free_at(now, workload, load, concurrency);
-    let mut pauses = pauses_possible_at(now, workload, load, concurrency + ahead);
+    let slot_time = times.slot_time(load, workload.hung);
+    let mut free_slots = slots_free_at(now, workload, load, concurrency);
+    let mut next_pauses = pauses_possible_at(now, workload, load, concurrency + ahead);
     let mut paused = workload.paused.iter();
     let mut late = 0;
     let mut min_slack = Some(Duration::MAX);
     // Deadlines that can't be met at any concurrency must not raise it.
     let soonest = workload.orders_from.max(now + MIN_PAUSE) + load;
     for deadline in &workload.waiting {
-        let paused_at = paused.next().copied().or_else(|| pauses.pop_front());
+        let paused_at = paused.next().copied().or_else(|| next_pauses.pop_front());
         let end = paused_at.and_then(|paused_at| {
-            let begins = slots.pop_front()?.max(paused_at + pause).max(workload.orders_from);
-            slots.push_back(begins + occupied);
-            pauses.push_back(begins + occupied);
+            let begins = free_slots.pop_front()?.max(paused_at + pause).max(workload.orders_from);
+            free_slots.push_back(begins + slot_time);
+            next_pauses.push_back(begins + slot_time);
             Some(begins + load)
         });
         let slack = end.filter(|end| end <= deadline).map(|end| deadline.since(end));
--- a/crates/control/tests/membership.rs
+++ b/crates/control/tests/membership.rs
@@ -16,6 +16,19 @@
 /// Time after which the size of a group is confirmed.
 const SIZE_CONFIRMED: Duration = Duration::from_secs(15);
 
+/// Five members, of which the last one lost its disk, asked to join, and is replaced by a sixth one
+/// that is not started yet.
+fn with_replaced_learner(seed: u64) -> World {
+    let mut world = World::with_founders(&[1, 2, 3], &[1, 2, 3, 4, 5], seed);
+    world.run(SIZE_CONFIRMED);
+    world.wipe(5);
+    world.start(5);
+    world.run_until("it is a learner", CATCH_UP, |world| world.learners() == 1);
+    world.remove(5);
+    world.set_seeds(6, &[1, 2]);
+    world
+}
+
 /// A running group of five founders.
 fn five_members() -> World {
     let mut world = World::new(&[1, 2, 3, 4, 5]);
@@ -122,13 +135,7 @@
     /// replaced before it became a voter. Silence is counted anew by each leader.
     a_learner_that_was_replaced_is_removed_in_time => {
         for seed in 0..32 {
-            let mut world = World::with_founders(&[1, 2, 3], &[1, 2, 3, 4, 5], seed);
-            world.run(SIZE_CONFIRMED);
-            world.wipe(5);
-            world.start(5);
-            world.run_until("it is a learner", CATCH_UP, |world| world.learners() == 1);
-            world.remove(5);
-            world.set_seeds(6, &[1, 2]);
+            let mut world = with_replaced_learner(seed);
             world.start(6);
             world.run(CATCH_UP);
             // Suspended rather than killed, so that the others have to notice it.
@@ -146,13 +153,7 @@
     /// leader that removes the learner is elected late.
     a_learner_that_was_replaced_is_removed_in_time_after_all_were_killed => {
         let late: Vec<String> = (0..400).filter_map(|seed| {
-            let mut world = World::with_founders(&[1, 2, 3], &[1, 2, 3, 4, 5], seed);
-            world.run(SIZE_CONFIRMED);
-            world.wipe(5);
-            world.start(5);
-            world.run_until("it is a learner", CATCH_UP, |world| world.learners() == 1);
-            world.remove(5);
-            world.set_seeds(6, &[1, 2]);
+            let mut world = with_replaced_learner(seed);
             let wiped = if seed % 2 == 0 { 4 } else { world.leader().unwrap() };
             let hosts = world.hosts();
             hosts.iter().for_each(|host| world.kill(*host));
