A prompt without another attempt is withdrawn from a replica whose weights become too old

Cause: a request that waits at an excluded replica was withdrawn only if it could be sent elsewhere. Change: it is withdrawn 500 ms after its gateway saw the exclusion, which comes 1.5 s before the bound.

--- a/crates/topazmount/src/fleet/exchange/attempt.rs
+++ b/crates/topazmount/src/fleet/exchange/attempt.rs
@@ -24,6 +24,10 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
 /// How often a request that waits for a response checks whether its replica has been excluded.
 const EXCLUSION_CHECK_INTERVAL: Duration = Duration::from_millis(150);
+/// Time for which a prompt that can't be sent elsewhere is left at an excluded replica, where it may
+/// still begin. Replicas are excluded 1.5 s before the deadline of their weights, which leaves the
+/// rest for a late status and for the replica to notice the withdrawal.
+const EXCLUDED_GRACE: Duration = Duration::from_millis(500);
 /// Largest response body that is not a stream.
 const MAX_BODY_BYTES: usize = 16 * 1024 * 1024;
 /// Late responses to earlier requests that are skipped on one connection.
@@ -128,14 +132,18 @@
         let mut first = pin!(self.first_response(wire, &bytes, choice, sent_at));
         let silent_at = sent_at + self.silence_limit(choice);
         let mut is_silence_recorded = false;
+        let mut excluded_since = None;
         let mut response =
             with_timeout(self.next_check_delay(silent_at, is_silence_recorded), first.as_mut())
                 .await;
         while response.is_none() && !self.remaining_time().is_zero() {
-            let is_silent = !is_silence_recorded && self.shared.clock.now() >= silent_at;
+            let now = self.shared.clock.now();
+            let is_silent = !is_silence_recorded && now >= silent_at;
             let has_failed = is_silent && self.record_silence(choice, sent_at);
             is_silence_recorded |= is_silent;
-            if let Some(end) = self.abandon_reason(plan, choice, has_failed) {
+            let excluded_for =
+                self.is_excluded(choice).then(|| now.since(*excluded_since.get_or_insert(now)));
+            if let Some(end) = self.abandon_reason(plan, has_failed, excluded_for) {
                 return SendResult::Ended(AttemptResult::Ended(end));
             }
             response =
@@ -200,22 +208,23 @@
 
     /// How the attempt ends if a replica that has not responded is abandoned; `None` to keep waiting.
     /// A silent replica may be working, so it is only abandoned if the retry budget allows another
-    /// attempt.
+    /// attempt. One whose weights are too old by now must not start on a prompt, also if there is no
+    /// other attempt.
     fn abandon_reason(
         &self,
         plan: &RequestPlan,
-        choice: &Choice,
         has_failed: bool,
+        excluded_for: Option<Duration>,
     ) -> Option<AttemptEnd> {
-        // A replica whose weights are too old by now must not start on the request.
-        let is_excluded = self.is_excluded(choice);
-        if !(has_failed || is_excluded) || !self.may_switch(plan) {
-            return None;
-        }
-        match self.take_retry() {
-            true => Some(AttemptEnd::Unresponsive),
-            false => is_excluded.then_some(AttemptEnd::Abandoned),
+        let is_excluded = excluded_for.is_some();
+        if (has_failed || is_excluded) && self.may_switch(plan) {
+            return match self.take_retry() {
+                true => Some(AttemptEnd::Unresponsive),
+                false => is_excluded.then_some(AttemptEnd::Abandoned),
+            };
         }
+        let is_due = self.metadata.prompt.is_some() && excluded_for >= Some(EXCLUDED_GRACE);
+        is_due.then_some(AttemptEnd::Abandoned)
     }
 
     fn is_excluded(&self, choice: &Choice) -> bool {
