Departures that replicas report to gateways are recorded in the log

Cause: notices are kept in memory only. A leader that leads again just after its start has an empty list, and a gateway that starts then takes that list for complete.

Incarnations without a start time are left out, as their successors could not be told apart.

--- a/crates/control/src/fleet/leader.rs
+++ b/crates/control/src/fleet/leader.rs
@@ -13,7 +13,7 @@
 use std::collections::{BTreeMap, HashSet};
 use std::time::Duration;
 use topazmount_consensus::Term;
-use topazmount_types::{InstanceId, Time};
+use topazmount_types::{Instance, InstanceId, Time, parse_incarnation_name};
 
 /// A replica without a heartbeat for this time counts as gone; heartbeats may be seconds late.
 const REPLICA_TIMEOUT: Duration = Duration::from_secs(5);
@@ -23,6 +23,8 @@
 const CHECK_INTERVAL_PER_REPLICA: Duration = Duration::from_micros(50);
 /// Interval at which retired weights are proposed again; a new leader may truncate the log entry.
 const RETIRE_INTERVAL: Duration = Duration::from_millis(500);
+/// Interval at which departures are proposed again; a new leader may truncate the log entry.
+const DEPARTURE_INTERVAL: Duration = Duration::from_millis(500);
 /// Interval at which notices of replicas that have ended are removed.
 const NOTICE_CLEANUP_INTERVAL: Duration = Duration::from_secs(10);
 /// Maximum time for which a watch request is held.
@@ -53,6 +55,8 @@
     rollout: Rollout,
     /// When retired weights were last proposed.
     retired_at: Time,
+    /// When departures of replicas were last proposed.
+    departures_proposed_at: Time,
     watchers: Vec<Watcher>,
     batch_limiter: BatchLimiter,
 }
@@ -126,6 +130,7 @@
         self.statuses_revision = state.revision();
         let mut commands = expired;
         commands.extend(self.retire_weights(now, state));
+        commands.extend(self.record_departures(now, state));
         if state.crashes().has_expired(now) {
             commands.push(FleetCommand::ExpireCrashes { at: now });
         }
@@ -147,6 +152,30 @@
             .refresh(state, |instance| self.rollout.status(now, instance, state.oldest_weights()));
     }
 
+    /// Marks replicas as draining that told gateways that they are leaving. Notices are kept in memory
+    /// only, so a leader that has just started, and a gateway that asks it, would lack them.
+    ///
+    /// A replica without a start time is left out: a draining replica stays so, and its next
+    /// incarnation could not be told from this one.
+    fn record_departures(&mut self, now: Time, state: &FleetState) -> Vec<FleetCommand> {
+        if now < self.departures_proposed_at + DEPARTURE_INTERVAL {
+            return Vec::new();
+        }
+        let leaving = self.notices.leaving().filter_map(|incarnation| {
+            let (id, start) = parse_incarnation_name(incarnation)?;
+            state.instances().get(id).filter(|instance| instance.start == start)
+        });
+        let commands: Vec<FleetCommand> = leaving
+            .filter(|instance| !instance.is_draining)
+            .map(|instance| Instance { is_draining: true, ..instance.clone() })
+            .map(FleetCommand::Register)
+            .collect();
+        if !commands.is_empty() {
+            self.departures_proposed_at = now;
+        }
+        commands
+    }
+
     /// Retires versions in the log, since a later leader counts their deadline from its own start.
     fn retire_weights(&mut self, now: Time, state: &FleetState) -> Vec<FleetCommand> {
         if now < self.retired_at + RETIRE_INTERVAL {
--- a/crates/control/src/fleet/notices.rs
+++ b/crates/control/src/fleet/notices.rs
@@ -3,6 +3,7 @@
 //! Replicas tell only their callers. Each gateway reports what the leader's list lacks, and the
 //! leader sends its list to all gateways. Lists are kept in memory. While no leader responds,
 //! gateways report all they know to the members they ask instead, so that the next leader has it.
+//! The leader also records departures in the log, which survive the loss of all lists.
 
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, HashSet};
@@ -96,6 +97,12 @@
         });
     }
 
+    /// Names of the incarnations that are leaving.
+    pub(crate) fn leaving(&self) -> impl Iterator<Item = &str> {
+        let leaving = self.entries.iter().filter(|(_, entry)| entry.kind == NoticeKind::Leaving);
+        leaving.map(|((incarnation, _), _)| incarnation.as_str())
+    }
+
     pub(crate) fn is_empty(&self) -> bool {
         self.entries.is_empty()
     }
--- a/crates/types/src/instance.rs
+++ b/crates/types/src/instance.rs
@@ -73,3 +73,10 @@
         Start(millis) => format!("{id}#{millis}"),
     }
 }
+
+/// Identifier and start time of an incarnation with a known start time; reverses
+/// [`incarnation_name`].
+pub fn parse_incarnation_name(name: &str) -> Option<(&str, Start)> {
+    let (id, millis) = name.rsplit_once('#')?;
+    Some((id, Start(millis.parse().ok()?)))
+}
