--- a/crates/lab/src/cli.rs
+++ b/crates/lab/src/cli.rs
@@ -73,6 +73,9 @@
         /// Print one JSON object a line
         json: bool,
     },
+    /// Model the control plane of a fleet of registered replicas (docs/CAPACITY.md)
+    #[bpaf(command("control-scale"))]
+    ControlScale(#[bpaf(external(control_scale_flags))] ControlScaleFlags),
     /// Send chat requests to a node at a steady rate and report what came back
     #[bpaf(command)]
     Load(#[bpaf(external(load_flags))] LoadFlags),
@@ -81,6 +84,25 @@
     StandIn(#[bpaf(external(stand_in))] StandIn),
 }
 
+/// The fleet to model.
+#[derive(Clone, Debug, Bpaf)]
+pub struct ControlScaleFlags {
+    /// Gateways
+    #[bpaf(argument("G"), fallback(300))]
+    pub gateways: usize,
+    /// Registered replicas
+    #[bpaf(argument("R"), fallback(3_000))]
+    pub replicas: usize,
+    /// Control members
+    #[bpaf(argument("M"), fallback(10))]
+    pub members: usize,
+    /// Interval of the replicas' heartbeats, in milliseconds
+    #[bpaf(argument("MS"), fallback(1_200))]
+    pub heartbeat_ms: u64,
+    /// Print one JSON object a phase, and one for all
+    pub json: bool,
+}
+
 /// What to compare.
 #[derive(Clone, Debug, Bpaf)]
 pub struct ExperimentFlags {
--- a/crates/lab/src/command.rs
+++ b/crates/lab/src/command.rs
@@ -1,6 +1,7 @@
 //! What the subcommands do.
 
 use crate::cli::{Command, StandIn};
+use crate::control_scale;
 use crate::embedded::{self, CALL_WORK, CONTROL_MEMBERS, LIST_LAG};
 use crate::engine::EngineParameters;
 use crate::experiment;
@@ -39,6 +40,7 @@
             scale::run(nodes, replicas, json);
             Ok(0)
         }
+        Command::ControlScale(flags) => control_scale::run(&flags),
         Command::Load(flags) => load::run(&executor, &flags).await,
         Command::StandIn(stand_in) => run_stand_in(&executor, stand_in).await,
     }
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -3,6 +3,7 @@
 pub mod cli;
 pub mod client;
 pub mod command;
+pub mod control_scale;
 pub mod embedded;
 pub mod engine;
 pub mod experiment;
--- a/crates/lab/src/scale/mod.rs
+++ b/crates/lab/src/scale/mod.rs
@@ -13,5 +13,6 @@
 mod summary;
 
 pub use fit::{Fit, fit};
+pub use meter::{resident_bytes, thread_time};
 pub use page::{Row, TARGET, rows};
 pub use summary::{Measured, run};
--- a/crates/topazmount/src/control_links.rs
+++ b/crates/topazmount/src/control_links.rs
@@ -25,6 +25,11 @@
 /// silent would hold a descriptor for ever.
 const LONGEST_REST: Duration = Duration::from_secs(60);
 
+/// Memory that the queue of one connection takes while it is empty, in bytes.
+pub fn connection_bytes() -> usize {
+    ANSWER_QUEUE * size_of::<Frame>()
+}
+
 /// Who waits for an answer.
 pub(crate) enum Requester {
     /// A peer, by the number of its request on its connection.
--- a/crates/topazmount/src/frames.rs
+++ b/crates/topazmount/src/frames.rs
@@ -33,6 +33,22 @@
     first_form: FirstForm,
 }
 
+/// The payload of a frame in the latest form.
+///
+/// # Errors
+/// When the frame can't be encoded.
+pub fn encode_frame(frame: &Frame) -> Result<Vec<u8>> {
+    Ok(compress(&encode_payload(frame)?))
+}
+
+/// Reverses [`encode_frame`].
+///
+/// # Errors
+/// When the payload is no frame.
+pub fn decode_frame(payload: &[u8]) -> Result<Frame> {
+    Ok(decode_payload(&decompress(payload)?)?)
+}
+
 impl FrameWriter {
     /// Sends one frame. One that the other side's build does not have is passed over.
     ///
@@ -41,7 +57,7 @@
     pub async fn send(&mut self, frame: &Frame) -> Result<FrameCost> {
         let began = Instant::now();
         let payload = match &self.first_form {
-            None => Some(compress(&encode_payload(frame)?)),
+            None => Some(encode_frame(frame)?),
             Some(link) => link
                 .lock()
                 .unwrap()
@@ -87,7 +103,7 @@
         let bytes = prefix.len() + frame.len();
         let payload = self.opener.open(&frame)?;
         let frame = match &self.first_form {
-            None => decode_payload(&decompress(payload)?)?,
+            None => decode_frame(payload)?,
             Some(link) => link.lock().unwrap().incoming(decode_payload(payload)?),
         };
         Ok((frame, FrameCost { bytes, busy: began.elapsed() }))
