A registration's cost does not grow with the fleet

Cause: registering looked at all replicas for one at the same address, up to three times at the leader and twice at each other member.

Change: the registry indexes its replicas by address. The encoded state is the same.

--- a/crates/control/src/fleet/mod.rs
+++ b/crates/control/src/fleet/mod.rs
@@ -9,6 +9,7 @@
 mod crashes;
 mod events;
 mod gateways;
+mod instance_table;
 mod leader;
 mod loading_slots;
 mod notices;
--- a/crates/control/src/fleet/state.rs
+++ b/crates/control/src/fleet/state.rs
@@ -2,6 +2,7 @@
 
 use super::batches::end_of_batch;
 use super::crashes::{CrashLedger, CrashReport};
+use super::instance_table::InstanceTable;
 use serde::{Deserialize, Serialize};
 use std::cmp::Ordering;
 use std::collections::BTreeMap;
@@ -165,7 +166,7 @@
 pub struct FleetState {
     document: Option<Document>,
     revision: u64,
-    instances: BTreeMap<InstanceId, Instance>,
+    instances: InstanceTable,
     removals: BTreeMap<InstanceId, Removal>,
     /// Removals up to this revision may have been dropped.
     forgotten_to: u64,
@@ -195,7 +196,7 @@
 
     /// Registered replicas.
     pub fn instances(&self) -> &BTreeMap<InstanceId, Instance> {
-        &self.instances
+        self.instances.by_id()
     }
 
     /// Newest published version for each model.
@@ -251,8 +252,8 @@
     /// service alone is accepted, since replicas may register before the document declares their
     /// service.
     fn registration_conflict(&self, reported: &Instance) -> Option<RegistrationConflict> {
-        let ends = |known: &&Instance| known.id == reported.id || known.address == reported.address;
-        let mut ended = self.instances.values().filter(ends);
+        let same_id = self.instances.get(&reported.id);
+        let mut ended = same_id.into_iter().chain(self.instances.at_address(&reported.address));
         if !self.is_declared(&reported.service)
             && ended.any(|known| self.is_declared(&known.service))
         {
@@ -269,9 +270,8 @@
     /// address, such as a delayed heartbeat. A new replica with a slow clock is refused until the
     /// current one times out.
     fn is_from_earlier_owner_of_address(&self, reported: &Instance) -> bool {
-        let is_later =
-            |known: &&Instance| known.address == reported.address && known.start > reported.start;
-        reported.start != Start::UNKNOWN && self.instances.values().any(|known| is_later(&known))
+        let owner = self.instances.at_address(&reported.address);
+        reported.start != Start::UNKNOWN && owner.is_some_and(|owner| owner.start > reported.start)
     }
 
     /// Whether a report of a declared service replaces an external writer's entry, whatever its
@@ -318,8 +318,12 @@
     pub fn earliest_changes(&self, revision: u64, max: usize) -> ReplicaChanges {
         let is_full = revision < self.forgotten_to || revision > self.revision;
         let since = if is_full { 0 } else { revision };
-        let changed =
-            || self.instances.values().filter(|instance| instance.changed_at > since || is_full);
+        let changed = || {
+            self.instances
+                .by_id()
+                .values()
+                .filter(|instance| instance.changed_at > since || is_full)
+        };
         let is_later = |removal: &Removal| removal.revision > since && !is_full;
         let removed = || self.removals.iter().filter(|(_, removal)| is_later(removal));
         let all = changed().map(|instance| instance.changed_at);
@@ -375,10 +379,8 @@
             removal.is_final |= is_declared && removal.address == instance.address;
         }
         self.removals.remove(&instance.id);
-        let before = self
-            .instances
-            .values()
-            .find(|other| other.address == instance.address && other.id != instance.id);
+        let before = self.instances.at_address(&instance.address);
+        let before = before.filter(|other| other.id != instance.id);
         if let Some((before, is_draining)) =
             before.map(|instance| (instance.id.clone(), instance.is_draining))
         {
@@ -394,12 +396,12 @@
             _ => instance,
         };
         next.changed_at = self.revision;
-        self.instances.insert(next.id.clone(), next);
+        self.instances.insert(next);
     }
 
     fn deregister(&mut self, id: InstanceId, start: Start) {
         if self.would_deregister(&id, start) {
-            let was_registered = self.instances.contains_key(&id);
+            let was_registered = self.instances.get(&id).is_some();
             self.remove(id.clone(), true, true);
             // If it was registered, only its own start counts; an external writer may give any start.
             if let Some(removal) = self.removals.get_mut(&id).filter(|_| !was_registered) {
--- a/crates/control/tests/fleet_state.rs
+++ b/crates/control/tests/fleet_state.rs
@@ -1,5 +1,7 @@
 //! Replicated state of the fleet: versions only rise, and departed replicas stay away.
 
+use rustix::time::{ClockId, clock_gettime};
+use std::time::Duration;
 use topazmount_control::{
     Document, FleetCommand, FleetState, RegistrationConflict, RegistrationStatus,
 };
@@ -386,3 +388,48 @@
     state.apply(FleetCommand::Register(new_replica));
     assert_eq!(ids(&state), ["newcomer"]);
 }
+
+/// Processor time of registering replicas in an empty fleet, for each of them.
+fn time_per_registration(replicas: usize) -> Duration {
+    let mut state = FleetState::default();
+    state.apply(FleetCommand::PutDocument(Document {
+        version: 1,
+        bytes: Vec::new(),
+        services: vec!["pool".to_owned()],
+    }));
+    let began = clock_gettime(ClockId::ThreadCPUTime);
+    for number in 0..replicas {
+        let reported = Instance { start: Start(1), ..instance(&format!("r{number}"), "") };
+        let reported = Instance { address: format!("10.0.0.1:{number}"), ..reported };
+        assert!(state.would_register(&reported));
+        state.apply(FleetCommand::Register(reported));
+    }
+    let ended = clock_gettime(ClockId::ThreadCPUTime);
+    let nanos = (ended.tv_sec - began.tv_sec) * 1_000_000_000 + ended.tv_nsec - began.tv_nsec;
+    Duration::from_nanos(nanos as u64) / replicas as u32
+}
+
+/// Guards against a registration that looks at all other replicas: 10,000 that start together would
+/// keep each member busy for seconds.
+#[test]
+fn the_cost_of_a_registration_does_not_grow_with_the_fleet() {
+    let few = (0..3).map(|_| time_per_registration(1_000)).min().unwrap();
+    let many = (0..3).map(|_| time_per_registration(8_000)).min().unwrap();
+    // A tree lookup among eight times as many replicas takes less than twice as long.
+    assert!(many < few * 2, "{few:?} with 1,000 replicas, {many:?} with 8,000");
+}
+
+/// Guards against a member that forgets who is at an address when it restores a snapshot.
+#[test]
+fn a_decoded_state_knows_who_is_at_an_address() {
+    let mut state = declared(&["pool"]);
+    register(&mut state, "a", "1:1");
+    let bytes = rmp_serde::to_vec_named(&state).unwrap();
+    let mut decoded: FleetState = rmp_serde::from_slice(&bytes).unwrap();
+    assert_eq!(decoded, state);
+    register(&mut decoded, "b", "1:1");
+    assert_eq!(ids(&decoded), ["b"]);
+    register(&mut decoded, "b", "2:2");
+    register(&mut decoded, "c", "1:1");
+    assert_eq!(ids(&decoded), ["b", "c"]);
+}
