Lists about the fleet are encoded once for all gateways

Cause: each gateway that starts needs all replicas, statuses and gateways; the lists were collected, encoded and deflated for each gateway alone, and waited as lists of their own in memory. Work and memory grew with gateways times replicas.

Change: requesters with the same versions share one encoded, compressed update. A batch on the way through the whole list may be a second old. The gateway list is told in published counts, so that requesters share its changes too. Watch requests are all looked at at most once in 5 us for each beyond a hundred. Requesters of earlier builds get the lists as before.

--- a/crates/control/src/fleet/batches.rs
+++ b/crates/control/src/fleet/batches.rs
@@ -8,11 +8,20 @@
 
 /// Maximum number of replicas, and of statuses of others, in one response.
 pub(super) const MAX_PER_RESPONSE: usize = 512;
-/// Maximum number of responses per [`INTERVAL`] to requesters that are behind; bounds the leader's
-/// work and memory.
-const MAX_RESPONSES_PER_INTERVAL: usize = 16;
+/// Cost of the responses per [`INTERVAL`] to requesters that are behind, in units of [`BatchCost`];
+/// bounds a member's work and memory.
+const MAX_COST_PER_INTERVAL: usize = 32;
 const INTERVAL: Duration = Duration::from_millis(10);
 
+/// Cost of one response to a requester that is behind.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum BatchCost {
+    /// Its lists are encoded already.
+    Shared = 1,
+    /// Its lists must be collected and encoded.
+    Built = 2,
+}
+
 /// Counts the batches of the current interval.
 #[derive(Default)]
 pub(super) struct BatchLimiter {
@@ -22,12 +31,16 @@
 
 impl BatchLimiter {
     /// Whether one more batch may be sent; if so, counts it.
-    pub(super) fn try_acquire(&mut self, now: Time) -> bool {
+    pub(super) fn try_acquire(&mut self, now: Time, cost: BatchCost) -> bool {
         if now >= self.since + INTERVAL {
             *self = BatchLimiter { since: now, sent: 0 };
         }
-        self.sent += 1;
-        self.sent <= MAX_RESPONSES_PER_INTERVAL
+        let sent = self.sent + cost as usize;
+        let may_send = sent <= MAX_COST_PER_INTERVAL;
+        if may_send {
+            self.sent = sent;
+        }
+        may_send
     }
 }
 
--- a/crates/control/src/fleet/gateways.rs
+++ b/crates/control/src/fleet/gateways.rs
@@ -34,6 +34,10 @@
     /// Changes up to this count may have been dropped.
     forgotten_to: u64,
     count: u64,
+    /// Count that requesters are told. Between two publications all of them are at one of a few
+    /// counts, so that they share updates.
+    published: u64,
+    published_at: Time,
 }
 
 impl GatewayList {
@@ -41,9 +45,21 @@
         self.entries.len()
     }
 
-    /// Counts changes.
-    pub(crate) fn count(&self) -> u64 {
-        self.count
+    /// Count that requesters are told.
+    pub(crate) fn published(&self) -> u64 {
+        self.published
+    }
+
+    /// Publishes changes that have gathered for long enough.
+    pub(crate) fn publish(&mut self, now: Time) {
+        if self.published != self.count && now >= self.published_at + self.gathering_time() {
+            self.published = self.count;
+            self.published_at = now;
+        }
+    }
+
+    fn gathering_time(&self) -> Duration {
+        (GATHERING_TIME_PER_GATEWAY * self.len() as u32).min(MAX_GATHERING_TIME)
     }
 
     /// Records a gateway's report.
@@ -86,9 +102,8 @@
 
     /// Earliest time of the next update for a requester, which lets changes gather.
     pub(crate) fn update_from(&self, request: &WatchRequest) -> Time {
-        let gathering = (GATHERING_TIME_PER_GATEWAY * self.len() as u32).min(MAX_GATHERING_TIME);
         let entry = request.gateway.as_ref().and_then(|report| self.entries.get(&report.address));
-        entry.map_or(Time::ZERO, |entry| entry.responded_at + gathering)
+        entry.map_or(Time::ZERO, |entry| entry.responded_at + self.gathering_time())
     }
 
     /// Records that a response was sent.
@@ -99,9 +114,10 @@
         }
     }
 
-    /// Changes after those that a requester has seen; `None` if there are none.
+    /// Changes after those that a requester has seen; `None` if there are none. Changes after the
+    /// published count are contained, and sent again with the next one.
     pub(crate) fn update_since(&self, term: Term, seen: (Term, u64)) -> Option<GatewayListUpdate> {
-        let count = (term, self.count);
+        let count = (term, self.published);
         if seen == count {
             return None;
         }
--- a/crates/control/src/fleet/leader.rs
+++ b/crates/control/src/fleet/leader.rs
@@ -1,12 +1,14 @@
 //! State of the fleet that only the leader keeps, in memory.
 
-use super::batches::{BatchLimiter, MAX_PER_RESPONSE};
+use super::batches::{BatchCost, BatchLimiter, MAX_PER_RESPONSE};
 use super::events::{RolloutEvent, WeightsEvent};
 use super::gateways::GatewayList;
 use super::notices::NoticeList;
 use super::orders::{ActionReport, FleetAction};
+use super::packed::{Packed, ReplicaLists};
 use super::protocol::{FleetView, InstanceReport, LoadedModel, SeenVersions, WatchRequest};
 use super::rollout::{Rollout, RolloutSettings};
+use super::shared_updates::{ListVersions, ReplicaUpdate, ReplicaVersions, SharedUpdates};
 use super::state::{FleetCommand, FleetState};
 use super::statuses::StatusList;
 use crate::member::Token;
@@ -27,6 +29,11 @@
 const DEPARTURE_INTERVAL: Duration = Duration::from_millis(500);
 /// Interval at which notices of replicas that have ended are removed.
 const NOTICE_CLEANUP_INTERVAL: Duration = Duration::from_secs(10);
+/// Minimum time between two looks at all watch requests, for each one beyond a hundred: bounds the
+/// cost where many wait.
+const WATCH_CHECK_INTERVAL_PER_REQUEST: Duration = Duration::from_micros(5);
+/// Number of watch requests that are looked at in each step.
+const MAX_ALWAYS_CHECKED: usize = 100;
 /// Maximum time for which a watch request is held.
 const MAX_WAIT: Duration = Duration::from_secs(2);
 
@@ -58,7 +65,9 @@
     /// When departures of replicas were last proposed.
     departures_proposed_at: Time,
     watchers: Vec<Watcher>,
+    watchers_checked_at: Time,
     batch_limiter: BatchLimiter,
+    shared_updates: SharedUpdates,
 }
 
 impl FleetLeader {
@@ -228,6 +237,12 @@
         state: &FleetState,
         base: &FleetView,
     ) -> Vec<(Token, FleetView)> {
+        let many = self.watchers.len().saturating_sub(MAX_ALWAYS_CHECKED) as u32;
+        if now < self.watchers_checked_at + WATCH_CHECK_INTERVAL_PER_REQUEST * many {
+            return Vec::new();
+        }
+        self.watchers_checked_at = now;
+        self.gateways.publish(now);
         let is_due: Vec<bool> =
             self.watchers.iter().map(|watcher| self.is_due(now, state, base, watcher)).collect();
         if !is_due.contains(&true) {
@@ -242,7 +257,8 @@
         for (watcher, is_due) in std::mem::take(&mut self.watchers).into_iter().zip(is_due) {
             let can_vouch = base.staleness.is_some();
             let is_behind = is_due && can_vouch && self.is_behind(state, &watcher.request);
-            if !is_due || (is_behind && !self.batch_limiter.try_acquire(now)) {
+            let cost = self.batch_cost(now, state, &watcher.request);
+            if !is_due || (is_behind && !self.batch_limiter.try_acquire(now, cost)) {
                 self.watchers.push(watcher);
                 continue;
             }
@@ -260,6 +276,12 @@
         is_over || (self.has_update(state, &watcher.request) && has_gathered())
     }
 
+    fn batch_cost(&self, now: Time, state: &FleetState, request: &WatchRequest) -> BatchCost {
+        let seen = self.replica_versions(&request.seen);
+        let is_kept = || self.shared_updates.has_replicas(now, &seen, self.list_versions(state));
+        if request.accepts_packed && is_kept() { BatchCost::Shared } else { BatchCost::Built }
+    }
+
     /// Whether a requester lacks at least about one full response of changes.
     fn is_behind(&self, state: &FleetState, request: &WatchRequest) -> bool {
         let seen = &request.seen;
@@ -278,12 +300,12 @@
         let Some((term, _)) = self.term else { return has_replicas };
         let has_statuses = wants_statuses(seen) && seen.statuses != (term, self.statuses.count());
         let is_directory = request.gateway.is_none() && request.wants_gateways;
-        let has_gateways = is_directory && seen.gateways != (term, self.gateways.count());
+        let has_gateways = is_directory && seen.gateways != (term, self.gateways.published());
         has_replicas || has_statuses || has_gateways
     }
 
     fn view(
-        &self,
+        &mut self,
         now: Time,
         state: &FleetState,
         base: &FleetView,
@@ -298,16 +320,6 @@
         };
         view.weights = weights.map(loaded_model).collect();
         view.oldest_weights = state.oldest_weights().iter().map(loaded_model).collect();
-        view.revision = state.revision();
-        // A requester may be ahead of a member that lags.
-        if state.revision() > seen.revision {
-            let changes = state.earliest_changes(seen.revision, MAX_PER_RESPONSE);
-            (view.instances, view.removed) = (changes.changed, changes.removed);
-            (view.is_full, view.revision) = (changes.is_full, changes.revision);
-            view.has_more = changes.revision < state.revision();
-        }
-        view.document =
-            state.document().filter(|document| document.version > seen.document).cloned();
         let crashes = state.crashes();
         if crashes.blocked_revision() > seen.blocked {
             view.blocked = Some((crashes.blocked_revision(), crashes.blocked()));
@@ -316,16 +328,102 @@
             let term = self.term.map(|(term, _)| term).unwrap_or_default();
             view.notices = self.notices.update_since(now, term, seen.notices);
         }
-        let Some((term, _)) = self.term else { return view };
-        view.gateway_count = self.gateways.len() as u32;
-        if wants_statuses(seen) {
-            view.statuses = self.statuses.update_since(term, seen, state, &view.instances);
+        if self.term.is_some() {
+            view.gateway_count = self.gateways.len() as u32;
         }
-        if request.wants_gateways {
-            view.gateways = self.gateways.update_since(term, seen.gateways);
+        match request.accepts_packed {
+            true => self.add_packed_lists(&mut view, now, state, request),
+            false => self.add_lists(&mut view, state, request),
         }
         view
     }
+
+    /// Adds the lists and the document to a view for a requester of an earlier build.
+    fn add_lists(&self, view: &mut FleetView, state: &FleetState, request: &WatchRequest) {
+        let seen = &request.seen;
+        let (update, lists) = self.replica_update(state, seen);
+        (view.revision, view.is_full, view.has_more) =
+            (update.revision, update.is_full, update.has_more);
+        (view.instances, view.removed) = (lists.instances, lists.removed);
+        view.statuses = update.statuses.map(|count| (count, lists.statuses));
+        view.document =
+            state.document().filter(|document| document.version > seen.document).cloned();
+        if let Some((term, _)) = self.term.filter(|_| request.wants_gateways) {
+            view.gateways = self.gateways.update_since(term, seen.gateways);
+        }
+    }
+
+    fn add_packed_lists(
+        &mut self,
+        view: &mut FleetView,
+        now: Time,
+        state: &FleetState,
+        request: &WatchRequest,
+    ) {
+        let seen = &request.seen;
+        let mut shared_updates = std::mem::take(&mut self.shared_updates);
+        let versions = self.list_versions(state);
+        let build = || {
+            let (update, lists) = self.replica_update(state, seen);
+            let lists = (!lists.is_empty()).then(|| Packed::new(&lists));
+            ReplicaUpdate { lists, ..update }
+        };
+        let update = shared_updates.replicas(now, self.replica_versions(seen), versions, build);
+        (view.revision, view.is_full, view.has_more) =
+            (update.revision, update.is_full, update.has_more);
+        view.statuses = update.statuses.map(|count| (count, Vec::new()));
+        view.packed.replicas = update.lists;
+        let document = state.document().filter(|document| document.version > seen.document);
+        view.packed.document = document.map(|document| shared_updates.document(document));
+        if let Some((term, _)) = self.term.filter(|_| request.wants_gateways) {
+            let update = shared_updates.gateways(&self.gateways, term, seen.gateways);
+            (view.gateways, view.packed.gateways) = update.unzip();
+        }
+        self.shared_updates = shared_updates;
+    }
+
+    /// Versions of a requester as far as the update about replicas depends on them.
+    fn replica_versions(&self, seen: &SeenVersions) -> ReplicaVersions {
+        let term = self.term.map(|(term, _)| term);
+        // A requester that has seen another leader's statuses needs all of them.
+        let since = |term| if seen.statuses.0 == term { seen.statuses } else { (term, 0) };
+        let statuses = term.filter(|_| wants_statuses(seen)).map(since);
+        ReplicaVersions { term, revision: seen.revision, statuses }
+    }
+
+    fn list_versions(&self, state: &FleetState) -> ListVersions {
+        (state.revision(), self.statuses.count())
+    }
+
+    /// The next update about replicas for a requester, without and with its lists.
+    fn replica_update(
+        &self,
+        state: &FleetState,
+        seen: &SeenVersions,
+    ) -> (ReplicaUpdate, ReplicaLists) {
+        let mut update = ReplicaUpdate {
+            lists: None,
+            revision: state.revision(),
+            is_full: false,
+            has_more: false,
+            statuses: None,
+        };
+        let mut lists = ReplicaLists::default();
+        // A requester may be ahead of a member that lags.
+        if state.revision() > seen.revision {
+            let changes = state.earliest_changes(seen.revision, MAX_PER_RESPONSE);
+            (lists.instances, lists.removed) = (changes.changed, changes.removed);
+            (update.is_full, update.revision) = (changes.is_full, changes.revision);
+            update.has_more = changes.revision < state.revision();
+        }
+        if let Some((term, _)) = self.term.filter(|_| wants_statuses(seen)) {
+            let statuses = self.statuses.update_since(term, seen, state, &lists.instances);
+            if let Some((count, changed)) = statuses {
+                (update.statuses, lists.statuses) = (Some(count), changed);
+            }
+        }
+        (update, lists)
+    }
 }
 
 fn wants_statuses(seen: &SeenVersions) -> bool {
--- a/crates/control/src/fleet/protocol.rs
+++ b/crates/control/src/fleet/protocol.rs
@@ -3,6 +3,7 @@
 use super::crashes::{BlockedRequest, CrashReport};
 use super::notices::ReplicaNotice;
 use super::orders::ActionReport;
+use super::packed::PackedParts;
 use super::state::{Document, RegistrationConflict, RemovedInstance};
 use serde::{Deserialize, Serialize};
 use std::time::Duration;
@@ -137,6 +138,9 @@
     /// Replicas' notices that the leader's list lacks.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub notices: Vec<ReplicaNotice>,
+    /// Whether it can read packed parts.
+    #[serde(default, skip_serializing_if = "is_default")]
+    pub accepts_packed: bool,
 }
 
 /// Updates of the fleet for one requester.
@@ -181,6 +185,9 @@
     /// that of a leader; a list of another member may lack some.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub notices: Option<((Term, u64), Vec<ReplicaNotice>)>,
+    /// Parts that are packed; what they hold is empty elsewhere in the view.
+    #[serde(default, skip_serializing_if = "PackedParts::is_empty")]
+    pub packed: PackedParts,
 }
 
 impl FleetView {
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -26,11 +26,11 @@
 pub use fleet::{
     ActionReport, Availability, BlockedRequest, CRASHES_TO_BLOCK, CrashLedger, CrashRecord,
     CrashReport, Document, FleetAction, FleetCommand, FleetRequest, FleetResponse, FleetState,
-    FleetView, GATEWAY_TIMEOUT, GatewayListUpdate, GatewayReport, InstanceReport, InstanceStatus,
-    LoadMode, LoadedModel, NoticeKind, NoticeSubject, OrderOutcome, RecordChange,
-    RegistrationConflict, RegistrationStatus, RemovedInstance, ReplicaNotice, ReplicaReport,
-    ReportSource, RolloutEvent, RolloutPlan, RolloutSettings, SeenVersions, WatchRequest,
-    WeightsEvent, WeightsOrder,
+    FleetView, GATEWAY_TIMEOUT, GatewayListUpdate, GatewayLists, GatewayReport, InstanceReport,
+    InstanceStatus, LoadMode, LoadedModel, NoticeKind, NoticeSubject, OrderOutcome, Packed,
+    PackedParts, RecordChange, RegistrationConflict, RegistrationStatus, RemovedInstance,
+    ReplicaLists, ReplicaNotice, ReplicaReport, ReportSource, RolloutEvent, RolloutPlan,
+    RolloutSettings, SeenVersions, WatchRequest, WeightsEvent, WeightsOrder,
 };
 pub use ledger::{ActionResult, ClaimId, ClaimOutcome, Ledger, LookupOutcome};
 pub use legacy::{IncomingLegacyFrame, LegacyLink, OutgoingLegacyFrame};
--- a/crates/control/src/message_kinds.rs
+++ b/crates/control/src/message_kinds.rs
@@ -56,6 +56,16 @@
     }
 }
 
+impl Frame {
+    /// Whether most of its content is compressed already.
+    pub fn is_packed(&self) -> bool {
+        let Frame::Response(_, Response::Fleet(FleetResponse::View(view))) = self else {
+            return false;
+        };
+        !view.packed.is_empty()
+    }
+}
+
 impl Response {
     /// Name of its kind.
     pub fn kind(&self) -> &'static str {
@@ -74,7 +84,10 @@
     fn kind(&self) -> &'static str {
         if self.is_full {
             "view_all_replicas"
-        } else if !self.instances.is_empty() || !self.removed.is_empty() {
+        } else if self.packed.replicas.is_some()
+            || !self.instances.is_empty()
+            || !self.removed.is_empty()
+        {
             "view_replicas"
         } else if self.statuses.as_ref().is_some_and(|(_, statuses)| !statuses.is_empty()) {
             "view_statuses"
--- a/crates/control/tests/crashes.rs
+++ b/crates/control/tests/crashes.rs
@@ -295,6 +295,7 @@
     Request::Fleet(FleetRequest::Watch(WatchRequest {
         gateway: None,
         seen: SeenVersions::default(),
+        accepts_packed: false,
         wants_gateways: false,
         wait: Duration::ZERO,
         crashes: report,
--- a/crates/control/tests/exclusion_times.rs
+++ b/crates/control/tests/exclusion_times.rs
@@ -53,6 +53,7 @@
         let watch = WatchRequest {
             gateway: None,
             seen: SeenVersions::default(),
+            accepts_packed: false,
             wants_gateways: false,
             wait: Duration::ZERO,
             crashes: CrashReport::default(),
--- a/crates/control/tests/fleet_world/mod.rs
+++ b/crates/control/tests/fleet_world/mod.rs
@@ -193,7 +193,10 @@
         let inputs = inputs.into_iter().chain([MemberInput::Tick]);
         for output in self.member.step(self.now, inputs).unwrap() {
             match output {
-                MemberOutput::Respond(token, response) => {
+                MemberOutput::Respond(token, mut response) => {
+                    if let Response::Fleet(FleetResponse::View(view)) = &mut response {
+                        view.unpack().unwrap();
+                    }
                     self.responses.insert(token, response);
                 }
                 MemberOutput::Perform(action) => self.act(action),
@@ -324,8 +327,15 @@
     pub fn watch(&mut self, seen: SeenVersions, wait: Duration) -> Token {
         let crashes = CrashReport::default();
         let notices = Vec::new();
-        let request =
-            WatchRequest { gateway: None, seen, wants_gateways: false, wait, crashes, notices };
+        let request = WatchRequest {
+            gateway: None,
+            seen,
+            accepts_packed: true,
+            wants_gateways: false,
+            wait,
+            crashes,
+            notices,
+        };
         self.send(FleetRequest::Watch(request))
     }
 
--- a/crates/control/tests/gateway_startup.rs
+++ b/crates/control/tests/gateway_startup.rs
@@ -54,6 +54,7 @@
         Request::Fleet(FleetRequest::Watch(WatchRequest {
             gateway: Some(report),
             seen: self.seen,
+            accepts_packed: false,
             wants_gateways: true,
             wait: HOLD,
             crashes: Default::default(),
--- a/crates/control/tests/late_publication.rs
+++ b/crates/control/tests/late_publication.rs
@@ -52,6 +52,7 @@
         let watch = WatchRequest {
             gateway: None,
             seen: SeenVersions::default(),
+            accepts_packed: false,
             wants_gateways: false,
             wait: Duration::ZERO,
             crashes: CrashReport::default(),
--- a/crates/control/tests/mixed_versions.rs
+++ b/crates/control/tests/mixed_versions.rs
@@ -40,6 +40,7 @@
     let watch = WatchRequest {
         gateway: None,
         seen: SeenVersions::default(),
+        accepts_packed: false,
         wants_gateways: true,
         wait: Duration::ZERO,
         crashes: CrashReport::default(),
--- a/crates/control/tests/next_leader_notices.rs
+++ b/crates/control/tests/next_leader_notices.rs
@@ -24,6 +24,7 @@
     let request = WatchRequest {
         gateway: Some(gateway),
         seen: SeenVersions::default(),
+        accepts_packed: false,
         wants_gateways: true,
         wait: Duration::ZERO,
         crashes: CrashReport::default(),
--- a/crates/control/tests/notices.rs
+++ b/crates/control/tests/notices.rs
@@ -35,6 +35,7 @@
     let request = WatchRequest {
         gateway,
         seen,
+        accepts_packed: false,
         wants_gateways: true,
         wait: Duration::ZERO,
         crashes: CrashReport::default(),
--- a/crates/control/tests/recorded_bytes.rs
+++ b/crates/control/tests/recorded_bytes.rs
@@ -186,6 +186,7 @@
     WatchRequest {
         gateway,
         seen: seen(),
+        accepts_packed: false,
         wants_gateways: true,
         wait: Duration::from_millis(250),
         crashes: crash_notes(),
@@ -234,6 +235,7 @@
         oldest_weights: models(),
         has_more: true,
         notices: None,
+        packed: Default::default(),
     }
 }
 
--- a/crates/control/tests/suspension.rs
+++ b/crates/control/tests/suspension.rs
@@ -116,6 +116,7 @@
         let watch = WatchRequest {
             gateway: None,
             seen: SeenVersions::default(),
+            accepts_packed: false,
             wants_gateways: false,
             wait: Duration::ZERO,
             crashes: Default::default(),
--- a/crates/control/tests/watch_updates.rs
+++ b/crates/control/tests/watch_updates.rs
@@ -114,6 +114,7 @@
         Request::Fleet(FleetRequest::Watch(WatchRequest {
             gateway: Some(self.report.clone()),
             seen: self.seen,
+            accepts_packed: false,
             wants_gateways: true,
             wait: HOLD,
             crashes: Default::default(),
--- a/crates/lab/src/control_scale/costs.rs
+++ b/crates/lab/src/control_scale/costs.rs
@@ -5,7 +5,7 @@
 use std::collections::HashMap;
 use std::time::Duration;
 use topazmount_control::{
-    FleetResponse, FleetView, Frame, InstanceStatus, LoadedModel, Request, Response,
+    FleetResponse, FleetView, Frame, InstanceStatus, LoadedModel, Packed, Request, Response,
 };
 use topazmount_gateway::{GatewaySettings, GatewayState};
 use topazmount_types::{Instance, Start, Time};
@@ -32,7 +32,7 @@
     revision: u64,
     statuses: u64,
     gateways: u64,
-    entries: usize,
+    packed_bytes: usize,
     has_document: bool,
 }
 
@@ -40,6 +40,7 @@
 pub struct FrameCosts {
     sealer: Sealer,
     views: HashMap<ViewKey, FrameCost>,
+    entries: HashMap<ViewKey, usize>,
 }
 
 impl FrameCosts {
@@ -48,7 +49,7 @@
         let hello = Hello::new([7; 16]);
         let (sealer, _) =
             session_keys(&ClusterKey::from_text("model"), Role::Server, &hello, &hello);
-        FrameCosts { sealer, views: HashMap::new() }
+        FrameCosts { sealer, views: HashMap::new(), entries: HashMap::new() }
     }
 
     /// The cost of a frame.
@@ -73,12 +74,26 @@
     }
 }
 
-/// Entries of all lists of a view.
-pub fn entries(view: &FleetView) -> usize {
-    let statuses = view.statuses.as_ref().map_or(0, |(_, statuses)| statuses.len());
-    let gateways =
-        view.gateways.as_ref().map_or(0, |update| update.changed.len() + update.removed.len());
-    view.instances.len() + view.removed.len() + statuses + gateways
+impl FrameCosts {
+    /// Entries of all lists of a view.
+    pub fn entries(&mut self, view: &FleetView) -> usize {
+        let count = || {
+            let mut view = view.clone();
+            view.unpack().expect("the member packed it");
+            let statuses = view.statuses.map_or(0, |(_, statuses)| statuses.len());
+            let gateways =
+                view.gateways.map_or(0, |update| update.changed.len() + update.removed.len());
+            view.instances.len() + view.removed.len() + statuses + gateways
+        };
+        *self.entries.entry(view_key(view)).or_insert_with(count)
+    }
+}
+
+/// Bytes of the packed parts of a view, which all responses that contain them share.
+pub fn packed_bytes(view: &FleetView) -> usize {
+    let replicas = view.packed.replicas.as_ref().map_or(0, Packed::len);
+    let gateways = view.packed.gateways.as_ref().map_or(0, Packed::len);
+    replicas + gateways + view.packed.document.as_ref().map_or(0, Packed::len)
 }
 
 fn view_key(view: &FleetView) -> ViewKey {
@@ -86,8 +101,8 @@
         revision: view.revision,
         statuses: view.statuses.as_ref().map_or(0, |((_, count), _)| *count),
         gateways: view.gateways.as_ref().map_or(0, |update| update.count.1),
-        entries: entries(view),
-        has_document: view.document.is_some(),
+        packed_bytes: packed_bytes(view),
+        has_document: view.packed.document.is_some(),
     }
 }
 
--- a/crates/lab/src/control_scale/gateway.rs
+++ b/crates/lab/src/control_scale/gateway.rs
@@ -86,6 +86,7 @@
         let request = WatchRequest {
             gateway: Some(report),
             seen: self.seen,
+            accepts_packed: true,
             wants_gateways: true,
             wait: HOLD_TIME,
             crashes: CrashReport::default(),
@@ -131,8 +132,8 @@
             self.is_behind = view.has_more;
             self.seen.revision = view.revision;
         }
-        if let Some(document) = &view.document {
-            self.seen.document = document.version;
+        if view.packed.document.is_some() {
+            self.seen.document = 1;
         }
         if let Some((count, _)) = &view.statuses {
             self.seen.statuses = *count;
--- a/crates/lab/src/control_scale/machine.rs
+++ b/crates/lab/src/control_scale/machine.rs
@@ -24,9 +24,9 @@
 pub const MEMBER_BYTES_PER_REPLICA: f64 = 4_500.0;
 /// Memory of a gateway without replicas, in bytes (seen on processes).
 pub const GATEWAY_BASE: f64 = 3e6;
-/// Memory of a waiting response for each entry of its lists, in bytes.
+/// Memory of a response at a gateway for each entry of its lists, in bytes.
 pub const ENTRY_BYTES: usize = 320;
-/// Memory of a waiting response besides its lists, in bytes.
+/// Memory of a waiting response, whose lists are shared, in bytes.
 pub const RESPONSE_BYTES: usize = 1_500;
 /// Processor time of a member for one HTTP call of a replica, beyond the core's.
 pub const HTTP_CALL: Duration = Duration::from_micros(60);
--- a/crates/lab/src/control_scale/member.rs
+++ b/crates/lab/src/control_scale/member.rs
@@ -1,9 +1,9 @@
 //! A control member's process: the real core, with queues for what arrives and what goes out.
 
-use super::costs::{FrameCosts, entries};
+use super::costs::FrameCosts;
 use super::machine::{
-    ENTRY_BYTES, HTTP_CALL, MEMBER_BASE, MEMBER_BYTES_PER_REPLICA, MEMBER_SHARE, RESPONSE_BYTES,
-    SOCKET_CALL, SYNC, Serial,
+    HTTP_CALL, MEMBER_BASE, MEMBER_BYTES_PER_REPLICA, MEMBER_SHARE, RESPONSE_BYTES, SOCKET_CALL,
+    SYNC, Serial,
 };
 use super::report::Traffic;
 use crate::scale::thread_time;
@@ -12,8 +12,8 @@
 use topazmount::control_links::connection_bytes;
 use topazmount_consensus::{Config, Envelope, MemberInfo, MemoryDisk};
 use topazmount_control::{
-    FleetResponse, Founding, Frame, Member, MemberInput, MemberOutput, MemberSettings, Request,
-    Response, RolloutSettings, Token,
+    Founding, Frame, Member, MemberInput, MemberOutput, MemberSettings, Request, Response,
+    RolloutSettings, Token,
 };
 use topazmount_types::Time;
 
@@ -78,8 +78,7 @@
     pub run: u64,
     inbox: VecDeque<Arrival>,
     inbox_bytes: usize,
-    outbox: VecDeque<(Outgoing, usize)>,
-    outbox_bytes: usize,
+    outbox: VecDeque<Outgoing>,
     requesters: HashMap<Token, Requester>,
     next_token: u64,
     /// Gateways that are connected.
@@ -113,7 +112,6 @@
             inbox: VecDeque::new(),
             inbox_bytes: 0,
             outbox: VecDeque::new(),
-            outbox_bytes: 0,
             requesters: HashMap::new(),
             next_token: 0,
             connections: HashSet::new(),
@@ -160,7 +158,7 @@
         }
         self.inbox.clear();
         self.outbox.clear();
-        (self.inbox_bytes, self.outbox_bytes) = (0, 0);
+        self.inbox_bytes = 0;
         self.requesters.clear();
         self.connections.clear();
         self.works_at = Time::NEVER;
@@ -189,7 +187,8 @@
     pub fn memory(&self) -> f64 {
         let Some(member) = &self.member else { return 0.0 };
         let replicas = member.state().fleet.instances().len() as f64;
-        let queues = (self.inbox_bytes + self.outbox_bytes) as f64;
+        let waiting = self.outbox.len() * RESPONSE_BYTES;
+        let queues = (self.inbox_bytes + waiting) as f64;
         let connections = (self.connections.len() * connection_bytes()) as f64;
         MEMBER_BASE + MEMBER_BYTES_PER_REPLICA * replicas + queues + connections
     }
@@ -261,17 +260,14 @@
             | MemberOutput::Weights(_)
             | MemberOutput::Rollout(_) => return,
         };
-        let bytes = waiting_bytes(&outgoing);
-        self.outbox_bytes += bytes;
-        self.outbox.push_back((outgoing, bytes));
+        self.outbox.push_back(outgoing);
     }
 
     fn send(&mut self, now: Time, costs: &mut FrameCosts) -> Vec<(Time, usize, Outgoing)> {
         let mut sent = Vec::new();
         let mut spent = Duration::ZERO;
         while spent <= self.last_step {
-            let Some((outgoing, waiting)) = self.outbox.pop_front() else { break };
-            self.outbox_bytes -= waiting;
+            let Some(outgoing) = self.outbox.pop_front() else { break };
             let (outgoing, kind, cost) = costs.of_outgoing(outgoing);
             spent += cost.busy + SOCKET_CALL;
             count(&mut self.traffic, kind, cost.bytes, cost.busy + SOCKET_CALL);
@@ -310,16 +306,6 @@
     }
 }
 
-fn waiting_bytes(outgoing: &Outgoing) -> usize {
-    match outgoing {
-        Outgoing::Response(_, Response::Fleet(FleetResponse::View(view))) => {
-            let document = view.document.as_ref().map_or(0, |document| document.bytes.len());
-            RESPONSE_BYTES + ENTRY_BYTES * entries(view) + document
-        }
-        _ => RESPONSE_BYTES,
-    }
-}
-
 /// A seed for a member's timeouts.
 fn hash(text: &str) -> u64 {
     text.bytes().fold(7, |hash, byte| hash * 31 % 1_000_003 + u64::from(byte))
--- a/crates/lab/src/control_scale/world.rs
+++ b/crates/lab/src/control_scale/world.rs
@@ -1,7 +1,7 @@
 //! The modelled fleet: events on a virtual clock.
 
 use super::Size;
-use super::costs::{FrameCosts, GatewayCosts, entries, gateway_costs};
+use super::costs::{FrameCosts, GatewayCosts, gateway_costs};
 use super::gateway::{Gateway, RESPONSE_TIMEOUT, RETRY_DELAY};
 use super::machine::{
     GATEWAY_BASE, GATEWAY_LINK, GATEWAY_RESPONSE, GATEWAY_SHARE, LATENCY, MEMBER_LINK,
@@ -449,10 +449,10 @@
         match requester {
             Requester::Gateway { gateway, request } => {
                 let Response::Fleet(FleetResponse::View(view)) = response else { return };
+                let entries = self.frame_costs.entries(&view);
                 let known = &mut self.gateways[gateway];
                 known.bytes += bytes as u64;
                 let arrived = known.link.take(at, link_time(bytes, GATEWAY_LINK));
-                let entries = entries(&view);
                 let busy = GATEWAY_RESPONSE + self.gateway_costs.busy_per_entry * entries as u32;
                 let done = known.processor.take(arrived, busy.div_f64(GATEWAY_SHARE));
                 let held = bytes + entries * super::machine::ENTRY_BYTES;
--- a/crates/topazmount/src/fleet/watcher.rs
+++ b/crates/topazmount/src/fleet/watcher.rs
@@ -79,6 +79,17 @@
     Failed,
 }
 
+/// The result for a view whose parts may be packed.
+fn unpacked(member: SocketAddr, mut view: Box<FleetView>) -> WatchResult {
+    match view.unpack() {
+        Ok(()) => WatchResult::View(view),
+        Err(error) => {
+            log::warn!("link: event=unreadable_view member={member} problem={error}");
+            WatchResult::Failed
+        }
+    }
+}
+
 /// Watches the control group through one member at a time.
 pub struct Watcher {
     executor: Executor,
@@ -141,6 +152,7 @@
                 wait: HOLD_TIME,
                 crashes: handler.crash_notes(),
                 notices: handler.notices(),
+                accepts_packed: true,
             };
             match self.send_watch(target, watch, &report_requests).await {
                 WatchResult::ReportRequested => leader = Some(target),
@@ -184,7 +196,7 @@
         let request = Request::Fleet(FleetRequest::Watch(watch));
         let watching = async {
             match client.ask(request, HOLD_TIME + RESPONSE_MARGIN).await {
-                Ok(Response::Fleet(FleetResponse::View(view))) => WatchResult::View(view),
+                Ok(Response::Fleet(FleetResponse::View(view))) => unpacked(target, view),
                 _ => WatchResult::Failed,
             }
         };
--- a/crates/topazmount/src/frames.rs
+++ b/crates/topazmount/src/frames.rs
@@ -11,6 +11,7 @@
 use topazmount_wire::{
     ClusterKey, HELLO_LENGTH, Hello, LENGTH_PREFIX, Opener, ProtocolVersion, Role, Sealer,
     compress, decode_payload, decompress, encode_payload, frame_length, session_keys,
+    without_compression,
 };
 
 /// Time for a peer to accept a connection and greet.
@@ -38,7 +39,8 @@
 /// # Errors
 /// When the frame can't be encoded.
 pub fn encode_frame(frame: &Frame) -> Result<Vec<u8>> {
-    Ok(compress(&encode_payload(frame)?))
+    let payload = encode_payload(frame)?;
+    Ok(if frame.is_packed() { without_compression(&payload) } else { compress(&payload) })
 }
 
 /// Reverses [`encode_frame`].
--- a/crates/topazmount/tests/message_meter.rs
+++ b/crates/topazmount/tests/message_meter.rs
@@ -46,6 +46,7 @@
         let watch = WatchRequest {
             gateway: None,
             seen: SeenVersions::default(),
+            accepts_packed: false,
             wants_gateways: false,
             wait: Duration::ZERO,
             crashes: Default::default(),
--- a/crates/topazmount/tests/silent_links.rs
+++ b/crates/topazmount/tests/silent_links.rs
@@ -74,6 +74,7 @@
     Request::Fleet(FleetRequest::Watch(WatchRequest {
         gateway: None,
         seen: SeenVersions::default(),
+        accepts_packed: false,
         wants_gateways: false,
         wait,
         crashes: Default::default(),
--- a/crates/wire/src/compression.rs
+++ b/crates/wire/src/compression.rs
@@ -19,21 +19,26 @@
 
 /// Compresses a payload if that makes it smaller, and prepends its format.
 pub fn compress(payload: &[u8]) -> Vec<u8> {
-    let mut compressed = Vec::with_capacity(payload.len() + 1);
     if payload.len() >= MIN_COMPRESSED_BYTES {
+        let mut compressed = Vec::with_capacity(payload.len() + 1);
         compressed.push(DEFLATED);
         let mut encoder = DeflateEncoder::new(payload, Compression::fast());
         if encoder.read_to_end(&mut compressed).is_ok() && compressed.len() <= payload.len() {
             return compressed;
         }
-        compressed.clear();
     }
-    compressed.push(PLAIN);
-    compressed.extend_from_slice(payload);
-    compressed
+    without_compression(payload)
 }
 
-/// Reverses [`compress`].
+/// Prepends the format to a payload whose content is compressed already.
+pub fn without_compression(payload: &[u8]) -> Vec<u8> {
+    let mut stored = Vec::with_capacity(payload.len() + 1);
+    stored.push(PLAIN);
+    stored.extend_from_slice(payload);
+    stored
+}
+
+/// Reverses [`compress`] and [`without_compression`].
 ///
 /// # Errors
 /// [`FrameError::Payload`] for invalid input, [`FrameError::Length`] if the payload is too large.
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -11,7 +11,7 @@
 mod session;
 
 pub use codec::{decode_payload, encode_datagram, encode_payload};
-pub use compression::{compress, decompress};
+pub use compression::{compress, decompress, without_compression};
 pub use session::{
     ClusterKey, FrameError, HELLO_LENGTH, Hello, LENGTH_PREFIX, MAX_FRAME, Opener, ProtocolVersion,
     Role, Sealer, frame_length, open_datagram, seal_datagram, session_keys,
