A connection's queue takes no memory while it is empty

Cause: each connection of a control member had a queue with 1,024 slots of whole frames, 0.31 MB, taken at once: 985 gateways take 305 MB at each member that they reach. Clients of members had such a queue for each member too.

Change: queues allocate slots as needed, and frames are boxed. What a connection may ask for is bounded by its unanswered requests instead: further ones stay unread until an answer was sent.

--- a/crates/lab/src/control_scale/machine.rs
+++ b/crates/lab/src/control_scale/machine.rs
@@ -22,6 +22,8 @@
 /// Memory of a control member for each replica: state, log and snapshot, in bytes (seen on members
 /// of a fleet that gateways did not reach).
 pub const MEMBER_BYTES_PER_REPLICA: f64 = 4_500.0;
+/// Memory of a control member for each connection, in bytes (seen on processes).
+pub const CONNECTION_BYTES: usize = 20_000;
 /// Memory of a gateway without replicas, in bytes (seen on processes).
 pub const GATEWAY_BASE: f64 = 3e6;
 /// Memory of a response at a gateway for each entry of its lists, in bytes.
--- a/crates/lab/src/control_scale/member.rs
+++ b/crates/lab/src/control_scale/member.rs
@@ -2,14 +2,13 @@
 
 use super::costs::FrameCosts;
 use super::machine::{
-    HTTP_CALL, MEMBER_BASE, MEMBER_BYTES_PER_REPLICA, MEMBER_SHARE, RESPONSE_BYTES, SOCKET_CALL,
-    SYNC, Serial,
+    CONNECTION_BYTES, HTTP_CALL, MEMBER_BASE, MEMBER_BYTES_PER_REPLICA, MEMBER_SHARE,
+    RESPONSE_BYTES, SOCKET_CALL, SYNC, Serial,
 };
 use super::report::Traffic;
 use crate::scale::thread_time;
 use std::collections::{BTreeMap, HashMap, HashSet, VecDeque};
 use std::time::Duration;
-use topazmount::control_links::connection_bytes;
 use topazmount_consensus::{Config, Envelope, MemberInfo, MemoryDisk};
 use topazmount_control::{
     Founding, Frame, Member, MemberInput, MemberOutput, MemberSettings, Request, Response,
@@ -189,7 +188,7 @@
         let replicas = member.state().fleet.instances().len() as f64;
         let waiting = self.outbox.len() * RESPONSE_BYTES;
         let queues = (self.inbox_bytes + waiting) as f64;
-        let connections = (self.connections.len() * connection_bytes()) as f64;
+        let connections = (self.connections.len() * CONNECTION_BYTES) as f64;
         MEMBER_BASE + MEMBER_BYTES_PER_REPLICA * replicas + queues + connections
     }
 
--- a/crates/topazmount/src/control_client.rs
+++ b/crates/topazmount/src/control_client.rs
@@ -16,16 +16,18 @@
 const RECONNECT_PAUSE: Duration = Duration::from_millis(100);
 /// Longest time for a request to go out: a member that does not read is as good as silent.
 const SEND_LIMIT: Duration = Duration::from_millis(1_000);
-/// Requests that wait for a connection.
-const QUEUE: usize = 1_024;
+/// Requests that wait for a connection. The queue allocates its slots as they are needed, since each
+/// gateway has a client of each member.
+const MAX_QUEUED: usize = 1_024;
 
 type Answer = Box<dyn FnOnce(Option<Response>) + Send>;
+type Asked = Box<(Request, Answer)>;
 type Pending = Arc<Mutex<HashMap<u64, Answer>>>;
 
 /// A connection that is made when needed and made anew when it breaks.
 #[derive(Clone)]
 pub struct ControlClient {
-    queue: Sender<(Request, Answer)>,
+    queue: Sender<Asked>,
     /// Tells that an answer did not come in its time.
     doubts: Sender<()>,
 }
@@ -43,7 +45,7 @@
         key: ClusterKey,
         limit: ConnectLimit,
     ) -> Self {
-        let (queue, requests) = async_channel::bounded(QUEUE);
+        let (queue, requests) = async_channel::unbounded();
         let (doubts, doubted) = async_channel::bounded(1);
         let executor = executor.clone();
         let link = Link { executor: executor.clone(), address, key, requests, doubted };
@@ -53,8 +55,11 @@
 
     /// Sends a request; `answer` is called once, with `None` when no answer can come.
     pub fn send(&self, request: Request, answer: impl FnOnce(Option<Response>) + Send + 'static) {
-        if let Err(failed) = self.queue.try_send((request, Box::new(answer))) {
-            let (_, answer) = failed.into_inner();
+        if self.queue.len() >= MAX_QUEUED {
+            return answer(None);
+        }
+        if let Err(failed) = self.queue.try_send(Box::new((request, Box::new(answer)))) {
+            let (_, answer) = *failed.into_inner();
             answer(None);
         }
     }
@@ -83,13 +88,13 @@
     executor: Executor,
     address: SocketAddr,
     key: ClusterKey,
-    requests: Receiver<(Request, Answer)>,
+    requests: Receiver<Asked>,
     doubted: Receiver<()>,
 }
 
 /// What a connection waits for.
 enum Next {
-    Request(Box<(Request, Answer)>),
+    Request(Asked),
     Doubt,
     Ended,
 }
@@ -114,19 +119,14 @@
     }
 
     /// Sends requests until the connection ends, or has gone silent.
-    async fn serve_connection(
-        &self,
-        mut writer: FrameWriter,
-        reader: FrameReader,
-        first: (Request, Answer),
-    ) {
+    async fn serve_connection(&self, mut writer: FrameWriter, reader: FrameReader, first: Asked) {
         let pending = Pending::default();
         let traffic = Arc::new(Traffic::default());
         let (closed_sender, closed) = async_channel::bounded::<()>(1);
         let read = read_answers(reader, pending.clone(), traffic.clone(), closed_sender);
         let _reading = self.executor.spawn(read);
         let mut number = 0u64;
-        let mut next = Next::Request(Box::new(first));
+        let mut next = Next::Request(first);
         loop {
             match next {
                 Next::Request(asked) => {
@@ -159,7 +159,7 @@
     async fn next(&self, closed: &Receiver<()>) -> Next {
         let request = async {
             match self.requests.recv().await {
-                Ok(asked) => Next::Request(Box::new(asked)),
+                Ok(asked) => Next::Request(asked),
                 Err(_) => Next::Ended,
             }
         };
@@ -178,9 +178,9 @@
     }
 }
 
-fn fail_queued(requests: &Receiver<(Request, Answer)>) {
-    while let Ok((_, answer)) = requests.try_recv() {
-        answer(None);
+fn fail_queued(requests: &Receiver<Asked>) {
+    while let Ok(asked) = requests.try_recv() {
+        (asked.1)(None);
     }
 }
 
--- a/crates/topazmount/src/control_links.rs
+++ b/crates/topazmount/src/control_links.rs
@@ -17,23 +17,35 @@
 
 /// Messages that wait for a peer; older ones are resent by the log anyway.
 const PEER_QUEUE: usize = 256;
-/// Answers that wait on one connection.
-const ANSWER_QUEUE: usize = 1_024;
+/// Requests of one connection that wait for their answers; further ones stay unread until one of
+/// these is answered. A gateway has one or two, a member that forwards replicas' calls some dozens.
+const MAX_UNANSWERED: usize = 64;
+/// Acknowledgements and answers that wait on one connection; acknowledgements beyond it are left out.
+const MAX_QUEUED: usize = 2 * MAX_UNANSWERED;
 /// Pause after a failed connection to a peer.
 const PEER_PAUSE: Duration = Duration::from_millis(100);
 /// Rest after which an incoming connection is closed: nobody who still uses one is silent for so long, and one that went
 /// silent would hold a descriptor for ever.
 const LONGEST_REST: Duration = Duration::from_secs(60);
 
-/// Memory that the queue of one connection takes while it is empty, in bytes.
-pub fn connection_bytes() -> usize {
-    ANSWER_QUEUE * size_of::<Frame>()
+/// A frame that waits to be sent. The queue allocates its slots as they are needed, and a slot is
+/// small, since a member has a connection of each gateway.
+type Queued = (Box<Frame>, Option<Unanswered>);
+
+/// Counts a request as unanswered until this is dropped, which happens once the answer was sent or
+/// can't be sent any more.
+pub(crate) struct Unanswered(Receiver<()>);
+
+impl Drop for Unanswered {
+    fn drop(&mut self) {
+        let _ = self.0.try_recv();
+    }
 }
 
 /// Who waits for an answer.
 pub(crate) enum Requester {
     /// A peer, by the number of its request on its connection.
-    Connection { answers: Sender<Frame>, number: u64 },
+    Connection { answers: Sender<Queued>, number: u64, unanswered: Unanswered },
     /// A task of this process.
     Local(Sender<Response>),
 }
@@ -218,14 +230,14 @@
     if reader.form() < ProtocolVersion::LATEST {
         log::info!("link: event=older_form peer={peer} form={}", reader.form().name());
     }
-    let (answers, queue) = async_channel::bounded(ANSWER_QUEUE);
+    let (answers, queue) = async_channel::unbounded();
     let _writing = executor.spawn(write_answers(writer, queue, shared.meter.clone()));
     let reason = read_requests(&mut reader, &answers, &shared).await;
     log::debug!("link: {peer} closed: {reason}.");
 }
 
-async fn write_answers(mut writer: FrameWriter, queue: Receiver<Frame>, meter: Arc<MessageMeter>) {
-    while let Ok(frame) = queue.recv().await {
+async fn write_answers(mut writer: FrameWriter, queue: Receiver<Queued>, meter: Arc<MessageMeter>) {
+    while let Ok((frame, _unanswered)) = queue.recv().await {
         match writer.send(&frame).await {
             Ok(cost) => meter.count(Way::Out, frame.kind(), cost),
             Err(_) => return,
@@ -235,9 +247,10 @@
 
 async fn read_requests(
     reader: &mut FrameReader,
-    answers: &Sender<Frame>,
+    answers: &Sender<Queued>,
     shared: &Shared,
 ) -> eyre::Report {
+    let (begun, ended) = async_channel::bounded(MAX_UNANSWERED);
     loop {
         let (frame, cost) = match frames::within(LONGEST_REST, reader.receive_with_cost()).await {
             Ok(received) => received,
@@ -248,11 +261,17 @@
         let input = match frame {
             Frame::Peer(address, envelope) => {
                 // Where the queue is full there are other answers to hear.
-                let _ = answers.try_send(Frame::Ack);
+                if answers.len() < MAX_QUEUED {
+                    let _ = answers.try_send((Box::new(Frame::Ack), None));
+                }
                 MemberInput::Peer(address, envelope)
             }
             Frame::Request(number, request) => {
-                let requester = Requester::Connection { answers: answers.clone(), number };
+                // Waits while too many requests are unanswered.
+                let _ = begun.send(()).await;
+                let unanswered = Unanswered(ended.clone());
+                let answers = answers.clone();
+                let requester = Requester::Connection { answers, number, unanswered };
                 MemberInput::Request(shared.add(requester), request)
             }
             Frame::Response(..) | Frame::Ack => {
--- a/crates/topazmount/src/control_process.rs
+++ b/crates/topazmount/src/control_process.rs
@@ -312,8 +312,9 @@
     fn respond(&self, token: Token, response: Response) {
         let requester = self.shared.waiting.lock().unwrap().requesters.remove(&token);
         match requester {
-            Some(Requester::Connection { answers, number }) => {
-                let _ = answers.try_send(Frame::Response(number, response));
+            Some(Requester::Connection { answers, number, unanswered }) => {
+                let frame = Box::new(Frame::Response(number, response));
+                let _ = answers.try_send((frame, Some(unanswered)));
             }
             Some(Requester::Local(sender)) => {
                 let _ = sender.try_send(response);
