--- a/crates/topazmount/tests/common/mod.rs
+++ b/crates/topazmount/tests/common/mod.rs
@@ -1,10 +1,15 @@
-//! A relay between two processes whose open connections can go silent.
+//! A relay between two processes whose open connections can go silent, and control members.
 #![allow(dead_code)]
 
+use futures_lite::future::block_on;
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
+use topazmount::Executor;
+use topazmount::control_process::{ControlHandle, ControlOptions, start};
+use topazmount_settings::{ControlSettings, Peer, SourceFiles};
+use topazmount_wire::ClusterKey;
 
 /// Forwards connections to an address. Those that were open when it was silenced stay open and carry nothing.
 pub struct Relay {
@@ -67,3 +72,46 @@
         std::thread::park();
     }
 }
+
+/// An executor with two threads.
+pub fn executor() -> Executor {
+    let executor: Executor = Arc::new(async_executor::Executor::new());
+    for _ in 0..2 {
+        let executor = executor.clone();
+        std::thread::spawn(move || {
+            async_io::block_on(executor.run(futures_lite::future::pending::<()>()));
+        });
+    }
+    executor
+}
+
+/// Key of all members.
+pub fn key() -> ClusterKey {
+    ClusterKey::from_text("test")
+}
+
+/// A member that founds a group of its own.
+pub fn member(executor: &Executor, name: &str) -> (ControlHandle, SocketAddr) {
+    let folder =
+        std::env::temp_dir().join(format!("topazmount-member-{name}-{}", std::process::id()));
+    let _ = std::fs::remove_dir_all(&folder);
+    let address = std::net::TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
+    let peer = Peer { name: address.to_string(), address };
+    let settings = ControlSettings {
+        name: address.to_string(),
+        internal_address: address,
+        data_folder: folder,
+        declarations: "none".into(),
+        cluster_key_file: "none".into(),
+        initial_members: vec![peer],
+    };
+    let options = ControlOptions {
+        settings,
+        form_group: true,
+        source: SourceFiles::default(),
+        key: key(),
+        rollout: Default::default(),
+        actions: None,
+    };
+    (block_on(start(executor, options)).unwrap(), address)
+}
--- a/crates/topazmount/tests/silent_links.rs
+++ b/crates/topazmount/tests/silent_links.rs
@@ -5,7 +5,7 @@
 
 use async_channel::Receiver;
 use async_net::TcpListener;
-use common::Relay;
+use common::{Relay, executor, key, member};
 use futures_lite::future::block_on;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -13,63 +13,16 @@
 use topazmount::Executor;
 use topazmount::control_client::ControlClient;
 use topazmount::control_links::Peers;
-use topazmount::control_process::{ControlOptions, start};
 use topazmount_consensus::{Envelope, MemberId, Message};
 use topazmount_control::{
     FleetRequest, FleetResponse, Request, Response, SeenVersions, WatchRequest,
 };
-use topazmount_settings::{ControlSettings, Peer, SourceFiles};
-use topazmount_wire::ClusterKey;
 
 /// Time within which a silent connection must have been replaced: an election timeout of 600 ms, and a connection.
 const LIMIT: Duration = Duration::from_millis(1_500);
 /// From one message of a leader to the next one.
 const HEARTBEAT: Duration = Duration::from_millis(100);
 
-fn executor() -> Executor {
-    let executor: Executor = Arc::new(async_executor::Executor::new());
-    for _ in 0..2 {
-        let executor = executor.clone();
-        std::thread::spawn(move || {
-            async_io::block_on(executor.run(futures_lite::future::pending::<()>()));
-        });
-    }
-    executor
-}
-
-fn key() -> ClusterKey {
-    ClusterKey::from_text("test")
-}
-
-/// A member that founds a group of its own.
-fn member(
-    executor: &Executor,
-    name: &str,
-) -> (topazmount::control_process::ControlHandle, SocketAddr) {
-    let folder =
-        std::env::temp_dir().join(format!("topazmount-silent-{name}-{}", std::process::id()));
-    let _ = std::fs::remove_dir_all(&folder);
-    let address = std::net::TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
-    let peer = Peer { name: address.to_string(), address };
-    let settings = ControlSettings {
-        name: address.to_string(),
-        internal_address: address,
-        data_folder: folder,
-        declarations: "none".into(),
-        cluster_key_file: "none".into(),
-        initial_members: vec![peer],
-    };
-    let options = ControlOptions {
-        settings,
-        form_group: true,
-        source: SourceFiles::default(),
-        key: key(),
-        rollout: Default::default(),
-        actions: None,
-    };
-    (block_on(start(executor, options)).unwrap(), address)
-}
-
 fn watch(wait: Duration) -> Request {
     Request::Fleet(FleetRequest::Watch(WatchRequest {
         gateway: None,
