Log lines about replicas and their weights are rate-limited

Cause: a gateway that starts wrote a line for each replica, and a leader that hears of their weights another: ten million lines where 985 gateways meet 9,998 replicas.

--- a/crates/topazmount/src/control_log.rs
+++ b/crates/topazmount/src/control_log.rs
@@ -1,6 +1,7 @@
 //! What a control member logs of the group: who leads, who takes part, who asked to join whom and
 //! what was said. Steps that are taken again and again are logged once until they change.
 
+use crate::fleet::rate_limited_log::RateLimitedLog;
 use std::collections::HashMap;
 use std::sync::Mutex;
 use std::time::{Duration, Instant};
@@ -45,6 +46,8 @@
     leadership: Mutex<Leadership>,
     /// Newest line of each matter, and when it was written.
     lines: Mutex<HashMap<String, (String, Instant)>>,
+    /// Lines about replicas' weights, of which thousands may come at once.
+    weights_lines: RateLimitedLog,
 }
 
 impl ControlLog {
@@ -102,7 +105,9 @@
     /// Logs what the leader made of a replica's word on its weights. A replica may say the same with each heartbeat.
     pub(crate) fn weights(&self, event: &WeightsEvent) {
         match event.change {
-            RecordChange::Updated | RecordChange::Reverted => log::info!("weights: {event}"),
+            RecordChange::Updated | RecordChange::Reverted => {
+                self.weights_lines.info(|| format!("weights: {event}"));
+            }
             RecordChange::Kept => {
                 let matter = format!("{} {} {}", event.instance, event.start, event.reported);
                 self.once(matter, || log::info!("weights: {event}"));
--- a/crates/topazmount/src/fleet/gateway.rs
+++ b/crates/topazmount/src/fleet/gateway.rs
@@ -322,24 +322,26 @@
             log::info!("gateway: event=configuration version={}", catalog.version());
         }
         for instance in &view.instances {
-            log::info!(
-                "gateway: event=instance id={} start={} service={} address={} draining={} revision={}",
-                instance.id,
-                instance.start,
-                instance.service,
-                instance.address,
-                instance.is_draining,
-                instance.changed_at
-            );
+            self.shared.event_log.info(|| {
+                format!(
+                    "gateway: event=instance id={} start={} service={} address={} draining={} \
+                     revision={}",
+                    instance.id,
+                    instance.start,
+                    instance.service,
+                    instance.address,
+                    instance.is_draining,
+                    instance.changed_at
+                )
+            });
         }
         for removed in &view.removed {
-            log::info!(
-                "gateway: event=instance_removed id={} start={} announced={} revision={}",
-                removed.id,
-                removed.start,
-                removed.was_announced,
-                view.revision
-            );
+            self.shared.event_log.info(|| {
+                format!(
+                    "gateway: event=instance_removed id={} start={} announced={} revision={}",
+                    removed.id, removed.start, removed.was_announced, view.revision
+                )
+            });
         }
         let (crashed, (blocked, released), changes, notices) = {
             let mut gateway_state = self.shared.gateway_state.lock().unwrap();
--- a/crates/topazmount/src/fleet/mod.rs
+++ b/crates/topazmount/src/fleet/mod.rs
@@ -21,7 +21,7 @@
 mod peers;
 mod pool;
 mod process;
-mod rate_limited_log;
+pub(crate) mod rate_limited_log;
 mod replica_changes;
 mod request_reader;
 mod response;
