The time after which a silent replica is gone follows the heartbeat interval

Cause: 5 s were fixed, and no code read the interval that the platform names. With heartbeats each 3 s, one lost heartbeat and a delay of less than that drop a sound replica.

Change: two intervals and the longest delay of a heartbeat, 2.6 s; the same 5 s at 1.2 s. The setting heartbeat_ms is filled by the platform.

--- a/crates/control/src/fleet/leader.rs
+++ b/crates/control/src/fleet/leader.rs
@@ -17,8 +17,12 @@
 use topazmount_consensus::Term;
 use topazmount_types::{Instance, InstanceId, Time, parse_incarnation_name};
 
-/// A replica without a heartbeat for this time counts as gone; heartbeats may be seconds late.
-const REPLICA_TIMEOUT: Duration = Duration::from_secs(5);
+/// Interval at which replicas send heartbeats where no other one is set.
+pub const DEFAULT_HEARTBEAT_INTERVAL: Duration = Duration::from_millis(1_200);
+/// How late a heartbeat may be: on its way, at a busy member, and in a follower's batch.
+const MAX_HEARTBEAT_DELAY: Duration = Duration::from_millis(2_600);
+/// Intervals without a heartbeat after which a replica counts as gone: one heartbeat may be lost.
+const MAX_MISSED_INTERVALS: u32 = 2;
 /// Minimum time between two checks of all replicas.
 const MIN_CHECK_INTERVAL: Duration = Duration::from_millis(20);
 /// The same per registered replica, which bounds the cost in a large fleet.
@@ -49,6 +53,8 @@
 #[derive(Default)]
 pub(crate) struct FleetLeader {
     settings: RolloutSettings,
+    /// A replica without a heartbeat for this time counts as gone.
+    replica_timeout: Duration,
     term: Option<(Term, Time)>,
     last_heartbeat: BTreeMap<InstanceId, Time>,
     gateways: GatewayList,
@@ -71,8 +77,13 @@
 }
 
 impl FleetLeader {
-    pub(crate) fn new(settings: RolloutSettings) -> Self {
-        FleetLeader { settings, rollout: Rollout::new(settings), ..FleetLeader::default() }
+    pub(crate) fn new(settings: RolloutSettings, heartbeat_interval: Duration) -> Self {
+        FleetLeader {
+            settings,
+            replica_timeout: heartbeat_interval * MAX_MISSED_INTERVALS + MAX_HEARTBEAT_DELAY,
+            rollout: Rollout::new(settings),
+            ..FleetLeader::default()
+        }
     }
 
     /// Records a heartbeat of a replica.
@@ -119,13 +130,14 @@
         let mut expired = Vec::new();
         for (id, instance) in state.instances() {
             let last_heartbeat = *self.last_heartbeat.entry(id.clone()).or_insert(now);
-            if now >= last_heartbeat.max(since) + REPLICA_TIMEOUT {
+            if now >= last_heartbeat.max(since) + self.replica_timeout {
                 expired.push(FleetCommand::ExpireIncarnation(id.clone(), instance.start));
             }
         }
+        let replica_timeout = self.replica_timeout;
         // A replica is registered shortly after its first heartbeat.
         let is_known = |id: &str, last_heartbeat: Time| {
-            state.instances().contains_key(id) || now < last_heartbeat + REPLICA_TIMEOUT
+            state.instances().contains_key(id) || now < last_heartbeat + replica_timeout
         };
         self.last_heartbeat.retain(|id, last_heartbeat| is_known(id, *last_heartbeat));
         let last_heartbeat = &self.last_heartbeat;
--- a/crates/control/src/fleet/mod.rs
+++ b/crates/control/src/fleet/mod.rs
@@ -29,6 +29,7 @@
 pub use crashes::{BlockedRequest, CRASHES_TO_BLOCK, CrashLedger, CrashRecord, CrashReport};
 pub use events::{RecordChange, ReportSource, RolloutEvent, WeightsEvent};
 pub use gateways::GATEWAY_TIMEOUT;
+pub use leader::DEFAULT_HEARTBEAT_INTERVAL;
 pub(crate) use leader::FleetLeader;
 pub use notices::{NoticeKind, NoticeSubject, ReplicaNotice};
 pub use orders::{ActionReport, FleetAction, LoadMode, OrderOutcome, ReplicaReport, WeightsOrder};
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -25,12 +25,13 @@
 pub use events::{ChangeReason, MembershipEvent};
 pub use fleet::{
     ActionReport, Availability, BlockedRequest, CRASHES_TO_BLOCK, CrashLedger, CrashRecord,
-    CrashReport, Document, FleetAction, FleetCommand, FleetRequest, FleetResponse, FleetState,
-    FleetView, GATEWAY_TIMEOUT, GatewayListUpdate, GatewayLists, GatewayReport, InstanceReport,
-    InstanceStatus, LoadMode, LoadedModel, NoticeKind, NoticeSubject, OrderOutcome, Packed,
-    PackedParts, RecordChange, RegistrationConflict, RegistrationStatus, RemovedInstance,
-    ReplicaLists, ReplicaNotice, ReplicaReport, ReportSource, RolloutEvent, RolloutPlan,
-    RolloutSettings, SeenVersions, WatchRequest, WeightsEvent, WeightsOrder,
+    CrashReport, DEFAULT_HEARTBEAT_INTERVAL, Document, FleetAction, FleetCommand, FleetRequest,
+    FleetResponse, FleetState, FleetView, GATEWAY_TIMEOUT, GatewayListUpdate, GatewayLists,
+    GatewayReport, InstanceReport, InstanceStatus, LoadMode, LoadedModel, NoticeKind,
+    NoticeSubject, OrderOutcome, Packed, PackedParts, RecordChange, RegistrationConflict,
+    RegistrationStatus, RemovedInstance, ReplicaLists, ReplicaNotice, ReplicaReport, ReportSource,
+    RolloutEvent, RolloutPlan, RolloutSettings, SeenVersions, WatchRequest, WeightsEvent,
+    WeightsOrder,
 };
 pub use ledger::{ActionResult, ClaimId, ClaimOutcome, Ledger, LookupOutcome};
 pub use legacy::{IncomingLegacyFrame, LegacyLink, OutgoingLegacyFrame};
--- a/crates/control/src/member.rs
+++ b/crates/control/src/member.rs
@@ -42,6 +42,8 @@
     pub seed: u64,
     /// Settings of the roll-out of weights.
     pub rollout: RolloutSettings,
+    /// Interval at which replicas send heartbeats.
+    pub heartbeat_interval: Duration,
     /// Addresses of members that a process outside the group asks to join.
     pub seeds: Vec<String>,
 }
@@ -168,7 +170,7 @@
         let snapshot_at = recovered.snapshot.meta.index;
         let seed = settings.seed;
         let replica = RaftMember::new(id, settings.consensus.clone(), recovered, seed, now);
-        let fleet = FleetLeader::new(settings.rollout);
+        let fleet = FleetLeader::new(settings.rollout, settings.heartbeat_interval);
         let joining = Joining::new(settings.seeds.clone());
         let mut member = Member {
             settings,
--- a/crates/control/tests/common/mod.rs
+++ b/crates/control/tests/common/mod.rs
@@ -106,6 +106,7 @@
     cuts: BTreeSet<(Host, Host)>,
     next_token: u64,
     seed: u64,
+    heartbeat_interval: Duration,
     /// Machines that encode messages without field names, as legacy builds do.
     pub unnamed_fields: BTreeSet<Host>,
     /// Machines that run a legacy build: they do not mark replies, and can't apply newer commands.
@@ -129,6 +130,16 @@
 
     /// A group with these founders, which the other hosts join.
     pub fn with_founders(founders: &[Host], hosts: &[Host], seed: u64) -> Self {
+        Self::with_heartbeats(founders, hosts, seed, topazmount_control::DEFAULT_HEARTBEAT_INTERVAL)
+    }
+
+    /// The same for replicas that send heartbeats at this interval.
+    pub fn with_heartbeats(
+        founders: &[Host],
+        hosts: &[Host],
+        seed: u64,
+        heartbeat_interval: Duration,
+    ) -> Self {
         let mut world = World {
             now: Time::from_secs(1),
             machines: BTreeMap::new(),
@@ -139,6 +150,7 @@
             unreadable_commands: Vec::new(),
             next_token: 0,
             seed: seed * 1_000_000,
+            heartbeat_interval,
             do_clocks_stop: false,
             are_joins_refused: false,
             responses: BTreeMap::new(),
@@ -170,6 +182,7 @@
             consensus: Config::default(),
             seed,
             rollout: Default::default(),
+            heartbeat_interval: self.heartbeat_interval,
             seeds: machine.seeds.iter().map(|seed| address(*seed)).collect(),
         };
         let disk = std::mem::take(&mut machine.disk);
--- a/crates/control/tests/fleet_world/mod.rs
+++ b/crates/control/tests/fleet_world/mod.rs
@@ -114,6 +114,7 @@
             consensus: Config::default(),
             seed: 1,
             rollout,
+            heartbeat_interval: HEARTBEAT,
             seeds: Vec::new(),
         };
         let now = Time::from_secs(1_000);
--- a/crates/control/tests/heartbeats.rs
+++ b/crates/control/tests/heartbeats.rs
@@ -3,6 +3,7 @@
 mod common;
 
 use common::{Host, World};
+use rstest::rstest;
 use std::time::Duration;
 use topazmount_control::{FleetRequest, FleetResponse, InstanceReport, Request, Response};
 use topazmount_types::{Instance, Start};
@@ -108,3 +109,63 @@
         assert_eq!(response, Some(Response::Fleet(FleetResponse::Superseded)));
     }
 }
+
+/// Whether the leader lists replica `r`; `None` without a leader.
+fn is_listed(world: &World) -> Option<bool> {
+    let leader = world.member(world.leader()?)?;
+    Some(leader.state().fleet.instances().contains_key("r"))
+}
+
+/// Runs for a time and fails if the replica leaves the list.
+fn run_listed(world: &mut World, time: Duration) {
+    let until = world.now + time;
+    while world.now < until {
+        world.run(Duration::from_millis(50));
+        assert_ne!(is_listed(world), Some(false), "a sound replica left the list");
+    }
+}
+
+fn send_to_any(world: &mut World, number: usize) {
+    let up: Vec<Host> = HOSTS.into_iter().filter(|host| world.is_up(*host)).collect();
+    world.request(up[number % up.len()], report("r", false));
+}
+
+/// Guards against a time limit that holds at one interval of heartbeats only.
+#[rstest]
+#[case::usual(1_200, false)]
+#[case::usual_with_the_leader_killed(1_200, true)]
+#[case::long(3_000, false)]
+#[case::long_with_the_leader_killed(3_000, true)]
+#[case::very_long(10_000, false)]
+#[case::very_long_with_the_leader_killed(10_000, true)]
+fn a_replica_stays_listed_when_a_heartbeat_is_lost_and_the_next_one_is_late(
+    #[case] interval_ms: u64,
+    #[case] is_leader_killed: bool,
+) {
+    let interval = Duration::from_millis(interval_ms);
+    let late = Duration::from_secs(2);
+    for seed in 0..4 {
+        let mut world = World::with_heartbeats(&HOSTS, &HOSTS, seed, interval);
+        world.run_until("a leader", ELECTION_TIME, |world| world.leader().is_some());
+        let leader = world.leader().unwrap();
+        world.request(leader, report("r", false));
+        world.run(RESPONSE_TIME);
+        for number in 0..3 {
+            run_listed(&mut world, interval);
+            send_to_any(&mut world, number);
+        }
+        run_listed(&mut world, interval);
+        if is_leader_killed {
+            let leader = world.leader().unwrap();
+            world.kill(leader);
+        }
+        // The heartbeat that was due now is lost.
+        run_listed(&mut world, interval + late);
+        send_to_any(&mut world, 0);
+        run_listed(&mut world, interval);
+        // It ends: two intervals and the longest delay of a heartbeat later it is gone, and a new
+        // leader counts from its own start.
+        world.run(interval * 3 + late + ELECTION_TIME);
+        assert_eq!(is_listed(&world), Some(false), "seed {seed}: a silent replica leaves the list");
+    }
+}
--- a/crates/lab/src/control_scale/member.rs
+++ b/crates/lab/src/control_scale/member.rs
@@ -141,6 +141,7 @@
             consensus: Config::default(),
             seed: self.run * 1_000 + self.address.len() as u64 + hash(&self.address),
             rollout: RolloutSettings::default(),
+            heartbeat_interval: heartbeat,
             seeds,
         };
         let _ = heartbeat;
--- a/crates/lab/src/embedded.rs
+++ b/crates/lab/src/embedded.rs
@@ -131,6 +131,7 @@
             source,
             key,
             rollout: Default::default(),
+            heartbeat_interval: topazmount_control::DEFAULT_HEARTBEAT_INTERVAL,
             actions: None,
         };
         members.push(control_process::start(executor, options).await?);
--- a/crates/lab/src/scale/control.rs
+++ b/crates/lab/src/scale/control.rs
@@ -49,6 +49,7 @@
                 consensus: Config::default(),
                 seed,
                 rollout: Default::default(),
+                heartbeat_interval: topazmount_control::DEFAULT_HEARTBEAT_INTERVAL,
                 seeds: Vec::new(),
             };
             Member::open(MemoryDisk::default(), settings, Some(&founding), Time::ZERO)
--- a/crates/lab/src/sim/members.rs
+++ b/crates/lab/src/sim/members.rs
@@ -90,6 +90,7 @@
             consensus: Config::default(),
             seed: self.rng.random(),
             rollout: Default::default(),
+            heartbeat_interval: topazmount_control::DEFAULT_HEARTBEAT_INTERVAL,
             seeds: self.member_addresses().iter().map(SocketAddr::to_string).collect(),
         };
         let disk = std::mem::take(&mut self.members[number].disk);
--- a/crates/topazmount/src/control_process.rs
+++ b/crates/topazmount/src/control_process.rs
@@ -17,8 +17,8 @@
 use std::time::{Duration, Instant};
 use topazmount_consensus::{Config, Envelope, MemberInfo, MembershipStatus};
 use topazmount_control::{
-    FleetAction, Founding, Frame, Member, MemberInput, MemberOutput, MemberSettings,
-    MembershipEvent, Request, Response, RolloutEvent, RolloutSettings, Token,
+    DEFAULT_HEARTBEAT_INTERVAL, FleetAction, Founding, Frame, Member, MemberInput, MemberOutput,
+    MemberSettings, MembershipEvent, Request, Response, RolloutEvent, RolloutSettings, Token,
 };
 use topazmount_settings::{ControlSettings, SourceFiles};
 use topazmount_wire::ClusterKey;
@@ -47,6 +47,8 @@
     pub key: ClusterKey,
     /// Bounds of the roll-out of weights.
     pub rollout: RolloutSettings,
+    /// Interval at which replicas send heartbeats.
+    pub heartbeat_interval: Duration,
     /// Where orders to replicas go; without it none are sent.
     pub actions: Option<Sender<FleetAction>>,
 }
@@ -128,7 +130,8 @@
 /// # Errors
 /// When the address can't be bound or the durable state can't be used.
 pub async fn start(executor: &Executor, options: ControlOptions) -> Result<ControlHandle> {
-    let ControlOptions { settings, form_group, source, key, rollout, actions } = options;
+    let ControlOptions { settings, form_group, source, key, rollout, heartbeat_interval, actions } =
+        options;
     let listener = TcpListener::bind(settings.internal_address)
         .await
         .wrap_err_with(|| format!("listening at {}", settings.internal_address))?;
@@ -137,7 +140,12 @@
     let clock = Clock::start();
     let opening = {
         let (settings, info) = (settings.clone(), info.clone());
-        move || open_member(&settings, info.clone(), form_group, source.clone(), rollout, clock)
+        move || {
+            let mut member_settings = member_settings(&settings, info.clone());
+            member_settings.rollout = rollout;
+            member_settings.heartbeat_interval = heartbeat_interval;
+            open_member(&settings, member_settings, form_group, source.clone(), clock)
+        }
     };
     let member = opening()?;
     let id = member.identity().0;
@@ -170,12 +178,22 @@
     Ok(ControlHandle { inputs, shared, address, thread: Some(thread), ended })
 }
 
+fn member_settings(settings: &ControlSettings, info: MemberInfo) -> MemberSettings {
+    MemberSettings {
+        info,
+        consensus: Config::default(),
+        seed: rand::random(),
+        rollout: RolloutSettings::default(),
+        heartbeat_interval: DEFAULT_HEARTBEAT_INTERVAL,
+        seeds: settings.initial_members.iter().map(|peer| peer.address.to_string()).collect(),
+    }
+}
+
 fn open_member(
     settings: &ControlSettings,
-    info: MemberInfo,
+    member_settings: MemberSettings,
     form_group: bool,
     source: SourceFiles,
-    rollout: RolloutSettings,
     clock: Clock,
 ) -> Result<Member<FileDisk>> {
     let members = settings
@@ -183,13 +201,6 @@
         .iter()
         .map(|peer| MemberInfo { name: peer.name.clone(), address: peer.address.to_string() });
     let founding = form_group.then(|| Founding { members: members.collect(), source });
-    let member_settings = MemberSettings {
-        info,
-        consensus: Config::default(),
-        seed: rand::random(),
-        rollout,
-        seeds: settings.initial_members.iter().map(|peer| peer.address.to_string()).collect(),
-    };
     let disk = FileDisk::open(&settings.data_folder)?;
     Member::open(disk, member_settings, founding.as_ref(), clock.now())
         .wrap_err("opening the data folder")
--- a/crates/topazmount/src/fleet/control_service.rs
+++ b/crates/topazmount/src/fleet/control_service.rs
@@ -78,6 +78,7 @@
             source: SourceFiles::default(),
             key: key.clone(),
             rollout: settings.rollout_settings(),
+            heartbeat_interval: settings.heartbeat_interval(),
             actions: Some(actions_sender),
         };
         let handle = control_process::start(executor, control_options).await?;
--- a/crates/topazmount/src/fleet/settings.rs
+++ b/crates/topazmount/src/fleet/settings.rs
@@ -7,7 +7,7 @@
 use std::path::{Path, PathBuf};
 use std::time::Duration;
 use topazmount_admission::PushbackSettings;
-use topazmount_control::RolloutSettings;
+use topazmount_control::{DEFAULT_HEARTBEAT_INTERVAL, RolloutSettings};
 use topazmount_gateway::{BudgetSettings, ConnectionSettings, GatewaySettings, QuotaSettings};
 use topazmount_routing::{BUILT_IN, PolicyProgram, PolicyTable, ProgramLimits, ShareSettings};
 
@@ -30,6 +30,9 @@
     /// Whether the fleet starts for the first time, with empty disks.
     #[serde(default)]
     pub form_group: bool,
+    /// Interval at which replicas send heartbeats, in milliseconds.
+    #[serde(default = "heartbeat_ms")]
+    pub heartbeat_ms: u64,
     /// Data folder of a control member.
     pub data_folder: Option<PathBuf>,
     /// Addresses at which the process listens.
@@ -207,6 +210,13 @@
 /// Upper bound of both pushback limits, in seconds.
 const MAX_PUSHBACK_S: f64 = 86_400.0;
 
+/// Longest interval of heartbeats, in milliseconds.
+const MAX_HEARTBEAT_MS: u64 = 600_000;
+
+fn heartbeat_ms() -> u64 {
+    DEFAULT_HEARTBEAT_INTERVAL.as_millis() as u64
+}
+
 fn quota_window_s() -> f64 {
     QuotaSettings::default().window.as_secs_f64()
 }
@@ -232,6 +242,8 @@
         eyre::ensure!(!settings.name.is_empty(), "name: must not be empty");
         eyre::ensure!(!settings.cluster_key.is_empty(), "cluster_key: must not be empty");
         eyre::ensure!(!settings.seeds.is_empty(), "seeds: must list at least one control member");
+        let is_interval = (1..=MAX_HEARTBEAT_MS).contains(&settings.heartbeat_ms);
+        eyre::ensure!(is_interval, "heartbeat_ms: must be 1 to {MAX_HEARTBEAT_MS}");
         let is_non_negative = |value: f64| value.is_finite() && value >= 0.0;
         eyre::ensure!(is_non_negative(bounds.stop_s), "bounds.stop_s: must be 0 or more");
         eyre::ensure!(is_non_negative(bounds.retry_ratio), "bounds.retry_ratio: must be 0 or more");
@@ -325,6 +337,11 @@
         self.seeds.iter().map(|seed| SocketAddr::new(seed.ip(), self.peer_port)).collect()
     }
 
+    /// Interval at which replicas send heartbeats.
+    pub fn heartbeat_interval(&self) -> Duration {
+        Duration::from_millis(self.heartbeat_ms)
+    }
+
     /// Time limit of a graceful stop.
     pub fn stop_timeout(&self) -> Duration {
         Duration::from_secs_f64(self.bounds.stop_s)
--- a/crates/topazmount/src/main.rs
+++ b/crates/topazmount/src/main.rs
@@ -63,6 +63,7 @@
         source,
         key,
         rollout: Default::default(),
+        heartbeat_interval: topazmount_control::DEFAULT_HEARTBEAT_INTERVAL,
         actions: None,
     };
     let handle = control_process::start(executor, options).await?;
--- a/crates/topazmount/tests/common/mod.rs
+++ b/crates/topazmount/tests/common/mod.rs
@@ -111,6 +111,7 @@
         source: SourceFiles::default(),
         key: key(),
         rollout: Default::default(),
+        heartbeat_interval: topazmount_control::DEFAULT_HEARTBEAT_INTERVAL,
         actions: None,
     };
     (block_on(start(executor, options)).unwrap(), address)
--- a/crates/topazmount/tests/many_connections.rs
+++ b/crates/topazmount/tests/many_connections.rs
@@ -51,7 +51,9 @@
     let (sender, answers) = mpsc::channel();
     for _ in 0..1_000 {
         let sender = sender.clone();
-        first.send(Request::Status, move |answer| drop(sender.send(answer.is_some())));
+        first.send(Request::Status, move |answer| {
+            let _ = sender.send(answer.is_some());
+        });
     }
     let answered = (0..1_000).filter(|_| answers.recv_timeout(LIMIT) == Ok(true));
     assert_eq!(answered.count(), 1_000);
--- a/crates/topazmount/tests/message_meter.rs
+++ b/crates/topazmount/tests/message_meter.rs
@@ -38,6 +38,7 @@
         source: SourceFiles::default(),
         key: key.clone(),
         rollout: Default::default(),
+        heartbeat_interval: topazmount_control::DEFAULT_HEARTBEAT_INTERVAL,
         actions: None,
     };
     let member = block_on(start(&executor, options)).unwrap();
--- a/crates/topazmount/tests/silent_links.rs
+++ b/crates/topazmount/tests/silent_links.rs
@@ -8,7 +8,6 @@
 use common::{Relay, executor, key, member};
 use futures_lite::future::block_on;
 use std::net::SocketAddr;
-use std::sync::Arc;
 use std::time::{Duration, Instant};
 use topazmount::Executor;
 use topazmount::control_client::ControlClient;
