Updates of one member go out in published versions

Cause: each gateway asks at a moment of its own, so that while replicas register its versions are those of nobody else and its update is built for it alone; and each change of the registry refreshed the statuses of all replicas before the next response. The leader's steps took 100 to 220 ms while the whole fleet started.

Change: the registry's revision and the count of statuses are published at the same pace as the gateway list, so that requesters are at one of a few versions. Between two full refreshes only the statuses of changed replicas are refreshed.

--- a/crates/control/src/fleet/gateways.rs
+++ b/crates/control/src/fleet/gateways.rs
@@ -58,7 +58,8 @@
         }
     }
 
-    fn gathering_time(&self) -> Duration {
+    /// Minimum time between two publications, and between two responses to one gateway.
+    pub(crate) fn gathering_time(&self) -> Duration {
         (GATHERING_TIME_PER_GATEWAY * self.len() as u32).min(MAX_GATHERING_TIME)
     }
 
--- a/crates/control/src/fleet/leader.rs
+++ b/crates/control/src/fleet/leader.rs
@@ -72,6 +72,10 @@
     departures_proposed_at: Time,
     watchers: Vec<Watcher>,
     watchers_checked_at: Time,
+    /// Versions of the lists that requesters are told. Between two publications requesters are at one
+    /// of a few versions, so that they share updates.
+    published: ListVersions,
+    published_at: Time,
     batch_limiter: BatchLimiter,
     shared_updates: SharedUpdates,
 }
@@ -254,7 +258,7 @@
             return Vec::new();
         }
         self.watchers_checked_at = now;
-        self.gateways.publish(now);
+        self.publish(now, state);
         let is_due: Vec<bool> =
             self.watchers.iter().map(|watcher| self.is_due(now, state, base, watcher)).collect();
         if !is_due.contains(&true) {
@@ -262,14 +266,16 @@
         }
         if self.term.is_some() && self.statuses_revision != state.revision() {
             // A replica must not be sent without its status.
-            self.refresh_statuses(now, state);
+            let (rollout, oldest) = (&self.rollout, state.oldest_weights());
+            let status = |instance: &Instance| rollout.status(now, instance, oldest);
+            self.statuses.refresh_changed(state, self.statuses_revision, status);
             self.statuses_revision = state.revision();
         }
         let mut responses = Vec::new();
         for (watcher, is_due) in std::mem::take(&mut self.watchers).into_iter().zip(is_due) {
             let can_vouch = base.staleness.is_some();
             let is_behind = is_due && can_vouch && self.is_behind(state, &watcher.request);
-            let cost = self.batch_cost(now, state, &watcher.request);
+            let cost = self.batch_cost(now, &watcher.request);
             if !is_due || (is_behind && !self.batch_limiter.try_acquire(now, cost)) {
                 self.watchers.push(watcher);
                 continue;
@@ -288,9 +294,19 @@
         is_over || (self.has_update(state, &watcher.request) && has_gathered())
     }
 
-    fn batch_cost(&self, now: Time, state: &FleetState, request: &WatchRequest) -> BatchCost {
+    /// Publishes changes that have gathered for long enough.
+    fn publish(&mut self, now: Time, state: &FleetState) {
+        self.gateways.publish(now);
+        let versions = (state.revision(), self.statuses.count());
+        if self.published != versions && now >= self.published_at + self.gateways.gathering_time() {
+            self.published = versions;
+            self.published_at = now;
+        }
+    }
+
+    fn batch_cost(&self, now: Time, request: &WatchRequest) -> BatchCost {
         let seen = self.replica_versions(&request.seen);
-        let is_kept = || self.shared_updates.has_replicas(now, &seen, self.list_versions(state));
+        let is_kept = || self.shared_updates.has_replicas(now, &seen, self.published);
         if request.accepts_packed && is_kept() { BatchCost::Shared } else { BatchCost::Built }
     }
 
@@ -306,11 +322,11 @@
     /// with its next response.
     fn has_update(&self, state: &FleetState, request: &WatchRequest) -> bool {
         let seen = &request.seen;
-        let has_replicas = state.revision() > seen.revision
+        let has_replicas = self.published.0 > seen.revision
             || state.document_version() > seen.document
             || state.crashes().blocked_revision() > seen.blocked;
         let Some((term, _)) = self.term else { return has_replicas };
-        let has_statuses = wants_statuses(seen) && seen.statuses != (term, self.statuses.count());
+        let has_statuses = wants_statuses(seen) && seen.statuses < (term, self.published.1);
         let is_directory = request.gateway.is_none() && request.wants_gateways;
         let has_gateways = is_directory && seen.gateways != (term, self.gateways.published());
         has_replicas || has_statuses || has_gateways
@@ -374,13 +390,13 @@
     ) {
         let seen = &request.seen;
         let mut shared_updates = std::mem::take(&mut self.shared_updates);
-        let versions = self.list_versions(state);
         let build = || {
             let (update, lists) = self.replica_update(state, seen);
             let lists = (!lists.is_empty()).then(|| Packed::new(&lists));
             ReplicaUpdate { lists, ..update }
         };
-        let update = shared_updates.replicas(now, self.replica_versions(seen), versions, build);
+        let update =
+            shared_updates.replicas(now, self.replica_versions(seen), self.published, build);
         (view.revision, view.is_full, view.has_more) =
             (update.revision, update.is_full, update.has_more);
         view.statuses = update.statuses.map(|count| (count, Vec::new()));
@@ -403,10 +419,6 @@
         ReplicaVersions { term, revision: seen.revision, statuses }
     }
 
-    fn list_versions(&self, state: &FleetState) -> ListVersions {
-        (state.revision(), self.statuses.count())
-    }
-
     /// The next update about replicas for a requester, without and with its lists.
     fn replica_update(
         &self,
--- a/crates/control/src/fleet/shared_updates.rs
+++ b/crates/control/src/fleet/shared_updates.rs
@@ -37,7 +37,7 @@
     pub(super) statuses: Option<(Term, u64)>,
 }
 
-/// The newest versions of a member's lists: revision of the registry, count of the statuses.
+/// Published versions of a member's lists: revision of the registry, count of the statuses.
 pub(super) type ListVersions = (u64, u64);
 
 struct Entry {
--- a/crates/control/src/fleet/state.rs
+++ b/crates/control/src/fleet/state.rs
@@ -341,6 +341,13 @@
         ReplicaChanges { changed, removed, is_full, revision: end }
     }
 
+    /// Replicas that were removed after a revision and have not registered again. Removals that were
+    /// dropped from memory are missing.
+    pub(super) fn removed_after(&self, revision: u64) -> impl Iterator<Item = &str> {
+        let removed = self.removals.iter().filter(move |(_, removal)| removal.revision > revision);
+        removed.map(|(id, _)| id.as_str())
+    }
+
     /// Applies a command.
     pub fn apply(&mut self, command: FleetCommand) {
         match command {
--- a/crates/control/src/fleet/statuses.rs
+++ b/crates/control/src/fleet/statuses.rs
@@ -25,6 +25,21 @@
         self.count
     }
 
+    /// Updates the statuses of the replicas that were registered, changed or removed after a
+    /// revision.
+    pub(super) fn refresh_changed(
+        &mut self,
+        state: &FleetState,
+        revision: u64,
+        status: impl Fn(&Instance) -> Option<InstanceStatus>,
+    ) {
+        for id in state.removed_after(revision) {
+            self.entries.remove(id);
+        }
+        let changed = state.instances().values().filter(|instance| instance.changed_at > revision);
+        changed.for_each(|instance| self.record(instance, &status));
+    }
+
     /// Updates the statuses of all registered replicas.
     pub(super) fn refresh(
         &mut self,
@@ -32,12 +47,18 @@
         status: impl Fn(&Instance) -> Option<InstanceStatus>,
     ) {
         self.entries.retain(|id, _| state.instances().contains_key(id));
-        for (id, instance) in state.instances() {
-            let Some(status) = status(instance) else { continue };
-            if self.entries.get(id).is_none_or(|(known, _)| *known != status) {
-                self.count += 1;
-                self.entries.insert(id.clone(), (status, self.count));
-            }
+        state.instances().values().for_each(|instance| self.record(instance, &status));
+    }
+
+    fn record(
+        &mut self,
+        instance: &Instance,
+        status: &impl Fn(&Instance) -> Option<InstanceStatus>,
+    ) {
+        let Some(status) = status(instance) else { return };
+        if self.entries.get(&instance.id).is_none_or(|(known, _)| *known != status) {
+            self.count += 1;
+            self.entries.insert(instance.id.clone(), (status, self.count));
         }
     }
 
