A suspicion outlasts the removal of a silent replica at any heartbeat interval

Cause: a request whose connection broke was suspected for 8 s, which covered the fixed 5 s until a silent replica was removed. With heartbeats each 3 s a replica is removed after 8.6 s, so a request that makes replicas fall silent was never confirmed.

Change: the suspicion lasts for the replica timeout and 3 s; the same 8 s at 1.2 s.

Measured: the new test fails in two of three cases with the fixed 8 s by its arithmetic (removed and reported after 10.6 and 24.6 s), and passes at 1.2, 3 and 10 s.

--- a/crates/control/src/fleet/leader.rs
+++ b/crates/control/src/fleet/leader.rs
@@ -41,6 +41,11 @@
 /// Maximum time for which a watch request is held.
 const MAX_WAIT: Duration = Duration::from_secs(2);
 
+/// Time without a heartbeat after which a replica counts as gone.
+pub fn replica_timeout(heartbeat_interval: Duration) -> Duration {
+    heartbeat_interval * MAX_MISSED_INTERVALS + MAX_HEARTBEAT_DELAY
+}
+
 struct Watcher {
     token: Token,
     request: WatchRequest,
@@ -84,7 +89,7 @@
     pub(crate) fn new(settings: RolloutSettings, heartbeat_interval: Duration) -> Self {
         FleetLeader {
             settings,
-            replica_timeout: heartbeat_interval * MAX_MISSED_INTERVALS + MAX_HEARTBEAT_DELAY,
+            replica_timeout: replica_timeout(heartbeat_interval),
             rollout: Rollout::new(settings),
             ..FleetLeader::default()
         }
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -31,7 +31,7 @@
     NoticeSubject, OrderOutcome, Packed, PackedParts, RecordChange, RegistrationConflict,
     RegistrationStatus, RemovedInstance, ReplicaLists, ReplicaNotice, ReplicaReport, ReportSource,
     RolloutEvent, RolloutPlan, RolloutSettings, SeenVersions, WatchRequest, WeightsEvent,
-    WeightsOrder,
+    WeightsOrder, replica_timeout,
 };
 pub use ledger::{ActionResult, ClaimId, ClaimOutcome, Ledger, LookupOutcome};
 pub use legacy::{IncomingLegacyFrame, LegacyLink, OutgoingLegacyFrame};
--- a/crates/gateway/src/crashes.rs
+++ b/crates/gateway/src/crashes.rs
@@ -7,7 +7,10 @@
 
 use std::collections::{HashMap, HashSet, VecDeque};
 use std::time::Duration;
-use topazmount_control::{BlockedRequest, CrashLedger, CrashRecord, CrashReport};
+use topazmount_control::{
+    BlockedRequest, CrashLedger, CrashRecord, CrashReport, DEFAULT_HEARTBEAT_INTERVAL,
+    replica_timeout,
+};
 use topazmount_types::{ReplicaId, RequestDigest, Time};
 
 /// Time for which a crash or completion is reported again, long enough for an election or a
@@ -18,10 +21,8 @@
 const OFFLINE_AFTER: Duration = Duration::from_secs(2);
 /// Maximum number of crashes, and of completions, in a report; the oldest ones are dropped.
 const MAX_REPORTED: usize = 64;
-/// Time for which a request is suspected after its connection broke, unless its replica turns out
-/// to be alive or to have ended. Covers the time until the control group removes a silent replica
-/// and reports that.
-const SUSPICION_TIME: Duration = Duration::from_secs(8);
+/// Time in which the control group reports that it removed a silent replica.
+const REMOVAL_REPORT_TIME: Duration = Duration::from_secs(3);
 /// Maximum number of suspected requests; the oldest ones are dropped.
 const MAX_SUSPICIONS: usize = 256;
 /// Maximum number of remembered completions. They are evidence for a request that is blocked by
@@ -59,7 +60,6 @@
 
 /// One gateway's records of crashes. Invariant: the completion of a request that it saw crash is
 /// reported for as long as the crashes would be.
-#[derive(Default)]
 pub struct CrashTracker {
     /// Requests that the control group has blocked.
     blocked: HashSet<RequestDigest>,
@@ -68,12 +68,38 @@
     /// Crashes seen by this gateway.
     local_ledger: CrashLedger,
     suspicions: VecDeque<Suspicion>,
+    /// Time for which a request is suspected after its connection broke, unless its replica turns
+    /// out to be alive or to have ended.
+    suspicion_time: Duration,
     crash_notes: VecDeque<(Time, CrashRecord)>,
     completion_notes: VecDeque<(Time, RequestDigest)>,
     completions: Completions,
 }
 
+impl Default for CrashTracker {
+    fn default() -> Self {
+        let mut tracker = CrashTracker {
+            blocked: HashSet::new(),
+            last_contact: Time::ZERO,
+            local_ledger: CrashLedger::default(),
+            suspicions: VecDeque::new(),
+            suspicion_time: Duration::ZERO,
+            crash_notes: VecDeque::new(),
+            completion_notes: VecDeque::new(),
+            completions: Completions::default(),
+        };
+        tracker.set_heartbeat_interval(DEFAULT_HEARTBEAT_INTERVAL);
+        tracker
+    }
+}
+
 impl CrashTracker {
+    /// Sets the interval of the replicas' heartbeats. A suspicion lasts until the control group has
+    /// removed a silent replica and reported that.
+    pub fn set_heartbeat_interval(&mut self, interval: Duration) {
+        self.suspicion_time = replica_timeout(interval) + REMOVAL_REPORT_TIME;
+    }
+
     /// Whether a request must not be sent to any replica.
     pub fn is_blocked(&self, request: RequestDigest, now: Time) -> bool {
         let is_offline = now >= self.last_contact + OFFLINE_AFTER;
@@ -100,7 +126,7 @@
         ran_for: Duration,
         now: Time,
     ) {
-        self.suspicions.retain(|entry| now < entry.broke_at + SUSPICION_TIME);
+        self.suspicions.retain(|entry| now < entry.broke_at + self.suspicion_time);
         if self.suspicions.len() >= MAX_SUSPICIONS {
             self.suspicions.pop_front();
         }
@@ -120,7 +146,8 @@
         let (ended, others): (VecDeque<Suspicion>, VecDeque<Suspicion>) =
             suspicions.into_iter().partition(|entry| entry.incarnation == incarnation);
         self.suspicions = others;
-        let recent = ended.iter().filter(|entry| now < entry.broke_at + SUSPICION_TIME);
+        let suspicion_time = self.suspicion_time;
+        let recent = ended.iter().filter(|entry| now < entry.broke_at + suspicion_time);
         let count = recent.clone().count();
         for entry in recent {
             self.record_crash(entry.request, incarnation, entry.ran_for, entry.broke_at);
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -25,7 +25,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 use topazmount_admission::PushbackSettings;
-use topazmount_control::{FleetView, RolloutSettings, SeenVersions};
+use topazmount_control::{DEFAULT_HEARTBEAT_INTERVAL, FleetView, RolloutSettings, SeenVersions};
 use topazmount_routing::PolicyTable;
 use topazmount_types::{ErrorKind, RequestDigest, Time};
 
@@ -54,6 +54,8 @@
     pub pushback: PushbackSettings,
     /// Limits of a roll-out of weights.
     pub rollout: RolloutSettings,
+    /// Interval at which replicas send heartbeats.
+    pub heartbeat_interval: Duration,
 }
 
 impl Default for GatewaySettings {
@@ -66,6 +68,7 @@
             quota: QuotaSettings::default(),
             pushback: PushbackSettings::default(),
             rollout: RolloutSettings::default(),
+            heartbeat_interval: DEFAULT_HEARTBEAT_INTERVAL,
         }
     }
 }
@@ -160,6 +163,7 @@
         self.quotas.set_settings(settings.quota);
         self.balancer.set_pushback_settings(settings.pushback);
         self.balancer.set_rollout_settings(settings.rollout);
+        self.crashes.set_heartbeat_interval(settings.heartbeat_interval);
     }
 
     /// Versions of the data already applied, for the next request to the control group.
--- a/crates/gateway/tests/crashes.rs
+++ b/crates/gateway/tests/crashes.rs
@@ -2,8 +2,9 @@
 
 mod common;
 
+use rstest::rstest;
 use std::time::Duration;
-use topazmount_control::{BlockedRequest, FleetView};
+use topazmount_control::{BlockedRequest, FleetView, replica_timeout};
 use topazmount_gateway::{CrashTracker, GatewaySettings, GatewayState};
 use topazmount_types::{RequestDigest, Time};
 
@@ -156,3 +157,18 @@
         assert_eq!(crashes.on_replica_ended("i-0", START), 256);
     }
 }
+
+/// Guards against a suspicion that ends before the control group gives up a replica that fell silent
+/// right after the request broke off.
+#[rstest]
+#[case::usual(1_200)]
+#[case::long(3_000)]
+#[case::very_long(10_000)]
+fn a_suspicion_outlasts_the_removal_of_a_silent_replica(#[case] interval_ms: u64) {
+    let heartbeat_interval = Duration::from_millis(interval_ms);
+    let settings = GatewaySettings { heartbeat_interval, ..GatewaySettings::default() };
+    let mut gateway = GatewayState::new("north", settings, 1);
+    gateway.crashes().on_connection_broken(REQUEST, "i-0", RUN, START);
+    let removed_at = START + replica_timeout(heartbeat_interval) + SECOND * 2;
+    assert_eq!(gateway.crashes().on_replica_ended("i-0", removed_at), 1);
+}
--- a/crates/topazmount/src/fleet/settings.rs
+++ b/crates/topazmount/src/fleet/settings.rs
@@ -370,6 +370,7 @@
             },
             pushback: self.pushback_settings(),
             rollout: self.rollout_settings(),
+            heartbeat_interval: self.heartbeat_interval(),
         }
     }
 
