--- a/crates/lab/src/control_scale/mod.rs
+++ b/crates/lab/src/control_scale/mod.rs
@@ -2,7 +2,7 @@
 //!
 //! The cores of the control members are the real ones, and their processor time is measured.
 //! Gateways and replicas only keep what decides which requests they send. Machines have a share of
-//! a core, memory and a link; what the model takes as given is listed in [`machine`].
+//! a core, memory and a link; what the model takes as given is listed in its module `machine`.
 
 mod costs;
 mod gateway;
