Kept updates are dropped when newer versions are published

Cause: an update without lists counted no bytes, so that a member kept one for each version that a requester was ever at; dropping the oldest looked at all of them.

Change: each entry counts its own size too, publications drop what they made unusable, and the oldest is known by a queue.

--- a/crates/control/src/fleet/shared_updates.rs
+++ b/crates/control/src/fleet/shared_updates.rs
@@ -4,13 +4,15 @@
 use super::packed::{GatewayLists, Packed, ReplicaLists};
 use super::protocol::GatewayListUpdate;
 use super::state::Document;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 use std::time::Duration;
 use topazmount_consensus::Term;
 use topazmount_types::Time;
 
 /// Maximum bytes of kept updates about replicas; beyond it the oldest ones are dropped.
 const MAX_BYTES: usize = 4 * 1024 * 1024;
+/// Bytes of a kept update besides its lists.
+const ENTRY_BYTES: usize = 256;
 /// Maximum age of a batch that is sent although the lists have changed since. A batch may arrive as
 /// late on a slow link, and its requester asks for the later changes at once.
 const MAX_BATCH_AGE: Duration = Duration::from_secs(1);
@@ -53,7 +55,7 @@
     }
 
     fn bytes(&self) -> usize {
-        self.update.lists.as_ref().map_or(0, Packed::len)
+        ENTRY_BYTES + self.update.lists.as_ref().map_or(0, Packed::len)
     }
 }
 
@@ -61,6 +63,10 @@
 #[derive(Default)]
 pub(super) struct SharedUpdates {
     replicas: BTreeMap<ReplicaVersions, Entry>,
+    /// Keys of `replicas`, first built first.
+    replicas_order: VecDeque<ReplicaVersions>,
+    replicas_published: ListVersions,
+    /// Sum over `replicas`.
     bytes: usize,
     /// Updates of the gateway list for the published count.
     gateways: BTreeMap<(Term, u64), (GatewayListUpdate, Packed<GatewayLists>)>,
@@ -76,7 +82,11 @@
         seen: &ReplicaVersions,
         versions: ListVersions,
     ) -> bool {
-        self.replicas.get(seen).is_some_and(|entry| entry.is_usable(now, versions))
+        self.usable(now, seen, versions).is_some()
+    }
+
+    fn usable(&self, now: Time, seen: &ReplicaVersions, versions: ListVersions) -> Option<&Entry> {
+        self.replicas.get(seen).filter(|entry| entry.is_usable(now, versions))
     }
 
     /// The update for a requester with these versions; built if none is kept.
@@ -87,25 +97,35 @@
         versions: ListVersions,
         build: impl FnOnce() -> ReplicaUpdate,
     ) -> ReplicaUpdate {
-        if let Some(entry) = self.replicas.get(&seen)
-            && entry.is_usable(now, versions)
-        {
+        if let Some(entry) = self.usable(now, &seen, versions) {
             return entry.update.clone();
         }
+        self.drop_unusable(now, versions);
         let entry = Entry { update: build(), built_at: now, built_for: versions };
         let update = entry.update.clone();
         self.bytes += entry.bytes();
-        if let Some(before) = self.replicas.insert(seen, entry) {
-            self.bytes -= before.bytes();
+        match self.replicas.insert(seen, entry) {
+            Some(before) => self.bytes -= before.bytes(),
+            None => self.replicas_order.push_back(seen),
         }
         while self.bytes > MAX_BYTES {
-            let oldest = self.replicas.iter().min_by_key(|(_, entry)| entry.built_at);
-            let Some(oldest) = oldest.map(|(seen, _)| *seen) else { break };
+            let Some(oldest) = self.replicas_order.pop_front() else { break };
             self.bytes -= self.replicas.remove(&oldest).map_or(0, |entry| entry.bytes());
         }
         update
     }
 
+    /// Drops what a publication of newer versions made unusable.
+    fn drop_unusable(&mut self, now: Time, versions: ListVersions) {
+        if self.replicas_published == versions {
+            return;
+        }
+        self.replicas_published = versions;
+        self.replicas.retain(|_, entry| entry.is_usable(now, versions));
+        self.replicas_order.retain(|seen| self.replicas.contains_key(seen));
+        self.bytes = self.replicas.values().map(Entry::bytes).sum();
+    }
+
     /// The update of the gateway list for a requester, and its packed lists.
     pub(super) fn gateways(
         &mut self,
