A gateway selects the stores that it follows without ranking all gateways

Cause: each of nine stores' readers asked, each 0.4 s, and each question hashed all shards and ranked all gateways for those of that store: shards times gateways.

Change: a gateway is a coordinator where fewer than two others come before it, which is known after a few of them; the answer for all stores is kept for a second while the list of gateways stays.

The new tests: the same coordinators as the list names, and 16 times at most for a fleet of 16 times the size, which fails before.

--- a/crates/gateway/src/shards.rs
+++ b/crates/gateway/src/shards.rs
@@ -59,6 +59,12 @@
         Shard::of(replica, self.count) == self
     }
 
+    /// Smallest hash of a replica that belongs to the shard.
+    pub(crate) fn first_hash(self) -> ReplicaId {
+        let bits = self.count.max(1).ilog2();
+        ReplicaId(u64::from(self.index).checked_shl(u64::BITS - bits).unwrap_or(0))
+    }
+
     /// Key for rendezvous hashing.
     fn key(self, service: &str) -> u64 {
         ReplicaId::from_name(&format!("{service}/{}/{}", self.index, self.count)).0
@@ -127,6 +133,14 @@
         self.all.iter().filter(move |gateway| now < gateway.until)
     }
 
+    /// Listed gateways but those that did not respond lately.
+    fn responsive(&self, now: Time) -> impl Iterator<Item = &ListedGateway> {
+        self.listed(now).filter(move |gateway| {
+            let until = self.unresponsive_until.get(&gateway.address);
+            until.is_none_or(|until| now >= *until)
+        })
+    }
+
     /// Whether there are too many gateways to broadcast load updates, so that coordinators are
     /// used.
     pub fn uses_coordinators(&self, now: Time) -> bool {
@@ -153,11 +167,8 @@
     /// respond lately are replaced by the next ones.
     pub fn coordinators(&self, service: &str, shard: Shard, now: Time) -> Vec<SocketAddr> {
         let key = shard.key(service);
-        let is_unresponsive = |address: &SocketAddr| {
-            self.unresponsive_until.get(address).is_some_and(|until| now < *until)
-        };
-        let responsive = self.listed(now).filter(|gateway| !is_unresponsive(&gateway.address));
-        let mut ranked: Vec<(u64, SocketAddr)> = responsive
+        let mut ranked: Vec<(u64, SocketAddr)> = self
+            .responsive(now)
             .map(|gateway| (rendezvous_weight(key, gateway.id), gateway.address))
             .collect();
         let count = COORDINATORS.min(ranked.len());
@@ -171,7 +182,15 @@
 
     /// Whether this gateway is a coordinator of a shard.
     pub fn is_coordinator(&self, service: &str, shard: Shard, now: Time) -> bool {
-        self.own.is_some_and(|own| self.coordinators(service, shard, now).contains(&own))
+        let Some(own) = self.all.iter().find(|gateway| self.is_own(gateway.address)) else {
+            return false;
+        };
+        let key = shard.key(service);
+        let rank = |gateway: &ListedGateway| (rendezvous_weight(key, gateway.id), gateway.address);
+        let own = rank(own);
+        let before = self.responsive(now).filter(|gateway| rank(gateway) > own);
+        // Ends at the second one, mostly after a few gateways.
+        before.take(COORDINATORS).count() < COORDINATORS
     }
 
     /// Whether an address is this gateway's.
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -7,6 +7,7 @@
 
 pub use limits::LimitUpdate;
 use notices::LeaderNotices;
+use placement::FollowedStores;
 
 use crate::balancer::{
     Balancer, Choice, ChoiceRequest, DEFAULT_RELIABLE_CACHE_AGE, ReplicaChanges,
@@ -118,6 +119,7 @@
     /// `limit_updates_for_new_gateways`.
     new_peers: Vec<SocketAddr>,
     leader_notices: LeaderNotices,
+    followed_stores: FollowedStores,
 }
 
 impl GatewayState {
@@ -145,6 +147,7 @@
             policies: PolicyTable::default(),
             new_peers: Vec::new(),
             leader_notices: LeaderNotices::default(),
+            followed_stores: FollowedStores::default(),
         };
         state.set_settings(settings);
         state
--- a/crates/gateway/src/state/placement.rs
+++ b/crates/gateway/src/state/placement.rs
@@ -6,10 +6,24 @@
 use crate::placement_request::{PlacementOffer, PlacementRequest};
 use crate::shards::{GatewayList, Shard};
 use crate::stores::MAX_STORE_READERS;
+use std::collections::HashSet;
 use std::net::SocketAddr;
+use std::time::Duration;
 use topazmount_control::GatewayListUpdate;
 use topazmount_types::Time;
 
+/// Time for which the selected stores are kept while the list of gateways stays. Each store's reader
+/// asks several times a second.
+const STORE_SELECTION_TIME: Duration = Duration::from_secs(1);
+
+/// Stores that this gateway follows.
+#[derive(Debug, Default)]
+pub(super) struct FollowedStores {
+    addresses: HashSet<String>,
+    /// When they are selected anew.
+    until: Time,
+}
+
 impl GatewayState {
     /// Chooses a replica of a shard that this gateway coordinates, or of the whole service.
     pub fn choose_in_shard(
@@ -68,6 +82,7 @@
         }
         self.gateways.set(self.peer_addresses.values().copied(), now);
         self.balancer.set_coordinated(self.gateways.uses_coordinators(now));
+        self.followed_stores = FollowedStores::default();
     }
 
     /// Whether a gateway runs a legacy build, by its datagram address.
@@ -160,14 +175,26 @@
         if !self.gateways.uses_coordinators(now) {
             return self.gateways.rank(address, now) < MAX_STORE_READERS;
         }
-        let Some(catalog) = self.catalog.clone() else { return false };
-        let mut services = catalog.services().iter().filter(|service| service.engine.is_some());
-        services.any(|service| {
-            let shards = self.balancer.shards_of(&service.name);
-            shards.into_iter().any(|shard| {
-                self.balancer.stores().for_shard(shard) == Some(address)
-                    && self.gateways.is_coordinator(&service.name, shard, now)
-            })
-        })
+        if now >= self.followed_stores.until {
+            self.followed_stores = FollowedStores {
+                addresses: self.stores_of_coordinated_shards(now),
+                until: now + STORE_SELECTION_TIME,
+            };
+        }
+        self.followed_stores.addresses.contains(address)
+    }
+
+    /// Stores that shards save to which this gateway coordinates.
+    fn stores_of_coordinated_shards(&mut self, now: Time) -> HashSet<String> {
+        let Some(catalog) = self.catalog.clone() else { return HashSet::new() };
+        let mut addresses = HashSet::new();
+        for service in catalog.services().iter().filter(|service| service.engine.is_some()) {
+            let mut shards = self.balancer.shards_of(&service.name);
+            shards.retain(|shard| self.gateways.is_coordinator(&service.name, *shard, now));
+            let stores = self.balancer.stores();
+            let selected = shards.into_iter().filter_map(|shard| stores.for_shard(shard));
+            addresses.extend(selected.map(str::to_owned));
+        }
+        addresses
     }
 }
--- a/crates/gateway/tests/shards.rs
+++ b/crates/gateway/tests/shards.rs
@@ -4,6 +4,7 @@
 mod common;
 
 use common::{choice_request, engine, instance, parts, prompt};
+use rustix::time::{ClockId, clock_gettime};
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -14,6 +15,7 @@
 use topazmount_gateway::{
     Catalog, CatalogParts, Choice, ChoiceRequest, GatewayList, GatewaySettings, GatewayState,
     LoadUpdate, MAX_BROADCAST_PEERS, PlacementRequest, Prompt, PromptEvent, Service, Shard,
+    StoreParameters,
 };
 use topazmount_types::{Start, Time};
 
@@ -382,3 +384,59 @@
         });
     }
 }
+
+/// Guards against a membership test that disagrees with the list that others use.
+#[test]
+fn a_gateway_is_a_coordinator_where_the_others_ask_it() {
+    let now = NOW;
+    let addresses: Vec<SocketAddr> = (0..60).map(|number| address(number, PORT)).collect();
+    for own in 0..60 {
+        let mut list = GatewayList::default();
+        list.set_own(addresses[own]);
+        list.set(addresses.iter().copied(), now);
+        list.on_timeout(addresses[(own + 7) % 60], now);
+        for index in 0..32 {
+            let shard = Shard { index, count: 32 };
+            let is_listed = list.coordinators("pool", shard, now).contains(&addresses[own]);
+            assert_eq!(list.is_coordinator("pool", shard, now), is_listed, "{own} {index}");
+        }
+    }
+}
+
+/// Processor time of some work on this thread, the least of several runs.
+fn busy(mut work: impl FnMut()) -> Duration {
+    let run = |_| {
+        let began = clock_gettime(ClockId::ThreadCPUTime);
+        work();
+        let ended = clock_gettime(ClockId::ThreadCPUTime);
+        let nanos = (ended.tv_sec - began.tv_sec) * 1_000_000_000 + ended.tv_nsec - began.tv_nsec;
+        Duration::from_nanos(nanos as u64)
+    };
+    (0..3).map(run).min().unwrap()
+}
+
+/// Processor time for deciding which of nine stores to follow, for ten seconds of questions.
+fn time_for_stores(gateways: usize, replicas: usize) -> Duration {
+    let mut state = gateway(0, gateways, replicas);
+    let store =
+        |number| StoreParameters { address: format!("172.20.0.{number}:80"), link_mbps: 1_000.0 };
+    state.balancer().stores().set((0..9).map(store));
+    busy(|| {
+        for question in 0..25 {
+            let now = NOW + Duration::from_millis(400) * question;
+            for number in 0..9 {
+                state.should_follow_store(&format!("172.20.0.{number}:80"), now);
+            }
+        }
+    })
+}
+
+/// Guards against a gateway that ranks all gateways for all shards: with a thousand gateways and ten
+/// thousand replicas that took a third of its processor while nothing happened.
+#[test]
+fn following_stores_grows_no_faster_than_the_fleet() {
+    let small = time_for_stores(60, 600);
+    let large = time_for_stores(960, 9_600);
+    // Sixteen times as many shards, and sixteen times as many gateways.
+    assert!(large < small * 16, "{small:?} at 60 gateways, {large:?} at 960");
+}
