The replicas of a shard are found by an index

Cause: each step of a placement looked at all replicas of the service: counting them, ranking all of them for the shards, listing a shard's, reading versions.

Change: replicas are kept by service and hash, so that a shard is a range; the shards of a prompt come from one pass without a sort. Which shards and replicas a prompt gets is as before.

--- a/crates/gateway/src/balancer/candidates.rs
+++ b/crates/gateway/src/balancer/candidates.rs
@@ -28,11 +28,10 @@
         now: Time,
     ) -> Vec<InstanceId> {
         let may_serve = |replica: &&Replica| {
-            shard.is_none_or(|shard| shard.contains(replica.stable_id))
-                && self.is_eligible(replica, request, now)
-                && !self.is_unavailable(replica, now)
+            self.is_eligible(replica, request, now) && !self.is_unavailable(replica, now)
         };
-        let mut serving: Vec<&Replica> = self.serving(request.service).filter(may_serve).collect();
+        let mut serving = self.serving_in(request.service, shard);
+        serving.retain(may_serve);
         // Replicas of unknown version may be outdated, so use them only if all are.
         let is_known = |replica: &&Replica| replica.version(request.model).is_some();
         if request.model.is_some() && serving.iter().any(is_known) {
--- a/crates/gateway/src/balancer/incarnations.rs
+++ b/crates/gateway/src/balancer/incarnations.rs
@@ -62,7 +62,9 @@
         let mut previous = None;
         if let Some(known) = self.replicas.get_mut(&instance.id) {
             if known.instance.start == instance.start {
+                self.service_index.remove(known);
                 known.instance = instance;
+                self.service_index.insert(known);
                 return None;
             }
             previous = Some(known.instance.clone());
@@ -79,6 +81,7 @@
         replica.previous = previous.as_ref().map(|replica| (replica.start, replica.is_draining));
         self.by_incarnation.insert(replica.incarnation_id.0, id.clone());
         self.by_identifier.insert(replica.stable_id.0, id.clone());
+        self.service_index.insert(&replica);
         self.replicas.insert(id, replica);
         previous.map(|previous| ReplicaChange::Replaced { previous, start })
     }
@@ -86,6 +89,7 @@
     /// Removes a replica.
     pub fn remove(&mut self, id: &str) {
         if let Some(replica) = self.replicas.remove(id) {
+            self.service_index.remove(&replica);
             self.by_slot.remove(&replica.slot);
             self.by_incarnation.remove(&replica.incarnation_id.0);
             self.by_identifier.remove(&replica.stable_id.0);
--- a/crates/gateway/src/balancer/mod.rs
+++ b/crates/gateway/src/balancer/mod.rs
@@ -16,6 +16,7 @@
 mod progress;
 mod pushback;
 mod replica;
+mod service_index;
 mod sharded;
 mod source;
 mod view;
@@ -34,6 +35,7 @@
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 use replica::Replica;
+use service_index::ServiceIndex;
 use std::collections::{BTreeMap, HashMap};
 use std::time::Duration;
 use topazmount_admission::{PushbackRecords, RequestLimits};
@@ -47,6 +49,7 @@
 pub struct Balancer {
     zone: String,
     replicas: BTreeMap<InstanceId, Replica>,
+    service_index: ServiceIndex,
     by_slot: HashMap<u32, InstanceId>,
     by_incarnation: HashMap<u64, InstanceId>,
     /// Replicas by the hashes of their identifiers, as in messages of legacy builds.
@@ -82,6 +85,7 @@
         Balancer {
             zone: zone.to_owned(),
             replicas: BTreeMap::new(),
+            service_index: ServiceIndex::default(),
             by_slot: HashMap::new(),
             by_incarnation: HashMap::new(),
             by_identifier: HashMap::new(),
@@ -123,6 +127,17 @@
         self.replicas.values().filter(move |replica| replica.instance.service == service)
     }
 
+    /// Replicas of a service, or of one of its shards, by identifier.
+    fn serving_in(&self, service: &str, shard: Option<Shard>) -> Vec<&Replica> {
+        match shard {
+            None => self.serving(service).collect(),
+            Some(shard) => {
+                let ids = self.service_index.in_shard(service, shard);
+                ids.into_iter().filter_map(|id| self.replicas.get(id)).collect()
+            }
+        }
+    }
+
     /// Chooses a replica; `None` when none of the service is available.
     pub fn choose(
         &mut self,
--- a/crates/gateway/src/balancer/pushback.rs
+++ b/crates/gateway/src/balancer/pushback.rs
@@ -130,7 +130,7 @@
         if self.pushbacks.is_empty() && self.limits.count() == 0 {
             return Vec::new();
         }
-        let in_shard = self.serving(service).filter(|replica| shard.contains(replica.stable_id));
+        let in_shard = self.serving_in(service, Some(shard)).into_iter();
         in_shard
             .filter(|replica| self.is_unavailable(replica, now))
             .map(|replica| replica.name.clone())
--- a/crates/gateway/src/balancer/sharded.rs
+++ b/crates/gateway/src/balancer/sharded.rs
@@ -7,7 +7,7 @@
 use crate::shards::Shard;
 use rand::Rng;
 use topazmount_routing::rendezvous_weight;
-use topazmount_types::Time;
+use topazmount_types::{ReplicaId, Time};
 
 /// Maximum number of shards whose coordinators are asked about one prompt.
 const MAX_SHARDS: usize = 3;
@@ -29,7 +29,7 @@
 
     fn shard_count(&self, service: &str) -> u32 {
         match self.has_coordinators {
-            true => Shard::count_for(self.serving(service).count()),
+            true => Shard::count_for(self.service_index.count(service)),
             false => 0,
         }
     }
@@ -51,22 +51,17 @@
         let prefix_hashes = request.prefix_hashes();
         let key =
             shared_prefix(&prefix_hashes).last().copied().unwrap_or_else(|| self.rng.random());
-        let serving = self.serving(request.service);
-        let mut ranked: Vec<_> = serving
-            .map(|replica| (rendezvous_weight(key, replica.stable_id), replica.stable_id))
-            .collect();
-        ranked.sort_unstable_by(|left, right| right.cmp(left));
-        let mut shards: Vec<Shard> = Vec::with_capacity(MAX_SHARDS);
-        for (_, stable_id) in ranked {
-            let shard = Shard::of(stable_id, count);
-            if !shards.contains(&shard) {
-                shards.push(shard);
-            }
-            if shards.len() == MAX_SHARDS {
-                break;
-            }
+        // The first home in each shard; no sort of all replicas.
+        let mut homes: Vec<Option<(u64, ReplicaId)>> = vec![None; count as usize];
+        for hash in self.service_index.hashes(request.service) {
+            let home = &mut homes[Shard::of(hash, count).index as usize];
+            *home = (*home).max(Some((rendezvous_weight(key, hash), hash)));
         }
-        shards
+        let mut ranked: Vec<((u64, ReplicaId), u32)> =
+            homes.into_iter().zip(0..).filter_map(|(home, index)| Some((home?, index))).collect();
+        ranked.sort_unstable_by(|left, right| right.cmp(left));
+        ranked.truncate(MAX_SHARDS);
+        ranked.into_iter().map(|(_, index)| Shard { index, count }).collect()
     }
 
     /// Whether the prompt should be tried at a further shard, as it would wait too long at this
--- a/crates/gateway/src/balancer/view.rs
+++ b/crates/gateway/src/balancer/view.rs
@@ -60,16 +60,17 @@
         }
     }
 
-    /// What stores hold of the prompt under each version that replicas of the service have.
+    /// What stores hold of the prompt under each version that replicas of the service, or of one shard,
+    /// have.
     fn stored(
         &self,
         request: &ChoiceRequest<'_>,
         shard: Option<Shard>,
     ) -> HashMap<u32, StoredPrompt> {
         let Some(prompt) = request.prompt else { return HashMap::new() };
-        let serving = self.serving(request.service);
+        let serving = self.serving_in(request.service, shard);
         let versions: BTreeSet<u32> =
-            serving.filter_map(|replica| replica.version(request.model)).collect();
+            serving.iter().filter_map(|replica| replica.version(request.model)).collect();
         let found = versions.into_iter().filter_map(|version| {
             let stored =
                 self.stores.find(prompt, shard, &cache_salt(version, request.isolated_tenant))?;
@@ -91,9 +92,7 @@
         let (Some(first), Some(last)) = (shared.first(), shared.last()) else {
             return Vec::new();
         };
-        let serving = self.serving(request.service);
-        let serving =
-            serving.filter(|replica| shard.is_none_or(|shard| shard.contains(replica.stable_id)));
+        let serving = self.serving_in(request.service, shard).into_iter();
         let mut order: Vec<(&InstanceId, ReplicaId)> =
             serving.map(|replica| (&replica.instance.id, replica.stable_id)).collect();
         let homes = match self.has_coordinators {
--- a/crates/gateway/tests/shards.rs
+++ b/crates/gateway/tests/shards.rs
@@ -440,3 +440,25 @@
     // Sixteen times as many shards, and sixteen times as many gateways.
     assert!(large < small * 16, "{small:?} at 60 gateways, {large:?} at 960");
 }
+
+/// Processor time for placing 20 prompts: at the gateway that has them, and at a coordinator.
+fn time_for_prompts(gateways: usize, replicas: usize) -> Duration {
+    let mut state = gateway(0, gateways, replicas);
+    busy(|| {
+        for number in 0..20 {
+            with_request(&sample_prompt(number), |request| {
+                let shards = state.shards_for(request, NOW);
+                state.placement_request(request, shards[0], NOW);
+                state.choose_in_shard(request, Some(shards[0]), NOW).expect("a replica");
+            });
+        }
+    })
+}
+
+/// Guards against work for each replica of the service at each prompt. The factor allows for noise.
+#[test]
+fn a_prompt_costs_the_same_in_a_large_fleet() {
+    let small = time_for_prompts(60, 600);
+    let large = time_for_prompts(960, 9_600);
+    assert!(large < small * 2, "{small:?} with 600 replicas, {large:?} with 9,600");
+}
