--- a/crates/lab/src/control_scale/mod.rs
+++ b/crates/lab/src/control_scale/mod.rs
@@ -4,7 +4,9 @@
 //! Gateways and replicas only keep what decides which requests they send. Machines have a share of
 //! a core, memory and a link; what the model takes as given is listed in its module `machine`.
 
+mod calls;
 mod costs;
+mod events;
 mod gateway;
 mod machine;
 mod member;
--- a/crates/lab/src/control_scale/world.rs
+++ b/crates/lab/src/control_scale/world.rs
@@ -1,7 +1,9 @@
 //! The modelled fleet: events on a virtual clock.
 
 use super::Size;
+use super::calls::CALL_TIMEOUT;
 use super::costs::{FrameCosts, GatewayCosts, gateway_costs};
+use super::events::{Event, Events};
 use super::gateway::{Gateway, RESPONSE_TIMEOUT, RETRY_DELAY};
 use super::machine::{
     GATEWAY_BASE, GATEWAY_LINK, GATEWAY_RESPONSE, GATEWAY_SHARE, LATENCY, MEMBER_LINK,
@@ -11,13 +13,11 @@
 use super::report::Phase;
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
-use std::cmp::Reverse;
-use std::collections::{BinaryHeap, HashMap};
+use std::collections::HashMap;
 use std::time::Duration;
 use topazmount_consensus::MemberInfo;
 use topazmount_control::{
-    Document, FleetRequest, FleetResponse, FleetView, Founding, Frame, InstanceReport, LoadedModel,
-    Request, Response,
+    Document, FleetRequest, FleetResponse, FleetView, Founding, Frame, Request, Response,
 };
 use topazmount_settings::SourceFiles;
 use topazmount_types::Time;
@@ -26,86 +26,43 @@
 const FOUNDERS: usize = 3;
 /// Time over which the processes of a fleet start.
 const START_SPREAD: Duration = Duration::from_millis(300);
-/// Time after which a replica's call has failed.
-const CALL_TIMEOUT: Duration = Duration::from_millis(1_000);
-/// Delay after which a member tries a replica's call again.
-const CALL_RETRY: Duration = Duration::from_millis(40);
 /// Time after which a member that passed its memory starts again.
 const RESTART: Duration = Duration::from_millis(1_200);
-/// Bytes of a replica's call.
-const CALL_BYTES: usize = 420;
 /// Size of the operator's document, in bytes.
 const DOCUMENT_BYTES: usize = 60_000;
 /// Interval at which the operator sends the document until it is in force.
 const DOCUMENT_INTERVAL: Duration = Duration::from_millis(500);
+/// Interval at which the leader's registry is checked.
+const CHECK_INTERVAL: Duration = Duration::from_millis(50);
 /// Simulated time zero; times before it are needed for ages.
 const EPOCH: Time = Time::from_secs(1_000);
 
-enum Event {
-    Arrive { member: usize, run: u64, arrival: Box<Arrival> },
-    Work { member: usize },
-    StartMember { member: usize },
-    StartGateway { gateway: usize },
-    View { gateway: usize, run: u64, request: u64, member: usize, view: Box<FleetView> },
-    Watch { gateway: usize, run: u64 },
-    WatchTimeout { gateway: usize, request: u64 },
-    Heartbeat { replica: usize },
-    Call { replica: usize, call: u64, member: usize, target: usize },
-    CallTimeout { replica: usize, call: u64 },
-    SendDocument,
-}
-
-struct Scheduled {
-    at: Time,
-    number: u64,
-    event: Event,
-}
-
-impl PartialEq for Scheduled {
-    fn eq(&self, other: &Self) -> bool {
-        self.number == other.number
-    }
-}
-
-impl Eq for Scheduled {}
-
-impl PartialOrd for Scheduled {
-    fn partial_cmp(&self, other: &Self) -> Option<std::cmp::Ordering> {
-        Some(self.cmp(other))
-    }
-}
-
-impl Ord for Scheduled {
-    fn cmp(&self, other: &Self) -> std::cmp::Ordering {
-        (self.at, self.number).cmp(&(other.at, other.number))
-    }
-}
-
+/// What decides which calls a replica makes.
 #[derive(Default)]
-struct Replica {
-    has_crashed: bool,
-    sequence: u64,
-    /// Its newest call, while it waits.
-    waits: bool,
+pub(super) struct Replica {
+    pub(super) has_crashed: bool,
+    /// Number of its newest call.
+    pub(super) sequence: u64,
+    /// Whether that call waits for a response.
+    pub(super) waits: bool,
     was_listed: bool,
 }
 
 /// A fleet.
 pub struct World {
-    size: Size,
-    now: Time,
-    events: BinaryHeap<Reverse<Scheduled>>,
-    scheduled: u64,
-    machines: Vec<Machine>,
-    by_address: HashMap<String, usize>,
+    pub(super) size: Size,
+    pub(super) now: Time,
+    events: Events,
+    pub(super) machines: Vec<Machine>,
+    pub(super) by_address: HashMap<String, usize>,
     gateways: Vec<Gateway>,
-    replicas: Vec<Replica>,
+    pub(super) replicas: Vec<Replica>,
     frame_costs: FrameCosts,
     gateway_costs: GatewayCosts,
     watch_bytes: usize,
     has_formed: bool,
     leader: Option<usize>,
-    rng: ChaCha8Rng,
+    pub(super) rng: ChaCha8Rng,
     members_lost: u32,
     leader_changes: u32,
     failed_heartbeats: u64,
@@ -120,8 +77,7 @@
         let mut world = World {
             size,
             now: EPOCH,
-            events: BinaryHeap::new(),
-            scheduled: 0,
+            events: Events::default(),
             by_address: addresses.iter().cloned().zip(0..).collect(),
             machines: addresses.into_iter().map(Machine::new).collect(),
             gateways: (0..size.gateways).map(Gateway::new).collect(),
@@ -165,9 +121,8 @@
         self.schedule(at, Event::StartGateway { gateway });
     }
 
-    fn schedule(&mut self, at: Time, event: Event) {
-        self.scheduled += 1;
-        self.events.push(Reverse(Scheduled { at, number: self.scheduled, event }));
+    pub(super) fn schedule(&mut self, at: Time, event: Event) {
+        self.events.schedule(at, event);
     }
 
     /// Runs a phase and returns what it showed.
@@ -177,13 +132,13 @@
         let bytes_before: u64 = self.gateways.iter().map(|gateway| gateway.bytes).sum();
         self.machines.iter_mut().for_each(Machine::reset);
         let mut dropped = 0;
-        let mut looks_at = began;
-        while let Some(Reverse(next)) = self.events.pop_if_before(until) {
-            self.now = self.now.max(next.at);
-            self.handle(next.event);
-            if self.now >= looks_at {
-                looks_at = self.now + Duration::from_millis(50);
-                dropped += self.look();
+        let mut check_at = began;
+        while let Some((at, event)) = self.events.next_before(until) {
+            self.now = self.now.max(at);
+            self.handle(event);
+            if self.now >= check_at {
+                check_at = self.now + CHECK_INTERVAL;
+                dropped += self.check_registry();
             }
         }
         self.now = until;
@@ -192,7 +147,7 @@
     }
 
     /// Notes who leads and which sound replicas left its list; returns their number.
-    fn look(&mut self) -> u64 {
+    fn check_registry(&mut self) -> u64 {
         let leads = |machine: &Machine| {
             machine.member.as_ref().is_some_and(|member| member.replica().has_lease(self.now))
         };
@@ -400,7 +355,7 @@
         self.machines[member].link.take(leaves, link_time(bytes, MEMBER_LINK)) + LATENCY
     }
 
-    fn deliver(&mut self, at: Time, member: usize, bytes: usize, content: Content) {
+    pub(super) fn deliver(&mut self, at: Time, member: usize, bytes: usize, content: Content) {
         let run = self.machines[member].run;
         let arrival = Box::new(Arrival { bytes, content });
         self.schedule(at, Event::Arrive { member, run, arrival });
@@ -513,68 +468,6 @@
         }
     }
 
-    fn heartbeat(&mut self, replica: usize) {
-        if self.replicas[replica].has_crashed {
-            return;
-        }
-        let known = &mut self.replicas[replica];
-        known.sequence += 1;
-        known.waits = true;
-        let call = known.sequence;
-        let member = self.rng.random_range(0..self.size.members);
-        let timeout = self.now + CALL_TIMEOUT;
-        self.schedule(timeout, Event::CallTimeout { replica, call });
-        self.schedule(self.now, Event::Call { replica, call, member, target: member });
-    }
-
-    /// Brings a replica's call to a member, or from there to the leader.
-    fn call(&mut self, replica: usize, call: u64, member: usize, target: usize) {
-        let known = &self.replicas[replica];
-        if !known.waits || known.sequence != call || self.machines[target].member.is_none() {
-            return;
-        }
-        let report = InstanceReport {
-            instance: super::costs::replica(replica),
-            models: vec![LoadedModel { model: "m0".to_owned(), version: 1 }],
-            sequence: call,
-        };
-        let requester = match member == target {
-            true => Requester::Replica { replica, call },
-            false => Requester::Forwarded { member, replica, call },
-        };
-        let request = Request::Fleet(FleetRequest::Heartbeat(report));
-        let content = Content::Request(requester, request);
-        self.deliver(self.now + LATENCY, target, CALL_BYTES, content);
-    }
-
-    fn on_call_response(
-        &mut self,
-        at: Time,
-        replica: usize,
-        call: u64,
-        member: usize,
-        response: Response,
-    ) {
-        let known = &mut self.replicas[replica];
-        if !known.waits || known.sequence != call {
-            return;
-        }
-        match response {
-            Response::NotLeader(info) => {
-                let leader = info.and_then(|info| self.by_address.get(&info.address).copied());
-                let (delay, target) = match leader {
-                    Some(leader) => (Duration::ZERO, leader),
-                    None => (CALL_RETRY, member),
-                };
-                self.schedule(at + delay, Event::Call { replica, call, member, target });
-            }
-            _ => {
-                known.waits = false;
-                self.schedule(at + self.size.heartbeat, Event::Heartbeat { replica });
-            }
-        }
-    }
-
     fn send_document(&mut self) {
         let document = Document {
             version: 1,
@@ -601,14 +494,3 @@
         }
     }
 }
-
-/// Takes the next event if it is due.
-trait PopIfBefore<T> {
-    fn pop_if_before(&mut self, until: Time) -> Option<T>;
-}
-
-impl PopIfBefore<Reverse<Scheduled>> for BinaryHeap<Reverse<Scheduled>> {
-    fn pop_if_before(&mut self, until: Time) -> Option<Reverse<Scheduled>> {
-        self.peek().is_some_and(|Reverse(next)| next.at < until).then(|| self.pop()).flatten()
-    }
-}
--- a/crates/topazmount/src/control_links.rs
+++ b/crates/topazmount/src/control_links.rs
@@ -250,7 +250,7 @@
     answers: &Sender<Queued>,
     shared: &Shared,
 ) -> eyre::Report {
-    let (begun, ended) = async_channel::bounded(MAX_UNANSWERED);
+    let (slots, taken) = async_channel::bounded(MAX_UNANSWERED);
     loop {
         let (frame, cost) = match frames::within(LONGEST_REST, reader.receive_with_cost()).await {
             Ok(received) => received,
@@ -267,9 +267,12 @@
                 MemberInput::Peer(address, envelope)
             }
             Frame::Request(number, request) => {
-                // Waits while too many requests are unanswered.
-                let _ = begun.send(()).await;
-                let unanswered = Unanswered(ended.clone());
+                // A requester that does not read its answers would hold the connection for ever.
+                let waiting = async { Ok(slots.send(()).await?) };
+                if let Err(error) = frames::within(LONGEST_REST, waiting).await {
+                    return error.wrap_err("too many unanswered requests");
+                }
+                let unanswered = Unanswered(taken.clone());
                 let answers = answers.clone();
                 let requester = Requester::Connection { answers, number, unanswered };
                 MemberInput::Request(shared.add(requester), request)
--- a/crates/topazmount/src/control_process.rs
+++ b/crates/topazmount/src/control_process.rs
@@ -17,8 +17,8 @@
 use std::time::{Duration, Instant};
 use topazmount_consensus::{Config, Envelope, MemberInfo, MembershipStatus};
 use topazmount_control::{
-    DEFAULT_HEARTBEAT_INTERVAL, FleetAction, Founding, Frame, Member, MemberInput, MemberOutput,
-    MemberSettings, MembershipEvent, Request, Response, RolloutEvent, RolloutSettings, Token,
+    FleetAction, Founding, Frame, Member, MemberInput, MemberOutput, MemberSettings,
+    MembershipEvent, Request, Response, RolloutEvent, RolloutSettings, Token,
 };
 use topazmount_settings::{ControlSettings, SourceFiles};
 use topazmount_wire::ClusterKey;
@@ -141,9 +141,14 @@
     let opening = {
         let (settings, info) = (settings.clone(), info.clone());
         move || {
-            let mut member_settings = member_settings(&settings, info.clone());
-            member_settings.rollout = rollout;
-            member_settings.heartbeat_interval = heartbeat_interval;
+            let member_settings = MemberSettings {
+                info: info.clone(),
+                consensus: Config::default(),
+                seed: rand::random(),
+                rollout,
+                heartbeat_interval,
+                seeds: initial_addresses(&settings),
+            };
             open_member(&settings, member_settings, form_group, source.clone(), clock)
         }
     };
@@ -178,15 +183,8 @@
     Ok(ControlHandle { inputs, shared, address, thread: Some(thread), ended })
 }
 
-fn member_settings(settings: &ControlSettings, info: MemberInfo) -> MemberSettings {
-    MemberSettings {
-        info,
-        consensus: Config::default(),
-        seed: rand::random(),
-        rollout: RolloutSettings::default(),
-        heartbeat_interval: DEFAULT_HEARTBEAT_INTERVAL,
-        seeds: settings.initial_members.iter().map(|peer| peer.address.to_string()).collect(),
-    }
+fn initial_addresses(settings: &ControlSettings) -> Vec<String> {
+    settings.initial_members.iter().map(|peer| peer.address.to_string()).collect()
 }
 
 fn open_member(
