Replica lists are encoded by columns

Cause: a gateway's start took 370 KB of lists by estimate, and the leader sends them to all; ids, zones and starts stood once in a replica and once in its status, between field names. Weighed: a slower compression level (a tenth less again for a tenth more of the leader's processor time at a start, not taken). Change: values of a field stand together, repeated ones as positions in a table, statuses by the row of their replica. Test packed_lists: 36.9 bytes for a replica and its status before, under 18 now; decoding of random lists, and clear errors for invalid columns. Control tests pass.

--- a/crates/control/src/fleet/mod.rs
+++ b/crates/control/src/fleet/mod.rs
@@ -6,6 +6,7 @@
 //! weights.
 
 mod batches;
+mod columns;
 mod crashes;
 mod events;
 mod gateways;
--- a/crates/control/src/fleet/packed.rs
+++ b/crates/control/src/fleet/packed.rs
@@ -3,6 +3,7 @@
 //! After a restart of the fleet all gateways need the same lists. Encoding them for each one would
 //! keep a member busy for minutes, and the encoded lists that wait to be sent would fill its memory.
 
+use super::columns::ReplicaColumns;
 use super::protocol::{FleetView, GatewayReport, InstanceStatus};
 use super::state::{Document, RemovedInstance};
 use serde::de::DeserializeOwned;
@@ -82,8 +83,9 @@
     }
 }
 
-/// The lists about replicas in a view.
+/// The lists about replicas in a view, encoded by columns.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(into = "ReplicaColumns", try_from = "ReplicaColumns")]
 pub struct ReplicaLists {
     /// Changed replicas.
     pub instances: Vec<Instance>,
--- a/crates/control/src/fleet/protocol.rs
+++ b/crates/control/src/fleet/protocol.rs
@@ -11,7 +11,7 @@
 use topazmount_types::{Instance, InstanceId, Start};
 
 /// A model and the version of its weights at a replica.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct LoadedModel {
     /// Model.
     pub model: String,
@@ -20,7 +20,7 @@
 }
 
 /// Whether a replica should be sent requests.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub enum Availability {
     /// It should.
     #[default]
