Shards are ranked in one pass over an array, and versions counted by service

Cause: for each prompt a gateway walked a tree of all replicas of the service to rank its shards, and all replicas for the newest version. Change: the index keeps the hashes in arrays and the number of replicas with each version; the three first shards are found in the pass itself, so their order is as before. A candidate's replica is looked up once.

--- a/crates/gateway/src/balancer/candidates.rs
+++ b/crates/gateway/src/balancer/candidates.rs
@@ -72,16 +72,18 @@
         let ranks: HashMap<&InstanceId, usize> = view.homes.iter().zip(0..).collect();
         let home = view.homes.iter().find(|id| available.contains(*id));
         let is_uncached = view.cached.is_empty() && view.pending.is_empty();
-        let version_of = |id: &InstanceId| self.replicas[id].version(request.model);
+        let replicas: Vec<&Replica> = available.iter().map(|id| &self.replicas[id]).collect();
+        let versions: Vec<Option<u32>> =
+            replicas.iter().map(|replica| replica.version(request.model)).collect();
         let rate = self.prefill_rate(request.service);
         let ignores_cached_prefix = self.has_coordinators && view.has_no_full_copy(request);
-        let newest = available.iter().filter_map(version_of).max();
-        let has_newest = |id: &InstanceId| version_of(id) >= newest;
-        let newest_count = available.iter().filter(|id| has_newest(id)).count();
+        let newest = versions.iter().copied().flatten().max();
+        let newest_count = versions.iter().filter(|version| **version >= newest).count();
         let newest_share = newest_count as f64 / available.len() as f64;
         let mut candidates: Vec<Candidate> = Vec::with_capacity(available.len());
-        for (position, id) in available.iter().enumerate() {
-            let replica = &self.replicas[id];
+        for (position, replica) in replicas.into_iter().enumerate() {
+            let id = &replica.instance.id;
+            let has_newest = versions[position] >= newest;
             let mut candidate = self.candidate(replica, position, rate, now);
             candidate.home_rank = ranks.get(id).map_or(0, |rank| *rank as u32);
             if let Some(prompt) = request.prompt {
@@ -104,7 +106,7 @@
                     candidate.prefill_ms = f64::from(prompt.prompt_tokens) / rate;
                 }
                 candidate.network_ms +=
-                    cost::weights_ms(has_newest(id), newest_share, candidate.queue_ms);
+                    cost::weights_ms(has_newest, newest_share, candidate.queue_ms);
             }
             candidates.push(candidate);
         }
--- a/crates/gateway/src/balancer/incarnations.rs
+++ b/crates/gateway/src/balancer/incarnations.rs
@@ -120,21 +120,7 @@
         let Some(replica) = known.filter(|replica| replica.instance.start == status.start) else {
             return ReplicaChanges::new();
         };
-        replica.availability = status.availability;
-        replica.downgraded_until = Time::ZERO;
-        if status.correction <= replica.correction {
-            for loaded in &status.models {
-                replica.record_version(&loaded.model, loaded.version);
-            }
-            return ReplicaChanges::new();
-        }
-        replica.correction = status.correction;
-        let before = std::mem::replace(&mut replica.models, status.models.clone());
-        let downgrade = |known: &LoadedModel| {
-            let reported = replica.version(Some(&known.model));
-            (reported < Some(known.version)).then(|| replica.downgrade_from(known, reported))
-        };
-        before.iter().filter_map(downgrade).collect()
+        self.service_index.change_versions(replica, |replica| replica.apply_status(status))
     }
 
     /// Records the newest published version of each model; older ones from members that lag are
@@ -218,26 +204,20 @@
     ) -> VersionRefusal {
         let Some(expected) = choice.required_version else { return VersionRefusal::Unexplained };
         let published = self.published(Some(model));
-        let Some(replica) = self.chosen_mut(choice) else { return VersionRefusal::Unexplained };
-        match reported {
-            Some(reported) if reported == expected => return VersionRefusal::Unexplained,
-            Some(reported) if reported > expected => {
-                replica.record_version(model, reported);
-                return VersionRefusal::RetrySame;
-            }
-            // The published version remains to be tried, or no version if none was published.
-            None if published.is_none_or(|published| published > expected) => {
-                replica.forget_version(model);
-                return VersionRefusal::RetrySame;
-            }
-            _ => {}
-        }
-        replica.forget_version(model);
-        if let Some(reported) = reported {
-            replica.record_version(model, reported);
-        }
-        replica.downgraded_until = now + DOWNGRADE_PAUSE;
-        let before = LoadedModel { model: model.to_owned(), version: expected };
-        VersionRefusal::Downgraded(replica.downgrade_from(&before, reported))
+        let required = LoadedModel { model: model.to_owned(), version: expected };
+        let refuse =
+            |replica: &mut Replica| replica.on_version_refused(required, reported, published, now);
+        self.change_versions(choice, refuse).unwrap_or(VersionRefusal::Unexplained)
+    }
+
+    /// Changes the recorded versions of the chosen incarnation, if it has not ended.
+    pub(super) fn change_versions<T>(
+        &mut self,
+        choice: &Choice,
+        change: impl FnOnce(&mut Replica) -> T,
+    ) -> Option<T> {
+        let replica = self.replicas.get_mut(&choice.instance.id)?;
+        let is_chosen = replica.slot == choice.slot;
+        is_chosen.then(|| self.service_index.change_versions(replica, change))
     }
 }
--- a/crates/gateway/src/balancer/mod.rs
+++ b/crates/gateway/src/balancer/mod.rs
@@ -202,6 +202,11 @@
         &mut self.stores
     }
 
+    /// Newest recorded version of a model among all replicas of a service.
+    pub fn newest_version(&self, service: &str, model: Option<&str>) -> Option<u32> {
+        self.service_index.newest_version(service, model?)
+    }
+
     /// Selects the store that the chosen replica should save the prompt's parts to, if any. A
     /// replica with older weights than another one may load new ones during the run, and would then
     /// save parts computed with the new weights under the salt of the old version.
@@ -213,11 +218,7 @@
         now: Time,
     ) -> Option<String> {
         let prompt = request.prompt?;
-        let newest = self
-            .serving(request.service)
-            .filter_map(|replica| replica.version(request.model))
-            .max();
-        if choice.version < newest {
+        if choice.version < self.newest_version(request.service, request.model) {
             return None;
         }
         let salt = cache_salt(choice.version?, request.isolated_tenant);
--- a/crates/gateway/src/balancer/progress.rs
+++ b/crates/gateway/src/balancer/progress.rs
@@ -81,16 +81,12 @@
 
     /// Records the version that a replica reported with a response.
     pub fn record_version(&mut self, choice: &Choice, model: &str, version: u32) {
-        if let Some(replica) = self.chosen_mut(choice) {
-            replica.record_version(model, version);
-        }
+        self.change_versions(choice, |replica| replica.record_version(model, version));
     }
 
     /// Drops the recorded version of a replica that turned out to have another one.
     pub fn forget_version(&mut self, choice: &Choice, model: &str) {
-        if let Some(replica) = self.chosen_mut(choice) {
-            replica.forget_version(model);
-        }
+        self.change_versions(choice, |replica| replica.forget_version(model));
     }
 
     /// Whether the chosen incarnation is excluded from routing, as its weights are too old.
--- a/crates/gateway/src/balancer/replica.rs
+++ b/crates/gateway/src/balancer/replica.rs
@@ -1,10 +1,10 @@
 //! A node's records of one replica.
 
-use super::{ChoiceRequest, ReplicaChange};
+use super::{ChoiceRequest, DOWNGRADE_PAUSE, ReplicaChange, ReplicaChanges, VersionRefusal};
 use std::collections::HashMap;
 use std::time::Duration;
 use topazmount_consensus::Term;
-use topazmount_control::{Availability, LoadedModel};
+use topazmount_control::{Availability, InstanceStatus, LoadedModel};
 use topazmount_types::{Incarnation, Instance, ReplicaId, Start, Time};
 
 /// Weight of a new observation in a replica's smoothed delay.
@@ -148,12 +148,57 @@
         self.models.retain(|loaded| loaded.model != model);
     }
 
-    /// The change to report when it has older weights than recorded.
-    pub(super) fn downgrade_from(
-        &self,
-        recorded: &LoadedModel,
+    /// Applies the leader's status of this incarnation. Returns the downgrades that it reveals.
+    pub(super) fn apply_status(&mut self, status: &InstanceStatus) -> ReplicaChanges {
+        self.availability = status.availability;
+        self.downgraded_until = Time::ZERO;
+        if status.correction <= self.correction {
+            for loaded in &status.models {
+                self.record_version(&loaded.model, loaded.version);
+            }
+            return ReplicaChanges::new();
+        }
+        self.correction = status.correction;
+        let before = std::mem::replace(&mut self.models, status.models.clone());
+        let downgrade = |known: &LoadedModel| {
+            let reported = self.version(Some(&known.model));
+            (reported < Some(known.version)).then(|| self.downgrade_from(known, reported))
+        };
+        before.iter().filter_map(downgrade).collect()
+    }
+
+    /// Handles its refusal of the required version, and the version that it reports, if any.
+    pub(super) fn on_version_refused(
+        &mut self,
+        required: LoadedModel,
         reported: Option<u32>,
-    ) -> ReplicaChange {
+        published: Option<u32>,
+        now: Time,
+    ) -> VersionRefusal {
+        let (model, expected) = (&required.model, required.version);
+        match reported {
+            Some(reported) if reported == expected => return VersionRefusal::Unexplained,
+            Some(reported) if reported > expected => {
+                self.record_version(model, reported);
+                return VersionRefusal::RetrySame;
+            }
+            // The published version remains to be tried, or no version if none was published.
+            None if published.is_none_or(|published| published > expected) => {
+                self.forget_version(model);
+                return VersionRefusal::RetrySame;
+            }
+            _ => {}
+        }
+        self.forget_version(model);
+        if let Some(reported) = reported {
+            self.record_version(model, reported);
+        }
+        self.downgraded_until = now + DOWNGRADE_PAUSE;
+        VersionRefusal::Downgraded(self.downgrade_from(&required, reported))
+    }
+
+    /// The change to report when it has older weights than recorded.
+    fn downgrade_from(&self, recorded: &LoadedModel, reported: Option<u32>) -> ReplicaChange {
         ReplicaChange::Downgraded {
             id: self.instance.id.clone(),
             start: self.instance.start,
--- a/crates/gateway/src/balancer/sharded.rs
+++ b/crates/gateway/src/balancer/sharded.rs
@@ -6,8 +6,7 @@
 use crate::placement_request::PlacementOffer;
 use crate::shards::Shard;
 use rand::Rng;
-use topazmount_routing::rendezvous_weight;
-use topazmount_types::{ReplicaId, Time};
+use topazmount_types::Time;
 
 /// Maximum number of shards whose coordinators are asked about one prompt.
 const MAX_SHARDS: usize = 3;
@@ -51,17 +50,7 @@
         let prefix_hashes = request.prefix_hashes();
         let key =
             shared_prefix(&prefix_hashes).last().copied().unwrap_or_else(|| self.rng.random());
-        // The first home in each shard; no sort of all replicas.
-        let mut homes: Vec<Option<(u64, ReplicaId)>> = vec![None; count as usize];
-        for hash in self.service_index.hashes(request.service) {
-            let home = &mut homes[Shard::of(hash, count).index as usize];
-            *home = (*home).max(Some((rendezvous_weight(key, hash), hash)));
-        }
-        let mut ranked: Vec<((u64, ReplicaId), u32)> =
-            homes.into_iter().zip(0..).filter_map(|(home, index)| Some((home?, index))).collect();
-        ranked.sort_unstable_by(|left, right| right.cmp(left));
-        ranked.truncate(MAX_SHARDS);
-        ranked.into_iter().map(|(_, index)| Shard { index, count }).collect()
+        self.service_index.first_shards(request.service, key, count, MAX_SHARDS)
     }
 
     /// Whether the prompt should be tried at a further shard, as it would wait too long at this
--- a/crates/gateway/src/shards.rs
+++ b/crates/gateway/src/shards.rs
@@ -49,6 +49,7 @@
     }
 
     /// The shard that a replica belongs to. When the count doubles, each shard splits into two.
+    #[inline]
     pub(crate) fn of(replica: ReplicaId, count: u32) -> Self {
         let bits = count.max(1).ilog2();
         Shard { index: replica.0.checked_shr(u64::BITS - bits).unwrap_or(0) as u32, count }
