The replicas of a shard are collected once for a choice

Cause: a choice collected the replicas of its shard three times, each with a look-up in a tree of all replicas. Change: they are collected once and passed on.

--- a/crates/gateway/src/balancer/candidates.rs
+++ b/crates/gateway/src/balancer/candidates.rs
@@ -4,7 +4,6 @@
 use super::replica::Replica;
 use super::view::PromptView;
 use super::{Balancer, ChoiceRequest};
-use crate::shards::Shard;
 use rand::Rng;
 use std::collections::HashMap;
 use topazmount_control::Availability;
@@ -19,18 +18,17 @@
 const TIE_BREAK_MS: f64 = 0.01;
 
 impl Balancer {
-    /// Returns the replicas that may be sent a request: healthy ones if there are any, else
-    /// unpaused ones, else all.
+    /// Returns those of the replicas of a service, or of one shard, that may be sent a request:
+    /// healthy ones if there are any, else unpaused ones, else all.
     pub(super) fn available_replicas(
         &self,
+        mut serving: Vec<&Replica>,
         request: &ChoiceRequest<'_>,
-        shard: Option<Shard>,
         now: Time,
     ) -> Vec<InstanceId> {
         let may_serve = |replica: &&Replica| {
             self.is_eligible(replica, request, now) && !self.is_unavailable(replica, now)
         };
-        let mut serving = self.serving_in(request.service, shard);
         serving.retain(may_serve);
         // Replicas of unknown version may be outdated, so use them only if all are.
         let is_known = |replica: &&Replica| replica.version(request.model).is_some();
--- a/crates/gateway/src/balancer/mod.rs
+++ b/crates/gateway/src/balancer/mod.rs
@@ -157,12 +157,14 @@
         policies: &mut PolicyTable,
     ) -> Option<Choice> {
         self.sequence += 1;
-        let available = self.available_replicas(request, shard, now);
+        let serving = self.serving_in(request.service, shard);
+        let available = self.available_replicas(serving.clone(), request, now);
         if available.is_empty() {
             return None;
         }
         let prefix_hashes = request.prefix_hashes();
-        let view = self.prompt_view(request, shared_prefix(&prefix_hashes), shard, now);
+        let shared = shared_prefix(&prefix_hashes);
+        let view = self.prompt_view(request, shared, shard, &serving, now);
         let candidates = self.candidates(&available, request, &view, now);
         let route_request = request.route_request(&prefix_hashes, self.sequence);
         let policy = policies.assign(&route_request);
@@ -235,7 +237,8 @@
 
     /// Whether any replica is available for the request. Does not count as a routing decision.
     pub fn has_available_replica(&self, request: &ChoiceRequest<'_>, now: Time) -> bool {
-        !self.available_replicas(request, None, now).is_empty()
+        let serving = self.serving(request.service).collect();
+        !self.available_replicas(serving, request, now).is_empty()
     }
 
     /// Builds the update to send to other nodes about a prompt; `None` for short prompts where
--- a/crates/gateway/src/balancer/view.rs
+++ b/crates/gateway/src/balancer/view.rs
@@ -1,6 +1,7 @@
 //! The known state of a prompt at the time of a choice: its home order, and where it is cached.
 
 use super::cache_records::CachedPrefix;
+use super::replica::Replica;
 use super::{Balancer, ChoiceRequest};
 use crate::shards::Shard;
 use crate::stores::{StoredPrompt, cache_salt};
@@ -40,12 +41,14 @@
 }
 
 impl Balancer {
-    /// Collects the known state of the prompt with these shared prefix hashes.
+    /// Collects the known state of the prompt with these shared prefix hashes, at the replicas of
+    /// the service, or of one shard.
     pub(super) fn prompt_view(
         &self,
         request: &ChoiceRequest<'_>,
         shared: &[u64],
         shard: Option<Shard>,
+        serving: &[&Replica],
         now: Time,
     ) -> PromptView {
         let incarnation_of = |slot: u32| {
@@ -53,10 +56,10 @@
             Some(replica.incarnation(replica.version(request.model)?))
         };
         PromptView {
-            homes: self.home_order(request, shared, shard),
+            homes: self.home_order(shared, serving),
             cached: self.cache_records.cached_prefixes(shared, now, incarnation_of),
             pending: self.cache_records.pending_reads(shared, now, incarnation_of),
-            stored: self.stored(request, shard),
+            stored: self.stored(request, shard, serving),
         }
     }
 
@@ -66,9 +69,9 @@
         &self,
         request: &ChoiceRequest<'_>,
         shard: Option<Shard>,
+        serving: &[&Replica],
     ) -> HashMap<u32, StoredPrompt> {
         let Some(prompt) = request.prompt else { return HashMap::new() };
-        let serving = self.serving_in(request.service, shard);
         let versions: BTreeSet<u32> =
             serving.iter().filter_map(|replica| replica.version(request.model)).collect();
         let found = versions.into_iter().filter_map(|version| {
@@ -83,18 +86,12 @@
     /// compute alike. With coordinators, the hash of all shared parts ranks the replicas. Without,
     /// the hash of the first part selects the leading replicas, and the hash of all shared parts
     /// ranks these and then the rest.
-    fn home_order(
-        &self,
-        request: &ChoiceRequest<'_>,
-        shared: &[u64],
-        shard: Option<Shard>,
-    ) -> Vec<InstanceId> {
+    fn home_order(&self, shared: &[u64], serving: &[&Replica]) -> Vec<InstanceId> {
         let (Some(first), Some(last)) = (shared.first(), shared.last()) else {
             return Vec::new();
         };
-        let serving = self.serving_in(request.service, shard).into_iter();
         let mut order: Vec<(&InstanceId, ReplicaId)> =
-            serving.map(|replica| (&replica.instance.id, replica.stable_id)).collect();
+            serving.iter().map(|replica| (&replica.instance.id, replica.stable_id)).collect();
         let homes = match self.has_coordinators {
             true => order.len(),
             false => order.len().div_ceil(REPLICAS_PER_HOME).min(order.len()),
