--- a/crates/control/src/fleet/columns.rs
+++ b/crates/control/src/fleet/columns.rs
@@ -136,7 +136,7 @@
     fn instances(self) -> Result<Vec<Instance>, InvalidColumns> {
         let changed_at = self.changed_at.numbers();
         let start = self.start.numbers();
-        let instance = |(row, id)| {
+        let instance = |(row, id): (usize, InstanceId)| {
             Ok(Instance {
                 id,
                 service: self.service.get(row)?,
@@ -148,7 +148,7 @@
                 start: Start(get(&start, row)?),
             })
         };
-        self.id.into_iter().enumerate().map(|(row, id)| instance((row, id))).collect()
+        self.id.into_iter().enumerate().map(instance).collect()
     }
 }
 
@@ -170,7 +170,7 @@
 
     fn statuses(self, instances: &[Instance]) -> Result<Vec<InstanceStatus>, InvalidColumns> {
         let mut others = self.id.into_iter().zip(self.start.numbers());
-        let mut status = |(row, instance): (usize, u64)| {
+        let status = |(row, instance): (usize, u64)| {
             let (id, start) = match instance.checked_sub(1) {
                 None => others.next().map(|(id, start)| (id, Start(start))),
                 Some(position) => {
@@ -187,7 +187,7 @@
                 correction: self.correction.get(row)?,
             })
         };
-        self.instance.numbers().into_iter().enumerate().map(&mut status).collect()
+        self.instance.numbers().into_iter().enumerate().map(status).collect()
     }
 }
 
