--- a/crates/control/src/fleet/columns.rs
+++ b/crates/control/src/fleet/columns.rs
@@ -2,7 +2,7 @@
 //!
 //! The values of a field stand together, repeated ones as positions in a table, so that a replica
 //! and its status take little more than its identifier and address after compression. All gateways
-//! get these lists, also once more after each change of leader.
+//! get these lists, and the statuses once more after each change of leader.
 
 use super::packed::ReplicaLists;
 use super::protocol::{Availability, InstanceStatus, LoadedModel};
--- a/crates/control/tests/packed_lists.rs
+++ b/crates/control/tests/packed_lists.rs
@@ -101,39 +101,32 @@
 
 /// Columns of replicas as another build might send them.
 #[derive(Serialize)]
-struct Columns<I, S> {
-    instances: I,
+struct Columns {
+    instances: Instances,
     removed: Vec<RemovedInstance>,
-    statuses: S,
+    statuses: Statuses,
 }
 
-#[derive(Clone, Serialize)]
-struct Table {
-    values: Vec<u32>,
+#[derive(Serialize)]
+struct Table<T> {
+    values: Vec<T>,
     rows: Vec<u32>,
 }
 
-#[derive(Clone, Serialize)]
-struct Texts {
-    values: Vec<&'static str>,
-    rows: Vec<u32>,
-}
-
-#[derive(Serialize)]
-struct Flags {
-    values: Vec<bool>,
-    rows: Vec<u32>,
+/// A column with this value in its only row.
+fn one<T>(value: T) -> Table<T> {
+    Table { values: vec![value], rows: vec![0] }
 }
 
 #[derive(Serialize)]
 struct Instances {
     id: Vec<&'static str>,
-    service: Texts,
+    service: Table<&'static str>,
     host: Vec<&'static str>,
-    port: Texts,
-    zone: Texts,
-    slots: Table,
-    is_draining: Flags,
+    port: Table<&'static str>,
+    zone: Table<&'static str>,
+    slots: Table<u32>,
+    is_draining: Table<bool>,
     changed_at: Vec<i64>,
     start: Vec<i64>,
 }
@@ -143,39 +136,20 @@
     instance: Vec<i64>,
     id: Vec<&'static str>,
     start: Vec<i64>,
-    availability: Availabilities,
-    models: Models,
-    correction: Corrections,
-}
-
-#[derive(Serialize)]
-struct Availabilities {
-    values: Vec<Availability>,
-    rows: Vec<u32>,
-}
-
-#[derive(Serialize)]
-struct Models {
-    values: Vec<Vec<LoadedModel>>,
-    rows: Vec<u32>,
-}
-
-#[derive(Serialize)]
-struct Corrections {
-    values: Vec<(u64, u32)>,
-    rows: Vec<u32>,
+    availability: Table<Availability>,
+    models: Table<Vec<LoadedModel>>,
+    correction: Table<(u64, u32)>,
 }
 
 fn one_instance() -> Instances {
-    let texts = |value| Texts { values: vec![value], rows: vec![0] };
     Instances {
         id: vec!["i-1"],
-        service: texts("pool"),
+        service: one("pool"),
         host: vec!["10.0.0.1"],
-        port: texts(":80"),
-        zone: texts("north"),
-        slots: Table { values: vec![16], rows: vec![0] },
-        is_draining: Flags { values: vec![false], rows: vec![0] },
+        port: one(":80"),
+        zone: one("north"),
+        slots: one(16),
+        is_draining: one(false),
         changed_at: vec![4],
         start: vec![9],
     }
@@ -186,9 +160,9 @@
         instance: vec![1],
         id: Vec::new(),
         start: Vec::new(),
-        availability: Availabilities { values: vec![Availability::Paused], rows: vec![0] },
-        models: Models { values: vec![Vec::new()], rows: vec![0] },
-        correction: Corrections { values: vec![(2, 3)], rows: vec![0] },
+        availability: one(Availability::Paused),
+        models: one(Vec::new()),
+        correction: one((2, 3)),
     }
 }
 
--- a/crates/gateway/src/balancer/service_index.rs
+++ b/crates/gateway/src/balancer/service_index.rs
@@ -1,5 +1,5 @@
 //! The replicas of each service by the hashes of their identifiers, and the number of them with each
-//! version, so that a prompt needs no look at all replicas.
+//! version. A prompt needs a pass over the hashes, but no look-up of each replica.
 
 use super::replica::Replica;
 use crate::shards::Shard;
@@ -89,9 +89,13 @@
 }
 
 impl ServiceIndex {
+    fn service(&mut self, replica: &Replica) -> &mut ServiceReplicas {
+        self.services.entry(replica.instance.service.clone()).or_default()
+    }
+
     pub(super) fn insert(&mut self, replica: &Replica) {
         let instance = &replica.instance;
-        let service = self.services.entry(instance.service.clone()).or_default();
+        let service = self.service(replica);
         service.by_hash.insert((replica.stable_id, instance.id.clone()));
         service.group(replica.stable_id).push(replica.stable_id);
         service.insert_versions(replica);
@@ -117,11 +121,9 @@
         replica: &mut Replica,
         change: impl FnOnce(&mut Replica) -> T,
     ) -> T {
-        let service = self.services.get_mut(&replica.instance.service);
-        let Some(service) = service else { return change(replica) };
-        service.remove_versions(replica);
+        self.service(replica).remove_versions(replica);
         let result = change(replica);
-        service.insert_versions(replica);
+        self.service(replica).insert_versions(replica);
         result
     }
 
