A gateway's connections to replicas can be bound to a local address

On a machine with several addresses, replicas and filters between see connections of a gateway from an address that the system chose. [connections] local_ip names it.

--- a/crates/topazmount/src/fleet/crash_watch.rs
+++ b/crates/topazmount/src/fleet/crash_watch.rs
@@ -72,7 +72,7 @@
 /// Checks once whether a replica has ended; if so, the requests that broke off there count as crashes.
 pub(super) async fn check_ended(shared: &SharedState, instance: &Instance) -> bool {
     let Ok(address) = instance.address.parse() else { return false };
-    if !is_refused(address, CONNECT_TIMEOUT).await {
+    if !is_refused(address, shared.local_ip, CONNECT_TIMEOUT).await {
         return false;
     }
     let now = shared.clock.now();
--- a/crates/topazmount/src/fleet/exchange/attempt.rs
+++ b/crates/topazmount/src/fleet/exchange/attempt.rs
@@ -110,7 +110,9 @@
 
     async fn connect(&self, choice: &Choice) -> Option<Wire> {
         let address = choice.instance.address.parse().ok()?;
-        connect(address, CONNECT_TIMEOUT.min(self.remaining_time())).await.ok()
+        connect(address, self.shared.local_ip, CONNECT_TIMEOUT.min(self.remaining_time()))
+            .await
+            .ok()
     }
 
     /// Sends the request on a connection and waits for the start of the response.
--- a/crates/topazmount/src/fleet/gateway.rs
+++ b/crates/topazmount/src/fleet/gateway.rs
@@ -19,6 +19,7 @@
 use async_channel::Sender;
 use async_net::TcpListener;
 use eyre::{Result, WrapErr, eyre};
+use std::net::IpAddr;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
@@ -53,6 +54,8 @@
     pub(super) event_log: RateLimitedLog,
     pub(super) metrics: Arc<Metrics>,
     pub(super) peers: Arc<Peers>,
+    /// Local address of connections to replicas.
+    pub(super) local_ip: Option<IpAddr>,
     /// Idle connections to replicas.
     pub(super) pool: Pool,
     /// Replicas whose connection broke while they served a request.
@@ -101,6 +104,7 @@
             event_log: RateLimitedLog::default(),
             metrics,
             peers: peers.clone(),
+            local_ip: settings.connections.local_ip,
             pool: Pool::default(),
             broken_connections,
             report_requests: report_sender,
--- a/crates/topazmount/src/fleet/http_client.rs
+++ b/crates/topazmount/src/fleet/http_client.rs
@@ -53,7 +53,7 @@
             {
                 return Ok(response);
             }
-            let wire = connect(self.address, timeout).await?;
+            let wire = connect(self.address, None, timeout).await?;
             self.exchange(wire, request.method, &bytes, max_bytes).await
         })
         .await
--- a/crates/topazmount/src/fleet/settings.rs
+++ b/crates/topazmount/src/fleet/settings.rs
@@ -3,7 +3,7 @@
 use eyre::{Result, WrapErr, eyre};
 use serde::Deserialize;
 use std::collections::BTreeSet;
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::path::{Path, PathBuf};
 use std::time::Duration;
 use topazmount_admission::PushbackSettings;
@@ -100,6 +100,9 @@
     /// Maximum idle time of a connection, in milliseconds. Only requests that may be repeated use
     /// pooled connections.
     pub most_idle_ms: u64,
+    /// Local address of connections to replicas, on a machine with several; the system chooses it
+    /// otherwise.
+    pub local_ip: Option<IpAddr>,
 }
 
 impl Default for ConnectionPoolSettings {
@@ -109,6 +112,7 @@
             keep: defaults.is_enabled,
             once_idle_ms: None,
             most_idle_ms: defaults.max_idle.as_millis() as u64,
+            local_ip: None,
         }
     }
 }
--- a/crates/topazmount/src/http1/client.rs
+++ b/crates/topazmount/src/http1/client.rs
@@ -3,9 +3,13 @@
 use super::head::ResponseHead;
 use super::wire::Wire;
 use crate::frames::within;
+use async_io::Async;
 use async_net::TcpStream;
 use eyre::{Result, eyre};
-use std::net::SocketAddr;
+use rustix::io::Errno;
+use socket2::{Domain, Protocol, Socket, Type};
+use std::io;
+use std::net::{IpAddr, SocketAddr};
 use std::time::Duration;
 
 /// Largest head of an answer.
@@ -20,18 +24,40 @@
     pub body: Vec<u8>,
 }
 
-/// Opens a connection.
+/// Opens a connection from a local address; `None` lets the system choose it.
 ///
 /// # Errors
 /// When it does not come up in time.
-pub async fn connect(address: SocketAddr, limit: Duration) -> Result<Wire> {
-    let stream = within(limit, async { Ok(TcpStream::connect(address).await?) }).await?;
-    Ok(Wire::new(stream))
+pub async fn connect(address: SocketAddr, local: Option<IpAddr>, limit: Duration) -> Result<Wire> {
+    let connecting = async {
+        Ok(match local {
+            Some(local) => connect_from(local, address).await?,
+            None => TcpStream::connect(address).await?,
+        })
+    };
+    Ok(Wire::new(within(limit, connecting).await?))
+}
+
+async fn connect_from(local: IpAddr, address: SocketAddr) -> io::Result<TcpStream> {
+    let socket = Socket::new(Domain::for_address(address), Type::STREAM, Some(Protocol::TCP))?;
+    socket.set_nonblocking(true)?;
+    socket.bind(&SocketAddr::new(local, 0).into())?;
+    if let Err(error) = socket.connect(&address.into())
+        && error.raw_os_error() != Some(Errno::INPROGRESS.raw_os_error())
+    {
+        return Err(error);
+    }
+    let stream = Async::new(std::net::TcpStream::from(socket))?;
+    stream.writable().await?;
+    match stream.get_ref().take_error()? {
+        Some(error) => Err(error),
+        None => Ok(TcpStream::from(stream)),
+    }
 }
 
 /// Whether nobody listens at an address: a connection is refused in this time.
-pub async fn is_refused(address: SocketAddr, limit: Duration) -> bool {
-    match connect(address, limit).await {
+pub async fn is_refused(address: SocketAddr, local: Option<IpAddr>, limit: Duration) -> bool {
+    match connect(address, local, limit).await {
         Ok(_) => false,
         Err(error) => error
             .downcast_ref::<std::io::Error>()
