A gateway tells whether its links to replicas work

The evidence is kept in one place (gateway/src/links.rs): a failure without a new connection that worked shortly before, or a replica that is silent while none sends data, puts the links in doubt; then three replicas of different services are probed by a connection. event=links and the state "partitioned" say what came of it. No request goes another way yet.

--- a/crates/gateway/src/balancer/mod.rs
+++ b/crates/gateway/src/balancer/mod.rs
@@ -16,6 +16,7 @@
 mod progress;
 mod pushback;
 mod replica;
+mod sampling;
 mod service_index;
 mod sharded;
 mod source;
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -11,6 +11,7 @@
 mod connections;
 mod crashes;
 mod estimator;
+mod links;
 mod load_shedding;
 mod placement_request;
 mod plan;
@@ -33,6 +34,7 @@
 pub use connections::{ConnectionReuse, ConnectionSettings, IdleConnection, ResponseEnd};
 pub use crashes::CrashTracker;
 pub use estimator::PrefillEstimator;
+pub use links::{ISOLATED_TIME, LinkState, ReplicaLinks};
 pub use load_shedding::TtftEstimate;
 pub use placement_request::{PlacementOffer, PlacementRequest};
 pub use plan::{AttemptEnd, NextStep, RequestPlan};
--- a/crates/topazmount/src/fleet/exchange/attempt.rs
+++ b/crates/topazmount/src/fleet/exchange/attempt.rs
@@ -1,6 +1,7 @@
 //! One attempt at a replica: sends the request and reads the start of the response.
 
 use super::super::dialect::UpstreamMetadata;
+use super::super::link_monitor::Path;
 use super::super::pool::KeepAliveHint;
 use super::super::response::end_to_end_headers;
 use super::super::stream::EventSplitter;
@@ -58,7 +59,7 @@
             let unreachable = AttemptEnd::Unreachable;
             return self.send_on_new_connection(plan, in_flight, progress, unreachable).await;
         };
-        match self.send(wire, plan, in_flight, progress).await {
+        match self.send(wire, Path::Pooled, plan, in_flight, progress).await {
             SendResult::Ended(attempt) => attempt,
             SendResult::NotSent => AttemptResult::Ended(AttemptEnd::NotSent),
             SendResult::NoData => {
@@ -95,10 +96,10 @@
         progress: &ClientProgress,
         unreachable: AttemptEnd,
     ) -> AttemptResult {
-        let Some(wire) = self.connect(&in_flight.choice).await else {
+        let Some((wire, path)) = self.connect(&in_flight.choice).await else {
             return AttemptResult::Ended(unreachable);
         };
-        match self.send(wire, plan, in_flight, progress).await {
+        match self.send(wire, path, plan, in_flight, progress).await {
             SendResult::Ended(attempt) => attempt,
             SendResult::NotSent if unreachable == AttemptEnd::Unreachable => {
                 AttemptResult::Ended(AttemptEnd::NotSent)
@@ -108,17 +109,22 @@
         }
     }
 
-    async fn connect(&self, choice: &Choice) -> Option<Wire> {
+    async fn connect(&self, choice: &Choice) -> Option<(Wire, Path)> {
         let address = choice.instance.address.parse().ok()?;
-        connect(address, self.shared.local_ip, CONNECT_TIMEOUT.min(self.remaining_time()))
-            .await
-            .ok()
+        let began = self.shared.clock.now();
+        let limit = CONNECT_TIMEOUT.min(self.remaining_time());
+        let wire = connect(address, self.shared.local_ip, limit).await.ok();
+        if wire.is_none() {
+            self.shared.is_link_failure(began);
+        }
+        Some((wire?, Path::Direct(began)))
     }
 
     /// Sends the request on a connection and waits for the start of the response.
     async fn send(
         &self,
         wire: Wire,
+        path: Path,
         plan: &RequestPlan,
         in_flight: &InFlight<'_>,
         progress: &ClientProgress,
@@ -131,7 +137,7 @@
         if !self.may_send(in_flight, sent_at).await {
             return SendResult::NotSent;
         }
-        let mut first = pin!(self.first_response(wire, &bytes, choice, sent_at));
+        let mut first = pin!(self.first_response(wire, path, &bytes, choice, sent_at));
         let silent_at = sent_at + self.silence_limit(choice);
         let mut is_silence_recorded = false;
         let mut excluded_since = None;
@@ -277,6 +283,7 @@
     async fn first_response(
         &self,
         wire: Wire,
+        path: Path,
         bytes: &[u8],
         choice: &Choice,
         sent_at: Time,
@@ -288,12 +295,14 @@
             is_sent.store(written.is_ok(), Ordering::SeqCst);
             futures_lite::future::pending::<FirstResponse>().await
         };
-        futures_lite::future::or(self.read_first(wire, &is_sent, choice, sent_at), write).await
+        futures_lite::future::or(self.read_first(wire, path, &is_sent, choice, sent_at), write)
+            .await
     }
 
     async fn read_first(
         &self,
         mut wire: Wire,
+        path: Path,
         is_sent: &AtomicBool,
         choice: &Choice,
         sent_at: Time,
@@ -306,6 +315,7 @@
                 }
                 Err(_) => return FirstResponse::Broken("no answer"),
             };
+            self.shared.on_replica_data(path);
             let Ok(framing) = response_framing(&head, &self.head.method) else {
                 return FirstResponse::Broken("ambiguous length");
             };
@@ -328,12 +338,12 @@
             let is_request_sent = is_sent.load(Ordering::SeqCst);
             let keep_alive = KeepAliveHint::from_head(&head, framing);
             if is_success && self.admission.route.kind == RouteKind::Streaming {
-                let connection = ReplicaConnection { wire, keep_alive, is_request_sent };
+                let connection = ReplicaConnection { wire, path, keep_alive, is_request_sent };
                 return self.read_first_event(connection, head, reader, framing).await;
             }
             return match reader.read_all(&mut wire, MAX_BODY_BYTES).await {
                 Ok(body) => {
-                    let connection = ReplicaConnection { wire, keep_alive, is_request_sent };
+                    let connection = ReplicaConnection { wire, path, keep_alive, is_request_sent };
                     FirstResponse::Complete(Box::new(CompleteResponse { head, body, connection }))
                 }
                 Err(_) => FirstResponse::Broken("the body broke off"),
--- a/crates/topazmount/src/fleet/exchange/connection.rs
+++ b/crates/topazmount/src/fleet/exchange/connection.rs
@@ -29,7 +29,7 @@
     /// Returns a connection to the pool after a complete response, if it may be reused. Connections of
     /// requests that must run at most once serve retryable ones afterwards.
     pub(super) fn return_to_pool(&self, choice: &Choice, connection: ReplicaConnection) {
-        let ReplicaConnection { wire, keep_alive, is_request_sent } = connection;
+        let ReplicaConnection { wire, keep_alive, is_request_sent, .. } = connection;
         let service = &self.admission.service;
         let now = self.shared.clock.now();
         let limits = {
--- a/crates/topazmount/src/fleet/exchange/mod.rs
+++ b/crates/topazmount/src/fleet/exchange/mod.rs
@@ -14,6 +14,7 @@
 
 use super::dialect::RequestMetadata;
 use super::gateway::SharedState;
+use super::link_monitor::Path;
 use super::pool::KeepAliveHint;
 use super::stream::EventSplitter;
 use crate::http1::{BodyReader, RequestHead, ResponseHead, Wire};
@@ -70,6 +71,7 @@
 /// The connection that a response was received on.
 struct ReplicaConnection {
     wire: Wire,
+    path: Path,
     keep_alive: KeepAliveHint,
     is_request_sent: bool,
 }
--- a/crates/topazmount/src/fleet/exchange/record.rs
+++ b/crates/topazmount/src/fleet/exchange/record.rs
@@ -60,6 +60,7 @@
     /// since `sent_at`. Returns whether it has failed.
     pub(super) fn record_silence(&self, choice: &Choice, sent_at: Time) -> bool {
         let now = self.shared.clock.now();
+        self.shared.is_link_silence(sent_at);
         let mut gateway_state = self.shared.gateway_state.lock().unwrap();
         let balancer = gateway_state.balancer();
         let has_failed = !balancer.has_responded_since(choice, sent_at);
--- a/crates/topazmount/src/fleet/exchange/relay.rs
+++ b/crates/topazmount/src/fleet/exchange/relay.rs
@@ -50,7 +50,10 @@
             }
             let limit = self.remaining_time().min(STALL_TIMEOUT);
             match with_timeout(limit, reader.next(&mut connection.wire)).await {
-                Some(Ok(Some(bytes))) => splitter.push(&bytes),
+                Some(Ok(Some(bytes))) => {
+                    self.shared.on_replica_data(connection.path);
+                    splitter.push(&bytes);
+                }
                 Some(Ok(None)) if ends_at_close && splitter.buffered_len() > 0 => {
                     return StreamEnd::ReplicaFailed;
                 }
--- a/crates/topazmount/src/fleet/gateway.rs
+++ b/crates/topazmount/src/fleet/gateway.rs
@@ -4,6 +4,7 @@
 use super::crash_watch;
 use super::dialect::{ControlCall, Dialect, HttpResponse};
 use super::http_service::{self, Service};
+use super::link_monitor;
 use super::log_text::per_second;
 use super::metrics::{Metrics, MetricsService};
 use super::peers::{self, Peers};
@@ -26,7 +27,7 @@
 use topazmount_control::{
     CrashReport, FleetView, GatewayReport, NoticeKind, ReplicaNotice, SeenVersions,
 };
-use topazmount_gateway::{GatewayState, HttpLimits};
+use topazmount_gateway::{GatewayState, HttpLimits, ReplicaLinks};
 use topazmount_types::{ErrorKind, Instance, Time};
 use topazmount_wire::ClusterKey;
 
@@ -51,6 +52,10 @@
     pub(super) clock: Clock,
     pub(super) dialect: Arc<dyn Dialect>,
     pub(super) gateway_state: Mutex<GatewayState>,
+    /// State of the links to replicas.
+    pub(super) links: Mutex<ReplicaLinks>,
+    /// Makes the link monitor probe the links at once.
+    pub(super) link_probes: Sender<()>,
     pub(super) event_log: RateLimitedLog,
     pub(super) metrics: Arc<Metrics>,
     pub(super) peers: Arc<Peers>,
@@ -97,10 +102,13 @@
         let (report_sender, report_requests) = async_channel::bounded(1);
         let (broken_connections, broken_receiver) =
             async_channel::bounded(crash_watch::MAX_PENDING);
+        let (link_probes, probe_receiver) = async_channel::bounded(1);
         let shared = Arc::new(SharedState {
             clock,
             dialect,
             gateway_state: Mutex::new(gateway_state),
+            links: Mutex::default(),
+            link_probes,
             event_log: RateLimitedLog::default(),
             metrics,
             peers: peers.clone(),
@@ -129,6 +137,7 @@
         executor
             .spawn(crash_watch::run(executor.clone(), shared.clone(), broken_receiver))
             .detach();
+        executor.spawn(link_monitor::run(shared.clone(), probe_receiver)).detach();
         executor.spawn(store_reader::run(executor.clone(), shared.clone())).detach();
         let seeds = Seeds::new(settings.seed_peer_addresses());
         let watcher = Watcher::new(executor, clock, key, seeds.clone(), true);
@@ -209,6 +218,8 @@
             self.metrics.set_gauge("leaving_replicas", leaving as i64);
             let limited = gateway_state.balancer().limited_count();
             self.metrics.set_gauge("limited_replicas", limited as i64);
+            let is_partitioned = self.links.lock().unwrap().is_partitioned();
+            self.metrics.set_gauge("partitioned", i64::from(is_partitioned));
             self.metrics.set_gauge("replicas", gateway_state.balancer().instances().count() as i64);
         }
         self.metrics.set_gauge("ready", i64::from(is_ready));
--- /dev/null
+++ b/crates/topazmount/src/fleet/link_monitor.rs
@@ -0,0 +1,117 @@
+//! Probes the links to replicas when they are in doubt, and while they are partitioned.
+
+use super::gateway::SharedState;
+use super::http_service::with_timeout;
+use crate::http1::connect;
+use async_channel::Receiver;
+use async_io::Timer;
+use futures_lite::future::zip;
+use std::sync::Arc;
+use std::time::Duration;
+use topazmount_types::Time;
+
+/// Time limit for connecting in a probe, the same as in an attempt.
+const PROBE_TIMEOUT: Duration = Duration::from_millis(300);
+/// Time for which a connection must stay open to count as working: a filter on the way may accept it and
+/// then reset it.
+const HOLD_TIME: Duration = Duration::from_millis(30);
+/// Replicas that are tried in a probe.
+const MAX_TARGETS: usize = 3;
+/// Time between probes while the links are partitioned.
+const PROBE_INTERVAL: Duration = Duration::from_millis(500);
+
+/// Probes the links whenever `requests` receives a message, and periodically while they are
+/// partitioned.
+pub(super) async fn run(shared: Arc<SharedState>, requests: Receiver<()>) {
+    loop {
+        let is_partitioned = shared.links.lock().unwrap().is_partitioned();
+        if is_partitioned {
+            Timer::after(PROBE_INTERVAL).await;
+            let _ = requests.try_recv();
+        } else if requests.recv().await.is_err() {
+            return;
+        }
+        probe(&shared).await;
+    }
+}
+
+/// Tries new connections to a few replicas at the same time.
+async fn probe(shared: &SharedState) {
+    let targets = shared.gateway_state.lock().unwrap().balancer().sample_addresses(MAX_TARGETS);
+    if targets.is_empty() {
+        return;
+    }
+    let began = shared.clock.now();
+    let target = |position: usize| probe_one(shared, targets.get(position));
+    zip(target(0), zip(target(1), target(2))).await;
+    let now = shared.clock.now();
+    if shared.links.lock().unwrap().on_probes_failed(began, now) {
+        shared.metrics.count_event("links_partitioned");
+        log::warn!("gateway: event=links state=partitioned probed={}", targets.join(","));
+    }
+}
+
+async fn probe_one(shared: &SharedState, target: Option<&String>) {
+    let Some(target) = target.and_then(|address| address.parse().ok()) else { return };
+    shared.metrics.count_event("link_probed");
+    let opened_at = shared.clock.now();
+    let Ok(mut wire) = connect(target, shared.local_ip, PROBE_TIMEOUT).await else { return };
+    let is_closed = with_timeout(HOLD_TIME, wire.fill()).await;
+    if !matches!(is_closed, Some(Ok(0) | Err(_))) {
+        shared.on_replica_connected(opened_at);
+    }
+}
+
+/// How a connection to a replica came about.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Path {
+    /// Taken from the pool.
+    Pooled,
+    /// Opened at this time.
+    Direct(Time),
+}
+
+impl SharedState {
+    /// Records that data arrived on a connection to a replica.
+    pub(super) fn on_replica_data(&self, path: Path) {
+        self.links.lock().unwrap().on_data(self.clock.now());
+        if let Path::Direct(opened_at) = path {
+            self.on_replica_connected(opened_at);
+        }
+    }
+
+    /// Records that a connection to a replica that was opened at `opened_at` worked.
+    pub(super) fn on_replica_connected(&self, opened_at: Time) {
+        let now = self.clock.now();
+        let partitioned_for = self.links.lock().unwrap().on_connected(opened_at, now);
+        if let Some(partitioned_for) = partitioned_for {
+            self.metrics.count_event("links_restored");
+            let millis = partitioned_for.as_millis();
+            log::info!("gateway: event=links state=working partitioned_ms={millis}");
+        }
+    }
+
+    /// Records that a connection to a replica, opened at `began`, failed. Returns whether the links are
+    /// in doubt, so that the failure says nothing about the replica.
+    pub(super) fn is_link_failure(&self, began: Time) -> bool {
+        let is_in_doubt = self.links.lock().unwrap().on_failure(began);
+        if is_in_doubt {
+            self.probe_links();
+        }
+        is_in_doubt
+    }
+
+    /// Records that a replica sent nothing since `sent_at`. Returns whether the links are in doubt.
+    pub(super) fn is_link_silence(&self, sent_at: Time) -> bool {
+        let is_in_doubt = self.links.lock().unwrap().on_silence(sent_at);
+        if is_in_doubt {
+            self.probe_links();
+        }
+        is_in_doubt
+    }
+
+    /// Makes the link monitor probe at once, unless that is already pending.
+    pub(super) fn probe_links(&self) {
+        let _ = self.link_probes.try_send(());
+    }
+}
--- a/crates/topazmount/src/fleet/mod.rs
+++ b/crates/topazmount/src/fleet/mod.rs
@@ -15,6 +15,7 @@
 mod http_client;
 mod http_service;
 mod legacy_datagrams;
+mod link_monitor;
 mod log_text;
 mod metrics;
 mod orders;
