Fix: gateways together keep overload-prone replicas from rejecting

What callers saw: replicas that say Server-Brittle: N fall over when they reject more than N requests in a second; no code read the header, and each fall pushed its load on the rest. Cause: each gateway sees only its own requests, so a replica that is nearly full gets requests of all at the same moment. Class: a bound over all gateways that each keeps for itself. Change: while a service's replicas say so, a gateway has at most its share of a replica's slots in use. Shares follow from the list of gateways by rendezvous hashing: no message, known to a gateway that has just started, and they add up to the slots. A request without a place waits for a quarter of its target latency for one of the gateway's own to end, then gets 503, as a place may be free elsewhere. A replica that rejected all the same gets nothing from this gateway for a second. The load that this answers is what exceeds the slots of one service.

--- a/crates/admission/src/pushback.rs
+++ b/crates/admission/src/pushback.rs
@@ -32,6 +32,10 @@
     /// separate messages.
     #[serde(skip)]
     pub limit: Option<RequestLimit>,
+    /// Set if the replica says that it falls over when it has to reject more than this number of requests
+    /// in a second; not sent to other processes.
+    #[serde(skip)]
+    pub max_rejections: Option<u32>,
     /// Name of a header that could not be parsed and is ignored; not sent to other processes.
     #[serde(skip)]
     pub invalid_field: Option<&'static str>,
--- a/crates/gateway/src/balancer/mod.rs
+++ b/crates/gateway/src/balancer/mod.rs
@@ -13,6 +13,7 @@
 mod incarnations;
 mod leaderless;
 mod load_update;
+mod places;
 mod progress;
 mod pushback;
 mod replica;
@@ -32,6 +33,7 @@
 pub use incarnations::{DOWNGRADE_PAUSE, ReplicaChange, ReplicaChanges, VersionRefusal};
 use leaderless::LeaderlessBounds;
 pub use load_update::{LoadUpdate, MIN_UPDATE_TOKENS, PromptEvent};
+use places::Places;
 pub(crate) use pushback::incarnation_hash;
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
@@ -75,6 +77,11 @@
     pushbacks: PushbackRecords,
     /// Request limits reported by replicas, by incarnation.
     limits: RequestLimits,
+    /// Shares of the slots of overload-prone replicas.
+    places: Places,
+    /// Whether replicas without a place for this gateway are excluded; not when it chooses for
+    /// another one.
+    enforces_places: bool,
     next_slot: u32,
     rng: ChaCha8Rng,
     sequence: u64,
@@ -100,6 +107,8 @@
             has_coordinators: false,
             pushbacks: PushbackRecords::default(),
             limits: RequestLimits::default(),
+            places: Places::default(),
+            enforces_places: true,
             next_slot: 0,
             rng: ChaCha8Rng::seed_from_u64(seed),
             sequence: 0,
--- a/crates/gateway/src/balancer/progress.rs
+++ b/crates/gateway/src/balancer/progress.rs
@@ -22,6 +22,7 @@
 
     /// Records that a request was sent to its choice.
     pub fn on_sent(&mut self, choice: &Choice, request: &ChoiceRequest<'_>, now: Time) {
+        self.places.on_sent(&choice.instance.service);
         let Some(replica) = self.chosen_mut(choice) else { return };
         replica.in_flight += 1;
         replica.pending_prefill += u64::from(choice.expected_prefill);
@@ -66,6 +67,7 @@
     /// Records that a request ended. `has_first_token` tells whether [`Balancer::on_first_token`]
     /// was called for it.
     pub fn on_ended(&mut self, choice: &Choice, has_first_token: bool) {
+        self.places.on_ended(&choice.instance.service);
         let Some(replica) = self.chosen_mut(choice) else { return };
         replica.in_flight = replica.in_flight.saturating_sub(1);
         if !has_first_token {
--- a/crates/gateway/src/balancer/pushback.rs
+++ b/crates/gateway/src/balancer/pushback.rs
@@ -115,6 +115,12 @@
     }
 
     pub(super) fn is_unavailable(&self, replica: &Replica, now: Time) -> bool {
+        self.has_pushed_back(replica, now)
+            || self.enforces_places && self.has_no_place(replica, now)
+    }
+
+    /// Whether a replica wants no requests from this node now, or its limit is used up.
+    pub(super) fn has_pushed_back(&self, replica: &Replica, now: Time) -> bool {
         !self.pushbacks.is_available(&replica.name, now)
             || self.limits.exhausted_for(replica.incarnation_id.0, now).is_some()
     }
--- a/crates/gateway/src/balancer/replica.rs
+++ b/crates/gateway/src/balancer/replica.rs
@@ -1,6 +1,8 @@
 //! A node's records of one replica.
 
+use super::places::Share;
 use super::{ChoiceRequest, DOWNGRADE_PAUSE, ReplicaChange, ReplicaChanges, VersionRefusal};
+use std::cell::Cell;
 use std::collections::HashMap;
 use std::time::Duration;
 use topazmount_consensus::Term;
@@ -55,6 +57,10 @@
     peers: HashMap<u64, PeerLoad>,
     failures: u32,
     suspect_until: Time,
+    /// This gateway's share of its slots, if it is or may be overload-prone.
+    pub(super) share: Cell<Option<Share>>,
+    /// Until when it gets no request, as it is overload-prone and rejected one.
+    pub(super) rejected_until: Time,
     /// Smoothed delay of first tokens beyond the expected time, and when it was recorded.
     delay_ms: f64,
     delay_at: Time,
@@ -80,6 +86,8 @@
             peers: HashMap::new(),
             failures: 0,
             suspect_until: Time::ZERO,
+            share: Cell::default(),
+            rejected_until: Time::ZERO,
             delay_ms: 0.0,
             delay_at: Time::ZERO,
         }
--- a/crates/gateway/src/balancer/sharded.rs
+++ b/crates/gateway/src/balancer/sharded.rs
@@ -15,6 +15,11 @@
 const MAX_EXTRA_WAIT_MS: f64 = 50.0;
 
 impl Balancer {
+    /// Sets whether replicas without a place for this gateway are excluded.
+    pub(crate) fn set_enforces_places(&mut self, enforces_places: bool) {
+        self.enforces_places = enforces_places;
+    }
+
     /// Sets whether coordinators place prompts.
     pub(crate) fn set_coordinated(&mut self, has_coordinators: bool) {
         self.has_coordinators = has_coordinators;
--- a/crates/gateway/src/shards.rs
+++ b/crates/gateway/src/shards.rs
@@ -154,6 +154,12 @@
         addresses.filter(|address| !self.is_own(*address)).collect()
     }
 
+    /// Identifiers of this gateway and of all.
+    pub fn ids(&self, now: Time) -> (Option<ReplicaId>, Vec<ReplicaId>) {
+        let own = self.listed(now).find(|gateway| self.is_own(gateway.address));
+        (own.map(|gateway| gateway.id), self.listed(now).map(|gateway| gateway.id).collect())
+    }
+
     /// Whether there is any other gateway.
     pub fn has_others(&self, now: Time) -> bool {
         self.listed(now).any(|gateway| !self.is_own(gateway.address))
--- a/crates/gateway/src/state/placement.rs
+++ b/crates/gateway/src/state/placement.rs
@@ -81,6 +81,8 @@
             }
         }
         self.gateways.set(self.peer_addresses.values().copied(), now);
+        let (own, all) = self.gateways.ids(now);
+        self.balancer.set_gateways(own, all);
         self.balancer.set_coordinated(self.gateways.uses_coordinators(now));
         self.followed_stores = FollowedStores::default();
     }
@@ -118,7 +120,10 @@
             pinned_to: None,
             engine: catalog.service(&placement.service)?.engine.as_ref(),
         };
-        let choice = self.choose_in_shard(&request, Some(placement.shard), now)?;
+        self.balancer.set_enforces_places(false);
+        let choice = self.choose_in_shard(&request, Some(placement.shard), now);
+        self.balancer.set_enforces_places(true);
+        let choice = choice?;
         self.balancer.offer(&choice)
     }
 
--- a/crates/gateway/tests/pushback.rs
+++ b/crates/gateway/tests/pushback.rs
@@ -27,8 +27,13 @@
     Pushback { backoff: Some(time), ..Pushback::default() }
 }
 
-const LEAVING: Pushback =
-    Pushback { backoff: None, is_leaving: true, limit: None, invalid_field: None };
+const LEAVING: Pushback = Pushback {
+    backoff: None,
+    is_leaving: true,
+    limit: None,
+    max_rejections: None,
+    invalid_field: None,
+};
 
 fn started(id: &str, start: Start) -> Instance {
     Instance { start, ..instance(id, "pool", "north") }
--- a/crates/topazmount/src/fleet/exchange/choose.rs
+++ b/crates/topazmount/src/fleet/exchange/choose.rs
@@ -11,6 +11,11 @@
 /// Time for a coordinator to respond before the next one is asked.
 const COORDINATOR_TIMEOUT: Duration = Duration::from_millis(60);
 
+/// Share of the target latency for which a request waits for a place at an overload-prone replica.
+const MAX_PLACE_WAIT: f64 = 0.25;
+/// Time between checks whether there is one.
+const PLACE_CHECK_INTERVAL: Duration = Duration::from_millis(10);
+
 /// Replicas with a request limit that are tried for a grant in one choice.
 const MAX_GRANT_REQUESTS: usize = 8;
 
@@ -20,7 +25,7 @@
 impl<'e> Exchange<'e> {
     /// Chooses a replica, counts the request as in flight there and tells other gateways.
     pub(super) async fn choose(&self, plan: &RequestPlan) -> Option<InFlight<'e>> {
-        let (choice, grant) = self.choose_within_limits(plan).await?;
+        let (choice, grant) = self.choose_with_place(plan).await?;
         let request = self.choice_request(plan);
         let now = self.shared.clock.now();
         let update = {
@@ -40,6 +45,27 @@
         })
     }
 
+    /// Chooses a replica. If only this gateway's own requests keep it from using the overload-prone replicas of
+    /// the service, the request waits for one of them to end, but not for long: a rejected client may
+    /// find a place at another gateway.
+    async fn choose_with_place(&self, plan: &RequestPlan) -> Option<(Choice, Option<Grant<'e>>)> {
+        let target = self.admission.route.target_latency;
+        let wait = target.mul_f64(MAX_PLACE_WAIT).min(self.remaining_time());
+        let wait_until = self.shared.clock.now() + wait;
+        loop {
+            let chosen = self.choose_within_limits(plan).await;
+            let now = self.shared.clock.now();
+            let may_wait = chosen.is_none() && now < wait_until && {
+                let mut gateway_state = self.shared.gateway_state.lock().unwrap();
+                gateway_state.balancer().awaits_place(&self.choice_request(plan), now)
+            };
+            if !may_wait {
+                return chosen;
+            }
+            async_io::Timer::after(PLACE_CHECK_INTERVAL).await;
+        }
+    }
+
     /// Chooses until a replica has no request limit or the request is granted within its limit.
     async fn choose_within_limits(
         &self,
--- a/crates/topazmount/src/fleet/exchange/pushback.rs
+++ b/crates/topazmount/src/fleet/exchange/pushback.rs
@@ -19,6 +19,7 @@
         sent_at: Time,
     ) {
         self.record_limit(choice, metadata, sent_at);
+        self.record_overload_risk(choice, metadata, sent_at);
         let pushback = metadata.pushback;
         let has_pushback = pushback.is_requested() || pushback.invalid_field.is_some();
         let is_other_replica =
@@ -62,6 +63,42 @@
         });
     }
 
+    /// Records whether a response of the replica says that it is overload-prone, and a rejection.
+    fn record_overload_risk(&self, choice: &Choice, metadata: &ResponseMetadata, sent_at: Time) {
+        let is_from_replica = metadata.is_sealed || metadata.is_not_run;
+        let is_earlier_request =
+            metadata.request_id.as_ref().is_some_and(|id| *id != self.metadata.id);
+        if !is_from_replica || metadata.is_misdirected || is_earlier_request {
+            return;
+        }
+        let service = &choice.instance.service;
+        let max_rejections = metadata.pushback.max_rejections;
+        let now = self.shared.clock.now();
+        let change = {
+            let mut gateway_state = self.shared.gateway_state.lock().unwrap();
+            let balancer = gateway_state.balancer();
+            let change = balancer.record_overload_risk(service, max_rejections.is_some(), sent_at);
+            if metadata.is_not_run {
+                balancer.record_rejection(choice, now);
+            }
+            change
+        };
+        let Some(is_overload_prone) = change else { return };
+        self.shared.metrics.count_event(if is_overload_prone {
+            "overload_prone"
+        } else {
+            "not_overload_prone"
+        });
+        self.shared.event_log.info(|| {
+            let instance = &choice.instance.id;
+            let most = max_rejections.map_or_else(|| "none".to_owned(), |most| most.to_string());
+            format!(
+                "gateway: event=overload_prone service={service} instance={instance} is_overload_prone={is_overload_prone} \
+                 max_rejections={most}"
+            )
+        });
+    }
+
     /// Sends a changed limit to other gateways.
     fn send_limit_update(&self, choice: &Choice, now: Time) {
         let mut gateway_state = self.shared.gateway_state.lock().unwrap();
