--- a/crates/control/tests/common/mod.rs
+++ b/crates/control/tests/common/mod.rs
@@ -210,10 +210,15 @@
 
     /// Stops a process; its disk keeps synced data.
     pub fn kill(&mut self, host: Host) {
+        self.lose_power(host, 0);
+    }
+
+    /// Stops a machine; its disk keeps synced data, and the first `torn` unsynced bytes of each file.
+    pub fn lose_power(&mut self, host: Host, torn: usize) {
         let Some(machine) = self.machines.get_mut(&host) else { return };
         if let Some(member) = machine.member.take() {
             machine.disk = member.disk().clone();
-            machine.disk.crash(0);
+            machine.disk.crash(torn);
             machine.held_inputs = None;
             self.log(host, "stopped".to_owned());
         }
