Fix: a carrier that was slow once is asked again soon, and most probes must work to end a partition

Causes: (a) the only gateway that reached replicas did not respond within 250 ms once and was avoided for 2 s, so all others were isolated; their logs show one such line and then only refusals of the partitioned ones. (b) a probe took a connection that a filter accepts and resets later than 30 ms for one that works, so the links went back and forth (seven times in 7 s in that log). Change: the time for which a silent gateway is avoided begins at 250 ms and doubles to 2 s, requests that asked it at the same time counting once. A probed connection must stay open for 150 ms, and of the probed replicas most must be reached to end a partition; one is still enough to settle a doubt, so that replicas that crash together don't isolate a gateway. Tests: gateway/tests/tunnels.rs has the silent carrier; the case that named the old 2 s now asks for the new times.

--- a/crates/gateway/src/tunnels.rs
+++ b/crates/gateway/src/tunnels.rs
@@ -13,8 +13,11 @@
 
 /// Time for which a gateway that refused a tunnel is not asked again.
 const REFUSED_TIME: Duration = Duration::from_secs(1);
-/// Time for which a gateway that did not respond is not asked again.
-const SILENT_TIME: Duration = Duration::from_secs(2);
+/// Time for which a gateway that did not respond once is not asked again; doubled with each further time
+/// in a row. It may be the only one that reaches replicas, and have been slow for a moment.
+const MIN_SILENT_TIME: Duration = Duration::from_millis(250);
+/// Longest such time.
+const MAX_SILENT_TIME: Duration = Duration::from_secs(2);
 /// Number of gateways that carried tunnels which are preferred to gateways not asked yet. Several, to
 /// spread the load.
 const PREFERRED: usize = 4;
@@ -80,6 +83,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct Carriers {
     avoided_until: HashMap<SocketAddr, Time>,
+    /// Number of times in a row that each gateway did not respond.
+    silences: HashMap<SocketAddr, u32>,
     /// Gateways whose last tunnel was opened.
     working: Vec<SocketAddr>,
 }
@@ -94,6 +99,7 @@
     ) -> Option<SocketAddr> {
         self.avoided_until.retain(|_, until| now < *until);
         self.working.retain(|address| others.contains(address));
+        self.silences.retain(|address, _| others.contains(address));
         let is_usable = |address: &&SocketAddr| !self.avoided_until.contains_key(*address);
         let working = || self.working.iter().filter(is_usable);
         if working().count() >= PREFERRED {
@@ -104,6 +110,7 @@
 
     /// Records that a gateway opened a tunnel, or tried to reach the replica.
     pub fn on_carried(&mut self, carrier: SocketAddr) {
+        self.silences.remove(&carrier);
         if self.working.len() < PREFERRED && !self.working.contains(&carrier) {
             self.working.push(carrier);
         }
@@ -111,14 +118,21 @@
 
     /// Records that a gateway refused a tunnel. One that does not know a replica may know others.
     pub fn on_refused(&mut self, carrier: SocketAddr, refusal: TunnelRefusal, now: Time) {
+        self.silences.remove(&carrier);
         if refusal != TunnelRefusal::UnknownReplica {
             self.avoid(carrier, now + REFUSED_TIME);
         }
     }
 
-    /// Records that a gateway did not respond, or that its tunnel broke.
-    pub fn on_failed(&mut self, carrier: SocketAddr, now: Time) {
-        self.avoid(carrier, now + SILENT_TIME);
+    /// Records that a gateway did not respond. Requests that were asking it at the same time count as one.
+    pub fn on_silent(&mut self, carrier: SocketAddr, now: Time) {
+        if self.avoided_until.get(&carrier).is_some_and(|until| now < *until) {
+            return;
+        }
+        let silences = self.silences.entry(carrier).or_default();
+        let time = MIN_SILENT_TIME.saturating_mul(1 << (*silences).min(8)).min(MAX_SILENT_TIME);
+        *silences += 1;
+        self.avoid(carrier, now + time);
     }
 
     fn avoid(&mut self, carrier: SocketAddr, until: Time) {
--- a/crates/gateway/tests/tunnels.rs
+++ b/crates/gateway/tests/tunnels.rs
@@ -41,8 +41,10 @@
     for _ in 0..20 {
         assert_eq!(carriers.choose(&all, at(500), rng), Some(all[1]));
     }
-    carriers.on_failed(all[1], at(500));
-    assert_eq!(carriers.choose(&all, at(900), rng), None, "nobody is left to ask");
+    carriers.on_silent(all[1], at(500));
+    assert_eq!(carriers.choose(&all, at(700), rng), None, "nobody is left to ask");
+    assert_eq!(carriers.choose(&all, at(800), rng), Some(all[1]));
+    carriers.on_silent(all[1], at(800));
     assert_eq!(carriers.choose(&all, at(1_100), rng), Some(all[0]));
 }
 
@@ -75,3 +77,32 @@
     assert_eq!(carriers.choose(&[], at(0), rng), None);
     assert_eq!(carriers.choose(&all[4..], at(0), rng), Some(all[4]));
 }
+
+#[test]
+fn the_only_carrier_is_asked_again_soon_after_it_was_slow_once() {
+    let (all, mut carriers) = (gateways(1), Carriers::default());
+    let rng = &mut ChaCha8Rng::seed_from_u64(1);
+    for _ in 0..5 {
+        carriers.on_silent(all[0], at(0));
+    }
+    assert_eq!(carriers.choose(&all, at(249), rng), None);
+    assert_eq!(carriers.choose(&all, at(250), rng), Some(all[0]));
+}
+
+#[test]
+fn a_gateway_that_stays_silent_is_asked_less_and_less_often() {
+    let (all, mut carriers) = (gateways(1), Carriers::default());
+    let rng = &mut ChaCha8Rng::seed_from_u64(1);
+    let (mut now, mut asked) = (0, 0);
+    while now < 20_000 {
+        now += 50;
+        if carriers.choose(&all, at(now), rng).is_some() {
+            asked += 1;
+            carriers.on_silent(all[0], at(now));
+        }
+    }
+    assert!((10..=14).contains(&asked), "asked {asked} times in 20 s");
+    carriers.on_carried(all[0]);
+    carriers.on_silent(all[0], at(30_000));
+    assert_eq!(carriers.choose(&all, at(30_250), rng), Some(all[0]));
+}
--- a/crates/topazmount/src/fleet/link_monitor.rs
+++ b/crates/topazmount/src/fleet/link_monitor.rs
@@ -14,7 +14,7 @@
 const PROBE_TIMEOUT: Duration = Duration::from_millis(300);
 /// Time for which a connection must stay open to count as working: a filter on the way may accept it and
 /// then reset it.
-const HOLD_TIME: Duration = Duration::from_millis(30);
+const HOLD_TIME: Duration = Duration::from_millis(150);
 /// Replicas that are tried in a probe.
 const MAX_TARGETS: usize = 3;
 /// Time between probes while the links are partitioned.
@@ -35,7 +35,8 @@
     }
 }
 
-/// Tries new connections to a few replicas at the same time.
+/// Tries new connections to a few replicas at the same time. A single one that works settles a doubt, but
+/// most must work to end a partition.
 async fn probe(shared: &SharedState) {
     let targets = shared.gateway_state.lock().unwrap().balancer().sample_addresses(MAX_TARGETS);
     if targets.is_empty() {
@@ -43,9 +44,13 @@
     }
     let began = shared.clock.now();
     let target = |position: usize| probe_one(shared, targets.get(position));
-    zip(target(0), zip(target(1), target(2))).await;
+    let (first, (second, third)) = zip(target(0), zip(target(1), target(2))).await;
+    let reached = [first, second, third].into_iter().filter(|works| *works).count();
+    if reached * 2 > targets.len() {
+        shared.on_replica_connected(began);
+    }
     let now = shared.clock.now();
-    if shared.links.lock().unwrap().on_probes_failed(began, now) {
+    if reached == 0 && shared.links.lock().unwrap().on_probes_failed(began, now) {
         shared.metrics.count_event("links_partitioned");
         // Connections that still work may stop doing so without notice.
         shared.pool.clear();
@@ -53,15 +58,19 @@
     }
 }
 
-async fn probe_one(shared: &SharedState, target: Option<&String>) {
-    let Some(target) = target.and_then(|address| address.parse().ok()) else { return };
+/// Whether a new connection to a replica comes up and stays open.
+async fn probe_one(shared: &SharedState, target: Option<&String>) -> bool {
+    let Some(target) = target.and_then(|address| address.parse().ok()) else { return false };
     shared.metrics.count_event("link_probed");
     let opened_at = shared.clock.now();
-    let Ok(mut wire) = connect(target, shared.local_ip, PROBE_TIMEOUT).await else { return };
+    let Ok(mut wire) = connect(target, shared.local_ip, PROBE_TIMEOUT).await else { return false };
     let is_closed = with_timeout(HOLD_TIME, wire.fill()).await;
-    if !matches!(is_closed, Some(Ok(0) | Err(_))) {
+    let works = !matches!(is_closed, Some(Ok(0) | Err(_)));
+    let is_partitioned = shared.links.lock().unwrap().is_partitioned();
+    if works && !is_partitioned {
         shared.on_replica_connected(opened_at);
     }
+    works
 }
 
 /// How a connection to a replica came about.
--- a/crates/topazmount/src/fleet/tunnel/carrier.rs
+++ b/crates/topazmount/src/fleet/tunnel/carrier.rs
@@ -45,7 +45,7 @@
                         if let Err(error) = carry(&shared, stream).await {
                             shared.event_log.info(|| {
                                 format!(
-                                    "gateway: event=tunnel_failed peer={peer} problem={error:?}"
+                                    "gateway: event=tunnel_failed peer={peer} problem=\"{error:#}\""
                                 )
                             });
                         }
--- a/crates/topazmount/src/fleet/tunnel/client.rs
+++ b/crates/topazmount/src/fleet/tunnel/client.rs
@@ -98,7 +98,7 @@
                 }
             },
             Err(error) => {
-                carriers.on_failed(carrier, now);
+                carriers.on_silent(carrier, now);
                 log_refusal(self, carrier, &format!("{error:#}"));
             }
         }
