Attempts are logged with the replica's software version and with the stream that they resume

Change: heartbeats' version is kept in the registry and told to gateways (one column of positions in a table; nothing where no replica reports one, so recorded bytes stay), `Resumes` is decoded, and event=attempt names both. No decision uses them yet. Measured: recorded_bytes, packed_lists (with three versions side by side) and watch_updates hold.

--- a/crates/control/src/fleet/columns.rs
+++ b/crates/control/src/fleet/columns.rs
@@ -87,6 +87,9 @@
     is_draining: Repeated<bool>,
     changed_at: Differences,
     start: Differences,
+    /// Missing if no replica reports one, and from earlier builds.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    software: Option<Repeated<String>>,
 }
 
 #[derive(Serialize, Deserialize)]
@@ -130,6 +133,9 @@
             is_draining: Repeated::new(rows().map(|replica| replica.is_draining)),
             changed_at: Differences::new(rows().map(|replica| replica.changed_at)),
             start: Differences::new(rows().map(|replica| replica.start.0)),
+            software: rows()
+                .any(|replica| !replica.software.is_empty())
+                .then(|| Repeated::new(rows().map(|replica| replica.software.clone()))),
         }
     }
 
@@ -146,6 +152,10 @@
                 is_draining: self.is_draining.get(row)?,
                 changed_at: get(&changed_at, row)?,
                 start: Start(get(&start, row)?),
+                software: match &self.software {
+                    Some(software) => software.get(row)?,
+                    None => String::new(),
+                },
             })
         };
         self.id.into_iter().enumerate().map(instance).collect()
--- a/crates/control/tests/common/mod.rs
+++ b/crates/control/tests/common/mod.rs
@@ -68,6 +68,7 @@
         is_draining: false,
         changed_at: 0,
         start: Start(1),
+        software: String::new(),
     };
     let models = vec![LoadedModel { model: "model".to_owned(), version: 1 }];
     InstanceReport { instance, models, sequence: count }
--- a/crates/control/tests/faulty_replicas.rs
+++ b/crates/control/tests/faulty_replicas.rs
@@ -149,6 +149,7 @@
         is_draining: false,
         changed_at: 0,
         start: Start(start),
+        software: String::new(),
     }
 }
 
--- a/crates/control/tests/fleet_state.rs
+++ b/crates/control/tests/fleet_state.rs
@@ -17,6 +17,7 @@
         is_draining: false,
         changed_at: 0,
         start: Start::UNKNOWN,
+        software: String::new(),
     }
 }
 
--- a/crates/control/tests/fleet_world/mod.rs
+++ b/crates/control/tests/fleet_world/mod.rs
@@ -96,6 +96,7 @@
         is_draining: false,
         changed_at: 0,
         start: Start::UNKNOWN,
+        software: String::new(),
     }
 }
 
--- a/crates/control/tests/gateway_startup.rs
+++ b/crates/control/tests/gateway_startup.rs
@@ -89,6 +89,7 @@
         is_draining: false,
         changed_at: 0,
         start: Start::UNKNOWN,
+        software: String::new(),
     };
     let models = vec![LoadedModel { model: "dense".to_owned(), version: 1 }];
     InstanceReport { instance, models, sequence: 0 }
--- a/crates/control/tests/heartbeats.rs
+++ b/crates/control/tests/heartbeats.rs
@@ -23,6 +23,7 @@
         is_draining,
         changed_at: 0,
         start: Start::UNKNOWN,
+        software: String::new(),
     };
     Request::Fleet(FleetRequest::Heartbeat(InstanceReport {
         instance,
--- a/crates/control/tests/packed_lists.rs
+++ b/crates/control/tests/packed_lists.rs
@@ -14,6 +14,9 @@
 /// Milliseconds within which the replicas of a fleet start.
 const STARTS: u64 = 3_000;
 
+/// Software versions that serve side by side.
+const SOFTWARE: [&str; 3] = ["v1", "v1.1", "v1.2"];
+
 /// A replica with random identifier and address, as a fleet has them.
 fn instance(rng: &mut ChaCha8Rng, number: u64) -> Instance {
     let (net, host) = (rng.random_range(1..=5), rng.random_range(0..10_000));
@@ -26,6 +29,7 @@
         is_draining: false,
         changed_at: 5_000 + number,
         start: Start(1_787_511_837_000 + rng.random_range(0..STARTS)),
+        software: SOFTWARE[rng.random_range(0..SOFTWARE.len())].to_owned(),
     }
 }
 
--- a/crates/control/tests/recorded_bytes.rs
+++ b/crates/control/tests/recorded_bytes.rs
@@ -133,6 +133,7 @@
         is_draining: number == 2,
         changed_at: number,
         start: Start(1_000 + number),
+        software: String::new(),
     }
 }
 
--- a/crates/control/tests/watch_updates.rs
+++ b/crates/control/tests/watch_updates.rs
@@ -105,6 +105,7 @@
         is_draining: false,
         changed_at: 0,
         start: Start::UNKNOWN,
+        software: String::new(),
     };
     InstanceReport { instance, models: Vec::new(), sequence: 0 }
 }
--- a/crates/gateway/tests/common/mod.rs
+++ b/crates/gateway/tests/common/mod.rs
@@ -100,6 +100,7 @@
         is_draining: false,
         changed_at: 1,
         start: Start::UNKNOWN,
+        software: String::new(),
     }
 }
 
--- a/crates/lab/src/control_scale/costs.rs
+++ b/crates/lab/src/control_scale/costs.rs
@@ -180,6 +180,7 @@
         is_draining: false,
         changed_at: 0,
         start: Start(1_000),
+        software: String::new(),
     }
 }
 
--- a/crates/topazmount/src/fleet/dialect.rs
+++ b/crates/topazmount/src/fleet/dialect.rs
@@ -26,6 +26,8 @@
     pub tokens: Option<u32>,
     /// Last event that the client received, if it resumes a stream.
     pub last_event_id: Option<String>,
+    /// Identifier of the client's request that brought the first event of the resumed stream.
+    pub resumes: Option<String>,
 }
 
 /// Metadata that a gateway adds to a request to a replica.
--- a/crates/topazmount/src/fleet/exchange/record.rs
+++ b/crates/topazmount/src/fleet/exchange/record.rs
@@ -146,11 +146,13 @@
         self.shared.metrics.count_attempt(end);
         self.shared.event_log.info(|| {
             format!(
-                "gateway: event=attempt request={} instance={} address={} home_rank={} \
+                "gateway: event=attempt request={} resumes={} instance={} address={} software={:?} home_rank={} \
                  version={} known={} source={} save={} prefill={} estimate_ms={:.0} limit={} end={end} after_ms={}",
                 self.metadata.id,
+                self.metadata.resumes.as_deref().unwrap_or("none"),
                 choice.instance.id,
                 choice.instance.address,
+                choice.instance.software,
                 choice.home_rank,
                 choice.version.unwrap_or(0),
                 choice.known_tokens,
--- a/crates/topazmount/tests/legacy_datagrams.rs
+++ b/crates/topazmount/tests/legacy_datagrams.rs
@@ -81,6 +81,7 @@
         is_draining: false,
         start: Start(1_000),
         changed_at: 0,
+        software: String::new(),
     }
 }
 
--- a/crates/topazmount/tests/recorded_values.rs
+++ b/crates/topazmount/tests/recorded_values.rs
@@ -60,6 +60,7 @@
         is_draining: true,
         changed_at: 12,
         start,
+        software: String::new(),
     }
 }
 
--- a/crates/types/src/instance.rs
+++ b/crates/types/src/instance.rs
@@ -56,6 +56,9 @@
     /// When this incarnation started.
     #[serde(default)]
     pub start: Start,
+    /// Version of its software; empty if it reports none.
+    #[serde(default, skip_serializing_if = "String::is_empty")]
+    pub software: String,
 }
 
 impl Instance {
