Fix: a stream goes on only at the software version that began it

Cause: the gateway knew no software versions: within an answer it resumed at any replica, and for a client that came back (`Resumes`) nobody knew where the stream had begun. Class: what ties a request to an earlier one was neither recorded nor asked for when a replica was chosen. Change: a choice can be restricted to a software version, also one by a shard's coordinator; a request is, from its first event on. Before a client gets the first event, the gateway records the stream's version and sends it to three gateways, which all gateways derive alike from the request's identifier; one that resumes asks four. A record never changes, so lost ones cost a rejection and never a wrong version. Unknown: 503 unknown_stream at once; its version without a replica: 503 software_gone at once. Streams and their service stay together on split routes.

--- a/crates/gateway/src/balancer/choice.rs
+++ b/crates/gateway/src/balancer/choice.rs
@@ -4,7 +4,7 @@
 use crate::prompt::Prompt;
 use topazmount_admission::RequestLimit;
 use topazmount_routing::RouteRequest;
-use topazmount_types::{Instance, ModelId, Priority, TenantId, WeightsVersion};
+use topazmount_types::{Instance, ModelId, Priority, SoftwareId, TenantId, WeightsVersion};
 
 /// A request that needs a replica.
 #[derive(Clone, Copy, Debug)]
@@ -27,6 +27,8 @@
     pub pinned_to: Option<&'a String>,
     /// Parameters of the service's engines, if it has any.
     pub engine: Option<&'a EngineParameters>,
+    /// Software version that the replica must run, if the request resumes a stream.
+    pub software: Option<SoftwareId>,
 }
 
 impl ChoiceRequest<'_> {
--- a/crates/gateway/src/balancer/incarnations.rs
+++ b/crates/gateway/src/balancer/incarnations.rs
@@ -10,7 +10,7 @@
 use std::collections::HashSet;
 use std::time::Duration;
 use topazmount_control::{InstanceStatus, LoadedModel, RolloutSettings};
-use topazmount_types::{Instance, InstanceId, ReplicaId, Start, Time};
+use topazmount_types::{Instance, InstanceId, ReplicaId, SoftwareId, Start, Time};
 
 /// Time for which a replica with older weights than recorded gets no requests for a model, unless
 /// its next status comes earlier.
@@ -63,6 +63,7 @@
         if let Some(known) = self.replicas.get_mut(&instance.id) {
             if known.instance.start == instance.start {
                 self.service_index.remove(known);
+                known.software = SoftwareId::of(&instance);
                 known.instance = instance;
                 self.service_index.insert(known);
                 return None;
--- a/crates/gateway/src/balancer/mod.rs
+++ b/crates/gateway/src/balancer/mod.rs
@@ -43,7 +43,7 @@
 use std::time::Duration;
 use topazmount_admission::{PushbackRecords, RequestLimits};
 use topazmount_routing::PolicyTable;
-use topazmount_types::{Incarnation, InstanceId, Time};
+use topazmount_types::{Incarnation, InstanceId, SoftwareId, Time};
 
 /// Default of [`GatewaySettings::reliable_cache_age`](crate::GatewaySettings).
 pub(crate) const DEFAULT_RELIABLE_CACHE_AGE: Duration = Duration::from_millis(1_500);
@@ -251,6 +251,19 @@
         !self.available_replicas(serving, request, now).is_empty()
     }
 
+    /// Whether a replica of a service runs a software version.
+    pub(crate) fn has_software(&self, service: &str, software: SoftwareId) -> bool {
+        self.serving(service).any(|replica| replica.software == software)
+    }
+
+    /// The software version of all replicas of a service; `None` if they have several or there are
+    /// none.
+    pub(crate) fn only_software(&self, service: &str) -> Option<SoftwareId> {
+        let mut serving = self.serving(service).map(|replica| replica.software);
+        let first = serving.next()?;
+        serving.all(|other| other == first).then_some(first)
+    }
+
     /// Builds the update to send to other nodes about a prompt; `None` for short prompts where
     /// updates are broadcast.
     pub fn load_update(
--- a/crates/gateway/src/balancer/replica.rs
+++ b/crates/gateway/src/balancer/replica.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 use topazmount_consensus::Term;
 use topazmount_control::{Availability, InstanceStatus, LoadedModel};
-use topazmount_types::{Incarnation, Instance, ReplicaId, Start, Time};
+use topazmount_types::{Incarnation, Instance, ReplicaId, SoftwareId, Start, Time};
 
 /// Weight of a new observation in a replica's smoothed delay.
 const DELAY_GAIN: f64 = 0.4;
@@ -31,6 +31,8 @@
 #[derive(Clone, Debug)]
 pub(super) struct Replica {
     pub(super) instance: Instance,
+    /// Its software.
+    pub(super) software: SoftwareId,
     /// Name of this incarnation.
     pub(super) name: String,
     /// Identifies the incarnation among nodes, so that updates about an earlier one are ignored.
@@ -72,6 +74,7 @@
         Replica {
             incarnation_id: ReplicaId::from_name(&name),
             stable_id: ReplicaId::from_name(&instance.id),
+            software: SoftwareId::of(&instance),
             name,
             instance,
             slot,
@@ -222,6 +225,7 @@
             && self.availability != Availability::Excluded
             && !request.tried.contains(&self.name)
             && request.pinned_to.is_none_or(|name| *name == self.name)
+            && request.software.is_none_or(|software| software == self.software)
     }
 
     /// Whether it recently turned out to have older weights than recorded, for requests that name a
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -18,9 +18,11 @@
 mod prompt;
 mod quota;
 mod shards;
+mod software_history;
 mod split;
 mod state;
 mod stores;
+mod stream_origins;
 mod tunnels;
 
 pub use balancer::{
@@ -42,8 +44,11 @@
 pub use prompt::{Prompt, PromptPart};
 pub use quota::{GrantResponse, Granter, LimitUnit, QuotaSettings, STRIPES, StripeId, TenantLimit};
 pub use shards::{GatewayList, MAX_BROADCAST_PEERS, Shard};
-pub use state::{Admission, GatewaySettings, GatewayState, LimitUpdate};
+pub use state::{Admission, GatewaySettings, GatewayState, LimitUpdate, MIN_RETRY_DELAY};
 pub use stores::{
     MAX_STORE_READERS, StoreChange, StoreEvents, StoreKey, StoredPrompt, Stores, cache_salt,
 };
+pub use stream_origins::{
+    ORIGIN_HOLDERS, ORIGIN_QUERIES, ORIGIN_RENEWAL, ORIGIN_RETENTION, StreamKey, StreamOrigins,
+};
 pub use tunnels::{CarrierState, Carriers, TunnelRefusal};
--- a/crates/gateway/src/placement_request.rs
+++ b/crates/gateway/src/placement_request.rs
@@ -4,7 +4,7 @@
 use crate::prompt::{Prompt, PromptPart};
 use crate::shards::Shard;
 use serde::{Deserialize, Serialize};
-use topazmount_types::ReplicaId;
+use topazmount_types::{ReplicaId, SoftwareId};
 
 /// Asks the coordinator of a shard which replica a prompt should be sent to.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -31,6 +31,9 @@
     /// Hashes of the names of incarnations that must not be chosen.
     #[serde(rename = "exclude")]
     pub skipped: Vec<u64>,
+    /// Software version that the replica must run, if the request resumes a stream.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub software: Option<SoftwareId>,
 }
 
 /// The replica that a coordinator chose, and its estimates for it.
@@ -80,6 +83,7 @@
             namespace: request.namespace,
             isolated_tenant: request.isolated_tenant.map(str::to_owned),
             skipped: skipped.collect(),
+            software: request.software,
         })
     }
 
--- a/crates/gateway/src/plan.rs
+++ b/crates/gateway/src/plan.rs
@@ -1,6 +1,6 @@
 //! Decides after each attempt of a request whether to retry or which response to send.
 
-use topazmount_types::{ErrorKind, RunState};
+use topazmount_types::{ErrorKind, RunState, SoftwareId};
 
 /// How an attempt at a replica ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -88,6 +88,8 @@
     was_retried: bool,
     /// Whether the client has received a part of the response.
     is_response_begun: bool,
+    /// Software version that the replica must run, once the client has a part of the stream.
+    software: Option<SoftwareId>,
 }
 
 impl RequestPlan {
@@ -103,6 +105,7 @@
             pinned_to: None,
             was_retried: false,
             is_response_begun: false,
+            software: None,
         }
     }
 
@@ -131,6 +134,16 @@
         self.may_have_run
     }
 
+    /// Restricts further attempts to a software version, as the client has a part of a stream of it.
+    pub fn require_software(&mut self, software: SoftwareId) {
+        self.software = Some(software);
+    }
+
+    /// Software version that further attempts are restricted to.
+    pub fn software(&self) -> Option<SoftwareId> {
+        self.software
+    }
+
     /// Records that the client has received a part of the response.
     pub fn begin_response(&mut self) {
         self.is_response_begun = true;
--- a/crates/gateway/src/shards.rs
+++ b/crates/gateway/src/shards.rs
@@ -178,18 +178,13 @@
     /// Coordinators of a service's shard, in the order in which to ask them. Those that did not
     /// respond lately are replaced by the next ones.
     pub fn coordinators(&self, service: &str, shard: Shard, now: Time) -> Vec<SocketAddr> {
-        let key = shard.key(service);
-        let mut ranked: Vec<(u64, SocketAddr)> = self
-            .responsive(now)
-            .map(|gateway| (rendezvous_weight(key, gateway.id), gateway.address))
-            .collect();
-        let count = COORDINATORS.min(ranked.len());
-        if count < ranked.len() {
-            ranked.select_nth_unstable_by(count, |left, right| right.cmp(left));
-        }
-        ranked.truncate(count);
-        ranked.sort_by(|left, right| right.cmp(left));
-        ranked.into_iter().map(|(_, address)| address).collect()
+        first_by_rendezvous(self.responsive(now), shard.key(service), COORDINATORS)
+    }
+
+    /// The first gateways for a key by rendezvous hashing, without this one.
+    pub fn first_others(&self, key: u64, count: usize, now: Time) -> Vec<SocketAddr> {
+        let others = self.listed(now).filter(|gateway| !self.is_own(gateway.address));
+        first_by_rendezvous(others, key, count)
     }
 
     /// Whether this gateway is a coordinator of a shard.
@@ -231,3 +226,22 @@
         now < self.cut_off_until
     }
 }
+
+/// The `count` gateways with the greatest weights for a key, in descending order.
+fn first_by_rendezvous<'a>(
+    gateways: impl Iterator<Item = &'a ListedGateway>,
+    key: u64,
+    count: usize,
+) -> Vec<SocketAddr> {
+    let mut first: Vec<(u64, SocketAddr)> = Vec::with_capacity(count + 1);
+    for gateway in gateways {
+        let rank = (rendezvous_weight(key, gateway.id), gateway.address);
+        if first.len() == count && first.last().is_none_or(|last| rank < *last) {
+            continue;
+        }
+        let position = first.partition_point(|other| *other > rank);
+        first.insert(position, rank);
+        first.truncate(count);
+    }
+    first.into_iter().map(|(_, address)| address).collect()
+}
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -2,6 +2,7 @@
 
 mod limits;
 mod notices;
+mod origins;
 mod placement;
 mod replicas;
 
@@ -18,7 +19,9 @@
 use crate::crashes::CrashTracker;
 use crate::quota::{QuotaSettings, Quotas};
 use crate::shards::GatewayList;
+use crate::software_history::SoftwareHistory;
 use crate::split::Splits;
+use crate::stream_origins::StreamOrigins;
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use std::collections::{BTreeMap, HashMap, HashSet};
@@ -31,7 +34,7 @@
 use topazmount_types::{ErrorKind, RequestDigest, Time};
 
 /// Minimum retry delay of a refused client.
-const MIN_RETRY_DELAY: Duration = Duration::from_millis(250);
+pub const MIN_RETRY_DELAY: Duration = Duration::from_millis(250);
 /// Maximum retry delay of a refused client.
 const MAX_RETRY_DELAY: Duration = Duration::from_secs(2);
 /// Part of the bound on revoked keys that is reserved for a request on its way to a replica.
@@ -120,6 +123,8 @@
     new_peers: Vec<SocketAddr>,
     leader_notices: LeaderNotices,
     followed_stores: FollowedStores,
+    stream_origins: StreamOrigins,
+    software_history: SoftwareHistory,
 }
 
 impl GatewayState {
@@ -148,6 +153,8 @@
             new_peers: Vec::new(),
             leader_notices: LeaderNotices::default(),
             followed_stores: FollowedStores::default(),
+            stream_origins: StreamOrigins::default(),
+            software_history: SoftwareHistory::default(),
         };
         state.set_settings(settings);
         state
@@ -268,7 +275,7 @@
             self.balancer.stores().set(catalog.stores());
             self.catalog = Some(Arc::new(catalog));
         }
-        let mut changes = self.apply_instances(view);
+        let mut changes = self.apply_instances(view, asked_at);
         if view.is_leased() {
             self.balancer.record_leader_contact(asked_at);
         }
--- a/crates/gateway/src/state/placement.rs
+++ b/crates/gateway/src/state/placement.rs
@@ -119,6 +119,7 @@
             tried: &skipped,
             pinned_to: None,
             engine: catalog.service(&placement.service)?.engine.as_ref(),
+            software: placement.software,
         };
         self.balancer.set_enforces_places(false);
         let choice = self.choose_in_shard(&request, Some(placement.shard), now);
--- a/crates/gateway/src/state/replicas.rs
+++ b/crates/gateway/src/state/replicas.rs
@@ -50,7 +50,7 @@
 
     /// Applies the list of replicas unless it is older than the known one, as from a member that
     /// lags.
-    pub(super) fn apply_instances(&mut self, view: &FleetView) -> ReplicaChanges {
+    pub(super) fn apply_instances(&mut self, view: &FleetView, now: Time) -> ReplicaChanges {
         let mut changes = ReplicaChanges::new();
         if view.revision <= self.seen.revision {
             return changes;
@@ -61,6 +61,7 @@
             self.seen.statuses = Default::default();
         }
         self.is_behind = view.has_more;
+        self.record_ended_software(view, now);
         if view.is_full {
             let ids: HashSet<InstanceId> =
                 view.instances.iter().map(|instance| instance.id.clone()).collect();
@@ -75,4 +76,23 @@
         self.seen.revision = view.revision;
         changes
     }
+
+    /// Records the software of the replicas that a view removes or changes, before it is applied.
+    fn record_ended_software(&mut self, view: &FleetView, now: Time) {
+        if !view.has_more {
+            self.software_history.on_list(now);
+        }
+        let listed: HashSet<&InstanceId> =
+            view.instances.iter().map(|instance| &instance.id).collect();
+        let removed = view.removed.iter().filter_map(|removed| self.balancer.instance(&removed.id));
+        let changed = view.instances.iter().filter_map(|next| {
+            let known = self.balancer.instance(&next.id)?;
+            (known.software != next.software || known.service != next.service).then_some(known)
+        });
+        let is_dropped = |known: &&Instance| view.is_full && !listed.contains(&known.id);
+        let dropped = self.balancer.instances().filter(is_dropped);
+        for ended in removed.chain(changed).chain(dropped) {
+            self.software_history.on_ended(ended, now);
+        }
+    }
 }
--- a/crates/gateway/tests/common/mod.rs
+++ b/crates/gateway/tests/common/mod.rs
@@ -56,6 +56,7 @@
         tried: &[],
         pinned_to: None,
         engine,
+        software: None,
     }
 }
 
--- /dev/null
+++ b/crates/gateway/tests/stream_origins.rs
@@ -0,0 +1,206 @@
+//! Records of the software versions that streams began at, and the gateways that hold them.
+
+mod common;
+
+use common::{catalog, choice_request, instance, prompt, route};
+use rustix::time::{ClockId, clock_gettime};
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::time::Duration;
+use topazmount_control::{FleetView, GatewayListUpdate, GatewayReport, RemovedInstance};
+use topazmount_gateway::{
+    GatewaySettings, GatewayState, MIN_RETRY_DELAY, ORIGIN_HOLDERS, ORIGIN_QUERIES,
+    ORIGIN_RETENTION, Route, RouteKind, SplitPart, StreamKey, StreamOrigins,
+};
+use topazmount_types::{Instance, SoftwareId, Start, Time};
+
+const NOW: Time = Time::from_secs(1_000);
+const PORT: u16 = 7_000;
+const V1: SoftwareId = SoftwareId(1);
+const V2: SoftwareId = SoftwareId(2);
+
+fn address(number: usize) -> SocketAddr {
+    SocketAddr::from(([10, 0, (number / 250) as u8, (number % 250) as u8], PORT))
+}
+
+fn replica(number: u64, service: &str, software: &str) -> Instance {
+    let software = software.to_owned();
+    Instance { software, ..instance(&format!("i-{number}"), service, "north") }
+}
+
+fn view(revision: u64, instances: Vec<Instance>, removed: &[&str]) -> FleetView {
+    let removed = removed.iter().map(|id| RemovedInstance {
+        id: (*id).to_owned(),
+        was_announced: true,
+        start: Start::UNKNOWN,
+    });
+    FleetView { revision, instances, removed: removed.collect(), ..FleetView::default() }
+}
+
+/// State of one of `gateways` gateways, all of which are listed.
+fn gateway(number: usize, gateways: usize) -> GatewayState {
+    let mut state = GatewayState::new("north", GatewaySettings::default(), number as u64);
+    state.set_own_address(address(number));
+    let report = |other| GatewayReport {
+        address: format!("{}:90", address(other).ip()),
+        zone: "north".to_owned(),
+        region: "here".to_owned(),
+        is_ready: true,
+        is_legacy: false,
+    };
+    let listed = (0..gateways).map(report).collect();
+    let view = FleetView {
+        gateways: Some(GatewayListUpdate::full((1, 1), listed)),
+        gateway_count: gateways as u32,
+        staleness: Some(Duration::ZERO),
+        ..FleetView::default()
+    };
+    state.apply(&view, Some(catalog(1)), NOW);
+    state
+}
+
+fn stream_route(services: &[&str]) -> Route {
+    let part = |service: &&str| SplitPart { service: (*service).to_owned(), weight: 1 };
+    Route {
+        kind: RouteKind::Streaming,
+        is_resumable: true,
+        split: services.iter().map(part).collect(),
+        ..route("r", "h", "/r/", "pool")
+    }
+}
+
+#[test]
+fn a_record_is_forgotten_before_its_stream_ends() {
+    let (key, mut origins) = (StreamKey(7), StreamOrigins::default());
+    origins.record(key, V1, NOW);
+    let almost = NOW + ORIGIN_RETENTION - Duration::from_millis(1);
+    assert_eq!(origins.software(key, almost), Some(V1));
+    origins.record(key, V1, almost);
+    origins.record(StreamKey(8), V2, NOW + ORIGIN_RETENTION);
+    assert_eq!(origins.software(key, NOW + ORIGIN_RETENTION), Some(V1), "it was renewed");
+    let later = almost + ORIGIN_RETENTION;
+    assert_eq!(origins.software(key, later), None);
+    origins.record(StreamKey(9), V2, later);
+    assert_eq!(origins.count(), 2, "the old record takes no more memory");
+}
+
+#[test]
+fn records_grow_without_bound() {
+    let mut origins = StreamOrigins::default();
+    (0..200_000).for_each(|number| origins.record(StreamKey(number), V1, NOW));
+    assert!(origins.count() <= 65_536, "{} records", origins.count());
+    assert_eq!(origins.software(StreamKey(199_999), NOW), Some(V1));
+}
+
+#[test]
+fn a_tenant_resumes_the_stream_of_another_tenant() {
+    assert_ne!(StreamKey::new("a", "1"), StreamKey::new("b", "1"));
+    assert_ne!(StreamKey::new("a", "1"), StreamKey::new("a1", ""));
+}
+
+/// A thousand gateways: whichever began a stream, whichever resumes it asks one that was told.
+#[test]
+fn gateways_ask_others_than_those_that_were_told() {
+    const GATEWAYS: usize = 1_000;
+    let states: Vec<GatewayState> =
+        [0, 1, 499, 998, 999].map(|number| gateway(number, GATEWAYS)).into();
+    let mut told = BTreeSet::new();
+    for key in (0..200u64).map(|number| StreamKey::new("tenant", &format!("{number:016x}"))) {
+        for first in &states {
+            let holders: BTreeSet<SocketAddr> =
+                first.origin_holders(key, NOW).into_iter().collect();
+            assert_eq!(holders.len(), ORIGIN_HOLDERS);
+            told.extend(holders.iter().copied());
+            for next in &states {
+                let asked: BTreeSet<SocketAddr> =
+                    next.origin_candidates(key, NOW).into_iter().collect();
+                assert_eq!(asked.len(), ORIGIN_QUERIES);
+                assert!(holders.intersection(&asked).count() >= ORIGIN_HOLDERS - 1);
+            }
+        }
+    }
+    assert!(told.len() > 400, "records gather at {} gateways", told.len());
+}
+
+/// What a stream costs its gateway must not grow with their number: 100 µs at a thousand is 0.4%
+/// of a core at 43 streams a second.
+#[test]
+fn recording_a_stream_takes_long_in_a_large_fleet() {
+    const STREAMS: u32 = 1_000;
+    let mut state = gateway(0, 1_000);
+    let cpu_time = || {
+        let time = clock_gettime(ClockId::ProcessCPUTime);
+        Duration::new(time.tv_sec as u64, time.tv_nsec as u32)
+    };
+    let began = cpu_time();
+    for number in 0..STREAMS {
+        let key = StreamKey::new("tenant", &format!("{number:016x}"));
+        state.stream_origins().record(key, V1, NOW);
+        assert_eq!(state.origin_holders(key, NOW).len(), ORIGIN_HOLDERS);
+    }
+    let each = (cpu_time() - began) / STREAMS;
+    println!("{each:.1?} a stream at 1,000 gateways");
+    assert!(each < Duration::from_micros(100), "{each:?}");
+}
+
+#[test]
+fn a_resumed_stream_is_sent_to_another_software_version() {
+    let mut state = gateway(0, 1);
+    let replicas: Vec<Instance> =
+        (1..=6).map(|n| replica(n, "pool", if n == 4 { "v2" } else { "v1" })).collect();
+    let v2 = SoftwareId::of(&replicas[3]);
+    state.apply(&view(1, replicas, &[]), None, NOW);
+    let prompt = prompt(&[(1, 100)]);
+    let request =
+        topazmount_gateway::ChoiceRequest { software: Some(v2), ..choice_request(&prompt, None) };
+    for _ in 0..20 {
+        let choice = state.choose(&request, NOW).expect("a replica of the version is there");
+        assert_eq!(choice.instance.id, "i-4");
+    }
+    let gone = topazmount_gateway::ChoiceRequest { software: Some(V2), ..request };
+    assert_eq!(state.choose(&gone, NOW), None);
+}
+
+#[test]
+fn a_stream_goes_on_at_another_service() {
+    let mut state = gateway(0, 1);
+    let (first, second) = (replica(1, "pool", "v1"), replica(2, "other", "v1"));
+    let (in_pool, in_other) = (SoftwareId::of(&first), SoftwareId::of(&second));
+    assert_ne!(in_pool, in_other);
+    state.apply(&view(1, vec![first, second], &[]), None, NOW);
+    let route = stream_route(&["pool", "other"]);
+    assert_eq!(state.service_with(&route, in_other).as_deref(), Some("other"));
+    assert_eq!(state.service_with(&stream_route(&["pool"]), in_other), None);
+    assert_eq!(state.only_software(&route, false, NOW), None, "either service may have begun it");
+}
+
+/// That all replicas have one version is proof only where no other one was seen long enough.
+#[test]
+fn a_stream_of_a_version_that_is_gone_goes_on_at_the_remaining_one() {
+    let mut state = gateway(0, 1);
+    let route = stream_route(&["pool"]);
+    let (old, new) = (replica(1, "pool", "v1"), replica(2, "pool", "v2"));
+    let v2 = SoftwareId::of(&new);
+    state.apply(&view(1, vec![old, new], &[]), None, NOW);
+    assert_eq!(state.only_software(&route, true, NOW), None);
+    let gone_at = NOW + ORIGIN_RETENTION;
+    state.apply(&view(2, Vec::new(), &["i-1"]), None, gone_at);
+    for is_named in [true, false] {
+        let soon = gone_at + MIN_RETRY_DELAY;
+        assert_eq!(state.only_software(&route, is_named, soon), None, "it may have begun at v1");
+        let later = gone_at + ORIGIN_RETENTION;
+        assert_eq!(state.only_software(&route, is_named, later), Some(v2));
+    }
+}
+
+#[test]
+fn a_stream_goes_on_at_the_only_version_that_a_starting_gateway_sees() {
+    let mut state = gateway(0, 1);
+    let route = stream_route(&["pool"]);
+    let only = replica(1, "pool", "v1");
+    let v1 = SoftwareId::of(&only);
+    state.apply(&view(1, vec![only], &[]), None, NOW);
+    assert_eq!(state.only_software(&route, true, NOW), None);
+    assert_eq!(state.only_software(&route, false, NOW), Some(v1), "no record can be found for it");
+    assert_eq!(state.only_software(&route, true, NOW + ORIGIN_RETENTION), Some(v1));
+}
--- a/crates/topazmount/src/fleet/clients.rs
+++ b/crates/topazmount/src/fleet/clients.rs
@@ -6,6 +6,7 @@
 use super::http_service::with_timeout;
 use super::request_reader::{ReadError, read_body, read_head};
 use super::response::response_to;
+use super::stream_origin::{NotResumable, resumable_stream};
 use crate::Executor;
 use crate::http1::{RequestHead, Wire};
 use async_net::TcpListener;
@@ -106,13 +107,20 @@
         let mut gateway_state = shared.gateway_state.lock().unwrap();
         gateway_state.admit(host, head.path(), metadata.api_key.as_deref(), received_at)
     };
-    let admission = match admission {
+    let mut admission = match admission {
         Ok(admission) => admission,
         Err(kind) => {
             log_refusal(shared, &metadata, host, head.path(), kind);
             return Some(send_error(shared, wire, head, kind, keeps_alive).await);
         }
     };
+    let stream = match resumable_stream(shared, &metadata, &mut admission).await {
+        Ok(stream) => stream,
+        Err(NotResumable { kind, retry_after }) => {
+            log_refusal(shared, &metadata, host, head.path(), kind);
+            return Some(send_rejection(shared, wire, head, kind, retry_after, keeps_alive).await);
+        }
+    };
     let client = wire.writer();
     let engine = {
         let gateway_state = shared.gateway_state.lock().unwrap();
@@ -131,6 +139,7 @@
         received_at,
         keeps_alive,
         engine,
+        stream,
         client,
     };
     let serving = async { Some(exchange.run().await) };
@@ -189,7 +198,19 @@
     kind: ErrorKind,
     keeps_alive: bool,
 ) -> ResponseOutcome {
-    let response = shared.dialect.error_response(kind, shared.retry_after(kind));
+    let retry_after = shared.retry_after(kind);
+    send_rejection(shared, wire, head, kind, retry_after, keeps_alive).await
+}
+
+async fn send_rejection(
+    shared: &SharedState,
+    wire: &mut Wire,
+    head: &RequestHead,
+    kind: ErrorKind,
+    retry_after: Option<Duration>,
+    keeps_alive: bool,
+) -> ResponseOutcome {
+    let response = shared.dialect.error_response(kind, retry_after);
     match wire.write_all(&response_to(&response, head, keeps_alive)).await {
         Ok(()) => ResponseOutcome::Complete,
         Err(_) => ResponseOutcome::Truncated,
--- a/crates/topazmount/src/fleet/exchange/mod.rs
+++ b/crates/topazmount/src/fleet/exchange/mod.rs
@@ -6,6 +6,7 @@
 mod crash;
 mod limit;
 mod load_shedding;
+mod origin;
 mod pushback;
 mod record;
 mod relay;
@@ -17,6 +18,7 @@
 use super::link_monitor::Path;
 use super::pool::KeepAliveHint;
 use super::stream::EventSplitter;
+use super::stream_origin::ResumableStream;
 use crate::http1::{BodyReader, RequestHead, ResponseHead, Wire};
 use async_net::TcpStream;
 use limit::Grant;
@@ -28,7 +30,7 @@
     Admission, AttemptEnd, Choice, ChoiceRequest, EngineParameters, NextStep, PromptEvent,
     RequestPlan, cache_salt,
 };
-use topazmount_types::{ErrorKind, RequestDigest, RunState, TenantId, Time};
+use topazmount_types::{ErrorKind, RequestDigest, RunState, SoftwareId, TenantId, Time};
 
 /// Whether the client got its complete response.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -53,6 +55,8 @@
     pub(super) keeps_alive: bool,
     /// Parameters of the service's inference engines, if it has any.
     pub(super) engine: Option<EngineParameters>,
+    /// Stream that the request begins or resumes, if the route's streams may be resumed.
+    pub(super) stream: Option<ResumableStream>,
     /// Write side of the client's connection.
     pub(super) client: TcpStream,
 }
@@ -123,6 +127,8 @@
 struct ClientProgress {
     has_started: bool,
     last_event_id: Option<String>,
+    /// When the stream's software version was last recorded.
+    origin_recorded_at: Option<Time>,
     timing: EventTiming,
 }
 
@@ -210,6 +216,7 @@
             tried: plan.tried(),
             pinned_to: plan.pinned_to(),
             engine: self.engine.as_ref(),
+            software: plan.software(),
         }
     }
 
@@ -246,6 +253,9 @@
     pub(super) async fn run(mut self) -> ResponseOutcome {
         let route = &self.admission.route;
         let mut plan = RequestPlan::new(route.is_retryable(), route.attempts);
+        if let Some(software) = self.stream.and_then(|stream| stream.software) {
+            plan.require_software(software);
+        }
         let mut progress = ClientProgress {
             last_event_id: self.metadata.last_event_id.clone(),
             ..ClientProgress::default()
@@ -320,6 +330,7 @@
                 }
                 AttemptResult::Stream(stream) => {
                     plan.begin_response();
+                    plan.require_software(SoftwareId::of(&in_flight.choice.instance));
                     let end;
                     (in_flight, end) = self.relay_resuming(plan, in_flight, stream, progress).await;
                     match end {
--- a/crates/topazmount/src/fleet/exchange/relay.rs
+++ b/crates/topazmount/src/fleet/exchange/relay.rs
@@ -42,6 +42,7 @@
             }
             if !out.is_empty() {
                 progress.has_started = true;
+                self.record_origin(choice, progress).await;
                 match with_timeout(self.remaining_time(), self.client.write_all(&out)).await {
                     Some(Ok(())) => out.clear(),
                     Some(Err(_)) => return StreamEnd::ClientDisconnected,
--- a/crates/topazmount/src/fleet/legacy_datagrams.rs
+++ b/crates/topazmount/src/fleet/legacy_datagrams.rs
@@ -95,7 +95,10 @@
         | GatewayMessage::GrantResponse(..)
         | GatewayMessage::UnitsReturned(..)
         | GatewayMessage::LimitUpdate(_)
-        | GatewayMessage::SendGrantRequest(..) => return None,
+        | GatewayMessage::SendGrantRequest(..)
+        | GatewayMessage::OriginUpdate(..)
+        | GatewayMessage::OriginRequest(..)
+        | GatewayMessage::OriginResponse(..) => return None,
     };
     Some(encode_datagram(&message))
 }
--- a/crates/topazmount/src/fleet/mod.rs
+++ b/crates/topazmount/src/fleet/mod.rs
@@ -29,6 +29,7 @@
 mod settings;
 mod store_reader;
 mod stream;
+mod stream_origin;
 mod tunnel;
 mod watcher;
 
--- a/crates/topazmount/src/fleet/peers.rs
+++ b/crates/topazmount/src/fleet/peers.rs
@@ -4,6 +4,7 @@
 use super::gateway::SharedState;
 use super::legacy_datagrams::{decode_legacy, encode_legacy};
 use super::metrics::Metrics;
+use super::stream_origin::OriginResponse;
 use async_channel::{Receiver, Sender};
 use async_net::UdpSocket;
 use serde::{Deserialize, Serialize};
@@ -13,9 +14,9 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 use topazmount_gateway::{
-    GrantResponse, LimitUpdate, LoadUpdate, PlacementOffer, PlacementRequest, StripeId,
+    GrantResponse, LimitUpdate, LoadUpdate, PlacementOffer, PlacementRequest, StreamKey, StripeId,
 };
-use topazmount_types::Digest;
+use topazmount_types::{Digest, SoftwareId};
 use topazmount_wire::{
     ClusterKey, FrameError, ProtocolVersion, decode_payload, encode_datagram, open_datagram,
     seal_datagram,
@@ -55,6 +56,15 @@
     /// Asks for permission to send one request to a replica with a limit.
     #[serde(rename = "GrantSend")]
     SendGrantRequest(u64, LimitUpdate),
+    /// Software version that began a stream.
+    #[serde(rename = "Origin")]
+    OriginUpdate(StreamKey, SoftwareId),
+    /// Asks which software version began a stream.
+    #[serde(rename = "OriginOf")]
+    OriginRequest(u64, StreamKey),
+    /// Response to the origin request with this number; `None` if the stream is unknown.
+    #[serde(rename = "OriginIs")]
+    OriginResponse(u64, Option<SoftwareId>),
 }
 
 impl GatewayMessage {
@@ -69,6 +79,9 @@
             GatewayMessage::UnitsReturned(..) => "units_returned",
             GatewayMessage::LimitUpdate(_) => "limit_update",
             GatewayMessage::SendGrantRequest(..) => "send_grant_request",
+            GatewayMessage::OriginUpdate(..) => "origin_update",
+            GatewayMessage::OriginRequest(..) => "origin_request",
+            GatewayMessage::OriginResponse(..) => "origin_response",
         }
     }
 }
@@ -77,6 +90,7 @@
 enum Response {
     Placement(Option<PlacementOffer>),
     Grant(GrantResponse),
+    Origin(Option<SoftwareId>),
 }
 
 /// Socket for messages to and from other gateways, with the requests that wait for responses.
@@ -313,17 +327,64 @@
         self.send(vec![granter], GatewayMessage::UnitsReturned(stripe, amount));
     }
 
+    /// Sends the software version that began a stream to other gateways, before it returns.
+    pub(super) async fn send_origin(
+        &self,
+        to: &[SocketAddr],
+        key: StreamKey,
+        software: SoftwareId,
+        shared: &SharedState,
+    ) {
+        self.send_now(to, &GatewayMessage::OriginUpdate(key, software), shared).await;
+    }
+
+    /// Asks several gateways at once which software version began a stream, until one knows it.
+    pub(super) async fn request_origin(
+        &self,
+        to: &[SocketAddr],
+        key: StreamKey,
+        timeout: Duration,
+    ) -> OriginResponse {
+        let (sender, receiver) = async_channel::bounded(to.len().max(1));
+        let pending: Vec<PendingRequest<'_>> = to
+            .iter()
+            .map(|peer| {
+                let pending = self.add_pending(sender.clone());
+                let request_id = pending.request_id;
+                self.send(vec![*peer], GatewayMessage::OriginRequest(request_id, key));
+                pending
+            })
+            .collect();
+        let first_known = async {
+            for _ in &pending {
+                if let Ok(Response::Origin(Some(software))) = receiver.recv().await {
+                    return OriginResponse::Known(software);
+                }
+            }
+            match pending.is_empty() {
+                true => OriginResponse::Incomplete,
+                false => OriginResponse::Unknown,
+            }
+        };
+        let response = super::http_service::with_timeout(timeout, first_known).await;
+        response.unwrap_or(OriginResponse::Incomplete)
+    }
+
+    fn add_pending(&self, sender: Sender<Response>) -> PendingRequest<'_> {
+        let request_id = self.next_request_id.fetch_add(1, Ordering::Relaxed);
+        self.pending.lock().unwrap().insert(request_id, sender);
+        PendingRequest { peers: self, request_id }
+    }
+
     async fn request(
         &self,
         to: SocketAddr,
         message: impl FnOnce(u64) -> GatewayMessage,
         timeout: Duration,
     ) -> Option<Response> {
-        let request_id = self.next_request_id.fetch_add(1, Ordering::Relaxed);
         let (sender, receiver) = async_channel::bounded(1);
-        self.pending.lock().unwrap().insert(request_id, sender);
-        let _pending = PendingRequest { peers: self, request_id };
-        self.send(vec![to], message(request_id));
+        let pending = self.add_pending(sender);
+        self.send(vec![to], message(pending.request_id));
         super::http_service::with_timeout(timeout, receiver.recv()).await?.ok()
     }
 
@@ -383,6 +444,21 @@
                 shared.metrics.count_event(send_grant_event(response));
                 peers.send(vec![sender], GatewayMessage::GrantResponse(request_id, response));
             }
+            Ok(GatewayMessage::OriginUpdate(key, software)) => {
+                shared.metrics.count_event("origin_update");
+                let mut gateway_state = shared.gateway_state.lock().unwrap();
+                gateway_state.stream_origins().record(key, software, now);
+            }
+            Ok(GatewayMessage::OriginRequest(request_id, key)) => {
+                shared.metrics.count_event("origin_request");
+                let mut gateway_state = shared.gateway_state.lock().unwrap();
+                let software = gateway_state.stream_origins().software(key, now);
+                drop(gateway_state);
+                peers.send(vec![sender], GatewayMessage::OriginResponse(request_id, software));
+            }
+            Ok(GatewayMessage::OriginResponse(request_id, software)) => {
+                peers.complete(request_id, Response::Origin(software));
+            }
             Err(error) => {
                 shared.metrics.count_event("bad_datagram");
                 shared.event_log.info(|| {
--- a/crates/topazmount/tests/gateway_datagrams.rs
+++ b/crates/topazmount/tests/gateway_datagrams.rs
@@ -6,8 +6,9 @@
 use topazmount_admission::RequestLimit;
 use topazmount_gateway::{
     GrantResponse, LimitUpdate, LoadUpdate, PlacementOffer, PlacementRequest, PromptEvent, Shard,
-    StripeId,
+    StreamKey, StripeId,
 };
+use topazmount_types::SoftwareId;
 use topazmount_wire::{decode_payload, encode_datagram};
 
 /// One message a line: its name and its bytes in hex.
@@ -37,6 +38,7 @@
         namespace: 9,
         isolated_tenant: Some("tenant".to_owned()),
         skipped: vec![5, 6],
+        software: None,
     }
 }
 
@@ -68,6 +70,8 @@
     let stripe = StripeId { owner: 77, stripe: 2 };
     let without =
         PlacementRequest { model: None, isolated_tenant: None, skipped: Vec::new(), ..question() };
+    let (stream, software) = (StreamKey(0x2122_2324_2526_2728), SoftwareId(0x3132_3334_3536_3738));
+    let resumed = PlacementRequest { software: Some(software), ..question() };
     let bare = PlacementOffer {
         version: None,
         source: None,
@@ -96,6 +100,11 @@
         ("limit", GatewayMessage::LimitUpdate(limit(Some(2.5)))),
         ("limit_none", GatewayMessage::LimitUpdate(limit(None))),
         ("grant_send", GatewayMessage::SendGrantRequest(302, limit(Some(2.5)))),
+        ("question_software", GatewayMessage::PlacementRequest(300, resumed)),
+        ("origin", GatewayMessage::OriginUpdate(stream, software)),
+        ("origin_of", GatewayMessage::OriginRequest(303, stream)),
+        ("origin_is", GatewayMessage::OriginResponse(303, Some(software))),
+        ("origin_is_none", GatewayMessage::OriginResponse(303, None)),
     ]
 }
 
--- a/crates/topazmount/tests/gateway_messages.rs
+++ b/crates/topazmount/tests/gateway_messages.rs
@@ -90,6 +90,7 @@
         namespace: 8,
         isolated_tenant: Some("tenant".to_owned()),
         skipped: vec![9, 10],
+        software: None,
     };
     check("question", &request);
     let bare_request =
--- a/crates/topazmount/tests/legacy_datagrams.rs
+++ b/crates/topazmount/tests/legacy_datagrams.rs
@@ -135,6 +135,7 @@
         namespace: 9,
         isolated_tenant: Some("tenant".to_owned()),
         skipped: vec![skipped],
+        software: None,
     }
 }
 
@@ -251,6 +252,7 @@
             tried: &[],
             pinned_to: None,
             engine: None,
+            software: None,
         };
         balancer.choose(&request, now, &mut policies).expect("it is available").estimate_ms
     };
--- a/crates/types/src/error.rs
+++ b/crates/types/src/error.rs
@@ -110,6 +110,10 @@
     Draining => "draining", 503, NotRun, Some(1), 1;
     /// No live replica can serve the request now.
     NoReplica => "no_replica", 503, NotRun, Some(1), 1;
+    /// It is not known at which software version the stream began, so it can't be resumed.
+    UnknownStream => "unknown_stream", 503, NotRun, None, 1;
+    /// No live replica runs the software version at which the stream began.
+    SoftwareGone => "software_gone", 503, NotRun, Some(1), 1;
     /// The control group could not record the call in time.
     LedgerUnavailable => "ledger_unavailable", 503, NotRun, Some(1), 1;
     /// This process knows no configuration that it may rely on now.
--- a/crates/types/src/instance.rs
+++ b/crates/types/src/instance.rs
@@ -1,6 +1,6 @@
 //! A registered replica and its incarnations.
 
-use crate::Time;
+use crate::{Digest, Time};
 use serde::{Deserialize, Serialize};
 use std::fmt;
 
@@ -61,6 +61,26 @@
     pub software: String,
 }
 
+/// Identifies a version of a service's software: the hash of the service's name and the version.
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+pub struct SoftwareId(pub u64);
+
+impl SoftwareId {
+    /// Identifier of the software that a replica runs.
+    pub fn of(instance: &Instance) -> Self {
+        let parts = [instance.service.as_bytes(), instance.software.as_bytes()];
+        SoftwareId(Digest::of_parts(&parts).prefix())
+    }
+}
+
+impl fmt::Display for SoftwareId {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(formatter, "{:016x}", self.0)
+    }
+}
+
 impl Instance {
     /// Name of this incarnation; see [`incarnation_name`].
     pub fn incarnation_name(&self) -> String {
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -13,6 +13,8 @@
     ActionKey, AttemptId, Digest, Incarnation, ModelId, NodeId, ReplicaId, RequestDigest,
     RequestId, Revision, TenantId, WeightsVersion, ZoneId,
 };
-pub use instance::{Instance, InstanceId, Start, incarnation_name, parse_incarnation_name};
+pub use instance::{
+    Instance, InstanceId, SoftwareId, Start, incarnation_name, parse_incarnation_name,
+};
 pub use request::{ActionCall, ChatRequest, Endpoint, Priority, Usage};
 pub use time::Time;
