--- a/crates/gateway/src/prompt.rs
+++ b/crates/gateway/src/prompt.rs
@@ -33,6 +33,12 @@
         self.leading_tokens(self.parts.len().saturating_sub(1))
     }
 
+    /// Identifiers of all parts but the last.
+    pub fn shared_parts(&self) -> Vec<u64> {
+        let shared = self.parts.split_last().map_or(&[][..], |(_, shared)| shared);
+        shared.iter().map(|part| part.id).collect()
+    }
+
     /// For each part, a hash of it and all parts before it, within a namespace (isolated tenant and
     /// model). Prompts have equal hashes only where replicas may share the cached parts.
     pub fn prefix_hashes(&self, namespace: u64) -> Vec<u64> {
--- a/crates/topazmount/src/fleet/exchange/crash.rs
+++ b/crates/topazmount/src/fleet/exchange/crash.rs
@@ -2,7 +2,7 @@
 
 use super::super::crash_watch;
 use super::Exchange;
-use topazmount_gateway::Choice;
+use topazmount_gateway::{Choice, Prompt};
 use topazmount_types::Time;
 
 impl Exchange<'_> {
@@ -32,9 +32,10 @@
         };
         self.shared.event_log.info(|| {
             format!(
-                "gateway: event=broke_off request={} digest={} instance={instance} start={} ran_ms={}",
+                "gateway: event=broke_off request={} digest={} shared_parts={:x?} instance={instance} start={} ran_ms={}",
                 self.metadata.id,
                 self.digest,
+                self.metadata.prompt.as_ref().map(Prompt::shared_parts).unwrap_or_default(),
                 choice.instance.start,
                 ran_for.as_millis()
             )
