Fix: a prompt part that crashes replicas is blocked, and not what else its requests share

Cause: the ledger of crashes knew whole requests only, so requests that share a part of their prompt were never alike; and a request's digest left its prompt out, so that sound requests of one target and body were blocked with a crashing one. Class: evidence is counted by a key that the cause is not a function of. Change: a crash also accuses the parts of the prompt, but the last, in the same ledger (three crashes, each begun after the one before). A part that completed at a gateway in the last 30 s is accused by it from the second crash since on. A part that completed since the first crash that counts is not blocked at that gateway, which reports it. Digests name the prompt; a stalled stream of a blocked request is not offered to another replica.

--- a/crates/gateway/src/crashes.rs
+++ b/crates/gateway/src/crashes.rs
@@ -1,4 +1,8 @@
-//! Tracks requests that crash replicas.
+//! Tracks requests and prompt parts that crash replicas.
+//!
+//! A crash accuses each request that ran there, and each part of its prompt but the last. Requests
+//! share parts, so most accused parts are innocent: a part that completes elsewhere is cleared, and
+//! one that completed here lately is only accused after further crashes.
 //!
 //! The control group collects the crashes seen by all gateways and decides which requests are
 //! blocked. A gateway also counts the crashes that it sees itself, so that it can block a request
@@ -11,7 +15,7 @@
     BlockedRequest, CrashLedger, CrashRecord, CrashReport, DEFAULT_HEARTBEAT_INTERVAL,
     replica_timeout,
 };
-use topazmount_types::{ReplicaId, RequestDigest, Time};
+use topazmount_types::{Digest, ReplicaId, RequestDigest, Time};
 
 /// Time for which a crash or completion is reported again, long enough for an election or a
 /// partition.
@@ -28,33 +32,54 @@
 /// Maximum number of suspected requests, 30 KB at most; the oldest ones are dropped. A crash takes some
 /// ten requests of one gateway.
 const MAX_SUSPICIONS: usize = 256;
-/// Maximum number of remembered completions, 48 KB at most. They are evidence for a request that is
-/// blocked by mistake, such as one that many clients send alike.
+/// Maximum number of remembered completions of requests, and of parts, 48 KB each at most. They are
+/// evidence for one that is blocked by mistake, such as one that many clients send alike.
 const MAX_COMPLETIONS: usize = 1_024;
+/// Time after its completion for which a part is not accused by a single crash.
+const TRUST_TIME: Duration = Duration::from_secs(30);
+/// Crashes after its last completion that accuse a trusted part.
+const CRASHES_TO_ACCUSE: usize = 2;
+/// Maximum number of crashes that are withheld, as the part is trusted; the oldest ones are dropped.
+const MAX_WITHHELD: usize = 256;
+
+/// Digest of a prompt part, which the ledger counts like a request.
+pub fn part_digest(part: u64) -> RequestDigest {
+    RequestDigest(Digest::of_parts(&[b"prompt part", &part.to_le_bytes()]).prefix())
+}
 
-/// Requests that completed lately.
+/// What completed lately.
 #[derive(Default)]
 struct Completions {
     completed_at: HashMap<RequestDigest, Time>,
-    insertion_order: VecDeque<(RequestDigest, Time)>,
+    /// Each entry once, with a completion that was its last one when it was queued.
+    queue: VecDeque<(RequestDigest, Time)>,
 }
 
 impl Completions {
     fn add(&mut self, request: RequestDigest, now: Time) {
-        self.completed_at.insert(request, now);
-        self.insertion_order.push_back((request, now));
-        if self.insertion_order.len() > MAX_COMPLETIONS
-            && let Some((oldest, at)) = self.insertion_order.pop_front()
-            && self.completed_at.get(&oldest) == Some(&at)
-        {
-            self.completed_at.remove(&oldest);
+        if self.completed_at.insert(request, now).is_none() {
+            self.queue.push_back((request, now));
+        }
+        while self.completed_at.len() > MAX_COMPLETIONS {
+            let Some((oldest, queued_at)) = self.queue.pop_front() else { return };
+            match self.completed_at.get(&oldest).copied() {
+                Some(at) if at > queued_at => self.queue.push_back((oldest, at)),
+                _ => drop(self.completed_at.remove(&oldest)),
+            }
         }
     }
+
+    fn last(&self, request: RequestDigest) -> Option<Time> {
+        self.completed_at.get(&request).copied()
+    }
 }
 
 /// A request whose connection broke; the replica may have crashed, or only the connection failed.
+#[derive(Clone)]
 struct Suspicion {
+    /// The request or the part.
     request: RequestDigest,
+    is_part: bool,
     /// Name of the replica's incarnation.
     incarnation: String,
     ran_for: Duration,
@@ -77,6 +102,9 @@
     crash_notes: VecDeque<(Time, CrashRecord)>,
     completion_notes: VecDeque<(Time, RequestDigest)>,
     completions: Completions,
+    part_completions: Completions,
+    /// Crashes of parts that are trusted.
+    withheld: VecDeque<Suspicion>,
 }
 
 impl Default for CrashTracker {
@@ -90,6 +118,8 @@
             crash_notes: VecDeque::new(),
             completion_notes: VecDeque::new(),
             completions: Completions::default(),
+            part_completions: Completions::default(),
+            withheld: VecDeque::new(),
         };
         tracker.set_heartbeat_interval(DEFAULT_HEARTBEAT_INTERVAL);
         tracker
@@ -128,13 +158,38 @@
         incarnation: &str,
         ran_for: Duration,
         now: Time,
+    ) {
+        self.suspect(request, false, incarnation, ran_for, now);
+    }
+
+    /// Like [`CrashTracker::on_connection_broken`], for the parts of the request's prompt.
+    pub fn on_parts_broken(
+        &mut self,
+        parts: &[RequestDigest],
+        incarnation: &str,
+        ran_for: Duration,
+        now: Time,
+    ) {
+        for part in parts {
+            self.suspect(*part, true, incarnation, ran_for, now);
+        }
+    }
+
+    fn suspect(
+        &mut self,
+        request: RequestDigest,
+        is_part: bool,
+        incarnation: &str,
+        ran_for: Duration,
+        now: Time,
     ) {
         self.suspicions.retain(|entry| now < entry.broke_at + self.suspicion_time);
         if self.suspicions.len() >= MAX_SUSPICIONS {
             self.suspicions.pop_front();
         }
         let incarnation = incarnation.to_owned();
-        self.suspicions.push_back(Suspicion { request, incarnation, ran_for, broke_at: now });
+        let entry = Suspicion { request, is_part, incarnation, ran_for, broke_at: now };
+        self.suspicions.push_back(entry);
     }
 
     /// Whether requests are suspected to have crashed this incarnation.
@@ -151,13 +206,41 @@
         self.suspicions = others;
         let suspicion_time = self.suspicion_time;
         let recent = ended.iter().filter(|entry| now < entry.broke_at + suspicion_time);
-        let count = recent.clone().count();
+        let count = recent.clone().filter(|entry| !entry.is_part).count();
         for entry in recent {
-            self.record_crash(entry.request, incarnation, entry.ran_for, entry.broke_at);
+            match entry.is_part {
+                true => self.accuse_part(entry),
+                false => self.accuse(entry),
+            }
         }
         count
     }
 
+    fn accuse(&mut self, entry: &Suspicion) {
+        self.record_crash(entry.request, &entry.incarnation, entry.ran_for, entry.broke_at);
+    }
+
+    /// Records a crash of a part, or withholds it while the part is trusted.
+    fn accuse_part(&mut self, entry: &Suspicion) {
+        let completed_at = self.part_completions.last(entry.request);
+        if completed_at.is_none_or(|at| entry.broke_at >= at + TRUST_TIME) {
+            return self.accuse(entry);
+        }
+        if self.withheld.len() >= MAX_WITHHELD {
+            self.withheld.pop_front();
+        }
+        self.withheld.push_back(entry.clone());
+        let is_same = |other: &Suspicion| other.request == entry.request;
+        let (same, others): (VecDeque<Suspicion>, VecDeque<Suspicion>) =
+            std::mem::take(&mut self.withheld).into_iter().partition(is_same);
+        if same.len() < CRASHES_TO_ACCUSE {
+            self.withheld = same.into_iter().chain(others).collect();
+            return;
+        }
+        self.withheld = others;
+        same.iter().for_each(|crash| self.accuse(crash));
+    }
+
     /// Records that a replica responded to a request sent at `sent_at`, so it survived the
     /// connections that broke before.
     pub fn clear_suspicion(&mut self, incarnation: &str, sent_at: Time) {
@@ -180,10 +263,26 @@
         self.local_ledger.record(at, &CrashReport { crashes: vec![note], completed: Vec::new() });
     }
 
+    /// Records that requests with these parts of a prompt completed. Returns whether the control
+    /// group should be informed at once.
+    pub fn record_part_completions(&mut self, parts: &[RequestDigest], now: Time) -> bool {
+        let mut is_news = false;
+        for part in parts {
+            self.part_completions.add(*part, now);
+            self.withheld.retain(|entry| entry.request != *part);
+            is_news |= self.report_if_accused(*part, now);
+        }
+        is_news
+    }
+
     /// Records that a request completed. Returns whether the control group should be informed at
     /// once.
     pub fn record_completion(&mut self, request: RequestDigest, now: Time) -> bool {
         self.completions.add(request, now);
+        self.report_if_accused(request, now)
+    }
+
+    fn report_if_accused(&mut self, request: RequestDigest, now: Time) -> bool {
         if !self.crash_notes.iter().any(|(_, note)| note.request == request) {
             return false;
         }
@@ -193,6 +292,7 @@
 
     fn report_completion(&mut self, request: RequestDigest, now: Time) {
         self.crash_notes.retain(|(_, note)| note.request != request);
+        self.completion_notes.retain(|(_, completed)| *completed != request);
         self.completion_notes.push_back((now, request));
         self.local_ledger
             .record(now, &CrashReport { crashes: Vec::new(), completed: vec![request] });
@@ -210,24 +310,26 @@
         }
     }
 
-    /// Sets the requests that the control group has blocked. A request that completed here after
-    /// the first crash that counts against it is reported as completed. Returns the added and the removed
-    /// requests.
+    /// Sets the requests and parts that the control group has blocked. One that completed here after
+    /// the first crash that counts against it is reported as completed, and not blocked here. Returns
+    /// the added and the removed ones.
     pub fn set_blocked(
         &mut self,
         blocked: &[BlockedRequest],
         now: Time,
     ) -> (Vec<RequestDigest>, Vec<RequestDigest>) {
-        let next: HashSet<RequestDigest> = blocked.iter().map(|entry| entry.request).collect();
-        let added: Vec<RequestDigest> = next.difference(&self.blocked).copied().collect();
-        let removed = self.blocked.difference(&next).copied().collect();
-        for entry in blocked.iter().filter(|entry| added.contains(&entry.request)) {
+        let mut next: HashSet<RequestDigest> = blocked.iter().map(|entry| entry.request).collect();
+        for entry in blocked {
             let first_crash = now - entry.crash_span;
-            if self.completions.completed_at.get(&entry.request).is_some_and(|at| *at > first_crash)
-            {
+            let completed_at = self.completions.last(entry.request);
+            let completed_at = completed_at.max(self.part_completions.last(entry.request));
+            if !self.blocked.contains(&entry.request) && completed_at > Some(first_crash) {
+                next.remove(&entry.request);
                 self.report_completion(entry.request, now);
             }
         }
+        let added: Vec<RequestDigest> = next.difference(&self.blocked).copied().collect();
+        let removed = self.blocked.difference(&next).copied().collect();
         self.blocked = next;
         (added, removed)
     }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -35,7 +35,7 @@
     SplitPart, StoreParameters, Tenant,
 };
 pub use connections::{ConnectionReuse, ConnectionSettings, IdleConnection, ResponseEnd};
-pub use crashes::CrashTracker;
+pub use crashes::{CrashTracker, part_digest};
 pub use estimator::PrefillEstimator;
 pub use links::{ISOLATED_TIME, LinkState, ReplicaLinks};
 pub use load_shedding::TtftEstimate;
--- a/crates/topazmount/src/fleet/clients.rs
+++ b/crates/topazmount/src/fleet/clients.rs
@@ -13,7 +13,7 @@
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
-use topazmount_gateway::Admission;
+use topazmount_gateway::{Admission, Prompt, part_digest};
 use topazmount_types::{Digest, ErrorKind, RequestDigest, Time};
 
 /// Delay after a failed accept, for example when no file descriptors are free.
@@ -134,7 +134,8 @@
         head,
         body,
         metadata: &metadata,
-        digest: request_digest(host, head, &admission, body),
+        digest: request_digest(host, head, &metadata, &admission, body),
+        parts: part_digests(&metadata),
         admission: &admission,
         received_at,
         keeps_alive,
@@ -163,12 +164,25 @@
 fn request_digest(
     host: &str,
     head: &RequestHead,
+    metadata: &RequestMetadata,
     admission: &Admission,
     body: &[u8],
 ) -> RequestDigest {
     let tenant = admission.tenant.as_ref().map_or("", |tenant| tenant.name.as_str());
-    let parts = [host, &head.method, &head.target, tenant].map(str::as_bytes);
-    RequestDigest(Digest::of_parts(&[parts[0], parts[1], parts[2], parts[3], body]).prefix())
+    let prompt = metadata.prompt.as_ref().map(|prompt| &prompt.parts[..]).unwrap_or_default();
+    let prompt: Vec<u8> = prompt.iter().flat_map(|part| part.id.to_le_bytes()).collect();
+    let mut parts = [host, &head.method, &head.target, tenant].map(str::as_bytes).to_vec();
+    parts.push(body);
+    if !prompt.is_empty() {
+        parts.push(&prompt);
+    }
+    RequestDigest(Digest::of_parts(&parts).prefix())
+}
+
+/// Digests of the prompt's parts but the last, which belongs to the request itself.
+fn part_digests(metadata: &RequestMetadata) -> Vec<RequestDigest> {
+    let parts = metadata.prompt.as_ref().map(Prompt::shared_parts).unwrap_or_default();
+    parts.into_iter().map(part_digest).collect()
 }
 
 fn log_refusal(
--- a/crates/topazmount/src/fleet/exchange/crash.rs
+++ b/crates/topazmount/src/fleet/exchange/crash.rs
@@ -6,10 +6,13 @@
 use topazmount_types::Time;
 
 impl Exchange<'_> {
-    /// Whether the request is blocked because it crashes replicas.
+    /// Whether the request is blocked because it, or a part of its prompt, crashes replicas.
     pub(super) fn is_blocked(&self) -> bool {
         let now = self.shared.clock.now();
-        self.shared.gateway_state.lock().unwrap().crashes().is_blocked(self.digest, now)
+        let mut gateway_state = self.shared.gateway_state.lock().unwrap();
+        let crashes = gateway_state.crashes();
+        let mut digests = std::iter::once(&self.digest).chain(&self.parts);
+        digests.any(|digest| crashes.is_blocked(*digest, now))
     }
 
     /// Called after a connection broke while the replica served the request: records the suspicion and
@@ -26,6 +29,7 @@
                 return;
             }
             gateway_state.crashes().on_connection_broken(self.digest, &name, ran_for, now);
+            gateway_state.crashes().on_parts_broken(&self.parts, &name, ran_for, now);
             // The next incarnation may have been seen already.
             let has_ended = gateway_state.balancer().has_ended(choice);
             if has_ended { gateway_state.crashes().on_replica_ended(&name, now) } else { 0 }
--- a/crates/topazmount/src/fleet/exchange/mod.rs
+++ b/crates/topazmount/src/fleet/exchange/mod.rs
@@ -49,6 +49,8 @@
     pub(super) metadata: &'a RequestMetadata,
     /// Identifies retries of the same request by the client.
     pub(super) digest: RequestDigest,
+    /// Identify the parts of the prompt that other requests may share.
+    pub(super) parts: Vec<RequestDigest>,
     pub(super) admission: &'a Admission,
     /// When the request's head was read.
     pub(super) received_at: Time,
--- a/crates/topazmount/src/fleet/exchange/record.rs
+++ b/crates/topazmount/src/fleet/exchange/record.rs
@@ -37,7 +37,8 @@
             let mut gateway_state = self.shared.gateway_state.lock().unwrap();
             gateway_state.balancer().on_success(choice, now);
             gateway_state.crashes().clear_suspicion(&choice.instance.incarnation_name(), sent_at);
-            gateway_state.crashes().record_completion(self.digest, now)
+            let is_request_accused = gateway_state.crashes().record_completion(self.digest, now);
+            gateway_state.crashes().record_part_completions(&self.parts, now) || is_request_accused
         };
         if was_suspected {
             self.shared.request_report();
--- a/crates/topazmount/src/fleet/exchange/resume.rs
+++ b/crates/topazmount/src/fleet/exchange/resume.rs
@@ -85,7 +85,7 @@
         mut stalled: Box<StreamStart>,
         progress: &ClientProgress,
     ) -> Resumed<'e> {
-        while self.may_switch(plan) && !self.shared.is_isolated() {
+        while self.may_switch(plan) && !self.shared.is_isolated() && !self.is_blocked() {
             let Some(in_flight) = self.choose(plan).await else { break };
             if !self.take_retry() {
                 break;
