Fix: a stream that ends inside an event is not passed on as complete

Cause: only bodies that end with their connection were checked for a partial event. Evidence: the test fails before with events 1 and 2 of 5 and a half one. Change: a stream whose body ends inside an event has failed, whatever its framing, and is resumed. The test and the other seven of begun streams hold.

--- a/crates/topazmount/src/fleet/exchange/relay.rs
+++ b/crates/topazmount/src/fleet/exchange/relay.rs
@@ -55,9 +55,7 @@
                     self.shared.on_replica_data(connection.path);
                     splitter.push(&bytes);
                 }
-                Some(Ok(None)) if ends_at_close && splitter.buffered_len() > 0 => {
-                    return StreamEnd::ReplicaFailed;
-                }
+                Some(Ok(None)) if splitter.has_partial_event() => return StreamEnd::ReplicaFailed,
                 Some(Ok(None)) => break,
                 Some(Err(_)) => return StreamEnd::ReplicaFailed,
                 None if self.remaining_time().is_zero() => return StreamEnd::DeadlineExceeded,
--- a/crates/topazmount/src/fleet/stream.rs
+++ b/crates/topazmount/src/fleet/stream.rs
@@ -36,9 +36,9 @@
         std::mem::take(&mut self.buffer)
     }
 
-    /// Number of buffered bytes.
-    pub(super) fn buffered_len(&self) -> usize {
-        self.buffer.len()
+    /// Whether there is a part of an event after the last complete one.
+    pub(super) fn has_partial_event(&self) -> bool {
+        !self.buffer.iter().all(u8::is_ascii_whitespace)
     }
 }
 
