Fix: an answer that ends with its connection does not hide a crash

Callers still felled replicas with one prompt part where the answer has neither length nor chunks and the replica had written a whole event before it crashed. Cause: the end of such an answer looks like its completion, which cleared the part each time. Change: where a shared part of the prompt has not completed here lately, the gateway checks whether the replica has ended before it takes such an answer for whole; if so, the stream has failed and the crash counts.

--- a/crates/gateway/src/crashes.rs
+++ b/crates/gateway/src/crashes.rs
@@ -216,6 +216,14 @@
         count
     }
 
+    /// Whether all of these parts completed lately.
+    pub fn trusts(&self, parts: &[RequestDigest], now: Time) -> bool {
+        let is_trusted = |part: &RequestDigest| {
+            self.part_completions.last(*part).is_some_and(|at| now < at + TRUST_TIME)
+        };
+        parts.iter().all(is_trusted)
+    }
+
     fn accuse(&mut self, entry: &Suspicion) {
         self.record_crash(entry.request, &entry.incarnation, entry.ran_for, entry.broke_at);
     }
--- a/crates/topazmount/src/fleet/crash_watch.rs
+++ b/crates/topazmount/src/fleet/crash_watch.rs
@@ -88,7 +88,7 @@
 
 /// Whether a replica's machine refuses connections. A partition may refuse them, too, so another gateway
 /// is asked unless this one has reached a replica since `broke_at`.
-async fn has_ended(shared: &SharedState, instance: &Instance, broke_at: Time) -> bool {
+pub(super) async fn has_ended(shared: &SharedState, instance: &Instance, broke_at: Time) -> bool {
     let Ok(address) = instance.address.parse() else { return false };
     if !shared.uses_tunnels() {
         if !is_refused(address, shared.local_ip, CONNECT_TIMEOUT).await {
--- a/crates/topazmount/src/fleet/exchange/attempt.rs
+++ b/crates/topazmount/src/fleet/exchange/attempt.rs
@@ -370,6 +370,12 @@
                 return self.read_first_event(connection, head, reader, framing).await;
             }
             return match reader.read_all(&mut wire, MAX_BODY_BYTES).await {
+                Ok(_)
+                    if framing == Framing::UntilClose
+                        && self.ended_with_replica(choice, sent_at).await =>
+                {
+                    FirstResponse::Interrupted("the replica ended with its answer")
+                }
                 Ok(body) => {
                     let connection = ReplicaConnection { wire, path, keep_alive, is_request_sent };
                     FirstResponse::Complete(Box::new(CompleteResponse { head, body, connection }))
--- a/crates/topazmount/src/fleet/exchange/crash.rs
+++ b/crates/topazmount/src/fleet/exchange/crash.rs
@@ -2,10 +2,32 @@
 
 use super::super::crash_watch;
 use super::Exchange;
+use std::time::Duration;
 use topazmount_gateway::{Choice, Prompt};
 use topazmount_types::Time;
 
+/// Delay before the second check of a replica whose answer ended with its connection: a listener may
+/// outlive the process that served the request for a moment.
+const SECOND_CHECK_DELAY: Duration = Duration::from_millis(30);
+
 impl Exchange<'_> {
+    /// Whether an answer that ended with its connection may have been cut off: its replica, from which
+    /// data last arrived at `last_data_at`, has ended. Not checked for prompts whose shared parts have
+    /// all completed lately, nor without shared parts, since each check takes a connection.
+    pub(super) async fn ended_with_replica(&self, choice: &Choice, last_data_at: Time) -> bool {
+        let now = self.shared.clock.now();
+        let is_trusted =
+            self.shared.gateway_state.lock().unwrap().crashes().trusts(&self.parts, now);
+        if is_trusted {
+            return false;
+        }
+        if crash_watch::has_ended(self.shared, &choice.instance, last_data_at).await {
+            return true;
+        }
+        async_io::Timer::after(SECOND_CHECK_DELAY).await;
+        crash_watch::has_ended(self.shared, &choice.instance, last_data_at).await
+    }
+
     /// Whether the request is blocked because it, or a part of its prompt, crashes replicas.
     pub(super) fn is_blocked(&self) -> bool {
         let now = self.shared.clock.now();
--- a/crates/topazmount/src/fleet/exchange/relay.rs
+++ b/crates/topazmount/src/fleet/exchange/relay.rs
@@ -56,6 +56,13 @@
                     splitter.push(&bytes);
                 }
                 Some(Ok(None)) if splitter.has_partial_event() => return StreamEnd::ReplicaFailed,
+                Some(Ok(None)) if ends_at_close => {
+                    let last_data_at = progress.timing.last_at.unwrap_or(self.received_at);
+                    if self.ended_with_replica(choice, last_data_at).await {
+                        return StreamEnd::ReplicaFailed;
+                    }
+                    break;
+                }
                 Some(Ok(None)) => break,
                 Some(Err(_)) => return StreamEnd::ReplicaFailed,
                 None if self.remaining_time().is_zero() => return StreamEnd::DeadlineExceeded,
