A client whose stream's software version has no replica is told to come back after a second

Cause: software_gone said 0.25 s, like all rejections; a replica that crashed is back after some seconds, and a client that comes back at once uses up its tries. Not measured.

--- a/crates/topazmount/src/fleet/stream_origin.rs
+++ b/crates/topazmount/src/fleet/stream_origin.rs
@@ -80,7 +80,11 @@
     log_origin(shared, metadata, response, software, service.as_deref());
     match (software, service) {
         (Some(_), Some(service)) => admission.service = service,
-        (Some(_), None) => return Err(NotResumable::new(shared, ErrorKind::SoftwareGone)),
+        (Some(_), None) => {
+            // A replica that crashed is back after some seconds.
+            let kind = ErrorKind::SoftwareGone;
+            return Err(NotResumable { kind, retry_after: kind.retry_after() });
+        }
         (None, _) => {
             let kind = ErrorKind::UnknownStream;
             // A gateway that did not respond may know the stream.
@@ -92,12 +96,6 @@
     Ok(Some(ResumableStream { key, software }))
 }
 
-impl NotResumable {
-    fn new(shared: &SharedState, kind: ErrorKind) -> Self {
-        NotResumable { kind, retry_after: shared.retry_after(kind) }
-    }
-}
-
 async fn find_origin(shared: &SharedState, key: StreamKey) -> OriginResponse {
     let now = shared.clock.now();
     let candidates = {
