--- a/crates/gateway/src/stream_origins.rs
+++ b/crates/gateway/src/stream_origins.rs
@@ -20,7 +20,7 @@
 pub const ORIGIN_RETENTION: Duration = Duration::from_secs(60);
 /// Interval at which the record of a stream under way is renewed.
 pub const ORIGIN_RENEWAL: Duration = Duration::from_secs(20);
-/// Maximum number of records; the oldest are dropped. They take 3 MB.
+/// Maximum number of records, 4.5 MB at most; the oldest are dropped.
 const MAX_RECORDS: usize = 65_536;
 
 /// Identifies a stream: the hash of the tenant and of the client's request that brought its first
