Records of ended software versions and suspicions stay bounded and long enough

Cause, found by reading: versions of services that no longer end replicas were kept for good, and the parts of a crash pushed out the requests among 256 suspicions. Change: old entries are dropped for all services; parts have a limit of their own (768). A test of the second; the first is not measured.

--- a/crates/gateway/src/crashes.rs
+++ b/crates/gateway/src/crashes.rs
@@ -32,6 +32,8 @@
 /// Maximum number of suspected requests, 30 KB at most; the oldest ones are dropped. A crash takes some
 /// ten requests of one gateway.
 const MAX_SUSPICIONS: usize = 256;
+/// Maximum number of suspected parts, 90 KB at most; a request has a few.
+const MAX_PART_SUSPICIONS: usize = 768;
 /// Maximum number of remembered completions of requests, and of parts, 48 KB each at most. They are
 /// evidence for one that is blocked by mistake, such as one that many clients send alike.
 const MAX_COMPLETIONS: usize = 1_024;
@@ -184,8 +186,12 @@
         now: Time,
     ) {
         self.suspicions.retain(|entry| now < entry.broke_at + self.suspicion_time);
-        if self.suspicions.len() >= MAX_SUSPICIONS {
-            self.suspicions.pop_front();
+        let max = if is_part { MAX_PART_SUSPICIONS } else { MAX_SUSPICIONS };
+        let is_same_kind = |entry: &Suspicion| entry.is_part == is_part;
+        if self.suspicions.iter().filter(|entry| is_same_kind(entry)).count() >= max
+            && let Some(oldest) = self.suspicions.iter().position(is_same_kind)
+        {
+            self.suspicions.remove(oldest);
         }
         let incarnation = incarnation.to_owned();
         let entry = Suspicion { request, is_part, incarnation, ran_for, broke_at: now };
--- a/crates/gateway/src/software_history.rs
+++ b/crates/gateway/src/software_history.rs
@@ -23,8 +23,11 @@
 
     /// Records that a replica has ended or has another version.
     pub(crate) fn on_ended(&mut self, instance: &Instance, now: Time) {
+        self.ended_at.retain(|_, ended_at| {
+            ended_at.retain(|_, at| now < *at + ORIGIN_RETENTION);
+            !ended_at.is_empty()
+        });
         let ended_at = self.ended_at.entry(instance.service.clone()).or_default();
-        ended_at.retain(|_, at| now < *at + ORIGIN_RETENTION);
         ended_at.insert(SoftwareId::of(instance), now);
     }
 
--- a/crates/gateway/tests/crashing_parts.rs
+++ b/crates/gateway/tests/crashing_parts.rs
@@ -127,3 +127,16 @@
     crash(&mut tracker, 2, &[part_digest(10_001)], at(6_100));
     assert!(accused(&mut tracker, at(6_100)).contains(&part_digest(10_001)), "memory is bounded");
 }
+
+/// Parts must not push out the requests that broke off.
+#[test]
+fn suspected_parts_push_out_suspected_requests() {
+    let mut tracker = CrashTracker::default();
+    for number in 0..200u64 {
+        tracker.on_connection_broken(RequestDigest(number), "i-1", RUN, START);
+        let parts: Vec<RequestDigest> =
+            (0..10).map(|part| part_digest(number * 10 + part)).collect();
+        tracker.on_parts_broken(&parts, "i-1", RUN, START);
+    }
+    assert_eq!(tracker.on_replica_ended("i-1", START), 200);
+}
