--- a/crates/gateway/src/crashes.rs
+++ b/crates/gateway/src/crashes/mod.rs
@@ -9,7 +9,10 @@
 //! while the control group is unreachable. Replicas are named by their incarnations, so that the
 //! end of one does not affect the next.
 
-use std::collections::{HashMap, HashSet, VecDeque};
+mod completions;
+
+use completions::Completions;
+use std::collections::{HashSet, VecDeque};
 use std::time::Duration;
 use topazmount_control::{
     BlockedRequest, CrashLedger, CrashRecord, CrashReport, DEFAULT_HEARTBEAT_INTERVAL,
@@ -34,9 +37,6 @@
 const MAX_SUSPICIONS: usize = 256;
 /// Maximum number of suspected parts, 90 KB at most; a request has a few.
 const MAX_PART_SUSPICIONS: usize = 768;
-/// Maximum number of remembered completions of requests, and of parts, 48 KB each at most. They are
-/// evidence for one that is blocked by mistake, such as one that many clients send alike.
-const MAX_COMPLETIONS: usize = 1_024;
 /// Time after its completion for which a part is not accused by a single crash.
 const TRUST_TIME: Duration = Duration::from_secs(30);
 /// Crashes after its last completion that accuse a trusted part.
@@ -49,33 +49,6 @@
     RequestDigest(Digest::of_parts(&[b"prompt part", &part.to_le_bytes()]).prefix())
 }
 
-/// What completed lately.
-#[derive(Default)]
-struct Completions {
-    completed_at: HashMap<RequestDigest, Time>,
-    /// Each entry once, with a completion that was its last one when it was queued.
-    queue: VecDeque<(RequestDigest, Time)>,
-}
-
-impl Completions {
-    fn add(&mut self, request: RequestDigest, now: Time) {
-        if self.completed_at.insert(request, now).is_none() {
-            self.queue.push_back((request, now));
-        }
-        while self.completed_at.len() > MAX_COMPLETIONS {
-            let Some((oldest, queued_at)) = self.queue.pop_front() else { return };
-            match self.completed_at.get(&oldest).copied() {
-                Some(at) if at > queued_at => self.queue.push_back((oldest, at)),
-                _ => drop(self.completed_at.remove(&oldest)),
-            }
-        }
-    }
-
-    fn last(&self, request: RequestDigest) -> Option<Time> {
-        self.completed_at.get(&request).copied()
-    }
-}
-
 /// A request whose connection broke; the replica may have crashed, or only the connection failed.
 #[derive(Clone)]
 struct Suspicion {
