--- a/crates/gateway/src/crashes.rs
+++ b/crates/gateway/src/crashes/mod.rs
@@ -9,7 +9,10 @@
 //! while the control group is unreachable. Replicas are named by their incarnations, so that the
 //! end of one does not affect the next.
 
-use std::collections::{HashMap, HashSet, VecDeque};
+mod completions;
+
+use completions::Completions;
+use std::collections::{HashSet, VecDeque};
 use std::time::Duration;
 use topazmount_control::{
     BlockedRequest, CrashLedger, CrashRecord, CrashReport, DEFAULT_HEARTBEAT_INTERVAL,
@@ -32,9 +35,8 @@
 /// Maximum number of suspected requests, 30 KB at most; the oldest ones are dropped. A crash takes some
 /// ten requests of one gateway.
 const MAX_SUSPICIONS: usize = 256;
-/// Maximum number of remembered completions of requests, and of parts, 48 KB each at most. They are
-/// evidence for one that is blocked by mistake, such as one that many clients send alike.
-const MAX_COMPLETIONS: usize = 1_024;
+/// Maximum number of suspected parts, 90 KB at most; a request has a few.
+const MAX_PART_SUSPICIONS: usize = 768;
 /// Time after its completion for which a part is not accused by a single crash.
 const TRUST_TIME: Duration = Duration::from_secs(30);
 /// Crashes after its last completion that accuse a trusted part.
@@ -47,33 +49,6 @@
     RequestDigest(Digest::of_parts(&[b"prompt part", &part.to_le_bytes()]).prefix())
 }
 
-/// What completed lately.
-#[derive(Default)]
-struct Completions {
-    completed_at: HashMap<RequestDigest, Time>,
-    /// Each entry once, with a completion that was its last one when it was queued.
-    queue: VecDeque<(RequestDigest, Time)>,
-}
-
-impl Completions {
-    fn add(&mut self, request: RequestDigest, now: Time) {
-        if self.completed_at.insert(request, now).is_none() {
-            self.queue.push_back((request, now));
-        }
-        while self.completed_at.len() > MAX_COMPLETIONS {
-            let Some((oldest, queued_at)) = self.queue.pop_front() else { return };
-            match self.completed_at.get(&oldest).copied() {
-                Some(at) if at > queued_at => self.queue.push_back((oldest, at)),
-                _ => drop(self.completed_at.remove(&oldest)),
-            }
-        }
-    }
-
-    fn last(&self, request: RequestDigest) -> Option<Time> {
-        self.completed_at.get(&request).copied()
-    }
-}
-
 /// A request whose connection broke; the replica may have crashed, or only the connection failed.
 #[derive(Clone)]
 struct Suspicion {
@@ -184,8 +159,12 @@
         now: Time,
     ) {
         self.suspicions.retain(|entry| now < entry.broke_at + self.suspicion_time);
-        if self.suspicions.len() >= MAX_SUSPICIONS {
-            self.suspicions.pop_front();
+        let max = if is_part { MAX_PART_SUSPICIONS } else { MAX_SUSPICIONS };
+        let is_same_kind = |entry: &Suspicion| entry.is_part == is_part;
+        if self.suspicions.iter().filter(|entry| is_same_kind(entry)).count() >= max
+            && let Some(oldest) = self.suspicions.iter().position(is_same_kind)
+        {
+            self.suspicions.remove(oldest);
         }
         let incarnation = incarnation.to_owned();
         let entry = Suspicion { request, is_part, incarnation, ran_for, broke_at: now };
