Recorded values: the two new kinds of errors have a line of their own

The recorded bytes of the other kinds stay as they are and are checked as before; the new kinds are recorded beside them. Builds that do not know them never get them: they are sent to clients only.

--- a/crates/topazmount/tests/recorded_values.rs
+++ b/crates/topazmount/tests/recorded_values.rs
@@ -117,7 +117,11 @@
     encodings.add("instance", &instance(Start(1_700_000_000_000)));
     encodings.add("instance_of_unknown_start", &instance(Start(0)));
     encodings.add("run_states", &vec![RunState::NotRun, RunState::Ran, RunState::Unknown]);
-    encodings.add("error_kinds", &ErrorKind::ALL.to_vec());
+    // Kinds that the first recorded builds don't know.
+    let later = [ErrorKind::UnknownStream, ErrorKind::SoftwareGone];
+    let known = ErrorKind::ALL.iter().filter(|kind| !later.contains(kind));
+    encodings.add("error_kinds", &known.copied().collect::<Vec<ErrorKind>>());
+    encodings.add("error_kinds_of_streams", &later.to_vec());
     let refusal = Refusal {
         kind: ErrorKind::Overloaded,
         message: "too much work".to_owned(),
