--- a/crates/gateway/tests/stream_origins.rs
+++ b/crates/gateway/tests/stream_origins.rs
@@ -204,3 +204,23 @@
     assert_eq!(state.only_software(&route, false, NOW), Some(v1), "no record can be found for it");
     assert_eq!(state.only_software(&route, true, NOW + ORIGIN_RETENTION), Some(v1));
 }
+
+/// A replica that is back under its identifier, or reports another version of the same incarnation.
+#[test]
+fn a_stream_goes_on_at_a_replica_that_came_back_with_another_version() {
+    let mut state = gateway(0, 1);
+    let old = replica(1, "pool", "v1");
+    let v1 = SoftwareId::of(&old);
+    let prompt = prompt(&[(1, 100)]);
+    let request =
+        topazmount_gateway::ChoiceRequest { software: Some(v1), ..choice_request(&prompt, None) };
+    let next = Instance { start: Start(2_000), software: "v2".to_owned(), ..old.clone() };
+    for (revision, start) in [(1, Start(1_000)), (3, Start(2_000))] {
+        let before = Instance { start, ..old.clone() };
+        state.apply(&view(revision, vec![before], &[]), None, NOW);
+        assert!(state.choose(&request, NOW).is_some());
+        state.apply(&view(revision + 1, vec![next.clone()], &[]), None, NOW);
+        assert_eq!(state.choose(&request, NOW), None, "from {start}");
+    }
+    assert_eq!(state.only_software(&stream_route(&["pool"]), false, NOW), None);
+}
