--- a/crates/gateway/tests/crashing_parts.rs
+++ b/crates/gateway/tests/crashing_parts.rs
@@ -140,3 +140,38 @@
     }
     assert_eq!(tracker.on_replica_ended("i-1", START), 200);
 }
+
+/// Two parts of different requests crash replicas in turn.
+#[test]
+fn one_of_two_crashing_parts_hides_the_other() {
+    let mut tracker = CrashTracker::default();
+    let mut reports = Vec::new();
+    let parts = [cause(), part_digest(3)];
+    for replica in 0..6 {
+        let now = START + GAP * replica;
+        crash(&mut tracker, replica, &[parts[replica as usize % 2], shared()], now);
+        tracker.record_part_completions(&[shared()], now + GAP / 2);
+        reports.push((now + GAP / 2, tracker.report(now + GAP / 2)));
+    }
+    let blocked: BTreeSet<RequestDigest> = blocked_by(&reports).into_iter().collect();
+    assert_eq!(blocked, BTreeSet::from(parts));
+}
+
+/// The block of a part ends by itself, and one more crash renews it.
+#[test]
+fn a_crashing_part_fells_as_many_replicas_again_after_its_block() {
+    let mut tracker = CrashTracker::default();
+    let mut ledger = CrashLedger::default();
+    for replica in 0..3 {
+        let now = START + GAP * replica;
+        crash(&mut tracker, replica, &[cause()], now);
+        ledger.record(now, &tracker.report(now));
+    }
+    assert!(ledger.is_blocked(cause()));
+    let later = START + Duration::from_secs(6 * 60);
+    ledger.expire(later);
+    assert!(!ledger.is_blocked(cause()));
+    crash(&mut tracker, 9, &[cause()], later);
+    ledger.record(later, &tracker.report(later));
+    assert!(ledger.is_blocked(cause()));
+}
