Log which crashes block a request or prompt part, and which digest a rejected request matched

Each member logs event=block and event=unblock with the crashes that count (incarnation, age, time run), at most at the pace of a rate-limited log; a gateway logs event=rejected_for_crashes with the matched digest, and event=broke_off the digests of parts. No decision changes.

--- a/crates/control/src/fleet/crashes.rs
+++ b/crates/control/src/fleet/crashes.rs
@@ -3,8 +3,9 @@
 //! A crash ends all requests at a replica, so each of them is suspected. A request is blocked after
 //! [`CRASHES_TO_BLOCK`] consecutive crashes that no other request explains.
 
+use super::events::{BlockEvent, CountedCrash};
 use serde::{Deserialize, Serialize};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 use topazmount_types::{ReplicaId, RequestDigest, Time};
 
@@ -176,6 +177,25 @@
             .collect()
     }
 
+    /// Digests of all blocked requests.
+    pub(crate) fn blocked_digests(&self) -> BTreeSet<RequestDigest> {
+        let blocked = self.suspects.iter().filter(|(_, suspect)| suspect.blocked_until.is_some());
+        blocked.map(|(request, _)| *request).collect()
+    }
+
+    /// What is known about a request that was blocked or unblocked.
+    pub(crate) fn block_event(&self, request: RequestDigest, now: Time) -> BlockEvent {
+        let suspect = self.suspects.get(&request);
+        let crashes = suspect.map(Suspect::consecutive_crashes).unwrap_or_default();
+        let counted = crashes.into_iter().map(|crash| CountedCrash {
+            replica: crash.replica,
+            age: now.since(crash.at),
+            ran_for: crash.at.since(crash.began),
+        });
+        let is_blocked = self.is_blocked(request);
+        BlockEvent { request, is_blocked, crashes: counted.collect() }
+    }
+
     /// Number of suspects.
     pub fn suspect_count(&self) -> usize {
         self.suspects.len()
--- a/crates/control/src/fleet/events.rs
+++ b/crates/control/src/fleet/events.rs
@@ -1,8 +1,9 @@
-//! Events about the weights at replicas and their roll-out, for logs.
+//! Events about the weights at replicas, their roll-out, and blocked requests, for logs.
 
 use super::plan::RolloutPlan;
 use std::fmt;
-use topazmount_types::{InstanceId, Start};
+use std::time::Duration;
+use topazmount_types::{InstanceId, ReplicaId, RequestDigest, Start};
 
 /// Source of a weights report.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -111,3 +112,37 @@
         )
     }
 }
+
+/// A crash that counts against a blocked request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct CountedCrash {
+    /// Incarnation of the replica.
+    pub replica: ReplicaId,
+    /// How long ago it crashed.
+    pub age: Duration,
+    /// How long it had run the request.
+    pub ran_for: Duration,
+}
+
+/// A request or prompt part that was blocked or unblocked.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct BlockEvent {
+    /// The request or part.
+    pub request: RequestDigest,
+    /// Whether it is blocked now.
+    pub is_blocked: bool,
+    /// Crashes that count against it; none after a completion.
+    pub crashes: Vec<CountedCrash>,
+}
+
+impl fmt::Display for BlockEvent {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let name = if self.is_blocked { "block" } else { "unblock" };
+        write!(f, "event={name} digest={} crashes={}", self.request, self.crashes.len())?;
+        for crash in &self.crashes {
+            let (age, ran) = (crash.age.as_millis(), crash.ran_for.as_millis());
+            write!(f, " {:016x}:age_ms={age}:ran_ms={ran}", crash.replica.0)?;
+        }
+        Ok(())
+    }
+}
--- a/crates/control/src/fleet/mod.rs
+++ b/crates/control/src/fleet/mod.rs
@@ -28,7 +28,7 @@
 mod weights_record;
 
 pub use crashes::{BlockedRequest, CRASHES_TO_BLOCK, CrashLedger, CrashRecord, CrashReport};
-pub use events::{RecordChange, ReportSource, RolloutEvent, WeightsEvent};
+pub use events::{BlockEvent, RecordChange, ReportSource, RolloutEvent, WeightsEvent};
 pub use gateways::GATEWAY_TIMEOUT;
 pub(crate) use leader::FleetLeader;
 pub use leader::{DEFAULT_HEARTBEAT_INTERVAL, replica_timeout};
--- a/crates/control/src/fleet_member.rs
+++ b/crates/control/src/fleet_member.rs
@@ -70,6 +70,20 @@
         }
     }
 
+    /// Emits an event for each request that was blocked or unblocked since the last call.
+    pub(crate) fn emit_block_changes(&mut self, now: Time) {
+        let ledger = self.state.fleet.crashes();
+        let (revision, before) = &self.emitted_blocks;
+        if *revision == ledger.blocked_revision() {
+            return;
+        }
+        let blocked = ledger.blocked_digests();
+        let changed = blocked.symmetric_difference(before);
+        let events = changed.map(|request| MemberOutput::Block(ledger.block_event(*request, now)));
+        self.outputs.extend(events);
+        self.emitted_blocks = (ledger.blocked_revision(), blocked);
+    }
+
     pub(crate) fn register(
         &mut self,
         now: Time,
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -24,10 +24,10 @@
 pub use configuration::{Configuration, ConfigurationUpdate, HistoryRow};
 pub use events::{ChangeReason, MembershipEvent};
 pub use fleet::{
-    ActionReport, Availability, BlockedRequest, CRASHES_TO_BLOCK, CrashLedger, CrashRecord,
-    CrashReport, DEFAULT_HEARTBEAT_INTERVAL, Document, FleetAction, FleetCommand, FleetRequest,
-    FleetResponse, FleetState, FleetView, GATEWAY_TIMEOUT, GatewayListUpdate, GatewayLists,
-    GatewayReport, InstanceReport, InstanceStatus, LoadMode, LoadedModel, NoticeKind,
+    ActionReport, Availability, BlockEvent, BlockedRequest, CRASHES_TO_BLOCK, CrashLedger,
+    CrashRecord, CrashReport, DEFAULT_HEARTBEAT_INTERVAL, Document, FleetAction, FleetCommand,
+    FleetRequest, FleetResponse, FleetState, FleetView, GATEWAY_TIMEOUT, GatewayListUpdate,
+    GatewayLists, GatewayReport, InstanceReport, InstanceStatus, LoadMode, LoadedModel, NoticeKind,
     NoticeSubject, OrderOutcome, Packed, PackedParts, RecordChange, RegistrationConflict,
     RegistrationStatus, RemovedInstance, ReplicaLists, ReplicaNotice, ReplicaReport, ReportSource,
     RolloutEvent, RolloutPlan, RolloutSettings, SeenVersions, WatchRequest, WeightsEvent,
--- a/crates/control/src/member.rs
+++ b/crates/control/src/member.rs
@@ -3,8 +3,8 @@
 use crate::configuration::ConfigurationUpdate;
 use crate::events::MembershipEvent;
 use crate::fleet::{
-    FleetAction, FleetLeader, FleetResponse, ProposedCrashes, RolloutEvent, RolloutSettings,
-    WeightsEvent,
+    BlockEvent, FleetAction, FleetLeader, FleetResponse, ProposedCrashes, RolloutEvent,
+    RolloutSettings, WeightsEvent,
 };
 use crate::heartbeats::Heartbeats;
 use crate::identity::{IDENTITY_FILE, initial_identity, initial_state, read_identity};
@@ -12,7 +12,7 @@
 use crate::participation::ReportedMembership;
 use crate::protocol::{ChangeReply, ChangeRequest, NodeReport, Request, Response};
 use crate::state::{Command, ControlState, FeatureLevel, Reply, TimedCommand};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 use thiserror::Error;
 use topazmount_consensus::{
@@ -20,7 +20,7 @@
     Payload, ProposeError, RaftMember, Role, Term, Wal, WalError,
 };
 use topazmount_settings::{Declarations, SourceFiles};
-use topazmount_types::{ErrorKind, NodeId, Refusal, Time};
+use topazmount_types::{ErrorKind, NodeId, Refusal, RequestDigest, Time};
 
 /// Applied entries between two snapshots.
 const ENTRIES_PER_SNAPSHOT: u64 = 4_000;
@@ -111,6 +111,8 @@
     Weights(WeightsEvent),
     /// As leader: the roll-out plan of a service changed.
     Rollout(RolloutEvent),
+    /// A request or prompt part was blocked or unblocked, as this member has applied it.
+    Block(BlockEvent),
 }
 
 struct PendingRequest {
@@ -129,6 +131,8 @@
     pub(crate) fleet: FleetLeader,
     /// As leader: crashes proposed lately.
     pub(crate) proposed_crashes: ProposedCrashes,
+    /// Blocked requests at the last [`MemberOutput::Block`], and their revision.
+    pub(crate) emitted_blocks: (u64, BTreeSet<RequestDigest>),
     /// Last known addresses of peers; a joining member does not know the membership yet.
     peer_addresses: BTreeMap<MemberId, String>,
     pub(crate) reported_membership: ReportedMembership,
@@ -181,6 +185,7 @@
             nodes: BTreeMap::new(),
             fleet,
             proposed_crashes: ProposedCrashes::default(),
+            emitted_blocks: Default::default(),
             peer_addresses: BTreeMap::new(),
             reported_membership: ReportedMembership::new(now),
             heartbeats: Heartbeats::default(),
@@ -267,6 +272,7 @@
         self.outputs.extend(weights_events.into_iter().map(MemberOutput::Weights));
         let plans = self.fleet.take_plans();
         self.outputs.extend(plans.into_iter().map(MemberOutput::Rollout));
+        self.emit_block_changes(now);
         Ok(std::mem::take(&mut self.outputs))
     }
 
--- a/crates/topazmount/src/control_log.rs
+++ b/crates/topazmount/src/control_log.rs
@@ -6,7 +6,9 @@
 use std::sync::Mutex;
 use std::time::{Duration, Instant};
 use topazmount_consensus::{Disk, MemberId, Term};
-use topazmount_control::{Member, MembershipEvent, RecordChange, RolloutEvent, WeightsEvent};
+use topazmount_control::{
+    BlockEvent, Member, MembershipEvent, RecordChange, RolloutEvent, WeightsEvent,
+};
 use topazmount_types::Time;
 
 /// Time after which the same line about the same matter is written again.
@@ -48,6 +50,8 @@
     lines: Mutex<HashMap<String, (String, Instant)>>,
     /// Lines about replicas' weights, of which thousands may come at once.
     weights_lines: RateLimitedLog,
+    /// Lines about blocked requests and parts.
+    block_lines: RateLimitedLog,
 }
 
 impl ControlLog {
@@ -123,6 +127,11 @@
         }
     }
 
+    /// Logs that a request or prompt part was blocked or unblocked.
+    pub(crate) fn block(&self, event: &BlockEvent) {
+        self.block_lines.info(|| format!("crashes: {event}"));
+    }
+
     /// Logs about a matter, unless that was done lately.
     fn once(&self, matter: String, log: impl FnOnce()) {
         let mut lines = self.lines.lock().unwrap();
--- a/crates/topazmount/src/control_process.rs
+++ b/crates/topazmount/src/control_process.rs
@@ -310,6 +310,7 @@
                 self.log.membership(&event);
             }
             MemberOutput::Weights(event) => self.log.weights(&event),
+            MemberOutput::Block(event) => self.log.block(&event),
             MemberOutput::Rollout(event) => {
                 self.log.rollout(&event);
                 let mut plans = self.shared.plans.lock().unwrap();
--- a/crates/topazmount/src/fleet/exchange/crash.rs
+++ b/crates/topazmount/src/fleet/exchange/crash.rs
@@ -1,10 +1,10 @@
 //! Distinguishes a replica that crashed while serving a request from a broken connection.
 
 use super::super::crash_watch;
-use super::Exchange;
+use super::{ClientProgress, Exchange, ResponseOutcome};
 use std::time::Duration;
-use topazmount_gateway::{Choice, Prompt};
-use topazmount_types::Time;
+use topazmount_gateway::{Choice, Prompt, RequestPlan};
+use topazmount_types::{ErrorKind, RequestDigest, Time};
 
 /// Delay before the second check of a replica whose answer ended with its connection: a listener may
 /// outlive the process that served the request for a moment.
@@ -30,11 +30,32 @@
 
     /// Whether the request is blocked because it, or a part of its prompt, crashes replicas.
     pub(super) fn is_blocked(&self) -> bool {
+        self.blocked_digest().is_some()
+    }
+
+    /// The digest of the request or of a part of its prompt, if that is blocked.
+    fn blocked_digest(&self) -> Option<RequestDigest> {
         let now = self.shared.clock.now();
         let mut gateway_state = self.shared.gateway_state.lock().unwrap();
         let crashes = gateway_state.crashes();
         let mut digests = std::iter::once(&self.digest).chain(&self.parts);
-        digests.any(|digest| crashes.is_blocked(*digest, now))
+        digests.find(|digest| crashes.is_blocked(**digest, now)).copied()
+    }
+
+    /// Rejects a request that is blocked.
+    pub(super) async fn fail_blocked(
+        &mut self,
+        plan: &RequestPlan,
+        progress: &ClientProgress,
+    ) -> ResponseOutcome {
+        if let Some(digest) = self.blocked_digest() {
+            self.shared.event_log.info(|| {
+                let matched = if digest == self.digest { "request" } else { "part" };
+                let id = &self.metadata.id;
+                format!("gateway: event=rejected_for_crashes request={id} matched={matched} digest={digest}")
+            });
+        }
+        self.fail(plan, progress, ErrorKind::CrashesReplicas).await
     }
 
     /// Called after a connection broke while the replica served the request: records the suspicion and
@@ -58,10 +79,11 @@
         };
         self.shared.event_log.info(|| {
             format!(
-                "gateway: event=broke_off request={} digest={} shared_parts={:x?} instance={instance} start={} ran_ms={}",
+                "gateway: event=broke_off request={} digest={} shared_parts={:x?} part_digests={:?} instance={instance} start={} ran_ms={}",
                 self.metadata.id,
                 self.digest,
                 self.metadata.prompt.as_ref().map(Prompt::shared_parts).unwrap_or_default(),
+                self.parts.iter().map(ToString::to_string).collect::<Vec<_>>(),
                 choice.instance.start,
                 ran_for.as_millis()
             )
--- a/crates/topazmount/src/fleet/exchange/mod.rs
+++ b/crates/topazmount/src/fleet/exchange/mod.rs
@@ -269,7 +269,7 @@
             return self.fail(&plan, &progress, ErrorKind::RefusedByPolicy).await;
         }
         if self.is_blocked() {
-            return self.fail(&plan, &progress, ErrorKind::CrashesReplicas).await;
+            return self.fail_blocked(&plan, &progress).await;
         }
         let grant = match self.acquire_tenant_grant().await {
             Ok(grant) => grant,
@@ -289,7 +289,7 @@
         let mut failure = None;
         loop {
             if self.is_blocked() {
-                return self.fail(plan, progress, ErrorKind::CrashesReplicas).await;
+                return self.fail_blocked(plan, progress).await;
             }
             if self.remaining_time().is_zero() {
                 return self.finish_unserved(plan, progress, deadline_error(plan), failure).await;
@@ -370,7 +370,7 @@
             set_may_have_run(grant, plan.may_have_run());
             if let Some(kind) = error {
                 if self.is_blocked() {
-                    return self.fail(plan, progress, ErrorKind::CrashesReplicas).await;
+                    return self.fail_blocked(plan, progress).await;
                 }
                 return self.finish_unserved(plan, progress, kind, failure).await;
             }
