A blocked request or prompt part can clear itself: single requests run as trials

Callers of sound requests got 400 crashes_replicas, on all gateways, for minutes. Cause: three crashes block a part, and what is blocked never runs, so that the completion that would clear it can't come; gateways that have restarted forget earlier completions, while the members' record outlives them. Change: the first gateway by rendezvous of a digest grants one trial at a time, at once after the block and after growing pauses once trials fail, at replicas at whose addresses none has ended lately. A completion clears the block also where no crash was seen. Until a further crash that no host explains, the answer is 503 suspected_of_crashes. A request whose attempt may have run is no longer answered as not run.

--- a/crates/control/src/fleet/crashes.rs
+++ b/crates/control/src/fleet/crashes.rs
@@ -4,8 +4,9 @@
 //! [`CRASHES_TO_BLOCK`] consecutive crashes that no other request explains.
 
 use super::events::{BlockEvent, CountedCrash};
+use super::protocol::is_default;
 use serde::{Deserialize, Serialize};
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::time::Duration;
 use topazmount_types::{ReplicaId, RequestDigest, Time};
 
@@ -27,11 +28,25 @@
 /// 60 replicas with 16 runs each suspects 960 requests.
 const MAX_SUSPECTS: usize = 1_024;
 /// Maximum number of blocked requests; the list is sent to each gateway when it changes, 4.4 KB at
-/// most.
+/// most, or 4.9 KB if replicas crashed under all of them since.
 const MAX_BLOCKED: usize = 256;
+/// Time between two crashes at a host within which one explains the other.
+const HOST_WINDOW: Duration = Duration::from_secs(30);
 /// Maximum number of crashes kept per suspect.
 const MAX_CRASHES_PER_SUSPECT: usize = 8;
 
+/// Short hash of a replica's address, which the next incarnation there shares; 0 if it is unknown.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct HostKey(pub u16);
+
+impl HostKey {
+    /// Key of an address.
+    pub fn of(address: &str) -> Self {
+        let hash = ReplicaId::from_name(address).0;
+        HostKey((hash >> 48) as u16 | 1)
+    }
+}
+
 /// A replica that crashed while it ran a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct CrashRecord {
@@ -43,6 +58,9 @@
     pub ran_for: Duration,
     /// How long ago it crashed.
     pub age: Duration,
+    /// Where it ran.
+    #[serde(default, skip_serializing_if = "is_default")]
+    pub host: HostKey,
 }
 
 /// Crashes seen by a gateway. Sent repeatedly until they are old; each record counts once.
@@ -69,6 +87,13 @@
     /// Time between the first and the last crash of the request.
     #[serde(rename = "evidence")]
     pub crash_span: Duration,
+    /// Whether replicas crash at the same hosts without it, so that the crashes that only it explains
+    /// are too few to block it.
+    #[serde(default, skip_serializing_if = "is_default")]
+    pub is_explained: bool,
+    /// Crashes that only it explains, beyond those that block it.
+    #[serde(default, skip_serializing_if = "is_default")]
+    pub further_crashes: u32,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -76,6 +101,8 @@
     replica: ReplicaId,
     began: Time,
     at: Time,
+    #[serde(default, skip_serializing_if = "is_default")]
+    host: HostKey,
 }
 
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -144,6 +171,48 @@
     }
 }
 
+/// A crash of a replica, whatever ran there.
+struct HostCrash {
+    replica: ReplicaId,
+    at: Time,
+    /// Whether a blocked request ran there, which may be the cause.
+    has_blocked: bool,
+}
+
+/// All recorded crashes by the hosts where they happened.
+struct CrashesByHost(HashMap<HostKey, Vec<HostCrash>>);
+
+impl CrashesByHost {
+    fn of<'a>(suspects: impl Iterator<Item = &'a Suspect>) -> Self {
+        let mut by_host: HashMap<HostKey, Vec<HostCrash>> = HashMap::new();
+        for suspect in suspects {
+            let has_blocked = suspect.blocked_until.is_some();
+            for crash in &suspect.crashes {
+                let known = by_host.entry(crash.host).or_default();
+                match known.iter_mut().find(|other| other.replica == crash.replica) {
+                    Some(other) => other.has_blocked |= has_blocked,
+                    None => {
+                        let Crash { replica, at, .. } = *crash;
+                        known.push(HostCrash { replica, at, has_blocked });
+                    }
+                }
+            }
+        }
+        by_host.remove(&HostKey::default());
+        CrashesByHost(by_host)
+    }
+
+    /// Whether another incarnation crashed at the same host without the suspect, or any other blocked
+    /// request.
+    fn explain(&self, crash: &Crash, suspect: &Suspect) -> bool {
+        let others = self.0.get(&crash.host).into_iter().flatten();
+        others.filter(|other| !other.has_blocked && !suspect.was_at(other.replica)).any(|other| {
+            let (first, last) = (crash.at.min(other.at), crash.at.max(other.at));
+            last.since(first) <= HOST_WINDOW
+        })
+    }
+}
+
 /// Suspected and blocked requests. Invariants: a crash counts once per request, however often it is
 /// reported; a request that completed after its last crash is not blocked; the blocked revision
 /// only rises.
@@ -168,13 +237,24 @@
 
     /// All blocked requests.
     pub fn blocked(&self) -> Vec<BlockedRequest> {
-        let blocked = self.suspects.iter().filter(|(_, suspect)| suspect.blocked_until.is_some());
-        blocked
-            .map(|(request, suspect)| BlockedRequest {
+        let mut blocked =
+            self.suspects.iter().filter(|(_, suspect)| suspect.blocked_until.is_some()).peekable();
+        if blocked.peek().is_none() {
+            return Vec::new();
+        }
+        let by_host = CrashesByHost::of(self.suspects.values());
+        let entry = |(request, suspect): (&RequestDigest, &Suspect)| {
+            let crashes = suspect.consecutive_crashes();
+            let unexplained = crashes.iter().filter(|crash| !by_host.explain(crash, suspect));
+            let count = unexplained.count();
+            BlockedRequest {
                 request: *request,
                 crash_span: suspect.crash_span(),
-            })
-            .collect()
+                is_explained: count < CRASHES_TO_BLOCK,
+                further_crashes: count.saturating_sub(CRASHES_TO_BLOCK) as u32,
+            }
+        };
+        blocked.map(entry).collect()
     }
 
     /// Digests of all blocked requests.
@@ -234,11 +314,12 @@
     /// Records a gateway's report.
     pub fn record(&mut self, now: Time, report: &CrashReport) {
         let new = self.new_in(report);
+        let before = self.blocked();
         for crash in &new.crashes {
             let at = now - crash.age;
             let began = at - crash.ran_for;
             let suspect = self.suspects.entry(crash.request).or_default();
-            suspect.add(Crash { replica: crash.replica, began, at });
+            suspect.add(Crash { replica: crash.replica, began, at, host: crash.host });
             suspect.changed_at = suspect.changed_at.max(now);
         }
         for request in &new.completed {
@@ -246,7 +327,12 @@
                 suspect.dismiss();
             }
         }
+        let (blocked, revision) = (self.blocked(), self.blocked_revision);
         self.update_blocks(now);
+        // Gateways judge by the crashes that are known as well.
+        if revision == self.blocked_revision && blocked != before {
+            self.blocked_revision += 1;
+        }
         self.remove_excess();
     }
 
--- a/crates/control/src/fleet/mod.rs
+++ b/crates/control/src/fleet/mod.rs
@@ -27,7 +27,9 @@
 mod target;
 mod weights_record;
 
-pub use crashes::{BlockedRequest, CRASHES_TO_BLOCK, CrashLedger, CrashRecord, CrashReport};
+pub use crashes::{
+    BlockedRequest, CRASHES_TO_BLOCK, CrashLedger, CrashRecord, CrashReport, HostKey,
+};
 pub use events::{BlockEvent, RecordChange, ReportSource, RolloutEvent, WeightsEvent};
 pub use gateways::GATEWAY_TIMEOUT;
 pub(crate) use leader::FleetLeader;
--- a/crates/control/src/fleet/protocol.rs
+++ b/crates/control/src/fleet/protocol.rs
@@ -198,7 +198,7 @@
     }
 }
 
-fn is_default<T: Default + PartialEq>(value: &T) -> bool {
+pub(super) fn is_default<T: Default + PartialEq>(value: &T) -> bool {
     *value == T::default()
 }
 
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -27,11 +27,11 @@
     ActionReport, Availability, BlockEvent, BlockedRequest, CRASHES_TO_BLOCK, CrashLedger,
     CrashRecord, CrashReport, DEFAULT_HEARTBEAT_INTERVAL, Document, FleetAction, FleetCommand,
     FleetRequest, FleetResponse, FleetState, FleetView, GATEWAY_TIMEOUT, GatewayListUpdate,
-    GatewayLists, GatewayReport, InstanceReport, InstanceStatus, LoadMode, LoadedModel, NoticeKind,
-    NoticeSubject, OrderOutcome, Packed, PackedParts, RecordChange, RegistrationConflict,
-    RegistrationStatus, RemovedInstance, ReplicaLists, ReplicaNotice, ReplicaReport, ReportSource,
-    RolloutEvent, RolloutPlan, RolloutSettings, SeenVersions, WatchRequest, WeightsEvent,
-    WeightsOrder, replica_timeout,
+    GatewayLists, GatewayReport, HostKey, InstanceReport, InstanceStatus, LoadMode, LoadedModel,
+    NoticeKind, NoticeSubject, OrderOutcome, Packed, PackedParts, RecordChange,
+    RegistrationConflict, RegistrationStatus, RemovedInstance, ReplicaLists, ReplicaNotice,
+    ReplicaReport, ReportSource, RolloutEvent, RolloutPlan, RolloutSettings, SeenVersions,
+    WatchRequest, WeightsEvent, WeightsOrder, replica_timeout,
 };
 pub use ledger::{ActionResult, ClaimId, ClaimOutcome, Ledger, LookupOutcome};
 pub use legacy::{IncomingLegacyFrame, LegacyLink, OutgoingLegacyFrame};
--- a/crates/control/tests/common/mod.rs
+++ b/crates/control/tests/common/mod.rs
@@ -355,7 +355,10 @@
                 let request = self.encode_and_decode(host, request);
                 self.send(host, host_of(&to), MemberInput::Request(token, request));
             }
-            MemberOutput::Perform(_) | MemberOutput::Weights(_) | MemberOutput::Rollout(_) => {}
+            MemberOutput::Perform(_)
+            | MemberOutput::Weights(_)
+            | MemberOutput::Rollout(_)
+            | MemberOutput::Block(_) => {}
             MemberOutput::Membership(event) => {
                 let is_frequent = matches!(event, MembershipEvent::JoinResponse { .. });
                 if !is_frequent {
--- a/crates/control/tests/crashes.rs
+++ b/crates/control/tests/crashes.rs
@@ -9,7 +9,7 @@
 use std::time::Duration;
 use topazmount_control::{
     CRASHES_TO_BLOCK, CrashLedger, CrashRecord, CrashReport, FleetRequest, FleetResponse,
-    FleetView, Request, Response, SeenVersions, WatchRequest,
+    FleetView, HostKey, Request, Response, SeenVersions, WatchRequest,
 };
 use topazmount_types::{ReplicaId, RequestDigest, Time};
 
@@ -24,7 +24,13 @@
 const MINUTE: Duration = Duration::from_secs(60);
 
 fn crash(request: RequestDigest, replica: u64) -> CrashRecord {
-    CrashRecord { request, replica: ReplicaId(replica), ran_for: RUN, age: Duration::ZERO }
+    CrashRecord {
+        request,
+        replica: ReplicaId(replica),
+        ran_for: RUN,
+        age: Duration::ZERO,
+        host: HostKey::default(),
+    }
 }
 
 fn crashes(records: impl IntoIterator<Item = CrashRecord>) -> CrashReport {
--- a/crates/control/tests/fleet_world/mod.rs
+++ b/crates/control/tests/fleet_world/mod.rs
@@ -208,6 +208,7 @@
                 | MemberOutput::Membership(_) => {}
                 MemberOutput::Weights(event) => self.weights_events.push(event),
                 MemberOutput::Rollout(event) => self.plans.push((self.now, event)),
+                MemberOutput::Block(_) => {}
             }
         }
         if self.leader_since.is_none() && self.member.replica().has_lease(self.now) {
--- a/crates/control/tests/recorded_bytes.rs
+++ b/crates/control/tests/recorded_bytes.rs
@@ -14,7 +14,7 @@
     ActionReport, ActionResult, Availability, BlockedRequest, ChangeReason, ChangeReply,
     ChangeRequest, ClaimId, ClaimOutcome, Command, ConfigurationUpdate, ControlState, CrashRecord,
     CrashReport, Document, FeatureLevel, FleetAction, FleetCommand, FleetRequest, FleetResponse,
-    FleetView, Frame, GatewayListUpdate, GatewayReport, HistoryRow, IncomingLegacyFrame,
+    FleetView, Frame, GatewayListUpdate, GatewayReport, HistoryRow, HostKey, IncomingLegacyFrame,
     InstanceReport, InstanceStatus, JoinResponse, LegacyLink, LoadMode, LoadedModel, LookupOutcome,
     MemberStatus, MembershipEvent, NodeReport, OrderOutcome, RecordChange, RegistrationConflict,
     RemovedInstance, ReplicaReport, Reply, ReportSource, Request, Response, RolloutEvent,
@@ -165,6 +165,7 @@
         replica: ReplicaId(replica),
         ran_for: Duration::from_millis(40),
         age: Duration::from_millis(age),
+        host: HostKey::default(),
     }
 }
 
@@ -241,7 +242,12 @@
 }
 
 fn blocked() -> BlockedRequest {
-    BlockedRequest { request: RequestDigest(11), crash_span: Duration::from_millis(120) }
+    BlockedRequest {
+        request: RequestDigest(11),
+        crash_span: Duration::from_millis(120),
+        is_explained: false,
+        further_crashes: 0,
+    }
 }
 
 /// The same view as a legacy build sends it.
--- a/crates/gateway/src/crashes/mod.rs
+++ b/crates/gateway/src/crashes/mod.rs
@@ -5,20 +5,27 @@
 //! one that completed here lately is only accused after further crashes.
 //!
 //! The control group collects the crashes seen by all gateways and decides which requests are
-//! blocked. A gateway also counts the crashes that it sees itself, so that it can block a request
+//! blocked. Single requests run as [trials](trials), so that what is blocked by mistake can complete
+//! and is cleared. A gateway also counts the crashes that it sees itself, so that it can block a request
 //! while the control group is unreachable. Replicas are named by their incarnations, so that the
 //! end of one does not affect the next.
 
 mod completions;
+mod replica_ends;
+mod trials;
 
 use completions::Completions;
-use std::collections::{HashSet, VecDeque};
+use replica_ends::ReplicaEnds;
+use std::collections::{HashMap, VecDeque};
+use std::net::SocketAddr;
 use std::time::Duration;
 use topazmount_control::{
-    BlockedRequest, CrashLedger, CrashRecord, CrashReport, DEFAULT_HEARTBEAT_INTERVAL,
+    BlockedRequest, CrashLedger, CrashRecord, CrashReport, DEFAULT_HEARTBEAT_INTERVAL, HostKey,
     replica_timeout,
 };
 use topazmount_types::{Digest, ReplicaId, RequestDigest, Time};
+use trials::Trials;
+pub use trials::{TrialOutcome, TrialRefusal, TrialRequest, TrialResponse};
 
 /// Time for which a crash or completion is reported again, long enough for an election or a
 /// partition.
@@ -27,7 +34,7 @@
 /// several of the 400 ms for which a watch request is held.
 /// Until then the control group decides, as it also knows which other requests ran at a replica.
 const OFFLINE_AFTER: Duration = Duration::from_secs(2);
-/// Maximum number of crashes, and of completions, in a report, 2.2 KB at most; the oldest ones are
+/// Maximum number of crashes, and of completions, in a report, 2.4 KB at most; the oldest ones are
 /// dropped.
 const MAX_REPORTED: usize = 64;
 /// Time in which the control group reports that it removed a silent replica.
@@ -44,6 +51,22 @@
 /// Maximum number of crashes that are withheld, as the part is trusted; the oldest ones are dropped.
 const MAX_WITHHELD: usize = 256;
 
+/// Time for which a gateway that did not respond to a request for a trial is not asked again.
+const AVOID_COORDINATOR: Duration = Duration::from_secs(1);
+
+/// What is known against a request or a part of a prompt.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum CrashVerdict {
+    /// It may be sent to replicas.
+    Clear,
+    /// It was at too many crashes, but replicas crash at the same hosts without it as well.
+    Suspected,
+    /// Only it was at too many crashes.
+    Probable,
+    /// A further replica has crashed since it was blocked, such as under a trial.
+    Confirmed,
+}
+
 /// Digest of a prompt part, which the ledger counts like a request.
 pub fn part_digest(part: u64) -> RequestDigest {
     RequestDigest(Digest::of_parts(&[b"prompt part", &part.to_le_bytes()]).prefix())
@@ -55,6 +78,7 @@
     /// The request or the part.
     request: RequestDigest,
     is_part: bool,
+    host: HostKey,
     /// Name of the replica's incarnation.
     incarnation: String,
     ran_for: Duration,
@@ -65,7 +89,7 @@
 /// reported for as long as the crashes would be.
 pub struct CrashTracker {
     /// Requests that the control group has blocked.
-    blocked: HashSet<RequestDigest>,
+    blocked: HashMap<RequestDigest, BlockedRequest>,
     /// Last contact with the control group.
     last_contact: Time,
     /// Crashes seen by this gateway.
@@ -80,12 +104,19 @@
     part_completions: Completions,
     /// Crashes of parts that are trusted.
     withheld: VecDeque<Suspicion>,
+    replica_ends: ReplicaEnds,
+    /// Trials that this gateway has granted.
+    trials: Trials,
+    /// Refused trials of blocked requests, and until when it is of no use to ask again.
+    refused_trials: HashMap<RequestDigest, (TrialRefusal, Time)>,
+    /// Gateways that did not respond to a request for a trial, and until when they are not asked.
+    silent_coordinators: HashMap<SocketAddr, Time>,
 }
 
 impl Default for CrashTracker {
     fn default() -> Self {
         let mut tracker = CrashTracker {
-            blocked: HashSet::new(),
+            blocked: HashMap::new(),
             last_contact: Time::ZERO,
             local_ledger: CrashLedger::default(),
             suspicions: VecDeque::new(),
@@ -95,6 +126,10 @@
             completions: Completions::default(),
             part_completions: Completions::default(),
             withheld: VecDeque::new(),
+            replica_ends: ReplicaEnds::default(),
+            trials: Trials::default(),
+            refused_trials: HashMap::new(),
+            silent_coordinators: HashMap::new(),
         };
         tracker.set_heartbeat_interval(DEFAULT_HEARTBEAT_INTERVAL);
         tracker
@@ -108,10 +143,83 @@
         self.suspicion_time = replica_timeout(interval) + REMOVAL_REPORT_TIME;
     }
 
-    /// Whether a request must not be sent to any replica.
+    /// Whether a request must not be sent to any replica, but for a trial.
     pub fn is_blocked(&self, request: RequestDigest, now: Time) -> bool {
+        self.verdict(request, now) != CrashVerdict::Clear
+    }
+
+    /// What is known against a request. Without contact to the control group it is never confirmed,
+    /// as it may have completed elsewhere.
+    pub fn verdict(&self, request: RequestDigest, now: Time) -> CrashVerdict {
         let is_offline = now >= self.last_contact + OFFLINE_AFTER;
-        self.blocked.contains(&request) || is_offline && self.local_ledger.is_blocked(request)
+        match self.blocked.get(&request) {
+            Some(entry) if is_offline || entry.is_explained => CrashVerdict::Suspected,
+            Some(entry) if entry.further_crashes == 0 => CrashVerdict::Probable,
+            Some(_) => CrashVerdict::Confirmed,
+            None if is_offline && self.local_ledger.is_blocked(request) => CrashVerdict::Suspected,
+            None => CrashVerdict::Clear,
+        }
+    }
+
+    /// Number of failed trials of a blocked request that the control group has recorded.
+    pub fn failed_trials(&self, request: RequestDigest) -> u32 {
+        self.blocked.get(&request).map_or(0, |entry| entry.further_crashes)
+    }
+
+    /// The refusal of a trial that holds now, with the rest of its time.
+    pub fn trial_refusal(&self, request: RequestDigest, now: Time) -> Option<TrialRefusal> {
+        let (refusal, until) = self.refused_trials.get(&request).filter(|(_, at)| now < *at)?;
+        Some(TrialRefusal { wait: until.since(now), ..*refusal })
+    }
+
+    /// Records a coordinator's refusal of a trial of a blocked request.
+    pub fn on_trial_refused(&mut self, request: RequestDigest, refusal: TrialRefusal, now: Time) {
+        self.refused_trials.retain(|_, (_, until)| now < *until);
+        self.refused_trials.insert(request, (refusal, now + refusal.wait));
+    }
+
+    /// Records that a gateway did not respond to a request for a trial.
+    pub fn on_coordinator_silent(&mut self, gateway: SocketAddr, now: Time) {
+        self.silent_coordinators.retain(|_, until| now < *until);
+        self.silent_coordinators.insert(gateway, now + AVOID_COORDINATOR);
+    }
+
+    /// Whether a gateway did not respond lately to a request for a trial.
+    pub fn is_coordinator_silent(&self, gateway: SocketAddr, now: Time) -> bool {
+        self.silent_coordinators.get(&gateway).is_some_and(|until| now < *until)
+    }
+
+    /// As the coordinator of a request, grants a trial unless one is running or has failed lately.
+    pub fn grant_trial(
+        &mut self,
+        request: TrialRequest,
+        gateways: usize,
+        now: Time,
+    ) -> TrialResponse {
+        let failed = request.failed.max(self.failed_trials(request.digest));
+        self.trials.grant(TrialRequest { failed, ..request }, gateways, now)
+    }
+
+    /// As the coordinator of a request, records the end of a trial.
+    pub fn on_trial_ended(&mut self, request: RequestDigest, outcome: TrialOutcome, now: Time) {
+        self.trials.on_ended(request, outcome, now);
+    }
+
+    /// Records that a replica ended unannounced.
+    pub fn record_replica_end(&mut self, address: &str, incarnation: &str, now: Time) {
+        self.replica_ends.record(address, incarnation, now);
+    }
+
+    /// Whether a replica ended unannounced at this address lately, so that others are better for a
+    /// trial.
+    pub fn has_ended_at(&self, address: &str, now: Time) -> bool {
+        self.replica_ends.has_ended_at(address, now)
+    }
+
+    /// Records where an incarnation runs that is suspected to have ended.
+    pub fn set_suspect_host(&mut self, incarnation: &str, host: HostKey) {
+        let entries = self.suspicions.iter_mut().filter(|entry| entry.incarnation == incarnation);
+        entries.for_each(|entry| entry.host = host);
     }
 
     /// Records a response of a member that confirmed its data.
@@ -167,8 +275,14 @@
             self.suspicions.remove(oldest);
         }
         let incarnation = incarnation.to_owned();
-        let entry = Suspicion { request, is_part, incarnation, ran_for, broke_at: now };
-        self.suspicions.push_back(entry);
+        self.suspicions.push_back(Suspicion {
+            request,
+            is_part,
+            host: HostKey::default(),
+            incarnation,
+            ran_for,
+            broke_at: now,
+        });
     }
 
     /// Whether requests are suspected to have crashed this incarnation.
@@ -204,7 +318,10 @@
     }
 
     fn accuse(&mut self, entry: &Suspicion) {
-        self.record_crash(entry.request, &entry.incarnation, entry.ran_for, entry.broke_at);
+        let Suspicion { request, host, ran_for, .. } = *entry;
+        let replica = ReplicaId::from_name(&entry.incarnation);
+        let note = CrashRecord { request, replica, ran_for, age: Duration::ZERO, host };
+        self.add_crash_note(note, entry.broke_at);
     }
 
     /// Records a crash of a part, or withholds it while the part is trusted.
@@ -244,8 +361,13 @@
         at: Time,
     ) {
         let replica = ReplicaId::from_name(incarnation);
-        let note = CrashRecord { request, replica, ran_for, age: Duration::ZERO };
-        self.completion_notes.retain(|(_, completed)| *completed != request);
+        let host = HostKey::default();
+        let note = CrashRecord { request, replica, ran_for, age: Duration::ZERO, host };
+        self.add_crash_note(note, at);
+    }
+
+    fn add_crash_note(&mut self, note: CrashRecord, at: Time) {
+        self.completion_notes.retain(|(_, completed)| *completed != note.request);
         self.crash_notes.push_back((at, note));
         self.local_ledger.record(at, &CrashReport { crashes: vec![note], completed: Vec::new() });
     }
@@ -270,7 +392,8 @@
     }
 
     fn report_if_accused(&mut self, request: RequestDigest, now: Time) -> bool {
-        if !self.crash_notes.iter().any(|(_, note)| note.request == request) {
+        let is_blocked = self.blocked.remove(&request).is_some();
+        if !is_blocked && !self.crash_notes.iter().any(|(_, note)| note.request == request) {
             return false;
         }
         self.report_completion(request, now);
@@ -305,18 +428,23 @@
         blocked: &[BlockedRequest],
         now: Time,
     ) -> (Vec<RequestDigest>, Vec<RequestDigest>) {
-        let mut next: HashSet<RequestDigest> = blocked.iter().map(|entry| entry.request).collect();
+        let mut next: HashMap<RequestDigest, BlockedRequest> =
+            blocked.iter().map(|entry| (entry.request, *entry)).collect();
         for entry in blocked {
             let first_crash = now - entry.crash_span;
             let completed_at = self.completions.last(entry.request);
             let completed_at = completed_at.max(self.part_completions.last(entry.request));
-            if !self.blocked.contains(&entry.request) && completed_at > Some(first_crash) {
+            if !self.blocked.contains_key(&entry.request) && completed_at > Some(first_crash) {
                 next.remove(&entry.request);
                 self.report_completion(entry.request, now);
             }
         }
-        let added: Vec<RequestDigest> = next.difference(&self.blocked).copied().collect();
-        let removed = self.blocked.difference(&next).copied().collect();
+        let only_in = |all: &HashMap<RequestDigest, _>, others: &HashMap<RequestDigest, _>| {
+            all.keys().filter(|request| !others.contains_key(request)).copied().collect()
+        };
+        let added = only_in(&next, &self.blocked);
+        let removed = only_in(&self.blocked, &next);
+        self.refused_trials.retain(|request, _| self.blocked.get(request) == next.get(request));
         self.blocked = next;
         (added, removed)
     }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -35,7 +35,10 @@
     SplitPart, StoreParameters, Tenant,
 };
 pub use connections::{ConnectionReuse, ConnectionSettings, IdleConnection, ResponseEnd};
-pub use crashes::{CrashTracker, part_digest};
+pub use crashes::{
+    CrashTracker, CrashVerdict, TrialOutcome, TrialRefusal, TrialRequest, TrialResponse,
+    part_digest,
+};
 pub use estimator::PrefillEstimator;
 pub use links::{ISOLATED_TIME, LinkState, ReplicaLinks};
 pub use load_shedding::TtftEstimate;
--- a/crates/gateway/src/shards.rs
+++ b/crates/gateway/src/shards.rs
@@ -187,6 +187,17 @@
         first_by_rendezvous(others, key, count)
     }
 
+    /// The first gateway for a key by rendezvous hashing, of those that are eligible.
+    pub fn first_of(
+        &self,
+        key: u64,
+        now: Time,
+        is_eligible: impl Fn(SocketAddr) -> bool,
+    ) -> Option<SocketAddr> {
+        let eligible = self.listed(now).filter(|gateway| is_eligible(gateway.address));
+        first_by_rendezvous(eligible, key, 1).first().copied()
+    }
+
     /// Whether this gateway is a coordinator of a shard.
     pub fn is_coordinator(&self, service: &str, shard: Shard, now: Time) -> bool {
         let Some(own) = self.all.iter().find(|gateway| self.is_own(gateway.address)) else {
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -5,6 +5,7 @@
 mod origins;
 mod placement;
 mod replicas;
+mod trials;
 
 pub use limits::LimitUpdate;
 use notices::LeaderNotices;
--- a/crates/gateway/src/state/replicas.rs
+++ b/crates/gateway/src/state/replicas.rs
@@ -17,11 +17,21 @@
         let mut ended: Vec<(InstanceId, String, bool)> = Vec::new();
         for removed in &view.removed {
             let name = incarnation_name(&removed.id, removed.start);
+            let known = self.balancer.instance(&removed.id).filter(|_| !removed.was_announced);
+            if let Some(address) = known.map(|known| known.address.clone()) {
+                self.crashes.record_replica_end(&address, &name, now);
+            }
             ended.push((removed.id.clone(), name, removed.was_announced));
             ended.extend(self.ended_before(&removed.id, |known| known.start != removed.start));
         }
         // A new incarnation confirms that the previous one has ended.
         for instance in &view.instances {
+            let known = self.balancer.instance(&instance.id);
+            let known = known.filter(|known| known.start != instance.start && !known.is_draining);
+            if let Some(known) = known {
+                let name = known.incarnation_name();
+                self.crashes.record_replica_end(&known.address, &name, now);
+            }
             ended.extend(self.ended_before(&instance.id, |known| known.start != instance.start));
         }
         let mut confirmed = Vec::new();
--- a/crates/gateway/tests/crashes.rs
+++ b/crates/gateway/tests/crashes.rs
@@ -14,7 +14,7 @@
 const SECOND: Duration = Duration::from_secs(1);
 
 fn blocked(crash_span: Duration) -> Vec<BlockedRequest> {
-    vec![BlockedRequest { request: REQUEST, crash_span }]
+    vec![BlockedRequest { request: REQUEST, crash_span, is_explained: false, further_crashes: 0 }]
 }
 
 fn after_seconds(seconds: u32) -> Time {
--- a/crates/gateway/tests/crashing_parts.rs
+++ b/crates/gateway/tests/crashing_parts.rs
@@ -105,7 +105,12 @@
     let mut tracker = CrashTracker::default();
     tracker.record_control_contact(at(3_000));
     tracker.record_part_completions(&[shared()], at(2_500));
-    let entry = |request| BlockedRequest { request, crash_span: Duration::from_secs(1) };
+    let entry = |request| BlockedRequest {
+        request,
+        crash_span: Duration::from_secs(1),
+        is_explained: false,
+        further_crashes: 0,
+    };
     let (added, _) = tracker.set_blocked(&[entry(cause()), entry(shared())], at(3_000));
     assert_eq!(added, [cause()]);
     assert!(tracker.is_blocked(cause(), at(3_000)));
--- a/crates/lab/src/control_scale/member.rs
+++ b/crates/lab/src/control_scale/member.rs
@@ -258,7 +258,8 @@
             MemberOutput::Perform(_)
             | MemberOutput::Membership(_)
             | MemberOutput::Weights(_)
-            | MemberOutput::Rollout(_) => return,
+            | MemberOutput::Rollout(_)
+            | MemberOutput::Block(_) => return,
         };
         self.outbox.push_back(outgoing);
     }
--- a/crates/lab/src/scale/control.rs
+++ b/crates/lab/src/scale/control.rs
@@ -100,7 +100,8 @@
             | MemberOutput::RequestJoin(..)
             | MemberOutput::Membership(_)
             | MemberOutput::Weights(_)
-            | MemberOutput::Rollout(_) => {}
+            | MemberOutput::Rollout(_)
+            | MemberOutput::Block(_) => {}
             MemberOutput::Send(address, envelope) => {
                 let to = (0..MEMBERS).find(|number| info(*number).address == address);
                 let frame = Frame::Peer(info(from).address, envelope);
--- a/crates/lab/src/sim/members.rs
+++ b/crates/lab/src/sim/members.rs
@@ -224,6 +224,7 @@
             MemberOutput::Membership(event) => self.trace(|| format!("member {number}: {event}")),
             MemberOutput::Weights(event) => self.trace(|| format!("member {number}: {event}")),
             MemberOutput::Rollout(event) => self.trace(|| format!("member {number}: {event}")),
+            MemberOutput::Block(event) => self.trace(|| format!("member {number}: {event}")),
             MemberOutput::Respond(token, response) => {
                 let Some(asked) = self.members[number].waiting.remove(&token) else { return };
                 let Packet::Control(request, _) = asked.packet else { return };
--- a/crates/topazmount/src/fleet/clients.rs
+++ b/crates/topazmount/src/fleet/clients.rs
@@ -141,6 +141,7 @@
         keeps_alive,
         engine,
         stream,
+        trial: None,
         client,
     };
     let serving = async { Some(exchange.run().await) };
--- a/crates/topazmount/src/fleet/crash_watch.rs
+++ b/crates/topazmount/src/fleet/crash_watch.rs
@@ -79,7 +79,11 @@
     }
     let now = shared.clock.now();
     let name = instance.incarnation_name();
-    let requests = shared.gateway_state.lock().unwrap().crashes().on_replica_ended(&name, now);
+    let requests = {
+        let mut gateway_state = shared.gateway_state.lock().unwrap();
+        gateway_state.crashes().record_replica_end(&instance.address, &name, now);
+        gateway_state.crashes().on_replica_ended(&name, now)
+    };
     if requests > 0 {
         report_crash(shared, &instance.id, requests, "refused");
     }
--- a/crates/topazmount/src/fleet/exchange/choose.rs
+++ b/crates/topazmount/src/fleet/exchange/choose.rs
@@ -1,12 +1,13 @@
 //! Chooses the replica for a request's next attempt, locally or by asking a shard's coordinator.
 
 use super::limit::Grant;
+use super::trial::Trial;
 use super::{Exchange, InFlight};
 use std::net::SocketAddr;
 use std::sync::Mutex;
 use std::sync::atomic::AtomicBool;
 use std::time::Duration;
-use topazmount_gateway::{Choice, PromptEvent, RequestPlan, Shard};
+use topazmount_gateway::{Choice, ChoiceRequest, PromptEvent, RequestPlan, Shard};
 
 /// Time for a coordinator to respond before the next one is asked.
 const COORDINATOR_TIMEOUT: Duration = Duration::from_millis(60);
@@ -72,9 +73,12 @@
         plan: &RequestPlan,
     ) -> Option<(Choice, Option<Grant<'e>>)> {
         for _ in 0..MAX_GRANT_REQUESTS {
-            let choice = match self.choose_in_shards(plan).await {
-                Some(choice) => choice,
-                None => self.choose_locally(plan)?,
+            let choice = match &self.trial {
+                Some(trial) => self.choose_for_trial(plan, trial)?,
+                None => match self.choose_in_shards(plan).await {
+                    Some(choice) => choice,
+                    None => self.choose_locally(plan)?,
+                },
             };
             if choice.limit.is_none() {
                 return Some((choice, None));
@@ -86,6 +90,15 @@
         None
     }
 
+    /// Chooses a replica at whose address none has ended lately, if there is one.
+    fn choose_for_trial(&self, plan: &RequestPlan, trial: &Trial<'_>) -> Option<Choice> {
+        let tried = [plan.tried(), trial.unfit()].concat();
+        let request = ChoiceRequest { tried: &tried, ..self.choice_request(plan) };
+        let now = self.shared.clock.now();
+        let choice = self.shared.gateway_state.lock().unwrap().choose(&request, now);
+        choice.or_else(|| self.choose_locally(plan))
+    }
+
     fn choose_locally(&self, plan: &RequestPlan) -> Option<Choice> {
         let request = self.choice_request(plan);
         let now = self.shared.clock.now();
--- a/crates/topazmount/src/fleet/exchange/crash.rs
+++ b/crates/topazmount/src/fleet/exchange/crash.rs
@@ -1,15 +1,22 @@
 //! Distinguishes a replica that crashed while serving a request from a broken connection.
 
 use super::super::crash_watch;
+use super::trial::Blocked;
 use super::{ClientProgress, Exchange, ResponseOutcome};
+use crate::http1::ResponseHead;
 use std::time::Duration;
-use topazmount_gateway::{Choice, Prompt, RequestPlan};
-use topazmount_types::{ErrorKind, RequestDigest, Time};
+use topazmount_control::HostKey;
+use topazmount_gateway::{Choice, CrashVerdict, Prompt, RequestPlan, TrialRefusal};
+use topazmount_types::{ErrorKind, Time};
 
 /// Delay before the second check of a replica whose answer ended with its connection: a listener may
 /// outlive the process that served the request for a moment.
 const SECOND_CHECK_DELAY: Duration = Duration::from_millis(30);
 
+/// Refusal of requests whose trial ended before a replica ran them.
+const TRIAL_ENDED: TrialRefusal =
+    TrialRefusal { wait: Duration::from_millis(250), is_pause: false };
+
 impl Exchange<'_> {
     /// Whether an answer that ended with its connection may have been cut off: its replica, from which
     /// data last arrived at `last_data_at`, has ended. Not checked for prompts whose shared parts have
@@ -28,34 +35,80 @@
         crash_watch::has_ended(self.shared, &choice.instance, last_data_at).await
     }
 
-    /// Whether the request is blocked because it, or a part of its prompt, crashes replicas.
+    /// Whether no further replica may be sent the request, as it or a part of its prompt is blocked.
     pub(super) fn is_blocked(&self) -> bool {
-        self.blocked_digest().is_some()
+        self.blocked().is_some()
     }
 
-    /// The digest of the request or of a part of its prompt, if that is blocked.
-    fn blocked_digest(&self) -> Option<RequestDigest> {
-        let now = self.shared.clock.now();
-        let mut gateway_state = self.shared.gateway_state.lock().unwrap();
-        let crashes = gateway_state.crashes();
-        let mut digests = std::iter::once(&self.digest).chain(&self.parts);
-        digests.find(|digest| crashes.is_blocked(**digest, now)).copied()
+    /// Whether the request may be sent to a replica: it is not blocked, or this is its trial, which is
+    /// over once a replica may have run it.
+    pub(super) fn may_be_sent(&self, plan: &RequestPlan) -> bool {
+        !self.is_blocked() || self.trial.is_some() && !plan.may_have_run()
     }
 
-    /// Rejects a request that is blocked.
+    /// Acquires a trial if the request is blocked. Returns its outcome if it is rejected instead.
+    pub(super) async fn begin_trial_if_blocked(
+        &mut self,
+        plan: &RequestPlan,
+        progress: &ClientProgress,
+    ) -> Option<ResponseOutcome> {
+        let blocked = self.blocked()?;
+        match self.acquire_trial(&blocked).await {
+            Ok(trial) => {
+                self.trial = Some(trial);
+                None
+            }
+            Err(refusal) => Some(self.reject_blocked(plan, progress, &blocked, refusal).await),
+        }
+    }
+
+    /// Rejects a request that is blocked. Only a confirmed one is told that a further try is of no use.
+    async fn reject_blocked(
+        &mut self,
+        plan: &RequestPlan,
+        progress: &ClientProgress,
+        blocked: &Blocked,
+        refusal: TrialRefusal,
+    ) -> ResponseOutcome {
+        self.log_rejection(blocked);
+        let is_repeatable = self.admission.route.is_retryable();
+        let is_final = match blocked.verdict {
+            CrashVerdict::Confirmed => true,
+            // Trials are left to requests that may be repeated for a while.
+            CrashVerdict::Probable => !is_repeatable && refusal.is_pause,
+            CrashVerdict::Suspected | CrashVerdict::Clear => false,
+        };
+        if is_final {
+            return self.fail(plan, progress, ErrorKind::CrashesReplicas).await;
+        }
+        self.send_error(plan, ErrorKind::SuspectedOfCrashes, Some(refusal.wait)).await
+    }
+
+    /// Ends a request that was blocked after its attempts, or whose trial is over.
     pub(super) async fn fail_blocked(
         &mut self,
         plan: &RequestPlan,
         progress: &ClientProgress,
+        failure: Option<(ResponseHead, Vec<u8>)>,
     ) -> ResponseOutcome {
-        if let Some(digest) = self.blocked_digest() {
-            self.shared.event_log.info(|| {
-                let matched = if digest == self.digest { "request" } else { "part" };
-                let id = &self.metadata.id;
-                format!("gateway: event=rejected_for_crashes request={id} matched={matched} digest={digest}")
-            });
+        let blocked = self.blocked();
+        match blocked.filter(|_| !plan.may_have_run() && !progress.has_started) {
+            Some(blocked) => self.reject_blocked(plan, progress, &blocked, TRIAL_ENDED).await,
+            None => self.finish_unserved(plan, progress, plan.refusal(), failure).await,
         }
-        self.fail(plan, progress, ErrorKind::CrashesReplicas).await
+    }
+
+    fn log_rejection(&self, blocked: &Blocked) {
+        self.shared.event_log.info(|| {
+            let digests: Vec<String> = blocked.digests.iter().map(ToString::to_string).collect();
+            format!(
+                "gateway: event=rejected_for_crashes request={} digest={} blocked={} verdict={:?}",
+                self.metadata.id,
+                self.digest,
+                digests.join(","),
+                blocked.verdict
+            )
+        });
     }
 
     /// Called after a connection broke while the replica served the request: records the suspicion and
@@ -73,6 +126,8 @@
             }
             gateway_state.crashes().on_connection_broken(self.digest, &name, ran_for, now);
             gateway_state.crashes().on_parts_broken(&self.parts, &name, ran_for, now);
+            let host = HostKey::of(&choice.instance.address);
+            gateway_state.crashes().set_suspect_host(&name, host);
             // The next incarnation may have been seen already.
             let has_ended = gateway_state.balancer().has_ended(choice);
             if has_ended { gateway_state.crashes().on_replica_ended(&name, now) } else { 0 }
--- a/crates/topazmount/src/fleet/exchange/mod.rs
+++ b/crates/topazmount/src/fleet/exchange/mod.rs
@@ -12,6 +12,7 @@
 mod relay;
 mod responses;
 mod resume;
+mod trial;
 
 use super::dialect::RequestMetadata;
 use super::gateway::SharedState;
@@ -28,9 +29,10 @@
 use std::time::Duration;
 use topazmount_gateway::{
     Admission, AttemptEnd, Choice, ChoiceRequest, EngineParameters, NextStep, PromptEvent,
-    RequestPlan, cache_salt,
+    RequestPlan, TrialOutcome, cache_salt,
 };
 use topazmount_types::{ErrorKind, RequestDigest, RunState, SoftwareId, TenantId, Time};
+use trial::Trial;
 
 /// Whether the client got its complete response.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -59,6 +61,8 @@
     pub(super) engine: Option<EngineParameters>,
     /// Stream that the request begins or resumes, if the route's streams may be resumed.
     pub(super) stream: Option<ResumableStream>,
+    /// Permission to send the request to a replica although it is blocked.
+    pub(super) trial: Option<Trial<'a>>,
     /// Write side of the client's connection.
     pub(super) client: TcpStream,
 }
@@ -268,8 +272,8 @@
         if !self.is_admitted_by_policy(&plan) {
             return self.fail(&plan, &progress, ErrorKind::RefusedByPolicy).await;
         }
-        if self.is_blocked() {
-            return self.fail_blocked(&plan, &progress).await;
+        if let Some(outcome) = self.begin_trial_if_blocked(&plan, &progress).await {
+            return outcome;
         }
         let grant = match self.acquire_tenant_grant().await {
             Ok(grant) => grant,
@@ -288,8 +292,8 @@
         // Last failure response of a replica, forwarded if no other attempt succeeds.
         let mut failure = None;
         loop {
-            if self.is_blocked() {
-                return self.fail_blocked(plan, progress).await;
+            if !self.may_be_sent(plan) {
+                return self.fail_blocked(plan, progress, failure).await;
             }
             if self.remaining_time().is_zero() {
                 return self.finish_unserved(plan, progress, deadline_error(plan), failure).await;
@@ -363,15 +367,15 @@
             self.record_failure(&in_flight, end);
             self.log_attempt(&in_flight.choice, end.name());
             if end == AttemptEnd::Broken {
+                if let Some(trial) = &self.trial {
+                    trial.set_outcome(TrialOutcome::Failed);
+                }
                 self.check_for_crash(&in_flight.choice, started_at).await;
             }
             drop(in_flight);
             let error = self.error_unless_retry(plan, end, progress);
             set_may_have_run(grant, plan.may_have_run());
             if let Some(kind) = error {
-                if self.is_blocked() {
-                    return self.fail_blocked(plan, progress).await;
-                }
                 return self.finish_unserved(plan, progress, kind, failure).await;
             }
         }
--- a/crates/topazmount/src/fleet/exchange/record.rs
+++ b/crates/topazmount/src/fleet/exchange/record.rs
@@ -8,7 +8,9 @@
 use std::net::SocketAddr;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
-use topazmount_gateway::{AttemptEnd, Choice, PromptEvent, RequestPlan, VersionRefusal};
+use topazmount_gateway::{
+    AttemptEnd, Choice, PromptEvent, RequestPlan, TrialOutcome, VersionRefusal,
+};
 use topazmount_types::{RunState, Time};
 
 /// Share of the target latency after which a replica that sent nothing counts as silent, for requests
@@ -40,6 +42,9 @@
             let is_request_accused = gateway_state.crashes().record_completion(self.digest, now);
             gateway_state.crashes().record_part_completions(&self.parts, now) || is_request_accused
         };
+        if let Some(trial) = &self.trial {
+            trial.set_outcome(TrialOutcome::Completed);
+        }
         if was_suspected {
             self.shared.request_report();
         }
--- a/crates/topazmount/src/fleet/legacy_datagrams.rs
+++ b/crates/topazmount/src/fleet/legacy_datagrams.rs
@@ -98,7 +98,10 @@
         | GatewayMessage::SendGrantRequest(..)
         | GatewayMessage::OriginUpdate(..)
         | GatewayMessage::OriginRequest(..)
-        | GatewayMessage::OriginResponse(..) => return None,
+        | GatewayMessage::OriginResponse(..)
+        | GatewayMessage::TrialRequest(..)
+        | GatewayMessage::TrialResponse(..)
+        | GatewayMessage::TrialEnded(..) => return None,
     };
     Some(encode_datagram(&message))
 }
--- a/crates/topazmount/src/fleet/peers.rs
+++ b/crates/topazmount/src/fleet/peers.rs
@@ -15,8 +15,9 @@
 use std::time::Duration;
 use topazmount_gateway::{
     GrantResponse, LimitUpdate, LoadUpdate, PlacementOffer, PlacementRequest, StreamKey, StripeId,
+    TrialOutcome, TrialRequest, TrialResponse,
 };
-use topazmount_types::{Digest, SoftwareId};
+use topazmount_types::{Digest, RequestDigest, SoftwareId};
 use topazmount_wire::{
     ClusterKey, FrameError, ProtocolVersion, decode_payload, encode_datagram, open_datagram,
     seal_datagram,
@@ -65,6 +66,12 @@
     /// Response to the origin request with this number; `None` if the stream is unknown.
     #[serde(rename = "OriginIs")]
     OriginResponse(u64, Option<SoftwareId>),
+    /// Asks for a trial of a blocked request.
+    TrialRequest(u64, TrialRequest),
+    /// Response to the trial request with this number.
+    TrialResponse(u64, TrialResponse),
+    /// A granted trial has ended.
+    TrialEnded(RequestDigest, TrialOutcome),
 }
 
 impl GatewayMessage {
@@ -82,6 +89,9 @@
             GatewayMessage::OriginUpdate(..) => "origin_update",
             GatewayMessage::OriginRequest(..) => "origin_request",
             GatewayMessage::OriginResponse(..) => "origin_response",
+            GatewayMessage::TrialRequest(..) => "trial_request",
+            GatewayMessage::TrialResponse(..) => "trial_response",
+            GatewayMessage::TrialEnded(..) => "trial_ended",
         }
     }
 }
@@ -91,6 +101,7 @@
     Placement(Option<PlacementOffer>),
     Grant(GrantResponse),
     Origin(Option<SoftwareId>),
+    Trial(TrialResponse),
 }
 
 /// Socket for messages to and from other gateways, with the requests that wait for responses.
@@ -370,6 +381,30 @@
         response.unwrap_or(OriginResponse::Incomplete)
     }
 
+    /// Asks a coordinator for a trial of a blocked request; `None` if it does not respond in time.
+    pub(super) async fn request_trial(
+        &self,
+        coordinator: SocketAddr,
+        request: TrialRequest,
+        timeout: Duration,
+    ) -> Option<TrialResponse> {
+        let message = |request_id| GatewayMessage::TrialRequest(request_id, request);
+        match self.request(coordinator, message, timeout).await {
+            Some(Response::Trial(response)) => Some(response),
+            _ => None,
+        }
+    }
+
+    /// Tells a coordinator how a trial ended.
+    pub(super) fn send_trial_end(
+        &self,
+        coordinator: SocketAddr,
+        request: RequestDigest,
+        outcome: TrialOutcome,
+    ) {
+        self.send(vec![coordinator], GatewayMessage::TrialEnded(request, outcome));
+    }
+
     fn add_pending(&self, sender: Sender<Response>) -> PendingRequest<'_> {
         let request_id = self.next_request_id.fetch_add(1, Ordering::Relaxed);
         self.pending.lock().unwrap().insert(request_id, sender);
@@ -459,6 +494,16 @@
             Ok(GatewayMessage::OriginResponse(request_id, software)) => {
                 peers.complete(request_id, Response::Origin(software));
             }
+            Ok(GatewayMessage::TrialRequest(request_id, request)) => {
+                let response = shared.grant_trial(request, now);
+                peers.send(vec![sender], GatewayMessage::TrialResponse(request_id, response));
+            }
+            Ok(GatewayMessage::TrialResponse(request_id, response)) => {
+                peers.complete(request_id, Response::Trial(response));
+            }
+            Ok(GatewayMessage::TrialEnded(request, outcome)) => {
+                shared.record_trial_end(request, outcome, now);
+            }
             Err(error) => {
                 shared.metrics.count_event("bad_datagram");
                 shared.event_log.info(|| {
--- a/crates/topazmount/tests/recorded_values.rs
+++ b/crates/topazmount/tests/recorded_values.rs
@@ -119,9 +119,12 @@
     encodings.add("run_states", &vec![RunState::NotRun, RunState::Ran, RunState::Unknown]);
     // Kinds that the first recorded builds don't know.
     let later = [ErrorKind::UnknownStream, ErrorKind::SoftwareGone];
-    let known = ErrorKind::ALL.iter().filter(|kind| !later.contains(kind));
+    let newest = [ErrorKind::SuspectedOfCrashes];
+    let is_first = |kind: &&ErrorKind| !later.contains(kind) && !newest.contains(kind);
+    let known = ErrorKind::ALL.iter().filter(is_first);
     encodings.add("error_kinds", &known.copied().collect::<Vec<ErrorKind>>());
     encodings.add("error_kinds_of_streams", &later.to_vec());
+    encodings.add("error_kinds_of_trials", &newest.to_vec());
     let refusal = Refusal {
         kind: ErrorKind::Overloaded,
         message: "too much work".to_owned(),
--- a/crates/types/src/error.rs
+++ b/crates/types/src/error.rs
@@ -112,6 +112,9 @@
     NoReplica => "no_replica", 503, NotRun, Some(1), 1;
     /// It is not known at which software version the stream began, so it can't be resumed.
     UnknownStream => "unknown_stream", 503, NotRun, None, 1;
+    /// Replicas crashed under this request or a part of its prompt, which may not be the cause; single
+    /// requests are let through until that is known.
+    SuspectedOfCrashes => "suspected_of_crashes", 503, NotRun, Some(1), 1;
     /// No live replica runs the software version at which the stream began.
     SoftwareGone => "software_gone", 503, NotRun, Some(1), 1;
     /// The control group could not record the call in time.
