Crashes of replicas that crash anyway stay known when all that ran there has completed

A block was taken for proved although its replicas crash without it as well: the ledger drops the crashes of whatever completes, and with them the only record that a host crashed without the blocked request. The ledger now keeps the latest 512 crashes by host, whatever ran there.

--- a/crates/control/src/fleet/crashes.rs
+++ b/crates/control/src/fleet/crashes.rs
@@ -6,7 +6,7 @@
 use super::events::{BlockEvent, CountedCrash};
 use super::protocol::is_default;
 use serde::{Deserialize, Serialize};
-use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 use topazmount_types::{ReplicaId, RequestDigest, Time};
 
@@ -24,7 +24,7 @@
 /// Crashes closer together than this count as one, since power loss ends many replicas at once and
 /// gateways report some milliseconds later.
 const SIMULTANEITY_WINDOW: Duration = Duration::from_millis(30);
-/// Maximum number of suspects; bounds the snapshot size, to which they add 300 KB at most. The loss of
+/// Maximum number of suspects; bounds the snapshot size, to which they add 350 KB at most. The loss of
 /// 60 replicas with 16 runs each suspects 960 requests.
 const MAX_SUSPECTS: usize = 1_024;
 /// Maximum number of blocked requests; the list is sent to each gateway when it changes, 4.4 KB at
@@ -32,6 +32,8 @@
 const MAX_BLOCKED: usize = 256;
 /// Time between two crashes at a host within which one explains the other.
 const HOST_WINDOW: Duration = Duration::from_secs(30);
+/// Maximum number of crashes that are kept by host, 10 KB at most; the oldest are dropped.
+const MAX_HOST_CRASHES: usize = 512;
 /// Maximum number of crashes kept per suspect.
 const MAX_CRASHES_PER_SUSPECT: usize = 8;
 
@@ -171,46 +173,12 @@
     }
 }
 
-/// A crash of a replica, whatever ran there.
+/// A crash of a replica, whatever ran there. It is kept when all that ran there has completed since.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 struct HostCrash {
+    host: HostKey,
     replica: ReplicaId,
     at: Time,
-    /// Whether a blocked request ran there, which may be the cause.
-    has_blocked: bool,
-}
-
-/// All recorded crashes by the hosts where they happened.
-struct CrashesByHost(HashMap<HostKey, Vec<HostCrash>>);
-
-impl CrashesByHost {
-    fn of<'a>(suspects: impl Iterator<Item = &'a Suspect>) -> Self {
-        let mut by_host: HashMap<HostKey, Vec<HostCrash>> = HashMap::new();
-        for suspect in suspects {
-            let has_blocked = suspect.blocked_until.is_some();
-            for crash in &suspect.crashes {
-                let known = by_host.entry(crash.host).or_default();
-                match known.iter_mut().find(|other| other.replica == crash.replica) {
-                    Some(other) => other.has_blocked |= has_blocked,
-                    None => {
-                        let Crash { replica, at, .. } = *crash;
-                        known.push(HostCrash { replica, at, has_blocked });
-                    }
-                }
-            }
-        }
-        by_host.remove(&HostKey::default());
-        CrashesByHost(by_host)
-    }
-
-    /// Whether another incarnation crashed at the same host without the suspect, or any other blocked
-    /// request.
-    fn explain(&self, crash: &Crash, suspect: &Suspect) -> bool {
-        let others = self.0.get(&crash.host).into_iter().flatten();
-        others.filter(|other| !other.has_blocked && !suspect.was_at(other.replica)).any(|other| {
-            let (first, last) = (crash.at.min(other.at), crash.at.max(other.at));
-            last.since(first) <= HOST_WINDOW
-        })
-    }
 }
 
 /// Suspected and blocked requests. Invariants: a crash counts once per request, however often it is
@@ -222,6 +190,9 @@
     /// Revision of the set of blocked requests.
     #[serde(rename = "changes")]
     blocked_revision: u64,
+    /// Latest crashes at known hosts, in the order in which they were recorded.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    host_crashes: Vec<HostCrash>,
 }
 
 impl CrashLedger {
@@ -237,15 +208,18 @@
 
     /// All blocked requests.
     pub fn blocked(&self) -> Vec<BlockedRequest> {
-        let mut blocked =
-            self.suspects.iter().filter(|(_, suspect)| suspect.blocked_until.is_some()).peekable();
-        if blocked.peek().is_none() {
-            return Vec::new();
-        }
-        let by_host = CrashesByHost::of(self.suspects.values());
+        let is_blocked =
+            |(_, suspect): &(&RequestDigest, &Suspect)| suspect.blocked_until.is_some();
+        let blocked: Vec<(&RequestDigest, &Suspect)> =
+            self.suspects.iter().filter(is_blocked).collect();
+        let accused_at: BTreeSet<ReplicaId> = blocked
+            .iter()
+            .flat_map(|(_, suspect)| suspect.crashes.iter().map(|crash| crash.replica))
+            .collect();
         let entry = |(request, suspect): (&RequestDigest, &Suspect)| {
             let crashes = suspect.consecutive_crashes();
-            let unexplained = crashes.iter().filter(|crash| !by_host.explain(crash, suspect));
+            let unexplained =
+                crashes.iter().filter(|crash| !self.is_explained(crash, suspect, &accused_at));
             let count = unexplained.count();
             BlockedRequest {
                 request: *request,
@@ -254,7 +228,34 @@
                 further_crashes: count.saturating_sub(CRASHES_TO_BLOCK) as u32,
             }
         };
-        blocked.map(entry).collect()
+        blocked.into_iter().map(entry).collect()
+    }
+
+    /// Whether another incarnation crashed at the same host without the suspect and any other blocked
+    /// request.
+    fn is_explained(
+        &self,
+        crash: &Crash,
+        suspect: &Suspect,
+        accused_at: &BTreeSet<ReplicaId>,
+    ) -> bool {
+        let at_host = self.host_crashes.iter().filter(|other| other.host == crash.host);
+        let without_it = at_host.filter(|other| {
+            !suspect.has_recorded(other.replica) && !accused_at.contains(&other.replica)
+        });
+        without_it
+            .map(|other| (crash.at.min(other.at), crash.at.max(other.at)))
+            .any(|(first, last)| last.since(first) <= HOST_WINDOW)
+    }
+
+    fn record_host_crash(&mut self, crash: HostCrash) {
+        let is_known = self.host_crashes.iter().any(|known| known.replica == crash.replica);
+        if crash.host == HostKey::default() || is_known {
+            return;
+        }
+        self.host_crashes.push(crash);
+        let excess = self.host_crashes.len().saturating_sub(MAX_HOST_CRASHES);
+        self.host_crashes.drain(..excess);
     }
 
     /// Digests of all blocked requests.
@@ -321,6 +322,8 @@
             let suspect = self.suspects.entry(crash.request).or_default();
             suspect.add(Crash { replica: crash.replica, began, at, host: crash.host });
             suspect.changed_at = suspect.changed_at.max(now);
+            let CrashRecord { host, replica, .. } = *crash;
+            self.record_host_crash(HostCrash { host, replica, at });
         }
         for request in &new.completed {
             if let Some(suspect) = self.suspects.get_mut(request) {
--- a/crates/control/tests/crashes.rs
+++ b/crates/control/tests/crashes.rs
@@ -59,6 +59,15 @@
             .record(self.now, &crashes(requests.iter().map(|request| crash(*request, replica))));
     }
 
+    /// The same at this host.
+    fn crash_at(&mut self, host: u16, replica: u64, requests: &[RequestDigest]) {
+        self.now = self.now + GAP;
+        let host = HostKey(host);
+        let records =
+            requests.iter().map(|request| CrashRecord { host, ..crash(*request, replica) });
+        self.ledger.record(self.now, &crashes(records));
+    }
+
     fn pass(&mut self, time: Duration) {
         self.now = self.now + time;
         self.ledger.expire(self.now);
@@ -225,6 +234,86 @@
         assert!(list_size <= 4_500 && report_size <= 2_200 && ledger_size <= 300_000, "{list_size}, {report_size}, {ledger_size}");
     }
 
+    /// Incarnations at one address crash with and without the request.
+    crashes_of_replicas_that_crash_anyway_are_taken_for_proof => {
+        let mut scenario = Scenario::new();
+        for replica in 0..4 {
+            scenario.crash_at(replica as u16 + 1, replica, &[CAUSE]);
+        }
+        assert!(!scenario.ledger.blocked()[0].is_explained);
+        assert_eq!(scenario.ledger.blocked()[0].further_crashes, 1);
+        let revision = scenario.ledger.blocked_revision();
+        scenario.crash_at(1, 11, &[OTHER]);
+        scenario.crash_at(2, 12, &[THIRD]);
+        let entry = scenario.ledger.blocked()[0];
+        assert!(scenario.is_blocked(CAUSE) && entry.is_explained && entry.further_crashes == 0);
+        assert!(scenario.ledger.blocked_revision() > revision, "gateways are told");
+    }
+
+    /// What ran there has completed elsewhere by the time of the block.
+    crashes_without_a_request_are_forgotten_when_all_else_completes => {
+        let mut scenario = Scenario::new();
+        for host in 1..4 {
+            scenario.crash_at(host, u64::from(host) + 10, &[OTHER]);
+            scenario.ledger.record(scenario.now, &completed(OTHER));
+        }
+        (0..3).for_each(|replica| scenario.crash_at(replica as u16 + 1, replica, &[CAUSE]));
+        assert!(scenario.ledger.blocked()[0].is_explained);
+    }
+
+    /// Each of two causes crashes the same hosts.
+    one_of_two_causes_explains_the_other => {
+        let mut scenario = Scenario::new();
+        for replica in 0..8 {
+            let cause = [CAUSE, OTHER][replica as usize % 2];
+            scenario.crash_at(replica as u16 / 2 + 1, replica, &[cause]);
+        }
+        let blocked = scenario.ledger.blocked();
+        assert_eq!(blocked.len(), 2);
+        assert!(blocked.iter().all(|entry| !entry.is_explained), "{blocked:?}");
+    }
+
+    crashes_long_ago_explain_new_ones => {
+        let mut scenario = Scenario::new();
+        for host in 1..4 {
+            scenario.crash_at(host, u64::from(host) + 10, &[OTHER]);
+            scenario.ledger.record(scenario.now, &completed(OTHER));
+        }
+        scenario.pass(Duration::from_secs(40));
+        (0..3).for_each(|replica| scenario.crash_at(replica as u16 + 1, replica, &[CAUSE]));
+        assert!(!scenario.ledger.blocked()[0].is_explained);
+    }
+
+    /// A list of the most blocked requests, all of which crashed a further replica.
+    encoded_sizes_of_confirmed_requests_are_bounded => {
+        let mut scenario = Scenario::new();
+        let mut replica = 0;
+        for number in 0..256 {
+            for host in 0..4 {
+                replica += 1;
+                let host = (number * 4 + host) as u16 + 1;
+                scenario.crash_at(host, u64::MAX - replica, &[RequestDigest(u64::MAX - number)]);
+            }
+        }
+        let blocked = scenario.ledger.blocked();
+        assert!(blocked.len() == 256 && blocked.iter().all(|entry| entry.further_crashes == 1));
+        let list_size = rmp_serde::to_vec(&blocked).unwrap().len();
+        let age = Duration::from_millis(29_999);
+        let (request, replica) = (RequestDigest(u64::MAX), ReplicaId(u64::MAX));
+        let record = CrashRecord { request, replica, ran_for: age, age, host: HostKey(u16::MAX) };
+        let report_size = rmp_serde::to_vec(&crashes([record; 64])).unwrap().len();
+        let all = (0..8_800u64).map(|number| {
+            let host = HostKey(number as u16 | 1);
+            CrashRecord { host, ..crash(RequestDigest(number / 8), u64::MAX / 2 - number) }
+        });
+        scenario.ledger.record(scenario.now, &crashes(all));
+        let ledger_size = rmp_serde::to_vec(&scenario.ledger).unwrap().len();
+        assert!(
+            list_size <= 4_900 && report_size <= 2_400 && ledger_size <= 350_000,
+            "{list_size}, {report_size}, {ledger_size}"
+        );
+    }
+
     /// The next leader's clock may be seconds behind.
     crashes_count_on_with_a_leader_whose_clock_is_behind => {
         let mut scenario = Scenario::new();
