An event without end ends the attempt at its replica

Callers of streams waited for their deadline (62 of 98 requests), and a gateway took 933 MB, while a third of the replicas sent an event that never ends: the event was buffered until the deadline, which was not looked at while bytes kept coming. An event may have 256 KB now; a larger one is a failure of its replica, and the stream goes to another one.

--- a/crates/topazmount/src/fleet/exchange/attempt.rs
+++ b/crates/topazmount/src/fleet/exchange/attempt.rs
@@ -402,6 +402,9 @@
                     StreamStart { head, connection, reader, splitter, first_event, ends_at_close };
                 return FirstResponse::Stream(Box::new(stream));
             }
+            if splitter.is_oversized() {
+                return FirstResponse::Invalid("an event without end");
+            }
             match reader.next(&mut connection.wire).await {
                 Ok(Some(bytes)) => splitter.push(&bytes),
                 Ok(None) if ends_at_close => return FirstResponse::Invalid("an empty stream"),
--- a/crates/topazmount/src/fleet/exchange/relay.rs
+++ b/crates/topazmount/src/fleet/exchange/relay.rs
@@ -40,6 +40,9 @@
                 self.record_event_version(choice, &event);
                 self.push_event(&mut out, event, progress, delivery);
             }
+            if splitter.is_oversized() {
+                return StreamEnd::ReplicaFailed;
+            }
             if !out.is_empty() {
                 progress.has_started = true;
                 self.record_origin(choice, progress).await;
--- a/crates/topazmount/src/fleet/stream.rs
+++ b/crates/topazmount/src/fleet/stream.rs
@@ -1,5 +1,8 @@
 //! Splits an event stream into events.
 
+/// Largest event. A replica in trouble may send one without end.
+const MAX_EVENT_BYTES: usize = 256 * 1024;
+
 /// Buffers bytes and returns complete events, each with the blank line that ends it.
 #[derive(Debug, Default)]
 pub(super) struct EventSplitter {
@@ -30,6 +33,11 @@
         }
     }
 
+    /// Whether the bytes after the last complete event are more than an event may have.
+    pub(super) fn is_oversized(&self) -> bool {
+        self.buffer.len() > MAX_EVENT_BYTES
+    }
+
     /// Takes the bytes after the last complete event.
     pub(super) fn take_remainder(&mut self) -> Vec<u8> {
         self.searched = 0;
