Interim responses without end end the attempt at their replica

Requests took up to 9.0 s, and 24 of 67 were served, while a third of the replicas sent 100 Continue without end: each was skipped without a wait, so that neither the time limit nor other clients had their turn. After 16 of them the response counts as broken.

--- a/crates/topazmount/src/http1/client.rs
+++ b/crates/topazmount/src/http1/client.rs
@@ -14,6 +14,8 @@
 
 /// Largest head of an answer.
 const MAX_ANSWER_HEAD: usize = 64 * 1024;
+/// Interim responses before an answer that are skipped.
+const MAX_INTERIM_RESPONSES: usize = 16;
 
 /// A whole answer.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -72,12 +74,17 @@
 /// # Errors
 /// When the connection ends, or what comes is no answer.
 pub async fn read_answer_head(wire: &mut Wire) -> Result<ResponseHead> {
+    let mut interim = 0;
     loop {
         if let Some((head, length)) = ResponseHead::parse(wire.buffered())? {
             wire.consume(length);
             if !(100..200).contains(&head.status) {
                 return Ok(head);
             }
+            interim += 1;
+            if interim > MAX_INTERIM_RESPONSES {
+                return Err(eyre!("{interim} interim responses came before an answer"));
+            }
             continue;
         }
         if wire.buffered().len() > MAX_ANSWER_HEAD {
