Bodies without end share a bounded part of a gateway's memory

A gateway took 1,853 MB (110 MB is the smallest machine's) and requests up to 5.6 s while a third of the replicas sent chunks without end: each body is bounded at 16 MB, their number is not.

--- a/crates/topazmount/src/fleet/exchange/attempt.rs
+++ b/crates/topazmount/src/fleet/exchange/attempt.rs
@@ -30,8 +30,6 @@
 /// still begin. Replicas are excluded 1.5 s before the deadline of their weights, which leaves the
 /// rest for a late status and for the replica to notice the withdrawal.
 const EXCLUDED_GRACE: Duration = Duration::from_millis(500);
-/// Largest response body that is not a stream.
-const MAX_BODY_BYTES: usize = 16 * 1024 * 1024;
 /// Late responses to earlier requests that are skipped on one connection.
 const MAX_LATE_RESPONSES: usize = 2;
 
@@ -353,7 +351,7 @@
             if metadata.request_id.as_ref().is_some_and(|id| *id != self.metadata.id) {
                 // A late response to an earlier request on this connection.
                 if framing == Framing::UntilClose
-                    || reader.read_all(&mut wire, MAX_BODY_BYTES).await.is_err()
+                    || self.shared.body_memory.read(&mut reader, &mut wire).await.is_err()
                 {
                     return FirstResponse::Invalid("late answer");
                 }
@@ -369,7 +367,7 @@
                 let connection = ReplicaConnection { wire, path, keep_alive, is_request_sent };
                 return self.read_first_event(connection, head, reader, framing).await;
             }
-            return match reader.read_all(&mut wire, MAX_BODY_BYTES).await {
+            return match self.shared.body_memory.read(&mut reader, &mut wire).await {
                 Ok(_)
                     if framing == Framing::UntilClose
                         && self.ended_with_replica(choice, sent_at).await =>
--- a/crates/topazmount/src/fleet/gateway.rs
+++ b/crates/topazmount/src/fleet/gateway.rs
@@ -1,5 +1,6 @@
 //! The gateway process: forwards clients' requests to registered replicas.
 
+use super::body_memory::BodyMemory;
 use super::clients;
 use super::crash_watch;
 use super::dialect::{ControlCall, Dialect, HttpResponse};
@@ -78,6 +79,7 @@
     is_stopping: AtomicBool,
     /// Whether new requests are refused.
     pub(super) refuses_requests: AtomicBool,
+    pub(super) body_memory: BodyMemory,
     pub(super) open_requests: AtomicUsize,
 }
 
@@ -130,6 +132,7 @@
             report_requests: report_sender,
             is_stopping: AtomicBool::new(false),
             refuses_requests: AtomicBool::new(false),
+            body_memory: BodyMemory::default(),
             open_requests: AtomicUsize::new(0),
         });
         let listener =
--- a/crates/topazmount/src/fleet/mod.rs
+++ b/crates/topazmount/src/fleet/mod.rs
@@ -3,6 +3,7 @@
 //!
 //! Headers, paths and body formats are defined by a [`Dialect`], not here.
 
+mod body_memory;
 mod clients;
 mod control_service;
 mod crash_watch;
