A replica that answers with errors more often than its peers is avoided

Now each gateway compares a replica's share of 5xx with the median of its service, by more than chance makes of few responses, and avoids it for 1 to 4 s; then one request after another until one succeeds. At most half of a service is avoided; a service that fails alike loses nobody. Not done: what gateways share of this; each one pays some errors a replica.

--- a/crates/gateway/src/balancer/candidates.rs
+++ b/crates/gateway/src/balancer/candidates.rs
@@ -40,7 +40,8 @@
             kept.map(|replica| replica.instance.id.clone()).collect()
         };
         let is_paused = |replica: &Replica| replica.availability == Availability::Paused;
-        let healthy = ids(&|replica| !replica.is_suspect(now) && !is_paused(replica));
+        let is_healthy = |replica: &Replica| !replica.is_suspect(now) && !replica.is_erring(now);
+        let healthy = ids(&|replica| is_healthy(replica) && !is_paused(replica));
         if !healthy.is_empty() {
             return healthy;
         }
--- a/crates/gateway/src/balancer/mod.rs
+++ b/crates/gateway/src/balancer/mod.rs
@@ -10,6 +10,7 @@
 mod candidates;
 mod choice;
 mod cost;
+mod error_rates;
 mod incarnations;
 mod leaderless;
 mod load_update;
@@ -70,6 +71,8 @@
     reliable_cache_age: Duration,
     /// Prefill rate estimates, by service.
     prefill_estimators: HashMap<String, PrefillEstimator>,
+    /// Median share of errors of each service's replicas, and when it was computed.
+    median_error_rates: HashMap<String, (f64, Time)>,
     /// Whether coordinators place prompts, as there are too many gateways to broadcast load
     /// updates.
     has_coordinators: bool,
@@ -104,6 +107,7 @@
             stores: Stores::default(),
             reliable_cache_age: DEFAULT_RELIABLE_CACHE_AGE,
             prefill_estimators: HashMap::new(),
+            median_error_rates: HashMap::new(),
             has_coordinators: false,
             pushbacks: PushbackRecords::default(),
             limits: RequestLimits::default(),
--- a/crates/gateway/src/balancer/progress.rs
+++ b/crates/gateway/src/balancer/progress.rs
@@ -2,6 +2,7 @@
 //! the request was sent to.
 
 use super::choice::{Choice, ChoiceRequest};
+use super::error_rates::median;
 use super::replica::Replica;
 use super::{Balancer, DEFAULT_TOKENS_PER_MS};
 use crate::estimator::PrefillEstimator;
@@ -9,6 +10,9 @@
 use topazmount_control::Availability;
 use topazmount_types::Time;
 
+/// Time for which a service's median error rate is used; it takes a pass over all replicas.
+const MEDIAN_INTERVAL: Duration = Duration::from_millis(200);
+
 impl Balancer {
     /// The replica of a choice, if its incarnation is still the current one.
     pub(super) fn chosen(&self, choice: &Choice) -> Option<&Replica> {
@@ -121,11 +125,31 @@
         replica.is_some_and(|replica| replica.instance.start != choice.instance.start)
     }
 
-    /// Records a successful response.
-    pub fn on_success(&mut self, choice: &Choice, now: Time) {
-        if let Some(replica) = self.chosen_mut(choice) {
-            replica.record_success(now);
+    /// Records a successful response. Returns whether the replica was avoided for its errors.
+    pub fn on_success(&mut self, choice: &Choice, now: Time) -> bool {
+        self.chosen_mut(choice).is_some_and(|replica| replica.record_success(now))
+    }
+
+    /// Records a complete response that reports an error. Returns the replica's share of errors and
+    /// the median of its service if the replica is avoided from now on.
+    pub fn on_error_response(&mut self, choice: &Choice, now: Time) -> Option<(f64, f64)> {
+        self.chosen_mut(choice)?.error_rate.record(true, now);
+        let median = self.median_error_rate(&choice.instance.service, now)?;
+        let replica = self.chosen_mut(choice)?;
+        let rate = replica.error_rate.avoid_if_exceptional(median, now)?;
+        Some((rate, median))
+    }
+
+    /// Median share of errors of a service's replicas, as of a moment ago.
+    fn median_error_rate(&mut self, service: &str, now: Time) -> Option<f64> {
+        let known = self.median_error_rates.get(service);
+        if let Some((median, _)) = known.filter(|(_, at)| now < *at + MEDIAN_INTERVAL) {
+            return Some(*median);
         }
+        let replicas = self.replicas.values().filter(|it| it.instance.service == service);
+        let median = median(replicas.filter_map(|replica| replica.error_rate.rate()))?;
+        self.median_error_rates.insert(service.to_owned(), (median, now));
+        Some(median)
     }
 
     /// Records a failure; the replica is avoided for a while.
--- a/crates/gateway/src/balancer/replica.rs
+++ b/crates/gateway/src/balancer/replica.rs
@@ -1,5 +1,6 @@
 //! A node's records of one replica.
 
+use super::error_rates::ErrorRate;
 use super::places::Share;
 use super::{ChoiceRequest, DOWNGRADE_PAUSE, ReplicaChange, ReplicaChanges, VersionRefusal};
 use std::cell::Cell;
@@ -59,6 +60,7 @@
     peers: HashMap<u64, PeerLoad>,
     failures: u32,
     suspect_until: Time,
+    pub(super) error_rate: ErrorRate,
     /// This gateway's share of its slots, if it is or may be overload-prone.
     pub(super) share: Cell<Option<Share>>,
     /// Until when it gets no request, as it is overload-prone and rejected one.
@@ -89,6 +91,7 @@
             peers: HashMap::new(),
             failures: 0,
             suspect_until: Time::ZERO,
+            error_rate: ErrorRate::default(),
             share: Cell::default(),
             rejected_until: Time::ZERO,
             delay_ms: 0.0,
@@ -248,10 +251,17 @@
         now < self.suspect_until
     }
 
-    pub(super) fn record_success(&mut self, now: Time) {
+    /// Whether it answers with errors more often than others.
+    pub(super) fn is_erring(&self, now: Time) -> bool {
+        self.error_rate.is_avoided(self.in_flight, now)
+    }
+
+    /// Returns whether it was avoided for its errors until now.
+    pub(super) fn record_success(&mut self, now: Time) -> bool {
         self.last_response_at = now;
         self.failures = 0;
         self.suspect_until = Time::ZERO;
+        self.error_rate.on_success(now)
     }
 
     pub(super) fn record_failure(&mut self, now: Time) {
--- a/crates/gateway/tests/incarnation_series.rs
+++ b/crates/gateway/tests/incarnation_series.rs
@@ -166,7 +166,7 @@
         self.balancer.on_ended(&request.choice, request.has_first_token);
         match self.rng.random_range(0..3) {
             0 => self.balancer.on_failure(&request.choice, self.now),
-            1 => self.balancer.on_success(&request.choice, self.now),
+            1 => drop(self.balancer.on_success(&request.choice, self.now)),
             _ => {}
         }
     }
--- a/crates/topazmount/src/fleet/exchange/mod.rs
+++ b/crates/topazmount/src/fleet/exchange/mod.rs
@@ -323,6 +323,7 @@
                     return self.forward_response(head, &body, plan).await;
                 }
                 AttemptResult::Failure(head, body) => {
+                    self.record_error_response(&in_flight.choice);
                     self.log_attempt(&in_flight.choice, "failure");
                     drop(in_flight);
                     match self.error_unless_retry(plan, AttemptEnd::Failed, progress) {
--- a/crates/topazmount/src/fleet/exchange/record.rs
+++ b/crates/topazmount/src/fleet/exchange/record.rs
@@ -35,13 +35,22 @@
     /// Records that a request sent to a replica at `sent_at` succeeded.
     pub(super) fn record_success(&self, choice: &Choice, sent_at: Time) {
         let now = self.shared.clock.now();
-        let was_suspected = {
+        let (was_avoided, was_suspected) = {
             let mut gateway_state = self.shared.gateway_state.lock().unwrap();
-            gateway_state.balancer().on_success(choice, now);
+            let was_avoided = gateway_state.balancer().on_success(choice, now);
             gateway_state.crashes().clear_suspicion(&choice.instance.incarnation_name(), sent_at);
             let is_request_accused = gateway_state.crashes().record_completion(self.digest, now);
-            gateway_state.crashes().record_part_completions(&self.parts, now) || is_request_accused
+            let are_parts_accused =
+                gateway_state.crashes().record_part_completions(&self.parts, now);
+            (was_avoided, are_parts_accused || is_request_accused)
         };
+        if was_avoided {
+            self.shared.metrics.count_event("replica_restored");
+            let instance = &choice.instance.id;
+            self.shared
+                .event_log
+                .info(|| format!("gateway: event=replica_restored instance={instance}"));
+        }
         if let Some(trial) = &self.trial {
             trial.set_outcome(TrialOutcome::Completed);
         }
@@ -50,6 +59,22 @@
         }
     }
 
+    /// Records a complete response that reports an error.
+    pub(super) fn record_error_response(&self, choice: &Choice) {
+        let now = self.shared.clock.now();
+        let avoided =
+            self.shared.gateway_state.lock().unwrap().balancer().on_error_response(choice, now);
+        let Some((rate, median)) = avoided else { return };
+        self.shared.metrics.count_event("replica_avoided");
+        let Choice { instance, .. } = choice;
+        self.shared.event_log.info(|| {
+            format!(
+                "gateway: event=replica_avoided instance={} service={} errors={rate:.2} median={median:.2}",
+                instance.id, instance.service
+            )
+        });
+    }
+
     /// How long a healthy replica may be silent after the request was sent; longer if it has more of
     /// the prompt to compute.
     pub(super) fn silence_limit(&self, choice: &Choice) -> Duration {
