--- a/crates/topazmount/src/fleet/body_memory.rs
+++ b/crates/topazmount/src/fleet/body_memory.rs
@@ -9,7 +9,7 @@
 /// Bytes that each response may have without a share of [`MAX_SHARED_BYTES`].
 const FREE_BYTES: usize = 256 * 1024;
 /// Further bytes of all responses together.
-const MAX_SHARED_BYTES: usize = 32 * 1024 * 1024;
+const MAX_SHARED_BYTES: usize = 16 * 1024 * 1024;
 
 /// Memory that responses take beyond [`FREE_BYTES`] each.
 #[derive(Debug, Default)]
