Failures of replicas count once the links turn out to work

Failures in doubt are now withheld until the probe that the doubt starts: they count if the links work, and are forgotten in a partition, so that a gateway that is cut off still accuses nobody (tests of partitions hold). After two failures in a row a replica gets one request at a time until one succeeds, and retries go to replicas whose last request did not fail.

--- a/crates/gateway/src/balancer/candidates.rs
+++ b/crates/gateway/src/balancer/candidates.rs
@@ -41,6 +41,15 @@
         };
         let is_paused = |replica: &Replica| replica.availability == Availability::Paused;
         let is_healthy = |replica: &Replica| !replica.is_suspect(now) && !replica.is_erring(now);
+        // A retry has the last chance, so it does not try out whether a replica works again.
+        if !request.tried.is_empty() {
+            let proven = ids(&|replica| {
+                is_healthy(replica) && replica.is_proven(now) && !is_paused(replica)
+            });
+            if !proven.is_empty() {
+                return proven;
+            }
+        }
         let healthy = ids(&|replica| is_healthy(replica) && !is_paused(replica));
         if !healthy.is_empty() {
             return healthy;
--- a/crates/gateway/src/balancer/replica.rs
+++ b/crates/gateway/src/balancer/replica.rs
@@ -18,6 +18,8 @@
 const MIN_SUSPICION: Duration = Duration::from_millis(500);
 /// Longest time for which a replica is avoided after a failure.
 const MAX_SUSPICION: Duration = Duration::from_secs(4);
+/// Failures without a success between them after which a replica gets one request at a time.
+const FAILURES_IN_A_ROW: u32 = 2;
 /// Age after which another node's load update is ignored.
 const MAX_PEER_LOAD_AGE: Duration = Duration::from_secs(3);
 
@@ -247,8 +249,15 @@
         Incarnation((u64::from(self.slot) << 32) | u64::from(version))
     }
 
+    /// Whether it failed lately. After failures in a row it gets one request after another until one
+    /// succeeds.
     pub(super) fn is_suspect(&self, now: Time) -> bool {
-        now < self.suspect_until
+        now < self.suspect_until || self.failures >= FAILURES_IN_A_ROW && self.in_flight > 0
+    }
+
+    /// Whether its last request did not fail.
+    pub(super) fn is_proven(&self, now: Time) -> bool {
+        self.failures == 0 && now >= self.suspect_until
     }
 
     /// Whether it answers with errors more often than others.
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -40,7 +40,7 @@
     part_digest,
 };
 pub use estimator::PrefillEstimator;
-pub use links::{ISOLATED_TIME, LinkState, ReplicaLinks};
+pub use links::{ISOLATED_TIME, LinkState, ReplicaLinks, WithheldFailures};
 pub use load_shedding::TtftEstimate;
 pub use placement_request::{PlacementOffer, PlacementRequest};
 pub use plan::{AttemptEnd, NextStep, RequestPlan};
--- a/crates/gateway/src/links.rs
+++ b/crates/gateway/src/links.rs
@@ -5,6 +5,7 @@
 //! the two apart. Data on open connections does not, as these may outlive a partition that refuses
 //! new ones.
 
+use crate::balancer::Choice;
 use std::time::Duration;
 use topazmount_types::Time;
 
@@ -13,6 +14,9 @@
 /// Time for which no tunnel is looked for after none was found.
 pub const ISOLATED_TIME: Duration = Duration::from_millis(300);
 
+/// Maximum number of replicas whose failures are withheld.
+const MAX_WITHHELD: usize = 64;
+
 /// What is known of the links.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum LinkState {
@@ -51,6 +55,26 @@
     isolated_until: Time,
 }
 
+/// Failures of replicas while the links are in doubt. They count once the links turn out to work, and
+/// say nothing if they don't.
+#[derive(Clone, Debug, Default)]
+pub struct WithheldFailures(Vec<Choice>);
+
+impl WithheldFailures {
+    /// Withholds the failure of a chosen replica. Beyond the maximum, further ones are dropped.
+    pub fn add(&mut self, choice: &Choice) {
+        let is_known = |known: &Choice| known.instance.id == choice.instance.id;
+        if self.0.len() < MAX_WITHHELD && !self.0.iter().any(is_known) {
+            self.0.push(choice.clone());
+        }
+    }
+
+    /// Removes and returns them, each replica once.
+    pub fn take(&mut self) -> Vec<Choice> {
+        std::mem::take(&mut self.0)
+    }
+}
+
 impl ReplicaLinks {
     /// The current state.
     pub fn state(&self) -> LinkState {
--- a/crates/gateway/tests/links.rs
+++ b/crates/gateway/tests/links.rs
@@ -1,7 +1,13 @@
 //! Evidence about a gateway's links to replicas.
 
+mod common;
+
+use common::{choice_request, instance, prompt};
 use std::time::Duration;
-use topazmount_gateway::{LinkState, ReplicaLinks};
+use topazmount_gateway::{
+    Balancer, Choice, ChoiceRequest, LinkState, ReplicaLinks, WithheldFailures,
+};
+use topazmount_routing::PolicyTable;
 use topazmount_types::Time;
 
 fn at(millis: u64) -> Time {
@@ -92,3 +98,30 @@
     assert_eq!(links.on_connected(at(900), at(1_500)), None);
     assert!(links.is_partitioned());
 }
+
+/// A choice of a replica of its own.
+fn choice(id: &str) -> Choice {
+    let mut balancer = Balancer::new("north", 1);
+    balancer.upsert(instance(id, "pool", "north"));
+    let prompt = prompt(&[]);
+    let request = ChoiceRequest { prompt: None, model: None, ..choice_request(&prompt, None) };
+    balancer.choose(&request, at(0), &mut PolicyTable::default()).unwrap()
+}
+
+#[test]
+fn failures_while_the_links_are_in_doubt_are_forgotten() {
+    let mut withheld = WithheldFailures::default();
+    withheld.add(&choice("i-1"));
+    withheld.add(&choice("i-1"));
+    withheld.add(&choice("i-2"));
+    let ids: Vec<String> = withheld.take().into_iter().map(|choice| choice.instance.id).collect();
+    assert_eq!(ids, ["i-1", "i-2"], "each replica once");
+    assert!(withheld.take().is_empty());
+}
+
+#[test]
+fn withheld_failures_fill_the_memory() {
+    let mut withheld = WithheldFailures::default();
+    (0..200).for_each(|number| withheld.add(&choice(&format!("i-{number}"))));
+    assert_eq!(withheld.take().len(), 64);
+}
--- a/crates/topazmount/src/fleet/exchange/record.rs
+++ b/crates/topazmount/src/fleet/exchange/record.rs
@@ -136,7 +136,14 @@
             | AttemptEnd::TimedOut => {}
             // Other gateways may reach the replica.
             AttemptEnd::Unreachable | AttemptEnd::Broken
-                if in_flight.is_path_suspect.load(Ordering::SeqCst) => {}
+                if in_flight.is_path_suspect.load(Ordering::SeqCst) =>
+            {
+                drop(gateway_state);
+                let path = *in_flight.path.lock().unwrap();
+                if path != Some(Path::Tunnel) {
+                    self.shared.withhold_failure(choice);
+                }
+            }
             AttemptEnd::Unreachable | AttemptEnd::Broken | AttemptEnd::Failed => {
                 balancer.on_failure(choice, now);
                 in_flight.has_failed.store(true, Ordering::SeqCst);
--- a/crates/topazmount/src/fleet/gateway.rs
+++ b/crates/topazmount/src/fleet/gateway.rs
@@ -29,7 +29,7 @@
 use topazmount_control::{
     CrashReport, FleetView, GatewayReport, NoticeKind, ReplicaNotice, SeenVersions,
 };
-use topazmount_gateway::{Carriers, GatewayState, HttpLimits, ReplicaLinks};
+use topazmount_gateway::{Carriers, GatewayState, HttpLimits, ReplicaLinks, WithheldFailures};
 use topazmount_types::{ErrorKind, Instance, Time};
 use topazmount_wire::ClusterKey;
 
@@ -56,6 +56,8 @@
     pub(super) gateway_state: Mutex<GatewayState>,
     /// State of the links to replicas.
     pub(super) links: Mutex<ReplicaLinks>,
+    /// Failures that count if the links turn out to work.
+    pub(super) withheld_failures: Mutex<WithheldFailures>,
     /// Makes the link monitor probe the links at once.
     pub(super) link_probes: Sender<()>,
     /// Gateways that carry tunnels to replicas.
@@ -118,6 +120,7 @@
             dialect,
             gateway_state: Mutex::new(gateway_state),
             links: Mutex::default(),
+            withheld_failures: Mutex::default(),
             link_probes,
             carriers: Mutex::default(),
             tunnel_port: settings.tunnel_port(),
--- a/crates/topazmount/src/fleet/link_monitor.rs
+++ b/crates/topazmount/src/fleet/link_monitor.rs
@@ -8,6 +8,7 @@
 use futures_lite::future::zip;
 use std::sync::Arc;
 use std::time::Duration;
+use topazmount_gateway::{Choice, LinkState};
 use topazmount_types::Time;
 
 /// Time limit for connecting in a probe, the same as in an attempt.
@@ -52,6 +53,7 @@
     let now = shared.clock.now();
     if reached == 0 && shared.links.lock().unwrap().on_probes_failed(began, now) {
         shared.metrics.count_event("links_partitioned");
+        drop(shared.withheld_failures.lock().unwrap().take());
         // Connections that still work may stop doing so without notice.
         shared.pool.clear();
         log::warn!("gateway: event=links state=partitioned probed={}", targets.join(","));
@@ -138,7 +140,13 @@
     /// Records that a connection to a replica that was opened at `opened_at` worked.
     pub(super) fn on_replica_connected(&self, opened_at: Time) {
         let now = self.clock.now();
-        let partitioned_for = self.links.lock().unwrap().on_connected(opened_at, now);
+        let (partitioned_for, state) = {
+            let mut links = self.links.lock().unwrap();
+            (links.on_connected(opened_at, now), links.state())
+        };
+        if state == LinkState::Working {
+            self.count_withheld_failures(now);
+        }
         if let Some(partitioned_for) = partitioned_for {
             self.metrics.count_event("links_restored");
             let millis = partitioned_for.as_millis();
@@ -146,6 +154,20 @@
         }
     }
 
+    /// Withholds the failure of a replica until it is known whether the links work.
+    pub(super) fn withhold_failure(&self, choice: &Choice) {
+        self.withheld_failures.lock().unwrap().add(choice);
+    }
+
+    fn count_withheld_failures(&self, now: Time) {
+        let failed = self.withheld_failures.lock().unwrap().take();
+        if failed.is_empty() {
+            return;
+        }
+        let mut gateway_state = self.gateway_state.lock().unwrap();
+        failed.iter().for_each(|choice| gateway_state.balancer().on_failure(choice, now));
+    }
+
     /// Records that a connection to a replica, opened at `began`, failed. Returns whether the links are
     /// in doubt, so that the failure says nothing about the replica.
     pub(super) fn is_link_failure(&self, began: Time) -> bool {
