From reading the change: the end of a replica is recorded in one place

Where a view of the control group shows that a replica ended, its address was recorded in two places beside the list of ended replicas. Format, clippy and the tests of the gateway pass.

--- a/crates/gateway/src/balancer/error_rates.rs
+++ b/crates/gateway/src/balancer/error_rates.rs
@@ -71,7 +71,7 @@
         self.record(false, now);
         let was_avoided = self.avoidances > 0;
         if was_avoided {
-            // It was mended: what it answered before says little.
+            // What it answered before it was repaired says little.
             *self = ErrorRate { at: now, ..ErrorRate::default() };
         }
         was_avoided
--- a/crates/gateway/src/state/replicas.rs
+++ b/crates/gateway/src/state/replicas.rs
@@ -6,6 +6,15 @@
 use topazmount_control::FleetView;
 use topazmount_types::{Instance, InstanceId, Time, incarnation_name};
 
+/// An incarnation of a replica that has ended.
+struct EndedReplica {
+    id: InstanceId,
+    incarnation: String,
+    /// Where it ran, if it was known.
+    address: Option<String>,
+    was_announced: bool,
+}
+
 impl GatewayState {
     /// Finds the replicas that ended unannounced according to a view, before the view is applied.
     /// Requests whose connections broke there are counted as crashes. Returns these replicas and
@@ -14,33 +23,31 @@
         if view.revision <= self.seen.revision {
             return Vec::new();
         }
-        let mut ended: Vec<(InstanceId, String, bool)> = Vec::new();
+        let mut ended: Vec<EndedReplica> = Vec::new();
         for removed in &view.removed {
-            let name = incarnation_name(&removed.id, removed.start);
-            let known = self.balancer.instance(&removed.id).filter(|_| !removed.was_announced);
-            if let Some(address) = known.map(|known| known.address.clone()) {
-                self.crashes.record_replica_end(&address, &name, now);
-            }
-            ended.push((removed.id.clone(), name, removed.was_announced));
+            let known = self.balancer.instance(&removed.id);
+            ended.push(EndedReplica {
+                id: removed.id.clone(),
+                incarnation: incarnation_name(&removed.id, removed.start),
+                address: known.map(|known| known.address.clone()),
+                was_announced: removed.was_announced,
+            });
             ended.extend(self.ended_before(&removed.id, |known| known.start != removed.start));
         }
         // A new incarnation confirms that the previous one has ended.
         for instance in &view.instances {
-            let known = self.balancer.instance(&instance.id);
-            let known = known.filter(|known| known.start != instance.start && !known.is_draining);
-            if let Some(known) = known {
-                let name = known.incarnation_name();
-                self.crashes.record_replica_end(&known.address, &name, now);
-            }
             ended.extend(self.ended_before(&instance.id, |known| known.start != instance.start));
         }
         let mut confirmed = Vec::new();
-        for (id, name, was_announced) in ended {
+        for EndedReplica { id, incarnation, address, was_announced } in ended {
             if was_announced {
-                self.crashes.clear_suspicion(&name, Time::NEVER);
+                self.crashes.clear_suspicion(&incarnation, Time::NEVER);
                 continue;
             }
-            let requests = self.crashes.on_replica_ended(&name, now);
+            if let Some(address) = address {
+                self.crashes.record_replica_end(&address, &incarnation, now);
+            }
+            let requests = self.crashes.on_replica_ended(&incarnation, now);
             if requests > 0 {
                 confirmed.push((id, requests));
             }
@@ -48,14 +55,19 @@
         confirmed
     }
 
-    /// The recorded incarnation of a replica, if it has ended, and whether it was draining.
+    /// The recorded incarnation of a replica, if it has ended.
     fn ended_before(
         &self,
         id: &str,
         has_ended: impl Fn(&Instance) -> bool,
-    ) -> Option<(InstanceId, String, bool)> {
+    ) -> Option<EndedReplica> {
         let known = self.balancer.instance(id).filter(|known| has_ended(known))?;
-        Some((known.id.clone(), known.incarnation_name(), known.is_draining))
+        Some(EndedReplica {
+            id: known.id.clone(),
+            incarnation: known.incarnation_name(),
+            address: Some(known.address.clone()),
+            was_announced: known.is_draining,
+        })
     }
 
     /// Applies the list of replicas unless it is older than the known one, as from a member that
