--- a/crates/topazmount/src/fleet/exchange/crash.rs
+++ b/crates/topazmount/src/fleet/exchange/crash.rs
@@ -13,6 +13,10 @@
 /// outlive the process that served the request for a moment.
 const SECOND_CHECK_DELAY: Duration = Duration::from_millis(30);
 
+/// Time for the control group to record a crash and to block what caused it.
+const DECISION_TIME: Duration = Duration::from_millis(30);
+/// Time between checks whether the request is blocked.
+const DECISION_CHECK_INTERVAL: Duration = Duration::from_millis(3);
 /// Refusal of requests whose trial ended before a replica ran them.
 const TRIAL_ENDED: TrialRefusal =
     TrialRefusal { wait: Duration::from_millis(250), is_pause: false };
@@ -111,9 +115,18 @@
         });
     }
 
-    /// Called after a connection broke while the replica served the request: records the suspicion and
-    /// checks whether the replica has ended.
-    pub(super) async fn check_for_crash(&self, choice: &Choice, started_at: Time) {
+    /// Called before a retry after a crash: waits until the control group has had time to block the
+    /// request, as another replica that it crashes would count as further evidence.
+    pub(super) async fn wait_for_block(&self) {
+        let decided_at = self.shared.clock.now() + DECISION_TIME.min(self.remaining_time());
+        while self.shared.clock.now() < decided_at && !self.is_blocked() {
+            async_io::Timer::after(DECISION_CHECK_INTERVAL).await;
+        }
+    }
+
+    /// Called after a connection broke while the replica served the request: records the suspicion.
+    /// Returns whether the replica is known to have ended.
+    pub(super) async fn check_for_crash(&self, choice: &Choice, started_at: Time) -> bool {
         let now = self.shared.clock.now();
         let ran_for = now.since(started_at);
         let instance = &choice.instance.id;
@@ -122,7 +135,7 @@
             let mut gateway_state = self.shared.gateway_state.lock().unwrap();
             // A leaving replica ends as planned; the request did not crash it.
             if gateway_state.balancer().is_leaving(choice, now) {
-                return;
+                return false;
             }
             gateway_state.crashes().on_connection_broken(self.digest, &name, ran_for, now);
             gateway_state.crashes().on_parts_broken(&self.parts, &name, ran_for, now);
@@ -144,13 +157,15 @@
             )
         });
         if crashed > 0 {
-            return crash_watch::report_crash(self.shared, instance, crashed, "next_incarnation");
+            crash_watch::report_crash(self.shared, instance, crashed, "next_incarnation");
+            return true;
         }
         if crash_watch::check_ended(self.shared, &choice.instance, now).await {
-            return;
+            return true;
         }
         if self.shared.broken_connections.try_send(choice.instance.clone()).is_err() {
             self.shared.metrics.count_event("crash_watch_full");
         }
+        false
     }
 }
--- a/crates/topazmount/src/fleet/exchange/mod.rs
+++ b/crates/topazmount/src/fleet/exchange/mod.rs
@@ -367,11 +367,12 @@
             };
             self.record_failure(&in_flight, end);
             self.log_attempt(&in_flight.choice, end.name());
+            let mut has_crashed = false;
             if end == AttemptEnd::Broken {
                 if let Some(trial) = &self.trial {
                     trial.set_outcome(TrialOutcome::Failed);
                 }
-                self.check_for_crash(&in_flight.choice, started_at).await;
+                has_crashed = self.check_for_crash(&in_flight.choice, started_at).await;
             }
             drop(in_flight);
             let error = self.error_unless_retry(plan, end, progress);
@@ -379,6 +380,9 @@
             if let Some(kind) = error {
                 return self.finish_unserved(plan, progress, kind, failure).await;
             }
+            if has_crashed {
+                self.wait_for_block().await;
+            }
         }
     }
 
