--- a/crates/gateway/src/crashes/mod.rs
+++ b/crates/gateway/src/crashes/mod.rs
@@ -88,8 +88,8 @@
 /// One gateway's records of crashes. Invariant: the completion of a request that it saw crash is
 /// reported for as long as the crashes would be.
 pub struct CrashTracker {
-    /// Requests that the control group has blocked.
-    blocked: HashMap<RequestDigest, BlockedRequest>,
+    /// Requests that the control group has blocked, and since when that is known.
+    blocked: HashMap<RequestDigest, (BlockedRequest, Time)>,
     /// Last contact with the control group.
     last_contact: Time,
     /// Crashes seen by this gateway.
@@ -153,17 +153,29 @@
     pub fn verdict(&self, request: RequestDigest, now: Time) -> CrashVerdict {
         let is_offline = now >= self.last_contact + OFFLINE_AFTER;
         match self.blocked.get(&request) {
-            Some(entry) if is_offline || entry.is_explained => CrashVerdict::Suspected,
-            Some(entry) if entry.further_crashes == 0 => CrashVerdict::Probable,
+            Some((entry, _)) if is_offline || entry.is_explained => CrashVerdict::Suspected,
+            Some((entry, _)) if entry.further_crashes == 0 => CrashVerdict::Probable,
             Some(_) => CrashVerdict::Confirmed,
             None if is_offline && self.local_ledger.is_blocked(request) => CrashVerdict::Suspected,
             None => CrashVerdict::Clear,
         }
     }
 
+    /// The request for a trial of a blocked request.
+    pub fn trial_request(
+        &self,
+        digest: RequestDigest,
+        is_repeatable: bool,
+        now: Time,
+    ) -> TrialRequest {
+        let failed = self.failed_trials(digest);
+        let known_since = self.blocked.get(&digest).map_or(now, |(_, since)| *since);
+        TrialRequest { digest, failed, is_repeatable, blocked_for: now.since(known_since) }
+    }
+
     /// Number of failed trials of a blocked request that the control group has recorded.
-    pub fn failed_trials(&self, request: RequestDigest) -> u32 {
-        self.blocked.get(&request).map_or(0, |entry| entry.further_crashes)
+    fn failed_trials(&self, request: RequestDigest) -> u32 {
+        self.blocked.get(&request).map_or(0, |(entry, _)| entry.further_crashes)
     }
 
     /// The refusal of a trial that holds now, with the rest of its time.
@@ -428,8 +440,11 @@
         blocked: &[BlockedRequest],
         now: Time,
     ) -> (Vec<RequestDigest>, Vec<RequestDigest>) {
-        let mut next: HashMap<RequestDigest, BlockedRequest> =
-            blocked.iter().map(|entry| (entry.request, *entry)).collect();
+        let known_since = |entry: &BlockedRequest| {
+            self.blocked.get(&entry.request).map_or(now, |(_, since)| *since)
+        };
+        let mut next: HashMap<RequestDigest, (BlockedRequest, Time)> =
+            blocked.iter().map(|entry| (entry.request, (*entry, known_since(entry)))).collect();
         for entry in blocked {
             let first_crash = now - entry.crash_span;
             let completed_at = self.completions.last(entry.request);
--- a/crates/gateway/src/crashes/trials.rs
+++ b/crates/gateway/src/crashes/trials.rs
@@ -41,6 +41,8 @@
     pub failed: u32,
     /// Whether the request that would run may be repeated.
     pub is_repeatable: bool,
+    /// How long the sender has known of the block.
+    pub blocked_for: Duration,
 }
 
 /// Response to a request for a trial.
@@ -89,8 +91,8 @@
     failed: u32,
     running_since: Option<Time>,
     next_at: Time,
-    /// When a trial was first asked for.
-    asked_at: Time,
+    /// When the block began, as far as any gateway told.
+    blocked_since: Time,
     used_at: Time,
 }
 
@@ -98,7 +100,7 @@
     failed: 0,
     running_since: None,
     next_at: Time::ZERO,
-    asked_at: Time::ZERO,
+    blocked_since: Time::ZERO,
     used_at: Time::ZERO,
 };
 
@@ -117,8 +119,10 @@
         now: Time,
     ) -> TrialResponse {
         self.remove_excess(now);
-        let TrialRequest { digest, failed, is_repeatable } = request;
-        let record = self.records.entry(digest).or_insert(Record { asked_at: now, ..NEW });
+        let TrialRequest { digest, failed, is_repeatable, blocked_for } = request;
+        let blocked_since = now - blocked_for;
+        let record = self.records.entry(digest).or_insert(Record { blocked_since, ..NEW });
+        record.blocked_since = record.blocked_since.min(blocked_since);
         record.used_at = now;
         if failed > record.failed {
             // An earlier coordinator granted the failed ones.
@@ -132,7 +136,7 @@
         }
         let next_at = match is_repeatable {
             true => record.next_at,
-            false => record.next_at.max(record.asked_at + UNREPEATABLE_PAUSE),
+            false => record.next_at.max(record.blocked_since + UNREPEATABLE_PAUSE),
         };
         if now < next_at {
             let wait = next_at.since(now);
--- a/crates/gateway/tests/trials.rs
+++ b/crates/gateway/tests/trials.rs
@@ -16,7 +16,8 @@
 }
 
 fn request() -> TrialRequest {
-    TrialRequest { digest: DIGEST, failed: 0, is_repeatable: true }
+    let blocked_for = Duration::ZERO;
+    TrialRequest { digest: DIGEST, failed: 0, is_repeatable: true, blocked_for }
 }
 
 fn entry(is_explained: bool, further_crashes: u32) -> BlockedRequest {
@@ -90,6 +91,16 @@
     assert_eq!(response, TrialResponse::Granted);
 }
 
+/// Gateways restart; the one that asks has known of the block for long.
+#[test]
+fn the_pause_after_a_block_begins_anew_at_another_coordinator() {
+    let asking = blocked(entry(false, 0));
+    let request = asking.trial_request(DIGEST, false, at(1_000));
+    assert_eq!(request.blocked_for, Duration::from_secs(1));
+    let mut coordinator = CrashTracker::default();
+    assert_eq!(coordinator.grant_trial(request, GATEWAYS, at(1_000)), TrialResponse::Granted);
+}
+
 #[test]
 fn an_abandoned_trial_counts_as_failed() {
     let mut tracker = blocked(entry(false, 0));
--- a/crates/topazmount/src/fleet/exchange/trial.rs
+++ b/crates/topazmount/src/fleet/exchange/trial.rs
@@ -137,9 +137,8 @@
             if let Some(refusal) = gateway_state.crashes().trial_refusal(digest, now) {
                 return Err(refusal);
             }
-            let failed = gateway_state.crashes().failed_trials(digest);
             let is_repeatable = self.admission.route.is_retryable();
-            let request = TrialRequest { digest, failed, is_repeatable };
+            let request = gateway_state.crashes().trial_request(digest, is_repeatable, now);
             (gateway_state.trial_coordinator(digest, now), request)
         };
         let coordinator = coordinator.ok_or(NO_COORDINATOR)?;
