A retry after a broken connection waits for the second check of its replica

A retry now waits up to 60 ms, until the request is blocked or not, unless all shared parts of its prompt completed lately.

--- a/crates/topazmount/src/fleet/exchange/crash.rs
+++ b/crates/topazmount/src/fleet/exchange/crash.rs
@@ -13,8 +13,9 @@
 /// outlive the process that served the request for a moment.
 const SECOND_CHECK_DELAY: Duration = Duration::from_millis(30);
 
-/// Time for the control group to record a crash and to block what caused it.
-const DECISION_TIME: Duration = Duration::from_millis(30);
+/// Time for the second check of a replica, and for the control group to record a crash and to block
+/// what caused it.
+const DECISION_TIME: Duration = Duration::from_millis(60);
 /// Time between checks whether the request is blocked.
 const DECISION_CHECK_INTERVAL: Duration = Duration::from_millis(3);
 /// Refusal of requests whose trial ended before a replica ran them.
@@ -115,9 +116,16 @@
         });
     }
 
-    /// Called before a retry after a crash: waits until the control group has had time to block the
-    /// request, as another replica that it crashes would count as further evidence.
-    pub(super) async fn wait_for_block(&self) {
+    /// Called before a retry after a connection broke: waits until the control group has had time to
+    /// learn of a crash and to block the request, as another replica that it crashes would count as
+    /// further evidence. Prompts whose shared parts have all completed lately don't wait.
+    pub(super) async fn wait_for_block(&self, has_crashed: bool) {
+        let now = self.shared.clock.now();
+        if !has_crashed
+            && self.shared.gateway_state.lock().unwrap().crashes().trusts(&self.parts, now)
+        {
+            return;
+        }
         let decided_at = self.shared.clock.now() + DECISION_TIME.min(self.remaining_time());
         while self.shared.clock.now() < decided_at && !self.is_blocked() {
             async_io::Timer::after(DECISION_CHECK_INTERVAL).await;
--- a/crates/topazmount/src/fleet/exchange/mod.rs
+++ b/crates/topazmount/src/fleet/exchange/mod.rs
@@ -380,8 +380,8 @@
             if let Some(kind) = error {
                 return self.finish_unserved(plan, progress, kind, failure).await;
             }
-            if has_crashed {
-                self.wait_for_block().await;
+            if end == AttemptEnd::Broken {
+                self.wait_for_block(has_crashed).await;
             }
         }
     }
