From reading the change: one loop reads bodies, fewer names that need their comments

A body of a known length over its limit is rejected at once again, as before the shared memory of bodies; the loop stands once. A constant that was a default, a match arm that no case reached and a name with a metaphor are gone.

--- a/crates/gateway/src/balancer/candidates.rs
+++ b/crates/gateway/src/balancer/candidates.rs
@@ -43,11 +43,11 @@
         let is_healthy = |replica: &Replica| !replica.is_suspect(now) && !replica.is_erring(now);
         // A retry has the last chance, so it does not try out whether a replica works again.
         if !request.tried.is_empty() {
-            let proven = ids(&|replica| {
-                is_healthy(replica) && replica.is_proven(now) && !is_paused(replica)
+            let without_failures = ids(&|replica| {
+                is_healthy(replica) && replica.has_no_failures(now) && !is_paused(replica)
             });
-            if !proven.is_empty() {
-                return proven;
+            if !without_failures.is_empty() {
+                return without_failures;
             }
         }
         let healthy = ids(&|replica| is_healthy(replica) && !is_paused(replica));
--- a/crates/gateway/src/balancer/replica.rs
+++ b/crates/gateway/src/balancer/replica.rs
@@ -256,7 +256,7 @@
     }
 
     /// Whether its last request did not fail.
-    pub(super) fn is_proven(&self, now: Time) -> bool {
+    pub(super) fn has_no_failures(&self, now: Time) -> bool {
         self.failures == 0 && now >= self.suspect_until
     }
 
--- a/crates/gateway/src/crashes/trials.rs
+++ b/crates/gateway/src/crashes/trials.rs
@@ -86,7 +86,7 @@
     }
 }
 
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, Default)]
 struct Record {
     failed: u32,
     running_since: Option<Time>,
@@ -96,14 +96,6 @@
     used_at: Time,
 }
 
-const NEW: Record = Record {
-    failed: 0,
-    running_since: None,
-    next_at: Time::ZERO,
-    blocked_since: Time::ZERO,
-    used_at: Time::ZERO,
-};
-
 /// Trials that this gateway has granted.
 #[derive(Clone, Debug, Default)]
 pub(super) struct Trials {
@@ -121,7 +113,8 @@
         self.remove_excess(now);
         let TrialRequest { digest, failed, is_repeatable, blocked_for } = request;
         let blocked_since = now - blocked_for;
-        let record = self.records.entry(digest).or_insert(Record { blocked_since, ..NEW });
+        let record =
+            self.records.entry(digest).or_insert(Record { blocked_since, ..Record::default() });
         record.blocked_since = record.blocked_since.min(blocked_since);
         record.used_at = now;
         if failed > record.failed {
--- a/crates/topazmount/src/fleet/body_memory.rs
+++ b/crates/topazmount/src/fleet/body_memory.rs
@@ -48,14 +48,9 @@
         wire: &mut Wire,
     ) -> Result<Vec<u8>, BodyError> {
         let mut share = Share { memory: self, bytes: 0 };
-        let mut body = Vec::new();
-        while let Some(bytes) = reader.next(wire).await? {
-            let length = body.len() + bytes.len();
-            if length > MAX_BODY_BYTES || !share.grow_to(length.saturating_sub(FREE_BYTES)) {
-                return Err(BodyError::TooLarge);
-            }
-            body.extend_from_slice(&bytes);
-        }
-        Ok(body)
+        let may_hold = |length: usize| {
+            length <= MAX_BODY_BYTES && share.grow_to(length.saturating_sub(FREE_BYTES))
+        };
+        reader.read_while(wire, may_hold).await
     }
 }
--- a/crates/topazmount/src/fleet/exchange/crash.rs
+++ b/crates/topazmount/src/fleet/exchange/crash.rs
@@ -76,14 +76,10 @@
         refusal: TrialRefusal,
     ) -> ResponseOutcome {
         self.log_rejection(blocked);
-        let is_repeatable = self.admission.route.is_retryable();
-        let is_final = match blocked.verdict {
-            CrashVerdict::Confirmed => true,
-            // Trials are left to requests that may be repeated for a while.
-            CrashVerdict::Probable => !is_repeatable && refusal.is_pause,
-            CrashVerdict::Suspected | CrashVerdict::Clear => false,
-        };
-        if is_final {
+        // For a while trials are left to requests that may be repeated.
+        let waits_for_others = refusal.is_pause && !self.admission.route.is_retryable();
+        let is_probable = blocked.verdict == CrashVerdict::Probable;
+        if blocked.verdict == CrashVerdict::Confirmed || is_probable && waits_for_others {
             return self.fail(plan, progress, ErrorKind::CrashesReplicas).await;
         }
         self.send_error(plan, ErrorKind::SuspectedOfCrashes, Some(refusal.wait)).await
--- a/crates/topazmount/src/http1/body.rs
+++ b/crates/topazmount/src/http1/body.rs
@@ -86,14 +86,26 @@
     /// # Errors
     /// [`BodyError`]; the connection is of no further use.
     pub async fn read_all(&mut self, wire: &mut Wire, most: usize) -> Result<Vec<u8>, BodyError> {
+        self.read_while(wire, |length| length <= most).await
+    }
+
+    /// Reads the whole body while its length, which is known in advance or grows, may be held.
+    ///
+    /// # Errors
+    /// [`BodyError`]; the connection is of no further use.
+    pub async fn read_while(
+        &mut self,
+        wire: &mut Wire,
+        mut may_hold: impl FnMut(usize) -> bool,
+    ) -> Result<Vec<u8>, BodyError> {
         if let State::Counted(length) = self.state
-            && length > most as u64
+            && !usize::try_from(length).is_ok_and(&mut may_hold)
         {
             return Err(BodyError::TooLarge);
         }
         let mut body = Vec::new();
         while let Some(bytes) = self.next(wire).await? {
-            if body.len() + bytes.len() > most {
+            if !may_hold(body.len() + bytes.len()) {
                 return Err(BodyError::TooLarge);
             }
             body.extend_from_slice(&bytes);
