Gateways that a new leader doesn't know still count when a budget is divided

Callers saw: nothing yet.

Cause: each gateway spends its part of what may exceed a tenant's limit, and of the retries that are allowed beyond the ratio. The part was divided by the number of gateways that the leader had heard from. A new leader begins with none, and one that is cut off from some loses them, while those gateways go on spending their old parts. Class: a share is computed from a count that drops while the others still spend.

Change: the count is that of the gateways that are listed or were in the last 60 s, which the authority for grants remembers already. Gateways that are cut off for longer than that and serve without contact still count for nothing at the others.

--- a/crates/gateway/src/quota/authority.rs
+++ b/crates/gateway/src/quota/authority.rs
@@ -119,6 +119,11 @@
         candidates.max_by_key(|id| rendezvous_weight(stripe, *id))
     }
 
+    /// Number of gateways that are listed or were lately.
+    pub(super) fn gateway_count(&self) -> usize {
+        self.gateways.len()
+    }
+
     /// Returns since when this gateway has been the granter of a stripe without a break; `None` if
     /// it may not grant.
     pub(super) fn grant_authority(&self, stripe: u64, now: Time) -> Option<GrantAuthority> {
--- a/crates/gateway/src/quota/mod.rs
+++ b/crates/gateway/src/quota/mod.rs
@@ -132,6 +132,11 @@
         self.authority.confirm(asked_at, listed, now);
     }
 
+    /// Number of gateways that are listed or were lately.
+    pub(crate) fn gateway_count(&self) -> usize {
+        self.authority.gateway_count()
+    }
+
     /// Granter of a stripe; `None` if no responsive one is known.
     pub(crate) fn granter(
         &self,
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -378,9 +378,15 @@
         budget.record_request(now, &self.settings.budget);
     }
 
+    /// Number of gateways that divide what all together may spend. Those that a new leader does not
+    /// know yet, or that are cut off from it, still spend their parts.
+    fn sharing_gateways(&self) -> usize {
+        self.gateway_count.max(self.quotas.gateway_count())
+    }
+
     /// Takes one retry from the budget of a service, if there is one left.
     pub fn try_retry(&mut self, service: &str, now: Time) -> bool {
-        let nodes = self.gateway_count;
+        let nodes = self.sharing_gateways();
         let budget = self.budgets.entry(service.to_owned()).or_default();
         budget.try_retry(now, &self.settings.budget, nodes)
     }
--- a/crates/gateway/src/state/limits.rs
+++ b/crates/gateway/src/state/limits.rs
@@ -70,7 +70,7 @@
     /// Takes units from this gateway's allowance without a grant. Returns whether it had enough.
     pub fn spend_without_grant(&mut self, tenant: u64, amount: u32, now: Time) -> bool {
         let limit = self.catalog.as_ref().and_then(|all| all.tenant_limit(tenant).copied());
-        let gateways = self.gateway_count;
+        let gateways = self.sharing_gateways();
         limit.is_some_and(|limit| {
             self.quotas.spend_without_grant(tenant, &limit, amount, gateways, now)
         })
--- a/crates/gateway/tests/budget.rs
+++ b/crates/gateway/tests/budget.rs
@@ -1,7 +1,9 @@
 //! The retries of all nodes together keep the fleet's budget in every window.
 
+use std::net::SocketAddr;
 use std::time::Duration;
-use topazmount_gateway::{BudgetSettings, RetryBudget};
+use topazmount_control::{FleetView, GatewayListUpdate, GatewayReport};
+use topazmount_gateway::{BudgetSettings, GatewaySettings, GatewayState, RetryBudget};
 use topazmount_types::Time;
 
 const NODES: usize = 7;
@@ -53,3 +55,37 @@
     let later = now + settings.window + Duration::from_millis(1);
     assert!(budget.try_retry(later, &settings, NODES));
 }
+
+/// The first view of a leader in a term, which lists `count` gateways.
+fn leader_view(term: u64, count: usize) -> FleetView {
+    let report = |number| GatewayReport {
+        address: format!("10.0.0.{number}:80"),
+        zone: "north".to_owned(),
+        region: "here".to_owned(),
+        is_ready: true,
+        is_legacy: false,
+    };
+    let listed = (0..count).map(report).collect();
+    FleetView {
+        staleness: Some(Duration::ZERO),
+        gateways: Some(GatewayListUpdate::full((term, 1), listed)),
+        gateway_count: count as u32,
+        ..FleetView::default()
+    }
+}
+
+#[test]
+fn a_new_leader_that_knows_one_gateway_gives_it_the_whole_budget() {
+    let now = Time::from_secs(1_000);
+    let settings = GatewaySettings::default();
+    let mut state = GatewayState::new("north", settings, 1);
+    state.set_own_address(SocketAddr::from(([10, 0, 0, 0], 7_000)));
+    for (term, count) in [(1, NODES), (2, 1)] {
+        let view = leader_view(term, count);
+        state.apply(&view, None, now);
+        state.confirm_grants(&view, now, now);
+    }
+    let retries = (0..100).filter(|_| state.try_retry("pool", now)).count();
+    let part = settings.budget.slack / NODES as f64;
+    assert!(retries as f64 <= part, "{retries} of {part:.1}");
+}
