Gateways share the failures of replicas, so that not each has to fail at a sick one

Callers saw: with a third of the replicas resetting every request, 502 outcome_unknown.

Cause: each of six gateways paid for its own evidence, five trials and more a sick replica in 10 s, which used the retry budget up. Class: evidence that each process gathers at the callers' cost.

--- a/crates/gateway/src/balancer/candidates.rs
+++ b/crates/gateway/src/balancer/candidates.rs
@@ -44,13 +44,23 @@
         // A retry has the last chance, so it does not try out whether a replica works again.
         if !request.tried.is_empty() {
             let without_failures = ids(&|replica| {
-                is_healthy(replica) && replica.has_no_failures(now) && !is_paused(replica)
+                is_healthy(replica)
+                    && replica.has_no_failures(now)
+                    && !replica.fleet_failures.is_avoided(now)
+                    && !is_paused(replica)
             });
             if !without_failures.is_empty() {
                 return without_failures;
             }
         }
         let healthy = ids(&|replica| is_healthy(replica) && !is_paused(replica));
+        let without_fleet_failures = ids(&|replica| {
+            is_healthy(replica) && !replica.fleet_failures.is_avoided(now) && !is_paused(replica)
+        });
+        // Other gateways' failures keep at most half of the replicas from being used.
+        if !without_fleet_failures.is_empty() && without_fleet_failures.len() * 2 >= serving.len() {
+            return without_fleet_failures;
+        }
         if !healthy.is_empty() {
             return healthy;
         }
--- a/crates/gateway/src/balancer/replica.rs
+++ b/crates/gateway/src/balancer/replica.rs
@@ -1,6 +1,7 @@
 //! A node's records of one replica.
 
 use super::error_rates::ErrorRate;
+use super::fleet_failures::FleetFailures;
 use super::places::Share;
 use super::{ChoiceRequest, DOWNGRADE_PAUSE, ReplicaChange, ReplicaChanges, VersionRefusal};
 use std::cell::Cell;
@@ -63,6 +64,7 @@
     failures: u32,
     suspect_until: Time,
     pub(super) error_rate: ErrorRate,
+    pub(super) fleet_failures: FleetFailures,
     /// This gateway's share of its slots, if it is or may be overload-prone.
     pub(super) share: Cell<Option<Share>>,
     /// Until when it gets no request, as it is overload-prone and rejected one.
@@ -94,6 +96,7 @@
             failures: 0,
             suspect_until: Time::ZERO,
             error_rate: ErrorRate::default(),
+            fleet_failures: FleetFailures::default(),
             share: Cell::default(),
             rejected_until: Time::ZERO,
             delay_ms: 0.0,
@@ -279,6 +282,12 @@
         self.suspect_until = now + wait.min(MAX_SUSPICION);
     }
 
+    /// Lets one request at a time find out whether it works again.
+    pub(super) fn allow_trial(&mut self, now: Time) {
+        self.failures = self.failures.max(FAILURES_IN_A_ROW);
+        self.suspect_until = self.suspect_until.min(now);
+    }
+
     /// Records a failure that another node reported. Only the shortest suspicion follows, as that
     /// node's network may be at fault.
     pub(super) fn record_remote_failure(&mut self, now: Time) {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -11,6 +11,7 @@
 mod connections;
 mod crashes;
 mod estimator;
+mod failure_monitor;
 mod links;
 mod load_shedding;
 mod placement_request;
@@ -40,6 +41,7 @@
     part_digest,
 };
 pub use estimator::PrefillEstimator;
+pub use failure_monitor::{REPEAT_INTERVAL, ReplicaReport, ReplicaVerdict};
 pub use links::{ISOLATED_TIME, LinkState, ReplicaLinks, WithheldFailures};
 pub use load_shedding::TtftEstimate;
 pub use placement_request::{PlacementOffer, PlacementRequest};
@@ -47,7 +49,9 @@
 pub use prompt::{Prompt, PromptPart};
 pub use quota::{GrantResponse, Granter, LimitUnit, QuotaSettings, STRIPES, StripeId, TenantLimit};
 pub use shards::{GatewayList, MAX_BROADCAST_PEERS, Shard};
-pub use state::{Admission, GatewaySettings, GatewayState, LimitUpdate, MIN_RETRY_DELAY};
+pub use state::{
+    Admission, FailureOutput, GatewaySettings, GatewayState, LimitUpdate, MIN_RETRY_DELAY,
+};
 pub use stores::{
     MAX_STORE_READERS, StoreChange, StoreEvents, StoreKey, StoredPrompt, Stores, cache_salt,
 };
--- a/crates/gateway/src/shards.rs
+++ b/crates/gateway/src/shards.rs
@@ -187,6 +187,11 @@
         first_by_rendezvous(others, key, count)
     }
 
+    /// The first gateways for a key by rendezvous hashing.
+    pub fn first(&self, key: u64, count: usize, now: Time) -> Vec<SocketAddr> {
+        first_by_rendezvous(self.listed(now), key, count)
+    }
+
     /// The first gateway for a key by rendezvous hashing, of those that are eligible.
     pub fn first_of(
         &self,
@@ -211,6 +216,11 @@
         before.take(COORDINATORS).count() < COORDINATORS
     }
 
+    /// This gateway's own address for datagrams, once it is set.
+    pub fn own_address(&self) -> Option<SocketAddr> {
+        self.own
+    }
+
     /// Whether an address is this gateway's.
     pub fn is_own(&self, address: SocketAddr) -> bool {
         self.own == Some(address)
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -1,5 +1,6 @@
 //! What one gateway knows of the fleet, and for how long it may rely on it.
 
+mod failures;
 mod limits;
 mod notices;
 mod origins;
@@ -7,6 +8,7 @@
 mod replicas;
 mod trials;
 
+pub use failures::FailureOutput;
 pub use limits::LimitUpdate;
 use notices::LeaderNotices;
 use placement::FollowedStores;
@@ -18,6 +20,7 @@
 use crate::catalog::{Catalog, Route, Tenant};
 use crate::connections::{ConnectionReuse, ConnectionSettings};
 use crate::crashes::CrashTracker;
+use crate::failure_monitor::FailureMonitor;
 use crate::quota::{QuotaSettings, Quotas};
 use crate::shards::GatewayList;
 use crate::software_history::SoftwareHistory;
@@ -117,6 +120,7 @@
     budgets: HashMap<String, RetryBudget>,
     connections: ConnectionReuse,
     crashes: CrashTracker,
+    failure_monitor: FailureMonitor,
     quotas: Quotas,
     policies: PolicyTable,
     /// Datagram addresses of gateways that were listed since the last call of
@@ -149,6 +153,7 @@
             budgets: HashMap::new(),
             connections: ConnectionReuse::default(),
             crashes: CrashTracker::default(),
+            failure_monitor: FailureMonitor::default(),
             quotas: Quotas::default(),
             policies: PolicyTable::default(),
             new_peers: Vec::new(),
--- /dev/null
+++ b/crates/gateway/tests/shared_failures.rs
@@ -0,0 +1,254 @@
+//! Failures of replicas that gateways tell each other, in a fleet that is simulated in one process.
+
+mod common;
+
+use common::{choice_request, instance, prompt};
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+use topazmount_control::{FleetView, GatewayListUpdate, GatewayReport, InstanceStatus};
+use topazmount_gateway::{
+    Choice, ChoiceRequest, FailureOutput, GatewaySettings, GatewayState, Prompt, REPEAT_INTERVAL,
+};
+use topazmount_types::{Instance, Time};
+
+const START: Time = Time::from_secs(1_000);
+const PORT: u16 = 7_000;
+const REPLICAS: usize = 12;
+/// Replicas that fail, a third.
+const FAILING: usize = 4;
+/// Time from which on the share of served requests is judged.
+const SETTLED: Duration = Duration::from_secs(2);
+
+fn address(number: usize) -> SocketAddr {
+    SocketAddr::from(([10, 0, (number / 250) as u8, (number % 250) as u8], PORT))
+}
+
+fn is_failing(id: &str) -> bool {
+    (0..FAILING).any(|number| id == format!("i-{number}"))
+}
+
+/// Gateways that exchange messages without delay, and what happened to their requests.
+struct Fleet {
+    gateways: Vec<GatewayState>,
+    prompt: Prompt,
+    rng: ChaCha8Rng,
+    now: Time,
+    repeated_at: Time,
+    /// When a request was sent by which gateway to which replica, and whether it failed.
+    sent: Vec<(Time, usize, String, bool)>,
+    /// How often gateways began to avoid a replica for the failures of others.
+    avoided: BTreeMap<String, usize>,
+    messages: usize,
+}
+
+impl Fleet {
+    fn new(zones: &[&str]) -> Self {
+        let report = |number| GatewayReport {
+            address: format!("{}:90", address(number).ip()),
+            zone: "north".to_owned(),
+            region: "here".to_owned(),
+            is_ready: true,
+            is_legacy: false,
+        };
+        let replicas: Vec<Instance> =
+            (0..REPLICAS).map(|number| instance(&format!("i-{number}"), "pool", "north")).collect();
+        let listed = (0..zones.len()).map(report).collect();
+        let view = FleetView {
+            leader: Some("leader".to_owned()),
+            staleness: Some(Duration::ZERO),
+            revision: 1,
+            is_full: true,
+            instances: replicas,
+            statuses: Some(((1, 1), Vec::<InstanceStatus>::new())),
+            gateways: Some(GatewayListUpdate::full((1, 1), listed)),
+            gateway_count: zones.len() as u32,
+            ..FleetView::default()
+        };
+        let gateway = |(number, zone): (usize, &&str)| {
+            let mut state = GatewayState::new(zone, GatewaySettings::default(), number as u64);
+            state.set_own_address(address(number));
+            state.apply(&view, None, START);
+            state
+        };
+        Fleet {
+            gateways: zones.iter().enumerate().map(gateway).collect(),
+            prompt: prompt(&[]),
+            rng: ChaCha8Rng::seed_from_u64(1),
+            now: START,
+            repeated_at: START,
+            sent: Vec::new(),
+            avoided: BTreeMap::new(),
+            messages: 0,
+        }
+    }
+
+    fn handle(&mut self, sender: usize, outputs: Vec<FailureOutput>) {
+        for output in outputs {
+            match output {
+                FailureOutput::SendReport(to, report) => {
+                    for to in to {
+                        let to = self.number(to);
+                        self.messages += 1;
+                        let outputs =
+                            self.gateways[to].apply_report(report, address(sender), self.now);
+                        self.handle(to, outputs);
+                    }
+                }
+                FailureOutput::SendVerdicts(to, verdicts) => {
+                    for to in to {
+                        let to = self.number(to);
+                        self.messages += 1;
+                        let outputs = self.gateways[to].apply_verdicts(&verdicts, self.now);
+                        self.handle(to, outputs);
+                    }
+                }
+                FailureOutput::Avoided(id) => *self.avoided.entry(id).or_default() += 1,
+                FailureOutput::Restored(_) => {}
+            }
+        }
+    }
+
+    fn number(&self, to: SocketAddr) -> usize {
+        (0..self.gateways.len()).find(|number| address(*number) == to).expect("it is listed")
+    }
+
+    fn send(&mut self, gateway: usize, fails: &impl Fn(usize, &str) -> bool) {
+        let choice = self.choose(gateway);
+        let id = choice.instance.id.clone();
+        let has_failed = fails(gateway, &id);
+        let state = &mut self.gateways[gateway];
+        let outputs = match has_failed {
+            true => {
+                state.balancer().on_failure(&choice, self.now);
+                state.report_failure(&choice, self.now)
+            }
+            false => {
+                state.balancer().on_success(&choice, self.now);
+                state.report_success(&choice, self.now, self.now)
+            }
+        };
+        state.balancer().on_ended(&choice, true);
+        self.sent.push((self.now, gateway, id, has_failed));
+        self.handle(gateway, outputs);
+    }
+
+    fn choose(&mut self, gateway: usize) -> Choice {
+        let request =
+            ChoiceRequest { prompt: None, model: None, ..choice_request(&self.prompt, None) };
+        let state = &mut self.gateways[gateway];
+        let choice = state.choose(&request, self.now).expect("there are replicas");
+        state.balancer().on_sent(&choice, &request, self.now);
+        choice
+    }
+
+    /// Sends requests, each `pause` after the last one, through random gateways for a time.
+    fn play(&mut self, time: Duration, pause: Duration, fails: impl Fn(usize, &str) -> bool) {
+        let end = self.now + time;
+        while self.now < end {
+            let gateway = self.rng.random_range(0..self.gateways.len());
+            self.send(gateway, &fails);
+            self.now = self.now + pause;
+            if self.now >= self.repeated_at + REPEAT_INTERVAL {
+                self.repeated_at = self.now;
+                for gateway in 0..self.gateways.len() {
+                    let outputs = self.gateways[gateway].repeat_verdicts(self.now);
+                    self.handle(gateway, outputs);
+                }
+            }
+        }
+    }
+
+    /// Share of requests without failure from a time on.
+    fn served_from(&self, from: Time) -> f64 {
+        let judged = self.sent.iter().filter(|(at, ..)| *at >= from);
+        let served = judged.clone().filter(|(.., has_failed)| !has_failed).count();
+        served as f64 / judged.count() as f64
+    }
+}
+
+macro_rules! each_gateway_fails_at_a_replica_before_it_is_avoided {
+    ($($name:ident: $gateways:expr, $pause_ms:expr;)*) => {$(
+        #[test]
+        fn $name() {
+            let mut fleet = Fleet::new(&["north"; $gateways]);
+            let pause = Duration::from_millis($pause_ms);
+            fleet.play(Duration::from_secs(3), pause, |_, _| false);
+            let began = fleet.now;
+            fleet.play(Duration::from_secs(20), pause, |_, id| is_failing(id));
+            let served = fleet.served_from(began + SETTLED);
+            assert!(served >= 0.97, "{served:.3} of the first attempts, {} messages", fleet.messages);
+            let sound = fleet.avoided.keys().find(|id| !is_failing(id));
+            assert_eq!(sound, None, "{:?}", fleet.avoided);
+        }
+    )*};
+}
+
+each_gateway_fails_at_a_replica_before_it_is_avoided! {
+    each_of_6_gateways_fails_at_a_replica_before_it_is_avoided: 6, 10;
+    each_of_24_gateways_fails_at_a_replica_before_it_is_avoided: 24, 10;
+    each_of_300_gateways_fails_at_a_replica_before_it_is_avoided: 300, 10;
+}
+
+#[test]
+fn a_gateway_without_network_makes_others_avoid_replicas() {
+    let mut fleet = Fleet::new(&["north"; 24]);
+    fleet.play(Duration::from_secs(10), Duration::from_millis(5), |gateway, _| gateway == 3);
+    assert!(fleet.avoided.is_empty(), "{:?}", fleet.avoided);
+}
+
+#[test]
+fn gateways_without_network_make_others_avoid_replicas_for_long() {
+    let mut fleet = Fleet::new(&["north"; 24]);
+    fleet.play(Duration::from_secs(3), Duration::from_millis(5), |_, _| false);
+    let before = fleet.sent.len();
+    fleet.play(Duration::from_secs(20), Duration::from_millis(5), |gateway, _| gateway < 6);
+    let mut sent: BTreeMap<&str, usize> = BTreeMap::new();
+    for (_, gateway, id, _) in &fleet.sent[before..] {
+        *sent.entry(id).or_default() += usize::from(*gateway >= 6);
+    }
+    let share = sent.values().sum::<usize>() / REPLICAS;
+    assert!(sent.values().all(|count| *count * 2 >= share), "{sent:?} {:?}", fleet.avoided);
+    assert!(fleet.served_from(START) >= 0.74, "{}", fleet.served_from(START));
+}
+
+#[test]
+fn a_zone_that_is_cut_off_from_a_replica_makes_other_zones_avoid_it() {
+    let zones: Vec<&str> = (0..24).map(|number| ["north", "south"][number % 2]).collect();
+    let mut fleet = Fleet::new(&zones);
+    fleet.play(Duration::from_secs(10), Duration::from_millis(5), |gateway, id| {
+        gateway % 2 == 1 && is_failing(id)
+    });
+    let by_north =
+        fleet.sent.iter().filter(|(_, gateway, id, _)| gateway % 2 == 0 && is_failing(id));
+    let all_by_north = fleet.sent.iter().filter(|(_, gateway, ..)| gateway % 2 == 0).count();
+    let share = by_north.count() as f64 / all_by_north as f64;
+    assert!(share >= 0.3, "{share:.2} of the requests of the connected zone");
+    assert!(fleet.served_from(START + SETTLED) >= 0.97, "{}", fleet.served_from(START + SETTLED));
+}
+
+#[test]
+fn a_repaired_replica_stays_avoided() {
+    let mut fleet = Fleet::new(&["north"; 24]);
+    let pause = Duration::from_millis(5);
+    fleet.play(Duration::from_secs(10), pause, |_, id| is_failing(id));
+    fleet.play(Duration::from_secs(5), pause, |_, _| false);
+    let before = fleet.sent.len();
+    fleet.play(Duration::from_secs(5), pause, |_, _| false);
+    let all = fleet.sent.len() - before;
+    let repaired = fleet.sent[before..].iter().filter(|(_, _, id, _)| is_failing(id)).count();
+    let share = (all * FAILING / REPLICAS) as f64;
+    assert!(repaired as f64 >= 0.8 * share, "{repaired} of {all}");
+}
+
+#[test]
+fn replicas_that_all_fail_alike_are_all_avoided() {
+    let mut fleet = Fleet::new(&["north"; 24]);
+    fleet.play(Duration::from_secs(5), Duration::from_millis(5), |_, _| true);
+    let before = fleet.sent.len();
+    fleet.play(Duration::from_secs(5), Duration::from_millis(5), |_, _| false);
+    let served = fleet.sent[before..].iter().filter(|(.., has_failed)| !has_failed).count();
+    assert_eq!(served, fleet.sent.len() - before);
+}
--- a/crates/topazmount/src/fleet/exchange/record.rs
+++ b/crates/topazmount/src/fleet/exchange/record.rs
@@ -35,15 +35,17 @@
     /// Records that a request sent to a replica at `sent_at` succeeded.
     pub(super) fn record_success(&self, choice: &Choice, sent_at: Time) {
         let now = self.shared.clock.now();
-        let (was_avoided, was_suspected) = {
+        let (was_avoided, was_suspected, outputs) = {
             let mut gateway_state = self.shared.gateway_state.lock().unwrap();
             let was_avoided = gateway_state.balancer().on_success(choice, now);
+            let outputs = gateway_state.report_success(choice, sent_at, now);
             gateway_state.crashes().clear_suspicion(&choice.instance.incarnation_name(), sent_at);
             let is_request_accused = gateway_state.crashes().record_completion(self.digest, now);
             let are_parts_accused =
                 gateway_state.crashes().record_part_completions(&self.parts, now);
-            (was_avoided, are_parts_accused || is_request_accused)
+            (was_avoided, are_parts_accused || is_request_accused, outputs)
         };
+        self.shared.handle_failure_outputs(outputs);
         if was_avoided {
             self.shared.metrics.count_event("replica_restored");
             let instance = &choice.instance.id;
@@ -62,8 +64,13 @@
     /// Records a complete response that reports an error.
     pub(super) fn record_error_response(&self, choice: &Choice) {
         let now = self.shared.clock.now();
-        let avoided =
-            self.shared.gateway_state.lock().unwrap().balancer().on_error_response(choice, now);
+        let (avoided, outputs) = {
+            let mut gateway_state = self.shared.gateway_state.lock().unwrap();
+            let avoided = gateway_state.balancer().on_error_response(choice, now);
+            let outputs = avoided.map(|_| gateway_state.report_failure(choice, now));
+            (avoided, outputs.unwrap_or_default())
+        };
+        self.shared.handle_failure_outputs(outputs);
         let Some((rate, median)) = avoided else { return };
         self.shared.metrics.count_event("replica_avoided");
         let Choice { instance, .. } = choice;
@@ -94,11 +101,12 @@
     pub(super) fn record_silence(&self, choice: &Choice, path: Path, sent_at: Time) -> bool {
         let now = self.shared.clock.now();
         let is_path_suspect = self.shared.is_path_silence(path, sent_at);
-        let mut gateway_state = self.shared.gateway_state.lock().unwrap();
-        let balancer = gateway_state.balancer();
-        let has_failed = !balancer.has_responded_since(choice, sent_at);
+        let has_failed = {
+            let mut gateway_state = self.shared.gateway_state.lock().unwrap();
+            !gateway_state.balancer().has_responded_since(choice, sent_at)
+        };
         if has_failed && !is_path_suspect {
-            balancer.on_failure(choice, now);
+            self.shared.record_replica_failure(choice, now);
         }
         has_failed
     }
@@ -145,7 +153,8 @@
                 }
             }
             AttemptEnd::Unreachable | AttemptEnd::Broken | AttemptEnd::Failed => {
-                balancer.on_failure(choice, now);
+                drop(gateway_state);
+                self.shared.record_replica_failure(choice, now);
                 in_flight.has_failed.store(true, Ordering::SeqCst);
             }
         }
--- a/crates/topazmount/src/fleet/gateway.rs
+++ b/crates/topazmount/src/fleet/gateway.rs
@@ -11,6 +11,7 @@
 use super::peers::{self, Peers};
 use super::pool::Pool;
 use super::rate_limited_log::RateLimitedLog;
+use super::replica_failures;
 use super::request_reader::ReadLimits;
 use super::settings::FleetSettings;
 use super::store_reader;
@@ -158,6 +159,7 @@
             .spawn(crash_watch::run(executor.clone(), shared.clone(), broken_receiver))
             .detach();
         executor.spawn(link_monitor::run(shared.clone(), probe_receiver)).detach();
+        executor.spawn(replica_failures::run(shared.clone())).detach();
         executor.spawn(store_reader::run(executor.clone(), shared.clone())).detach();
         let seeds = Seeds::new(settings.seed_peer_addresses());
         let watcher = Watcher::new(executor, clock, key, seeds.clone(), true);
--- a/crates/topazmount/src/fleet/legacy_datagrams.rs
+++ b/crates/topazmount/src/fleet/legacy_datagrams.rs
@@ -101,7 +101,9 @@
         | GatewayMessage::OriginResponse(..)
         | GatewayMessage::TrialRequest(..)
         | GatewayMessage::TrialResponse(..)
-        | GatewayMessage::TrialEnded(..) => return None,
+        | GatewayMessage::TrialEnded(..)
+        | GatewayMessage::ReplicaReport(_)
+        | GatewayMessage::ReplicaVerdicts(_) => return None,
     };
     Some(encode_datagram(&message))
 }
--- a/crates/topazmount/src/fleet/link_monitor.rs
+++ b/crates/topazmount/src/fleet/link_monitor.rs
@@ -164,8 +164,9 @@
         if failed.is_empty() {
             return;
         }
-        let mut gateway_state = self.gateway_state.lock().unwrap();
-        failed.iter().for_each(|choice| gateway_state.balancer().on_failure(choice, now));
+        for choice in failed {
+            self.record_replica_failure(&choice, now);
+        }
     }
 
     /// Records that a connection to a replica, opened at `began`, failed. Returns whether the links are
--- a/crates/topazmount/src/fleet/mod.rs
+++ b/crates/topazmount/src/fleet/mod.rs
@@ -25,6 +25,7 @@
 mod process;
 pub(crate) mod rate_limited_log;
 mod replica_changes;
+mod replica_failures;
 mod request_reader;
 mod response;
 mod settings;
--- a/crates/topazmount/src/fleet/peers.rs
+++ b/crates/topazmount/src/fleet/peers.rs
@@ -14,8 +14,8 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 use topazmount_gateway::{
-    GrantResponse, LimitUpdate, LoadUpdate, PlacementOffer, PlacementRequest, StreamKey, StripeId,
-    TrialOutcome, TrialRequest, TrialResponse,
+    GrantResponse, LimitUpdate, LoadUpdate, PlacementOffer, PlacementRequest, ReplicaReport,
+    ReplicaVerdict, StreamKey, StripeId, TrialOutcome, TrialRequest, TrialResponse,
 };
 use topazmount_types::{Digest, RequestDigest, SoftwareId};
 use topazmount_wire::{
@@ -72,6 +72,10 @@
     TrialResponse(u64, TrialResponse),
     /// A granted trial has ended.
     TrialEnded(RequestDigest, TrialOutcome),
+    /// Whether requests fail at a replica, for its monitors.
+    ReplicaReport(ReplicaReport),
+    /// Which replicas are avoided, from a monitor.
+    ReplicaVerdicts(Vec<ReplicaVerdict>),
 }
 
 impl GatewayMessage {
@@ -92,6 +96,8 @@
             GatewayMessage::TrialRequest(..) => "trial_request",
             GatewayMessage::TrialResponse(..) => "trial_response",
             GatewayMessage::TrialEnded(..) => "trial_ended",
+            GatewayMessage::ReplicaReport(_) => "replica_report",
+            GatewayMessage::ReplicaVerdicts(_) => "replica_verdicts",
         }
     }
 }
@@ -405,6 +411,16 @@
         self.send(vec![coordinator], GatewayMessage::TrialEnded(request, outcome));
     }
 
+    /// Queues a report for the monitors of a replica.
+    pub(super) fn send_replica_report(&self, to: Vec<SocketAddr>, report: ReplicaReport) {
+        self.send(to, GatewayMessage::ReplicaReport(report));
+    }
+
+    /// Queues a monitor's verdicts.
+    pub(super) fn send_replica_verdicts(&self, to: Vec<SocketAddr>, verdicts: Vec<ReplicaVerdict>) {
+        self.send(to, GatewayMessage::ReplicaVerdicts(verdicts));
+    }
+
     fn add_pending(&self, sender: Sender<Response>) -> PendingRequest<'_> {
         let request_id = self.next_request_id.fetch_add(1, Ordering::Relaxed);
         self.pending.lock().unwrap().insert(request_id, sender);
@@ -504,6 +520,15 @@
             Ok(GatewayMessage::TrialEnded(request, outcome)) => {
                 shared.record_trial_end(request, outcome, now);
             }
+            Ok(GatewayMessage::ReplicaReport(report)) => {
+                let outputs =
+                    shared.gateway_state.lock().unwrap().apply_report(report, sender, now);
+                shared.handle_failure_outputs(outputs);
+            }
+            Ok(GatewayMessage::ReplicaVerdicts(verdicts)) => {
+                let outputs = shared.gateway_state.lock().unwrap().apply_verdicts(&verdicts, now);
+                shared.handle_failure_outputs(outputs);
+            }
             Err(error) => {
                 shared.metrics.count_event("bad_datagram");
                 shared.event_log.info(|| {
