Shared failures: a gateway that may be connected in another way tries, too; errors are shared

Callers saw: nothing yet; found by our own test. With messages delivered in the order sent (the test delivered them depth first before, which showed the way back before the avoidance), six of 24 gateways without network made the others avoid sound replicas for long: gateways_without_network_make_others_avoid_replicas_for_long failed.

Cause: only reporters tried an avoided replica, and here these were the gateways at fault. Class: evidence is asked only of those whose fault is in question. Beside it: a trial that failed left the permission in force, so that a gateway could lose several requests.

Change: each trial is open to one reporter and one other gateway; the permission ends with the failure. Error responses are reported, too, with the number in a row that is more than chance by what the reporter knows of the service; each gateway of a large fleet would otherwise have to see several errors of each sick replica itself.

--- a/crates/gateway/src/balancer/error_rates.rs
+++ b/crates/gateway/src/balancer/error_rates.rs
@@ -16,6 +16,11 @@
 /// An error rate is exceptional beyond the median times the factor plus the margin.
 const FACTOR: f64 = 2.0;
 const MARGIN: f64 = 0.1;
+/// Probability that so many errors in a row are chance, from which on they show something.
+const SIGNIFICANCE: f64 = 0.001;
+/// Responses and errors among them that are assumed before any is known.
+const PRIOR_RESPONSES: f64 = 4.0;
+const PRIOR_ERRORS: f64 = 1.0;
 /// Time for which a replica is avoided at first; doubled each time, until it has responded well.
 const MIN_AVOIDANCE: Duration = Duration::from_secs(1);
 const MAX_AVOIDANCE: Duration = Duration::from_secs(4);
@@ -46,6 +51,11 @@
         (self.responses >= MIN_RESPONSES).then(|| self.errors / self.responses)
     }
 
+    /// Weighted responses and errors.
+    pub(super) fn counts(&self) -> (f64, f64) {
+        (self.responses, self.errors)
+    }
+
     /// Whether the share of errors exceeds the median of the service by more than chance.
     fn is_exceptional(&self, median: f64) -> bool {
         let Some(rate) = self.rate() else { return false };
@@ -91,3 +101,12 @@
     let middle = rates.len().checked_sub(1)? / 2;
     rates.get(middle).copied()
 }
+
+/// Errors in a row that are more than chance where all replicas of a service together gave these
+/// counts of responses and errors.
+pub(super) fn significant_errors(counts: impl Iterator<Item = (f64, f64)>) -> u32 {
+    let (responses, errors) = counts
+        .fold((PRIOR_RESPONSES, PRIOR_ERRORS), |sum, counts| (sum.0 + counts.0, sum.1 + counts.1));
+    // The prior keeps the share below 1.
+    (SIGNIFICANCE.ln() / (errors / responses).ln()).ceil() as u32
+}
--- a/crates/gateway/src/balancer/fleet_failures.rs
+++ b/crates/gateway/src/balancer/fleet_failures.rs
@@ -2,7 +2,7 @@
 
 use super::choice::Choice;
 use super::{Balancer, Replica};
-use crate::failure_monitor::{ReplicaReport, ReplicaVerdict, VERDICT_TIME};
+use crate::failure_monitor::{Evidence, ReplicaReport, ReplicaVerdict, VERDICT_TIME};
 use std::net::SocketAddr;
 use std::time::Duration;
 use topazmount_types::{InstanceId, ReplicaId, Time};
@@ -30,6 +30,8 @@
     /// Since when it fails for others, or for this gateway if that was reported.
     failing_since: Option<Time>,
     reported_at: Time,
+    /// Whether this gateway may try it although the others avoid it.
+    is_tester: bool,
     /// When the last request was sent there that succeeded.
     succeeded_from: Time,
 }
@@ -52,17 +54,26 @@
 }
 
 impl Balancer {
-    /// The report to send after a failure was recorded; `None` if one was sent shortly before.
-    pub(crate) fn failure_report(&mut self, choice: &Choice, now: Time) -> Option<ReplicaReport> {
+    /// The report to send after a failure was recorded that shows something once `needed` have
+    /// occurred; `None` if one was sent shortly before.
+    pub(crate) fn failure_report(
+        &mut self,
+        choice: &Choice,
+        needed: u32,
+        now: Time,
+    ) -> Option<ReplicaReport> {
         let zone = self.zone_hash();
         let replica = self.chosen_mut(choice)?;
         let failures = &mut replica.fleet_failures;
-        if now < failures.reported_at + REPORT_INTERVAL {
+        let has_failed_trial = std::mem::take(&mut failures.is_tester);
+        if has_failed_trial {
+            failures.avoided_until = now + VERDICT_TIME;
+        } else if now < failures.reported_at + REPORT_INTERVAL {
             return None;
         }
         failures.reported_at = now;
         failures.failing_since.get_or_insert(now);
-        Some(report(replica, zone, true))
+        Some(report(replica, zone, Evidence::Failure(needed)))
     }
 
     /// The report to send after a request that was sent at `sent_at` succeeded, if the replica counts
@@ -74,7 +85,7 @@
     ) -> Option<ReplicaReport> {
         let zone = self.zone_hash();
         let replica = self.chosen_mut(choice)?;
-        replica.fleet_failures.on_success(sent_at).then(|| report(replica, zone, false))
+        replica.fleet_failures.on_success(sent_at).then(|| report(replica, zone, Evidence::Success))
     }
 
     /// Applies the verdict of a replica's monitor. `own` is this gateway's address.
@@ -103,10 +114,11 @@
         };
         let failing_since = now - failing_for;
         if replica.fleet_failures.succeeded_from > failing_since {
-            return VerdictEffect::Contradicted(report(replica, zone, false));
+            return VerdictEffect::Contradicted(report(replica, zone, Evidence::Success));
         }
         replica.fleet_failures.failing_since = Some(failing_since);
-        if own.is_some() && verdict.tester == own {
+        replica.fleet_failures.is_tester = own.is_some_and(|own| verdict.testers.contains(&own));
+        if replica.fleet_failures.is_tester {
             replica.fleet_failures.avoided_until = Time::ZERO;
             replica.allow_trial(now);
             return VerdictEffect::None;
@@ -123,6 +135,6 @@
     }
 }
 
-fn report(replica: &Replica, zone: u64, has_failed: bool) -> ReplicaReport {
-    ReplicaReport { incarnation: replica.incarnation_id.0, zone, has_failed }
+fn report(replica: &Replica, zone: u64, evidence: Evidence) -> ReplicaReport {
+    ReplicaReport { incarnation: replica.incarnation_id.0, zone, evidence }
 }
--- a/crates/gateway/src/balancer/mod.rs
+++ b/crates/gateway/src/balancer/mod.rs
@@ -75,6 +75,8 @@
     prefill_estimators: HashMap<String, PrefillEstimator>,
     /// Median share of errors of each service's replicas, and when it was computed.
     median_error_rates: HashMap<String, (f64, Time)>,
+    /// Errors in a row at a replica of each service that show something, and when that was computed.
+    significant_errors: HashMap<String, (u32, Time)>,
     /// Whether coordinators place prompts, as there are too many gateways to broadcast load
     /// updates.
     has_coordinators: bool,
@@ -110,6 +112,7 @@
             reliable_cache_age: DEFAULT_RELIABLE_CACHE_AGE,
             prefill_estimators: HashMap::new(),
             median_error_rates: HashMap::new(),
+            significant_errors: HashMap::new(),
             has_coordinators: false,
             pushbacks: PushbackRecords::default(),
             limits: RequestLimits::default(),
--- a/crates/gateway/src/balancer/progress.rs
+++ b/crates/gateway/src/balancer/progress.rs
@@ -2,7 +2,7 @@
 //! the request was sent to.
 
 use super::choice::{Choice, ChoiceRequest};
-use super::error_rates::median;
+use super::error_rates::{median, significant_errors};
 use super::replica::Replica;
 use super::{Balancer, DEFAULT_TOKENS_PER_MS};
 use crate::estimator::PrefillEstimator;
@@ -10,8 +10,8 @@
 use topazmount_control::Availability;
 use topazmount_types::Time;
 
-/// Time for which a service's median error rate is used; it takes a pass over all replicas.
-const MEDIAN_INTERVAL: Duration = Duration::from_millis(200);
+/// Time for which what is known of the errors of a service is used; it takes a pass over all replicas.
+const ERRORS_INTERVAL: Duration = Duration::from_millis(200);
 
 impl Balancer {
     /// The replica of a choice, if its incarnation is still the current one.
@@ -140,10 +140,21 @@
         Some((rate, median))
     }
 
+    /// Errors in a row at a replica of a service, at any gateways, that show more than chance.
+    pub(crate) fn significant_errors(&mut self, service: &str, now: Time) -> u32 {
+        let known = self.significant_errors.get(service);
+        if let Some((needed, _)) = known.filter(|(_, at)| now < *at + ERRORS_INTERVAL) {
+            return *needed;
+        }
+        let needed = significant_errors(self.serving(service).map(|it| it.error_rate.counts()));
+        self.significant_errors.insert(service.to_owned(), (needed, now));
+        needed
+    }
+
     /// Median share of errors of a service's replicas, as of a moment ago.
     fn median_error_rate(&mut self, service: &str, now: Time) -> Option<f64> {
         let known = self.median_error_rates.get(service);
-        if let Some((median, _)) = known.filter(|(_, at)| now < *at + MEDIAN_INTERVAL) {
+        if let Some((median, _)) = known.filter(|(_, at)| now < *at + ERRORS_INTERVAL) {
             return Some(*median);
         }
         let replicas = self.replicas.values().filter(|it| it.instance.service == service);
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -41,7 +41,7 @@
     part_digest,
 };
 pub use estimator::PrefillEstimator;
-pub use failure_monitor::{REPEAT_INTERVAL, ReplicaReport, ReplicaVerdict};
+pub use failure_monitor::{Evidence, REPEAT_INTERVAL, ReplicaReport, ReplicaVerdict};
 pub use links::{ISOLATED_TIME, LinkState, ReplicaLinks, WithheldFailures};
 pub use load_shedding::TtftEstimate;
 pub use placement_request::{PlacementOffer, PlacementRequest};
--- a/crates/gateway/src/state/failures.rs
+++ b/crates/gateway/src/state/failures.rs
@@ -9,7 +9,7 @@
 /// Gateways that monitor an incarnation.
 const MONITORS: usize = 2;
 /// Maximum number of verdicts in one message.
-const MAX_VERDICTS: usize = 12;
+const MAX_VERDICTS: usize = 10;
 
 /// What follows from a failure, a success or a message about a replica.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -27,7 +27,14 @@
 impl GatewayState {
     /// Reports a failure that was recorded.
     pub fn report_failure(&mut self, choice: &Choice, now: Time) -> Vec<FailureOutput> {
-        let report = self.balancer.failure_report(choice, now);
+        let report = self.balancer.failure_report(choice, 1, now);
+        report.map_or_else(Vec::new, |report| self.send_report(report, now))
+    }
+
+    /// Reports an error response that was recorded.
+    pub fn report_error_response(&mut self, choice: &Choice, now: Time) -> Vec<FailureOutput> {
+        let needed = self.balancer.significant_errors(&choice.instance.service, now);
+        let report = self.balancer.failure_report(choice, needed, now);
         report.map_or_else(Vec::new, |report| self.send_report(report, now))
     }
 
@@ -72,7 +79,9 @@
 
     /// As a monitor, repeats which replicas are avoided.
     pub fn repeat_verdicts(&mut self, now: Time) -> Vec<FailureOutput> {
-        let verdicts = self.failure_monitor.repeat(now);
+        let mut gateways = self.gateways.others(now);
+        gateways.extend(self.gateways.own_address());
+        let verdicts = self.failure_monitor.repeat(&gateways, now);
         let chunks = verdicts.chunks(MAX_VERDICTS).map(<[ReplicaVerdict]>::to_vec);
         chunks.flat_map(|verdicts| self.send_verdicts(verdicts, now)).collect()
     }
--- a/crates/gateway/tests/shared_failures.rs
+++ b/crates/gateway/tests/shared_failures.rs
@@ -5,12 +5,14 @@
 use common::{choice_request, instance, prompt};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
-use std::collections::BTreeMap;
+use std::cell::RefCell;
+use std::collections::{BTreeMap, VecDeque};
 use std::net::SocketAddr;
 use std::time::Duration;
 use topazmount_control::{FleetView, GatewayListUpdate, GatewayReport, InstanceStatus};
 use topazmount_gateway::{
     Choice, ChoiceRequest, FailureOutput, GatewaySettings, GatewayState, Prompt, REPEAT_INTERVAL,
+    ReplicaReport, ReplicaVerdict,
 };
 use topazmount_types::{Instance, Time};
 
@@ -30,9 +32,25 @@
     (0..FAILING).any(|number| id == format!("i-{number}"))
 }
 
+/// How requests fail.
+#[derive(Clone, Copy)]
+enum Failure {
+    /// The connection breaks.
+    Broken,
+    /// The replica answers with an error.
+    Error,
+}
+
+#[derive(Clone)]
+enum Message {
+    Report(ReplicaReport),
+    Verdicts(Vec<ReplicaVerdict>),
+}
+
 /// Gateways that exchange messages without delay, and what happened to their requests.
 struct Fleet {
     gateways: Vec<GatewayState>,
+    failure: Failure,
     prompt: Prompt,
     rng: ChaCha8Rng,
     now: Time,
@@ -41,6 +59,10 @@
     sent: Vec<(Time, usize, String, bool)>,
     /// How often gateways began to avoid a replica for the failures of others.
     avoided: BTreeMap<String, usize>,
+    /// Since when gateways avoid replicas.
+    avoided_since: BTreeMap<(usize, String), Time>,
+    /// Time of avoided replicas, over all gateways.
+    avoided_time: Duration,
     messages: usize,
 }
 
@@ -75,42 +97,72 @@
         };
         Fleet {
             gateways: zones.iter().enumerate().map(gateway).collect(),
+            failure: Failure::Broken,
             prompt: prompt(&[]),
             rng: ChaCha8Rng::seed_from_u64(1),
             now: START,
             repeated_at: START,
             sent: Vec::new(),
             avoided: BTreeMap::new(),
+            avoided_since: BTreeMap::new(),
+            avoided_time: Duration::ZERO,
             messages: 0,
         }
     }
 
-    fn handle(&mut self, sender: usize, outputs: Vec<FailureOutput>) {
+    /// Handles outputs of a gateway, and delivers all messages that follow in the order sent.
+    fn handle(&mut self, gateway: usize, outputs: Vec<FailureOutput>) {
+        let mut queue = VecDeque::new();
+        self.record(gateway, outputs, &mut queue);
+        while let Some((sender, to, message)) = queue.pop_front() {
+            self.messages += 1;
+            let to = self.number(to);
+            let outputs = match message {
+                Message::Report(report) => {
+                    self.gateways[to].apply_report(report, address(sender), self.now)
+                }
+                Message::Verdicts(verdicts) => {
+                    self.gateways[to].apply_verdicts(&verdicts, self.now)
+                }
+            };
+            self.record(to, outputs, &mut queue);
+        }
+    }
+
+    fn record(
+        &mut self,
+        gateway: usize,
+        outputs: Vec<FailureOutput>,
+        queue: &mut VecDeque<(usize, SocketAddr, Message)>,
+    ) {
         for output in outputs {
             match output {
                 FailureOutput::SendReport(to, report) => {
-                    for to in to {
-                        let to = self.number(to);
-                        self.messages += 1;
-                        let outputs =
-                            self.gateways[to].apply_report(report, address(sender), self.now);
-                        self.handle(to, outputs);
-                    }
+                    queue.extend(to.iter().map(|to| (gateway, *to, Message::Report(report))));
                 }
                 FailureOutput::SendVerdicts(to, verdicts) => {
-                    for to in to {
-                        let to = self.number(to);
-                        self.messages += 1;
-                        let outputs = self.gateways[to].apply_verdicts(&verdicts, self.now);
-                        self.handle(to, outputs);
-                    }
+                    let message = || Message::Verdicts(verdicts.clone());
+                    queue.extend(to.iter().map(|to| (gateway, *to, message())));
+                }
+                FailureOutput::Avoided(id) => {
+                    *self.avoided.entry(id.clone()).or_default() += 1;
+                    let before = self.avoided_since.insert((gateway, id), self.now);
+                    self.add_avoided_time(before);
+                }
+                FailureOutput::Restored(id) => {
+                    let since = self.avoided_since.remove(&(gateway, id));
+                    self.add_avoided_time(since);
                 }
-                FailureOutput::Avoided(id) => *self.avoided.entry(id).or_default() += 1,
-                FailureOutput::Restored(_) => {}
             }
         }
     }
 
+    fn add_avoided_time(&mut self, since: Option<Time>) {
+        if let Some(since) = since {
+            self.avoided_time += self.now.since(since);
+        }
+    }
+
     fn number(&self, to: SocketAddr) -> usize {
         (0..self.gateways.len()).find(|number| address(*number) == to).expect("it is listed")
     }
@@ -120,12 +172,16 @@
         let id = choice.instance.id.clone();
         let has_failed = fails(gateway, &id);
         let state = &mut self.gateways[gateway];
-        let outputs = match has_failed {
-            true => {
+        let outputs = match (has_failed, self.failure) {
+            (true, Failure::Broken) => {
                 state.balancer().on_failure(&choice, self.now);
                 state.report_failure(&choice, self.now)
             }
-            false => {
+            (true, Failure::Error) => {
+                state.balancer().on_error_response(&choice, self.now);
+                state.report_error_response(&choice, self.now)
+            }
+            (false, _) => {
                 state.balancer().on_success(&choice, self.now);
                 state.report_success(&choice, self.now, self.now)
             }
@@ -170,10 +226,10 @@
 }
 
 macro_rules! each_gateway_fails_at_a_replica_before_it_is_avoided {
-    ($($name:ident: $gateways:expr, $pause_ms:expr;)*) => {$(
+    ($($name:ident: $gateways:expr, $pause_ms:expr, $failure:expr;)*) => {$(
         #[test]
         fn $name() {
-            let mut fleet = Fleet::new(&["north"; $gateways]);
+            let mut fleet = Fleet { failure: $failure, ..Fleet::new(&["north"; $gateways]) };
             let pause = Duration::from_millis($pause_ms);
             fleet.play(Duration::from_secs(3), pause, |_, _| false);
             let began = fleet.now;
@@ -187,9 +243,37 @@
 }
 
 each_gateway_fails_at_a_replica_before_it_is_avoided! {
-    each_of_6_gateways_fails_at_a_replica_before_it_is_avoided: 6, 10;
-    each_of_24_gateways_fails_at_a_replica_before_it_is_avoided: 24, 10;
-    each_of_300_gateways_fails_at_a_replica_before_it_is_avoided: 300, 10;
+    each_of_6_gateways_fails_at_a_replica_before_it_is_avoided: 6, 10, Failure::Broken;
+    each_of_24_gateways_fails_at_a_replica_before_it_is_avoided: 24, 10, Failure::Broken;
+    each_of_300_gateways_fails_at_a_replica_before_it_is_avoided: 300, 10, Failure::Broken;
+    each_of_6_gateways_gets_errors_of_a_replica_before_it_is_avoided: 6, 10, Failure::Error;
+    each_of_24_gateways_gets_errors_of_a_replica_before_it_is_avoided: 24, 10, Failure::Error;
+    each_of_300_gateways_gets_errors_of_a_replica_before_it_is_avoided: 300, 10, Failure::Error;
+}
+
+macro_rules! a_service_that_fails_a_share_of_its_requests_loses_replicas {
+    ($($name:ident: $gateways:expr, $share:expr;)*) => {$(
+        #[test]
+        fn $name() {
+            let mut fleet = Fleet { failure: Failure::Error, ..Fleet::new(&["north"; $gateways]) };
+            let rng = RefCell::new(ChaCha8Rng::seed_from_u64(2));
+            let pause = Duration::from_millis(10);
+            fleet.play(Duration::from_secs(30), pause, |_, _| rng.borrow_mut().random_bool($share));
+            for since in std::mem::take(&mut fleet.avoided_since).into_values() {
+                fleet.add_avoided_time(Some(since));
+            }
+            let avoided = fleet.avoided_time.as_secs_f64();
+            let share = avoided / (30 * $gateways * REPLICAS) as f64;
+            assert!(share <= 0.05, "{share:.3} of the time, {:?}", fleet.avoided);
+        }
+    )*};
+}
+
+a_service_that_fails_a_share_of_its_requests_loses_replicas! {
+    a_service_that_fails_one_request_in_seven_loses_replicas: 300, 0.14;
+    a_service_that_fails_half_of_its_requests_loses_replicas: 24, 0.5;
+    a_service_that_fails_half_of_its_requests_in_a_large_fleet_loses_replicas: 300, 0.5;
+    a_service_that_fails_nearly_all_requests_loses_replicas: 24, 0.9;
 }
 
 #[test]
--- a/crates/topazmount/src/fleet/exchange/record.rs
+++ b/crates/topazmount/src/fleet/exchange/record.rs
@@ -67,8 +67,8 @@
         let (avoided, outputs) = {
             let mut gateway_state = self.shared.gateway_state.lock().unwrap();
             let avoided = gateway_state.balancer().on_error_response(choice, now);
-            let outputs = avoided.map(|_| gateway_state.report_failure(choice, now));
-            (avoided, outputs.unwrap_or_default())
+            let outputs = gateway_state.report_error_response(choice, now);
+            (avoided, outputs)
         };
         self.shared.handle_failure_outputs(outputs);
         let Some((rate, median)) = avoided else { return };
