A retry that the budget refuses is in the log and the metrics, with its service

Change: event=retry_denied and topazmount_retries_denied{service}. Beside it the bytes of the new messages between gateways are recorded (three lines more, the old ones as before), and a test bounds the largest list of verdicts to 1,200 bytes, what docs/DESIGN.md says.

--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -50,7 +50,8 @@
 pub use quota::{GrantResponse, Granter, LimitUnit, QuotaSettings, STRIPES, StripeId, TenantLimit};
 pub use shards::{GatewayList, MAX_BROADCAST_PEERS, Shard};
 pub use state::{
-    Admission, FailureOutput, GatewaySettings, GatewayState, LimitUpdate, MIN_RETRY_DELAY,
+    Admission, FailureOutput, GatewaySettings, GatewayState, LimitUpdate, MAX_VERDICTS,
+    MIN_RETRY_DELAY,
 };
 pub use stores::{
     MAX_STORE_READERS, StoreChange, StoreEvents, StoreKey, StoredPrompt, Stores, cache_salt,
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -8,7 +8,7 @@
 mod replicas;
 mod trials;
 
-pub use failures::FailureOutput;
+pub use failures::{FailureOutput, MAX_VERDICTS};
 pub use limits::LimitUpdate;
 use notices::LeaderNotices;
 use placement::FollowedStores;
--- a/crates/gateway/src/state/failures.rs
+++ b/crates/gateway/src/state/failures.rs
@@ -9,7 +9,7 @@
 /// Gateways that monitor an incarnation.
 const MONITORS: usize = 2;
 /// Maximum number of verdicts in one message.
-const MAX_VERDICTS: usize = 10;
+pub const MAX_VERDICTS: usize = 10;
 
 /// What follows from a failure, a success or a message about a replica.
 #[derive(Clone, Debug, PartialEq, Eq)]
--- a/crates/topazmount/src/fleet/exchange/mod.rs
+++ b/crates/topazmount/src/fleet/exchange/mod.rs
@@ -415,7 +415,18 @@
     /// Takes one retry from the service's retry budget, if there is one left.
     fn take_retry(&self) -> bool {
         let now = self.shared.clock.now();
-        self.shared.gateway_state.lock().unwrap().try_retry(&self.admission.service, now)
+        let service = &self.admission.service;
+        let is_allowed = self.shared.gateway_state.lock().unwrap().try_retry(service, now);
+        if !is_allowed {
+            self.shared.metrics.count_denied_retry(service);
+            self.shared.event_log.info(|| {
+                format!(
+                    "gateway: event=retry_denied request={} service={service}",
+                    self.metadata.id
+                )
+            });
+        }
+        is_allowed
     }
 }
 
--- a/crates/topazmount/src/fleet/metrics.rs
+++ b/crates/topazmount/src/fleet/metrics.rs
@@ -31,6 +31,7 @@
     message_bytes: IntCounterVec,
     message_busy_us: IntCounterVec,
     backoff_ms: IntCounterVec,
+    denied_retries: IntCounterVec,
 }
 
 impl Default for Metrics {
@@ -53,6 +54,8 @@
         let message_bytes = counter("message_bytes", "Their bytes.", &by_kind);
         let help = "Milliseconds for which replicas asked this process for rest.";
         let backoff_ms = counter("rest_ms", help, &["service"]);
+        let help = "Retries that the budget of a service refused.";
+        let denied_retries = counter("retries_denied", help, &["service"]);
         let help = "Microseconds for encoding, decoding and, of way step, the member's thread.";
         let message_busy_us = counter("message_busy_us", help, &by_kind);
         let options = HistogramOpts::new("seconds", "Time from reading a request, by what ended.")
@@ -80,6 +83,7 @@
             message_bytes,
             message_busy_us,
             backoff_ms,
+            denied_retries,
         }
     }
 }
@@ -101,6 +105,11 @@
         self.backoff_ms.with_label_values(&[service]).inc_by(time.as_millis() as u64);
     }
 
+    /// Counts a retry that the budget of a service refused.
+    pub fn count_denied_retry(&self, service: &str) {
+        self.denied_retries.with_label_values(&[service]).inc();
+    }
+
     /// Records the first event of a stream, received `elapsed` after the request was read.
     pub fn record_first_event(&self, elapsed: Duration) {
         self.latency.with_label_values(&["first_event"]).observe(elapsed.as_secs_f64());
--- a/crates/topazmount/tests/gateway_datagrams.rs
+++ b/crates/topazmount/tests/gateway_datagrams.rs
@@ -5,8 +5,8 @@
 use topazmount::fleet::GatewayMessage;
 use topazmount_admission::RequestLimit;
 use topazmount_gateway::{
-    GrantResponse, LimitUpdate, LoadUpdate, PlacementOffer, PlacementRequest, PromptEvent, Shard,
-    StreamKey, StripeId,
+    Evidence, GrantResponse, LimitUpdate, LoadUpdate, MAX_VERDICTS, PlacementOffer,
+    PlacementRequest, PromptEvent, ReplicaReport, ReplicaVerdict, Shard, StreamKey, StripeId,
 };
 use topazmount_types::SoftwareId;
 use topazmount_wire::{decode_payload, encode_datagram};
@@ -79,6 +79,7 @@
         has_empty_queue: false,
         ..offer()
     };
+    let restored = ReplicaVerdict { failing_for: None, testers: Vec::new(), ..verdict() };
     vec![
         ("load_sent", load(PromptEvent::Sent)),
         ("load_read", load(PromptEvent::Prefilled)),
@@ -105,9 +106,34 @@
         ("origin_of", GatewayMessage::OriginRequest(303, stream)),
         ("origin_is", GatewayMessage::OriginResponse(303, Some(software))),
         ("origin_is_none", GatewayMessage::OriginResponse(303, None)),
+        ("replica_report", GatewayMessage::ReplicaReport(report(Evidence::Failure(4)))),
+        ("replica_report_success", GatewayMessage::ReplicaReport(report(Evidence::Success))),
+        ("replica_verdicts", GatewayMessage::ReplicaVerdicts(vec![verdict(), restored])),
     ]
 }
 
+fn report(evidence: Evidence) -> ReplicaReport {
+    ReplicaReport { incarnation: 0x4142_4344_4546_4748, zone: 0x5152_5354_5556_5758, evidence }
+}
+
+fn verdict() -> ReplicaVerdict {
+    ReplicaVerdict {
+        incarnation: 0x4142_4344_4546_4748,
+        zone: 0x5152_5354_5556_5758,
+        failing_for: Some(Duration::new(2, 500)),
+        testers: vec!["10.0.0.1:80".parse().unwrap(), "[fd00::1]:80".parse().unwrap()],
+    }
+}
+
+#[test]
+fn the_largest_list_of_verdicts_exceeds_a_datagram() {
+    let testers = vec!["[ffff:ffff:ffff:ffff:ffff:ffff:ffff:ffff]:65535".parse().unwrap(); 2];
+    let verdict = ReplicaVerdict { testers, ..verdict() };
+    let message = GatewayMessage::ReplicaVerdicts(vec![verdict; MAX_VERDICTS]);
+    let bytes = encode_datagram(&message).unwrap().len();
+    assert!(bytes <= 1_200, "{bytes}");
+}
+
 fn hex(bytes: &[u8]) -> String {
     bytes.iter().map(|byte| format!("{byte:02x}")).collect()
 }
