A gateway that has just started believes no single report; permissions end with the avoidance

Callers saw: nothing; found by reading. In the first five seconds of a gateway's clock one report made a zone's gateways avoid a replica, as the number of reporters needed was set by a comparison with a time that is 0 then. A gateway that had been allowed to try an avoided replica kept that permission after the replica worked again, so that its next failure there avoided it for 3 s instead of 0.5 s.

Change: the minimum holds for new records; what belongs to an avoidance ends together, in one function. The list of reporters never holds more than its maximum.

Measured: one_report_after_a_start_makes_gateways_avoid_a_replica and a_permission_for_a_trial_outlasts_the_avoidance fail before and hold after; the other 15 of shared_failures hold.

--- a/crates/gateway/src/balancer/fleet_failures.rs
+++ b/crates/gateway/src/balancer/fleet_failures.rs
@@ -46,11 +46,17 @@
         self.succeeded_from = self.succeeded_from.max(sent_at);
         let contradicts = self.failing_since.is_some_and(|since| sent_at >= since);
         if contradicts {
-            self.failing_since = None;
-            self.avoided_until = Time::ZERO;
+            self.end();
         }
         contradicts
     }
+
+    /// The replica no longer counts as failing.
+    fn end(&mut self) {
+        self.failing_since = None;
+        self.avoided_until = Time::ZERO;
+        self.is_tester = false;
+    }
 }
 
 impl Balancer {
@@ -105,8 +111,7 @@
         };
         let was_avoided = replica.fleet_failures.is_avoided(now);
         let Some(failing_for) = verdict.failing_for else {
-            replica.fleet_failures.avoided_until = Time::ZERO;
-            replica.fleet_failures.failing_since = None;
+            replica.fleet_failures.end();
             return match was_avoided {
                 true => VerdictEffect::Restored(replica.instance.id.clone()),
                 false => VerdictEffect::None,
--- a/crates/gateway/src/failure_monitor.rs
+++ b/crates/gateway/src/failure_monitor.rs
@@ -28,7 +28,7 @@
 const MAX_TRIAL_PAUSE: Duration = Duration::from_secs(4);
 /// Time for which gateways may try before the next ones do. They may have no request.
 const TRIAL_TIME: Duration = Duration::from_secs(2);
-/// Maximum number of records, 600 KB at most; the least recently used are dropped.
+/// Maximum number of records; the least recently used one is dropped.
 const MAX_RECORDS: usize = 1_024;
 
 /// What a gateway tells the monitors of a replica.
@@ -75,7 +75,7 @@
     /// that knows the most errors.
     failures: u32,
     needed_failures: u32,
-    /// Reporters that make the others avoid the replica.
+    /// Reporters that make the others avoid the replica, [`MIN_REPORTERS`] at least.
     needed_reporters: usize,
     is_avoided: bool,
     trials: u32,
@@ -169,8 +169,8 @@
         self.failures += 1;
         self.needed_failures = self.needed_failures.max(needed_failures);
         self.add_reporter(address, now);
-        self.is_avoided =
-            self.reporters.len() >= self.needed_reporters && self.failures >= self.needed_failures;
+        self.is_avoided = self.reporters.len() >= self.needed_reporters.max(MIN_REPORTERS)
+            && self.failures >= self.needed_failures;
         if self.is_avoided {
             self.failed_trials = 0;
             self.trial_at = now + trial_pause(0);
@@ -193,10 +193,10 @@
         let known = self.reporters.iter().position(|reporter| reporter.address == address);
         let known = known.and_then(|position| self.reporters.remove(position));
         let first_at = known.map_or(now, |reporter| reporter.first_at);
-        self.reporters.push_back(Reporter { address, first_at, last_at: now });
-        if self.reporters.len() > MAX_REPORTERS {
+        if self.reporters.len() == MAX_REPORTERS {
             self.reporters.pop_front();
         }
+        self.reporters.push_back(Reporter { address, first_at, last_at: now });
     }
 
     /// Returns whether the replica was avoided.
@@ -221,9 +221,12 @@
         }
         self.trials = self.trials.wrapping_add(1);
         self.trial_at = now;
-        // The one that has reported longest ago.
-        self.testers = self.reporters.front().map(|it| it.address).into_iter().collect();
-        self.reporters.rotate_left(1);
+        self.testers.clear();
+        // The one that has reported, or tried, longest ago.
+        if let Some(reporter) = self.reporters.pop_front() {
+            self.testers.push(reporter.address);
+            self.reporters.push_back(reporter);
+        }
         let is_reporter =
             |address: &&SocketAddr| self.reporters.iter().any(|it| it.address == **address);
         let others: Vec<&SocketAddr> =
--- a/crates/gateway/tests/shared_failures.rs
+++ b/crates/gateway/tests/shared_failures.rs
@@ -11,10 +11,10 @@
 use std::time::Duration;
 use topazmount_control::{FleetView, GatewayListUpdate, GatewayReport, InstanceStatus};
 use topazmount_gateway::{
-    Choice, ChoiceRequest, FailureOutput, GatewaySettings, GatewayState, Prompt, REPEAT_INTERVAL,
-    ReplicaReport, ReplicaVerdict,
+    Choice, ChoiceRequest, Evidence, FailureOutput, GatewaySettings, GatewayState, Prompt,
+    REPEAT_INTERVAL, ReplicaReport, ReplicaVerdict,
 };
-use topazmount_types::{Instance, Time};
+use topazmount_types::{Instance, ReplicaId, Time};
 
 const START: Time = Time::from_secs(1_000);
 const PORT: u16 = 7_000;
@@ -336,3 +336,40 @@
     let served = fleet.sent[before..].iter().filter(|(.., has_failed)| !has_failed).count();
     assert_eq!(served, fleet.sent.len() - before);
 }
+
+fn hash(name: &str) -> u64 {
+    ReplicaId::from_name(name).0
+}
+
+#[test]
+fn one_report_after_a_start_makes_gateways_avoid_a_replica() {
+    let mut fleet = Fleet::new(&["north"; 6]);
+    let incarnation = hash(&instance("i-0", "pool", "north").incarnation_name());
+    let report = ReplicaReport { incarnation, zone: hash("north"), evidence: Evidence::Failure(1) };
+    let outputs = fleet.gateways[0].apply_report(report, address(1), Time::from_millis(10));
+    assert_eq!(outputs, []);
+}
+
+#[test]
+fn a_permission_for_a_trial_outlasts_the_avoidance() {
+    let mut fleet = Fleet::new(&["north"]);
+    let name = instance("i-0", "pool", "north").incarnation_name();
+    let avoided = ReplicaVerdict {
+        incarnation: hash(&name),
+        zone: hash("north"),
+        failing_for: Some(Duration::from_secs(1)),
+        testers: vec![address(0)],
+    };
+    let restored = ReplicaVerdict { failing_for: None, testers: Vec::new(), ..avoided.clone() };
+    fleet.gateways[0].apply_verdicts(&[avoided, restored], fleet.now);
+    let choose_failing = |fleet: &mut Fleet| {
+        (0..100).map(|_| fleet.choose(0)).find(|choice| choice.instance.id == "i-0")
+    };
+    let choice = choose_failing(&mut fleet).expect("it is avoided no longer");
+    fleet.gateways[0].balancer().on_ended(&choice, true);
+    fleet.gateways[0].balancer().on_success(&choice, fleet.now);
+    fleet.gateways[0].balancer().on_failure(&choice, fleet.now);
+    fleet.gateways[0].report_failure(&choice, fleet.now);
+    fleet.now = fleet.now + Duration::from_secs(1);
+    assert!(choose_failing(&mut fleet).is_some(), "one failure keeps it avoided for over 1 s");
+}
