Reading: names and comments of shared failures

No change of behaviour: the time for which records are kept has a name, a comment said what the pause before a trial is not, and a field says which time it holds.

--- a/crates/gateway/src/balancer/fleet_failures.rs
+++ b/crates/gateway/src/balancer/fleet_failures.rs
@@ -29,11 +29,12 @@
     avoided_until: Time,
     /// Since when it fails for others, or for this gateway if that was reported.
     failing_since: Option<Time>,
+    /// When this gateway last reported a failure.
     reported_at: Time,
     /// Whether this gateway may try it although the others avoid it.
     is_tester: bool,
-    /// When the last request was sent there that succeeded.
-    succeeded_from: Time,
+    /// When the newest request that succeeded there was sent.
+    last_success_sent_at: Time,
 }
 
 impl FleetFailures {
@@ -43,7 +44,7 @@
 
     /// Records a success. Returns whether it contradicts a failure that was reported.
     fn on_success(&mut self, sent_at: Time) -> bool {
-        self.succeeded_from = self.succeeded_from.max(sent_at);
+        self.last_success_sent_at = self.last_success_sent_at.max(sent_at);
         let contradicts = self.failing_since.is_some_and(|since| sent_at >= since);
         if contradicts {
             self.end();
@@ -118,7 +119,7 @@
             };
         };
         let failing_since = now - failing_for;
-        if replica.fleet_failures.succeeded_from > failing_since {
+        if replica.fleet_failures.last_success_sent_at > failing_since {
             return VerdictEffect::Contradicted(report(replica, zone, Evidence::Success));
         }
         replica.fleet_failures.failing_since = Some(failing_since);
--- a/crates/gateway/src/failure_monitor.rs
+++ b/crates/gateway/src/failure_monitor.rs
@@ -18,11 +18,13 @@
 pub(crate) const VERDICT_TIME: Duration = Duration::from_secs(3);
 /// Time for which a reported failure counts.
 const EVIDENCE_TIME: Duration = Duration::from_secs(5);
+/// Time after the last report for which a replica is avoided: without requests there is no evidence.
+const RETENTION: Duration = Duration::from_secs(10);
 /// Gateways that must have failed at a replica before the others of the zone avoid it.
 const MIN_REPORTERS: usize = 2;
 /// Maximum of that number; it doubles with each success of another gateway.
 const MAX_REPORTERS: usize = 16;
-/// Time until the first trial, and after the second failed one; it doubles with each.
+/// Time until the first trial; it doubles with each that fails.
 const MIN_TRIAL_PAUSE: Duration = Duration::from_secs(1);
 /// Maximum time between trials.
 const MAX_TRIAL_PAUSE: Duration = Duration::from_secs(4);
@@ -124,8 +126,7 @@
     /// Chooses the gateways that may try avoided replicas, among the reporters and `gateways`. Returns
     /// what to tell all gateways, each [`REPEAT_INTERVAL`].
     pub fn repeat(&mut self, gateways: &[SocketAddr], now: Time) -> Vec<ReplicaVerdict> {
-        // Without reports nobody sends requests there, so the other gateways may find out.
-        self.records.retain(|_, record| now < record.used_at + 2 * EVIDENCE_TIME);
+        self.records.retain(|_, record| now < record.used_at + RETENTION);
         let avoided = self.records.iter_mut().filter(|(_, record)| record.is_avoided);
         avoided
             .map(|(subject, record)| {
