--- a/review/lib/replica.py
+++ b/review/lib/replica.py
@@ -7,7 +7,7 @@
 
 - `kind`: `engine` (streams of events) or `plain`.
 - `prefill_ms`, `step_ms`: time to the first event, and between events.
-- `unframed_each`: each so many-th stream has no length and ends with its connection, inside
+- `unframed_share`: the share of streams that have no length and end with their connection, inside
   `unframed_times`, a list of begins and ends in Unix seconds.
 - `work_ms`, `body_bytes`: of a plain service.
 """
@@ -15,6 +15,7 @@
 import asyncio
 import json
 import os
+import random
 import secrets
 import sys
 import time
@@ -30,7 +31,6 @@
         self.settings = settings
         self.id = "i-" + secrets.token_hex(5)
         self.sequence = 0
-        self.streams = 0
         self.active = 0
         self.slots = settings.get("slots", 64)
 
@@ -164,8 +164,7 @@
         times = self.settings.get("unframed_times", [])
         if not any(begin <= now < end for begin, end in times):
             return False
-        self.streams += 1
-        return self.streams % self.settings["unframed_each"] == 0
+        return random.random() < self.settings["unframed_share"]
 
     def head(self, status, request, sealed=True):
         seal = f"Topazmount-Response-Seal: 1.{secrets.token_hex(4)}\r\n" if sealed else ""
