--- a/review/lib/fleet.py
+++ b/review/lib/fleet.py
@@ -94,7 +94,7 @@
         self.next_replica_ip = 150
         self.config_version = 0
 
-    def settings(self, name, ip, role, number):
+    def settings(self, name, ip, role, number, form_group):
         seeds = ", ".join(f'"{ip}:{self.control_port}"' for ip in self.control_ips[:3])
         lines = [
             f'name = "{name}"',
@@ -103,7 +103,7 @@
             'cluster_key = "topazmount-platform"',
             f"peer_port = {self.peer_port}",
             f"seeds = [{seeds}]",
-            "form_group = true",
+            f"form_group = {str(form_group).lower()}",
             f"heartbeat_ms = {HEARTBEAT_MS}",
         ]
         if role == "control":
@@ -124,9 +124,9 @@
             text += f'[connections]\nlocal_ip = "{ip}"\n'
         return text
 
-    def start_process(self, name, ip, role, number):
+    def start_process(self, name, ip, role, number, form_group=True):
         path = self.folder / f"{name}.toml"
-        path.write_text(self.settings(name, ip, role, number))
+        path.write_text(self.settings(name, ip, role, number, form_group))
         log = open(self.folder / f"{name}.log", "ab")
         environment = {key: os.environ[key] for key in ("PATH", "HOME", "LANG") if key in os.environ}
         environment["TOPAZMOUNT_BOOT"] = str(path)
@@ -167,10 +167,10 @@
         return process, address
 
     def call(self, ip, port, method, path, body=None, timeout=1.0):
-        """One call with a body of JSON; returns status and text, or None without an answer."""
+        """One call with a body of JSON, encoded or not; returns status and text, or None without an answer."""
         connection = http.client.HTTPConnection(ip, port, timeout=timeout)
         try:
-            text = json.dumps(body) if body is not None else None
+            text = body if body is None or isinstance(body, str) else json.dumps(body)
             headers = {"Content-Type": "application/json"} if text else {}
             connection.request(method, path, body=text, headers=headers)
             answer = connection.getresponse()
