--- a/review/lib/fleet.py
+++ b/review/lib/fleet.py
@@ -180,13 +180,14 @@
         finally:
             connection.close()
 
-    def operate(self, method, path, body=None, limit=15.0, ips=None):
+    def operate(self, method, path, body=None, limit=15.0, timeout=1.0):
         """Repeats an operator's call at one control member after the other until it is answered."""
         until = time.monotonic() + limit
         turn = 0
-        ips = ips or self.control_ips
+        ips = self.control_ips
         while time.monotonic() < until:
-            answer = self.call(ips[turn % len(ips)], self.control_port, method, path, body)
+            ip = ips[turn % len(ips)]
+            answer = self.call(ip, self.control_port, method, path, body, timeout)
             if answer and answer[0] < 500 and answer[0] not in (408, 429):
                 return answer
             turn += 1
