--- a/review/3/case.py
+++ b/review/3/case.py
@@ -5,9 +5,10 @@
 import pathlib
 import random
 import sys
+import traceback
 
 HERE = pathlib.Path(__file__).resolve().parent
-sys.path.insert(0, str(HERE.parent / "lib"))
+sys.path.insert(0, str(HERE.parent))
 
 import client
 import fleet
@@ -136,6 +137,11 @@
         case.record.write(f"cannot run: {problem}")
         print(f"cannot run: {problem}")
         return 2
+    except Exception:
+        # A fault of this script says nothing of the rule.
+        case.record.write(traceback.format_exc())
+        traceback.print_exc()
+        return 2
     finally:
         case.fleet.stop()
 
--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -1,4 +1,7 @@
 #!/usr/bin/env bash
 # Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run. TROUBLE=0: without the disruption.
 cd "$(dirname "$0")" || exit 2
-exec timeout --signal=INT --kill-after=5 115 python3 case.py
+timeout --signal=INT --kill-after=4 114 python3 case.py
+code=$?
+(( code <= 1 )) || code=2
+exit "$code"
--- a/review/lib/fleet.py
+++ b/review/fleet.py
@@ -19,7 +19,7 @@
 import threading
 import time
 
-REPOSITORY = pathlib.Path(__file__).resolve().parents[2]
+REPOSITORY = pathlib.Path(__file__).resolve().parents[1]
 PROGRAM = "target/release/topazmount-platform"
 LIBRARY = pathlib.Path(__file__).resolve().parent
 ZONES = ["erie-hall", "huron-hall", "superior-hall"]
--- a/review/notes/metrics_hang.py
+++ b/review/metrics_hang.py
@@ -12,7 +12,7 @@
 import time
 
 HERE = pathlib.Path(__file__).resolve().parent
-sys.path.insert(0, str(HERE.parent / "lib"))
+sys.path.insert(0, str(HERE))
 
 import fleet
 import proxy
