Streams: a response to a client has one head, also where a second replica answers

Cause: run_attempts forwarded each complete success as a response of its own, also where the client had a part of a stream. Each writer decided by itself whether a head was due.

Change: ResponseEncoder refuses a second head and bytes after the end; ClientResponse owns the write side and is the only way to a client of an exchange. An answer continues a stream only with the first one's status and media type, and without a new event completes it only if the client has as many events as tokens asked for; otherwise the attempt ends as NotContinued and the stream goes on elsewhere or is cut.

--- a/crates/gateway/src/plan.rs
+++ b/crates/gateway/src/plan.rs
@@ -24,6 +24,8 @@
     Broken,
     /// A complete response that reports a failure.
     Failed,
+    /// A complete response that does not continue the stream that the client has a part of.
+    NotContinued,
     /// No response came in time, and the budget allows a retry at another replica.
     Unresponsive,
     /// No response came and the replica is excluded by now, but no retry is allowed.
@@ -45,6 +47,7 @@
             AttemptEnd::OutdatedWeights => "OldWeights",
             AttemptEnd::Broken => "Broken",
             AttemptEnd::Failed => "Failed",
+            AttemptEnd::NotContinued => "NotContinued",
             AttemptEnd::Unresponsive => "Silent",
             AttemptEnd::Abandoned => "Abandoned",
             AttemptEnd::TimedOut => "TimedOut",
@@ -177,6 +180,7 @@
             end,
             AttemptEnd::Broken
                 | AttemptEnd::Failed
+                | AttemptEnd::NotContinued
                 | AttemptEnd::Unresponsive
                 | AttemptEnd::Abandoned
                 | AttemptEnd::TimedOut
--- a/crates/gateway/tests/plan.rs
+++ b/crates/gateway/tests/plan.rs
@@ -21,12 +21,14 @@
 #[case(false, 2, AttemptEnd::Abandoned, false)]
 // A retryable request is retried unless it timed out or was abandoned.
 #[case(true, 2, AttemptEnd::Broken, true)]
+#[case(true, 2, AttemptEnd::NotContinued, true)]
 #[case(true, 2, AttemptEnd::Unresponsive, true)]
 #[case(true, 2, AttemptEnd::NotRun, true)]
 #[case(true, 2, AttemptEnd::TimedOut, false)]
 #[case(true, 2, AttemptEnd::Abandoned, false)]
 // The number of attempts is limited; unreachable replicas do not count.
 #[case(true, 1, AttemptEnd::Broken, false)]
+#[case(true, 1, AttemptEnd::NotContinued, false)]
 #[case(true, 1, AttemptEnd::NotRun, false)]
 #[case(true, 1, AttemptEnd::Unreachable, true)]
 fn attempts_are_retried(
@@ -44,6 +46,7 @@
 #[case(AttemptEnd::NotRun, 503)]
 #[case(AttemptEnd::WrongInstance, 503)]
 #[case(AttemptEnd::Broken, 502)]
+#[case(AttemptEnd::NotContinued, 502)]
 #[case(AttemptEnd::Unresponsive, 502)]
 #[case(AttemptEnd::Abandoned, 502)]
 #[case(AttemptEnd::TimedOut, 504)]
@@ -107,6 +110,7 @@
 #[case(AttemptEnd::Unreachable, "Unreachable")]
 #[case(AttemptEnd::NotRun, "NotRun")]
 #[case(AttemptEnd::PushedBack, "TurnedAway")]
+#[case(AttemptEnd::NotContinued, "NotContinued")]
 #[case(AttemptEnd::NotSent, "HeldBack")]
 #[case(AttemptEnd::WrongInstance, "WrongInstance")]
 #[case(AttemptEnd::VersionMismatch, "OtherWeights")]
--- a/crates/topazmount/src/fleet/clients.rs
+++ b/crates/topazmount/src/fleet/clients.rs
@@ -1,7 +1,7 @@
 //! Serves clients' connections: reads requests and passes each one to an [`Exchange`].
 
 use super::dialect::RequestMetadata;
-use super::exchange::{Exchange, ResponseOutcome};
+use super::exchange::{ClientResponse, Exchange, ResponseOutcome};
 use super::gateway::SharedState;
 use super::http_service::with_timeout;
 use super::request_reader::{ReadError, read_body, read_head};
@@ -121,7 +121,7 @@
             return Some(send_rejection(shared, wire, head, kind, retry_after, keeps_alive).await);
         }
     };
-    let client = wire.writer();
+    let client = ClientResponse::new(wire.writer());
     let engine = {
         let gateway_state = shared.gateway_state.lock().unwrap();
         let service = gateway_state
--- a/crates/topazmount/src/fleet/exchange/attempt.rs
+++ b/crates/topazmount/src/fleet/exchange/attempt.rs
@@ -154,7 +154,7 @@
         if !self.may_send(in_flight, sent_at).await {
             return SendResult::NotSent;
         }
-        let mut first = pin!(self.first_response(wire, path, &bytes, choice, sent_at));
+        let mut first = pin!(self.first_response(wire, path, &bytes, choice, sent_at, progress));
         let silent_at = sent_at + self.silence_limit(choice);
         let mut is_silence_recorded = false;
         let mut excluded_since = None;
@@ -186,6 +186,10 @@
                 self.broken(reason)
             }
             Some(FirstResponse::Invalid(reason)) => self.broken(reason),
+            Some(FirstResponse::NotContinued(head)) => {
+                self.log_not_continued(choice, &head);
+                AttemptResult::Ended(AttemptEnd::NotContinued)
+            }
             Some(FirstResponse::Complete(response)) => {
                 let CompleteResponse { head, body, connection } = *response;
                 self.return_to_pool(choice, connection);
@@ -313,6 +317,7 @@
         bytes: &[u8],
         choice: &Choice,
         sent_at: Time,
+        progress: &ClientProgress,
     ) -> FirstResponse {
         let mut writer = wire.writer();
         let is_sent = AtomicBool::new(false);
@@ -321,8 +326,8 @@
             is_sent.store(written.is_ok(), Ordering::SeqCst);
             futures_lite::future::pending::<FirstResponse>().await
         };
-        futures_lite::future::or(self.read_first(wire, path, &is_sent, choice, sent_at), write)
-            .await
+        let read = self.read_first(wire, path, &is_sent, choice, sent_at, progress);
+        futures_lite::future::or(read, write).await
     }
 
     async fn read_first(
@@ -332,6 +337,7 @@
         is_sent: &AtomicBool,
         choice: &Choice,
         sent_at: Time,
+        progress: &ClientProgress,
     ) -> FirstResponse {
         for earlier in 0..=MAX_LATE_RESPONSES {
             let head = match read_answer_head(&mut wire).await {
@@ -363,7 +369,11 @@
             }
             let is_request_sent = is_sent.load(Ordering::SeqCst);
             let keep_alive = KeepAliveHint::from_head(&head, framing);
-            if is_success && self.admission.route.kind == RouteKind::Streaming {
+            let is_stream = self.admission.route.kind == RouteKind::Streaming;
+            if is_success && is_stream && !progress.is_continued_by(&head) {
+                return FirstResponse::NotContinued(head);
+            }
+            if is_success && is_stream {
                 let connection = ReplicaConnection { wire, path, keep_alive, is_request_sent };
                 return self.read_first_event(connection, head, reader, framing).await;
             }
@@ -396,8 +406,16 @@
         loop {
             if let Some(event) = splitter.next() {
                 let first_event = Some(event);
-                let stream =
-                    StreamStart { head, connection, reader, splitter, first_event, ends_at_close };
+                let stream = StreamStart {
+                    head,
+                    connection,
+                    reader,
+                    splitter,
+                    first_event,
+                    ends_at_close,
+                    is_continuation: self.client.has_started(),
+                    has_new_events: false,
+                };
                 return FirstResponse::Stream(Box::new(stream));
             }
             if splitter.is_oversized() {
--- a/crates/topazmount/src/fleet/exchange/crash.rs
+++ b/crates/topazmount/src/fleet/exchange/crash.rs
@@ -2,7 +2,7 @@
 
 use super::super::crash_watch;
 use super::trial::Blocked;
-use super::{ClientProgress, Exchange, ResponseOutcome};
+use super::{Exchange, ResponseOutcome};
 use crate::http1::ResponseHead;
 use std::time::Duration;
 use topazmount_control::HostKey;
@@ -55,7 +55,6 @@
     pub(super) async fn begin_trial_if_blocked(
         &mut self,
         plan: &RequestPlan,
-        progress: &ClientProgress,
     ) -> Option<ResponseOutcome> {
         let blocked = self.blocked()?;
         match self.acquire_trial(&blocked).await {
@@ -63,7 +62,7 @@
                 self.trial = Some(trial);
                 None
             }
-            Err(refusal) => Some(self.reject_blocked(plan, progress, &blocked, refusal).await),
+            Err(refusal) => Some(self.reject_blocked(plan, &blocked, refusal).await),
         }
     }
 
@@ -71,7 +70,6 @@
     async fn reject_blocked(
         &mut self,
         plan: &RequestPlan,
-        progress: &ClientProgress,
         blocked: &Blocked,
         refusal: TrialRefusal,
     ) -> ResponseOutcome {
@@ -80,7 +78,7 @@
         let waits_for_others = refusal.is_pause && !self.admission.route.is_retryable();
         let is_probable = blocked.verdict == CrashVerdict::Probable;
         if blocked.verdict == CrashVerdict::Confirmed || is_probable && waits_for_others {
-            return self.fail(plan, progress, ErrorKind::CrashesReplicas).await;
+            return self.fail(plan, ErrorKind::CrashesReplicas).await;
         }
         self.send_error(plan, ErrorKind::SuspectedOfCrashes, Some(refusal.wait)).await
     }
@@ -89,13 +87,12 @@
     pub(super) async fn fail_blocked(
         &mut self,
         plan: &RequestPlan,
-        progress: &ClientProgress,
         failure: Option<(ResponseHead, Vec<u8>)>,
     ) -> ResponseOutcome {
         let blocked = self.blocked();
-        match blocked.filter(|_| !plan.may_have_run() && !progress.has_started) {
-            Some(blocked) => self.reject_blocked(plan, progress, &blocked, TRIAL_ENDED).await,
-            None => self.finish_unserved(plan, progress, plan.refusal(), failure).await,
+        match blocked.filter(|_| !plan.may_have_run() && !self.client.has_started()) {
+            Some(blocked) => self.reject_blocked(plan, &blocked, TRIAL_ENDED).await,
+            None => self.finish_unserved(plan, plan.refusal(), failure).await,
         }
     }
 
--- a/crates/topazmount/src/fleet/exchange/mod.rs
+++ b/crates/topazmount/src/fleet/exchange/mod.rs
@@ -2,7 +2,9 @@
 
 mod attempt;
 mod choose;
+mod client_response;
 mod connection;
+mod continuation;
 mod crash;
 mod limit;
 mod load_shedding;
@@ -21,7 +23,8 @@
 use super::stream::EventSplitter;
 use super::stream_origin::ResumableStream;
 use crate::http1::{BodyReader, RequestHead, ResponseHead, Wire};
-use async_net::TcpStream;
+pub(super) use client_response::ClientResponse;
+use continuation::StreamFormat;
 use limit::Grant;
 use std::future::Future;
 use std::sync::Mutex;
@@ -63,8 +66,7 @@
     pub(super) stream: Option<ResumableStream>,
     /// Permission to send the request to a replica although it is blocked.
     pub(super) trial: Option<Trial<'a>>,
-    /// Write side of the client's connection.
-    pub(super) client: TcpStream,
+    pub(super) client: ClientResponse,
 }
 
 /// Result of one attempt at a replica.
@@ -95,6 +97,10 @@
     splitter: EventSplitter,
     first_event: Option<Vec<u8>>,
     ends_at_close: bool,
+    /// Whether the client had a part of the response before.
+    is_continuation: bool,
+    /// Whether an event that the client did not have was relayed.
+    has_new_events: bool,
 }
 
 /// A response whose body has been read.
@@ -114,6 +120,8 @@
     Interrupted(&'static str),
     /// The response is invalid, for this reason.
     Invalid(&'static str),
+    /// The response is valid, but does not continue the stream that the client has a part of.
+    NotContinued(ResponseHead),
 }
 
 /// How a relayed stream ended.
@@ -122,17 +130,24 @@
     ReplicaFailed,
     /// No event has arrived for the stall timeout; reading can continue.
     Stalled(Box<StreamStart>),
+    /// The replica ended its answer and had no event that the client did not have.
+    NotContinued,
     /// The stalled replica was dropped for another one, which then failed the stream.
     ResumeFailed(AttemptEnd),
+    /// The stalled replica was dropped for another one, which answered without events.
+    ResumedWithoutEvents(ResponseHead),
     ClientDisconnected,
     DeadlineExceeded,
 }
 
-/// How much of the response the client has been sent.
+/// How much of a stream the client has been sent.
 #[derive(Default)]
 struct ClientProgress {
-    has_started: bool,
+    /// Format of the response, once it has started.
+    format: Option<StreamFormat>,
     last_event_id: Option<String>,
+    /// Number of events with an identifier.
+    event_count: u32,
     /// When the stream's software version was last recorded.
     origin_recorded_at: Option<Time>,
     timing: EventTiming,
@@ -270,9 +285,9 @@
         let service = self.admission.service.clone();
         self.shared.gateway_state.lock().unwrap().record_request(&service, now);
         if !self.is_admitted_by_policy(&plan) {
-            return self.fail(&plan, &progress, ErrorKind::RefusedByPolicy).await;
+            return self.fail(&plan, ErrorKind::RefusedByPolicy).await;
         }
-        if let Some(outcome) = self.begin_trial_if_blocked(&plan, &progress).await {
+        if let Some(outcome) = self.begin_trial_if_blocked(&plan).await {
             return outcome;
         }
         let grant = match self.acquire_tenant_grant().await {
@@ -293,20 +308,20 @@
         let mut failure = None;
         loop {
             if !self.may_be_sent(plan) {
-                return self.fail_blocked(plan, progress, failure).await;
+                return self.fail_blocked(plan, failure).await;
             }
             if self.remaining_time().is_zero() {
-                return self.finish_unserved(plan, progress, deadline_error(plan), failure).await;
+                return self.finish_unserved(plan, deadline_error(plan), failure).await;
             }
             if self.shared.is_isolated() {
-                return self.finish_unserved(plan, progress, plan.refusal(), failure).await;
+                return self.finish_unserved(plan, plan.refusal(), failure).await;
             }
             let Some(mut in_flight) = self.choose(plan).await else {
                 // The incarnation that the request was pinned to has ended.
                 if plan.unpin() {
                     continue;
                 }
-                return self.finish_unserved(plan, progress, plan.refusal(), failure).await;
+                return self.finish_unserved(plan, plan.refusal(), failure).await;
             };
             if let Some(wait) = self.load_shedding_wait(plan, &in_flight.choice) {
                 drop(in_flight);
@@ -317,11 +332,21 @@
             let started_at = self.shared.clock.now();
             let attempt = self.attempt(plan, &in_flight, progress).await;
             let end = match attempt {
-                AttemptResult::Success(head, body) => {
+                AttemptResult::Success(head, body) if !self.client.has_started() => {
                     self.record_success(&in_flight.choice, started_at);
                     self.log_attempt(&in_flight.choice, "success");
                     return self.forward_response(head, &body, plan).await;
                 }
+                AttemptResult::Success(head, _) => {
+                    let choice = &in_flight.choice;
+                    match self.complete_without_events(choice, &head, progress).await {
+                        Ok(outcome) => {
+                            self.record_stream(plan, choice, progress, started_at);
+                            return outcome;
+                        }
+                        Err(end) => end,
+                    }
+                }
                 AttemptResult::Failure(head, body) => {
                     self.record_error_response(&in_flight.choice);
                     self.log_attempt(&in_flight.choice, "failure");
@@ -331,7 +356,7 @@
                             failure = Some((head, body));
                             continue;
                         }
-                        Some(_) if progress.has_started => return ResponseOutcome::Truncated,
+                        Some(_) if self.client.has_started() => return ResponseOutcome::Truncated,
                         Some(_) => return self.forward_response(head, &body, plan).await,
                     }
                 }
@@ -342,10 +367,7 @@
                     (in_flight, end) = self.relay_resuming(plan, in_flight, stream, progress).await;
                     match end {
                         StreamEnd::Complete => {
-                            self.record_success(&in_flight.choice, started_at);
-                            self.log_attempt(&in_flight.choice, "success");
-                            self.shared.metrics.record_longest_gap(progress.timing.longest_gap);
-                            self.log_stream(plan, &progress.timing);
+                            self.record_stream(plan, &in_flight.choice, progress, started_at);
                             return ResponseOutcome::Complete;
                         }
                         StreamEnd::ClientDisconnected => {
@@ -357,6 +379,17 @@
                             return ResponseOutcome::Truncated;
                         }
                         StreamEnd::ResumeFailed(end) => end,
+                        StreamEnd::NotContinued => AttemptEnd::NotContinued,
+                        StreamEnd::ResumedWithoutEvents(head) => {
+                            let choice = &in_flight.choice;
+                            match self.complete_without_events(choice, &head, progress).await {
+                                Ok(outcome) => {
+                                    self.record_stream(plan, choice, progress, started_at);
+                                    return outcome;
+                                }
+                                Err(end) => end,
+                            }
+                        }
                         StreamEnd::ReplicaFailed | StreamEnd::Stalled(_) => {
                             in_flight.on_interrupted();
                             AttemptEnd::Broken
@@ -378,7 +411,7 @@
             let error = self.error_unless_retry(plan, end, progress);
             set_may_have_run(grant, plan.may_have_run());
             if let Some(kind) = error {
-                return self.finish_unserved(plan, progress, kind, failure).await;
+                return self.finish_unserved(plan, kind, failure).await;
             }
             if end == AttemptEnd::Broken {
                 self.wait_for_block(has_crashed).await;
@@ -400,7 +433,7 @@
         progress: &ClientProgress,
     ) -> Option<ErrorKind> {
         // A stream can only be resumed if its events have identifiers.
-        if progress.has_started && progress.last_event_id.is_none() {
+        if self.client.has_started() && progress.last_event_id.is_none() {
             return Some(ErrorKind::AnswerIncomplete);
         }
         match plan.end(end) {
--- a/crates/topazmount/src/fleet/exchange/record.rs
+++ b/crates/topazmount/src/fleet/exchange/record.rs
@@ -3,7 +3,7 @@
 use super::super::crash_watch;
 use super::super::link_monitor::Path;
 use super::super::log_text::per_second;
-use super::{EventTiming, Exchange, InFlight};
+use super::{ClientProgress, EventTiming, Exchange, InFlight};
 use crate::http1::ResponseHead;
 use std::net::SocketAddr;
 use std::sync::atomic::Ordering;
@@ -139,6 +139,7 @@
             AttemptEnd::NotRun
             | AttemptEnd::PushedBack
             | AttemptEnd::NotSent
+            | AttemptEnd::NotContinued
             | AttemptEnd::Unresponsive
             | AttemptEnd::Abandoned
             | AttemptEnd::TimedOut => {}
@@ -251,8 +252,22 @@
         });
     }
 
+    /// Records a stream that a replica completed.
+    pub(super) fn record_stream(
+        &self,
+        plan: &RequestPlan,
+        choice: &Choice,
+        progress: &ClientProgress,
+        sent_at: Time,
+    ) {
+        self.record_success(choice, sent_at);
+        self.log_attempt(choice, "success");
+        self.shared.metrics.record_longest_gap(progress.timing.longest_gap);
+        self.log_stream(plan, &progress.timing);
+    }
+
     /// Logs a completed stream and the timing of its events.
-    pub(super) fn log_stream(&self, plan: &RequestPlan, timing: &EventTiming) {
+    fn log_stream(&self, plan: &RequestPlan, timing: &EventTiming) {
         let first = timing.first_at.map_or(Duration::ZERO, |at| at.since(self.received_at));
         let (first, pause) = (first.as_millis(), timing.longest_gap.as_millis());
         self.log_end_with(plan, 200, "stream", &format!(" first_ms={first} pause_ms={pause}"));
--- a/crates/topazmount/src/fleet/exchange/relay.rs
+++ b/crates/topazmount/src/fleet/exchange/relay.rs
@@ -1,9 +1,8 @@
 //! Relays a stream's events to the client.
 
-use super::super::response::{BodyDelivery, forwarded_head};
-use super::{ClientProgress, Exchange, StreamEnd, StreamStart, with_timeout};
-use crate::http1::{LAST_CHUNK, chunk};
-use futures_lite::AsyncWriteExt;
+use super::super::response::forwarded_head;
+use super::{ClientProgress, Exchange, StreamEnd, StreamFormat, StreamStart, with_timeout};
+use crate::http1::{BodyDelivery, OutOfOrder, ResponseHead};
 use std::time::Duration;
 use topazmount_gateway::Choice;
 
@@ -14,84 +13,101 @@
     /// Relays events as they arrive, until the stream ends or stalls.
     pub(super) async fn relay(
         &mut self,
-        stream: StreamStart,
+        mut stream: Box<StreamStart>,
         choice: &Choice,
         may_resume: bool,
         progress: &mut ClientProgress,
     ) -> StreamEnd {
-        let StreamStart {
-            head,
-            mut connection,
-            mut reader,
-            mut splitter,
-            first_event,
-            ends_at_close,
-        } = stream;
-        let delivery = self.delivery();
-        let mut out = Vec::new();
-        if !progress.has_started {
-            out = forwarded_head(&head, delivery, self.keeps_alive);
-        }
-        if let Some(event) = first_event {
-            self.push_event(&mut out, event, progress, delivery);
+        if !self.client.has_started() && self.start_response(&stream.head, progress).is_err() {
+            return StreamEnd::ClientDisconnected;
         }
         loop {
-            while let Some(event) = splitter.next() {
-                self.record_event_version(choice, &event);
-                self.push_event(&mut out, event, progress, delivery);
+            if self.add_events(&mut stream, choice, progress).is_err() {
+                return StreamEnd::ClientDisconnected;
             }
-            if splitter.is_oversized() {
+            if stream.splitter.is_oversized() {
                 return StreamEnd::ReplicaFailed;
             }
-            if !out.is_empty() {
-                progress.has_started = true;
+            if self.client.has_pending() {
                 self.record_origin(choice, progress).await;
-                match with_timeout(self.remaining_time(), self.client.write_all(&out)).await {
-                    Some(Ok(())) => out.clear(),
+                match with_timeout(self.remaining_time(), self.client.flush()).await {
+                    Some(Ok(())) => {}
                     Some(Err(_)) => return StreamEnd::ClientDisconnected,
                     None => return StreamEnd::DeadlineExceeded,
                 }
             }
             let limit = self.remaining_time().min(STALL_TIMEOUT);
+            let StreamStart { connection, reader, splitter, .. } = stream.as_mut();
             match with_timeout(limit, reader.next(&mut connection.wire)).await {
                 Some(Ok(Some(bytes))) => {
                     self.shared.on_replica_data(connection.path);
                     splitter.push(&bytes);
                 }
-                Some(Ok(None)) if splitter.has_partial_event() => return StreamEnd::ReplicaFailed,
-                Some(Ok(None)) if ends_at_close => {
-                    let last_data_at = progress.timing.last_at.unwrap_or(self.received_at);
-                    if self.ended_with_replica(choice, last_data_at).await {
-                        return StreamEnd::ReplicaFailed;
-                    }
-                    break;
-                }
-                Some(Ok(None)) => break,
+                Some(Ok(None)) => return self.end_relay(stream, choice, progress).await,
                 Some(Err(_)) => return StreamEnd::ReplicaFailed,
                 None if self.remaining_time().is_zero() => return StreamEnd::DeadlineExceeded,
                 // A stalled stream is only left if it can be resumed; that needs event identifiers.
                 None if may_resume && progress.last_event_id.is_some() => {
-                    let first_event = None;
-                    let stalled = StreamStart {
-                        head,
-                        connection,
-                        reader,
-                        splitter,
-                        first_event,
-                        ends_at_close,
-                    };
-                    return StreamEnd::Stalled(Box::new(stalled));
+                    return StreamEnd::Stalled(stream);
                 }
                 None => {}
             }
         }
-        self.return_to_pool(choice, connection);
-        let remainder = splitter.take_remainder();
-        push_body(&mut out, &remainder, delivery);
-        if delivery == BodyDelivery::Chunked {
-            out.extend_from_slice(LAST_CHUNK);
+    }
+
+    /// Starts the response with the head of the first replica that sends a part of it.
+    fn start_response(
+        &mut self,
+        head: &ResponseHead,
+        progress: &mut ClientProgress,
+    ) -> Result<(), OutOfOrder> {
+        let delivery = self.delivery();
+        progress.format = Some(StreamFormat::of(head));
+        self.client.add_head(&forwarded_head(head, delivery, self.keeps_alive), delivery)
+    }
+
+    /// Adds the events that have arrived to the response, but those that the client already has.
+    fn add_events(
+        &mut self,
+        stream: &mut StreamStart,
+        choice: &Choice,
+        progress: &mut ClientProgress,
+    ) -> Result<(), OutOfOrder> {
+        while let Some(event) = stream.first_event.take().or_else(|| stream.splitter.next()) {
+            self.record_event_version(choice, &event);
+            stream.has_new_events |= self.add_event(&event, progress)?;
         }
-        match with_timeout(self.remaining_time(), self.client.write_all(&out)).await {
+        Ok(())
+    }
+
+    /// Ends the response after the replica has ended its answer.
+    async fn end_relay(
+        &mut self,
+        mut stream: Box<StreamStart>,
+        choice: &Choice,
+        progress: &ClientProgress,
+    ) -> StreamEnd {
+        if stream.splitter.has_partial_event() {
+            return StreamEnd::ReplicaFailed;
+        }
+        if stream.ends_at_close {
+            let last_data_at = progress.timing.last_at.unwrap_or(self.received_at);
+            if self.ended_with_replica(choice, last_data_at).await {
+                return StreamEnd::ReplicaFailed;
+            }
+        }
+        let is_continued = !stream.is_continuation || stream.has_new_events;
+        if !is_continued && !self.has_all_events(progress) {
+            self.log_not_continued(choice, &stream.head);
+            self.return_to_pool(choice, stream.connection);
+            return StreamEnd::NotContinued;
+        }
+        let remainder = stream.splitter.take_remainder();
+        self.return_to_pool(choice, stream.connection);
+        if self.client.add_body(&remainder).is_err() {
+            return StreamEnd::ClientDisconnected;
+        }
+        match with_timeout(self.remaining_time(), self.client.finish()).await {
             Some(Ok(())) => StreamEnd::Complete,
             _ => StreamEnd::ClientDisconnected,
         }
@@ -106,23 +122,25 @@
         }
     }
 
-    /// Adds an event to the output, unless the client already has it.
-    fn push_event(
-        &self,
-        out: &mut Vec<u8>,
-        event: Vec<u8>,
+    /// Adds an event to the response, unless the client already has it. Returns whether it is new and
+    /// has an identifier.
+    fn add_event(
+        &mut self,
+        event: &[u8],
         progress: &mut ClientProgress,
-        delivery: BodyDelivery,
-    ) {
-        let id = self.shared.dialect.event_id(&event);
+    ) -> Result<bool, OutOfOrder> {
+        let id = self.shared.dialect.event_id(event);
         if is_at_or_before(id.as_deref(), progress.last_event_id.as_deref()) {
-            return;
+            return Ok(false);
         }
-        if id.is_some() {
+        let is_identified = id.is_some();
+        if is_identified {
             progress.last_event_id = id;
+            progress.event_count += 1;
         }
         progress.timing.record_event(self.shared.clock.now());
-        push_body(out, &event, delivery);
+        self.client.add_body(event)?;
+        Ok(is_identified)
     }
 
     fn delivery(&self) -> BodyDelivery {
@@ -130,16 +148,6 @@
     }
 }
 
-fn push_body(out: &mut Vec<u8>, bytes: &[u8], delivery: BodyDelivery) {
-    if bytes.is_empty() {
-        return;
-    }
-    match delivery {
-        BodyDelivery::Chunked => out.extend_from_slice(&chunk(bytes)),
-        _ => out.extend_from_slice(bytes),
-    }
-}
-
 /// Whether an event was already sent to the client. Only numeric identifiers can be compared.
 fn is_at_or_before(id: Option<&str>, last: Option<&str>) -> bool {
     let number = |text: Option<&str>| text.and_then(|text| text.trim().parse::<u64>().ok());
--- a/crates/topazmount/src/fleet/exchange/responses.rs
+++ b/crates/topazmount/src/fleet/exchange/responses.rs
@@ -1,10 +1,9 @@
 //! Sends the client a replica's response or an error response of the gateway.
 
-use super::super::response::{BodyDelivery, forwarded_head, response_to};
+use super::super::response::{forwarded_head, response_to};
 use super::limit::OverLimit;
-use super::{ClientProgress, Exchange, ResponseOutcome};
-use crate::http1::ResponseHead;
-use futures_lite::AsyncWriteExt;
+use super::{Exchange, ResponseOutcome};
+use crate::http1::{BodyDelivery, ResponseHead};
 use std::time::Duration;
 use topazmount_gateway::{ChoiceRequest, RequestPlan};
 use topazmount_types::ErrorKind;
@@ -20,9 +19,21 @@
         let delivery = BodyDelivery::Length(body.len());
         let mut bytes = forwarded_head(&head, delivery, self.keeps_alive);
         bytes.extend_from_slice(body);
-        match self.client.write_all(&bytes).await {
+        self.send_whole(&bytes).await
+    }
+
+    async fn send_whole(&mut self, response: &[u8]) -> ResponseOutcome {
+        match self.client.send_whole(response).await {
             Ok(()) => ResponseOutcome::Complete,
-            Err(_) => ResponseOutcome::Truncated,
+            Err(error) => {
+                self.shared.event_log.info(|| {
+                    let request = &self.metadata.id;
+                    format!(
+                        "gateway: event=response_not_sent request={request} problem=\"{error}\""
+                    )
+                });
+                ResponseOutcome::Truncated
+            }
         }
     }
 
@@ -31,23 +42,17 @@
     pub(super) async fn finish_unserved(
         &mut self,
         plan: &RequestPlan,
-        progress: &ClientProgress,
         kind: ErrorKind,
         failure: Option<(ResponseHead, Vec<u8>)>,
     ) -> ResponseOutcome {
-        match failure.filter(|_| !progress.has_started) {
+        match failure.filter(|_| !self.client.has_started()) {
             Some((head, body)) => self.forward_response(head, &body, plan).await,
-            None => self.fail(plan, progress, kind).await,
+            None => self.fail(plan, kind).await,
         }
     }
 
-    pub(super) async fn fail(
-        &mut self,
-        plan: &RequestPlan,
-        progress: &ClientProgress,
-        kind: ErrorKind,
-    ) -> ResponseOutcome {
-        if progress.has_started {
+    pub(super) async fn fail(&mut self, plan: &RequestPlan, kind: ErrorKind) -> ResponseOutcome {
+        if self.client.has_started() {
             self.log_end(plan, kind.status(), kind.name());
             return ResponseOutcome::Truncated;
         }
@@ -92,9 +97,6 @@
         self.log_end(plan, kind.status(), kind.name());
         let response = self.shared.dialect.error_response(kind, retry_after);
         let bytes = response_to(&response, self.head, self.keeps_alive);
-        match self.client.write_all(&bytes).await {
-            Ok(()) => ResponseOutcome::Complete,
-            Err(_) => ResponseOutcome::Truncated,
-        }
+        self.send_whole(&bytes).await
     }
 }
--- a/crates/topazmount/src/fleet/exchange/resume.rs
+++ b/crates/topazmount/src/fleet/exchange/resume.rs
@@ -6,7 +6,7 @@
 use super::{
     AttemptResult, ClientProgress, Exchange, InFlight, StreamEnd, StreamStart, with_timeout,
 };
-use crate::http1::BodyError;
+use crate::http1::{BodyError, ResponseHead};
 use std::pin::pin;
 use std::time::Duration;
 use topazmount_gateway::{AttemptEnd, RequestPlan};
@@ -23,6 +23,8 @@
     OtherReplica(InFlight<'e>, Box<StreamStart>),
     /// Nowhere: the stalled replica was dropped and the other one failed.
     Failed(InFlight<'e>, AttemptEnd),
+    /// The stalled replica was dropped and the other one answered without events.
+    WithoutEvents(InFlight<'e>, ResponseHead),
 }
 
 /// First event while a stream is offered to another replica.
@@ -55,7 +57,7 @@
     ) -> (InFlight<'e>, StreamEnd) {
         loop {
             let may_resume = self.may_switch(plan);
-            let end = self.relay(*stream, &in_flight.choice, may_resume, progress).await;
+            let end = self.relay(stream, &in_flight.choice, may_resume, progress).await;
             let StreamEnd::Stalled(stalled) = end else { return (in_flight, end) };
             match self.resume(plan, stalled, progress).await {
                 Resumed::SameReplica(stalled) => stream = stalled,
@@ -67,6 +69,10 @@
                     self.drop_stalled(in_flight);
                     return (next, StreamEnd::ResumeFailed(end));
                 }
+                Resumed::WithoutEvents(next, head) => {
+                    self.drop_stalled(in_flight);
+                    return (next, StreamEnd::ResumedWithoutEvents(head));
+                }
             }
         }
     }
@@ -105,7 +111,10 @@
                 Handover::Taken(AttemptResult::Ended(end)) => {
                     return Resumed::Failed(in_flight, end);
                 }
-                Handover::Taken(AttemptResult::Failure(..) | AttemptResult::Success(..)) => {
+                Handover::Taken(AttemptResult::Success(head, _)) => {
+                    return Resumed::WithoutEvents(in_flight, head);
+                }
+                Handover::Taken(AttemptResult::Failure(..)) => {
                     return Resumed::Failed(in_flight, AttemptEnd::Failed);
                 }
             }
@@ -137,6 +146,12 @@
                 Handover::StalledResumed(stalled)
             }
             Some(FirstResult::Other(AttemptResult::Ended(end))) => Handover::Refused(stalled, end),
+            Some(FirstResult::Other(AttemptResult::Success(head, _)))
+                if !self.completes_stream(&head, progress) =>
+            {
+                self.log_not_continued(&in_flight.choice, &head);
+                Handover::Refused(stalled, AttemptEnd::NotContinued)
+            }
             Some(FirstResult::Other(attempt)) => Handover::Taken(attempt),
             Some(FirstResult::Stalled(Err(_))) | None => {
                 drop(stalled);
--- a/crates/topazmount/src/fleet/response.rs
+++ b/crates/topazmount/src/fleet/response.rs
@@ -1,7 +1,7 @@
 //! Encodes responses to clients.
 
 use super::dialect::HttpResponse;
-use crate::http1::{Headers, RequestHead, ResponseHead, answer_head, simple_answer};
+use crate::http1::{BodyDelivery, Headers, RequestHead, ResponseHead, answer_head, simple_answer};
 
 /// Hop-by-hop headers (RFC 9110, 7.6.1).
 const CONNECTION_HEADERS: [&str; 9] = [
@@ -16,17 +16,6 @@
     "upgrade",
 ];
 
-/// How a response body is delimited towards the client.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(super) enum BodyDelivery {
-    /// By its length.
-    Length(usize),
-    /// Chunked transfer encoding.
-    Chunked,
-    /// By the end of the connection, for HTTP/1.0 clients.
-    UntilClose,
-}
-
 /// Headers without the hop-by-hop ones, `Content-Length` and `Expect`.
 pub(super) fn end_to_end_headers(headers: &Headers) -> Vec<(String, Vec<u8>)> {
     let listed: Vec<String> = headers
