--- a/crates/control/src/fleet/mod.rs
+++ b/crates/control/src/fleet/mod.rs
@@ -22,6 +22,7 @@
 mod publications;
 mod rollout;
 mod shared_updates;
+mod software_history;
 mod state;
 mod statuses;
 mod target;
@@ -44,6 +45,8 @@
     InstanceReport, InstanceStatus, LoadedModel, SeenVersions, WatchRequest,
 };
 pub use rollout::RolloutSettings;
+pub use software_history::STREAM_RETENTION;
+pub(crate) use software_history::SoftwareHistory;
 pub use state::{
     Document, FleetCommand, FleetState, RegistrationConflict, RegistrationStatus, RemovedInstance,
 };
--- a/crates/control/src/fleet/protocol.rs
+++ b/crates/control/src/fleet/protocol.rs
@@ -8,7 +8,7 @@
 use serde::{Deserialize, Serialize};
 use std::time::Duration;
 use topazmount_consensus::Term;
-use topazmount_types::{Instance, InstanceId, Start};
+use topazmount_types::{Instance, InstanceId, SoftwareId, Start};
 
 /// A model and the version of its weights at a replica.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
@@ -225,6 +225,9 @@
         /// Version.
         version: u32,
     },
+    /// Asks which software version a stream of a service can have begun at, if that is only one;
+    /// answered by the leader only.
+    OnlySoftware(String),
     /// Requests updates; answered by any member.
     Watch(WatchRequest),
     /// Result of an order or query that the leader's process performed.
@@ -244,6 +247,8 @@
     Conflict(RegistrationConflict),
     /// The newest document.
     Document(Option<Document>),
+    /// The only software version that a stream can have begun at; `None` if there may be several.
+    OnlySoftware(Option<SoftwareId>),
     /// Updates.
     View(Box<FleetView>),
 }
--- a/crates/control/src/fleet/state.rs
+++ b/crates/control/src/fleet/state.rs
@@ -22,6 +22,15 @@
     /// Services that it declares.
     #[serde(default)]
     pub services: Vec<String>,
+    /// Digest of the services that the routes of streams lead to, if it is known;
+    /// [`Document::NO_STREAMS`] without such routes.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub routing: Option<u64>,
+}
+
+impl Document {
+    /// [`Document::routing`] where no route is for streams.
+    pub const NO_STREAMS: u64 = 0;
 }
 
 /// A replica that is no longer registered.
@@ -348,6 +357,28 @@
         removed.map(|(id, _)| id.as_str())
     }
 
+    /// Registered replicas that a command may end or change.
+    pub(super) fn affected_by(&self, command: &FleetCommand) -> Vec<&Instance> {
+        match command {
+            FleetCommand::Register(instance) => {
+                let same_id = self.instances.get(&instance.id);
+                let same_address = self.instances.at_address(&instance.address);
+                same_id.into_iter().chain(same_address).collect()
+            }
+            FleetCommand::Depart(id)
+            | FleetCommand::Expire(id)
+            | FleetCommand::DeregisterIncarnation(id, _)
+            | FleetCommand::ExpireIncarnation(id, _) => {
+                self.instances.get(id).into_iter().collect()
+            }
+            FleetCommand::PutDocument(_)
+            | FleetCommand::PublishWeights { .. }
+            | FleetCommand::RetireWeights { .. }
+            | FleetCommand::RecordCrashes { .. }
+            | FleetCommand::ExpireCrashes { .. } => Vec::new(),
+        }
+    }
+
     /// Applies a command.
     pub fn apply(&mut self, command: FleetCommand) {
         match command {
--- a/crates/control/src/fleet_member.rs
+++ b/crates/control/src/fleet_member.rs
@@ -1,9 +1,11 @@
 //! Handling of fleet requests by a member.
 
-use crate::fleet::{CrashReport, FleetCommand, FleetRequest, FleetResponse, FleetView};
+use crate::fleet::{
+    CrashReport, FleetCommand, FleetRequest, FleetResponse, FleetView, SoftwareHistory,
+};
 use crate::member::{Member, MemberOutput, Token};
 use crate::protocol::Response;
-use crate::state::{Command, FeatureLevel};
+use crate::state::{Command, FeatureLevel, Reply, TimedCommand};
 use std::time::Duration;
 use topazmount_consensus::{Disk, Role};
 use topazmount_types::{Instance, Time};
@@ -41,6 +43,16 @@
                 let command = FleetCommand::PublishWeights { model, version };
                 self.change(now, token, command, version <= known);
             }
+            FleetRequest::OnlySoftware(service) => {
+                let response = if self.replica.can_serve_reads(now) {
+                    let history = &self.software_history;
+                    let software = history.only_software(&self.state.fleet, &service, now);
+                    Response::Fleet(FleetResponse::OnlySoftware(software))
+                } else {
+                    self.not_leader(now)
+                };
+                self.respond(token, response);
+            }
             FleetRequest::ReadDocument => {
                 let response = if self.replica.can_serve_reads(now) {
                     let document = self.state.fleet.document().cloned();
@@ -84,6 +96,26 @@
         self.emitted_blocks = (ledger.blocked_revision(), blocked);
     }
 
+    /// Applies a command to the fleet and observes what it ends.
+    pub(crate) fn apply_to_fleet(&mut self, now: Time, timed: TimedCommand) -> Reply {
+        let fleet = &self.state.fleet;
+        let affected = match &timed.command {
+            Command::Fleet(command) => SoftwareHistory::affected(fleet, command),
+            _ => Vec::new(),
+        };
+        let before = fleet.document().map(|document| (document.version, document.routing));
+        let reply = self.state.apply(timed);
+        let fleet = &self.state.fleet;
+        self.software_history.on_applied(fleet, affected, now);
+        let after = fleet.document().map(|document| (document.version, document.routing));
+        if let (Some((version, before)), Some((next_version, after))) = (before, after)
+            && next_version > version
+        {
+            self.software_history.on_document_replaced(before, after, now);
+        }
+        reply
+    }
+
     pub(crate) fn register(
         &mut self,
         now: Time,
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -30,8 +30,8 @@
     GatewayLists, GatewayReport, HostKey, InstanceReport, InstanceStatus, LoadMode, LoadedModel,
     NoticeKind, NoticeSubject, OrderOutcome, Packed, PackedParts, RecordChange,
     RegistrationConflict, RegistrationStatus, RemovedInstance, ReplicaLists, ReplicaNotice,
-    ReplicaReport, ReportSource, RolloutEvent, RolloutPlan, RolloutSettings, SeenVersions,
-    WatchRequest, WeightsEvent, WeightsOrder, replica_timeout,
+    ReplicaReport, ReportSource, RolloutEvent, RolloutPlan, RolloutSettings, STREAM_RETENTION,
+    SeenVersions, WatchRequest, WeightsEvent, WeightsOrder, replica_timeout,
 };
 pub use ledger::{ActionResult, ClaimId, ClaimOutcome, Ledger, LookupOutcome};
 pub use legacy::{IncomingLegacyFrame, LegacyLink, OutgoingLegacyFrame};
--- a/crates/control/src/member.rs
+++ b/crates/control/src/member.rs
@@ -4,7 +4,7 @@
 use crate::events::MembershipEvent;
 use crate::fleet::{
     BlockEvent, FleetAction, FleetLeader, FleetResponse, ProposedCrashes, RolloutEvent,
-    RolloutSettings, WeightsEvent,
+    RolloutSettings, SoftwareHistory, WeightsEvent,
 };
 use crate::heartbeats::Heartbeats;
 use crate::identity::{IDENTITY_FILE, initial_identity, initial_state, read_identity};
@@ -129,6 +129,7 @@
     pending: BTreeMap<Index, PendingRequest>,
     pub(crate) nodes: BTreeMap<NodeId, NodeReport>,
     pub(crate) fleet: FleetLeader,
+    pub(crate) software_history: SoftwareHistory,
     /// As leader: crashes proposed lately.
     pub(crate) proposed_crashes: ProposedCrashes,
     /// Blocked requests at the last [`MemberOutput::Block`], and their revision.
@@ -184,6 +185,7 @@
             pending: BTreeMap::new(),
             nodes: BTreeMap::new(),
             fleet,
+            software_history: SoftwareHistory::default(),
             proposed_crashes: ProposedCrashes::default(),
             emitted_blocks: Default::default(),
             peer_addresses: BTreeMap::new(),
@@ -386,7 +388,7 @@
                 self.send(envelope.clone());
             }
             if let Some(snapshot) = &ready.restore {
-                self.restore(&snapshot.data)?;
+                self.restore(now, &snapshot.data)?;
                 self.snapshot_at = snapshot.meta.index;
             }
             for entry in &ready.committed {
@@ -405,13 +407,13 @@
         }
     }
 
-    fn restore(&mut self, data: &[u8]) -> Result<(), MemberError> {
-        if data.is_empty() {
-            self.state = ControlState::default();
-            return Ok(());
-        }
-        self.state =
-            rmp_serde::from_slice(data).map_err(|error| MemberError::Decode(error.to_string()))?;
+    fn restore(&mut self, now: Time, data: &[u8]) -> Result<(), MemberError> {
+        self.state = match data.is_empty() {
+            true => ControlState::default(),
+            false => rmp_serde::from_slice(data)
+                .map_err(|error| MemberError::Decode(error.to_string()))?,
+        };
+        self.software_history = SoftwareHistory::begin(&self.state.fleet, now);
         Ok(())
     }
 
@@ -423,7 +425,7 @@
         let timed: TimedCommand =
             rmp_serde::from_slice(bytes).map_err(|error| MemberError::Decode(error.to_string()))?;
         let before = self.state.level;
-        let reply = self.state.apply(timed);
+        let reply = self.apply_to_fleet(now, timed);
         if self.state.level > before {
             self.emit(MembershipEvent::LevelRaised(self.state.level));
         }
--- a/crates/control/src/message_kinds.rs
+++ b/crates/control/src/message_kinds.rs
@@ -40,6 +40,7 @@
             Request::Fleet(FleetRequest::Watch(_)) => "watch",
             Request::Fleet(FleetRequest::ActionEnded(_)) => "order_ended",
             Request::Fleet(FleetRequest::ReadDocument) => "read_document",
+            Request::Fleet(FleetRequest::OnlySoftware(_)) => "only_software",
             Request::Fleet(
                 FleetRequest::Depart(..)
                 | FleetRequest::PutDocument(_)
@@ -72,6 +73,7 @@
         match self {
             Response::Fleet(FleetResponse::View(view)) => view.kind(),
             Response::Fleet(FleetResponse::Document(_)) => "document",
+            Response::Fleet(FleetResponse::OnlySoftware(_)) => "only_software",
             Response::Fleet(_) => "done",
             Response::NotLeader(_) => "not_leader",
             _ => "answer",
--- a/crates/control/tests/fleet_state.rs
+++ b/crates/control/tests/fleet_state.rs
@@ -34,7 +34,12 @@
     let mut state = FleetState::default();
     for (version, text) in [(3, "three"), (2, "two"), (3, "another three"), (5, "five"), (4, "4")] {
         let bytes = text.as_bytes().to_vec();
-        state.apply(FleetCommand::PutDocument(Document { version, bytes, services: Vec::new() }));
+        state.apply(FleetCommand::PutDocument(Document {
+            version,
+            bytes,
+            services: Vec::new(),
+            routing: None,
+        }));
     }
     let document = state.document().unwrap();
     assert_eq!((document.version, document.bytes.as_slice()), (5, b"five".as_slice()));
@@ -280,7 +285,12 @@
 fn declared(services: &[&str]) -> FleetState {
     let mut state = FleetState::default();
     let services = services.iter().map(|name| (*name).to_owned()).collect();
-    state.apply(FleetCommand::PutDocument(Document { version: 1, services, bytes: Vec::new() }));
+    state.apply(FleetCommand::PutDocument(Document {
+        version: 1,
+        services,
+        bytes: Vec::new(),
+        routing: None,
+    }));
     state
 }
 
@@ -397,6 +407,7 @@
         version: 1,
         bytes: Vec::new(),
         services: vec!["pool".to_owned()],
+        routing: None,
     }));
     let began = clock_gettime(ClockId::ThreadCPUTime);
     for number in 0..replicas {
--- a/crates/control/tests/recorded_bytes.rs
+++ b/crates/control/tests/recorded_bytes.rs
@@ -156,7 +156,12 @@
 }
 
 fn document() -> Document {
-    Document { version: 3, bytes: b"text".to_vec(), services: vec!["chat".to_owned()] }
+    Document {
+        version: 3,
+        bytes: b"text".to_vec(),
+        services: vec!["chat".to_owned()],
+        routing: None,
+    }
 }
 
 fn crash_note(request: u64, replica: u64, age: u64) -> CrashRecord {
--- /dev/null
+++ b/crates/control/tests/software_history.rs
@@ -0,0 +1,260 @@
+//! What the leader proves of the software version that a stream of a service began at.
+
+mod common;
+
+use common::{Host, World};
+use std::time::Duration;
+use topazmount_control::{
+    Document, FleetRequest, FleetResponse, InstanceReport, Request, Response, STREAM_RETENTION,
+};
+use topazmount_types::{Instance, SoftwareId, Start};
+
+const HOSTS: [Host; 3] = [1, 2, 3];
+const RESPONSE_TIME: Duration = Duration::from_millis(100);
+const ELECTION_TIME: Duration = Duration::from_secs(8);
+const MARGIN: Duration = Duration::from_secs(1);
+
+/// A replica of `pool`; heartbeats of one replica count up.
+fn report(id: &str, software: &str, start: u64, sequence: u64) -> InstanceReport {
+    let mut report = common::heartbeat(sequence);
+    report.instance = Instance {
+        id: id.to_owned(),
+        address: format!("{id}:1"),
+        software: software.to_owned(),
+        start: Start(start),
+        ..report.instance
+    };
+    report
+}
+
+fn software(version: &str) -> SoftwareId {
+    SoftwareId::of(&report("r", version, 1, 1).instance)
+}
+
+/// A group with a leader.
+struct Group {
+    world: World,
+    /// Replicas that send heartbeats: identifier, software, start.
+    replicas: Vec<(&'static str, &'static str, u64)>,
+    heartbeats: u64,
+}
+
+impl Group {
+    fn form() -> Self {
+        let mut group = Group { world: World::new(&HOSTS), replicas: Vec::new(), heartbeats: 0 };
+        group.elect();
+        group
+    }
+
+    fn elect(&mut self) {
+        self.world.run_until("a leader", ELECTION_TIME, |world| world.leader().is_some());
+    }
+
+    fn ask(&mut self, host: Host, request: FleetRequest) -> Option<Response> {
+        let token = self.world.request(host, Request::Fleet(request))?;
+        self.world.run(RESPONSE_TIME);
+        self.world.take_response(token)
+    }
+
+    fn ask_leader(&mut self, request: FleetRequest) -> Option<FleetResponse> {
+        let leader = self.world.leader()?;
+        match self.ask(leader, request)? {
+            Response::Fleet(response) => Some(response),
+            _ => None,
+        }
+    }
+
+    /// Sends heartbeats of all replicas, so that none times out, for a while.
+    fn run(&mut self, time: Duration) {
+        let until = self.world.now + time;
+        loop {
+            self.heartbeats += 1;
+            for (id, version, start) in self.replicas.clone() {
+                let report = report(id, version, start, self.heartbeats);
+                self.ask_leader(FleetRequest::Heartbeat(report));
+            }
+            if self.world.now >= until {
+                return;
+            }
+            self.world.run(MARGIN.min(until.since(self.world.now)));
+        }
+    }
+
+    fn start(&mut self, id: &'static str, version: &'static str, start: u64) {
+        self.replicas.retain(|(other, ..)| *other != id);
+        self.replicas.push((id, version, start));
+        self.run(Duration::ZERO);
+    }
+
+    fn leave(&mut self, id: &'static str) {
+        let (_, _, start) = *self.replicas.iter().find(|(other, ..)| *other == id).unwrap();
+        self.replicas.retain(|(other, ..)| *other != id);
+        let departed = self.ask_leader(FleetRequest::Depart(id.to_owned(), Start(start)));
+        assert_eq!(departed, Some(FleetResponse::Done));
+    }
+
+    fn put_document(&mut self, version: u64, bytes: usize, routing: Option<u64>) {
+        let document = Document { version, bytes: vec![7; bytes], services: Vec::new(), routing };
+        let put = self.ask_leader(FleetRequest::PutDocument(document));
+        assert_eq!(put, Some(FleetResponse::Done));
+    }
+
+    fn restart_all(&mut self) {
+        HOSTS.iter().for_each(|host| self.world.kill(*host));
+        HOSTS.iter().for_each(|host| self.world.start(*host));
+        self.elect();
+        self.run(Duration::ZERO);
+    }
+
+    fn proved(&mut self) -> Option<SoftwareId> {
+        match self.ask_leader(FleetRequest::OnlySoftware("pool".to_owned())) {
+            Some(FleetResponse::OnlySoftware(software)) => software,
+            other => panic!("{other:?}"),
+        }
+    }
+
+    /// Checks that nothing is proved until no stream from before now can be resumed.
+    fn assert_proved_only_after_retention(&mut self, version: &str) {
+        assert_eq!(self.proved(), None);
+        self.run(STREAM_RETENTION - MARGIN * 5);
+        assert_eq!(self.proved(), None);
+        self.run(MARGIN * 6);
+        assert_eq!(self.proved(), Some(software(version)));
+    }
+}
+
+cases! {
+    the_only_version_since_the_group_formed_is_not_proved => {
+        let mut group = Group::form();
+        assert_eq!(group.proved(), None, "no replica is registered");
+        group.start("a", "v1", 1);
+        group.start("b", "v1", 1);
+        assert_eq!(group.proved(), Some(software("v1")));
+    }
+    one_of_two_versions_is_proved => {
+        let mut group = Group::form();
+        group.start("a", "v1", 1);
+        group.start("b", "v2", 1);
+        assert_eq!(group.proved(), None);
+    }
+    a_stream_of_a_version_that_is_gone_goes_on_at_the_remaining_one => {
+        let mut group = Group::form();
+        group.start("a", "v1", 1);
+        group.start("b", "v2", 1);
+        group.leave("a");
+        group.assert_proved_only_after_retention("v2");
+    }
+    /// Its last heartbeat came long before it was removed.
+    a_stream_of_a_version_that_timed_out_goes_on_at_the_remaining_one => {
+        let mut group = Group::form();
+        group.start("a", "v1", 1);
+        group.start("b", "v2", 1);
+        group.replicas.retain(|(id, ..)| *id != "a");
+        group.run(Duration::from_secs(10));
+        assert_eq!(group.proved(), None);
+    }
+    a_stream_goes_on_at_a_replica_that_came_back_with_another_version => {
+        for start in [1, 2] {
+            let mut group = Group::form();
+            group.start("a", "v1", 1);
+            group.start("a", "v2", start);
+            group.assert_proved_only_after_retention("v2");
+        }
+    }
+    /// The version came and went between any two views of a gateway.
+    a_stream_of_a_version_that_was_registered_for_a_moment_goes_on_at_another_one => {
+        let mut group = Group::form();
+        group.start("a", "v1", 1);
+        group.start("b", "v2", 1);
+        group.leave("b");
+        group.assert_proved_only_after_retention("v1");
+    }
+    /// A route may have led to another service before.
+    a_version_is_proved_right_after_routes_changed => {
+        for (before, after) in [(Some(1), Some(2)), (None, None), (Some(1), None), (None, Some(1))] {
+            let mut group = Group::form();
+            group.put_document(1, 10, before);
+            group.start("a", "v1", 1);
+            assert_eq!(group.proved(), Some(software("v1")));
+            group.put_document(2, 10, after);
+            group.assert_proved_only_after_retention("v1");
+        }
+    }
+    a_version_is_not_proved_after_a_document_without_other_routes => {
+        let mut group = Group::form();
+        group.put_document(1, 10, Some(1));
+        group.start("a", "v1", 1);
+        group.put_document(2, 20, Some(1));
+        assert_eq!(group.proved(), Some(software("v1")));
+    }
+    a_version_is_not_proved_after_the_first_routes_of_streams => {
+        let mut group = Group::form();
+        group.put_document(1, 10, Some(Document::NO_STREAMS));
+        group.start("a", "v1", 1);
+        group.put_document(2, 20, Some(1));
+        assert_eq!(group.proved(), Some(software("v1")));
+    }
+    the_next_leader_does_not_know_which_versions_have_ended => {
+        let mut group = Group::form();
+        group.start("a", "v1", 1);
+        group.start("b", "v2", 1);
+        group.leave("a");
+        let first = group.world.leader().unwrap();
+        group.world.kill(first);
+        group.elect();
+        group.run(Duration::ZERO);
+        assert_eq!(group.proved(), None);
+    }
+    the_next_leader_can_not_tell_the_only_version => {
+        let mut group = Group::form();
+        group.start("a", "v1", 1);
+        let first = group.world.leader().unwrap();
+        group.world.kill(first);
+        group.elect();
+        group.run(Duration::ZERO);
+        assert_eq!(group.proved(), Some(software("v1")));
+    }
+    members_that_restart_forget_which_versions_have_ended => {
+        let mut group = Group::form();
+        group.start("a", "v1", 1);
+        group.start("b", "v2", 1);
+        group.leave("a");
+        group.restart_all();
+        group.assert_proved_only_after_retention("v2");
+    }
+    /// Their log, which they read from its begin, has no other version.
+    members_that_restart_with_their_whole_log_can_not_tell_the_only_version => {
+        let mut group = Group::form();
+        group.start("a", "v1", 1);
+        group.restart_all();
+        assert_eq!(group.proved(), Some(software("v1")));
+    }
+    /// A snapshot does not tell which versions have ended.
+    members_that_restart_from_a_snapshot_prove_a_version => {
+        let mut group = Group::form();
+        group.start("a", "v1", 1);
+        group.put_document(1, 5 * 1024 * 1024, None);
+        group.start("b", "v1", 1);
+        group.restart_all();
+        group.assert_proved_only_after_retention("v1");
+    }
+    a_follower_proves_a_version => {
+        let mut group = Group::form();
+        group.start("a", "v1", 1);
+        let leader = group.world.leader().unwrap();
+        for follower in HOSTS.into_iter().filter(|host| *host != leader) {
+            let response = group.ask(follower, FleetRequest::OnlySoftware("pool".to_owned()));
+            assert!(matches!(response, Some(Response::NotLeader(_))), "{response:?}");
+        }
+    }
+    /// Another leader may have registered further versions meanwhile.
+    a_leader_that_is_cut_off_proves_a_version => {
+        let mut group = Group::form();
+        group.start("a", "v1", 1);
+        let cut_off = group.world.leader().unwrap();
+        HOSTS.into_iter().filter(|host| *host != cut_off).for_each(|host| group.world.cut(cut_off, host));
+        group.world.run(ELECTION_TIME);
+        let response = group.ask(cut_off, FleetRequest::OnlySoftware("pool".to_owned()));
+        assert!(!matches!(response, Some(Response::Fleet(FleetResponse::OnlySoftware(Some(_))))), "{response:?}");
+    }
+}
--- a/crates/gateway/src/catalog.rs
+++ b/crates/gateway/src/catalog.rs
@@ -4,7 +4,8 @@
 use std::collections::{BTreeMap, HashMap};
 use std::time::Duration;
 use thiserror::Error;
-use topazmount_types::TenantId;
+use topazmount_control::Document;
+use topazmount_types::{Digest, TenantId};
 
 /// Whether requests of a route may run more than once.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -54,6 +55,18 @@
 }
 
 impl Route {
+    /// Services that its requests go to.
+    pub fn services(&self) -> impl Iterator<Item = &str> {
+        self.split.iter().filter(|part| part.weight > 0).map(|part| part.service.as_str())
+    }
+
+    /// The only service that its requests go to, if there is one.
+    pub fn only_service(&self) -> Option<&str> {
+        let mut services = self.services();
+        let service = services.next()?;
+        services.next().is_none().then_some(service)
+    }
+
     /// Whether a request that may have run may be retried.
     pub fn is_retryable(&self) -> bool {
         match self.kind {
@@ -271,6 +284,19 @@
         Some((*found, &routes[*found]))
     }
 
+    /// Digest of the services that the routes of streams lead to; [`Document::NO_STREAMS`] without such
+    /// routes. While it is the same, a stream's request leads to the services that it led to before.
+    pub fn stream_routing(&self) -> u64 {
+        let streams = self.parts.routes.iter().filter(|route| route.kind == RouteKind::Streaming);
+        let mut routes: Vec<Digest> = streams.map(routing_of).collect();
+        if routes.is_empty() {
+            return Document::NO_STREAMS;
+        }
+        routes.sort_unstable();
+        let bytes: Vec<u8> = routes.iter().flat_map(|digest| digest.0.to_le_bytes()).collect();
+        Digest::of(&bytes).prefix()
+    }
+
     /// Whether any request needs a key.
     pub fn has_tenants(&self) -> bool {
         self.parts.tenants.is_some()
@@ -288,6 +314,16 @@
     }
 }
 
+/// Digest of a route's requests and of the services that they go to.
+fn routing_of(route: &Route) -> Digest {
+    let host = route.host.to_ascii_lowercase();
+    let mut services: Vec<&str> = route.services().collect();
+    services.sort_unstable();
+    let mut parts = vec![host.as_bytes(), route.path_prefix.as_bytes()];
+    parts.extend(services.into_iter().map(str::as_bytes));
+    Digest::of_parts(&parts)
+}
+
 fn index_services(services: &[Service]) -> Result<BTreeMap<String, usize>, CatalogError> {
     let mut index = BTreeMap::new();
     for (position, service) in services.iter().enumerate() {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -57,6 +57,7 @@
     MAX_STORE_READERS, StoreChange, StoreEvents, StoreKey, StoredPrompt, Stores, cache_salt,
 };
 pub use stream_origins::{
-    ORIGIN_HOLDERS, ORIGIN_QUERIES, ORIGIN_RENEWAL, ORIGIN_RETENTION, StreamKey, StreamOrigins,
+    MEMBER_ORIGIN_HOLDERS, ORIGIN_HOLDERS, ORIGIN_QUERIES, ORIGIN_RENEWAL, ORIGIN_RETENTION,
+    StreamKey, StreamOrigins, member_holders,
 };
 pub use tunnels::{CarrierState, Carriers, TunnelRefusal};
--- a/crates/gateway/src/software_history.rs
+++ b/crates/gateway/src/software_history.rs
@@ -1,7 +1,7 @@
-//! Software versions that the replicas of a service had lately.
+//! Changes of the services' software versions, as a gateway has seen them.
 //!
-//! That all registered replicas have one version does not prove that a stream began at it: it may
-//! have begun at a replica that is gone.
+//! They decide which streams are recorded at control members. They prove nothing of a stream: a
+//! version that came and went between two lists was not seen.
 
 use crate::stream_origins::ORIGIN_RETENTION;
 use std::collections::HashMap;
@@ -10,7 +10,7 @@
 /// When the last replica of a software version was seen to end, by service.
 #[derive(Debug, Default)]
 pub(crate) struct SoftwareHistory {
-    /// When the list of replicas was first received.
+    /// When the list of replicas was first received, or routes last led to other services.
     since: Option<Time>,
     ended_at: HashMap<String, HashMap<SoftwareId, Time>>,
 }
@@ -21,6 +21,11 @@
         self.since.get_or_insert(now);
     }
 
+    /// Records that routes of streams came to lead to other services.
+    pub(crate) fn on_rerouted(&mut self, now: Time) {
+        self.since = Some(now);
+    }
+
     /// Records that a replica has ended or has another version.
     pub(crate) fn on_ended(&mut self, instance: &Instance, now: Time) {
         self.ended_at.retain(|_, ended_at| {
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -33,9 +33,11 @@
 use std::sync::Arc;
 use std::time::Duration;
 use topazmount_admission::PushbackSettings;
-use topazmount_control::{DEFAULT_HEARTBEAT_INTERVAL, FleetView, RolloutSettings, SeenVersions};
+use topazmount_control::{
+    DEFAULT_HEARTBEAT_INTERVAL, Document, FleetView, RolloutSettings, SeenVersions,
+};
 use topazmount_routing::PolicyTable;
-use topazmount_types::{ErrorKind, RequestDigest, Time};
+use topazmount_types::{ErrorKind, RequestDigest, SoftwareId, Time};
 
 /// Minimum retry delay of a refused client.
 pub const MIN_RETRY_DELAY: Duration = Duration::from_millis(250);
@@ -130,6 +132,9 @@
     followed_stores: FollowedStores,
     stream_origins: StreamOrigins,
     software_history: SoftwareHistory,
+    /// The only software version of a service's replicas, if there is one, and the revision of their list
+    /// that this is known of.
+    only_software: HashMap<String, (u64, Option<SoftwareId>)>,
 }
 
 impl GatewayState {
@@ -161,6 +166,7 @@
             followed_stores: FollowedStores::default(),
             stream_origins: StreamOrigins::default(),
             software_history: SoftwareHistory::default(),
+            only_software: HashMap::new(),
         };
         state.set_settings(settings);
         state
@@ -277,6 +283,11 @@
         if let Some(catalog) = catalog
             && catalog.version() > self.seen.document
         {
+            if self.catalog.as_ref().is_some_and(|known| is_rerouted(known, &catalog)) {
+                self.software_history.on_rerouted(asked_at);
+            }
+            // Services that are gone need no entry.
+            self.only_software.clear();
             self.seen.document = catalog.version();
             self.balancer.stores().set(catalog.stores());
             self.catalog = Some(Arc::new(catalog));
@@ -396,3 +407,9 @@
         budget.try_retry(now, &self.settings.budget, nodes)
     }
 }
+
+/// Whether streams may go to other services by the next catalog.
+fn is_rerouted(known: &Catalog, next: &Catalog) -> bool {
+    let before = known.stream_routing();
+    before != Document::NO_STREAMS && before != next.stream_routing()
+}
--- a/crates/gateway/src/state/origins.rs
+++ b/crates/gateway/src/state/origins.rs
@@ -24,25 +24,26 @@
 
     /// The service of a route that has replicas of a software version, if any.
     pub fn service_with(&self, route: &Route, software: SoftwareId) -> Option<String> {
-        let mut services = route.split.iter().filter(|part| part.weight > 0);
-        let found = services.find(|part| self.balancer.has_software(&part.service, software));
-        found.map(|part| part.service.clone())
+        let found = route.services().find(|service| self.balancer.has_software(service, software));
+        found.map(str::to_owned)
     }
 
-    /// The only software version that a stream of the route can have begun at, if there is one.
-    /// Where the client names the stream, this gateway must have seen the replicas for as long as a
-    /// stream can be resumed. A client that does not could never resume at a gateway that has just
-    /// started, as no record can be found for it.
-    pub fn only_software(&self, route: &Route, is_named: bool, now: Time) -> Option<SoftwareId> {
-        let mut services =
-            route.split.iter().filter(|part| part.weight > 0).map(|part| part.service.as_str());
-        let service = services.next()?;
-        if services.next().is_some() {
-            return None;
-        }
-        let software = self.balancer.only_software(service)?;
+    /// Whether a stream of the service has to be recorded at control members, too: they could not tell
+    /// its version from the history of the registry, as there are or were several lately, or this
+    /// gateway has not seen the registry for long enough to know.
+    pub fn needs_member_record(&mut self, service: &str, now: Time) -> bool {
+        let revision = self.seen.revision;
+        let known = self.only_software.get(service).filter(|(at, _)| *at == revision);
+        let only = match known {
+            Some((_, only)) => *only,
+            None => {
+                let only = self.balancer.only_software(service);
+                self.only_software.insert(service.to_owned(), (revision, only));
+                only
+            }
+        };
         let history = &self.software_history;
-        let is_only = !history.has_other(service, software, now);
-        (is_only && (!is_named || history.is_complete(now))).then_some(software)
+        !history.is_complete(now)
+            || only.is_none_or(|software| history.has_other(service, software, now))
     }
 }
--- a/crates/gateway/tests/catalog.rs
+++ b/crates/gateway/tests/catalog.rs
@@ -5,7 +5,7 @@
 use common::{catalog, parts, route, service, tenant};
 use rstest::rstest;
 use std::time::Duration;
-use topazmount_gateway::{Catalog, CatalogError, CatalogParts, SplitPart};
+use topazmount_gateway::{Catalog, CatalogError, CatalogParts, Route, RouteKind, SplitPart};
 
 fn error_after(change: impl FnOnce(&mut CatalogParts)) -> CatalogError {
     let mut parts = parts(1);
@@ -60,3 +60,24 @@
     assert_eq!(catalog.tenant("key-1").unwrap().name, "tenant-1");
     assert!(catalog.tenant("key-2").is_none());
 }
+
+/// Guards against streams that are resumed at another service than the one that began them.
+#[test]
+fn a_change_of_a_streams_services_is_not_seen() {
+    let with_stream = |change: &dyn Fn(&mut Route)| {
+        let mut parts = parts(1);
+        let mut stream = Route { kind: RouteKind::Streaming, ..route("s", "h", "/s/", "first") };
+        change(&mut stream);
+        parts.routes.push(stream);
+        Catalog::new(parts).unwrap().stream_routing()
+    };
+    let second = SplitPart { service: "second".to_owned(), weight: 1 };
+    let before = with_stream(&|_| {});
+    assert_eq!(with_stream(&|route| route.timeout = Duration::from_secs(9)), before);
+    assert_eq!(with_stream(&|route| route.split[0].weight = 7), before);
+    assert_eq!(with_stream(&|route| route.host = "H".to_owned()), before);
+    assert_ne!(with_stream(&|route| route.split.push(second.clone())), before);
+    assert_ne!(with_stream(&|route| route.split = vec![second.clone()]), before);
+    assert_ne!(with_stream(&|route| route.path_prefix = "/t/".to_owned()), before);
+    assert_ne!(with_stream(&|route| route.kind = RouteKind::Idempotent), before);
+}
--- a/crates/gateway/tests/stream_origins.rs
+++ b/crates/gateway/tests/stream_origins.rs
@@ -4,13 +4,13 @@
 
 use common::{catalog, choice_request, instance, prompt, route};
 use rustix::time::{ClockId, clock_gettime};
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::time::Duration;
 use topazmount_control::{FleetView, GatewayListUpdate, GatewayReport, RemovedInstance};
 use topazmount_gateway::{
-    GatewaySettings, GatewayState, MIN_RETRY_DELAY, ORIGIN_HOLDERS, ORIGIN_QUERIES,
-    ORIGIN_RETENTION, Route, RouteKind, SplitPart, StreamKey, StreamOrigins,
+    Catalog, GatewaySettings, GatewayState, MEMBER_ORIGIN_HOLDERS, ORIGIN_HOLDERS, ORIGIN_QUERIES,
+    ORIGIN_RETENTION, Route, RouteKind, SplitPart, StreamKey, StreamOrigins, member_holders,
 };
 use topazmount_types::{Instance, SoftwareId, Start, Time};
 
@@ -171,38 +171,71 @@
     let route = stream_route(&["pool", "other"]);
     assert_eq!(state.service_with(&route, in_other).as_deref(), Some("other"));
     assert_eq!(state.service_with(&stream_route(&["pool"]), in_other), None);
-    assert_eq!(state.only_software(&route, false, NOW), None, "either service may have begun it");
+    assert_eq!(route.only_service(), None, "either service may have begun it");
+    assert_eq!(stream_route(&["pool"]).only_service(), Some("pool"));
 }
 
-/// That all replicas have one version is proof only where no other one was seen long enough.
+/// While the registry's history can't tell a stream's version, only its record can.
 #[test]
-fn a_stream_of_a_version_that_is_gone_goes_on_at_the_remaining_one() {
+fn a_stream_is_recorded_at_gateways_only_while_its_service_has_several_versions() {
     let mut state = gateway(0, 1);
-    let route = stream_route(&["pool"]);
     let (old, new) = (replica(1, "pool", "v1"), replica(2, "pool", "v2"));
-    let v2 = SoftwareId::of(&new);
-    state.apply(&view(1, vec![old, new], &[]), None, NOW);
-    assert_eq!(state.only_software(&route, true, NOW), None);
-    let gone_at = NOW + ORIGIN_RETENTION;
-    state.apply(&view(2, Vec::new(), &["i-1"]), None, gone_at);
-    for is_named in [true, false] {
-        let soon = gone_at + MIN_RETRY_DELAY;
-        assert_eq!(state.only_software(&route, is_named, soon), None, "it may have begun at v1");
-        let later = gone_at + ORIGIN_RETENTION;
-        assert_eq!(state.only_software(&route, is_named, later), Some(v2));
-    }
+    state.apply(&view(1, vec![new.clone()], &[]), None, NOW);
+    assert!(state.needs_member_record("pool", NOW), "this gateway has just started");
+    let calm = NOW + ORIGIN_RETENTION;
+    assert!(!state.needs_member_record("pool", calm));
+    state.apply(&view(2, vec![old], &[]), None, calm);
+    assert!(state.needs_member_record("pool", calm));
+    state.apply(&view(3, Vec::new(), &["i-1"]), None, calm);
+    let almost = calm + ORIGIN_RETENTION - Duration::from_millis(1);
+    assert!(state.needs_member_record("pool", almost), "the other version has ended lately");
+    assert!(!state.needs_member_record("pool", calm + ORIGIN_RETENTION));
 }
 
+/// A route may lead to another service in the next catalog.
 #[test]
-fn a_stream_goes_on_at_the_only_version_that_a_starting_gateway_sees() {
+fn a_stream_is_recorded_at_gateways_only_after_a_change_of_routes() {
     let mut state = gateway(0, 1);
-    let route = stream_route(&["pool"]);
-    let only = replica(1, "pool", "v1");
-    let v1 = SoftwareId::of(&only);
-    state.apply(&view(1, vec![only], &[]), None, NOW);
-    assert_eq!(state.only_software(&route, true, NOW), None);
-    assert_eq!(state.only_software(&route, false, NOW), Some(v1), "no record can be found for it");
-    assert_eq!(state.only_software(&route, true, NOW + ORIGIN_RETENTION), Some(v1));
+    state.apply(&view(1, vec![replica(1, "pool", "v1")], &[]), None, NOW);
+    let calm = NOW + ORIGIN_RETENTION;
+    assert!(!state.needs_member_record("pool", calm));
+    state.apply(&FleetView::default(), Some(catalog(2)), calm);
+    assert!(!state.needs_member_record("pool", calm), "no stream goes elsewhere");
+    let mut parts = common::parts(3);
+    parts.routes.push(Route { path_prefix: "/s/".to_owned(), ..stream_route(&["first"]) });
+    state.apply(&FleetView::default(), Some(Catalog::new(parts.clone()).unwrap()), calm);
+    assert!(!state.needs_member_record("pool", calm), "no stream went anywhere before");
+    (parts.version, parts.routes.last_mut().unwrap().split) = (4, stream_route(&["second"]).split);
+    state.apply(&FleetView::default(), Some(Catalog::new(parts).unwrap()), calm);
+    assert!(state.needs_member_record("pool", calm));
+}
+
+#[test]
+fn members_are_told_of_more_streams_than_others() {
+    let members: Vec<SocketAddr> = (0..5).map(address).collect();
+    let mut streams = BTreeMap::new();
+    for number in 0..5_000u64 {
+        let key = StreamKey::new("tenant", &number.to_string());
+        let holders = member_holders(key, &members);
+        assert_eq!(holders.len(), MEMBER_ORIGIN_HOLDERS);
+        holders.iter().for_each(|holder| *streams.entry(*holder).or_insert(0) += 1);
+    }
+    assert!(streams.values().all(|streams| (1_800..2_200).contains(streams)), "{streams:?}");
+}
+
+/// At 28,000 streams a second, five members and two holders, for as long as a client may come back.
+#[test]
+fn a_member_forgets_streams_that_can_be_resumed() {
+    let mut origins = StreamOrigins::of_member();
+    let (each_second, seconds) = (28_000 * 2 / 5, 15);
+    for second in 0..=seconds {
+        let now = NOW + Duration::from_secs(second);
+        (0..each_second).for_each(|n| origins.record(StreamKey(second * each_second + n), V1, now));
+    }
+    let now = NOW + Duration::from_secs(seconds);
+    assert!((0..each_second).all(|key| origins.software(StreamKey(key), now) == Some(V1)));
+    (0..1_000_000).for_each(|key| origins.record(StreamKey(key), V1, now));
+    assert!(origins.count() <= 262_144, "{} records", origins.count());
 }
 
 /// A replica that is back under its identifier, or reports another version of the same incarnation.
@@ -222,5 +255,5 @@
         state.apply(&view(revision + 1, vec![next.clone()], &[]), None, NOW);
         assert_eq!(state.choose(&request, NOW), None, "from {start}");
     }
-    assert_eq!(state.only_software(&stream_route(&["pool"]), false, NOW), None);
+    assert!(state.needs_member_record("pool", NOW + ORIGIN_RETENTION - Duration::from_millis(1)));
 }
--- a/crates/lab/src/control_scale/world.rs
+++ b/crates/lab/src/control_scale/world.rs
@@ -473,6 +473,7 @@
             version: 1,
             bytes: (0..DOCUMENT_BYTES).map(|_| self.rng.random_range(b'a'..b'q')).collect(),
             services: vec!["lm-pool".to_owned()],
+            routing: None,
         };
         let leads = |machine: &Machine| {
             let member = machine.member.as_ref();
--- a/crates/topazmount/src/fleet/control_service.rs
+++ b/crates/topazmount/src/fleet/control_service.rs
@@ -6,6 +6,7 @@
 use super::http_service::{self, Service};
 use super::metrics::{Metrics, MetricsService};
 use super::orders;
+use super::origin_service::OriginService;
 use super::settings::FleetSettings;
 use super::watcher::{Seeds, Watcher};
 use crate::Executor;
@@ -94,9 +95,20 @@
             directory: directory.clone(),
             leaders: Mutex::default(),
             control_port: settings.listen.control.map(|address| address.port()),
-            metrics,
+            metrics: metrics.clone(),
             external_log: external_log.clone(),
         });
+        let origin_address = SocketAddr::new(internal.ip(), settings.origin_port());
+        let records_key = key.clone();
+        let records_metrics = metrics.clone();
+        OriginService::start(
+            executor,
+            origin_address,
+            records_key,
+            member.clone(),
+            records_metrics,
+        )
+        .await?;
         if let Some(address) = settings.listen.metrics {
             let calls = calls.clone();
             let service = MetricsService(move || {
--- a/crates/topazmount/src/fleet/exchange/mod.rs
+++ b/crates/topazmount/src/fleet/exchange/mod.rs
@@ -26,6 +26,7 @@
 pub(super) use client_response::ClientResponse;
 use continuation::StreamFormat;
 use limit::Grant;
+use origin::OriginRecords;
 use std::future::Future;
 use std::sync::Mutex;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -148,8 +149,7 @@
     last_event_id: Option<String>,
     /// Number of events with an identifier.
     event_count: u32,
-    /// When the stream's software version was last recorded.
-    origin_recorded_at: Option<Time>,
+    origin_records: OriginRecords,
     timing: EventTiming,
 }
 
--- a/crates/topazmount/src/fleet/gateway.rs
+++ b/crates/topazmount/src/fleet/gateway.rs
@@ -63,6 +63,9 @@
     pub(super) link_probes: Sender<()>,
     /// Gateways that carry tunnels to replicas.
     pub(super) carriers: Mutex<Carriers>,
+    /// Where control members hold records of streams.
+    members: Mutex<Vec<SocketAddr>>,
+    origin_port: u16,
     /// Port at which gateways accept tunnels.
     pub(super) tunnel_port: u16,
     pub(super) cluster_key: ClusterKey,
@@ -124,6 +127,8 @@
             withheld_failures: Mutex::default(),
             link_probes,
             carriers: Mutex::default(),
+            members: Mutex::default(),
+            origin_port: settings.origin_port(),
             tunnel_port: settings.tunnel_port(),
             cluster_key: key.clone(),
             carried_tunnels: AtomicUsize::new(0),
@@ -218,6 +223,23 @@
         let _ = self.report_requests.try_send(());
     }
 
+    /// Where control members hold records of streams.
+    pub(super) fn members(&self) -> Vec<SocketAddr> {
+        self.members.lock().unwrap().clone()
+    }
+
+    /// Updates the control members from the view of one that is in contact with the group.
+    fn update_members(&self, view: &FleetView) {
+        if view.staleness.is_none() {
+            return;
+        }
+        let internal = view.members.iter().filter_map(|address| address.parse().ok());
+        let members = internal
+            .map(|address: SocketAddr| SocketAddr::new(address.ip(), self.origin_port))
+            .collect();
+        *self.members.lock().unwrap() = members;
+    }
+
     pub(super) fn is_stopping(&self) -> bool {
         self.is_stopping.load(Ordering::SeqCst)
     }
@@ -349,6 +371,7 @@
     }
 
     fn on_view(&mut self, view: FleetView, requested_at: Time) {
+        self.shared.update_members(&view);
         let catalog = view.document.as_ref().and_then(|document| {
             let catalog = self.shared.dialect.parse_catalog(&document.bytes);
             if let Err(problem) = &catalog {
--- a/crates/topazmount/src/fleet/legacy_datagrams.rs
+++ b/crates/topazmount/src/fleet/legacy_datagrams.rs
@@ -99,6 +99,8 @@
         | GatewayMessage::OriginUpdate(..)
         | GatewayMessage::OriginRequest(..)
         | GatewayMessage::OriginResponse(..)
+        | GatewayMessage::SoftwareRequest(..)
+        | GatewayMessage::SoftwareResponse(..)
         | GatewayMessage::TrialRequest(..)
         | GatewayMessage::TrialResponse(..)
         | GatewayMessage::TrialEnded(..)
--- a/crates/topazmount/src/fleet/mod.rs
+++ b/crates/topazmount/src/fleet/mod.rs
@@ -20,6 +20,7 @@
 mod log_text;
 mod metrics;
 mod orders;
+mod origin_service;
 mod peers;
 mod pool;
 mod process;
@@ -44,7 +45,7 @@
 pub use gateway::{Gateway, GatewayOptions};
 pub use legacy_datagrams::{decode_legacy, encode_legacy};
 pub use metrics::{METRICS_PATH, Metrics};
-pub use peers::GatewayMessage;
+pub use peers::{GatewayMessage, SoftwareProof};
 pub use process::{run_control, run_gateway};
 pub use settings::{
     Bounds, CacheSettings, ConnectionPoolSettings, FleetPolicy, FleetSettings, ListenAddresses,
--- a/crates/topazmount/src/fleet/peers.rs
+++ b/crates/topazmount/src/fleet/peers.rs
@@ -66,6 +66,12 @@
     /// Response to the origin request with this number; `None` if the stream is unknown.
     #[serde(rename = "OriginIs")]
     OriginResponse(u64, Option<SoftwareId>),
+    /// Asks a control member for the only software version that a stream of a service can have begun at.
+    #[serde(rename = "SoftwareOf")]
+    SoftwareRequest(u64, String),
+    /// Response to the software request with this number.
+    #[serde(rename = "SoftwareIs")]
+    SoftwareResponse(u64, SoftwareProof),
     /// Asks for a trial of a blocked request.
     TrialRequest(u64, TrialRequest),
     /// Response to the trial request with this number.
@@ -78,9 +84,31 @@
     ReplicaVerdicts(Vec<ReplicaVerdict>),
 }
 
+/// What the registry's history proves of the streams of a service.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum SoftwareProof {
+    /// They can have begun at this software version only.
+    Only(SoftwareId),
+    /// They may have begun at several, or it is not known for long enough.
+    Several,
+    /// The member does not lead, so that it can't tell.
+    NotLeader,
+}
+
+impl SoftwareProof {
+    /// Event in metrics.
+    pub(super) fn event(self) -> &'static str {
+        match self {
+            SoftwareProof::Only(_) => "software_proved",
+            SoftwareProof::Several => "software_not_proved",
+            SoftwareProof::NotLeader => "software_not_leader",
+        }
+    }
+}
+
 impl GatewayMessage {
     /// Name in log lines.
-    fn name(&self) -> &'static str {
+    pub(super) fn name(&self) -> &'static str {
         match self {
             GatewayMessage::LoadUpdate(_) => "load_update",
             GatewayMessage::PlacementRequest(..) => "placement_request",
@@ -93,6 +121,8 @@
             GatewayMessage::OriginUpdate(..) => "origin_update",
             GatewayMessage::OriginRequest(..) => "origin_request",
             GatewayMessage::OriginResponse(..) => "origin_response",
+            GatewayMessage::SoftwareRequest(..) => "software_request",
+            GatewayMessage::SoftwareResponse(..) => "software_response",
             GatewayMessage::TrialRequest(..) => "trial_request",
             GatewayMessage::TrialResponse(..) => "trial_response",
             GatewayMessage::TrialEnded(..) => "trial_ended",
@@ -107,6 +137,7 @@
     Placement(Option<PlacementOffer>),
     Grant(GrantResponse),
     Origin(Option<SoftwareId>),
+    Software(SoftwareProof),
     Trial(TrialResponse),
 }
 
@@ -344,7 +375,7 @@
         self.send(vec![granter], GatewayMessage::UnitsReturned(stripe, amount));
     }
 
-    /// Sends the software version that began a stream to other gateways, before it returns.
+    /// Sends the software version that began a stream to those that hold its record, before it returns.
     pub(super) async fn send_origin(
         &self,
         to: &[SocketAddr],
@@ -355,7 +386,7 @@
         self.send_now(to, &GatewayMessage::OriginUpdate(key, software), shared).await;
     }
 
-    /// Asks several gateways at once which software version began a stream, until one knows it.
+    /// Asks several processes at once which software version began a stream, until one knows it.
     pub(super) async fn request_origin(
         &self,
         to: &[SocketAddr],
@@ -387,6 +418,38 @@
         response.unwrap_or(OriginResponse::Incomplete)
     }
 
+    /// Asks control members for the only software version that a stream of a service can have begun
+    /// at, until their leader responds; `None` if it does not in time.
+    pub(super) async fn request_software(
+        &self,
+        members: &[SocketAddr],
+        service: &str,
+        timeout: Duration,
+    ) -> Option<SoftwareProof> {
+        let (sender, receiver) = async_channel::bounded(members.len().max(1));
+        let pending: Vec<PendingRequest<'_>> = members
+            .iter()
+            .map(|member| {
+                let pending = self.add_pending(sender.clone());
+                let request =
+                    GatewayMessage::SoftwareRequest(pending.request_id, service.to_owned());
+                self.send(vec![*member], request);
+                pending
+            })
+            .collect();
+        let first_of_leader = async {
+            for _ in &pending {
+                if let Ok(Response::Software(proof)) = receiver.recv().await
+                    && proof != SoftwareProof::NotLeader
+                {
+                    return Some(proof);
+                }
+            }
+            None
+        };
+        super::http_service::with_timeout(timeout, first_of_leader).await.flatten()
+    }
+
     /// Asks a coordinator for a trial of a blocked request; `None` if it does not respond in time.
     pub(super) async fn request_trial(
         &self,
@@ -510,6 +573,14 @@
             Ok(GatewayMessage::OriginResponse(request_id, software)) => {
                 peers.complete(request_id, Response::Origin(software));
             }
+            Ok(GatewayMessage::SoftwareResponse(request_id, proof)) => {
+                peers.complete(request_id, Response::Software(proof));
+            }
+            Ok(GatewayMessage::SoftwareRequest(..)) => {
+                shared.event_log.info(|| {
+                    format!("gateway: event=unexpected_datagram sender={sender} message=software_request")
+                });
+            }
             Ok(GatewayMessage::TrialRequest(request_id, request)) => {
                 let response = shared.grant_trial(request, now);
                 peers.send(vec![sender], GatewayMessage::TrialResponse(request_id, response));
--- a/crates/topazmount/src/fleet/settings.rs
+++ b/crates/topazmount/src/fleet/settings.rs
@@ -349,6 +349,12 @@
         self.tunnel_port.unwrap_or(self.peer_port.wrapping_add(1))
     }
 
+    /// UDP port at which control members hold records of streams. It has the number of the port for
+    /// tunnels, which is a TCP port of gateways.
+    pub fn origin_port(&self) -> u16 {
+        self.tunnel_port()
+    }
+
     /// Interval at which replicas send heartbeats.
     pub fn heartbeat_interval(&self) -> Duration {
         Duration::from_millis(self.heartbeat_ms)
--- a/crates/topazmount/src/fleet/stream_origin.rs
+++ b/crates/topazmount/src/fleet/stream_origin.rs
@@ -2,11 +2,13 @@
 
 use super::dialect::RequestMetadata;
 use super::gateway::SharedState;
+use super::peers::SoftwareProof;
 use std::time::Duration;
 use topazmount_gateway::{Admission, MIN_RETRY_DELAY, RouteKind, StreamKey};
 use topazmount_types::{ErrorKind, SoftwareId};
 
-/// Time for other gateways to tell where a stream began. They respond within a round trip.
+/// Time for other gateways and control members to tell where a stream began. They respond within a
+/// round trip.
 const ORIGIN_TIMEOUT: Duration = Duration::from_millis(100);
 
 /// A stream that may be resumed.
@@ -17,13 +19,16 @@
     pub(super) software: Option<SoftwareId>,
 }
 
-/// What other gateways tell of a stream.
+/// What is known of where a stream began.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum OriginResponse {
+    /// It was recorded when the stream began.
     Known(SoftwareId),
-    /// All of them responded, and none knows the stream.
+    /// The leader of the control group can rule out all other versions.
+    Only(SoftwareId),
+    /// All that were asked responded, and none can tell.
     Unknown,
-    /// None of those that responded knows the stream.
+    /// None of those that responded can tell.
     Incomplete,
 }
 
@@ -31,10 +36,18 @@
     fn name(self) -> &'static str {
         match self {
             OriginResponse::Known(_) => "known",
+            OriginResponse::Only(_) => "only",
             OriginResponse::Unknown => "unknown",
             OriginResponse::Incomplete => "incomplete",
         }
     }
+
+    fn software(self) -> Option<SoftwareId> {
+        match self {
+            OriginResponse::Known(software) | OriginResponse::Only(software) => Some(software),
+            OriginResponse::Unknown | OriginResponse::Incomplete => None,
+        }
+    }
 }
 
 /// A stream that can't be resumed now.
@@ -64,19 +77,17 @@
     if metadata.resumes.is_none() && metadata.last_event_id.is_none() {
         return Ok(Some(ResumableStream { key, software: None }));
     }
-    let response = match &metadata.resumes {
-        Some(_) => find_origin(shared, key).await,
+    let recorded = match &metadata.resumes {
+        Some(_) => find_record(shared, key).await,
         None => OriginResponse::Unknown,
     };
-    let now = shared.clock.now();
-    let (software, service) = {
-        let gateway_state = shared.gateway_state.lock().unwrap();
-        let software = match response {
-            OriginResponse::Known(software) => Some(software),
-            _ => gateway_state.only_software(route, metadata.resumes.is_some(), now),
-        };
-        (software, software.and_then(|software| gateway_state.service_with(route, software)))
+    let response = match recorded {
+        OriginResponse::Known(_) => recorded,
+        _ => recorded.or(find_only_software(shared, route.only_service()).await),
     };
+    let software = response.software();
+    let service = software
+        .and_then(|software| shared.gateway_state.lock().unwrap().service_with(route, software));
     log_origin(shared, metadata, response, software, service.as_deref());
     match (software, service) {
         (Some(_), Some(service)) => admission.service = service,
@@ -87,7 +98,7 @@
         }
         (None, _) => {
             let kind = ErrorKind::UnknownStream;
-            // A gateway that did not respond may know the stream.
+            // One that did not respond may know the stream.
             let may_help = response == OriginResponse::Incomplete;
             let retry_after = may_help.then_some(MIN_RETRY_DELAY);
             return Err(NotResumable { kind, retry_after });
@@ -96,18 +107,43 @@
     Ok(Some(ResumableStream { key, software }))
 }
 
-async fn find_origin(shared: &SharedState, key: StreamKey) -> OriginResponse {
+impl OriginResponse {
+    /// Combines what the records and the registry's history tell.
+    fn or(self, other: OriginResponse) -> OriginResponse {
+        match (self, other) {
+            (_, OriginResponse::Known(_) | OriginResponse::Only(_)) => other,
+            (OriginResponse::Incomplete, _) => OriginResponse::Incomplete,
+            _ => other,
+        }
+    }
+}
+
+/// Looks for the stream's record here, at gateways and at control members.
+async fn find_record(shared: &SharedState, key: StreamKey) -> OriginResponse {
     let now = shared.clock.now();
-    let candidates = {
+    let mut candidates = {
         let mut gateway_state = shared.gateway_state.lock().unwrap();
         if let Some(software) = gateway_state.stream_origins().software(key, now) {
             return OriginResponse::Known(software);
         }
         gateway_state.origin_candidates(key, now)
     };
+    candidates.extend(shared.members());
     shared.peers.request_origin(&candidates, key, ORIGIN_TIMEOUT).await
 }
 
+/// Asks the leader of the control group for the only version that a stream of the service can have
+/// begun at. What this gateway sees itself proves nothing: a version may have come or gone since.
+async fn find_only_software(shared: &SharedState, service: Option<&str>) -> OriginResponse {
+    let Some(service) = service else { return OriginResponse::Unknown };
+    let proof = shared.peers.request_software(&shared.members(), service, ORIGIN_TIMEOUT).await;
+    match proof {
+        Some(SoftwareProof::Only(software)) => OriginResponse::Only(software),
+        Some(SoftwareProof::Several) => OriginResponse::Unknown,
+        Some(SoftwareProof::NotLeader) | None => OriginResponse::Incomplete,
+    }
+}
+
 fn log_origin(
     shared: &SharedState,
     metadata: &RequestMetadata,
--- a/crates/topazmount/tests/gateway_datagrams.rs
+++ b/crates/topazmount/tests/gateway_datagrams.rs
@@ -2,7 +2,7 @@
 //! understand each other.
 
 use std::time::Duration;
-use topazmount::fleet::GatewayMessage;
+use topazmount::fleet::{GatewayMessage, SoftwareProof};
 use topazmount_admission::RequestLimit;
 use topazmount_gateway::{
     Evidence, GrantResponse, LimitUpdate, LoadUpdate, MAX_VERDICTS, PlacementOffer,
@@ -106,6 +106,10 @@
         ("origin_of", GatewayMessage::OriginRequest(303, stream)),
         ("origin_is", GatewayMessage::OriginResponse(303, Some(software))),
         ("origin_is_none", GatewayMessage::OriginResponse(303, None)),
+        ("software_of", GatewayMessage::SoftwareRequest(304, "pool".to_owned())),
+        ("software_is", GatewayMessage::SoftwareResponse(304, SoftwareProof::Only(software))),
+        ("software_several", GatewayMessage::SoftwareResponse(304, SoftwareProof::Several)),
+        ("software_not_leader", GatewayMessage::SoftwareResponse(304, SoftwareProof::NotLeader)),
         ("replica_report", GatewayMessage::ReplicaReport(report(Evidence::Failure(4)))),
         ("replica_report_success", GatewayMessage::ReplicaReport(report(Evidence::Success))),
         ("replica_verdicts", GatewayMessage::ReplicaVerdicts(vec![verdict(), restored])),
