Gateways: locks are taken in one order, and builds with debug assertions check it

Cause: carry held the lock of the links while it took that of the gateway's state; render_metrics took them in the other order.

Change: both hold one lock at a time; the locks of the shared state have ranks, and an acquisition against the order panics in builds with debug assertions.

--- a/crates/topazmount/src/fleet/clients.rs
+++ b/crates/topazmount/src/fleet/clients.rs
@@ -104,7 +104,7 @@
     let admission = if shared.refuses_requests.load(Ordering::SeqCst) {
         Err(ErrorKind::Draining)
     } else {
-        let mut gateway_state = shared.gateway_state.lock().unwrap();
+        let mut gateway_state = shared.gateway_state.lock();
         gateway_state.admit(host, head.path(), metadata.api_key.as_deref(), received_at)
     };
     let mut admission = match admission {
@@ -123,7 +123,7 @@
     };
     let client = ClientResponse::new(wire.writer());
     let engine = {
-        let gateway_state = shared.gateway_state.lock().unwrap();
+        let gateway_state = shared.gateway_state.lock();
         let service = gateway_state
             .catalog()
             .and_then(|catalog| catalog.service(&admission.service).cloned());
@@ -195,7 +195,7 @@
 ) {
     shared.metrics.record_response(kind.name(), Duration::ZERO);
     shared.event_log.info(|| {
-        let version = shared.gateway_state.lock().unwrap().seen_versions().document;
+        let version = shared.gateway_state.lock().seen_versions().document;
         format!(
             "gateway: event=answer request={} status={} reason={} host={host} path={path} \
              version={version}",
--- a/crates/topazmount/src/fleet/crash_watch.rs
+++ b/crates/topazmount/src/fleet/crash_watch.rs
@@ -62,7 +62,7 @@
     let broke_at = shared.clock.now();
     for delay in RECHECK_DELAYS {
         Timer::after(delay).await;
-        if !shared.gateway_state.lock().unwrap().crashes().is_suspected(&name) {
+        if !shared.gateway_state.lock().crashes().is_suspected(&name) {
             return;
         }
         if check_ended(shared, instance, broke_at).await {
@@ -80,7 +80,7 @@
     let now = shared.clock.now();
     let name = instance.incarnation_name();
     let requests = {
-        let mut gateway_state = shared.gateway_state.lock().unwrap();
+        let mut gateway_state = shared.gateway_state.lock();
         gateway_state.crashes().record_replica_end(&instance.address, &name, now);
         gateway_state.crashes().on_replica_ended(&name, now)
     };
@@ -98,7 +98,7 @@
         if !is_refused(address, shared.local_ip, CONNECT_TIMEOUT).await {
             return false;
         }
-        if shared.links.lock().unwrap().have_worked_since(broke_at) {
+        if shared.links.lock().have_worked_since(broke_at) {
             return true;
         }
     }
--- a/crates/topazmount/src/fleet/exchange/attempt.rs
+++ b/crates/topazmount/src/fleet/exchange/attempt.rs
@@ -214,7 +214,7 @@
     async fn may_send(&self, in_flight: &InFlight<'_>, now: Time) -> bool {
         let choice = &in_flight.choice;
         let (may_send, is_limited) = {
-            let mut gateway_state = self.shared.gateway_state.lock().unwrap();
+            let mut gateway_state = self.shared.gateway_state.lock();
             let balancer = gateway_state.balancer();
             (balancer.may_send(choice, now), balancer.limit_of(choice).is_some())
         };
@@ -226,7 +226,7 @@
         }
         let Some(grant) = self.acquire_send_grant(choice).await else { return false };
         let now = self.shared.clock.now();
-        let may_send = self.shared.gateway_state.lock().unwrap().balancer().may_send(choice, now);
+        let may_send = self.shared.gateway_state.lock().balancer().may_send(choice, now);
         may_send && grant.take()
     }
 
@@ -266,7 +266,7 @@
     }
 
     fn is_excluded(&self, choice: &Choice) -> bool {
-        self.shared.gateway_state.lock().unwrap().balancer().is_excluded(choice)
+        self.shared.gateway_state.lock().balancer().is_excluded(choice)
     }
 
     /// Whether a request whose replica is silent may be sent to another one, and there is another.
@@ -275,7 +275,7 @@
             return false;
         }
         let now = self.shared.clock.now();
-        let mut gateway_state = self.shared.gateway_state.lock().unwrap();
+        let mut gateway_state = self.shared.gateway_state.lock();
         gateway_state.balancer().has_available_replica(&self.choice_request(plan), now)
     }
 
--- a/crates/topazmount/src/fleet/exchange/choose.rs
+++ b/crates/topazmount/src/fleet/exchange/choose.rs
@@ -30,7 +30,7 @@
         let request = self.choice_request(plan);
         let now = self.shared.clock.now();
         let update = {
-            let mut gateway_state = self.shared.gateway_state.lock().unwrap();
+            let mut gateway_state = self.shared.gateway_state.lock();
             gateway_state.balancer().on_sent(&choice, &request, now);
             gateway_state.load_update(&choice, &request, PromptEvent::Sent, now)
         };
@@ -57,7 +57,7 @@
             let chosen = self.choose_within_limits(plan).await;
             let now = self.shared.clock.now();
             let may_wait = chosen.is_none() && now < wait_until && {
-                let mut gateway_state = self.shared.gateway_state.lock().unwrap();
+                let mut gateway_state = self.shared.gateway_state.lock();
                 gateway_state.balancer().awaits_place(&self.choice_request(plan), now)
             };
             if !may_wait {
@@ -95,14 +95,14 @@
         let tried = [plan.tried(), trial.unfit()].concat();
         let request = ChoiceRequest { tried: &tried, ..self.choice_request(plan) };
         let now = self.shared.clock.now();
-        let choice = self.shared.gateway_state.lock().unwrap().choose(&request, now);
+        let choice = self.shared.gateway_state.lock().choose(&request, now);
         choice.or_else(|| self.choose_locally(plan))
     }
 
     fn choose_locally(&self, plan: &RequestPlan) -> Option<Choice> {
         let request = self.choice_request(plan);
         let now = self.shared.clock.now();
-        self.shared.gateway_state.lock().unwrap().choose(&request, now)
+        self.shared.gateway_state.lock().choose(&request, now)
     }
 
     /// Asks the prompt's shards in order until one offers a replica that is not overloaded;
@@ -110,7 +110,7 @@
     async fn choose_in_shards(&self, plan: &RequestPlan) -> Option<Choice> {
         let request = self.choice_request(plan);
         let now = self.shared.clock.now();
-        let shards = self.shared.gateway_state.lock().unwrap().shards_for(&request, now);
+        let shards = self.shared.gateway_state.lock().shards_for(&request, now);
         let mut best: Option<Choice> = None;
         for shard in shards {
             let choice = match self.choose_in_shard(plan, shard).await {
@@ -119,7 +119,7 @@
                 // The timeouts have used up the time for further requests.
                 Err(NoCoordinator) => break,
             };
-            if !self.shared.gateway_state.lock().unwrap().is_overloaded(&choice, &request) {
+            if !self.shared.gateway_state.lock().is_overloaded(&choice, &request) {
                 return Some(choice);
             }
             if best.as_ref().is_none_or(|best| choice.estimate_ms < best.estimate_ms) {
@@ -140,10 +140,10 @@
         let service = &self.admission.service;
         let now = self.shared.clock.now();
         let coordinators =
-            self.shared.gateway_state.lock().unwrap().gateways().coordinators(service, shard, now);
+            self.shared.gateway_state.lock().gateways().coordinators(service, shard, now);
         for coordinator in coordinators {
             {
-                let mut gateway_state = self.shared.gateway_state.lock().unwrap();
+                let mut gateway_state = self.shared.gateway_state.lock();
                 if gateway_state.gateways().is_own(coordinator) {
                     return Ok(gateway_state.choose_in_shard(&request, Some(shard), now));
                 }
@@ -166,12 +166,12 @@
         let request = self.choice_request(plan);
         let now = self.shared.clock.now();
         let placement_request =
-            self.shared.gateway_state.lock().unwrap().placement_request(&request, shard, now)?;
+            self.shared.gateway_state.lock().placement_request(&request, shard, now)?;
         let timeout = COORDINATOR_TIMEOUT.min(self.remaining_time());
         let response =
             self.shared.peers.request_placement(coordinator, placement_request, timeout).await;
         let now = self.shared.clock.now();
-        let mut gateway_state = self.shared.gateway_state.lock().unwrap();
+        let mut gateway_state = self.shared.gateway_state.lock();
         let Some(offer) = response else {
             gateway_state.gateways().on_timeout(coordinator, now);
             drop(gateway_state);
--- a/crates/topazmount/src/fleet/exchange/connection.rs
+++ b/crates/topazmount/src/fleet/exchange/connection.rs
@@ -20,7 +20,7 @@
         let now = self.shared.clock.now();
         let service = &self.admission.service;
         let may_use = |idle| {
-            let mut gateway_state = self.shared.gateway_state.lock().unwrap();
+            let mut gateway_state = self.shared.gateway_state.lock();
             gateway_state.connections().may_reuse(service, idle, plan.is_retryable(), now)
         };
         let incarnation = choice.instance.incarnation_name();
@@ -41,7 +41,7 @@
         let service = &self.admission.service;
         let now = self.shared.clock.now();
         let limits = {
-            let mut gateway_state = self.shared.gateway_state.lock().unwrap();
+            let mut gateway_state = self.shared.gateway_state.lock();
             // No more requests go to an incarnation that has ended or is leaving.
             let balancer = gateway_state.balancer();
             let is_gone = balancer.has_ended(choice) || balancer.is_leaving(choice, now);
@@ -59,12 +59,7 @@
     pub(super) fn record_stale_connection(&self, choice: &Choice, idle: Duration) {
         let now = self.shared.clock.now();
         let service = &self.admission.service;
-        self.shared
-            .gateway_state
-            .lock()
-            .unwrap()
-            .connections()
-            .on_stale_connection(service, idle, now);
+        self.shared.gateway_state.lock().connections().on_stale_connection(service, idle, now);
         self.shared.metrics.count_event("connection_forgotten");
         self.shared.event_log.info(|| {
             format!(
--- a/crates/topazmount/src/fleet/exchange/crash.rs
+++ b/crates/topazmount/src/fleet/exchange/crash.rs
@@ -28,8 +28,7 @@
     /// all completed lately, nor without shared parts, since each check takes a connection.
     pub(super) async fn ended_with_replica(&self, choice: &Choice, last_data_at: Time) -> bool {
         let now = self.shared.clock.now();
-        let is_trusted =
-            self.shared.gateway_state.lock().unwrap().crashes().trusts(&self.parts, now);
+        let is_trusted = self.shared.gateway_state.lock().crashes().trusts(&self.parts, now);
         if is_trusted {
             return false;
         }
@@ -114,9 +113,7 @@
     /// further evidence. Prompts whose shared parts have all completed lately don't wait.
     pub(super) async fn wait_for_block(&self, has_crashed: bool) {
         let now = self.shared.clock.now();
-        if !has_crashed
-            && self.shared.gateway_state.lock().unwrap().crashes().trusts(&self.parts, now)
-        {
+        if !has_crashed && self.shared.gateway_state.lock().crashes().trusts(&self.parts, now) {
             return;
         }
         let decided_at = self.shared.clock.now() + DECISION_TIME.min(self.remaining_time());
@@ -133,7 +130,7 @@
         let instance = &choice.instance.id;
         let name = choice.instance.incarnation_name();
         let crashed = {
-            let mut gateway_state = self.shared.gateway_state.lock().unwrap();
+            let mut gateway_state = self.shared.gateway_state.lock();
             // A leaving replica ends as planned; the request did not crash it.
             if gateway_state.balancer().is_leaving(choice, now) {
                 return false;
--- a/crates/topazmount/src/fleet/exchange/limit.rs
+++ b/crates/topazmount/src/fleet/exchange/limit.rs
@@ -60,7 +60,7 @@
         }
         match granter {
             Granter::Local => {
-                self.shared.gateway_state.lock().unwrap().return_units(stripe, self.amount, now);
+                self.shared.gateway_state.lock().return_units(stripe, self.amount, now);
             }
             Granter::Remote(address) => {
                 self.shared.peers.return_units(address, stripe, self.amount)
@@ -73,12 +73,8 @@
     /// Acquires the request's units from any stripe of the tenant's limit that has enough; `None` if
     /// the tenant has no limit.
     pub(super) async fn acquire_tenant_grant(&self) -> Result<Option<Grant<'e>>, OverLimit> {
-        let cost = self
-            .shared
-            .gateway_state
-            .lock()
-            .unwrap()
-            .limit_cost(self.admission, self.metadata.tokens);
+        let cost =
+            self.shared.gateway_state.lock().limit_cost(self.admission, self.metadata.tokens);
         let Some((tenant, amount)) = cost else { return Ok(None) };
         let grant = |source, granted_at| Grant {
             shared: self.shared,
@@ -92,7 +88,7 @@
         for offset in 0..STRIPES {
             let stripe = StripeId { owner: tenant, stripe: (first_stripe + offset) % STRIPES };
             let requested_at = self.shared.clock.now();
-            let granter = self.shared.gateway_state.lock().unwrap().granter(stripe, requested_at);
+            let granter = self.shared.gateway_state.lock().granter(stripe, requested_at);
             let Some(granter) = granter else { continue };
             match self.request_tenant_grant(granter, stripe, amount).await {
                 Some(GrantResponse::Granted) => {
@@ -117,7 +113,7 @@
         let address = match granter {
             Granter::Local => {
                 let now = self.shared.clock.now();
-                return Some(self.shared.gateway_state.lock().unwrap().grant(stripe, amount, now));
+                return Some(self.shared.gateway_state.lock().grant(stripe, amount, now));
             }
             Granter::Remote(address) => address,
         };
@@ -131,7 +127,7 @@
 
     fn record_silent_granter(&self, granter: SocketAddr) {
         let now = self.shared.clock.now();
-        self.shared.gateway_state.lock().unwrap().on_granter_timeout(granter, now);
+        self.shared.gateway_state.lock().on_granter_timeout(granter, now);
         self.shared.metrics.count_event("granter_silent");
         let request = &self.metadata.id;
         self.shared
@@ -147,8 +143,7 @@
         wait: Option<Duration>,
     ) -> Result<Time, OverLimit> {
         let now = self.shared.clock.now();
-        let is_spent =
-            self.shared.gateway_state.lock().unwrap().spend_without_grant(tenant, amount, now);
+        let is_spent = self.shared.gateway_state.lock().spend_without_grant(tenant, amount, now);
         if is_spent {
             self.shared.metrics.count_event("ungranted_spent");
             return Ok(now);
@@ -167,15 +162,14 @@
     pub(super) async fn acquire_send_grant(&self, choice: &Choice) -> Option<Grant<'e>> {
         let requested_at = self.shared.clock.now();
         let (update, granter) = {
-            let mut gateway_state = self.shared.gateway_state.lock().unwrap();
+            let mut gateway_state = self.shared.gateway_state.lock();
             let update = gateway_state.limit_update(choice, requested_at)?;
             (update, gateway_state.send_granter(update.replica, requested_at))
         };
         let response = match granter {
             None => None,
             Some(Granter::Local) => {
-                let response =
-                    self.shared.gateway_state.lock().unwrap().grant_send(&update, requested_at);
+                let response = self.shared.gateway_state.lock().grant_send(&update, requested_at);
                 self.shared.metrics.count_event(send_grant_event(response));
                 Some(response)
             }
@@ -205,7 +199,7 @@
         let response = self.shared.peers.request_send_grant(granter, update, timeout).await;
         if response.is_none() {
             let now = self.shared.clock.now();
-            self.shared.gateway_state.lock().unwrap().on_send_granter_timeout(granter, now);
+            self.shared.gateway_state.lock().on_send_granter_timeout(granter, now);
             self.shared.metrics.count_event("send_granter_silent");
         }
         response
@@ -221,7 +215,7 @@
         // Spread, so that gateways don't ask again all at once.
         let pause = pause.mul_f64(1.0 + rand::random::<f64>());
         let now = self.shared.clock.now();
-        self.shared.gateway_state.lock().unwrap().pause_replica(replica, pause, now);
+        self.shared.gateway_state.lock().pause_replica(replica, pause, now);
         self.shared.metrics.count_event(event);
         self.shared.event_log.info(|| {
             format!(
--- a/crates/topazmount/src/fleet/exchange/mod.rs
+++ b/crates/topazmount/src/fleet/exchange/mod.rs
@@ -208,7 +208,7 @@
         };
         let now = self.shared.clock.now();
         let update = {
-            let mut gateway_state = self.shared.gateway_state.lock().unwrap();
+            let mut gateway_state = self.shared.gateway_state.lock();
             gateway_state.balancer().on_ended(&self.choice, has_first_token);
             gateway_state.end_update(&self.choice, event, now)
         };
@@ -283,7 +283,7 @@
         };
         let now = self.shared.clock.now();
         let service = self.admission.service.clone();
-        self.shared.gateway_state.lock().unwrap().record_request(&service, now);
+        self.shared.gateway_state.lock().record_request(&service, now);
         if !self.is_admitted_by_policy(&plan) {
             return self.fail(&plan, ErrorKind::RefusedByPolicy).await;
         }
@@ -422,7 +422,7 @@
     fn is_admitted_by_policy(&self, plan: &RequestPlan) -> bool {
         let request = self.choice_request(plan);
         let has_prompt = request.prompt.is_some();
-        !has_prompt || self.shared.gateway_state.lock().unwrap().is_admitted_by_policy(&request)
+        !has_prompt || self.shared.gateway_state.lock().is_admitted_by_policy(&request)
     }
 
     /// Ends an attempt. Returns the error to respond with, or `None` if another attempt follows.
@@ -449,7 +449,7 @@
     fn take_retry(&self) -> bool {
         let now = self.shared.clock.now();
         let service = &self.admission.service;
-        let is_allowed = self.shared.gateway_state.lock().unwrap().try_retry(service, now);
+        let is_allowed = self.shared.gateway_state.lock().try_retry(service, now);
         if !is_allowed {
             self.shared.metrics.count_denied_retry(service);
             self.shared.event_log.info(|| {
--- a/crates/topazmount/src/fleet/exchange/origin.rs
+++ b/crates/topazmount/src/fleet/exchange/origin.rs
@@ -30,7 +30,7 @@
         let software = SoftwareId::of(&choice.instance);
         let mut holders = Vec::new();
         {
-            let mut gateway_state = self.shared.gateway_state.lock().unwrap();
+            let mut gateway_state = self.shared.gateway_state.lock();
             if is_due(records.at_gateways, now) {
                 records.at_gateways = Some(now);
                 gateway_state.stream_origins().record(stream.key, software, now);
--- a/crates/topazmount/src/fleet/exchange/pushback.rs
+++ b/crates/topazmount/src/fleet/exchange/pushback.rs
@@ -29,7 +29,7 @@
         }
         let now = self.shared.clock.now();
         let change = {
-            let mut gateway_state = self.shared.gateway_state.lock().unwrap();
+            let mut gateway_state = self.shared.gateway_state.lock();
             gateway_state.balancer().record_pushback(choice, pushback, now)
         };
         if let Some(change) = change {
@@ -75,7 +75,7 @@
         let max_rejections = metadata.pushback.max_rejections;
         let now = self.shared.clock.now();
         let change = {
-            let mut gateway_state = self.shared.gateway_state.lock().unwrap();
+            let mut gateway_state = self.shared.gateway_state.lock();
             let balancer = gateway_state.balancer();
             let change = balancer.record_overload_risk(service, max_rejections.is_some(), sent_at);
             if metadata.is_not_run {
@@ -101,7 +101,7 @@
 
     /// Sends a changed limit to other gateways.
     fn send_limit_update(&self, choice: &Choice, now: Time) {
-        let mut gateway_state = self.shared.gateway_state.lock().unwrap();
+        let mut gateway_state = self.shared.gateway_state.lock();
         let Some(update) = gateway_state.limit_update(choice, now) else { return };
         let recipients = gateway_state.limit_update_recipients(update.replica, now);
         drop(gateway_state);
@@ -125,7 +125,7 @@
         let sent_at = if is_earlier_request { Time::ZERO } else { sent_at };
         let now = self.shared.clock.now();
         let change = {
-            let mut gateway_state = self.shared.gateway_state.lock().unwrap();
+            let mut gateway_state = self.shared.gateway_state.lock();
             gateway_state.balancer().record_limit(choice, limit, sent_at, now)
         };
         let Some(change) = change else { return };
--- a/crates/topazmount/src/fleet/exchange/record.rs
+++ b/crates/topazmount/src/fleet/exchange/record.rs
@@ -27,7 +27,7 @@
         // A misdirected request may have been refused by another replica; handled separately.
         let version = metadata.weights_version.filter(|_| !metadata.is_misdirected);
         if let (Some(model), Some(version)) = (&self.metadata.model, version) {
-            let mut gateway_state = self.shared.gateway_state.lock().unwrap();
+            let mut gateway_state = self.shared.gateway_state.lock();
             gateway_state.balancer().record_version(choice, model, version);
         }
     }
@@ -36,7 +36,7 @@
     pub(super) fn record_success(&self, choice: &Choice, sent_at: Time) {
         let now = self.shared.clock.now();
         let (was_avoided, was_suspected, outputs) = {
-            let mut gateway_state = self.shared.gateway_state.lock().unwrap();
+            let mut gateway_state = self.shared.gateway_state.lock();
             let was_avoided = gateway_state.balancer().on_success(choice, now);
             let outputs = gateway_state.report_success(choice, sent_at, now);
             gateway_state.crashes().clear_suspicion(&choice.instance.incarnation_name(), sent_at);
@@ -65,7 +65,7 @@
     pub(super) fn record_error_response(&self, choice: &Choice) {
         let now = self.shared.clock.now();
         let (avoided, outputs) = {
-            let mut gateway_state = self.shared.gateway_state.lock().unwrap();
+            let mut gateway_state = self.shared.gateway_state.lock();
             let avoided = gateway_state.balancer().on_error_response(choice, now);
             let outputs = gateway_state.report_error_response(choice, now);
             (avoided, outputs)
@@ -102,7 +102,7 @@
         let now = self.shared.clock.now();
         let is_path_suspect = self.shared.is_path_silence(path, sent_at);
         let has_failed = {
-            let mut gateway_state = self.shared.gateway_state.lock().unwrap();
+            let mut gateway_state = self.shared.gateway_state.lock();
             !gateway_state.balancer().has_responded_since(choice, sent_at)
         };
         if has_failed && !is_path_suspect {
@@ -114,7 +114,7 @@
     pub(super) fn record_failure(&self, in_flight: &InFlight<'_>, end: AttemptEnd) {
         let choice = &in_flight.choice;
         let now = self.shared.clock.now();
-        let mut gateway_state = self.shared.gateway_state.lock().unwrap();
+        let mut gateway_state = self.shared.gateway_state.lock();
         let balancer = gateway_state.balancer();
         match end {
             AttemptEnd::WrongInstance => {
@@ -173,7 +173,7 @@
         self.shared.metrics.record_first_event(now.since(self.received_at));
         let request = self.choice_request(plan);
         let update = {
-            let mut gateway_state = self.shared.gateway_state.lock().unwrap();
+            let mut gateway_state = self.shared.gateway_state.lock();
             gateway_state.on_first_token(choice, &request, now.since(sent_at), now);
             gateway_state.load_update(choice, &request, PromptEvent::Prefilled, now)
         };
@@ -224,7 +224,7 @@
         let model = self.metadata.model.as_deref().unwrap_or_default();
         let now = self.shared.clock.now();
         let refused = {
-            let mut gateway_state = self.shared.gateway_state.lock().unwrap();
+            let mut gateway_state = self.shared.gateway_state.lock();
             gateway_state.balancer().on_version_refused(choice, model, reported, now)
         };
         match refused {
--- a/crates/topazmount/src/fleet/exchange/relay.rs
+++ b/crates/topazmount/src/fleet/exchange/relay.rs
@@ -117,7 +117,7 @@
     fn record_event_version(&self, choice: &Choice, event: &[u8]) {
         let version = self.shared.dialect.event_weights_version(event);
         if let (Some(model), Some(version)) = (&self.metadata.model, version) {
-            let mut gateway_state = self.shared.gateway_state.lock().unwrap();
+            let mut gateway_state = self.shared.gateway_state.lock();
             gateway_state.balancer().record_version(choice, model, version);
         }
     }
--- a/crates/topazmount/src/fleet/exchange/responses.rs
+++ b/crates/topazmount/src/fleet/exchange/responses.rs
@@ -67,8 +67,7 @@
         }
         let now = self.shared.clock.now();
         let request = ChoiceRequest { tried: &[], pinned_to: None, ..self.choice_request(plan) };
-        let backoff_wait =
-            self.shared.gateway_state.lock().unwrap().retry_after_pushback(&request, now);
+        let backoff_wait = self.shared.gateway_state.lock().retry_after_pushback(&request, now);
         Some(backoff_wait.unwrap_or(default_wait))
     }
 
--- a/crates/topazmount/src/fleet/exchange/trial.rs
+++ b/crates/topazmount/src/fleet/exchange/trial.rs
@@ -63,7 +63,7 @@
 impl SharedState {
     /// As the coordinator of a blocked request, grants or refuses a trial.
     pub(in crate::fleet) fn grant_trial(&self, request: TrialRequest, now: Time) -> TrialResponse {
-        let mut gateway_state = self.gateway_state.lock().unwrap();
+        let mut gateway_state = self.gateway_state.lock();
         let gateways = gateway_state.gateways().ids(now).1.len();
         let response = gateway_state.crashes().grant_trial(request, gateways, now);
         drop(gateway_state);
@@ -84,7 +84,7 @@
         outcome: TrialOutcome,
         now: Time,
     ) {
-        self.gateway_state.lock().unwrap().crashes().on_trial_ended(request, outcome, now);
+        self.gateway_state.lock().crashes().on_trial_ended(request, outcome, now);
         self.metrics.count_event(outcome.name());
         self.event_log.info(|| format!("gateway: event={} digest={request}", outcome.name()));
     }
@@ -94,7 +94,7 @@
     /// What is known against the request; `None` if it is not blocked.
     pub(super) fn blocked(&self) -> Option<Blocked> {
         let now = self.shared.clock.now();
-        let mut gateway_state = self.shared.gateway_state.lock().unwrap();
+        let mut gateway_state = self.shared.gateway_state.lock();
         let crashes = gateway_state.crashes();
         let verdicts = std::iter::once(&self.digest)
             .chain(&self.parts)
@@ -113,7 +113,7 @@
     pub(super) async fn acquire_trial(&self, blocked: &Blocked) -> Result<Trial<'e>, TrialRefusal> {
         let now = self.shared.clock.now();
         let unfit = {
-            let gateway_state = self.shared.gateway_state.lock().unwrap();
+            let gateway_state = self.shared.gateway_state.lock();
             gateway_state.unfit_for_trials(&self.admission.service, now)
         };
         let mut trial = Trial {
@@ -133,7 +133,7 @@
     async fn request_trial(&self, digest: RequestDigest) -> Result<Granter, TrialRefusal> {
         let now = self.shared.clock.now();
         let (coordinator, request) = {
-            let mut gateway_state = self.shared.gateway_state.lock().unwrap();
+            let mut gateway_state = self.shared.gateway_state.lock();
             if let Some(refusal) = gateway_state.crashes().trial_refusal(digest, now) {
                 return Err(refusal);
             }
@@ -149,7 +149,7 @@
         match response {
             TrialResponse::Granted => Ok(coordinator),
             TrialResponse::Refused(refusal) => {
-                let mut gateway_state = self.shared.gateway_state.lock().unwrap();
+                let mut gateway_state = self.shared.gateway_state.lock();
                 gateway_state.crashes().on_trial_refused(digest, refusal, now);
                 Err(refusal)
             }
@@ -165,7 +165,7 @@
         let response = self.shared.peers.request_trial(address, request, timeout).await;
         response.ok_or_else(|| {
             let now = self.shared.clock.now();
-            let mut gateway_state = self.shared.gateway_state.lock().unwrap();
+            let mut gateway_state = self.shared.gateway_state.lock();
             gateway_state.crashes().on_coordinator_silent(address, now);
             drop(gateway_state);
             self.shared.metrics.count_event("trial_coordinator_silent");
--- a/crates/topazmount/src/fleet/gateway.rs
+++ b/crates/topazmount/src/fleet/gateway.rs
@@ -20,12 +20,13 @@
 use crate::Executor;
 use crate::clock::Clock;
 use crate::http1::RequestHead;
+use crate::ordered_lock::{LockRank, OrderedMutex};
 use async_channel::Sender;
 use async_net::TcpListener;
 use eyre::{Result, WrapErr, eyre};
 use std::net::{IpAddr, SocketAddr};
+use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
-use std::sync::{Arc, Mutex};
 use std::time::Duration;
 use topazmount_control::{
     CrashReport, FleetView, GatewayReport, NoticeKind, ReplicaNotice, SeenVersions,
@@ -54,17 +55,17 @@
 pub(super) struct SharedState {
     pub(super) clock: Clock,
     pub(super) dialect: Arc<dyn Dialect>,
-    pub(super) gateway_state: Mutex<GatewayState>,
+    pub(super) gateway_state: OrderedMutex<GatewayState>,
     /// State of the links to replicas.
-    pub(super) links: Mutex<ReplicaLinks>,
+    pub(super) links: OrderedMutex<ReplicaLinks>,
     /// Failures that count if the links turn out to work.
-    pub(super) withheld_failures: Mutex<WithheldFailures>,
+    pub(super) withheld_failures: OrderedMutex<WithheldFailures>,
     /// Makes the link monitor probe the links at once.
     pub(super) link_probes: Sender<()>,
     /// Gateways that carry tunnels to replicas.
-    pub(super) carriers: Mutex<Carriers>,
+    pub(super) carriers: OrderedMutex<Carriers>,
     /// Where control members hold records of streams.
-    members: Mutex<Vec<SocketAddr>>,
+    members: OrderedMutex<Vec<SocketAddr>>,
     origin_port: u16,
     /// Port at which gateways accept tunnels.
     pub(super) tunnel_port: u16,
@@ -122,12 +123,15 @@
         let shared = Arc::new(SharedState {
             clock,
             dialect,
-            gateway_state: Mutex::new(gateway_state),
-            links: Mutex::default(),
-            withheld_failures: Mutex::default(),
+            gateway_state: OrderedMutex::new(LockRank::GatewayState, gateway_state),
+            links: OrderedMutex::new(LockRank::Links, ReplicaLinks::default()),
+            withheld_failures: OrderedMutex::new(
+                LockRank::WithheldFailures,
+                WithheldFailures::default(),
+            ),
             link_probes,
-            carriers: Mutex::default(),
-            members: Mutex::default(),
+            carriers: OrderedMutex::new(LockRank::Carriers, Carriers::default()),
+            members: OrderedMutex::new(LockRank::Members, Vec::new()),
             origin_port: settings.origin_port(),
             tunnel_port: settings.tunnel_port(),
             cluster_key: key.clone(),
@@ -183,7 +187,7 @@
 
     /// Applies changed settings. Addresses and names only change at the next start.
     pub fn reload(&self, settings: &FleetSettings) {
-        let mut gateway_state = self.shared.gateway_state.lock().unwrap();
+        let mut gateway_state = self.shared.gateway_state.lock();
         if let Err(error) = settings.load_policies(gateway_state.policies()) {
             log::error!("gateway: event=reload_refused problem={error:#}");
             return;
@@ -225,7 +229,7 @@
 
     /// Where control members hold records of streams.
     pub(super) fn members(&self) -> Vec<SocketAddr> {
-        self.members.lock().unwrap().clone()
+        self.members.lock().clone()
     }
 
     /// Updates the control members from the view of one that is in contact with the group.
@@ -237,7 +241,7 @@
         let members = internal
             .map(|address: SocketAddr| SocketAddr::new(address.ip(), self.origin_port))
             .collect();
-        *self.members.lock().unwrap() = members;
+        *self.members.lock() = members;
     }
 
     pub(super) fn is_stopping(&self) -> bool {
@@ -248,7 +252,7 @@
         let is_ready = self.is_ready();
         let open = self.open_requests.load(Ordering::SeqCst);
         {
-            let mut gateway_state = self.gateway_state.lock().unwrap();
+            let mut gateway_state = self.gateway_state.lock();
             let seen = gateway_state.seen_versions();
             self.metrics.set_gauge("configuration_version", seen.document as i64);
             self.metrics.set_gauge("registry_revision", seen.revision as i64);
@@ -262,10 +266,10 @@
             self.metrics.set_gauge("leaving_replicas", leaving as i64);
             let limited = gateway_state.balancer().limited_count();
             self.metrics.set_gauge("limited_replicas", limited as i64);
-            let is_partitioned = self.links.lock().unwrap().is_partitioned();
-            self.metrics.set_gauge("partitioned", i64::from(is_partitioned));
             self.metrics.set_gauge("replicas", gateway_state.balancer().instances().count() as i64);
         }
+        let is_partitioned = self.links.lock().is_partitioned();
+        self.metrics.set_gauge("partitioned", i64::from(is_partitioned));
         let carried = self.carried_tunnels.load(Ordering::SeqCst);
         self.metrics.set_gauge("carried_tunnels", carried as i64);
         self.metrics.set_gauge("ready", i64::from(is_ready));
@@ -293,12 +297,12 @@
 
     fn is_ready(&self) -> bool {
         let now = self.clock.now();
-        !self.is_stopping() && self.gateway_state.lock().unwrap().is_confirmed(now)
+        !self.is_stopping() && self.gateway_state.lock().is_confirmed(now)
     }
 
     /// Limits on clients' requests, from the current catalog.
     pub(super) fn read_limits(&self) -> ReadLimits {
-        let gateway_state = self.gateway_state.lock().unwrap();
+        let gateway_state = self.gateway_state.lock();
         let limits =
             gateway_state.catalog().map_or_else(HttpLimits::default, |catalog| catalog.limits());
         ReadLimits {
@@ -313,7 +317,7 @@
     /// Retry delay for a refused client.
     pub(super) fn retry_after(&self, kind: ErrorKind) -> Option<Duration> {
         kind.retry_after().filter(|_| kind.status() == 503)?;
-        Some(self.gateway_state.lock().unwrap().retry_after(kind, self.clock.now()))
+        Some(self.gateway_state.lock().retry_after(kind, self.clock.now()))
     }
 }
 
@@ -342,7 +346,7 @@
     fn send_limits_to_new_gateways(&self) {
         let now = self.shared.clock.now();
         let (new_gateways, limits) =
-            self.shared.gateway_state.lock().unwrap().limit_updates_for_new_gateways(now);
+            self.shared.gateway_state.lock().limit_updates_for_new_gateways(now);
         for update in limits {
             self.shared.peers.send_limit_update(new_gateways.clone(), update);
         }
@@ -353,21 +357,21 @@
     fn watch_state(&mut self) -> (SeenVersions, Option<GatewayReport>) {
         let is_ready = self.shared.is_ready();
         let report = GatewayReport { is_ready, ..self.report.clone() };
-        (self.shared.gateway_state.lock().unwrap().seen_versions(), Some(report))
+        (self.shared.gateway_state.lock().seen_versions(), Some(report))
     }
 
     fn crash_notes(&mut self) -> CrashReport {
         let now = self.shared.clock.now();
-        self.shared.gateway_state.lock().unwrap().crashes().report(now)
+        self.shared.gateway_state.lock().crashes().report(now)
     }
 
     fn notices(&mut self) -> Vec<ReplicaNotice> {
         let now = self.shared.clock.now();
-        self.shared.gateway_state.lock().unwrap().notices_to_report(now)
+        self.shared.gateway_state.lock().notices_to_report(now)
     }
 
     fn on_failure(&mut self) {
-        self.shared.gateway_state.lock().unwrap().forget_leader_notices();
+        self.shared.gateway_state.lock().forget_leader_notices();
     }
 
     fn on_view(&mut self, view: FleetView, requested_at: Time) {
@@ -406,7 +410,7 @@
             });
         }
         let (crashed, (blocked, released), changes, notices) = {
-            let mut gateway_state = self.shared.gateway_state.lock().unwrap();
+            let mut gateway_state = self.shared.gateway_state.lock();
             let now = self.shared.clock.now();
             let crashed = gateway_state.confirm_crashes(&view, now);
             let changes = gateway_state.apply(&view, catalog, requested_at);
--- a/crates/topazmount/src/fleet/link_monitor.rs
+++ b/crates/topazmount/src/fleet/link_monitor.rs
@@ -25,7 +25,7 @@
 /// partitioned.
 pub(super) async fn run(shared: Arc<SharedState>, requests: Receiver<()>) {
     loop {
-        let is_partitioned = shared.links.lock().unwrap().is_partitioned();
+        let is_partitioned = shared.links.lock().is_partitioned();
         if is_partitioned {
             Timer::after(PROBE_INTERVAL).await;
             let _ = requests.try_recv();
@@ -39,7 +39,7 @@
 /// Tries new connections to a few replicas at the same time. A single one that works settles a doubt, but
 /// most must work to end a partition.
 async fn probe(shared: &SharedState) {
-    let targets = shared.gateway_state.lock().unwrap().balancer().sample_addresses(MAX_TARGETS);
+    let targets = shared.gateway_state.lock().balancer().sample_addresses(MAX_TARGETS);
     if targets.is_empty() {
         return;
     }
@@ -51,9 +51,9 @@
         shared.on_replica_connected(began);
     }
     let now = shared.clock.now();
-    if reached == 0 && shared.links.lock().unwrap().on_probes_failed(began, now) {
+    if reached == 0 && shared.links.lock().on_probes_failed(began, now) {
         shared.metrics.count_event("links_partitioned");
-        drop(shared.withheld_failures.lock().unwrap().take());
+        drop(shared.withheld_failures.lock().take());
         // Connections that still work may stop doing so without notice.
         shared.pool.clear();
         log::warn!("gateway: event=links state=partitioned probed={}", targets.join(","));
@@ -68,7 +68,7 @@
     let Ok(mut wire) = connect(target, shared.local_ip, PROBE_TIMEOUT).await else { return false };
     let is_closed = with_timeout(HOLD_TIME, wire.fill()).await;
     let works = !matches!(is_closed, Some(Ok(0) | Err(_)));
-    let is_partitioned = shared.links.lock().unwrap().is_partitioned();
+    let is_partitioned = shared.links.lock().is_partitioned();
     if works && !is_partitioned {
         shared.on_replica_connected(opened_at);
     }
@@ -90,9 +90,9 @@
     /// Records that data arrived on a connection to a replica.
     pub(super) fn on_replica_data(&self, path: Path) {
         match path {
-            Path::Pooled => self.links.lock().unwrap().on_data(self.clock.now()),
+            Path::Pooled => self.links.lock().on_data(self.clock.now()),
             Path::Direct(opened_at) => {
-                self.links.lock().unwrap().on_data(self.clock.now());
+                self.links.lock().on_data(self.clock.now());
                 self.on_replica_connected(opened_at);
             }
             Path::Tunnel => {}
@@ -123,25 +123,25 @@
 
     /// Whether requests go to replicas through other gateways.
     pub(super) fn uses_tunnels(&self) -> bool {
-        let is_partitioned = self.links.lock().unwrap().is_partitioned();
+        let is_partitioned = self.links.lock().is_partitioned();
         is_partitioned && self.has_other_gateways()
     }
 
     /// Whether requests can reach replicas neither directly nor through other gateways.
     pub(super) fn is_isolated(&self) -> bool {
-        self.links.lock().unwrap().isolated_for(self.clock.now()).is_some()
+        self.links.lock().isolated_for(self.clock.now()).is_some()
     }
 
     /// Whether there is any other gateway.
     pub(super) fn has_other_gateways(&self) -> bool {
-        self.gateway_state.lock().unwrap().gateways().has_others(self.clock.now())
+        self.gateway_state.lock().gateways().has_others(self.clock.now())
     }
 
     /// Records that a connection to a replica that was opened at `opened_at` worked.
     pub(super) fn on_replica_connected(&self, opened_at: Time) {
         let now = self.clock.now();
         let (partitioned_for, state) = {
-            let mut links = self.links.lock().unwrap();
+            let mut links = self.links.lock();
             (links.on_connected(opened_at, now), links.state())
         };
         if state == LinkState::Working {
@@ -156,11 +156,11 @@
 
     /// Withholds the failure of a replica until it is known whether the links work.
     pub(super) fn withhold_failure(&self, choice: &Choice) {
-        self.withheld_failures.lock().unwrap().add(choice);
+        self.withheld_failures.lock().add(choice);
     }
 
     fn count_withheld_failures(&self, now: Time) {
-        let failed = self.withheld_failures.lock().unwrap().take();
+        let failed = self.withheld_failures.lock().take();
         if failed.is_empty() {
             return;
         }
@@ -172,7 +172,7 @@
     /// Records that a connection to a replica, opened at `began`, failed. Returns whether the links are
     /// in doubt, so that the failure says nothing about the replica.
     pub(super) fn is_link_failure(&self, began: Time) -> bool {
-        let is_in_doubt = self.links.lock().unwrap().on_failure(began);
+        let is_in_doubt = self.links.lock().on_failure(began);
         if is_in_doubt {
             self.probe_links();
         }
@@ -181,7 +181,7 @@
 
     /// Records that a replica sent nothing since `sent_at`. Returns whether the links are in doubt.
     fn is_link_silence(&self, sent_at: Time) -> bool {
-        let is_in_doubt = self.links.lock().unwrap().on_silence(sent_at);
+        let is_in_doubt = self.links.lock().on_silence(sent_at);
         if is_in_doubt {
             self.probe_links();
         }
--- a/crates/topazmount/src/fleet/peers.rs
+++ b/crates/topazmount/src/fleet/peers.rs
@@ -232,7 +232,7 @@
         if let Some(version) = self.versions.lock().unwrap().get(&peer) {
             return *version;
         }
-        match shared.gateway_state.lock().unwrap().is_legacy(peer) {
+        match shared.gateway_state.lock().is_legacy(peer) {
             true => ProtocolVersion::Legacy,
             false => ProtocolVersion::LATEST,
         }
@@ -248,7 +248,7 @@
         let payload = match version {
             ProtocolVersion::Named => Some(encode_datagram(message)),
             ProtocolVersion::Legacy => {
-                let mut gateway_state = shared.gateway_state.lock().unwrap();
+                let mut gateway_state = shared.gateway_state.lock();
                 encode_legacy(message, gateway_state.balancer())
             }
         };
@@ -528,18 +528,18 @@
         match message {
             Ok(GatewayMessage::LoadUpdate(update)) => {
                 shared.metrics.count_event("load_update");
-                shared.gateway_state.lock().unwrap().balancer().apply_load_update(&update, now);
+                shared.gateway_state.lock().balancer().apply_load_update(&update, now);
             }
             Ok(GatewayMessage::PlacementRequest(request_id, request)) => {
                 shared.metrics.count_event("question_answered");
-                let offer = shared.gateway_state.lock().unwrap().place(&request, now);
+                let offer = shared.gateway_state.lock().place(&request, now);
                 peers.send(vec![sender], GatewayMessage::PlacementResponse(request_id, offer));
             }
             Ok(GatewayMessage::PlacementResponse(request_id, offer)) => {
                 peers.complete(request_id, Response::Placement(offer))
             }
             Ok(GatewayMessage::GrantRequest(request_id, stripe, amount)) => {
-                let response = shared.gateway_state.lock().unwrap().grant(stripe, amount, now);
+                let response = shared.gateway_state.lock().grant(stripe, amount, now);
                 shared.metrics.count_event(grant_event(response));
                 peers.send(vec![sender], GatewayMessage::GrantResponse(request_id, response));
             }
@@ -547,25 +547,25 @@
                 peers.complete(request_id, Response::Grant(response));
             }
             Ok(GatewayMessage::UnitsReturned(stripe, amount)) => {
-                shared.gateway_state.lock().unwrap().return_units(stripe, amount, now);
+                shared.gateway_state.lock().return_units(stripe, amount, now);
             }
             Ok(GatewayMessage::LimitUpdate(update)) => {
-                let to = shared.gateway_state.lock().unwrap().apply_limit_update(&update, now);
+                let to = shared.gateway_state.lock().apply_limit_update(&update, now);
                 peers.send_limit_update(to, update);
             }
             Ok(GatewayMessage::SendGrantRequest(request_id, update)) => {
-                let response = shared.gateway_state.lock().unwrap().grant_send(&update, now);
+                let response = shared.gateway_state.lock().grant_send(&update, now);
                 shared.metrics.count_event(send_grant_event(response));
                 peers.send(vec![sender], GatewayMessage::GrantResponse(request_id, response));
             }
             Ok(GatewayMessage::OriginUpdate(key, software)) => {
                 shared.metrics.count_event("origin_update");
-                let mut gateway_state = shared.gateway_state.lock().unwrap();
+                let mut gateway_state = shared.gateway_state.lock();
                 gateway_state.stream_origins().record(key, software, now);
             }
             Ok(GatewayMessage::OriginRequest(request_id, key)) => {
                 shared.metrics.count_event("origin_request");
-                let mut gateway_state = shared.gateway_state.lock().unwrap();
+                let mut gateway_state = shared.gateway_state.lock();
                 let software = gateway_state.stream_origins().software(key, now);
                 drop(gateway_state);
                 peers.send(vec![sender], GatewayMessage::OriginResponse(request_id, software));
@@ -592,12 +592,11 @@
                 shared.record_trial_end(request, outcome, now);
             }
             Ok(GatewayMessage::ReplicaReport(report)) => {
-                let outputs =
-                    shared.gateway_state.lock().unwrap().apply_report(report, sender, now);
+                let outputs = shared.gateway_state.lock().apply_report(report, sender, now);
                 shared.handle_failure_outputs(outputs);
             }
             Ok(GatewayMessage::ReplicaVerdicts(verdicts)) => {
-                let outputs = shared.gateway_state.lock().unwrap().apply_verdicts(&verdicts, now);
+                let outputs = shared.gateway_state.lock().apply_verdicts(&verdicts, now);
                 shared.handle_failure_outputs(outputs);
             }
             Err(error) => {
--- a/crates/topazmount/src/fleet/replica_failures.rs
+++ b/crates/topazmount/src/fleet/replica_failures.rs
@@ -11,7 +11,7 @@
     loop {
         Timer::after(REPEAT_INTERVAL).await;
         let now = shared.clock.now();
-        let outputs = shared.gateway_state.lock().unwrap().repeat_verdicts(now);
+        let outputs = shared.gateway_state.lock().repeat_verdicts(now);
         shared.handle_failure_outputs(outputs);
     }
 }
@@ -20,7 +20,7 @@
     /// Records a failure of a replica that its links do not explain, and reports it.
     pub(super) fn record_replica_failure(&self, choice: &Choice, now: Time) {
         let outputs = {
-            let mut gateway_state = self.gateway_state.lock().unwrap();
+            let mut gateway_state = self.gateway_state.lock();
             gateway_state.balancer().on_failure(choice, now);
             gateway_state.report_failure(choice, now)
         };
--- a/crates/topazmount/src/fleet/store_reader.rs
+++ b/crates/topazmount/src/fleet/store_reader.rs
@@ -29,7 +29,7 @@
     let mut followed: HashSet<StoreKey> = HashSet::new();
     loop {
         let stores_in_catalog: Vec<(StoreKey, String)> = {
-            let mut gateway_state = shared.gateway_state.lock().unwrap();
+            let mut gateway_state = shared.gateway_state.lock();
             let stores = gateway_state.balancer().stores();
             stores.keys().map(|(key, address)| (key, address.to_owned())).collect()
         };
@@ -53,15 +53,15 @@
     let name = client.address().to_string();
     let mut pushbacks = PushbackRecords::default();
     loop {
-        pushbacks.set_settings(shared.gateway_state.lock().unwrap().settings().pushback);
+        pushbacks.set_settings(shared.gateway_state.lock().settings().pushback);
         if !pushbacks.is_available(&name, shared.clock.now()) {
             Timer::after(RETRY_DELAY).await;
             continue;
         }
-        let position = shared.gateway_state.lock().unwrap().balancer().stores().position(key);
+        let position = shared.gateway_state.lock().balancer().stores().position(key);
         let Some(position) = position else { return };
         let now = shared.clock.now();
-        let should_follow = shared.gateway_state.lock().unwrap().should_follow_store(address, now);
+        let should_follow = shared.gateway_state.lock().should_follow_store(address, now);
         let result = match should_follow {
             true => read_page(shared, key, &mut client, &mut pushbacks, position).await,
             false => Err(eyre!("enough other gateways follow the store")),
@@ -69,7 +69,7 @@
         match result {
             Ok(()) => Timer::after(READ_INTERVAL).await,
             Err(error) => {
-                if shared.gateway_state.lock().unwrap().balancer().stores().on_unreachable(key) {
+                if shared.gateway_state.lock().balancer().stores().on_unreachable(key) {
                     shared.metrics.count_event("store_lost");
                     log::info!("gateway: event=store_lost address={address} error={error:#}");
                 }
@@ -106,7 +106,7 @@
     let page = shared.dialect.parse_store_events(&response.body);
     let page = page.ok_or_else(|| eyre!("the response is not a page of events"))?;
     let (epoch, next) = (page.epoch, page.next);
-    if shared.gateway_state.lock().unwrap().balancer().stores().apply(key, page) {
+    if shared.gateway_state.lock().balancer().stores().apply(key, page) {
         shared.metrics.count_event("store_renewed");
         log::info!(
             "gateway: event=store_renewed address={} epoch={epoch} next={next}",
--- a/crates/topazmount/src/fleet/stream_origin.rs
+++ b/crates/topazmount/src/fleet/stream_origin.rs
@@ -86,8 +86,8 @@
         _ => recorded.or(find_only_software(shared, route.only_service()).await),
     };
     let software = response.software();
-    let service = software
-        .and_then(|software| shared.gateway_state.lock().unwrap().service_with(route, software));
+    let service =
+        software.and_then(|software| shared.gateway_state.lock().service_with(route, software));
     log_origin(shared, metadata, response, software, service.as_deref());
     match (software, service) {
         (Some(_), Some(service)) => admission.service = service,
@@ -122,7 +122,7 @@
 async fn find_record(shared: &SharedState, key: StreamKey) -> OriginResponse {
     let now = shared.clock.now();
     let mut candidates = {
-        let mut gateway_state = shared.gateway_state.lock().unwrap();
+        let mut gateway_state = shared.gateway_state.lock();
         if let Some(software) = gateway_state.stream_origins().software(key, now) {
             return OriginResponse::Known(software);
         }
--- a/crates/topazmount/src/fleet/tunnel/carrier.rs
+++ b/crates/topazmount/src/fleet/tunnel/carrier.rs
@@ -77,12 +77,11 @@
     let request: TunnelRequest = session.receive_request().await?;
     let carried = shared.carried_tunnels.fetch_add(1, Ordering::SeqCst);
     let _carried = Carried(shared);
-    let state = CarrierState {
-        is_stopping: shared.is_stopping(),
-        is_partitioned: shared.links.lock().unwrap().is_partitioned(),
-        knows_replica: knows_replica(shared, &request),
-        carried,
-    };
+    let knows_replica = knows_replica(shared, &request);
+    // A guard in a struct expression would be held until its end.
+    let is_partitioned = shared.links.lock().is_partitioned();
+    let is_stopping = shared.is_stopping();
+    let state = CarrierState { is_stopping, is_partitioned, knows_replica, carried };
     if let Err(refusal) = state.admit() {
         shared.metrics.count_event("tunnel_refused");
         return session.send(&TunnelResponse::Refused(refusal)).await;
@@ -100,7 +99,7 @@
 }
 
 fn knows_replica(shared: &SharedState, request: &TunnelRequest) -> bool {
-    let mut gateway_state = shared.gateway_state.lock().unwrap();
+    let mut gateway_state = shared.gateway_state.lock();
     let instance = gateway_state.balancer().instance(&request.id);
     instance.is_some_and(|instance| instance.address == request.address)
 }
--- a/crates/topazmount/src/fleet/tunnel/client.rs
+++ b/crates/topazmount/src/fleet/tunnel/client.rs
@@ -53,7 +53,7 @@
         time_limit: Duration,
     ) -> Result<Tunnel, TunnelError> {
         let others = {
-            let mut gateway_state = self.gateway_state.lock().unwrap();
+            let mut gateway_state = self.gateway_state.lock();
             gateway_state.gateways().others(self.clock.now())
         };
         if others.is_empty() {
@@ -61,7 +61,7 @@
         }
         for _ in 0..MAX_CARRIERS {
             let now = self.clock.now();
-            let carrier = self.carriers.lock().unwrap().choose(&others, now, &mut rand::rng());
+            let carrier = self.carriers.lock().choose(&others, now, &mut rand::rng());
             let Some(carrier) = carrier else { break };
             match self.ask(carrier, instance, time_limit).await {
                 Asked::Opened(wire) => return Ok(Tunnel { wire, carrier }),
@@ -69,7 +69,7 @@
                 Asked::NextCarrier => {}
             }
         }
-        self.links.lock().unwrap().on_no_tunnel(self.clock.now());
+        self.links.lock().on_no_tunnel(self.clock.now());
         self.metrics.count_event("no_carrier");
         Err(TunnelError::NoCarrier)
     }
@@ -77,7 +77,7 @@
     async fn ask(&self, carrier: SocketAddr, instance: &Instance, time_limit: Duration) -> Asked {
         let response = self.request_tunnel(carrier, instance, time_limit).await;
         let now = self.clock.now();
-        let mut carriers = self.carriers.lock().unwrap();
+        let mut carriers = self.carriers.lock();
         match response {
             Ok((response, session)) => match response {
                 TunnelResponse::Connected => {
--- a/crates/topazmount/src/lib.rs
+++ b/crates/topazmount/src/lib.rs
@@ -26,6 +26,7 @@
 pub mod metrics;
 pub mod node_process;
 pub mod operator;
+pub mod ordered_lock;
 pub mod runtime;
 pub mod silence;
 pub mod sse;
