--- a/crates/consensus/src/config.rs
+++ b/crates/consensus/src/config.rs
@@ -20,6 +20,8 @@
     pub snapshot_chunk_bytes: usize,
     /// Entries kept before a snapshot, so that followers slightly behind need no snapshot.
     pub retained_entries: u64,
+    /// Maximum payload bytes of these entries. Followers that lag further get the snapshot.
+    pub retained_bytes: usize,
 }
 
 impl Default for Config {
@@ -31,6 +33,7 @@
             max_append_bytes: 256 * 1024,
             snapshot_chunk_bytes: 1024 * 1024,
             retained_entries: 1_000,
+            retained_bytes: 8 * 1024 * 1024,
         }
     }
 }
--- a/crates/consensus/src/log.rs
+++ b/crates/consensus/src/log.rs
@@ -141,6 +141,25 @@
         self.entries.truncate(kept as usize);
     }
 
+    /// Index before the longest run of entries up to `last` whose payloads have `max_bytes` at most.
+    pub fn start_within(&self, last: Index, max_bytes: usize) -> Index {
+        let mut bytes = 0;
+        let mut start = last;
+        while let Some(entry) = self.entry(start) {
+            bytes += entry.payload.size();
+            if bytes > max_bytes {
+                break;
+            }
+            start -= 1;
+        }
+        start
+    }
+
+    /// Payload bytes of all entries.
+    pub fn bytes(&self) -> usize {
+        self.entries.iter().map(|entry| entry.payload.size()).sum()
+    }
+
     /// Removes entries up to and including `index`.
     pub fn compact(&mut self, index: Index) {
         let Some(term) = self.term(index) else { return };
--- a/crates/consensus/src/member.rs
+++ b/crates/consensus/src/member.rs
@@ -256,6 +256,11 @@
         true
     }
 
+    /// Payload bytes of the log in memory.
+    pub fn log_bytes(&self) -> usize {
+        self.log.bytes()
+    }
+
     /// Stores a snapshot of the applied state and removes entries before it, except for the
     /// retained ones. Returns the snapshot for the driver to make durable.
     pub fn compact(&mut self, data: Vec<u8>) -> Snapshot {
@@ -264,7 +269,8 @@
         let membership = self.membership_at(index);
         let meta = crate::log::SnapshotMeta { index, term, membership };
         self.snapshot = Snapshot { meta, data: data.into() };
-        let retained_from = index.saturating_sub(self.config.retained_entries);
+        let oldest = index.saturating_sub(self.config.retained_entries);
+        let retained_from = self.log.start_within(index, self.config.retained_bytes).max(oldest);
         if retained_from >= self.log.first_index() {
             self.log.compact(retained_from);
         }
--- a/crates/consensus/tests/group.rs
+++ b/crates/consensus/tests/group.rs
@@ -7,7 +7,7 @@
 use rand_chacha::ChaCha8Rng;
 use rstest::rstest;
 use std::time::Duration;
-use topazmount_consensus::{MemberId, MembershipChange, MemoryDisk, ProposeError};
+use topazmount_consensus::{Config, MemberId, MembershipChange, MemoryDisk, ProposeError};
 
 #[rstest]
 #[case(&[1])]
@@ -87,6 +87,35 @@
     });
 }
 
+/// Guards against members that outgrow their memory with a thousand large entries.
+#[test]
+fn a_log_of_large_entries_grows_without_bound() {
+    const ENTRY_BYTES: usize = 3 * 1024 * 1024;
+    let limit = Config::default().retained_bytes;
+    let mut network = Network::new(&[1, 2, 3]);
+    let leader = network.elect();
+    let late = [1, 2, 3].into_iter().find(|id| *id != leader).unwrap();
+    let others: Vec<u64> = [1, 2, 3].into_iter().filter(|id| *id != late).collect();
+    network.isolate(late);
+    for number in 0..2 * limit / ENTRY_BYTES {
+        network.commit(&vec![number as u8; ENTRY_BYTES], &others);
+        others.iter().for_each(|id| {
+            let peer = network.peers.get_mut(id).unwrap();
+            // A snapshot holds the newest document only.
+            peer.applied = peer.applied.split_off(&peer.member.applied());
+            peer.compact();
+            assert!(peer.member.log_bytes() <= limit, "{} bytes", peer.member.log_bytes());
+        });
+    }
+    let kept = network.peers[&leader].member.log_bytes();
+    assert!(kept > limit - ENTRY_BYTES, "{kept} bytes kept for followers slightly behind");
+    network.heal();
+    network.until("the late member has the newest entry", |network| {
+        network.peers[&late].applied.last_key_value()
+            == network.peers[&leader].applied.last_key_value()
+    });
+}
+
 #[test]
 fn a_new_disk_joins_as_a_learner_and_the_old_identity_is_removed() {
     let mut network = Network::new(&[1, 2, 3]);
