Streams: an answer without a length is checked for its replica's end, whatever its prompt

Cause: a killed process's connections end like those of a complete answer, and the check whether the replica still listens was left out where the shared parts of the prompt had completed lately, or there were none.

--- a/crates/topazmount/src/fleet/exchange/crash.rs
+++ b/crates/topazmount/src/fleet/exchange/crash.rs
@@ -24,14 +24,9 @@
 
 impl Exchange<'_> {
     /// Whether an answer that ended with its connection may have been cut off: its replica, from which
-    /// data last arrived at `last_data_at`, has ended. Not checked for prompts whose shared parts have
-    /// all completed lately, nor without shared parts, since each check takes a connection.
+    /// data last arrived at `last_data_at`, has ended. A killed process's connections end like those of
+    /// a complete answer.
     pub(super) async fn ended_with_replica(&self, choice: &Choice, last_data_at: Time) -> bool {
-        let now = self.shared.clock.now();
-        let is_trusted = self.shared.gateway_state.lock().crashes().trusts(&self.parts, now);
-        if is_trusted {
-            return false;
-        }
         if crash_watch::has_ended(self.shared, &choice.instance, last_data_at).await {
             return true;
         }
