Reading: one place completes a stream without events; what is not sent is logged

Streams under way are checked for the need of a record at control members each 100 ms at most, so that an event costs no lock of the gateway's state.

--- a/crates/topazmount/src/fleet/exchange/continuation.rs
+++ b/crates/topazmount/src/fleet/exchange/continuation.rs
@@ -2,7 +2,8 @@
 
 use super::{AttemptEnd, ClientProgress, Exchange, ResponseOutcome};
 use crate::http1::ResponseHead;
-use topazmount_gateway::Choice;
+use topazmount_gateway::{Choice, RequestPlan};
+use topazmount_types::Time;
 
 /// Status and media type of a stream's first answer. An answer that differs does not continue it.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -38,24 +39,26 @@
         most > 0 && progress.event_count >= most
     }
 
-    /// Ends the response after an answer without events to a request to continue a stream.
+    /// Ends the response after an answer without events to a request, sent at `sent_at`, to continue a
+    /// stream.
     ///
     /// # Errors
     /// How the attempt ended, if the answer does not complete the stream.
-    pub(super) async fn complete_without_events(
+    pub(super) async fn complete_stream(
         &mut self,
+        plan: &RequestPlan,
         choice: &Choice,
         head: &ResponseHead,
         progress: &ClientProgress,
+        sent_at: Time,
     ) -> Result<ResponseOutcome, AttemptEnd> {
         if !self.completes_stream(head, progress) {
             self.log_not_continued(choice, head);
             return Err(AttemptEnd::NotContinued);
         }
-        Ok(match self.client.finish().await {
-            Ok(()) => ResponseOutcome::Complete,
-            Err(_) => ResponseOutcome::Truncated,
-        })
+        let sent = self.client.finish().await;
+        self.record_stream(plan, choice, progress, sent_at);
+        Ok(self.outcome(sent))
     }
 
     /// Whether an answer without events completes the stream.
--- a/crates/topazmount/src/fleet/exchange/mod.rs
+++ b/crates/topazmount/src/fleet/exchange/mod.rs
@@ -339,11 +339,8 @@
                 }
                 AttemptResult::Success(head, _) => {
                     let choice = &in_flight.choice;
-                    match self.complete_without_events(choice, &head, progress).await {
-                        Ok(outcome) => {
-                            self.record_stream(plan, choice, progress, started_at);
-                            return outcome;
-                        }
+                    match self.complete_stream(plan, choice, &head, progress, started_at).await {
+                        Ok(outcome) => return outcome,
                         Err(end) => end,
                     }
                 }
@@ -382,11 +379,10 @@
                         StreamEnd::NotContinued => AttemptEnd::NotContinued,
                         StreamEnd::ResumedWithoutEvents(head) => {
                             let choice = &in_flight.choice;
-                            match self.complete_without_events(choice, &head, progress).await {
-                                Ok(outcome) => {
-                                    self.record_stream(plan, choice, progress, started_at);
-                                    return outcome;
-                                }
+                            let completed =
+                                self.complete_stream(plan, choice, &head, progress, started_at);
+                            match completed.await {
+                                Ok(outcome) => return outcome,
                                 Err(end) => end,
                             }
                         }
--- a/crates/topazmount/src/fleet/exchange/origin.rs
+++ b/crates/topazmount/src/fleet/exchange/origin.rs
@@ -8,15 +8,19 @@
 /// Time for the system to take the datagrams. A full socket buffer must not hold up an event.
 const SEND_TIMEOUT: Duration = Duration::from_millis(5);
 
+/// Interval at which a stream under way is checked for the need of a record at control members.
+const MEMBER_CHECK_INTERVAL: Duration = Duration::from_millis(100);
+
 /// When a stream's software version was last recorded at its holders.
 #[derive(Clone, Copy, Debug, Default)]
 pub(super) struct OriginRecords {
     at_gateways: Option<Time>,
     at_members: Option<Time>,
+    members_checked_at: Option<Time>,
 }
 
-fn is_due(recorded_at: Option<Time>, now: Time) -> bool {
-    recorded_at.is_none_or(|at| now >= at + ORIGIN_RENEWAL)
+fn is_due(last: Option<Time>, interval: Duration, now: Time) -> bool {
+    last.is_none_or(|at| now >= at + interval)
 }
 
 impl Exchange<'_> {
@@ -27,17 +31,21 @@
         let Some(stream) = self.stream else { return };
         let now = self.shared.clock.now();
         let records = &mut progress.origin_records;
+        if !is_due(records.members_checked_at, MEMBER_CHECK_INTERVAL, now) {
+            return;
+        }
+        records.members_checked_at = Some(now);
         let software = SoftwareId::of(&choice.instance);
         let mut holders = Vec::new();
         {
             let mut gateway_state = self.shared.gateway_state.lock();
-            if is_due(records.at_gateways, now) {
+            if is_due(records.at_gateways, ORIGIN_RENEWAL, now) {
                 records.at_gateways = Some(now);
                 gateway_state.stream_origins().record(stream.key, software, now);
                 holders = gateway_state.origin_holders(stream.key, now);
             }
             // Also amid a stream: another version may have appeared since.
-            if is_due(records.at_members, now)
+            if is_due(records.at_members, ORIGIN_RENEWAL, now)
                 && gateway_state.needs_member_record(&choice.instance.service, now)
             {
                 records.at_members = Some(now);
--- a/crates/topazmount/src/fleet/exchange/relay.rs
+++ b/crates/topazmount/src/fleet/exchange/relay.rs
@@ -18,12 +18,14 @@
         may_resume: bool,
         progress: &mut ClientProgress,
     ) -> StreamEnd {
-        if !self.client.has_started() && self.start_response(&stream.head, progress).is_err() {
-            return StreamEnd::ClientDisconnected;
+        if !self.client.has_started()
+            && let Err(problem) = self.start_response(&stream.head, progress)
+        {
+            return self.out_of_order(problem);
         }
         loop {
-            if self.add_events(&mut stream, choice, progress).is_err() {
-                return StreamEnd::ClientDisconnected;
+            if let Err(problem) = self.add_events(&mut stream, choice, progress) {
+                return self.out_of_order(problem);
             }
             if stream.splitter.is_oversized() {
                 return StreamEnd::ReplicaFailed;
@@ -55,6 +57,12 @@
         }
     }
 
+    /// Ends a response that bytes were kept out of.
+    fn out_of_order(&self, problem: OutOfOrder) -> StreamEnd {
+        self.log_not_sent(&problem);
+        StreamEnd::ClientDisconnected
+    }
+
     /// Starts the response with the head of the first replica that sends a part of it.
     fn start_response(
         &mut self,
@@ -105,8 +113,8 @@
         }
         let remainder = stream.splitter.take_remainder();
         self.return_to_pool(choice, stream.connection);
-        if self.client.add_body(&remainder).is_err() {
-            return StreamEnd::ClientDisconnected;
+        if let Err(problem) = self.client.add_body(&remainder) {
+            return self.out_of_order(problem);
         }
         match with_timeout(self.remaining_time(), self.client.finish()).await {
             Some(Ok(())) => StreamEnd::Complete,
--- a/crates/topazmount/src/fleet/exchange/responses.rs
+++ b/crates/topazmount/src/fleet/exchange/responses.rs
@@ -4,6 +4,8 @@
 use super::limit::OverLimit;
 use super::{Exchange, ResponseOutcome};
 use crate::http1::{BodyDelivery, ResponseHead};
+use std::fmt::Display;
+use std::io;
 use std::time::Duration;
 use topazmount_gateway::{ChoiceRequest, RequestPlan};
 use topazmount_types::ErrorKind;
@@ -23,20 +25,29 @@
     }
 
     async fn send_whole(&mut self, response: &[u8]) -> ResponseOutcome {
-        match self.client.send_whole(response).await {
+        let sent = self.client.send_whole(response).await;
+        self.outcome(sent)
+    }
+
+    /// Outcome after the end of a response was sent, or failed to be.
+    pub(super) fn outcome(&self, sent: io::Result<()>) -> ResponseOutcome {
+        match sent {
             Ok(()) => ResponseOutcome::Complete,
             Err(error) => {
-                self.shared.event_log.info(|| {
-                    let request = &self.metadata.id;
-                    format!(
-                        "gateway: event=response_not_sent request={request} problem=\"{error}\""
-                    )
-                });
+                self.log_not_sent(&error);
                 ResponseOutcome::Truncated
             }
         }
     }
 
+    /// Logs a part of the response that could not be sent.
+    pub(super) fn log_not_sent(&self, problem: &dyn Display) {
+        self.shared.event_log.info(|| {
+            let request = &self.metadata.id;
+            format!("gateway: event=response_not_sent request={request} problem=\"{problem}\"")
+        });
+    }
+
     /// Ends a request that no replica served: forwards a replica's failure response if there is one,
     /// since it is more specific than an error of the gateway.
     pub(super) async fn finish_unserved(
