Reading: requests to several processes stand once; the registered version is kept for each revision

The leader went through its registry, hashing each entry, for each resumption that no record answers. It now compares names, once a revision and service. apply_observed has the name of what it does. Checks: clippy; the tests of control; gateway_datagrams; gateways_killed (6) hold (dev build).

--- a/crates/control/src/fleet/software_history.rs
+++ b/crates/control/src/fleet/software_history.rs
@@ -7,12 +7,14 @@
 use super::state::{Document, FleetCommand, FleetState};
 use std::collections::BTreeMap;
 use std::time::Duration;
-use topazmount_types::{InstanceId, SoftwareId, Time};
+use topazmount_types::{Instance, InstanceId, SoftwareId, Time};
 
 /// Time for which a stream can be resumed after its last event.
 pub const STREAM_RETENTION: Duration = Duration::from_secs(60);
 /// Maximum number of ended versions that are remembered.
 const MAX_ENDED: usize = 4_096;
+/// Maximum number of services whose registered version is kept.
+const MAX_SERVICES: usize = 256;
 
 /// A replica that a command may end or change.
 pub(crate) struct AffectedReplica {
@@ -28,6 +30,9 @@
     since: Option<Time>,
     /// When the last replica of a version was seen to end, by service.
     ended_at: BTreeMap<(String, SoftwareId), Time>,
+    /// Software version of the registered replicas of a service, if they have one only, and the
+    /// revision of the registry.
+    registered: BTreeMap<String, (u64, Option<SoftwareId>)>,
     /// When routes of streams may last have come to lead to other services.
     rerouted_at: Option<Time>,
 }
@@ -43,7 +48,7 @@
     /// Replicas that a command may end or change; to be asked for before it is applied.
     pub(crate) fn affected(state: &FleetState, command: &FleetCommand) -> Vec<AffectedReplica> {
         let affected = state.affected_by(command).into_iter();
-        let replica = |instance: &topazmount_types::Instance| AffectedReplica {
+        let replica = |instance: &Instance| AffectedReplica {
             id: instance.id.clone(),
             service: instance.service.clone(),
             software: SoftwareId::of(instance),
@@ -93,7 +98,7 @@
     /// The only software version that a stream of a service can have begun at; `None` if there may
     /// be several, or none is registered.
     pub(crate) fn only_software(
-        &self,
+        &mut self,
         state: &FleetState,
         service: &str,
         now: Time,
@@ -102,13 +107,28 @@
         if !self.since.is_none_or(is_over) || !self.rerouted_at.is_none_or(is_over) {
             return None;
         }
-        let registered = state.instances().values();
-        let mut registered =
-            registered.filter(|instance| instance.service == service).map(SoftwareId::of);
-        let software = registered.next()?;
-        let has_other = registered.any(|other| other != software);
+        let software = self.registered_software(state, service)?;
         let mut ended = self.ended_at.iter().filter(|((of, _), _)| of == service);
         let had_other = ended.any(|((_, other), at)| *other != software && !is_over(*at));
-        (!has_other && !had_other).then_some(software)
+        (!had_other).then_some(software)
+    }
+
+    /// The software version of all registered replicas of a service; `None` if they have several or
+    /// there are none. Kept for each revision, since many streams are resumed at once after a failure.
+    fn registered_software(&mut self, state: &FleetState, service: &str) -> Option<SoftwareId> {
+        let revision = state.revision();
+        if let Some((_, known)) = self.registered.get(service).filter(|(at, _)| *at == revision) {
+            return *known;
+        }
+        let registered = state.instances().values();
+        let mut registered = registered.filter(|instance| instance.service == service);
+        let first = registered.next();
+        let is_only = |first: &&Instance| registered.all(|other| other.software == first.software);
+        let only = first.filter(is_only).map(SoftwareId::of);
+        if self.registered.len() >= MAX_SERVICES {
+            self.registered.clear();
+        }
+        self.registered.insert(service.to_owned(), (revision, only));
+        only
     }
 }
--- a/crates/control/src/fleet_member.rs
+++ b/crates/control/src/fleet_member.rs
@@ -45,7 +45,7 @@
             }
             FleetRequest::OnlySoftware(service) => {
                 let response = if self.replica.can_serve_reads(now) {
-                    let history = &self.software_history;
+                    let history = &mut self.software_history;
                     let software = history.only_software(&self.state.fleet, &service, now);
                     Response::Fleet(FleetResponse::OnlySoftware(software))
                 } else {
@@ -96,8 +96,8 @@
         self.emitted_blocks = (ledger.blocked_revision(), blocked);
     }
 
-    /// Applies a command to the fleet and observes what it ends.
-    pub(crate) fn apply_to_fleet(&mut self, now: Time, timed: TimedCommand) -> Reply {
+    /// Applies a command and observes which replicas and routes of streams it ends or changes.
+    pub(crate) fn apply_observed(&mut self, now: Time, timed: TimedCommand) -> Reply {
         let fleet = &self.state.fleet;
         let affected = match &timed.command {
             Command::Fleet(command) => SoftwareHistory::affected(fleet, command),
--- a/crates/control/src/member.rs
+++ b/crates/control/src/member.rs
@@ -425,7 +425,7 @@
         let timed: TimedCommand =
             rmp_serde::from_slice(bytes).map_err(|error| MemberError::Decode(error.to_string()))?;
         let before = self.state.level;
-        let reply = self.apply_to_fleet(now, timed);
+        let reply = self.apply_observed(now, timed);
         if self.state.level > before {
             self.emit(MembershipEvent::LevelRaised(self.state.level));
         }
--- a/crates/topazmount/src/fleet/origin_service.rs
+++ b/crates/topazmount/src/fleet/origin_service.rs
@@ -2,7 +2,7 @@
 //! gateways what the registry's history proves.
 
 use super::metrics::Metrics;
-use super::peers::{GatewayMessage, SoftwareProof};
+use super::peers::{GatewayMessage, MAX_DATAGRAM_BYTES, SoftwareProof};
 use super::rate_limited_log::RateLimitedLog;
 use crate::Executor;
 use crate::clock::Clock;
@@ -19,8 +19,6 @@
     ClusterKey, ProtocolVersion, decode_payload, encode_datagram, open_datagram, seal_datagram,
 };
 
-/// Largest datagram, in bytes.
-const MAX_DATAGRAM_BYTES: usize = 2 * 1024;
 /// Time for the member to tell what it knows. Gateways wait no longer for a response.
 const MEMBER_TIMEOUT: Duration = Duration::from_millis(100);
 /// Maximum number of questions to the member at a time. Further ones get no response.
--- a/crates/topazmount/src/fleet/peers.rs
+++ b/crates/topazmount/src/fleet/peers.rs
@@ -23,8 +23,8 @@
     seal_datagram,
 };
 
-/// Largest datagram.
-const MAX_DATAGRAM_BYTES: usize = 2 * 1024;
+/// Largest datagram, in bytes.
+pub(super) const MAX_DATAGRAM_BYTES: usize = 2 * 1024;
 /// Maximum number of queued messages. Further ones are dropped; later updates make up for that.
 const MAX_PENDING: usize = 256;
 /// Maximum number of gateways whose protocol version is remembered.
@@ -393,16 +393,8 @@
         key: StreamKey,
         timeout: Duration,
     ) -> OriginResponse {
-        let (sender, receiver) = async_channel::bounded(to.len().max(1));
-        let pending: Vec<PendingRequest<'_>> = to
-            .iter()
-            .map(|peer| {
-                let pending = self.add_pending(sender.clone());
-                let request_id = pending.request_id;
-                self.send(vec![*peer], GatewayMessage::OriginRequest(request_id, key));
-                pending
-            })
-            .collect();
+        let request = |request_id| GatewayMessage::OriginRequest(request_id, key);
+        let (pending, receiver) = self.request_all(to, request);
         let first_known = async {
             for _ in &pending {
                 if let Ok(Response::Origin(Some(software))) = receiver.recv().await {
@@ -426,17 +418,8 @@
         service: &str,
         timeout: Duration,
     ) -> Option<SoftwareProof> {
-        let (sender, receiver) = async_channel::bounded(members.len().max(1));
-        let pending: Vec<PendingRequest<'_>> = members
-            .iter()
-            .map(|member| {
-                let pending = self.add_pending(sender.clone());
-                let request =
-                    GatewayMessage::SoftwareRequest(pending.request_id, service.to_owned());
-                self.send(vec![*member], request);
-                pending
-            })
-            .collect();
+        let request = |request_id| GatewayMessage::SoftwareRequest(request_id, service.to_owned());
+        let (pending, receiver) = self.request_all(members, request);
         let first_of_leader = async {
             for _ in &pending {
                 if let Ok(Response::Software(proof)) = receiver.recv().await
@@ -490,6 +473,22 @@
         PendingRequest { peers: self, request_id }
     }
 
+    /// Sends a request to several processes at once. Their responses arrive in the channel while the
+    /// pending requests are kept.
+    fn request_all(
+        &self,
+        to: &[SocketAddr],
+        message: impl Fn(u64) -> GatewayMessage,
+    ) -> (Vec<PendingRequest<'_>>, Receiver<Response>) {
+        let (sender, receiver) = async_channel::bounded(to.len().max(1));
+        let request = |peer: &SocketAddr| {
+            let pending = self.add_pending(sender.clone());
+            self.send(vec![*peer], message(pending.request_id));
+            pending
+        };
+        (to.iter().map(request).collect(), receiver)
+    }
+
     async fn request(
         &self,
         to: SocketAddr,
--- a/crates/topazmount/src/fleet/stream_origin.rs
+++ b/crates/topazmount/src/fleet/stream_origin.rs
@@ -48,6 +48,14 @@
             OriginResponse::Unknown | OriginResponse::Incomplete => None,
         }
     }
+
+    /// Combines what the records tell with what the registry's history tells.
+    fn or(self, history: OriginResponse) -> OriginResponse {
+        match (self, history) {
+            (OriginResponse::Incomplete, OriginResponse::Unknown) => self,
+            _ => history,
+        }
+    }
 }
 
 /// A stream that can't be resumed now.
@@ -107,17 +115,6 @@
     Ok(Some(ResumableStream { key, software }))
 }
 
-impl OriginResponse {
-    /// Combines what the records and the registry's history tell.
-    fn or(self, other: OriginResponse) -> OriginResponse {
-        match (self, other) {
-            (_, OriginResponse::Known(_) | OriginResponse::Only(_)) => other,
-            (OriginResponse::Incomplete, _) => OriginResponse::Incomplete,
-            _ => other,
-        }
-    }
-}
-
 /// Looks for the stream's record here, at gateways and at control members.
 async fn find_record(shared: &SharedState, key: StreamKey) -> OriginResponse {
     let now = shared.clock.now();
