--- a/crates/control/tests/software_history.rs
+++ b/crates/control/tests/software_history.rs
@@ -124,6 +124,7 @@
 }
 
 cases! {
+    /// Guards against a rejection in the first minute of a group.
     the_only_version_since_the_group_formed_is_not_proved => {
         let mut group = Group::form();
         assert_eq!(group.proved(), None, "no replica is registered");
@@ -131,12 +132,14 @@
         group.start("b", "v1", 1);
         assert_eq!(group.proved(), Some(software("v1")));
     }
+    /// Guards against any of several versions.
     one_of_two_versions_is_proved => {
         let mut group = Group::form();
         group.start("a", "v1", 1);
         group.start("b", "v2", 1);
         assert_eq!(group.proved(), None);
     }
+    /// Guards against the present list as proof.
     a_stream_of_a_version_that_is_gone_goes_on_at_the_remaining_one => {
         let mut group = Group::form();
         group.start("a", "v1", 1);
@@ -153,6 +156,7 @@
         group.run(Duration::from_secs(10));
         assert_eq!(group.proved(), None);
     }
+    /// Guards against an end that is no removal.
     a_stream_goes_on_at_a_replica_that_came_back_with_another_version => {
         for start in [1, 2] {
             let mut group = Group::form();
@@ -169,7 +173,7 @@
         group.leave("b");
         group.assert_proved_only_after_retention("v1");
     }
-    /// A route may have led to another service before.
+    /// Guards against another service, which a route may have led to before.
     a_version_is_proved_right_after_routes_changed => {
         for (before, after) in [(Some(1), Some(2)), (None, None), (Some(1), None), (None, Some(1))] {
             let mut group = Group::form();
@@ -180,6 +184,7 @@
             group.assert_proved_only_after_retention("v1");
         }
     }
+    /// Guards against rejections after each change of the configuration.
     a_version_is_not_proved_after_a_document_without_other_routes => {
         let mut group = Group::form();
         group.put_document(1, 10, Some(1));
@@ -187,6 +192,7 @@
         group.put_document(2, 20, Some(1));
         assert_eq!(group.proved(), Some(software("v1")));
     }
+    /// Guards against rejections after the first configuration with streams.
     a_version_is_not_proved_after_the_first_routes_of_streams => {
         let mut group = Group::form();
         group.put_document(1, 10, Some(Document::NO_STREAMS));
@@ -194,6 +200,7 @@
         group.put_document(2, 20, Some(1));
         assert_eq!(group.proved(), Some(software("v1")));
     }
+    /// Guards against a history that only the leader keeps.
     the_next_leader_does_not_know_which_versions_have_ended => {
         let mut group = Group::form();
         group.start("a", "v1", 1);
@@ -205,6 +212,7 @@
         group.run(Duration::ZERO);
         assert_eq!(group.proved(), None);
     }
+    /// Guards against rejections after an election.
     the_next_leader_can_not_tell_the_only_version => {
         let mut group = Group::form();
         group.start("a", "v1", 1);
@@ -214,6 +222,7 @@
         group.run(Duration::ZERO);
         assert_eq!(group.proved(), Some(software("v1")));
     }
+    /// Guards against an empty history as proof.
     members_that_restart_forget_which_versions_have_ended => {
         let mut group = Group::form();
         group.start("a", "v1", 1);
@@ -238,6 +247,7 @@
         group.restart_all();
         group.assert_proved_only_after_retention("v1");
     }
+    /// Guards against an answer from outdated state.
     a_follower_proves_a_version => {
         let mut group = Group::form();
         group.start("a", "v1", 1);
