--- a/crates/control/src/fleet/software_history.rs
+++ b/crates/control/src/fleet/software_history.rs
@@ -1,8 +1,8 @@
 //! Which software versions a stream of a service can have begun at.
 //!
 //! That all registered replicas have one version does not prove it: the stream may have begun at a
-//! replica that is gone, or at a service that its route does not lead to any more. Each member observes all
-//! changes that it applies, so that the leader can tell.
+//! replica that is gone, or at a service that its route does not lead to any more. Each member
+//! observes all changes that it applies, so that the leader can tell.
 
 use super::state::{Document, FleetCommand, FleetState};
 use std::collections::BTreeMap;
--- a/crates/gateway/src/stream_origins.rs
+++ b/crates/gateway/src/stream_origins.rs
@@ -3,7 +3,8 @@
 //! A stream goes on only at the software version that began it, and a client that resumes it names
 //! no more than the request that brought its first event. Before a gateway passes on the first
 //! event, it records the version and tells a few other gateways, which all gateways derive alike
-//! from the stream's key, and control members where only they could tell after all gateways ended. A record never changes, so a lost or late one can't contradict another.
+//! from the stream's key, and control members where only they could tell after all gateways ended.
+//! A record never changes, so a lost or late one can't contradict another.
 
 use serde::{Deserialize, Serialize};
 use std::cmp::Reverse;
