Streams of split routes, and those that outlast their version, are recorded at control members

Callers: after all gateways were killed, streams of a route that divides its requests among several services were rejected (unknown_stream), although replicas of their version served, unless a version or a route had changed within a minute.

Cause: needs_member_record asked whether the service of the replica has one version. What counts is whether the leader can prove the version of this stream: it can't where a route leads to several services, nor where the stream runs at a replica that is no longer listed.

Evidence: a_stream_of_a_split_route_is_recorded_at_gateways_only and a_stream_that_outlasts_its_version_is_recorded_at_gateways_only (gateway/tests/stream_origins.rs) failed with the former condition, hold with this one. Not played with real processes.

Why it works: the record is made unless the route has one service whose only listed version, for the retention, is the stream's own.

Tests: calls of needs_member_record name a route and the stream's version, with the same expectations; where the version that is left is v2, the stream is one of v2.

--- a/crates/gateway/src/state/origins.rs
+++ b/crates/gateway/src/state/origins.rs
@@ -28,22 +28,31 @@
         found.map(str::to_owned)
     }
 
-    /// Whether a stream of the service has to be recorded at control members, too: they could not tell
-    /// its version from the history of the registry, as there are or were several lately, or this
-    /// gateway has not seen the registry for long enough to know.
-    pub fn needs_member_record(&mut self, service: &str, now: Time) -> bool {
-        let revision = self.seen.revision;
-        let known = self.only_software.get(service).filter(|(at, _)| *at == revision);
-        let only = match known {
-            Some((_, only)) => *only,
-            None => {
-                let only = self.balancer.only_software(service);
-                self.only_software.insert(service.to_owned(), (revision, only));
-                only
-            }
-        };
+    /// Whether a stream of a route that began at a software version has to be recorded at control
+    /// members, too: they could not tell its version from the history of the registry, or this gateway
+    /// has not seen the registry for long enough to know.
+    pub fn needs_member_record(
+        &mut self,
+        route: &Route,
+        software: SoftwareId,
+        now: Time,
+    ) -> bool {
+        // Several services have several versions.
+        let Some(service) = route.only_service() else { return true };
+        let is_only = self.registered_software(service) == Some(software);
         let history = &self.software_history;
-        !history.is_complete(now)
-            || only.is_none_or(|software| history.has_other(service, software, now))
+        !is_only || !history.is_complete(now) || history.has_other(service, software, now)
+    }
+
+    /// The software version of all listed replicas of a service; `None` if they have several or there
+    /// are none. Kept for each revision of the list, since each stream asks for it.
+    fn registered_software(&mut self, service: &str) -> Option<SoftwareId> {
+        let revision = self.seen.revision;
+        if let Some((_, known)) = self.only_software.get(service).filter(|(at, _)| *at == revision) {
+            return *known;
+        }
+        let only = self.balancer.only_software(service);
+        self.only_software.insert(service.to_owned(), (revision, only));
+        only
     }
 }
--- a/crates/gateway/tests/stream_origins.rs
+++ b/crates/gateway/tests/stream_origins.rs
@@ -69,6 +69,13 @@
     }
 }
 
+/// Whether a stream that a replica of the service `pool` with a version began has to be recorded at
+/// control members.
+fn needs_record(state: &mut GatewayState, software: &str, now: Time) -> bool {
+    let software = SoftwareId::of(&replica(0, "pool", software));
+    state.needs_member_record(&stream_route(&["pool"]), software, now)
+}
+
 #[test]
 fn a_record_is_forgotten_before_its_stream_ends() {
     let (key, mut origins) = (StreamKey(7), StreamOrigins::default());
@@ -181,15 +188,37 @@
     let mut state = gateway(0, 1);
     let (old, new) = (replica(1, "pool", "v1"), replica(2, "pool", "v2"));
     state.apply(&view(1, vec![new.clone()], &[]), None, NOW);
-    assert!(state.needs_member_record("pool", NOW), "this gateway has just started");
+    assert!(needs_record(&mut state, "v2", NOW), "this gateway has just started");
     let calm = NOW + ORIGIN_RETENTION;
-    assert!(!state.needs_member_record("pool", calm));
+    assert!(!needs_record(&mut state, "v2", calm));
     state.apply(&view(2, vec![old], &[]), None, calm);
-    assert!(state.needs_member_record("pool", calm));
+    assert!(needs_record(&mut state, "v2", calm));
     state.apply(&view(3, Vec::new(), &["i-1"]), None, calm);
     let almost = calm + ORIGIN_RETENTION - Duration::from_millis(1);
-    assert!(state.needs_member_record("pool", almost), "the other version has ended lately");
-    assert!(!state.needs_member_record("pool", calm + ORIGIN_RETENTION));
+    assert!(needs_record(&mut state, "v2", almost), "the other version has ended lately");
+    assert!(!needs_record(&mut state, "v2", calm + ORIGIN_RETENTION));
+}
+
+/// Guards against streams of split routes that are lost after all gateways were killed.
+#[test]
+fn a_stream_of_a_split_route_is_recorded_at_gateways_only() {
+    let mut state = gateway(0, 1);
+    let replicas = vec![replica(1, "pool", "v1"), replica(2, "other", "v1")];
+    let software = SoftwareId::of(&replicas[0]);
+    state.apply(&view(1, replicas, &[]), None, NOW);
+    let calm = NOW + ORIGIN_RETENTION;
+    assert!(state.needs_member_record(&stream_route(&["pool", "other"]), software, calm));
+    assert!(!state.needs_member_record(&stream_route(&["pool"]), software, calm));
+}
+
+/// Guards against streams that are joined from two versions, or lost, as they outlast the replicas of theirs.
+#[test]
+fn a_stream_that_outlasts_its_version_is_recorded_at_gateways_only() {
+    let mut state = gateway(0, 1);
+    state.apply(&view(1, vec![replica(1, "pool", "v1"), replica(2, "pool", "v2")], &[]), None, NOW);
+    state.apply(&view(2, Vec::new(), &["i-1"]), None, NOW);
+    assert!(needs_record(&mut state, "v1", NOW + ORIGIN_RETENTION));
+    assert!(!needs_record(&mut state, "v2", NOW + ORIGIN_RETENTION));
 }
 
 /// A route may lead to another service in the next catalog.
@@ -198,16 +227,16 @@
     let mut state = gateway(0, 1);
     state.apply(&view(1, vec![replica(1, "pool", "v1")], &[]), None, NOW);
     let calm = NOW + ORIGIN_RETENTION;
-    assert!(!state.needs_member_record("pool", calm));
+    assert!(!needs_record(&mut state, "v1", calm));
     state.apply(&FleetView::default(), Some(catalog(2)), calm);
-    assert!(!state.needs_member_record("pool", calm), "no stream goes elsewhere");
+    assert!(!needs_record(&mut state, "v1", calm), "no stream goes elsewhere");
     let mut parts = common::parts(3);
     parts.routes.push(Route { path_prefix: "/s/".to_owned(), ..stream_route(&["first"]) });
     state.apply(&FleetView::default(), Some(Catalog::new(parts.clone()).unwrap()), calm);
-    assert!(!state.needs_member_record("pool", calm), "no stream went anywhere before");
+    assert!(!needs_record(&mut state, "v1", calm), "no stream went anywhere before");
     (parts.version, parts.routes.last_mut().unwrap().split) = (4, stream_route(&["second"]).split);
     state.apply(&FleetView::default(), Some(Catalog::new(parts).unwrap()), calm);
-    assert!(state.needs_member_record("pool", calm));
+    assert!(needs_record(&mut state, "v1", calm));
 }
 
 #[test]
@@ -255,5 +284,5 @@
         state.apply(&view(revision + 1, vec![next.clone()], &[]), None, NOW);
         assert_eq!(state.choose(&request, NOW), None, "from {start}");
     }
-    assert!(state.needs_member_record("pool", NOW + ORIGIN_RETENTION - Duration::from_millis(1)));
+    assert!(needs_record(&mut state, "v2", NOW + ORIGIN_RETENTION - Duration::from_millis(1)));
 }
--- a/crates/topazmount/src/fleet/exchange/origin.rs
+++ b/crates/topazmount/src/fleet/exchange/origin.rs
@@ -46,7 +46,7 @@
             }
             // Also amid a stream: another version may have appeared since.
             if is_due(records.at_members, ORIGIN_RENEWAL, now)
-                && gateway_state.needs_member_record(&choice.instance.service, now)
+                && gateway_state.needs_member_record(&self.admission.route, software, now)
             {
                 records.at_members = Some(now);
                 holders.extend(member_holders(stream.key, &self.shared.members()));
