Streams: a version that has ended is ruled out only once the longest stream and the retention are over

Callers: a client without a name, or one whose stream's record is gone with all gateways, could get the rest of its stream from another version, where its stream outlasted the last replica of its version in the registry (a planned stop, a replica that timed out) and it came back over 60 s after that, within 60 s of its last event.

Cause: the leader counted the retention of 60 s from the end of the version in the registry, though a stream that begins before it may last as long as its route's timeout, and can be resumed for 60 s after its last event.

Evidence (virtual clock): with the retention alone, four of the new cases of control/tests/software_history.rs and one of gateway/tests/stream_origins.rs fail.

Change: StreamHorizon adds the longest request for a stream, also that of earlier documents; control and gateways share it. The document tells the longest timeout of its routes for streams; without it (older builds) 60 s. Cost: a service with several versions is recorded, and clients without a name rejected, for up to that timeout longer.

Tests: documents of the other cases have streams of no length, with the former bounds.

--- a/crates/control/src/fleet/mod.rs
+++ b/crates/control/src/fleet/mod.rs
@@ -25,6 +25,7 @@
 mod software_history;
 mod state;
 mod statuses;
+mod stream_horizon;
 mod target;
 mod weights_record;
 
@@ -45,8 +46,8 @@
     InstanceReport, InstanceStatus, LoadedModel, SeenVersions, WatchRequest,
 };
 pub use rollout::RolloutSettings;
-pub use software_history::STREAM_RETENTION;
-pub(crate) use software_history::SoftwareHistory;
+pub(crate) use software_history::{BeforeCommand, SoftwareHistory};
 pub use state::{
     Document, FleetCommand, FleetState, RegistrationConflict, RegistrationStatus, RemovedInstance,
 };
+pub use stream_horizon::{STREAM_RETENTION, StreamHorizon};
--- a/crates/control/src/fleet/state.rs
+++ b/crates/control/src/fleet/state.rs
@@ -6,6 +6,7 @@
 use serde::{Deserialize, Serialize};
 use std::cmp::Ordering;
 use std::collections::BTreeMap;
+use std::time::Duration;
 use topazmount_types::{Instance, InstanceId, Start, Time};
 
 /// Maximum number of removed replicas that are remembered.
@@ -26,6 +27,9 @@
     /// [`Document::NO_STREAMS`] without such routes.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub routing: Option<u64>,
+    /// Maximum time for a request for a stream, if it is known.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub longest_stream: Option<Duration>,
 }
 
 impl Document {
--- a/crates/control/src/fleet_member.rs
+++ b/crates/control/src/fleet_member.rs
@@ -1,7 +1,7 @@
 //! Handling of fleet requests by a member.
 
 use crate::fleet::{
-    CrashReport, FleetCommand, FleetRequest, FleetResponse, FleetView, SoftwareHistory,
+    BeforeCommand, CrashReport, FleetCommand, FleetRequest, FleetResponse, FleetView,
 };
 use crate::member::{Member, MemberOutput, Token};
 use crate::protocol::Response;
@@ -98,21 +98,13 @@
 
     /// Applies a command and observes which replicas and routes of streams it ends or changes.
     pub(crate) fn apply_observed(&mut self, now: Time, timed: TimedCommand) -> Reply {
-        let fleet = &self.state.fleet;
-        let affected = match &timed.command {
-            Command::Fleet(command) => SoftwareHistory::affected(fleet, command),
-            _ => Vec::new(),
+        let command = match &timed.command {
+            Command::Fleet(command) => Some(command),
+            _ => None,
         };
-        let before = fleet.document().map(|document| (document.version, document.routing));
+        let before = BeforeCommand::new(&self.state.fleet, command);
         let reply = self.state.apply(timed);
-        let fleet = &self.state.fleet;
-        self.software_history.on_applied(fleet, affected, now);
-        let after = fleet.document().map(|document| (document.version, document.routing));
-        if let (Some((version, before)), Some((next_version, after))) = (before, after)
-            && next_version > version
-        {
-            self.software_history.on_document_replaced(before, after, now);
-        }
+        self.software_history.on_applied(before, &self.state.fleet, now);
         reply
     }
 
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -31,7 +31,7 @@
     NoticeKind, NoticeSubject, OrderOutcome, Packed, PackedParts, RecordChange,
     RegistrationConflict, RegistrationStatus, RemovedInstance, ReplicaLists, ReplicaNotice,
     ReplicaReport, ReportSource, RolloutEvent, RolloutPlan, RolloutSettings, STREAM_RETENTION,
-    SeenVersions, WatchRequest, WeightsEvent, WeightsOrder, replica_timeout,
+    SeenVersions, StreamHorizon, WatchRequest, WeightsEvent, WeightsOrder, replica_timeout,
 };
 pub use ledger::{ActionResult, ClaimId, ClaimOutcome, Ledger, LookupOutcome};
 pub use legacy::{IncomingLegacyFrame, LegacyLink, OutgoingLegacyFrame};
--- a/crates/control/tests/faulty_replicas.rs
+++ b/crates/control/tests/faulty_replicas.rs
@@ -53,7 +53,13 @@
     (0..12).for_each(|number| world.add_started(&format!("r{number:02}"), EARLIER_START));
     world.run_for(Duration::from_secs(10));
     let service = world.view().instances[0].service.clone();
-    let document = Document { version: 1, bytes: vec![1], services: vec![service], routing: None };
+    let document = Document {
+        version: 1,
+        bytes: vec![1],
+        services: vec![service],
+        routing: None,
+        longest_stream: None,
+    };
     let put = world.ask(FleetRequest::PutDocument(document));
     assert_eq!(put, Response::Fleet(FleetResponse::Done));
     world.add_started("r99", EARLIER_START);
@@ -335,6 +341,7 @@
         bytes: vec![1],
         services,
         routing: None,
+        longest_stream: None,
     }));
     state.apply(FleetCommand::Register(instance(EARLIER_START, "x:1")));
     state.apply(FleetCommand::ExpireIncarnation("a".to_owned(), Start(EARLIER_START)));
--- a/crates/control/tests/fleet_state.rs
+++ b/crates/control/tests/fleet_state.rs
@@ -39,6 +39,7 @@
             bytes,
             services: Vec::new(),
             routing: None,
+            longest_stream: None,
         }));
     }
     let document = state.document().unwrap();
@@ -290,6 +291,7 @@
         services,
         bytes: Vec::new(),
         routing: None,
+        longest_stream: None,
     }));
     state
 }
@@ -408,6 +410,7 @@
         bytes: Vec::new(),
         services: vec!["pool".to_owned()],
         routing: None,
+        longest_stream: None,
     }));
     let began = clock_gettime(ClockId::ThreadCPUTime);
     for number in 0..replicas {
--- a/crates/control/tests/incarnations.rs
+++ b/crates/control/tests/incarnations.rs
@@ -76,7 +76,13 @@
         let mut world = World::new(0);
         world.run_for(Duration::from_secs(2));
         let services = vec!["pool".to_owned()];
-        let document = Document { version: 1, bytes: Vec::new(), services, routing: None };
+        let document = Document {
+            version: 1,
+            bytes: Vec::new(),
+            services,
+            routing: None,
+            longest_stream: None,
+        };
         let response = world.ask(FleetRequest::PutDocument(document));
         assert_eq!(response, Response::Fleet(FleetResponse::Done));
         (0..REPLICAS).for_each(|number| world.add_started(&id(number), 1_000 + number));
--- a/crates/control/tests/recorded_bytes.rs
+++ b/crates/control/tests/recorded_bytes.rs
@@ -161,6 +161,7 @@
         bytes: b"text".to_vec(),
         services: vec!["chat".to_owned()],
         routing: None,
+        longest_stream: None,
     }
 }
 
--- a/crates/control/tests/software_history.rs
+++ b/crates/control/tests/software_history.rs
@@ -13,6 +13,7 @@
 const RESPONSE_TIME: Duration = Duration::from_millis(100);
 const ELECTION_TIME: Duration = Duration::from_secs(8);
 const MARGIN: Duration = Duration::from_secs(1);
+const LONGEST_STREAM: Duration = Duration::from_secs(30);
 
 /// A replica of `pool`; heartbeats of one replica count up.
 fn report(id: &str, software: &str, start: u64, sequence: u64) -> InstanceReport {
@@ -94,7 +95,18 @@
     }
 
     fn put_document(&mut self, version: u64, bytes: usize, routing: Option<u64>) {
-        let document = Document { version, bytes: vec![7; bytes], services: Vec::new(), routing };
+        self.put_streams(version, bytes, routing, Some(Duration::ZERO));
+    }
+
+    fn put_streams(
+        &mut self,
+        version: u64,
+        bytes: usize,
+        routing: Option<u64>,
+        longest_stream: Option<Duration>,
+    ) {
+        let bytes = vec![7; bytes];
+        let document = Document { version, bytes, services: Vec::new(), routing, longest_stream };
         let put = self.ask_leader(FleetRequest::PutDocument(document));
         assert_eq!(put, Some(FleetResponse::Done));
     }
@@ -115,8 +127,13 @@
 
     /// Checks that nothing is proved until no stream from before now can be resumed.
     fn assert_proved_only_after_retention(&mut self, version: &str) {
+        self.assert_proved_only_after(STREAM_RETENTION, version);
+    }
+
+    /// Checks that nothing is proved for a while from now, and the version then.
+    fn assert_proved_only_after(&mut self, time: Duration, version: &str) {
         assert_eq!(self.proved(), None);
-        self.run(STREAM_RETENTION - MARGIN * 5);
+        self.run(time - MARGIN * 5);
         assert_eq!(self.proved(), None);
         self.run(MARGIN * 6);
         assert_eq!(self.proved(), Some(software(version)));
@@ -247,6 +264,42 @@
         group.restart_all();
         group.assert_proved_only_after_retention("v1");
     }
+    /// Guards against a client that comes back a minute after an event that came long after its replica was removed.
+    a_stream_that_outlasts_its_version_goes_on_at_the_remaining_one => {
+        let mut group = Group::form();
+        group.put_streams(1, 10, Some(1), Some(LONGEST_STREAM));
+        group.start("a", "v1", 1);
+        group.start("b", "v2", 1);
+        group.leave("a");
+        group.assert_proved_only_after(LONGEST_STREAM + STREAM_RETENTION, "v2");
+    }
+    /// Guards against the same where later streams end sooner.
+    a_stream_of_an_earlier_document_goes_on_at_the_remaining_version => {
+        let mut group = Group::form();
+        group.put_streams(1, 10, Some(1), Some(LONGEST_STREAM));
+        group.start("a", "v1", 1);
+        group.start("b", "v2", 1);
+        group.put_streams(2, 10, Some(1), Some(Duration::ZERO));
+        group.leave("a");
+        group.assert_proved_only_after(LONGEST_STREAM + STREAM_RETENTION, "v2");
+    }
+    /// Guards against the same after a change of routes, and beside members of an older build.
+    a_stream_of_unknown_length_goes_on_at_another_service => {
+        let mut group = Group::form();
+        group.put_streams(1, 10, None, None);
+        group.start("a", "v1", 1);
+        group.put_streams(2, 10, None, None);
+        group.assert_proved_only_after(STREAM_RETENTION * 2, "v1");
+    }
+    /// Guards against a minute for all streams after a start from a snapshot.
+    members_that_restart_from_a_snapshot_forget_a_stream_under_way => {
+        let mut group = Group::form();
+        group.start("a", "v1", 1);
+        group.put_streams(1, 5 * 1024 * 1024, Some(1), Some(LONGEST_STREAM));
+        group.start("b", "v1", 1);
+        group.restart_all();
+        group.assert_proved_only_after(LONGEST_STREAM + STREAM_RETENTION, "v1");
+    }
     /// Guards against an answer from outdated state.
     a_follower_proves_a_version => {
         let mut group = Group::form();
--- a/crates/gateway/src/catalog.rs
+++ b/crates/gateway/src/catalog.rs
@@ -230,6 +230,7 @@
     keys: HashMap<String, usize>,
     /// Limits of tenants, by the hash of their names.
     limits: HashMap<u64, TenantLimit>,
+    longest_stream: Duration,
 }
 
 impl Catalog {
@@ -248,7 +249,9 @@
         let limits =
             tenants.filter_map(|tenant| Some((TenantId::from_name(&tenant.name).0, tenant.limit?)));
         let limits = limits.collect();
-        Ok(Catalog { parts, services, hosts, keys, limits })
+        let streams = parts.routes.iter().filter(|route| route.kind == RouteKind::Streaming);
+        let longest_stream = streams.map(|route| route.timeout).max().unwrap_or_default();
+        Ok(Catalog { parts, services, hosts, keys, limits, longest_stream })
     }
 
     /// Version of the catalog.
@@ -297,6 +300,11 @@
         Digest::of(&bytes).prefix()
     }
 
+    /// Maximum time for a request for a stream; zero without such routes.
+    pub fn longest_stream(&self) -> Duration {
+        self.longest_stream
+    }
+
     /// Whether any request needs a key.
     pub fn has_tenants(&self) -> bool {
         self.parts.tenants.is_some()
--- a/crates/gateway/src/software_history.rs
+++ b/crates/gateway/src/software_history.rs
@@ -3,47 +3,57 @@
 //! They decide which streams are recorded at control members. They prove nothing of a stream: a
 //! version that came and went between two lists was not seen.
 
-use crate::stream_origins::ORIGIN_RETENTION;
 use std::collections::HashMap;
+use std::time::Duration;
+use topazmount_control::StreamHorizon;
 use topazmount_types::{Instance, SoftwareId, Time};
 
-/// When the last replica of a software version was seen to end, by service.
+/// Which software versions a stream that can be resumed may have begun at.
 #[derive(Debug, Default)]
 pub(crate) struct SoftwareHistory {
-    /// When the list of replicas was first received, or routes last led to other services.
-    since: Option<Time>,
-    ended_at: HashMap<String, HashMap<SoftwareId, Time>>,
+    /// From when on all streams that can be resumed have begun since the list of replicas was first
+    /// received, and since routes last led to other services.
+    complete_from: Option<Time>,
+    /// Until when a stream can be resumed that began at a version whose last replica was seen to end,
+    /// by service.
+    resumable_until: HashMap<String, HashMap<SoftwareId, Time>>,
+    horizon: StreamHorizon,
 }
 
 impl SoftwareHistory {
     /// Records that the list of replicas was received.
     pub(crate) fn on_list(&mut self, now: Time) {
-        self.since.get_or_insert(now);
+        self.complete_from.get_or_insert(self.horizon.resumable_until(now));
     }
 
-    /// Records that routes of streams came to lead to other services.
-    pub(crate) fn on_rerouted(&mut self, now: Time) {
-        self.since = Some(now);
+    /// Records a catalog, by which routes of streams may lead to other services than before.
+    pub(crate) fn on_catalog(&mut self, longest_stream: Duration, is_rerouted: bool, now: Time) {
+        self.horizon.set_longest_stream(longest_stream, now);
+        if is_rerouted {
+            self.complete_from = Some(self.horizon.resumable_until(now));
+        }
     }
 
     /// Records that a replica has ended or has another version.
     pub(crate) fn on_ended(&mut self, instance: &Instance, now: Time) {
-        self.ended_at.retain(|_, ended_at| {
-            ended_at.retain(|_, at| now < *at + ORIGIN_RETENTION);
-            !ended_at.is_empty()
+        self.resumable_until.retain(|_, versions| {
+            versions.retain(|_, until| now < *until);
+            !versions.is_empty()
         });
-        let ended_at = self.ended_at.entry(instance.service.clone()).or_default();
-        ended_at.insert(SoftwareId::of(instance), now);
+        let until = self.horizon.resumable_until(now);
+        let versions = self.resumable_until.entry(instance.service.clone()).or_default();
+        versions.insert(SoftwareId::of(instance), until);
     }
 
     /// Whether the history reaches back as far as the begin of any stream that can be resumed.
     pub(crate) fn is_complete(&self, now: Time) -> bool {
-        self.since.is_some_and(|since| now >= since + ORIGIN_RETENTION)
+        self.complete_from.is_some_and(|from| now >= from)
     }
 
-    /// Whether a replica of the service with another version was seen to end lately.
+    /// Whether a stream of the service that can be resumed may have begun at another version, which
+    /// has ended.
     pub(crate) fn has_other(&self, service: &str, software: SoftwareId, now: Time) -> bool {
-        let mut ended = self.ended_at.get(service).into_iter().flatten();
-        ended.any(|(other, at)| *other != software && now < *at + ORIGIN_RETENTION)
+        let mut ended = self.resumable_until.get(service).into_iter().flatten();
+        ended.any(|(other, until)| *other != software && now < *until)
     }
 }
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -283,9 +283,9 @@
         if let Some(catalog) = catalog
             && catalog.version() > self.seen.document
         {
-            if self.catalog.as_ref().is_some_and(|known| is_rerouted(known, &catalog)) {
-                self.software_history.on_rerouted(asked_at);
-            }
+            let is_rerouted =
+                self.catalog.as_ref().is_some_and(|known| is_rerouted(known, &catalog));
+            self.software_history.on_catalog(catalog.longest_stream(), is_rerouted, asked_at);
             // Services that are gone need no entry.
             self.only_software.clear();
             self.seen.document = catalog.version();
--- a/crates/gateway/src/state/origins.rs
+++ b/crates/gateway/src/state/origins.rs
@@ -31,12 +31,7 @@
     /// Whether a stream of a route that began at a software version has to be recorded at control
     /// members, too: they could not tell its version from the history of the registry, or this gateway
     /// has not seen the registry for long enough to know.
-    pub fn needs_member_record(
-        &mut self,
-        route: &Route,
-        software: SoftwareId,
-        now: Time,
-    ) -> bool {
+    pub fn needs_member_record(&mut self, route: &Route, software: SoftwareId, now: Time) -> bool {
         // Several services have several versions.
         let Some(service) = route.only_service() else { return true };
         let is_only = self.registered_software(service) == Some(software);
@@ -48,7 +43,8 @@
     /// are none. Kept for each revision of the list, since each stream asks for it.
     fn registered_software(&mut self, service: &str) -> Option<SoftwareId> {
         let revision = self.seen.revision;
-        if let Some((_, known)) = self.only_software.get(service).filter(|(at, _)| *at == revision) {
+        if let Some((_, known)) = self.only_software.get(service).filter(|(at, _)| *at == revision)
+        {
             return *known;
         }
         let only = self.balancer.only_software(service);
--- a/crates/gateway/src/state/replicas.rs
+++ b/crates/gateway/src/state/replicas.rs
@@ -101,7 +101,8 @@
 
     /// Records the software of the replicas that a view removes or changes, before it is applied.
     fn record_ended_software(&mut self, view: &FleetView, now: Time) {
-        if !view.has_more {
+        // Without a catalog it is not known how long streams may take.
+        if !view.has_more && self.catalog.is_some() {
             self.software_history.on_list(now);
         }
         let listed: HashSet<&InstanceId> =
--- a/crates/gateway/tests/stream_origins.rs
+++ b/crates/gateway/tests/stream_origins.rs
@@ -221,6 +221,23 @@
     assert!(!needs_record(&mut state, "v2", NOW + ORIGIN_RETENTION));
 }
 
+/// Guards against streams that the leader can't tell the version of, a while after another one has ended.
+#[test]
+fn a_stream_is_recorded_at_gateways_only_while_earlier_ones_may_be_under_way() {
+    const LONGEST_STREAM: Duration = Duration::from_secs(30);
+    let mut state = gateway(0, 1);
+    let mut parts = common::parts(2);
+    parts.routes.push(Route { timeout: LONGEST_STREAM, ..stream_route(&["first"]) });
+    state.apply(&FleetView::default(), Some(Catalog::new(parts).unwrap()), NOW);
+    state.apply(&view(1, vec![replica(1, "pool", "v1"), replica(2, "pool", "v2")], &[]), None, NOW);
+    let calm = NOW + ORIGIN_RETENTION + LONGEST_STREAM;
+    state.apply(&view(2, Vec::new(), &["i-1"]), None, calm);
+    let resumable_until = calm + ORIGIN_RETENTION + LONGEST_STREAM;
+    let almost = resumable_until - Duration::from_millis(1);
+    assert!(needs_record(&mut state, "v2", almost), "streams of the other version may be resumed");
+    assert!(!needs_record(&mut state, "v2", resumable_until));
+}
+
 /// A route may lead to another service in the next catalog.
 #[test]
 fn a_stream_is_recorded_at_gateways_only_after_a_change_of_routes() {
--- a/crates/lab/src/control_scale/world.rs
+++ b/crates/lab/src/control_scale/world.rs
@@ -474,6 +474,7 @@
             bytes: (0..DOCUMENT_BYTES).map(|_| self.rng.random_range(b'a'..b'q')).collect(),
             services: vec!["lm-pool".to_owned()],
             routing: None,
+            longest_stream: None,
         };
         let leads = |machine: &Machine| {
             let member = machine.member.as_ref();
