Times: adding a duration beyond the range saturates instead of wrapping around

Callers: with a timeout_ms of the order of 3e20, which a valid configuration may have, each request of the route had its deadline at once, or at a random time. Cause: microseconds were cut to 64 bits before the addition saturated. Evidence: a_time_after_a_long_duration_wraps_around (types/tests/time.rs) failed, holds. Found while the longest timeout of the routes for streams was added to a time.

--- a/crates/types/src/time.rs
+++ b/crates/types/src/time.rs
@@ -51,17 +51,22 @@
     }
 }
 
+/// Whole microseconds, or the maximum.
+fn micros(duration: Duration) -> u64 {
+    u64::try_from(duration.as_micros()).unwrap_or(u64::MAX)
+}
+
 impl Add<Duration> for Time {
     type Output = Time;
     fn add(self, duration: Duration) -> Time {
-        Time(self.0.saturating_add(duration.as_micros() as u64))
+        Time(self.0.saturating_add(micros(duration)))
     }
 }
 
 impl Sub<Duration> for Time {
     type Output = Time;
     fn sub(self, duration: Duration) -> Time {
-        Time(self.0.saturating_sub(duration.as_micros() as u64))
+        Time(self.0.saturating_sub(micros(duration)))
     }
 }
 
