Streams: an answer without a length is not complete if nobody can tell whether its replica runs

Callers: a part of a stream without a length, closed as complete, where the check of its replica neither came up nor was refused in 100 ms, or no other gateway could be asked.

Cause: has_ended had two answers, so that "not known" became "runs".

Why it works: check_process tells Running, Ended and Unknown; a stream is complete only if the second of two checks finds the process running. Crashes are still accused only where the process has ended. Sound answers whose replica can't be reached twice within 130 ms are cut, which event=answer_end_unknown shows.

--- a/crates/topazmount/src/fleet/crash_watch.rs
+++ b/crates/topazmount/src/fleet/crash_watch.rs
@@ -7,7 +7,7 @@
 use super::gateway::SharedState;
 use super::tunnel::TunnelError;
 use crate::Executor;
-use crate::http1::is_refused;
+use crate::http1::{connect, is_refusal};
 use async_channel::Receiver;
 use async_io::Timer;
 use std::collections::HashSet;
@@ -74,7 +74,7 @@
 /// Checks once whether a replica has ended, after a connection broke at `broke_at`; if so, the requests
 /// that broke off there count as crashes.
 pub(super) async fn check_ended(shared: &SharedState, instance: &Instance, broke_at: Time) -> bool {
-    if !has_ended(shared, instance, broke_at).await {
+    if check_process(shared, instance, broke_at).await != ReplicaProcess::Ended {
         return false;
     }
     let now = shared.clock.now();
@@ -90,22 +90,39 @@
     true
 }
 
-/// Whether a replica's machine refuses connections. A partition may refuse them, too, so another gateway
-/// is asked unless this one has reached a replica since `broke_at`.
-pub(super) async fn has_ended(shared: &SharedState, instance: &Instance, broke_at: Time) -> bool {
-    let Ok(address) = instance.address.parse() else { return false };
+/// Whether the process of a replica runs, as far as a new connection tells.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum ReplicaProcess {
+    /// It accepts connections.
+    Running,
+    /// Its machine refuses connections.
+    Ended,
+    /// Neither this gateway nor another one that was asked can tell.
+    Unknown,
+}
+
+/// Tries a new connection to a replica. A partition may refuse it, too, so another gateway is asked
+/// unless this one has reached a replica since `broke_at`.
+pub(super) async fn check_process(
+    shared: &SharedState,
+    instance: &Instance,
+    broke_at: Time,
+) -> ReplicaProcess {
+    let Ok(address) = instance.address.parse() else { return ReplicaProcess::Unknown };
     if !shared.uses_tunnels() {
-        if !is_refused(address, shared.local_ip, CONNECT_TIMEOUT).await {
-            return false;
-        }
-        if shared.links.lock().have_worked_since(broke_at) {
-            return true;
+        match connect(address, shared.local_ip, CONNECT_TIMEOUT).await {
+            Ok(_) => return ReplicaProcess::Running,
+            Err(error) if !is_refusal(&error) => return ReplicaProcess::Unknown,
+            Err(_) if shared.links.lock().have_worked_since(broke_at) => {
+                return ReplicaProcess::Ended;
+            }
+            Err(_) => {}
         }
     }
     match shared.open_tunnel(instance, CONNECT_TIMEOUT).await {
-        Ok(_) => false,
-        Err(TunnelError::ReplicaRefused | TunnelError::OnlyGateway) => true,
-        Err(TunnelError::ReplicaUnreachable | TunnelError::NoCarrier) => false,
+        Ok(_) => ReplicaProcess::Running,
+        Err(TunnelError::ReplicaRefused | TunnelError::OnlyGateway) => ReplicaProcess::Ended,
+        Err(TunnelError::ReplicaUnreachable | TunnelError::NoCarrier) => ReplicaProcess::Unknown,
     }
 }
 
--- a/crates/topazmount/src/fleet/exchange/attempt.rs
+++ b/crates/topazmount/src/fleet/exchange/attempt.rs
@@ -380,7 +380,7 @@
             return match self.shared.body_memory.read(&mut reader, &mut wire).await {
                 Ok(_)
                     if framing == Framing::UntilClose
-                        && self.ended_with_replica(choice, sent_at).await =>
+                        && self.may_be_cut_off(choice, sent_at).await =>
                 {
                     FirstResponse::Interrupted("the replica ended with its answer")
                 }
--- a/crates/topazmount/src/fleet/exchange/crash.rs
+++ b/crates/topazmount/src/fleet/exchange/crash.rs
@@ -1,6 +1,6 @@
 //! Distinguishes a replica that crashed while serving a request from a broken connection.
 
-use super::super::crash_watch;
+use super::super::crash_watch::{self, ReplicaProcess};
 use super::trial::Blocked;
 use super::{Exchange, ResponseOutcome};
 use crate::http1::ResponseHead;
@@ -23,15 +23,27 @@
     TrialRefusal { wait: Duration::from_millis(250), is_pause: false };
 
 impl Exchange<'_> {
-    /// Whether an answer that ended with its connection may have been cut off: its replica, from which
-    /// data last arrived at `last_data_at`, has ended. A killed process's connections end like those of
-    /// a complete answer.
-    pub(super) async fn ended_with_replica(&self, choice: &Choice, last_data_at: Time) -> bool {
-        if crash_watch::has_ended(self.shared, &choice.instance, last_data_at).await {
+    /// Whether an answer that ended with its connection may have been cut off: it is not certain that
+    /// its replica, from which data last arrived at `last_data_at`, still runs. A killed process's
+    /// connections end like those of a complete answer.
+    pub(super) async fn may_be_cut_off(&self, choice: &Choice, last_data_at: Time) -> bool {
+        let instance = &choice.instance;
+        let first = crash_watch::check_process(self.shared, instance, last_data_at).await;
+        if first == ReplicaProcess::Ended {
             return true;
         }
         async_io::Timer::after(SECOND_CHECK_DELAY).await;
-        crash_watch::has_ended(self.shared, &choice.instance, last_data_at).await
+        let second = crash_watch::check_process(self.shared, instance, last_data_at).await;
+        if second == ReplicaProcess::Unknown {
+            self.shared.metrics.count_event("answer_end_unknown");
+            self.shared.event_log.info(|| {
+                format!(
+                    "gateway: event=answer_end_unknown request={} instance={}",
+                    self.metadata.id, instance.id
+                )
+            });
+        }
+        second != ReplicaProcess::Running
     }
 
     /// Whether no further replica may be sent the request, as it or a part of its prompt is blocked.
--- a/crates/topazmount/src/fleet/exchange/relay.rs
+++ b/crates/topazmount/src/fleet/exchange/relay.rs
@@ -101,7 +101,7 @@
         // All events prove the end, without a connection for the check.
         if stream.ends_at_close && !self.has_all_events(progress) {
             let last_data_at = progress.timing.last_at.unwrap_or(self.received_at);
-            if self.ended_with_replica(choice, last_data_at).await {
+            if self.may_be_cut_off(choice, last_data_at).await {
                 return StreamEnd::ReplicaFailed;
             }
         }
--- a/crates/topazmount/src/http1/client.rs
+++ b/crates/topazmount/src/http1/client.rs
@@ -57,11 +57,6 @@
     }
 }
 
-/// Whether nobody listens at an address: a connection is refused in this time.
-pub async fn is_refused(address: SocketAddr, local: Option<IpAddr>, limit: Duration) -> bool {
-    connect(address, local, limit).await.is_err_and(|error| is_refusal(&error))
-}
-
 /// Whether connecting failed because nobody listens at the address.
 pub fn is_refusal(error: &Report) -> bool {
     error
--- a/crates/topazmount/src/http1/mod.rs
+++ b/crates/topazmount/src/http1/mod.rs
@@ -15,7 +15,7 @@
 mod write;
 
 pub use body::{BodyError, BodyReader};
-pub use client::{ClientAnswer, connect, is_refusal, is_refused, read_answer_head};
+pub use client::{ClientAnswer, connect, is_refusal, read_answer_head};
 pub use framing::{Framing, request_framing, response_framing};
 pub use head::{HeadError, Headers, RequestHead, ResponseHead};
 pub use response_encoder::{BodyDelivery, OutOfOrder, ResponseEncoder};
