Tunnels: a refusal counts as a replica's end only if another replica accepts a connection after it

Callers: none yet; requests under way were accused of crashes that had not happened. Cause: a carrier took a refused connection for the end of the replica, though all its own connections might be refused since a moment; evidence of up to 200 ms before counted. Why it works: a connection that works after the refusal rules out a partition that refuses all. Cost: up to two connections for each refusal that a carrier sees.

--- a/crates/topazmount/src/fleet/tunnel/carrier.rs
+++ b/crates/topazmount/src/fleet/tunnel/carrier.rs
@@ -20,6 +20,10 @@
 const READ_SIZE: usize = 8 * 1024;
 /// Time for the requesting gateway to read the end of a response before the tunnel is closed.
 const CLOSE_LINGER: Duration = Duration::from_millis(300);
+/// Maximum number of other replicas that are tried after one has refused a connection.
+const MAX_OTHERS: usize = 2;
+/// Time for each of them to accept a connection.
+const OTHERS_TIMEOUT: Duration = Duration::from_millis(30);
 /// Delay after a failed accept, for example when no file descriptors are free.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 
@@ -110,17 +114,33 @@
 ) -> Result<Wire, TunnelResponse> {
     let address = request.address.parse().map_err(|_| TunnelResponse::ReplicaUnreachable)?;
     let began = shared.clock.now();
-    let connected = connect(address, shared.local_ip, REPLICA_CONNECT_TIMEOUT).await;
-    connected.map_err(|error| {
-        // This gateway may be cut off, too; the next request for a tunnel will know.
-        shared.is_link_failure(began);
-        match is_refusal(&error) {
-            true => TunnelResponse::ReplicaRefused,
-            false => TunnelResponse::ReplicaUnreachable,
-        }
+    let error = match connect(address, shared.local_ip, REPLICA_CONNECT_TIMEOUT).await {
+        Ok(replica) => return Ok(replica),
+        Err(error) => error,
+    };
+    // This gateway may be cut off, too; the next request for a tunnel will know.
+    shared.is_link_failure(began);
+    // A partition may refuse all connections. One that works after the refusal shows that there is none.
+    let is_ended = is_refusal(&error) && accepts_others(shared, address).await;
+    Err(match is_ended {
+        true => TunnelResponse::ReplicaRefused,
+        false => TunnelResponse::ReplicaUnreachable,
     })
 }
 
+/// Whether a replica other than the one at `refusing` accepts a connection; also if there is no other.
+async fn accepts_others(shared: &SharedState, refusing: SocketAddr) -> bool {
+    let sampled = shared.gateway_state.lock().balancer().sample_addresses(MAX_OTHERS + 1);
+    let others = sampled.iter().filter_map(|address| address.parse().ok());
+    let others: Vec<SocketAddr> = others.filter(|other| *other != refusing).collect();
+    for other in others.iter().take(MAX_OTHERS) {
+        if connect(*other, shared.local_ip, OTHERS_TIMEOUT).await.is_ok() {
+            return true;
+        }
+    }
+    others.is_empty()
+}
+
 /// Passes bytes until one side closes its connection, then closes the other.
 async fn pass(gateway: TcpStream, replica: Wire) {
     let (from_gateway, to_replica) = (gateway.clone(), replica.writer());
