Answers with a status outside of 100 to 599 are malformed and no longer forwarded

Cause: ResponseHead held the status as the bare number that httparse gives, which reads any three digits. A status below 200 that is no 1xx counted neither as success nor as failure and was forwarded; one from 500 on counted as a failure that is forwarded where no repeat is allowed.

Change: Status holds 100 to 599 (RFC 9110, 15). ResponseHead::parse, the one place where heads of answers are read, rejects the others, and answer_head takes a Status, so that no forwarded head can have another one. Such a head, and a body that breaks the grammar, end the attempt as broken: another replica where that is allowed, otherwise 502; the replica counts as failed, whatever is known of the path, since bytes came through. event=invalid_response and a metric name the reason, which only a debug line did.

--- a/crates/topazmount/src/fleet/exchange/attempt.rs
+++ b/crates/topazmount/src/fleet/exchange/attempt.rs
@@ -12,8 +12,8 @@
     ReplicaConnection, StreamStart, with_timeout,
 };
 use crate::http1::{
-    BodyReader, Framing, Headers, ResponseHead, Wire, connect, read_answer_head, request_bytes,
-    response_framing,
+    BodyError, BodyReader, Framing, HeadError, Headers, ResponseHead, Wire, connect,
+    read_answer_head, request_bytes, response_framing,
 };
 use futures_lite::AsyncWriteExt;
 use std::pin::pin;
@@ -185,7 +185,7 @@
                 in_flight.on_interrupted();
                 self.broken(reason)
             }
-            Some(FirstResponse::Invalid(reason)) => self.broken(reason),
+            Some(FirstResponse::Invalid(reason)) => self.invalid(choice, reason),
             Some(FirstResponse::NotContinued(head)) => {
                 self.log_not_continued(choice, &head);
                 AttemptResult::Ended(AttemptEnd::NotContinued)
@@ -209,6 +209,18 @@
         AttemptResult::Ended(AttemptEnd::Broken)
     }
 
+    /// Ends an attempt whose bytes are no response to the request.
+    fn invalid(&self, choice: &Choice, reason: &str) -> AttemptResult {
+        self.shared.metrics.count_event("invalid_response");
+        self.shared.event_log.info(|| {
+            format!(
+                "gateway: event=invalid_response request={} instance={} reason=\"{reason}\"",
+                self.metadata.id, choice.instance.id
+            )
+        });
+        AttemptResult::Ended(AttemptEnd::Broken)
+    }
+
     /// Whether the request may be sent now. A grant covers one send: the replica may have set a limit
     /// since it was chosen, and a connection that broke may have delivered the request.
     async fn may_send(&self, in_flight: &InFlight<'_>, now: Time) -> bool {
@@ -342,6 +354,9 @@
         for earlier in 0..=MAX_LATE_RESPONSES {
             let head = match read_answer_head(&mut wire).await {
                 Ok(head) => head,
+                Err(error) if error.is::<HeadError>() => {
+                    return FirstResponse::Invalid("malformed head");
+                }
                 Err(_) if earlier == 0 && wire.buffered().is_empty() => {
                     return FirstResponse::NoData;
                 }
@@ -352,7 +367,7 @@
                 return FirstResponse::Invalid("ambiguous length");
             };
             let metadata = self.shared.dialect.response_metadata(&head);
-            self.record_pushback(choice, &metadata, head.status, sent_at);
+            self.record_pushback(choice, &metadata, head.status.code(), sent_at);
             let mut reader = BodyReader::new(framing);
             if metadata.request_id.as_ref().is_some_and(|id| *id != self.metadata.id) {
                 // A late response to an earlier request on this connection.
@@ -363,7 +378,7 @@
                 }
                 continue;
             }
-            let is_success = (200..300).contains(&head.status);
+            let is_success = head.status.is_success();
             if is_success && (!metadata.is_sealed || metadata.is_encoded) {
                 return FirstResponse::Invalid("not the replica's answer");
             }
@@ -388,7 +403,7 @@
                     let connection = ReplicaConnection { wire, path, keep_alive, is_request_sent };
                     FirstResponse::Complete(Box::new(CompleteResponse { head, body, connection }))
                 }
-                Err(_) => FirstResponse::Interrupted("the body broke off"),
+                Err(error) => unreadable_body(error),
             };
         }
         FirstResponse::Invalid("too many late answers")
@@ -432,7 +447,7 @@
                         connection,
                     }));
                 }
-                Err(_) => return FirstResponse::Interrupted("the stream broke off"),
+                Err(error) => return unreadable_body(error),
             }
         }
     }
@@ -460,7 +475,7 @@
             let end = if has_backoff { AttemptEnd::PushedBack } else { AttemptEnd::NotRun };
             return AttemptResult::Ended(end);
         }
-        match head.status {
+        match head.status.code() {
             200..300 => AttemptResult::Success(head, body),
             // These statuses imply that the request was not run, but the replica did not confirm it.
             408 | 421 | 429 | 503 => AttemptResult::Ended(AttemptEnd::Broken),
@@ -470,3 +485,14 @@
         }
     }
 }
+
+/// A body that could not be read. Bytes that break the grammar are the replica's fault, not that of the
+/// path to it.
+fn unreadable_body(error: BodyError) -> FirstResponse {
+    match error {
+        BodyError::Malformed => FirstResponse::Invalid("malformed body"),
+        BodyError::Truncated | BodyError::TooLarge => {
+            FirstResponse::Interrupted("the body broke off")
+        }
+    }
+}
--- a/crates/topazmount/src/fleet/exchange/continuation.rs
+++ b/crates/topazmount/src/fleet/exchange/continuation.rs
@@ -1,14 +1,14 @@
 //! Which answers continue a stream that the client has a part of.
 
 use super::{AttemptEnd, ClientProgress, Exchange, ResponseOutcome};
-use crate::http1::ResponseHead;
+use crate::http1::{ResponseHead, Status};
 use topazmount_gateway::{Choice, RequestPlan};
 use topazmount_types::Time;
 
 /// Status and media type of a stream's first answer. An answer that differs does not continue it.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(super) struct StreamFormat {
-    status: u16,
+    status: Status,
     media_type: Option<String>,
 }
 
--- a/crates/topazmount/src/fleet/exchange/responses.rs
+++ b/crates/topazmount/src/fleet/exchange/responses.rs
@@ -17,7 +17,7 @@
         body: &[u8],
         plan: &RequestPlan,
     ) -> ResponseOutcome {
-        self.log_end(plan, head.status, "replica");
+        self.log_end(plan, head.status.code(), "replica");
         let delivery = BodyDelivery::Length(body.len());
         let mut bytes = forwarded_head(&head, delivery, self.keeps_alive);
         bytes.extend_from_slice(body);
--- a/crates/topazmount/src/fleet/orders.rs
+++ b/crates/topazmount/src/fleet/orders.rs
@@ -54,7 +54,7 @@
                     send(&order.address, self.dialect.order_call(&order, &self.leader)).await;
                 let pushback = self.pushback_report(&response, &order.instance, order.start);
                 let outcome = match &response {
-                    Ok(response) => self.dialect.order_outcome(response.head.status),
+                    Ok(response) => self.dialect.order_outcome(response.head.status.code()),
                     Err(_) => OrderOutcome::Unknown,
                 };
                 log::info!(
@@ -73,7 +73,7 @@
             FleetAction::Query { instance, start, address } => {
                 let response = send(&address, self.dialect.report_call()).await;
                 let pushback = self.pushback_report(&response, &instance, start);
-                let is_ok = |response: &ClientAnswer| response.head.status == 200;
+                let is_ok = |response: &ClientAnswer| response.head.status.code() == 200;
                 let body = response.ok().filter(is_ok).map(|response| response.body);
                 let report = body.as_ref().and_then(|body| self.dialect.parse_report(body));
                 if body.is_some() && report.is_none() {
--- a/crates/topazmount/src/fleet/store_reader.rs
+++ b/crates/topazmount/src/fleet/store_reader.rs
@@ -100,7 +100,7 @@
             client.address()
         );
     }
-    if response.head.status != 200 {
+    if response.head.status.code() != 200 {
         bail!("status {}", response.head.status);
     }
     let page = shared.dialect.parse_store_events(&response.body);
--- a/crates/topazmount/src/http1/client.rs
+++ b/crates/topazmount/src/http1/client.rs
@@ -73,7 +73,7 @@
     loop {
         if let Some((head, length)) = ResponseHead::parse(wire.buffered())? {
             wire.consume(length);
-            if !(100..200).contains(&head.status) {
+            if !head.status.is_interim() {
                 return Ok(head);
             }
             interim += 1;
--- a/crates/topazmount/src/http1/framing.rs
+++ b/crates/topazmount/src/http1/framing.rs
@@ -26,7 +26,7 @@
 /// # Errors
 /// [`HeadError::Framing`] when it could be read in two ways.
 pub fn response_framing(head: &ResponseHead, method: &str) -> Result<Framing, HeadError> {
-    let has_none = method == "HEAD" || matches!(head.status, 100..200 | 204 | 304);
+    let has_none = method == "HEAD" || matches!(head.status.code(), 100..200 | 204 | 304);
     let declared = declared(&head.headers, head.minor_version)?;
     Ok(if has_none { Framing::Length(0) } else { declared.unwrap_or(Framing::UntilClose) })
 }
--- a/crates/topazmount/src/http1/head.rs
+++ b/crates/topazmount/src/http1/head.rs
@@ -1,5 +1,6 @@
 //! Heads of requests and responses.
 
+use std::fmt;
 use std::time::Duration;
 use thiserror::Error;
 
@@ -113,11 +114,43 @@
     }
 }
 
+/// Status code of a response, from 100 to 599 (RFC 9110, 15).
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Status(u16);
+
+impl Status {
+    /// `None` if the code is out of range.
+    pub fn new(code: u16) -> Option<Self> {
+        (100..600).contains(&code).then_some(Status(code))
+    }
+
+    /// The code.
+    pub fn code(self) -> u16 {
+        self.0
+    }
+
+    /// Whether another response follows to the same request.
+    pub fn is_interim(self) -> bool {
+        self.0 < 200
+    }
+
+    /// Whether the request succeeded.
+    pub fn is_success(self) -> bool {
+        (200..300).contains(&self.0)
+    }
+}
+
+impl fmt::Display for Status {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        self.0.fmt(f)
+    }
+}
+
 /// A response's head.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct ResponseHead {
     /// Status.
-    pub status: u16,
+    pub status: Status,
     /// Reason phrase.
     pub reason: String,
     /// Minor version: 0 or 1.
@@ -144,7 +177,7 @@
     /// too.
     ///
     /// # Errors
-    /// [`HeadError::Malformed`].
+    /// [`HeadError::Malformed`], also for a status out of range.
     pub fn parse(bytes: &[u8]) -> Result<Option<(ResponseHead, usize)>, HeadError> {
         let mut fields = [httparse::EMPTY_HEADER; MAX_FIELDS];
         let mut response = httparse::Response::new(&mut fields);
@@ -153,8 +186,9 @@
             Ok(httparse::Status::Partial) => return Ok(None),
             Err(_) => return Err(HeadError::Malformed),
         };
+        let status = response.code.and_then(Status::new).ok_or(HeadError::Malformed)?;
         let head = ResponseHead {
-            status: response.code.unwrap_or_default(),
+            status,
             reason: response.reason.unwrap_or_default().to_owned(),
             minor_version: response.version.unwrap_or(1),
             headers: owned(response.headers),
--- a/crates/topazmount/src/http1/mod.rs
+++ b/crates/topazmount/src/http1/mod.rs
@@ -17,7 +17,7 @@
 pub use body::{BodyError, BodyReader};
 pub use client::{ClientAnswer, connect, is_refusal, read_answer_head};
 pub use framing::{Framing, request_framing, response_framing};
-pub use head::{HeadError, Headers, RequestHead, ResponseHead};
+pub use head::{HeadError, Headers, RequestHead, ResponseHead, Status};
 pub use response_encoder::{BodyDelivery, OutOfOrder, ResponseEncoder};
 pub use retry_after::retry_after;
 pub use segments::{LAST_SEGMENT, SegmentDecoder, segments};
--- a/crates/topazmount/src/http1/write.rs
+++ b/crates/topazmount/src/http1/write.rs
@@ -1,6 +1,6 @@
 //! Bytes of messages that this process sends.
 
-use super::head::Headers;
+use super::head::{Headers, Status};
 use std::io::Write;
 
 /// Bytes of a request with a body of known length.
@@ -17,7 +17,7 @@
 }
 
 /// Bytes of an answer's head; the fields must give the framing.
-pub fn answer_head(status: u16, reason: &str, headers: &Headers) -> Vec<u8> {
+pub fn answer_head(status: Status, reason: &str, headers: &Headers) -> Vec<u8> {
     let mut bytes = Vec::with_capacity(512);
     let _ = write!(bytes, "HTTP/1.1 {status} {reason}\r\n");
     push_fields(&mut bytes, headers);
--- a/crates/topazmount/tests/http1.rs
+++ b/crates/topazmount/tests/http1.rs
@@ -2,8 +2,9 @@
 
 use rstest::rstest;
 use topazmount::http1::{
-    Framing, HeadError, RequestHead, ResponseHead, Wire, request_framing, response_framing,
+    Framing, HeadError, RequestHead, ResponseHead, Status, Wire, request_framing, response_framing,
 };
+use topazmount_types::ErrorKind;
 
 fn request(fields: &str) -> Result<Framing, HeadError> {
     let text = format!("POST /a HTTP/1.1\r\nHost: h\r\n{fields}\r\n");
@@ -47,6 +48,33 @@
     assert_eq!(RequestHead::parse(text.as_bytes()).unwrap_err(), HeadError::Malformed);
 }
 
+#[rstest]
+#[case::status_000("HTTP/1.1 000 X\r\n\r\n")]
+#[case::status_001("HTTP/1.1 001 X\r\n\r\n")]
+#[case::status_099("HTTP/1.1 099 X\r\n\r\n")]
+#[case::status_600("HTTP/1.1 600 X\r\n\r\n")]
+#[case::status_999("HTTP/1.1 999 X\r\n\r\n")]
+#[case::status_of_two_digits("HTTP/1.1 20 X\r\n\r\n")]
+#[case::status_of_four_digits("HTTP/1.1 2000 X\r\n\r\n")]
+#[case::status_with_a_sign("HTTP/1.1 +20 X\r\n\r\n")]
+#[case::other_version("HTTP/2.0 200 X\r\n\r\n")]
+#[case::blank_before_the_colon("HTTP/1.1 200 X\r\nA : b\r\n\r\n")]
+#[case::blank_in_a_name("HTTP/1.1 200 X\r\nA B: b\r\n\r\n")]
+#[case::control_byte_in_a_name("HTTP/1.1 200 X\r\nA\x01: b\r\n\r\n")]
+#[case::nul_in_a_value("HTTP/1.1 200 X\r\nA: b\0\r\n\r\n")]
+#[case::folded_field("HTTP/1.1 200 X\r\nA: b\r\n c\r\n\r\n")]
+fn heads_of_responses_that_are_none(#[case] text: &str) {
+    assert_eq!(ResponseHead::parse(text.as_bytes()).unwrap_err(), HeadError::Malformed);
+}
+
+/// The statuses of a process's own answers are such that a reader accepts.
+#[test]
+fn every_error_kind_has_a_valid_status() {
+    for kind in ErrorKind::ALL {
+        assert!(Status::new(kind.status()).is_some(), "{kind:?}: {}", kind.status());
+    }
+}
+
 #[test]
 fn a_head_that_is_not_whole_waits_for_more() {
     let text = b"GET /a?x=1 HTTP/1.1\r\nHost: h:80\r\n\r\n";
