Chunk sizes without a digit, and extensions with control bytes, are malformed

Callers saw: 200 with the replica's seal and an empty body, as complete, on all kinds of routes, where the replica's chunked body had an empty line in the place of a chunk's size. A stream that broke so after an event was passed on as complete. By the same reader, a client's request with such a body ran with an empty body, also one that may not be repeated.

Cause: httparse::parse_chunk_size reads a line without digits as the size 0, which ends a body, and takes any byte in an extension.

Change: read_size requires a hexadecimal digit first (RFC 9112, 7.1: 1*HEXDIG), and rejects control bytes other than tabs in the line. An extension with a control byte breaks the grammar; the body was read right, but a line feed ends the line for readers that accept it alone, so that two readers disagree on the body. Such bytes come from a sender in trouble, so the whole answer is rejected. The reader is the only one, for answers and for requests.

--- a/crates/topazmount/src/http1/body.rs
+++ b/crates/topazmount/src/http1/body.rs
@@ -6,6 +6,8 @@
 
 /// Longest line of a chunk's size.
 const MAX_SIZE_LINE: usize = 256;
+/// End of the line of a chunk's size.
+const LINE_END: &[u8] = b"\r\n";
 /// Longest trailer section.
 const MAX_TRAILERS: usize = 8 * 1024;
 
@@ -162,8 +164,16 @@
 }
 
 fn read_size(wire: &mut Wire) -> Result<Option<u64>, BodyError> {
-    match httparse::parse_chunk_size(wire.buffered()) {
+    let buffered = wire.buffered();
+    // `httparse` reads a line without digits as 0.
+    if buffered.first().is_some_and(|byte| !byte.is_ascii_hexdigit()) {
+        return Err(BodyError::Malformed);
+    }
+    match httparse::parse_chunk_size(buffered) {
         Ok(httparse::Status::Complete((length, size))) => {
+            if has_control_byte(&buffered[..length - LINE_END.len()]) {
+                return Err(BodyError::Malformed);
+            }
             wire.consume(length);
             Ok(Some(size))
         }
@@ -172,6 +182,12 @@
     }
 }
 
+/// Whether a line holds a control byte other than a tab. `httparse` allows them in chunk extensions, where a line
+/// feed would end the line for other readers.
+fn has_control_byte(line: &[u8]) -> bool {
+    line.iter().any(|byte| byte.is_ascii_control() && *byte != b'\t')
+}
+
 /// Drops trailer fields; returns whether their end was reached.
 fn skip_trailers(wire: &mut Wire) -> Result<bool, BodyError> {
     loop {
--- a/crates/topazmount/tests/http1.rs
+++ b/crates/topazmount/tests/http1.rs
@@ -1,8 +1,10 @@
 //! Messages that could be read in two ways are refused; all others are read alike by everybody.
 
 use rstest::rstest;
+use std::io::Write;
 use topazmount::http1::{
-    Framing, HeadError, RequestHead, ResponseHead, Status, Wire, request_framing, response_framing,
+    BodyError, BodyReader, Framing, HeadError, RequestHead, ResponseHead, Status, Wire,
+    request_framing, response_framing,
 };
 use topazmount_types::ErrorKind;
 
@@ -103,6 +105,59 @@
     assert_eq!(response_framing(&head, method), Ok(expected));
 }
 
+/// Reads a chunked body that arrives in pieces of this many bytes, after which the connection ends.
+fn read_chunks(bytes: &[u8], piece: usize) -> Result<String, BodyError> {
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    let mut sender = std::net::TcpStream::connect(listener.local_addr().unwrap()).unwrap();
+    let (receiver, _) = listener.accept().unwrap();
+    let mut wire = Wire::new(receiver.try_into().unwrap());
+    let bytes = bytes.to_vec();
+    let sending = std::thread::spawn(move || {
+        for piece in bytes.chunks(piece) {
+            // The reader may have closed the connection.
+            let _ = sender.write_all(piece);
+        }
+    });
+    let mut reader = BodyReader::new(Framing::Chunked);
+    let body = async_io::block_on(reader.read_all(&mut wire, 1_000));
+    drop(wire);
+    sending.join().unwrap();
+    body.map(|body| String::from_utf8(body).unwrap())
+}
+
+#[rstest]
+#[case::plain(b"4\r\nwell\r\n0\r\n\r\n")]
+#[case::two_chunks(b"2\r\nwe\r\n2\r\nll\r\n0\r\n\r\n")]
+#[case::leading_zeros(b"0004\r\nwell\r\n000\r\n\r\n")]
+#[case::blanks_after_the_size(b"4 \t\r\nwell\r\n0\r\n\r\n")]
+#[case::extension(b"4;a=\"b c\";d\r\nwell\r\n0;e\r\n\r\n")]
+#[case::tab_in_an_extension(b"4;\ta=b\r\nwell\r\n0\r\n\r\n")]
+#[case::high_byte_in_an_extension(b"4;a=\"\xe9\"\r\nwell\r\n0\r\n\r\n")]
+#[case::trailer(b"4\r\nwell\r\n0\r\nX: a\r\n\r\n")]
+fn chunked_bodies(#[case] bytes: &[u8], #[values(1, 1_000)] piece: usize) {
+    assert_eq!(read_chunks(bytes, piece).as_deref(), Ok("well"));
+}
+
+#[rstest]
+#[case::empty_size(b"\r\n\r\n")]
+#[case::empty_size_before_chunks(b"\r\n4\r\nwell\r\n0\r\n\r\n")]
+#[case::empty_size_after_a_chunk(b"4\r\nwell\r\n\r\n\r\n")]
+#[case::blank_as_size(b" \r\n\r\n")]
+#[case::blank_before_the_size(b" 4\r\nwell\r\n0\r\n\r\n")]
+#[case::extension_without_size(b";a=b\r\n\r\n")]
+#[case::control_byte_in_an_extension(b"4;a=\x01\r\nwell\r\n0\r\n\r\n")]
+#[case::delete_in_an_extension(b"4;a=\x7f\r\nwell\r\n0\r\n\r\n")]
+#[case::line_feed_in_an_extension(b"4;a=\nb\r\nwell\r\n0\r\n\r\n")]
+#[case::control_byte_in_the_last_extension(b"4\r\nwell\r\n0;\0\r\n\r\n")]
+#[case::bare_line_feed_after_the_size(b"4\nwell\r\n0\r\n\r\n")]
+#[case::sign(b"+4\r\nwell\r\n0\r\n\r\n")]
+#[case::prefix(b"0x4\r\nwell\r\n0\r\n\r\n")]
+#[case::too_large(b"11111111111111111\r\nwell\r\n0\r\n\r\n")]
+#[case::no_line_end_after_a_chunk(b"4\r\nwell0\r\n\r\n")]
+fn chunked_bodies_that_break_the_grammar(#[case] bytes: &[u8], #[values(1, 1_000)] piece: usize) {
+    assert_eq!(read_chunks(bytes, piece), Err(BodyError::Malformed));
+}
+
 /// 3,000 replicas keep a connection to one control member: what a read that waits holds counts 3,000 times, and several
 /// times over where futures hold futures.
 #[test]
