Heads of answers whose lines end with bare line feeds are malformed, as those of requests are

Callers saw: an answer whose head has bare line feeds was forwarded on all kinds of routes, and a line feed within a value became a further field of the answer that the client got ("X: a", "Broken: b").

Cause: ResponseHead::parse did without the check of line ends that RequestHead::parse makes; httparse takes a bare line feed for the end of a line.

Change: both heads are checked by check_lines. RFC 9112, 2.2 lets a recipient take a bare line feed for a line's end and asks nobody to. Which of the two a line feed is, the end of a line or a byte of a value, can't be told, and taking it for the first makes up fields that the replica did not send, such as a length or a seal.

Evidence, before the change: bare_line_feeds and line_feed_in_a_value of broken_answers.rs failed (200 with the broken answer), and four cases of http1.rs. All hold now.

--- a/crates/topazmount/src/http1/head.rs
+++ b/crates/topazmount/src/http1/head.rs
@@ -177,7 +177,7 @@
     /// too.
     ///
     /// # Errors
-    /// [`HeadError::Malformed`], also for a status out of range.
+    /// [`HeadError::Malformed`], also for a status out of range, bare line feeds and folded fields.
     pub fn parse(bytes: &[u8]) -> Result<Option<(ResponseHead, usize)>, HeadError> {
         let mut fields = [httparse::EMPTY_HEADER; MAX_FIELDS];
         let mut response = httparse::Response::new(&mut fields);
@@ -186,6 +186,7 @@
             Ok(httparse::Status::Partial) => return Ok(None),
             Err(_) => return Err(HeadError::Malformed),
         };
+        check_lines(&bytes[..length])?;
         let status = response.code.and_then(Status::new).ok_or(HeadError::Malformed)?;
         let head = ResponseHead {
             status,
@@ -201,7 +202,8 @@
     Headers(fields.iter().map(|field| (field.name.to_owned(), field.value.to_vec())).collect())
 }
 
-/// Every line of a head ends with carriage return and line feed, and none begins with a blank.
+/// Every line of a head ends with carriage return and line feed, and none begins with a blank. A bare line feed
+/// may be the end of a line (RFC 9112, 2.2) or a byte of a value, which would make the rest of it a field.
 fn check_lines(head: &[u8]) -> Result<(), HeadError> {
     for (position, byte) in head.iter().enumerate() {
         if *byte != b'\n' {
--- a/crates/topazmount/tests/http1.rs
+++ b/crates/topazmount/tests/http1.rs
@@ -65,6 +65,10 @@
 #[case::control_byte_in_a_name("HTTP/1.1 200 X\r\nA\x01: b\r\n\r\n")]
 #[case::nul_in_a_value("HTTP/1.1 200 X\r\nA: b\0\r\n\r\n")]
 #[case::folded_field("HTTP/1.1 200 X\r\nA: b\r\n c\r\n\r\n")]
+#[case::bare_line_feeds("HTTP/1.1 200 X\nA: b\n\n")]
+#[case::bare_line_feed_after_the_status("HTTP/1.1 200 X\nA: b\r\n\r\n")]
+#[case::line_feed_in_a_value("HTTP/1.1 200 X\r\nA: b\nContent-Length: 0\r\n\r\n")]
+#[case::bare_line_feed_at_the_end("HTTP/1.1 200 X\r\nA: b\r\n\n")]
 fn heads_of_responses_that_are_none(#[case] text: &str) {
     assert_eq!(ResponseHead::parse(text.as_bytes()).unwrap_err(), HeadError::Malformed);
 }
