An answer that switches to another protocol is rejected

Callers saw: a status 101, which no request asks for, was skipped like any interim answer, and what followed was forwarded as an HTTP answer.

Cause: read_answer_head skipped all of 1xx. After a 101 the connection speaks another protocol (RFC 9110, 15.2.2), so that the bytes behind it are no HTTP response.

Change: read_answer_head, the one reader of replicas' heads, fails on it; the attempt ends as broken.

--- a/crates/topazmount/src/fleet/exchange/attempt.rs
+++ b/crates/topazmount/src/fleet/exchange/attempt.rs
@@ -355,7 +355,7 @@
             let head = match read_answer_head(&mut wire).await {
                 Ok(head) => head,
                 Err(error) if error.is::<HeadError>() => {
-                    return FirstResponse::Invalid("malformed head");
+                    return FirstResponse::Invalid("invalid head");
                 }
                 Err(_) if earlier == 0 && wire.buffered().is_empty() => {
                     return FirstResponse::NoData;
--- a/crates/topazmount/src/fleet/request_reader.rs
+++ b/crates/topazmount/src/fleet/request_reader.rs
@@ -49,7 +49,7 @@
                 return Err(ReadError::Rejected(ErrorKind::HeaderTooLarge));
             }
             Ok(None) => {}
-            Err(HeadError::Malformed | HeadError::Framing) => {
+            Err(HeadError::Malformed | HeadError::Framing | HeadError::SwitchesProtocol) => {
                 return Err(ReadError::Rejected(ErrorKind::InvalidRequest));
             }
         }
--- a/crates/topazmount/src/http1/client.rs
+++ b/crates/topazmount/src/http1/client.rs
@@ -1,6 +1,6 @@
 //! The calling side.
 
-use super::head::ResponseHead;
+use super::head::{HeadError, ResponseHead};
 use super::wire::Wire;
 use crate::frames::within;
 use async_io::Async;
@@ -73,6 +73,9 @@
     loop {
         if let Some((head, length)) = ResponseHead::parse(wire.buffered())? {
             wire.consume(length);
+            if head.status.switches_protocol() {
+                return Err(HeadError::SwitchesProtocol.into());
+            }
             if !head.status.is_interim() {
                 return Ok(head);
             }
--- a/crates/topazmount/src/http1/head.rs
+++ b/crates/topazmount/src/http1/head.rs
@@ -16,6 +16,9 @@
     /// The body's length is given twice, absurdly, or in a way that is not known.
     #[error("the length of the body is ambiguous")]
     Framing,
+    /// The sender goes on in another protocol, which was not asked for (RFC 9110, 7.8).
+    #[error("the head switches to another protocol")]
+    SwitchesProtocol,
 }
 
 /// Header fields in their order; names keep their case.
@@ -129,6 +132,11 @@
         self.0
     }
 
+    /// Whether the connection goes on in another protocol.
+    pub fn switches_protocol(self) -> bool {
+        self.0 == 101
+    }
+
     /// Whether another response follows to the same request.
     pub fn is_interim(self) -> bool {
         self.0 < 200
