Trailers of a chunked body are bounded as a whole

Callers saw nothing broken, but a request whose replica sends trailers without end was held to its deadline.

Cause: the bound of 8 KiB held for what was buffered, and each trailer left the buffer as it was dropped.

Change: the bytes of all trailers of a body count.

Evidence: trailers_are_bounded_as_a_whole failed before (the body counted as complete after 12,000 bytes) and holds now.

--- a/crates/topazmount/src/http1/body.rs
+++ b/crates/topazmount/src/http1/body.rs
@@ -6,7 +6,7 @@
 
 /// Longest line of a chunk's size.
 const MAX_SIZE_LINE: usize = 256;
-/// End of the line of a chunk's size.
+/// End of the line of a chunk's size, or of a trailer.
 const LINE_END: &[u8] = b"\r\n";
 /// Longest trailer section.
 const MAX_TRAILERS: usize = 8 * 1024;
@@ -33,8 +33,8 @@
     Size,
     /// So many bytes of a chunk are left, then a line end.
     Chunk(u64),
-    /// Trailers come next.
-    Trailers,
+    /// Trailers come next, after so many bytes of them.
+    Trailers(usize),
     /// Everything until the end of the connection.
     UntilClose,
     Done,
@@ -144,16 +144,15 @@
                     return Ok((!bytes.is_empty()).then_some(bytes));
                 }
                 State::Size => match read_size(wire)? {
-                    Some(0) => self.state = State::Trailers,
+                    Some(0) => self.state = State::Trailers(0),
                     Some(size) => self.state = State::Chunk(size),
                     None => return Ok(None),
                 },
-                State::Trailers => {
-                    if !skip_trailers(wire)? {
-                        return Ok(None);
-                    }
-                    self.state = State::Done;
-                }
+                State::Trailers(skipped) => match skip_trailer(wire, skipped)? {
+                    Some(0) => self.state = State::Done,
+                    Some(length) => self.state = State::Trailers(skipped + length),
+                    None => return Ok(None),
+                },
             }
         }
     }
@@ -188,20 +187,15 @@
     line.iter().any(|byte| byte.is_ascii_control() && *byte != b'\t')
 }
 
-/// Drops trailer fields; returns whether their end was reached.
-fn skip_trailers(wire: &mut Wire) -> Result<bool, BodyError> {
-    loop {
-        let buffered = wire.buffered();
-        let Some(end) = buffered.windows(2).position(|pair| pair == b"\r\n") else {
-            return if buffered.len() > MAX_TRAILERS {
-                Err(BodyError::Malformed)
-            } else {
-                Ok(false)
-            };
-        };
-        wire.consume(end + 2);
-        if end == 0 {
-            return Ok(true);
-        }
+/// Drops a trailer field after others of so many bytes. Returns its length; 0 at the end of the section, `None` if
+/// it has not arrived whole.
+fn skip_trailer(wire: &mut Wire, skipped: usize) -> Result<Option<usize>, BodyError> {
+    let buffered = wire.buffered();
+    let end = buffered.windows(LINE_END.len()).position(|window| window == LINE_END);
+    if skipped + end.unwrap_or(buffered.len()) > MAX_TRAILERS {
+        return Err(BodyError::Malformed);
     }
+    let Some(end) = end else { return Ok(None) };
+    wire.consume(end + LINE_END.len());
+    Ok(Some(if end == 0 { 0 } else { end + LINE_END.len() }))
 }
--- a/crates/topazmount/tests/http1.rs
+++ b/crates/topazmount/tests/http1.rs
@@ -162,6 +162,13 @@
     assert_eq!(read_chunks(bytes, piece), Err(BodyError::Malformed));
 }
 
+#[test]
+fn trailers_are_bounded_as_a_whole() {
+    let trailers = "X: a\r\n".repeat(2_000);
+    let bytes = format!("4\r\nwell\r\n0\r\n{trailers}\r\n");
+    assert_eq!(read_chunks(bytes.as_bytes(), 1_000), Err(BodyError::Malformed));
+}
+
 /// 3,000 replicas keep a connection to one control member: what a read that waits holds counts 3,000 times, and several
 /// times over where futures hold futures.
 #[test]
