Nodes and the command line read answers through http1, like gateways

Callers saw, at the older front: an application's answer that broke off within its body arrived as complete (200, "broken" of 9 bytes), so did one with two lengths (cut to the last of them), one of an unknown coding or without a length (200 and an empty body), status 100 and 101 as the result of the call, and heads with bare line feeds. The result went into the ledger and was given to every resend. The same for engines, the platform's list of machines and the metrics that `topazmount policy report` reads; the last two had no time limit either.

Change: engine_client, the list of machines and the command line use http1, the reader of the gateways: Status, line ends, lengths, chunks and bounds are judged in one place. exchange() is shared with HttpClient, get() is new: a bound and a time limit for both documents. A call's answer without a length counts as lost (its end can't be told from that of the application), as does a status that the library of the callers' side can't write (299), which was so before. Answers that are lost are logged (event=answer_lost).

Not changed: the lab's load generator (lab/src/client.rs), which reads our own nodes' answers, still uses async-h1.

--- a/crates/topazmount/src/engine_client.rs
+++ b/crates/topazmount/src/engine_client.rs
@@ -5,11 +5,14 @@
 //! `engine-load`; a body field `position` in chunks numbers tokens.
 
 use crate::http_pool::{HttpPool, connect};
-use crate::http1::retry_after;
+use crate::http1::{
+    BodyReader, Framing, Headers, ResponseHead, Wire, exchange, read_answer_head, request_bytes,
+    response_framing, retry_after,
+};
 use crate::sse::{EngineChunk, Line, parse_line};
 use async_net::TcpStream;
-use futures_lite::AsyncBufReadExt;
-use http_types::{Body, Method, Request, Response, Url};
+use eyre::{Result, bail, eyre};
+use http_types::{StatusCode, Url};
 use std::net::SocketAddr;
 use std::time::{Duration, SystemTime};
 use topazmount_control::ActionResult;
@@ -25,6 +28,7 @@
 pub const LOAD_HEADER: &str = "engine-load";
 /// Header by which a back end says that it is leaving, with the value `leaving`.
 pub const STATE_HEADER: &str = "engine-state";
+const JSON: &str = "application/json";
 /// Longest line of an event stream, in bytes.
 const MAX_LINE: usize = 1 << 20;
 /// Largest answer of an application, in bytes.
@@ -44,25 +48,32 @@
     })
 }
 
-fn load_of(response: &Response) -> Option<LoadReport> {
-    response.header(LOAD_HEADER).and_then(|value| decode_load(value.as_str()))
+fn load_of(head: &ResponseHead) -> Option<LoadReport> {
+    head.headers.get(LOAD_HEADER).and_then(decode_load)
 }
 
-fn incarnation_of(response: &Response) -> Incarnation {
-    let text = response.header(INCARNATION_HEADER).map(|value| value.as_str().to_owned());
+fn incarnation_of(head: &ResponseHead) -> Incarnation {
+    let text = head.headers.get(INCARNATION_HEADER);
     // An engine that names no incarnation is taken as never restarted: its own count of cached
     // tokens still settles what was found.
     Incarnation(text.map_or(0, |text| Digest::of(text.as_bytes()).prefix()))
 }
 
-fn post(address: SocketAddr, path: &str, via: &str, body: impl Into<Body>) -> Option<Request> {
+/// Bytes of a request with a JSON body; `None` if the path makes no URL.
+fn post(
+    address: SocketAddr,
+    path: &str,
+    via: &str,
+    fields: &[(&str, &str)],
+    body: &str,
+) -> Option<Vec<u8>> {
     let url = Url::parse(&format!("http://{address}{path}")).ok()?;
-    let mut request = Request::new(Method::Post, url);
-    request.set_body(body);
-    request.set_content_type(http_types::mime::JSON);
-    // RFC 9110, 7.6.3: names the intermediary.
-    request.insert_header("via", format!("1.1 {via}"));
-    Some(request)
+    let (host, via) = (address.to_string(), format!("1.1 {via}"));
+    // RFC 9110, 7.6.3: `Via` names the intermediary.
+    let own = [("host", host.as_str()), ("content-type", JSON), ("via", via.as_str())];
+    let headers = own.iter().chain(fields);
+    let headers = headers.map(|(name, value)| ((*name).to_owned(), value.as_bytes().to_vec()));
+    Some(request_bytes("POST", url.path(), &Headers(headers.collect()), body.as_bytes()))
 }
 
 /// Makes one attempt and feeds what comes of it to `feed`.
@@ -74,34 +85,48 @@
     feed: impl Fn(NodeInput),
 ) {
     let attempt = dispatch.attempt;
+    let failed = |failure| feed(NodeInput::Failed(attempt, failure));
     let Ok(stream) = pool.take(address).await else {
-        feed(NodeInput::Failed(attempt, AttemptFailure::NotConnected));
-        return;
+        return failed(AttemptFailure::NotConnected);
     };
-    let Some(request) = post(address, dispatch.chat.endpoint.path(), via, request_body(&dispatch))
-    else {
-        feed(NodeInput::Failed(attempt, AttemptFailure::NotConnected));
-        return;
+    let path = dispatch.chat.endpoint.path();
+    let Some(request) = post(address, path, via, &[], &request_body(&dispatch)) else {
+        return failed(AttemptFailure::NotConnected);
     };
-    let Ok(response) = async_h1::connect(stream.clone(), request).await else {
-        feed(NodeInput::Failed(attempt, AttemptFailure::Lost));
-        return;
+    let mut wire = Wire::new(stream);
+    let (head, framing) = match send(&mut wire, &request).await {
+        Ok(begun) => begun,
+        Err(error) => {
+            log_lost(address, &error);
+            return failed(AttemptFailure::Lost);
+        }
     };
-    if let Some(failure) = failure_of(&response) {
-        feed(NodeInput::Failed(attempt, failure));
-        return;
+    if let Some(failure) = failure_of(&head) {
+        return failed(failure);
     }
-    feed(NodeInput::Accepted {
-        attempt,
-        incarnation: incarnation_of(&response),
-        load: load_of(&response),
-    });
-    match relay(attempt, response, &feed).await {
-        Some(()) => pool.put(address, stream),
-        None => feed(NodeInput::Failed(attempt, AttemptFailure::Lost)),
+    feed(NodeInput::Accepted { attempt, incarnation: incarnation_of(&head), load: load_of(&head) });
+    match relay(attempt, &mut wire, &head, framing, &feed).await {
+        Ok(true) => pool.put(address, wire.writer()),
+        Ok(false) => {}
+        Err(error) => {
+            log_lost(address, &error);
+            failed(AttemptFailure::Lost);
+        }
     }
 }
 
+/// Sends a request and reads the head of the answer.
+async fn send(wire: &mut Wire, request: &[u8]) -> Result<(ResponseHead, Framing)> {
+    wire.write_all(request).await?;
+    let head = read_answer_head(wire).await?;
+    let framing = response_framing(&head, "POST")?;
+    Ok((head, framing))
+}
+
+fn log_lost(address: SocketAddr, error: &eyre::Report) {
+    log::info!("node: event=answer_lost address={address} problem=\"{error:#}\"");
+}
+
 /// The caller's body with the place to resume at, when there is one.
 fn request_body(dispatch: &Dispatch) -> String {
     let body = dispatch.chat.body.as_ref();
@@ -114,12 +139,12 @@
     format!("{open},\"resume\":{{\"position\":{position},\"text\":{text}}}}}")
 }
 
-fn failure_of(response: &Response) -> Option<AttemptFailure> {
-    let is_leaving = response.header(STATE_HEADER).is_some_and(|value| value == "leaving");
-    let cause = match u16::from(response.status()) {
+fn failure_of(head: &ResponseHead) -> Option<AttemptFailure> {
+    let is_leaving = head.headers.get(STATE_HEADER) == Some("leaving");
+    let cause = match head.status.code() {
         200 => return None,
         503 if is_leaving => RefusalCause::Leaving,
-        429 | 503 => rest_of(response).map_or(RefusalCause::Busy, RefusalCause::Resting),
+        429 | 503 => rest_of(head).map_or(RefusalCause::Busy, RefusalCause::Resting),
         409 => RefusalCause::OtherWeights,
         400..=499 => RefusalCause::Invalid,
         _ => return Some(AttemptFailure::Lost),
@@ -128,48 +153,45 @@
 }
 
 /// The longest time for which the engine wants nothing, where it names one that can be read.
-fn rest_of(response: &Response) -> Option<Duration> {
+fn rest_of(head: &ResponseHead) -> Option<Duration> {
     let now = SystemTime::now();
-    let values = response.header("retry-after")?.iter();
-    values.filter_map(|value| retry_after(value.as_str().as_bytes(), now)).max()
+    head.headers.all("retry-after").filter_map(|value| retry_after(value, now)).max()
 }
 
-/// Feeds an answer's chunks; `None` when it broke off.
+/// Feeds an answer's chunks. Returns whether the connection can be used again.
+///
+/// # Errors
+/// When the answer broke off or can't be understood.
 async fn relay(
     attempt: AttemptId,
-    mut response: Response,
+    wire: &mut Wire,
+    head: &ResponseHead,
+    framing: Framing,
     feed: &impl Fn(NodeInput),
-) -> Option<()> {
-    let load = load_of(&response);
+) -> Result<bool> {
     let mut answer = Answer { attempt, position: 0, reason: None, usage: Usage::default() };
-    let mut partial: Vec<u8> = Vec::new();
+    let mut reader = BodyReader::new(framing);
+    let mut unread: Vec<u8> = Vec::new();
     loop {
-        let bytes = response.fill_buf().await.ok()?;
-        if bytes.is_empty() {
-            return None;
-        }
-        let length = bytes.len();
+        let bytes = reader.next(wire).await?;
+        let bytes = bytes.ok_or_else(|| eyre!("the answer ended without its end mark"))?;
         let whole = bytes.iter().rposition(|byte| *byte == b'\n').map_or(0, |end| end + 1);
-        partial.extend_from_slice(&bytes[..whole]);
-        let rest = bytes[whole..].to_vec();
-        response.consume(length);
+        unread.extend_from_slice(&bytes[..whole]);
+        if whole > 0 && answer.take_lines(&unread, feed)? {
+            let reason = answer.reason.ok_or_else(|| eyre!("no reason for the end"))?;
+            // Reads the end of the body first: the connection is clean then.
+            let is_whole = reader.next(wire).await?.is_none();
+            let (usage, load) = (answer.usage, load_of(head));
+            feed(NodeInput::Finished { attempt, reason, usage, load });
+            let is_clean = wire.buffered().is_empty() && !wire.has_ended() && !head.closes();
+            return Ok(is_whole && is_clean);
+        }
         if whole > 0 {
-            let text = std::str::from_utf8(&partial).ok()?;
-            for line in text.lines() {
-                if answer.take_line(line, feed)? {
-                    let reason = answer.reason?;
-                    let usage = answer.usage;
-                    // Reads the end of the body first: the connection is clean then.
-                    let rest = response.fill_buf().await.ok()?.len();
-                    feed(NodeInput::Finished { attempt, reason, usage, load });
-                    return (rest == 0).then_some(());
-                }
-            }
-            partial.clear();
+            unread.clear();
         }
-        partial.extend_from_slice(&rest);
-        if partial.len() > MAX_LINE {
-            return None;
+        unread.extend_from_slice(&bytes[whole..]);
+        if unread.len() > MAX_LINE {
+            bail!("a line of the stream has more than {MAX_LINE} bytes");
         }
     }
 }
@@ -183,18 +205,28 @@
 }
 
 impl Answer {
-    /// Takes a line; `Some(true)` after the end mark, `None` when it can't be understood.
-    fn take_line(&mut self, line: &str, feed: &impl Fn(NodeInput)) -> Option<bool> {
+    /// Takes whole lines; returns whether the end mark was among them.
+    fn take_lines(&mut self, lines: &[u8], feed: &impl Fn(NodeInput)) -> Result<bool> {
+        for line in std::str::from_utf8(lines)?.lines() {
+            if self.take_line(line, feed)? {
+                return Ok(true);
+            }
+        }
+        Ok(false)
+    }
+
+    /// Takes a line; returns whether it is the end mark.
+    fn take_line(&mut self, line: &str, feed: &impl Fn(NodeInput)) -> Result<bool> {
         match parse_line(line) {
-            Line::Done => return Some(true),
+            Line::Done => return Ok(true),
             Line::Comment => feed(NodeInput::Waiting(self.attempt)),
             Line::Other => {}
             Line::Data(data) => {
-                let chunk = serde_json::from_str(data).ok()?;
+                let chunk = serde_json::from_str(data)?;
                 self.take_chunk(&chunk, feed);
             }
         }
-        Some(false)
+        Ok(false)
     }
 
     fn take_chunk(&mut self, chunk: &EngineChunk<'_>, feed: &impl Fn(NodeInput)) {
@@ -246,31 +278,35 @@
         return failed(ActionFailure::NotConnected);
     };
     let path = format!("/{}/{}", call.service, call.operation);
-    let Some(mut request) = post(address, &path, via, call.body.as_ref()) else {
+    let fields = [("idempotency-key", call.key_text.as_ref()), ("connection", "close")];
+    let Some(request) = post(address, &path, via, &fields, call.body.as_ref()) else {
         return failed(ActionFailure::NotConnected);
     };
-    request.insert_header("idempotency-key", call.key_text.as_ref());
-    request.insert_header("connection", "close");
-    match send_call(stream, request).await {
-        Some(Ok(result)) => feed(NodeInput::ActionAnswered(attempt, result)),
-        Some(Err(failure)) => failed(failure),
-        None => failed(ActionFailure::Lost),
+    match send_call(stream, &request).await {
+        Ok(Some(result)) => feed(NodeInput::ActionAnswered(attempt, result)),
+        Ok(None) => failed(ActionFailure::NotAccepted),
+        Err(error) => {
+            log_lost(address, &error);
+            failed(ActionFailure::Lost);
+        }
     }
 }
 
-async fn send_call(
-    stream: TcpStream,
-    request: Request,
-) -> Option<Result<ActionResult, ActionFailure>> {
-    let mut response = async_h1::connect(stream, request).await.ok()?;
-    let status = u16::from(response.status());
-    let is_refused = status == 503 && response.header(STATE_HEADER).is_some();
-    if is_refused {
-        return Some(Err(ActionFailure::NotAccepted));
+/// Sends a call and reads its result; `None` if the application did not accept it.
+async fn send_call(stream: TcpStream, request: &[u8]) -> Result<Option<ActionResult>> {
+    let answer = exchange(&mut Wire::new(stream), "POST", request, MAX_ACTION_ANSWER).await?;
+    let status = answer.head.status.code();
+    if status == 503 && answer.head.headers.get(STATE_HEADER).is_some() {
+        return Ok(None);
+    }
+    if !answer.is_delimited() {
+        bail!(
+            "the answer has no length, so that its end can't be told from that of the application"
+        );
     }
-    if response.len().is_some_and(|length| length > MAX_ACTION_ANSWER) {
-        return None;
+    // The library of the callers' side has no other ones.
+    if StatusCode::try_from(status).is_err() {
+        bail!("callers can't be given status {status}");
     }
-    let body = response.body_string().await.ok()?;
-    Some(Ok(ActionResult { status, body }))
+    Ok(Some(ActionResult { status, body: String::from_utf8(answer.body)? }))
 }
--- a/crates/topazmount/src/fleet/http_client.rs
+++ b/crates/topazmount/src/fleet/http_client.rs
@@ -3,10 +3,7 @@
 use super::dialect::HttpRequest;
 use super::pool::KeepAliveHint;
 use crate::frames::within;
-use crate::http1::{
-    BodyReader, ClientAnswer, Headers, Wire, connect, read_answer_head, request_bytes,
-    response_framing,
-};
+use crate::http1::{ClientAnswer, Headers, Wire, connect, exchange, request_bytes};
 use eyre::{Result, WrapErr};
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -66,13 +63,11 @@
         bytes: &[u8],
         max_bytes: usize,
     ) -> Result<ClientAnswer> {
-        wire.write_all(bytes).await?;
-        let head = read_answer_head(&mut wire).await?;
-        let framing = response_framing(&head, method)?;
-        let body = BodyReader::new(framing).read_all(&mut wire, max_bytes).await?;
-        if KeepAliveHint::from_head(&head, framing).response_end(&wire, true).is_clean() {
+        let answer = exchange(&mut wire, method, bytes, max_bytes).await?;
+        let keep_alive = KeepAliveHint::from_head(&answer.head, answer.framing);
+        if keep_alive.response_end(&wire, true).is_clean() {
             self.idle_connection = Some(wire);
         }
-        Ok(ClientAnswer { head, body })
+        Ok(answer)
     }
 }
--- a/crates/topazmount/src/http1/client.rs
+++ b/crates/topazmount/src/http1/client.rs
@@ -1,7 +1,10 @@
 //! The calling side.
 
-use super::head::{HeadError, ResponseHead};
+use super::body::BodyReader;
+use super::framing::{Framing, response_framing};
+use super::head::{HeadError, Headers, ResponseHead};
 use super::wire::Wire;
+use super::write::request_bytes;
 use crate::frames::within;
 use async_io::Async;
 use async_net::TcpStream;
@@ -22,10 +25,20 @@
 pub struct ClientAnswer {
     /// Head.
     pub head: ResponseHead,
+    /// Framing of the body.
+    pub framing: Framing,
     /// Body.
     pub body: Vec<u8>,
 }
 
+impl ClientAnswer {
+    /// Whether the answer itself says where its body ends. One that ends with its connection may have been cut
+    /// off by the end of its sender.
+    pub fn is_delimited(&self) -> bool {
+        self.framing != Framing::UntilClose
+    }
+}
+
 /// Opens a connection from a local address; `None` lets the system choose it.
 ///
 /// # Errors
@@ -93,3 +106,43 @@
         }
     }
 }
+
+/// Sends a request and reads the whole answer, with a body of at most `max_bytes`.
+///
+/// # Errors
+/// When the connection ends first, or what comes is no answer or too large.
+pub async fn exchange(
+    wire: &mut Wire,
+    method: &str,
+    request: &[u8],
+    max_bytes: usize,
+) -> Result<ClientAnswer> {
+    wire.write_all(request).await?;
+    let head = read_answer_head(wire).await?;
+    let framing = response_framing(&head, method)?;
+    let body = BodyReader::new(framing).read_all(wire, max_bytes).await?;
+    Ok(ClientAnswer { head, framing, body })
+}
+
+/// Gets a document of at most `max_bytes` on a connection of its own.
+///
+/// # Errors
+/// When it does not arrive whole, with status 200, within `limit`.
+pub async fn get(
+    address: SocketAddr,
+    target: &str,
+    max_bytes: usize,
+    limit: Duration,
+) -> Result<Vec<u8>> {
+    within(limit, async {
+        let mut wire = connect(address, None, limit).await?;
+        let headers = Headers(vec![("Host".to_owned(), address.to_string().into_bytes())]);
+        let request = request_bytes("GET", target, &headers, b"");
+        let answer = exchange(&mut wire, "GET", &request, max_bytes).await?;
+        if answer.head.status.code() != 200 || !answer.is_delimited() {
+            return Err(eyre!("status {}, {:?}", answer.head.status, answer.framing));
+        }
+        Ok(answer.body)
+    })
+    .await
+}
--- a/crates/topazmount/src/http1/mod.rs
+++ b/crates/topazmount/src/http1/mod.rs
@@ -15,7 +15,7 @@
 mod write;
 
 pub use body::{BodyError, BodyReader};
-pub use client::{ClientAnswer, connect, is_refusal, read_answer_head};
+pub use client::{ClientAnswer, connect, exchange, get, is_refusal, read_answer_head};
 pub use framing::{Framing, request_framing, response_framing};
 pub use head::{HeadError, Headers, RequestHead, ResponseHead, Status};
 pub use response_encoder::{BodyDelivery, OutOfOrder, ResponseEncoder};
--- a/crates/topazmount/src/node_process.rs
+++ b/crates/topazmount/src/node_process.rs
@@ -6,7 +6,8 @@
 use crate::configuration_file;
 use crate::control_client::ControlClient;
 use crate::engine_client;
-use crate::http_pool::{HttpPool, connect};
+use crate::http_pool::HttpPool;
+use crate::http1::get;
 use async_channel::{Receiver, Sender};
 use async_executor::Task;
 use async_net::TcpListener;
@@ -35,6 +36,8 @@
 pub const LINGER: Duration = Duration::from_millis(300);
 /// Most bytes of the platform's list.
 const MAX_MACHINE_LIST: usize = 4 << 20;
+/// Time for the platform's list to arrive.
+const MACHINE_LIST_TIMEOUT: Duration = Duration::from_secs(2);
 
 /// What a caller's request gets from the core.
 #[derive(Clone, Debug)]
@@ -380,16 +383,8 @@
 }
 
 async fn fetch_machines(address: SocketAddr) -> Result<Vec<MachineEntry>> {
-    let stream = connect(address).await?;
-    let url = http_types::Url::parse(&format!("http://{address}/machines"))?;
-    let request = http_types::Request::new(http_types::Method::Get, url);
-    let mut response =
-        async_h1::connect(stream, request).await.map_err(|error| eyre::eyre!("{error}"))?;
-    if response.len().is_none_or(|length| length > MAX_MACHINE_LIST) {
-        eyre::bail!("the list is too large or of unknown length");
-    }
-    let text = response.body_string().await.map_err(|error| eyre::eyre!("{error}"))?;
-    let rows: Vec<MachineRow> = serde_json::from_str(&text)?;
+    let list = get(address, "/machines", MAX_MACHINE_LIST, MACHINE_LIST_TIMEOUT).await?;
+    let rows: Vec<MachineRow> = serde_json::from_slice(&list)?;
     let entry = |row: &MachineRow| MachineEntry {
         replica: ReplicaId::from_name(&row.name),
         evidence: if row.state == "leaving" { ReplicaStatus::Leaving } else { ReplicaStatus::Live },
--- a/crates/topazmount/src/operator/mod.rs
+++ b/crates/topazmount/src/operator/mod.rs
@@ -9,7 +9,6 @@
 use crate::Executor;
 use crate::cli::{ConfigCommand, Group, PolicyCommand};
 use crate::control_client::ControlClient;
-use crate::http_pool::connect;
 use crate::runtime::{BAD_SETTINGS, FAILED};
 use eyre::{Result, WrapErr, bail, eyre};
 use serde_json::json;
--- a/crates/topazmount/src/operator/policy.rs
+++ b/crates/topazmount/src/operator/policy.rs
@@ -1,6 +1,10 @@
 //! `topazmount policy`.
 
 use super::*;
+use crate::http1::get;
+
+/// Most bytes of a node's metrics.
+const MAX_METRICS: usize = 16 << 20;
 
 /// `policy …`.
 ///
@@ -129,11 +133,9 @@
 }
 
 async fn read_metrics(node: SocketAddr) -> Result<String> {
-    let stream = connect(node).await.wrap_err_with(|| format!("connecting to node {node}"))?;
-    let url = http_types::Url::parse(&format!("http://{node}/metrics"))?;
-    let request = http_types::Request::new(http_types::Method::Get, url);
-    let mut response = async_h1::connect(stream, request).await.map_err(|e| eyre!("{e}"))?;
-    response.body_string().await.map_err(|error| eyre!("{error}"))
+    let metrics = get(node, "/metrics", MAX_METRICS, ANSWER_TIMEOUT).await;
+    let metrics = metrics.wrap_err_with(|| format!("reading the metrics of node {node}"))?;
+    Ok(String::from_utf8(metrics)?)
 }
 
 fn add_metrics(totals: &mut BTreeMap<String, PolicyTotals>, text: &str) {
