A planned stop answers the requests that outlast it

Cause: a stopping gateway accepts requests for 2.7 s and ends 0.5 s before its stop timeout whatever is open. With a timeout of routes beyond the rest (4.8 s of 8) a request can be open then, and nothing answered it. In a stop shorter than 3.2 s requests were accepted until its very end.

Change: at the end of the stop each open exchange gives up: 504 outcome_timed_out if a replica may have it, 503 draining with a Retry-After if none has, a cut as before if the client has a part of the response. Up to 250 ms of the reserved 0.5 s are for that. A plan with an open attempt no longer counts as not run, which a 503 would have claimed. Half of a short stop is left for the requests that were accepted last; stops of 8 s accept for 2.7 s as before.

Weighed: rejecting at once each request that comes within a stop and may not be repeated, if its timeout passes the end. Nearly all of them end in a fraction of their timeout, and callers with an old directory entry come back to another gateway of the same series of stops; so they are accepted, and only those that do outlast the stop get 504.

--- a/crates/gateway/src/plan.rs
+++ b/crates/gateway/src/plan.rs
@@ -81,6 +81,8 @@
     is_retryable: bool,
     attempts_left: u32,
     may_have_run: bool,
+    /// Whether an attempt has begun and not ended.
+    is_attempt_open: bool,
     has_reached_replica: bool,
     /// Names of the incarnations tried.
     tried: Vec<String>,
@@ -103,6 +105,7 @@
             is_retryable,
             attempts_left,
             may_have_run: false,
+            is_attempt_open: false,
             has_reached_replica: false,
             tried: Vec::new(),
             pinned_to: None,
@@ -154,11 +157,15 @@
 
     /// What a response may state about the request.
     pub fn run_state(&self) -> RunState {
-        if self.may_have_run { RunState::Unknown } else { RunState::NotRun }
+        match self.may_have_run || self.is_attempt_open || self.is_response_begun {
+            true => RunState::Unknown,
+            false => RunState::NotRun,
+        }
     }
 
     /// Records the start of an attempt at an incarnation.
     pub fn begin(&mut self, incarnation: String) {
+        self.is_attempt_open = true;
         self.attempts_left = self.attempts_left.saturating_sub(1);
         self.was_retried = self.pinned_to.as_ref() == Some(&incarnation);
         self.tried.push(incarnation);
@@ -186,6 +193,7 @@
                 | AttemptEnd::TimedOut
         );
         self.may_have_run |= may_be_running;
+        self.is_attempt_open = false;
         match end {
             // Nothing was sent, so the attempt does not count.
             AttemptEnd::Unreachable | AttemptEnd::NotSent => self.attempts_left += 1,
--- a/crates/gateway/tests/plan.rs
+++ b/crates/gateway/tests/plan.rs
@@ -123,3 +123,17 @@
 fn names_in_logs_and_metrics_are_stable(#[case] end: AttemptEnd, #[case] name: &str) {
     assert_eq!(end.name(), name);
 }
+
+/// A request that a replica has must not be called "not run" if it is given up.
+#[test]
+fn an_open_attempt_may_have_run() {
+    let mut plan = RequestPlan::new(true, 2);
+    assert_eq!(plan.run_state(), RunState::NotRun);
+    plan.begin("first".to_owned());
+    assert_eq!(plan.run_state(), RunState::Unknown);
+    plan.end(AttemptEnd::NotRun);
+    assert_eq!(plan.run_state(), RunState::NotRun);
+    plan.begin("second".to_owned());
+    plan.end(AttemptEnd::Broken);
+    assert_eq!(plan.run_state(), RunState::Unknown);
+}
--- a/crates/topazmount/src/fleet/exchange/mod.rs
+++ b/crates/topazmount/src/fleet/exchange/mod.rs
@@ -270,7 +270,8 @@
         }
     }
 
-    /// Serves the request until its response is complete or has failed.
+    /// Serves the request until its response is complete or has failed, at the latest when the gateway
+    /// stops.
     pub(super) async fn run(mut self) -> ResponseOutcome {
         let route = &self.admission.route;
         let mut plan = RequestPlan::new(route.is_retryable(), route.attempts);
@@ -281,20 +282,37 @@
             last_event_id: self.metadata.last_event_id.clone(),
             ..ClientProgress::default()
         };
+        let stop_deadline = &self.shared.stop_deadline;
+        let serving = async { Some(self.serve(&mut plan, &mut progress).await) };
+        let stopping = async {
+            stop_deadline.wait().await;
+            None
+        };
+        match futures_lite::future::or(serving, stopping).await {
+            Some(outcome) => outcome,
+            None => self.fail(&plan, stop_error(&plan)).await,
+        }
+    }
+
+    async fn serve(
+        &mut self,
+        plan: &mut RequestPlan,
+        progress: &mut ClientProgress,
+    ) -> ResponseOutcome {
         let now = self.shared.clock.now();
         let service = self.admission.service.clone();
         self.shared.gateway_state.lock().record_request(&service, now);
-        if !self.is_admitted_by_policy(&plan) {
-            return self.fail(&plan, ErrorKind::RefusedByPolicy).await;
+        if !self.is_admitted_by_policy(plan) {
+            return self.fail(plan, ErrorKind::RefusedByPolicy).await;
         }
-        if let Some(outcome) = self.begin_trial_if_blocked(&plan).await {
+        if let Some(outcome) = self.begin_trial_if_blocked(plan).await {
             return outcome;
         }
         let grant = match self.acquire_tenant_grant().await {
             Ok(grant) => grant,
-            Err(over) => return self.reject_over_limit(&plan, over).await,
+            Err(over) => return self.reject_over_limit(plan, over).await,
         };
-        self.run_attempts(&mut plan, &mut progress, grant.as_ref()).await
+        self.run_attempts(plan, progress, grant.as_ref()).await
     }
 
     /// Sends the request to replicas until one responds or no further attempt is allowed.
@@ -473,6 +491,14 @@
     }
 }
 
+/// Error for a request that is open when the gateway stops.
+fn stop_error(plan: &RequestPlan) -> ErrorKind {
+    match plan.run_state() {
+        RunState::NotRun => ErrorKind::Draining,
+        _ => ErrorKind::OutcomeTimedOut,
+    }
+}
+
 /// Runs a future with a time limit; `None` on timeout.
 async fn with_timeout<T>(limit: Duration, future: impl Future<Output = T>) -> Option<T> {
     super::http_service::with_timeout(limit, future).await
--- a/crates/topazmount/src/fleet/gateway.rs
+++ b/crates/topazmount/src/fleet/gateway.rs
@@ -5,6 +5,7 @@
 use super::crash_watch;
 use super::dialect::{ControlCall, Dialect, HttpResponse};
 use super::http_service::{self, Service};
+use super::latch::Latch;
 use super::link_monitor;
 use super::log_text::per_second;
 use super::metrics::{Metrics, MetricsService};
@@ -40,8 +41,12 @@
 const DRAIN_TIME: Duration = Duration::from_millis(2_700);
 /// Part of the stop timeout that is reserved for ending the process.
 const STOP_MARGIN: Duration = Duration::from_millis(500);
+/// Part of that time in which requests that outlast the stop are answered.
+const LAST_ANSWERS_TIME: Duration = Duration::from_millis(250);
 /// How often a stopping gateway checks whether it can stop.
 const STOP_CHECK_INTERVAL: Duration = Duration::from_millis(50);
+/// How often it checks whether the last requests have been answered.
+const LAST_ANSWERS_INTERVAL: Duration = Duration::from_millis(5);
 
 /// Options of a gateway.
 pub struct GatewayOptions {
@@ -86,6 +91,8 @@
     is_stopping: AtomicBool,
     /// Whether new requests are refused.
     pub(super) refuses_requests: AtomicBool,
+    /// Set when the time for open requests to be served is over.
+    pub(super) stop_deadline: Latch,
     pub(super) body_memory: BodyMemory,
     pub(super) open_requests: AtomicUsize,
 }
@@ -145,6 +152,7 @@
             report_requests: report_sender,
             is_stopping: AtomicBool::new(false),
             refuses_requests: AtomicBool::new(false),
+            stop_deadline: Latch::default(),
             body_memory: BodyMemory::default(),
             open_requests: AtomicUsize::new(0),
         });
@@ -198,26 +206,38 @@
     }
 
     /// Stops gracefully: reports that the gateway is not ready, serves requests until clients have had
-    /// time to turn to other gateways, then returns.
+    /// time to turn to other gateways, answers those that are still open at the end, then returns.
     pub async fn stop(self) {
         log::info!("gateway: event=stop");
         self.shared.is_stopping.store(true, Ordering::SeqCst);
         self.shared.request_report();
         let started_at = self.shared.clock.now();
-        let deadline = started_at + self.stop_timeout.saturating_sub(STOP_MARGIN);
+        let time_limit = self.stop_timeout.saturating_sub(STOP_MARGIN);
+        let deadline = started_at + time_limit;
+        // Half of a short stop is left for the requests that were accepted last.
+        let refuses_from = started_at + DRAIN_TIME.min(time_limit / 2);
         loop {
             async_io::Timer::after(STOP_CHECK_INTERVAL).await;
             let now = self.shared.clock.now();
-            let is_idle = self.shared.open_requests.load(Ordering::SeqCst) == 0;
-            if now >= started_at + DRAIN_TIME {
+            if now >= refuses_from {
                 self.shared.refuses_requests.store(true, Ordering::SeqCst);
             }
-            if now >= deadline || (is_idle && now >= started_at + DRAIN_TIME) {
+            if now >= deadline || (self.open_requests() == 0 && now >= refuses_from) {
                 break;
             }
         }
-        let open = self.shared.open_requests.load(Ordering::SeqCst);
-        log::info!("gateway: event=stopped open_requests={open}");
+        let outlasting = self.open_requests();
+        self.shared.stop_deadline.set();
+        let answered = deadline + LAST_ANSWERS_TIME;
+        while self.open_requests() > 0 && self.shared.clock.now() < answered {
+            async_io::Timer::after(LAST_ANSWERS_INTERVAL).await;
+        }
+        let open = self.open_requests();
+        log::info!("gateway: event=stopped outlasting_requests={outlasting} open_requests={open}");
+    }
+
+    fn open_requests(&self) -> usize {
+        self.shared.open_requests.load(Ordering::SeqCst)
     }
 }
 
--- a/crates/topazmount/src/fleet/mod.rs
+++ b/crates/topazmount/src/fleet/mod.rs
@@ -15,6 +15,7 @@
 mod gateway;
 mod http_client;
 mod http_service;
+mod latch;
 mod legacy_datagrams;
 mod link_monitor;
 mod log_text;
