--- a/crates/types/src/error.rs
+++ b/crates/types/src/error.rs
@@ -121,7 +121,7 @@
     LedgerUnavailable => "ledger_unavailable", 503, NotRun, Some(1), 1;
     /// This process knows no configuration that it may rely on now.
     NoConfiguration => "no_configuration", 503, NotRun, Some(1), 1;
-    /// The time of the request ended while a replica may have been at work on it.
+    /// The time of the request, or of the stopping process, ended while a replica may have been at work on it.
     OutcomeTimedOut => "outcome_timed_out", 504, Unknown, None, 1;
     /// The deadline passed before a replica accepted the request.
     DeadlineExceeded => "deadline_exceeded", 504, NotRun, Some(1), 1;
