--- a/crates/topazmount/src/engine_client.rs
+++ b/crates/topazmount/src/engine_client.rs
@@ -124,7 +124,7 @@
 }
 
 fn log_lost(address: SocketAddr, error: &eyre::Report) {
-    log::info!("node: event=answer_lost address={address} problem=\"{error:#}\"");
+    log::debug!("node: event=answer_lost address={address} problem=\"{error:#}\"");
 }
 
 /// The caller's body with the place to resume at, when there is one.
