--- a/review/standins-2/deployment.py
+++ b/review/standins-2/deployment.py
@@ -19,6 +19,7 @@
 
 ROOT = os.path.abspath(os.path.join(os.path.dirname(__file__), "..", ".."))
 METRICS_PORT = 9464
+RESTART_DELAY_S = 0.5  # "it starts again after a short delay" (DEPLOY.md, "Ends")
 BOUNDS = {
     "seed_lag_s": 3, "reuse_after_s": 2, "contact_ms": 3000, "ack_ms": 4000, "catch_up_s": 4,
     "drain_ms": 2000, "grace_s": 8, "loss_slack_ms": 200, "config_apply_ms": 2000, "back_ms": 250,
@@ -65,9 +66,11 @@
         self.child = None
         self.peak_mb = 0.0
         self.ends = []
+        self.starts_at = None
         self.is_wanted = True
 
     def start(self):
+        self.starts_at = None
         path = os.path.join(self.folder, "boot.yaml")
         with open(path, "w") as file:
             file.write(fill(self.role["text"], self.fields))
@@ -90,10 +93,12 @@
         if self.child is None or not self.is_wanted:
             return
         if self.child.poll() is not None:
-            code = self.child.returncode
-            self.ends.append(code)
-            self.platform.note(f"{self.name}: ended with {code}, starts again")
-            self.start()
+            if self.starts_at is None:
+                self.starts_at = time.time() + RESTART_DELAY_S
+                self.ends.append(self.child.returncode)
+                self.platform.note(f"{self.name}: ended with {self.child.returncode}")
+            elif time.time() >= self.starts_at:
+                self.start()
             return
         used = self.resident_mb()
         self.peak_mb = max(self.peak_mb, used)
@@ -117,6 +122,8 @@
         self.note = note
         self.folder = tempfile.mkdtemp(prefix="topazmount-review-")
         self.is_running = True
+        # While power is off nothing is watched or started again.
+        self.has_power = True
         with open(os.path.join(ROOT, "deploy", "system.toml"), "rb") as file:
             deploy = tomllib.load(file)
         net = f"127.{random.randrange(30, 220)}.{random.randrange(1, 250)}"
@@ -180,13 +187,20 @@
     def watch(self):
         while self.is_running:
             for process in self.processes:
-                if self.is_running:
+                if self.is_running and self.has_power:
                     process.watch()
             time.sleep(0.01)
 
     def named(self, ip):
         return next(process for process in self.processes if process.fields["ip"] == ip)
 
+    def power_on(self):
+        """Starts all processes again after all machines have lost power."""
+        for process in self.processes:
+            process.child.wait()
+            process.start()
+        self.has_power = True
+
     def stop(self):
         self.is_running = False
         time.sleep(0.05)
