--- a/review/6/case.py
+++ b/review/6/case.py
@@ -1,11 +1,11 @@
-"""Case 6: power is lost while the members write changes; the group never comes back."""
+"""Case 6: members that were killed before a sync acknowledge, after their start, what no disk holds."""
 
 import asyncio
 import json
 import os
 import random
+import shutil
 import signal
-import socket
 import sys
 import time
 
@@ -13,194 +13,137 @@
 sys.path.insert(0, os.path.join(FOLDER, "..", "standins-2"))
 
 from disk import LONGEST_PAUSE_S, SYNC_S, Log, watch_until  # noqa: E402
+from members import control_address, find_leader, open_put, running  # noqa: E402
 from scene import Scene, configuration, route, run, service  # noqa: E402
 from wire_http import call  # noqa: E402
 
-ORDERS = 8  # under way at once, the most that PROTOCOL.md allows
-ROUNDS_END_S = 75.0  # no further loss of power after that
+KILLED = 3  # of five members: herd_kill, share = 0.6
+RESTART_S = 0.25  # "back within a second"
+REACH_S = 0.002  # for a change to reach the other members, once one has it
 DOWN_S = 1.0
 RECOVER_S = 12.0
-BATCH = 1000  # bytes of a write that holds several orders; one order has some 150 to 700
-TAKE_S = 0.002  # for the orders to reach the other followers, once one has them
-
-
-class Operator:
-    """Sends changes of the configuration and names weights, several at once; knows what was acknowledged."""
-
-    def __init__(self, stage, record):
-        self.stage, self.record = stage, record
-        self.version = self.weights = 1
-        self.acknowledged = 1
-        self.sent = {}
-
-    def configuration(self, version):
-        routes = [route("match", "drawings", timeout_ms=2000 + version)]
-        return configuration(version, routes, [service("drawings")])
-
-    def next_order(self, number):
-        if number % 2 == 0:
-            self.version += 1
-            return self.version, "/topazmount/Config.Put", self.configuration(self.version)
-        self.weights += 1
-        return None, "/topazmount/version-put", {"model": "m0", "version": self.weights}
-
-    def send_at_once(self, address):
-        """Sends the orders on connections of their own; returns (version or None, socket) of each."""
-        ip, port = address.rsplit(":", 1)
-        under_way = []
-        for number in range(ORDERS):
-            version, target, body = self.next_order(number)
-            data = json.dumps(body).encode()
-            head = (f"POST {target} HTTP/1.1\r\nHost: {address}\r\nContent-Type: application/json\r\n"
-                    f"Content-Length: {len(data)}\r\nConnection: close\r\n\r\n").encode()
-            under_way.append((version, socket.create_connection((ip, int(port)), 1.0), head + data))
-        for _, connection, data in under_way:
-            connection.sendall(data)
-        return [(version, connection) for version, connection, _ in under_way]
-
-    def acks(self, under_way, timeout_s):
-        """Reads the answers; returns how many orders were acknowledged."""
-        count = 0
-        for version, connection in under_way:
-            connection.settimeout(timeout_s)
-            try:
-                is_ack = connection.recv(100).startswith(b"HTTP/1.1 200")
-            except OSError:
-                is_ack = False
-            connection.close()
-            count += is_ack
-            if is_ack and version:
-                self.acknowledged = max(self.acknowledged, version)
-        return count
-
-    async def read_back(self, limit_s):
-        """Reads the configuration at any member; returns its version, or None at the limit."""
-        end = time.time() + limit_s
-        while time.time() < end:
-            address = random.choice(self.stage.controls)
-            answer = await call(address, "GET", "/topazmount/Config.Get", timeout=1.0)
-            if answer and answer[0] == 200:
-                return json.loads(answer[2])["version"]
-            await asyncio.sleep(0.1)
-        return None
-
-
-def members(stage):
-    return [process for process in stage.platform.processes if process.fields["role"] == "control"]
-
-
-def serving(stage):
-    """Addresses of the members that run."""
-    running = [process for process in members(stage) if process.child.poll() is None]
-    return [f"{process.fields['ip']}:{stage.platform.ports['control']}" for process in running]
-
-
-def find_leader(stage, operator):
-    """The member that writes a change first."""
-    logs = [Log(process) for process in members(stage)]
-    operator.version += 1  # Acknowledged or not, it isn't counted as acknowledged.
-    body = json.dumps(operator.configuration(operator.version)).encode()
-    address = random.choice(serving(stage))
-    ip, port = address.rsplit(":", 1)
-    with socket.create_connection((ip, int(port)), 1.0) as connection:
-        head = (f"POST /topazmount/Config.Put HTTP/1.1\r\nHost: {address}\r\n"
-                f"Content-Length: {len(body)}\r\nConnection: close\r\n\r\n")
-        connection.sendall(head.encode() + body)
-        watch_until(logs, lambda logs, _: any(log.writes() for log in logs), 1.0)
-        return next((log.process for log in logs if log.writes()), None)
-
-
-def lose_power(stage, leader, under_way_of):
-    """Sends orders and ends all processes while the followers write several of them.
-
-    Returns the logs of the followers whose last write has no sync, or None if this wasn't met.
+AGAIN_S = 9.0  # until the member with the empty disk counts again
+ROUNDS_END_S = 80.0
+
+
+def document(version):
+    routes = [route("match", "drawings", timeout_ms=2000 + version)]
+    return configuration(version, routes, [service("drawings")])
+
+
+def kill_in_sync(logs, connection, change):
+    """Sends a change and kills each of the members as soon as it has written it, the rest after REACH_S.
+
+    Returns the longest pause of the watching, or None if no member wrote.
     """
-    platform = stage.platform
-    running = [process for process in members(stage) if process.child.poll() is None]
-    followers = [Log(process) for process in running if process is not leader]
-    platform.has_power = False
-    time.sleep(0.05)
-    under_way = under_way_of()
+    connection.sendall(change)
+    killed = {}
+
+    def is_over(logs, now):
+        for log in logs:
+            if log.writes() and log not in killed:
+                log.process.child.send_signal(signal.SIGKILL)
+                killed[log] = now
+        first = min(killed.values(), default=now)
+        return len(killed) == len(logs) or (killed and now > first + REACH_S)
+
+    pause = watch_until(logs, is_over, 0.5)
+    for log in logs:
+        log.process.child.send_signal(signal.SIGKILL)
+        log.process.child.wait()
+        log.look(time.perf_counter())
+    return pause
+
+
+def is_acknowledged(connection, timeout_s):
+    connection.settimeout(timeout_s)
+    try:
+        return connection.recv(100).startswith(b"HTTP/1.1 200")
+    except OSError:
+        return False
 
-    def has_begun(logs, _):
-        return any(log.last_write() >= BATCH for log in logs)
 
-    first = watch_until(followers, has_begun, 0.5)
-    leader.child.send_signal(signal.SIGKILL)
-    began = time.perf_counter()
+def empty(folder):
+    """The disk of a machine is lost."""
+    shutil.rmtree(folder)
+    os.makedirs(folder)
 
-    def is_met(logs, now):
-        return all(log.last_write() >= BATCH for log in logs) or now > began + TAKE_S
 
-    second = watch_until(followers, is_met, 0.01)
+async def power_round(stage, version, record):
+    """Returns the version that was acknowledged, or 0; after it all machines have lost power and are back."""
+    platform = stage.platform
+    leader = find_leader(stage, document(version))
+    await asyncio.sleep(1.0)
+    if leader is None:
+        return 0
+    others = [process for process in running(stage) if process is not leader]
+    logs = [Log(process) for process in random.sample(others, KILLED)]
+    connection, change = open_put(control_address(stage, leader), document(version + 1))
+    platform.has_power = False
+    time.sleep(0.05)
+    pause = kill_in_sync(logs, connection, change)
+    is_met = pause is not None and pause < LONGEST_PAUSE_S and all(log.writes() == 1 for log in logs)
+    is_early = is_acknowledged(connection, 0.02)
+    time.sleep(RESTART_S)
+    for log in logs:
+        log.process.start()
+    is_acked = is_early or is_acknowledged(connection, 4.0)
     for process in platform.processes:
         process.child.send_signal(signal.SIGKILL)
-    lost_at = time.perf_counter()
-    pauses = [pause for pause in (first, second) if pause is not None]
-    young = [log for log in followers if log.last_write() >= BATCH and lost_at - log.seen_at[-1] < SYNC_S]
-    is_sure = len(pauses) == 2 and max(pauses) < LONGEST_PAUSE_S
+    connection.close()
     for process in platform.processes:
         process.child.wait()
-    for log in followers:
-        log.look(lost_at)
-    young = [log for log in young if lost_at - log.seen_at[-1] < SYNC_S]
-    return under_way, young if is_sure else None
-
-
-async def power_round(stage, operator, record):
-    """One loss of power; returns whether writes were torn."""
-    leader = find_leader(stage, operator)
-    await asyncio.sleep(0.6)
-    if leader is None:
-        return False
-    address = f"{leader.fields['ip']}:{stage.platform.ports['control']}"
-    under_way, young = lose_power(stage, leader, lambda: operator.send_at_once(address))
-    acked = operator.acks(under_way, 0.2)
-    is_counted = young is not None and acked == 0
-    for log in young if is_counted else []:
-        record.note(f"{log.process.name}: last write torn: {log.tear_last_write()}")
-    record.note(f"power lost, leader {leader.name}; {acked} of {ORDERS} orders acknowledged; "
-                f"{len(young or [])} followers with a write without sync; counted: {is_counted}")
+    is_counted = is_met and is_acked and not is_early and all(log.is_unchanged() for log in logs)
+    record.note(f"version {version + 1}: leader {leader.name}, killed "
+                f"{[log.process.name for log in logs]}, wrote {[log.writes() for log in logs]}, "
+                f"acknowledged before their start {is_early}, after it {is_acked}; unchanged since "
+                f"{[log.is_unchanged() for log in logs]}; counted {is_counted}")
+    if is_counted:
+        for log in logs:
+            log.lose_last_write()
+        empty(leader.fields["data_dir"])
     await asyncio.sleep(DOWN_S)
-    stage.platform.power_on()
-    return is_counted
+    platform.power_on()
+    return version + 1 if is_acked else 0
 
 
-async def calm_round(stage, operator, record):
-    under_way = operator.send_at_once(stage.controls[0])
-    acked = operator.acks(under_way, 1.0)
-    record.note(f"{acked} of {ORDERS} orders acknowledged at one member, without a loss of power")
+async def calm_round(stage, version, record):
+    await stage.put(document(version + 1))
     await asyncio.sleep(2.0)
+    return version + 1
+
+
+async def read_back(stage, limit_s):
+    end = time.time() + limit_s
+    while time.time() < end:
+        answer = await call(random.choice(stage.controls), "GET", "/topazmount/Config.Get", timeout=1.0)
+        if answer and answer[0] == 200:
+            return json.loads(answer[2])["version"]
+        await asyncio.sleep(0.1)
+    return 0
 
 
 async def scene(record, is_trouble):
     stage = Scene(record, controls=5, gateways=1)
-    operator = Operator(stage, record)
+    acknowledged = version = 1
     try:
         stage.platform.start()
-        await stage.put(operator.configuration(1))
+        await stage.put(document(1))
         await stage.ready()
         await asyncio.sleep(6.0)  # until all five count
         while time.time() < record.began + ROUNDS_END_S:
-            await (power_round if is_trouble else calm_round)(stage, operator, record)
-            version = await operator.read_back(RECOVER_S + 3.0)
-            record.note(f"read back: {version}, acknowledged: {operator.acknowledged}; ends "
-                        f"{[len(process.ends) for process in members(stage)]}")
-            if version is None or version < operator.acknowledged:
+            version += 2
+            acked = await (power_round if is_trouble else calm_round)(stage, version, record)
+            acknowledged = max(acknowledged, acked)
+            found = await read_back(stage, RECOVER_S)
+            record.note(f"acknowledged {acknowledged}, read back {found}")
+            if found < acknowledged:
                 return False
-            await asyncio.sleep(2.0)
+            version = max(version, found)
+            await asyncio.sleep(AGAIN_S)
         return True
     finally:
-        keep_logs(stage)
         stage.platform.stop()
 
 
-def keep_logs(stage):
-    """Notes the last error of each member."""
-    for process in members(stage):
-        with open(os.path.join(process.folder, "log"), errors="replace") as file:
-            errors = [line.strip() for line in file if "damaged" in line or "Corrupt" in line]
-        stage.record.note(f"{process.name}: {len(errors)} starts refused; {errors[-1] if errors else ''}")
-
-
 sys.exit(run(FOLDER, scene))
--- a/review/6/disk.py
+++ b/review/standins-2/disk.py
@@ -45,6 +45,16 @@
         """Length of the last write in bytes; 0 without one."""
         return self.sizes[-1] - self.sizes[-2] if self.writes() else 0
 
+    def is_unchanged(self):
+        """Whether nothing was written since the last look."""
+        return os.stat(self.path).st_size == self.sizes[-1]
+
+    def lose_last_write(self):
+        """The last write is missing."""
+        with open(self.path, "r+b") as file:
+            file.truncate(self.sizes[-2])
+            os.fsync(file.fileno())
+
     def tear_last_write(self):
         """Keeps or loses each sector of the last write by lot; returns what was kept, as text.
 
