Log: a start makes durable all that it returns

Cause: Wal::open took every whole record for durable. A member that was killed between a write and its sync found the record after its start, answered the leader's append as stored without a further sync (Ready::must_sync saw nothing new), and the leader committed on it.

Change: a start syncs names, then syncs each segment that it reads, and writes all that it returns into a new generation before it answers anything. A sync alone covers a kill, but not bytes of which an earlier sync has failed: the kernel reads those back, and reports no second error.

Tests that ended processes with MemoryDisk::crash lose power as before, under the new name.

--- a/crates/consensus/src/disk.rs
+++ b/crates/consensus/src/disk.rs
@@ -15,7 +15,8 @@
     /// Any failure of the disk.
     fn list(&self) -> Result<Vec<String>, DiskError>;
 
-    /// Content of a file; `None` if it does not exist.
+    /// Content of a file; `None` if it does not exist. What another process wrote may be read back
+    /// although no sync has covered it.
     ///
     /// # Errors
     /// Any failure of the disk.
@@ -27,19 +28,27 @@
     /// Any failure of the disk.
     fn append(&mut self, name: &str, bytes: &[u8]) -> Result<(), DiskError>;
 
-    /// Makes a file's content and name durable.
+    /// Makes what was appended to a file durable, and the name of a file that appends created.
     ///
     /// # Errors
     /// Any failure of the disk.
     fn sync(&mut self, name: &str) -> Result<(), DiskError>;
 
-    /// Replaces a file atomically; durable when the call returns.
+    /// Makes all names durable, renamed and removed ones included.
+    ///
+    /// # Errors
+    /// Any failure of the disk.
+    fn sync_names(&mut self) -> Result<(), DiskError>;
+
+    /// Replaces a file atomically; durable when the call returns. After a failure either content may
+    /// be found.
     ///
     /// # Errors
     /// Any failure of the disk.
     fn replace(&mut self, name: &str, bytes: &[u8]) -> Result<(), DiskError>;
 
-    /// Removes a file if it exists.
+    /// Removes a file if it exists. It may come back after a loss of power before
+    /// [`Disk::sync_names`].
     ///
     /// # Errors
     /// Any failure of the disk.
--- a/crates/consensus/src/wal.rs
+++ b/crates/consensus/src/wal.rs
@@ -3,6 +3,10 @@
 //! A segment starts at each snapshot. The latest two snapshots and all segments since the older one
 //! are kept, so that recovery can fall back to the older snapshot without losing entries. Files:
 //! `snapshot-<generation>` and `log-<generation>`, generations in hexadecimal.
+//!
+//! What is read at a start need not be durable: a process that was killed before a sync leaves
+//! records that are read back, and so does one whose sync failed. The log would acknowledge them
+//! without a further sync, so a start makes durable all that it returns.
 
 use crate::disk::{Disk, DiskError};
 use crate::log::{Entry, Log, Snapshot};
@@ -46,15 +50,21 @@
 }
 
 impl<D: Disk> Wal<D> {
-    /// Opens the log and reads its state. An incomplete last write is truncated; an empty disk
-    /// gives the default state.
+    /// Opens the log and reads its state, which is durable when this returns. An incomplete last
+    /// write is truncated; an empty disk gives the default state.
     ///
     /// # Errors
-    /// [`WalError::Corrupt`] when acknowledged entries may be lost.
+    /// Any failure of the disk; [`WalError::Corrupt`] when acknowledged entries may be lost.
     pub fn open(mut disk: D) -> Result<(Self, RecoveredState), WalError> {
+        // A process that was killed may have renamed files whose names are not durable.
+        disk.sync_names()?;
         let names = disk.list()?;
         let snapshot_generations = generations(&names, SNAPSHOT_PREFIX);
         let log_generations = generations(&names, LOG_PREFIX);
+        if snapshot_generations.is_empty() && log_generations.is_empty() {
+            let hard_state = HardState::default();
+            return Ok((Wal { disk, generation: 0, hard_state }, RecoveredState::default()));
+        }
         let (base, snapshot) = newest_snapshot(&disk, &snapshot_generations)?;
         let mut hard_state = HardState::default();
         let mut entries: Vec<Entry> = Vec::new();
@@ -66,14 +76,13 @@
             replay(records, &mut hard_state, &mut entries);
         }
         let log = build_log(&snapshot, entries)?;
-        let newest = snapshot_generations.last().copied().unwrap_or(0);
-        let generation = needed.last().copied().unwrap_or(base).max(newest);
+        let generation = last_complete_generation(&snapshot_generations, &needed);
         let mut wal = Wal { disk, generation, hard_state };
         let recovered = RecoveredState { hard_state, snapshot, log };
-        if generation != base {
-            // Completes an interrupted segment change, or replaces a damaged snapshot.
-            wal.write_generation(&recovered.snapshot, &all_entries(&recovered.log))?;
-        }
+        // Starts that ended before they removed old files would fill the disk.
+        wal.remove_old(base)?;
+        // Written anew, since a sync does not cover bytes of which an earlier sync has failed.
+        wal.write_generation(&recovered.snapshot, &all_entries(&recovered.log))?;
         Ok((wal, recovered))
     }
 
@@ -143,17 +152,18 @@
         let payload = rmp_serde::to_vec(snapshot).expect("a snapshot is plain data");
         self.disk.replace(&snapshot_name(generation), &frame(&payload))?;
         self.generation = generation;
-        self.remove_old()
+        self.remove_old(generation)
     }
 
-    fn remove_old(&mut self) -> Result<(), WalError> {
+    /// Removes the files of generations before the kept snapshots and before `needed`.
+    fn remove_old(&mut self, needed: u64) -> Result<(), WalError> {
         let names = self.disk.list()?;
         let snapshots = generations(&names, SNAPSHOT_PREFIX);
         let first_kept = snapshots.len().saturating_sub(KEPT_SNAPSHOTS);
         let Some(&oldest) = snapshots.get(first_kept) else {
             return Ok(());
         };
-        let is_old = |generation: &u64| *generation < oldest;
+        let is_old = |generation: &u64| *generation < oldest.min(needed);
         for generation in snapshots.iter().copied().filter(is_old) {
             self.disk.remove(&snapshot_name(generation))?;
         }
@@ -196,6 +206,16 @@
     Err(WalError::Corrupt("all snapshots are damaged".to_owned()))
 }
 
+/// The generation after which the next one is written. A segment without a snapshot is left by an
+/// interrupted change of generations, and replaced.
+fn last_complete_generation(snapshots: &[u64], logs: &[u64]) -> u64 {
+    let newest_snapshot = snapshots.last().copied().unwrap_or(0);
+    let newest_log = logs.last().copied().unwrap_or(0);
+    newest_snapshot.max(newest_log.saturating_sub(1))
+}
+
+/// Reads a segment and makes it durable, so that it ends with a complete record also once later
+/// segments exist.
 fn read_segment<D: Disk>(
     disk: &mut D,
     generation: u64,
@@ -205,7 +225,7 @@
     let bytes = disk.read(&name)?.unwrap_or_default();
     let (records, ending) = decode_all(&bytes);
     match ending {
-        Ending::Clean => {}
+        Ending::Clean => disk.sync(&name)?,
         Ending::Torn(position) if is_last => disk.replace(&name, &bytes[..position])?,
         Ending::Torn(_) | Ending::Corrupt => return Err(WalError::Corrupt(name)),
     }
--- a/crates/consensus/tests/common/mod.rs
+++ b/crates/consensus/tests/common/mod.rs
@@ -207,7 +207,7 @@
     pub fn restart(&mut self, id: u64, torn: usize) {
         let peer = self.peers.remove(&id).unwrap();
         let mut disk = peer.wal.disk().clone();
-        disk.crash(torn);
+        disk.lose_power(torn, 0);
         self.peers.insert(id, Peer::open(id, disk, None, self.now));
     }
 }
--- a/crates/consensus/tests/explorer.rs
+++ b/crates/consensus/tests/explorer.rs
@@ -106,7 +106,7 @@
             Step::Crash(number) => {
                 self.budget.crashes -= 1;
                 let mut disk = self.peers[number].wal.disk().clone();
-                disk.crash(3);
+                disk.lose_power(3, 0);
                 self.peers[number] = Peer::open(number as u64 + 1, disk, None, self.now);
             }
         }
--- a/crates/consensus/tests/wal.rs
+++ b/crates/consensus/tests/wal.rs
@@ -63,7 +63,7 @@
     let name = file(&disk, "log-");
     // An append without a sync, of which some bytes reached the disk.
     disk.append(&name, &[0xaa; 40]).unwrap();
-    disk.crash(torn);
+    disk.lose_power(torn, 0);
     let (mut wal, recovered) = Wal::open(disk).unwrap();
     assert_eq!(last_index(&recovered), 10);
     wal.persist(&ready(11..=12)).unwrap();
--- a/crates/control/tests/common/mod.rs
+++ b/crates/control/tests/common/mod.rs
@@ -219,7 +219,7 @@
         let Some(machine) = self.machines.get_mut(&host) else { return };
         if let Some(member) = machine.member.take() {
             machine.disk = member.disk().clone();
-            machine.disk.crash(torn);
+            machine.disk.lose_power(torn, 0);
             machine.held_inputs = None;
             self.log(host, "stopped".to_owned());
         }
--- a/crates/lab/src/control_scale/member.rs
+++ b/crates/lab/src/control_scale/member.rs
@@ -150,11 +150,11 @@
         self.works_at = now;
     }
 
-    /// Stops the process; its disk keeps what was synced.
+    /// Ends the process; its disk keeps what was written.
     pub fn kill(&mut self) {
         if let Some(member) = self.member.take() {
             self.disk = member.disk().clone();
-            self.disk.crash(0);
+            self.disk.end_process();
         }
         self.inbox.clear();
         self.outbox.clear();
--- a/crates/lab/src/sim/members.rs
+++ b/crates/lab/src/sim/members.rs
@@ -122,7 +122,7 @@
         let simulated = &mut self.members[number];
         let Some(member) = simulated.member.take() else { return };
         simulated.disk = member.disk().clone();
-        simulated.disk.crash(torn);
+        simulated.disk.lose_power(torn, 0);
         if loses_disk {
             simulated.disk = MemoryDisk::default();
         } else if self.settings.plant == Some(Plant::LostSyncs) {
--- a/crates/topazmount/src/file_disk.rs
+++ b/crates/topazmount/src/file_disk.rs
@@ -28,11 +28,6 @@
         self.folder.join(name)
     }
 
-    fn sync_folder(&self) -> Result<(), DiskError> {
-        let folder = File::open(&self.folder).map_err(|error| failed(&self.folder, &error))?;
-        folder.sync_all().map_err(|error| failed(&self.folder, &error))
-    }
-
     fn append_file(&mut self, name: &str) -> Result<&mut File, DiskError> {
         let is_open = self.open.as_ref().is_some_and(|(open, _)| open == name);
         if !is_open {
@@ -44,7 +39,7 @@
                 .open(&path)
                 .map_err(|error| failed(&path, &error))?;
             if is_new {
-                self.sync_folder()?;
+                self.sync_names()?;
             }
             self.open = Some((name.to_owned(), file));
         }
@@ -91,6 +86,11 @@
         file.sync_data().map_err(|error| failed(&path, &error))
     }
 
+    fn sync_names(&mut self) -> Result<(), DiskError> {
+        let folder = File::open(&self.folder).map_err(|error| failed(&self.folder, &error))?;
+        folder.sync_all().map_err(|error| failed(&self.folder, &error))
+    }
+
     fn replace(&mut self, name: &str, bytes: &[u8]) -> Result<(), DiskError> {
         let path = self.path(name);
         let temporary = self.path(&format!("{name}{TEMPORARY_SUFFIX}"));
@@ -101,7 +101,7 @@
         file.write_all(bytes).map_err(|error| failed(&temporary, &error))?;
         file.sync_all().map_err(|error| failed(&temporary, &error))?;
         std::fs::rename(&temporary, &path).map_err(|error| failed(&path, &error))?;
-        self.sync_folder()
+        self.sync_names()
     }
 
     fn remove(&mut self, name: &str) -> Result<(), DiskError> {
