Control: a start waits for a disk that refuses writes, and removes what interrupted writes left

Since a start writes, a full disk would have ended each start.

Change: a start tries again for up to 15 s while its disk fails, as a running member does; the signal of a planned stop ends that wait, and a change of the settings in it is applied once the member runs. A start removes *.new files before it writes.

--- a/crates/topazmount/src/control_process.rs
+++ b/crates/topazmount/src/control_process.rs
@@ -15,9 +15,9 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
-use topazmount_consensus::{Config, Envelope, MemberInfo, MembershipStatus};
+use topazmount_consensus::{Config, Envelope, MemberInfo, MembershipStatus, WalError};
 use topazmount_control::{
-    FleetAction, Founding, Frame, Member, MemberInput, MemberOutput, MemberSettings,
+    FleetAction, Founding, Frame, Member, MemberError, MemberInput, MemberOutput, MemberSettings,
     MembershipEvent, Request, Response, RolloutEvent, RolloutSettings, Token,
 };
 use topazmount_settings::{ControlSettings, SourceFiles};
@@ -30,6 +30,8 @@
 const MAX_WAIT: Duration = Duration::from_millis(50);
 /// Pause before a member whose disk failed is opened again.
 const REOPEN_PAUSE: Duration = Duration::from_millis(400);
+/// Longest time that a start waits for a disk that refuses writes.
+const MAX_DISK_WAIT: Duration = Duration::from_secs(15);
 /// Inputs taken into one batch, which shares one sync.
 const MAX_BATCH: usize = 512;
 /// Time for leadership to pass on when the process stops.
@@ -152,7 +154,7 @@
             open_member(&settings, member_settings, form_group, source.clone(), clock)
         }
     };
-    let member = opening()?;
+    let member = open_when_disk_works(&opening).await?;
     let id = member.identity().0;
     let standing = member.replica().membership().status(id);
     log::info!("control: {} listens at {address} as {id}, standing {standing:?}.", info.name);
@@ -200,10 +202,31 @@
         .map(|peer| MemberInfo { name: peer.name.clone(), address: peer.address.to_string() });
     let founding = form_group.then(|| Founding { members: members.collect(), source });
     let disk = FileDisk::open(&settings.data_folder)?;
+    disk.remove_temporary().map_err(MemberError::from)?;
     Member::open(disk, member_settings, founding.as_ref(), clock.now())
         .wrap_err("opening the data folder")
 }
 
+/// Opens the member; while its disk fails, tries again for [`MAX_DISK_WAIT`].
+async fn open_when_disk_works(
+    opening: impl Fn() -> Result<Member<FileDisk>>,
+) -> Result<Member<FileDisk>> {
+    let began = Instant::now();
+    loop {
+        match opening() {
+            Err(error) if is_disk_failure(&error) && began.elapsed() < MAX_DISK_WAIT => {
+                log::warn!("control: event=disk_still_fails error={error:#}");
+                async_io::Timer::after(REOPEN_PAUSE).await;
+            }
+            opened => return opened,
+        }
+    }
+}
+
+fn is_disk_failure(error: &eyre::Report) -> bool {
+    matches!(error.downcast_ref(), Some(MemberError::Disk(_) | MemberError::Wal(WalError::Disk(_))))
+}
+
 struct Runner {
     member: Member<FileDisk>,
     /// Opens the member from its disk, as at the start of the process.
--- a/crates/topazmount/src/file_disk.rs
+++ b/crates/topazmount/src/file_disk.rs
@@ -24,6 +24,31 @@
         Ok(FileDisk { folder: folder.to_owned(), open: None })
     }
 
+    /// Removes files that interrupted replacements left behind. Nothing else may write to the folder.
+    ///
+    /// # Errors
+    /// Any failure of the file system.
+    pub fn remove_temporary(&self) -> Result<(), DiskError> {
+        for name in self.names()?.iter().filter(|name| name.ends_with(TEMPORARY_SUFFIX)) {
+            self.remove_file(name)?;
+        }
+        Ok(())
+    }
+
+    fn names(&self) -> Result<Vec<String>, DiskError> {
+        let entries =
+            std::fs::read_dir(&self.folder).map_err(|error| failed(&self.folder, &error))?;
+        Ok(entries.flatten().filter_map(|entry| entry.file_name().into_string().ok()).collect())
+    }
+
+    fn remove_file(&self, name: &str) -> Result<(), DiskError> {
+        let path = self.path(name);
+        match std::fs::remove_file(&path) {
+            Err(error) if error.kind() != ErrorKind::NotFound => Err(failed(&path, &error)),
+            _ => Ok(()),
+        }
+    }
+
     fn path(&self, name: &str) -> PathBuf {
         self.folder.join(name)
     }
@@ -56,9 +81,7 @@
 
 impl Disk for FileDisk {
     fn list(&self) -> Result<Vec<String>, DiskError> {
-        let entries =
-            std::fs::read_dir(&self.folder).map_err(|error| failed(&self.folder, &error))?;
-        let names = entries.flatten().filter_map(|entry| entry.file_name().into_string().ok());
+        let names = self.names()?.into_iter();
         Ok(names.filter(|name| !name.ends_with(TEMPORARY_SUFFIX)).collect())
     }
 
@@ -105,10 +128,6 @@
     }
 
     fn remove(&mut self, name: &str) -> Result<(), DiskError> {
-        let path = self.path(name);
-        match std::fs::remove_file(&path) {
-            Err(error) if error.kind() != ErrorKind::NotFound => Err(failed(&path, &error)),
-            _ => Ok(()),
-        }
+        self.remove_file(name)
     }
 }
--- a/crates/topazmount/src/fleet/process.rs
+++ b/crates/topazmount/src/fleet/process.rs
@@ -36,11 +36,23 @@
     let mut watch = SettingsWatch::new(file)?;
     let settings = FleetSettings::read(file)?;
     let options = ControlPlaneOptions { settings, dialect };
-    let control = ControlPlane::start(&executor, options).await?;
+    let starting = async { ControlPlane::start(&executor, options).await.map(Some) };
+    let mut is_changed = false;
+    let stopped = async {
+        watch.stop_or_reload(|| is_changed = true).await?;
+        Ok(None)
+    };
+    let Some(control) = starting.or(stopped).await? else {
+        log::info!("control: event=stop");
+        return Ok(0);
+    };
     let reload = || match FleetSettings::read(file) {
         Ok(settings) => control.reload(&settings),
         Err(error) => log::error!("control: event=reload_refused problem={error:#}"),
     };
+    if is_changed {
+        reload();
+    }
     let stopped = async {
         watch.stop_or_reload(reload).await?;
         Ok::<u8, eyre::Report>(0)
--- a/crates/topazmount/tests/common/mod.rs
+++ b/crates/topazmount/tests/common/mod.rs
@@ -90,22 +90,25 @@
     ClusterKey::from_text("test")
 }
 
-/// A member that founds a group of its own.
-pub fn member(executor: &Executor, name: &str) -> (ControlHandle, SocketAddr) {
+/// Settings of a member that founds a group of its own, with an empty data folder.
+pub fn member_settings(name: &str) -> ControlSettings {
     let folder =
         std::env::temp_dir().join(format!("topazmount-member-{name}-{}", std::process::id()));
     let _ = std::fs::remove_dir_all(&folder);
     let address = std::net::TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
-    let peer = Peer { name: address.to_string(), address };
-    let settings = ControlSettings {
+    ControlSettings {
         name: address.to_string(),
         internal_address: address,
         data_folder: folder,
         declarations: "none".into(),
         cluster_key_file: "none".into(),
-        initial_members: vec![peer],
-    };
-    let options = ControlOptions {
+        initial_members: vec![Peer { name: address.to_string(), address }],
+    }
+}
+
+/// Options of a member with these settings.
+pub fn member_options(settings: ControlSettings) -> ControlOptions {
+    ControlOptions {
         settings,
         form_group: true,
         source: SourceFiles::default(),
@@ -113,6 +116,12 @@
         rollout: Default::default(),
         heartbeat_interval: topazmount_control::DEFAULT_HEARTBEAT_INTERVAL,
         actions: None,
-    };
-    (block_on(start(executor, options)).unwrap(), address)
+    }
+}
+
+/// A member that founds a group of its own.
+pub fn member(executor: &Executor, name: &str) -> (ControlHandle, SocketAddr) {
+    let settings = member_settings(name);
+    let address = settings.internal_address;
+    (block_on(start(executor, member_options(settings))).unwrap(), address)
 }
