Tests: drivers of members tell a kill within a write from a loss of power

Cause: MemoryDisk took the end of a process for a loss of power, so that no driver held a member that starts from records without a sync.

Change: processes end within a step of their disk, in starts too (SharedDisk keeps the disk of a start that fails), and losses of power take away names that were not synced. Each start in these drivers is checked: what it returned, and the identity, is what a loss of power right after it leaves.

--- a/crates/consensus/src/lib.rs
+++ b/crates/consensus/src/lib.rs
@@ -20,6 +20,7 @@
 mod ready;
 mod record;
 mod replication;
+mod shared_disk;
 mod wal;
 
 pub use config::Config;
@@ -30,4 +31,5 @@
 pub use memory_disk::MemoryDisk;
 pub use message::{Envelope, Message};
 pub use ready::{HardState, Ready};
+pub use shared_disk::SharedDisk;
 pub use wal::{RecoveredState, Wal, WalError};
--- a/crates/consensus/src/memory_disk.rs
+++ b/crates/consensus/src/memory_disk.rs
@@ -63,6 +63,11 @@
         self.does_next_sync_fail = true;
     }
 
+    /// Whether an operation failed since [`MemoryDisk::interrupt`].
+    pub fn is_interrupted(&self) -> bool {
+        self.interruption.is_some_and(|interruption| interruption.steps == 0)
+    }
+
     /// The process ends: what it wrote stays, and nothing more of it becomes durable.
     pub fn end_process(&mut self) {
         self.interruption = None;
--- a/crates/consensus/tests/common/mod.rs
+++ b/crates/consensus/tests/common/mod.rs
@@ -5,8 +5,8 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 use topazmount_consensus::{
-    Config, Entry, Envelope, Index, MemberId, MemberInfo, Membership, MemoryDisk, Payload,
-    RaftMember, RecoveredState, Role, Term, Wal,
+    Config, Entry, Envelope, Index, Log, MemberId, MemberInfo, Membership, MemoryDisk, Payload,
+    RaftMember, RecoveredState, Role, Term, Wal, WalError,
 };
 use topazmount_types::Time;
 
@@ -26,6 +26,7 @@
 impl Peer {
     pub fn open(id: u64, disk: MemoryDisk, first: Option<&RecoveredState>, now: Time) -> Peer {
         let (mut wal, mut recovered) = Wal::open(disk).unwrap();
+        assert_outlasts_power_loss(wal.disk(), &recovered);
         if let Some(first) = first {
             wal.initialize(first).unwrap();
             recovered = first.clone();
@@ -38,9 +39,14 @@
 
     /// Processes all ready batches as a driver; returns the messages to send.
     pub fn drain(&mut self) -> Vec<Envelope> {
+        self.try_drain().unwrap()
+    }
+
+    /// Processes all ready batches as a driver whose disk may fail.
+    pub fn try_drain(&mut self) -> Result<Vec<Envelope>, WalError> {
         let mut messages = Vec::new();
         while let Some(ready) = self.member.ready() {
-            self.wal.persist(&ready).unwrap();
+            self.wal.persist(&ready)?;
             messages.extend(ready.messages.iter().cloned());
             if let Some(snapshot) = &ready.restore {
                 self.applied = decode(&snapshot.data);
@@ -52,7 +58,7 @@
             }
             self.member.advance(&ready);
         }
-        messages
+        Ok(messages)
     }
 
     /// Takes a snapshot of the applied state and compacts the log.
@@ -64,6 +70,17 @@
     }
 }
 
+/// What a start has returned is what a loss of power right after it leaves.
+fn assert_outlasts_power_loss(disk: &MemoryDisk, started: &RecoveredState) {
+    let mut after = disk.clone();
+    after.lose_power(0, u64::MAX);
+    let (_, found) = Wal::open(after).unwrap();
+    assert_eq!(found.hard_state, started.hard_state);
+    assert_eq!(found.snapshot, started.snapshot);
+    let entries = |log: &Log| log.range(log.first_index(), log.last_index());
+    assert_eq!(entries(&found.log), entries(&started.log));
+}
+
 fn encode(applied: &BTreeMap<Index, Vec<u8>>) -> Vec<u8> {
     rmp_serde::to_vec(applied).unwrap()
 }
--- a/crates/consensus/tests/durability.rs
+++ b/crates/consensus/tests/durability.rs
@@ -4,11 +4,9 @@
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use rstest::rstest;
-use std::cell::RefCell;
-use std::rc::Rc;
 use topazmount_consensus::{
-    Disk, DiskError, Entry, HardState, MemberId, Membership, MemoryDisk, Payload, RaftMember,
-    Ready, RecoveredState, Snapshot, Wal, WalError,
+    Entry, HardState, MemberId, Membership, Payload, RaftMember, Ready, RecoveredState, SharedDisk,
+    Snapshot, Wal, WalError,
 };
 
 const SEEDS: std::ops::Range<u64> = 1..400;
@@ -21,47 +19,6 @@
 /// Names that a loss of power takes away: none, all, and every second one.
 const LOST_NAMES: [u64; 4] = [0, u64::MAX, 0x5555_5555_5555_5555, 0xaaaa_aaaa_aaaa_aaaa];
 
-/// A disk that outlasts a start which failed.
-#[derive(Clone, Default)]
-struct SharedDisk(Rc<RefCell<MemoryDisk>>);
-
-impl SharedDisk {
-    /// The disk as it is now, on its own.
-    fn copy(&self) -> SharedDisk {
-        SharedDisk(Rc::new(RefCell::new(self.0.borrow().clone())))
-    }
-}
-
-impl Disk for SharedDisk {
-    fn list(&self) -> Result<Vec<String>, DiskError> {
-        self.0.borrow().list()
-    }
-
-    fn read(&self, name: &str) -> Result<Option<Vec<u8>>, DiskError> {
-        self.0.borrow().read(name)
-    }
-
-    fn append(&mut self, name: &str, bytes: &[u8]) -> Result<(), DiskError> {
-        self.0.borrow_mut().append(name, bytes)
-    }
-
-    fn sync(&mut self, name: &str) -> Result<(), DiskError> {
-        self.0.borrow_mut().sync(name)
-    }
-
-    fn sync_names(&mut self) -> Result<(), DiskError> {
-        self.0.borrow_mut().sync_names()
-    }
-
-    fn replace(&mut self, name: &str, bytes: &[u8]) -> Result<(), DiskError> {
-        self.0.borrow_mut().replace(name, bytes)
-    }
-
-    fn remove(&mut self, name: &str) -> Result<(), DiskError> {
-        self.0.borrow_mut().remove(name)
-    }
-}
-
 /// Durable state of a member, to be compared.
 #[derive(Clone, Debug, PartialEq)]
 struct State {
@@ -126,7 +83,7 @@
     for lost_names in LOST_NAMES {
         for torn in [0, 7] {
             let after = disk.copy();
-            after.0.borrow_mut().lose_power(torn, lost_names);
+            after.inner().lose_power(torn, lost_names);
             let found = open(&after).map(|(_, state)| state);
             assert_eq!(found.as_ref(), Ok(started), "{what}: names lost {lost_names:x}");
         }
@@ -141,9 +98,9 @@
     #[case] ready: Ready,
 ) {
     let (disk, mut wal, mut state) = founded();
-    disk.0.borrow_mut().interrupt(1, 0);
+    disk.inner().interrupt(1, 0);
     assert!(wal.persist(&ready).is_err());
-    disk.0.borrow_mut().end_process();
+    disk.inner().end_process();
     state.apply(&ready);
     let (_, started) = open(&disk).unwrap();
     assert_eq!(started, state);
@@ -154,12 +111,12 @@
 #[test]
 fn a_vote_that_was_read_back_is_not_given_again_after_a_loss_of_power() {
     let (disk, mut wal, _) = founded();
-    disk.0.borrow_mut().interrupt(1, 0);
+    disk.inner().interrupt(1, 0);
     assert!(wal.persist(&vote(2, 1)).is_err());
-    disk.0.borrow_mut().end_process();
+    disk.inner().end_process();
     let (_, started) = open(&disk).unwrap();
     assert_eq!(started.hard_state.voted_for, Some(MemberId(1)));
-    disk.0.borrow_mut().lose_power(0, u64::MAX);
+    disk.inner().lose_power(0, u64::MAX);
     let (_, started) = open(&disk).unwrap();
     assert_eq!((started.hard_state.term, started.hard_state.voted_for), (2, Some(MemberId(1))));
 }
@@ -169,7 +126,7 @@
 fn records_of_a_failed_sync_outlast_a_loss_of_power() {
     let (disk, mut wal, mut state) = founded();
     let ready = append(2..=4, 1);
-    disk.0.borrow_mut().fail_next_sync();
+    disk.inner().fail_next_sync();
     assert!(wal.persist(&ready).is_err());
     state.apply(&ready);
     let (_, started) = open(&disk).unwrap();
@@ -188,9 +145,9 @@
     state.apply(&ready);
     let mut snapshot = state.snapshot.clone();
     snapshot.meta.index = 4;
-    disk.0.borrow_mut().interrupt(steps, 0);
+    disk.inner().interrupt(steps, 0);
     let _ = wal.save_snapshot(&snapshot, &state.entries[3..]);
-    disk.0.borrow_mut().end_process();
+    disk.inner().end_process();
     let (mut wal, started) = open(&disk).unwrap();
     assert_eq!(started.last_index(), 6);
     assert_outlasts_power_loss(&disk, &started, "after a snapshot");
@@ -209,12 +166,12 @@
     let ready = append(2..=40, 1);
     wal.persist(&ready).unwrap();
     state.apply(&ready);
-    let whole = disk.0.borrow().size();
+    let whole = disk.inner().size();
     for round in 0..200 {
-        disk.0.borrow_mut().interrupt(round % MAX_STEPS, 30);
+        disk.inner().interrupt(round % MAX_STEPS, 30);
         let _ = open(&disk);
-        disk.0.borrow_mut().end_process();
-        let size = disk.0.borrow().size();
+        disk.inner().end_process();
+        let size = disk.inner().size();
         assert!(size <= 3 * whole, "round {round}: {size} bytes, {whole} before");
     }
     let (_, started) = open(&disk).unwrap();
@@ -274,7 +231,7 @@
 
     /// Ends the process or takes the power away.
     fn stop(&mut self) {
-        let mut disk = self.disk.0.borrow_mut();
+        let mut disk = self.disk.inner();
         match self.rng.random_bool(0.5) {
             true => disk.end_process(),
             false => {
@@ -287,7 +244,7 @@
     fn interrupt(&mut self) {
         let steps = self.rng.random_range(0..MAX_STEPS);
         let written = self.rng.random_range(0..MAX_WRITTEN);
-        self.disk.0.borrow_mut().interrupt(steps, written);
+        self.disk.inner().interrupt(steps, written);
     }
 
     /// Starts the process, which may end in its start a few times.
@@ -320,13 +277,13 @@
             run.interrupt();
         }
         if run.rng.random_bool(0.1) {
-            run.disk.0.borrow_mut().fail_next_sync();
+            run.disk.inner().fail_next_sync();
         }
         let (next, is_written) = run.write();
         if is_written {
             run.state = next;
             if run.rng.random_bool(0.7) {
-                run.disk.0.borrow_mut().end_process();
+                run.disk.inner().end_process();
                 continue;
             }
         } else {
--- a/crates/consensus/tests/explorer.rs
+++ b/crates/consensus/tests/explorer.rs
@@ -1,5 +1,5 @@
-//! Exhaustive exploration of deliveries, losses, timeouts, proposals and crashes of three members,
-//! up to a fixed depth. Safety is checked in every state.
+//! Exhaustive exploration of deliveries, losses, timeouts, proposals, kills within writes and losses of
+//! power of three members, up to a fixed depth. Safety is checked in every state.
 
 mod common;
 
@@ -12,7 +12,7 @@
 /// Steps from each initial state.
 const DEPTH: usize = 6;
 /// Maximum number of each event on a path.
-const BUDGET: Budget = Budget { losses: 1, timeouts: 2, proposals: 1, crashes: 1 };
+const BUDGET: Budget = Budget { losses: 1, timeouts: 2, proposals: 1, kills: 1, power_losses: 1 };
 /// Minimum number of distinct states, to detect a reduced exploration.
 const MIN_STATES: usize = 4_000;
 
@@ -21,7 +21,8 @@
     losses: u32,
     timeouts: u32,
     proposals: u32,
-    crashes: u32,
+    kills: u32,
+    power_losses: u32,
 }
 
 #[derive(Clone)]
@@ -37,10 +38,12 @@
 #[derive(Clone, Copy, Debug)]
 enum Step {
     Deliver(usize),
+    /// The receiver is killed between the write and the sync that follow from the message.
+    DeliverAndKill(usize),
     Lose(usize),
     TimeOut(usize),
     Propose(usize),
-    Crash(usize),
+    LosePower(usize),
 }
 
 impl State {
@@ -63,6 +66,9 @@
         if self.budget.losses > 0 {
             steps.extend((0..self.messages.len()).map(Step::Lose));
         }
+        if self.budget.kills > 0 {
+            steps.extend((0..self.messages.len()).map(Step::DeliverAndKill));
+        }
         for (number, peer) in self.peers.iter().enumerate() {
             let is_leader = peer.member.role() == Role::Leader;
             if self.budget.timeouts > 0 && !is_leader {
@@ -71,8 +77,8 @@
             if self.budget.proposals > 0 && is_leader {
                 steps.push(Step::Propose(number));
             }
-            if self.budget.crashes > 0 {
-                steps.push(Step::Crash(number));
+            if self.budget.power_losses > 0 {
+                steps.push(Step::LosePower(number));
             }
         }
         steps
@@ -86,6 +92,11 @@
                 self.peers[to].member.step(self.now, envelope);
                 self.settle(to);
             }
+            Step::DeliverAndKill(number) => {
+                self.budget.kills -= 1;
+                let envelope = self.messages.remove(number);
+                self.kill_in_write(envelope);
+            }
             Step::Lose(number) => {
                 self.budget.losses -= 1;
                 self.messages.remove(number);
@@ -103,8 +114,8 @@
                 self.peers[number].member.flush_proposals();
                 self.settle(number);
             }
-            Step::Crash(number) => {
-                self.budget.crashes -= 1;
+            Step::LosePower(number) => {
+                self.budget.power_losses -= 1;
                 let mut disk = self.peers[number].wal.disk().clone();
                 disk.lose_power(3, 0);
                 self.peers[number] = Peer::open(number as u64 + 1, disk, None, self.now);
@@ -112,8 +123,29 @@
         }
     }
 
+    /// A receiver that writes nothing is not killed.
+    fn kill_in_write(&mut self, envelope: Envelope) {
+        let number = envelope.to.0 as usize - 1;
+        let peer = &mut self.peers[number];
+        peer.wal.disk_mut().interrupt(1, 0);
+        peer.member.step(self.now, envelope);
+        let drained = peer.try_drain();
+        peer.wal.disk_mut().end_process();
+        match drained {
+            Ok(sent) => self.send(number, sent),
+            Err(_) => {
+                let disk = peer.wal.disk().clone();
+                *peer = Peer::open(number as u64 + 1, disk, None, self.now);
+            }
+        }
+    }
+
     fn settle(&mut self, number: usize) {
         let sent = self.peers[number].drain();
+        self.send(number, sent);
+    }
+
+    fn send(&mut self, number: usize, sent: Vec<Envelope>) {
         for envelope in sent {
             if !self.messages.contains(&envelope) {
                 self.messages.push(envelope);
--- a/crates/control/tests/common/legacy_build.rs
+++ b/crates/control/tests/common/legacy_build.rs
@@ -2,7 +2,7 @@
 
 use serde::Deserialize;
 use serde::de::IgnoredAny;
-use topazmount_consensus::{Envelope, MemoryDisk, Message, Payload, Wal};
+use topazmount_consensus::{Envelope, Message, Payload, SharedDisk, Wal};
 
 #[derive(Deserialize)]
 struct TimedCommand {
@@ -73,7 +73,7 @@
 }
 
 /// Error if legacy builds can't read the state on a disk.
-pub fn unreadable_state(disk: MemoryDisk) -> Option<String> {
+pub fn unreadable_state(disk: SharedDisk) -> Option<String> {
     let (_, recovered) = Wal::open(disk).unwrap();
     let read = rmp_serde::from_slice::<ControlState>(&recovered.snapshot.data);
     read.err().map(|error| error.to_string())
--- a/crates/control/tests/common/mod.rs
+++ b/crates/control/tests/common/mod.rs
@@ -7,7 +7,9 @@
 use serde::{Serialize, de::DeserializeOwned};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::time::Duration;
-use topazmount_consensus::{Config, Envelope, MemberInfo, MembershipStatus, MemoryDisk, Message};
+use topazmount_consensus::{
+    Config, Disk, Envelope, MemberInfo, MembershipStatus, Message, SharedDisk, Wal,
+};
 use topazmount_control::{
     Founding, InstanceReport, LoadedModel, Member, MemberInput, MemberOutput, MemberSettings,
     MembershipEvent, Request, Response, Token,
@@ -76,8 +78,8 @@
 
 #[derive(Default)]
 struct Machine {
-    member: Option<Member<MemoryDisk>>,
-    disk: MemoryDisk,
+    member: Option<Member<SharedDisk>>,
+    disk: SharedDisk,
     seeds: Vec<Host>,
     /// Number of process starts; messages to an earlier process are lost.
     run: u64,
@@ -99,6 +101,22 @@
     input: MemberInput,
 }
 
+/// What a start has read is what a loss of power right after it leaves.
+fn assert_outlasts_power_loss(host: Host, disk: &SharedDisk) {
+    let state = |disk: SharedDisk| {
+        let (_, recovered) = Wal::open(disk).unwrap();
+        let log = recovered.log;
+        let entries = log.range(log.first_index(), log.last_index());
+        (recovered.hard_state, recovered.snapshot, entries)
+    };
+    let (before, after) = (disk.copy(), disk.copy());
+    before.inner().end_process();
+    after.inner().lose_power(0, u64::MAX);
+    let identity = |disk: &SharedDisk| disk.read("identity").unwrap();
+    assert_eq!(identity(&after), identity(&before), "{host} loses its identity");
+    assert!(state(after) == state(before), "{host} started from what a loss of power takes away");
+}
+
 /// The machines, their messages and network cuts.
 pub struct World {
     pub now: Time,
@@ -186,8 +204,16 @@
             heartbeat_interval: self.heartbeat_interval,
             seeds: machine.seeds.iter().map(|seed| address(*seed)).collect(),
         };
-        let disk = std::mem::take(&mut machine.disk);
-        let member = Member::open(disk, settings, founding, self.now).unwrap();
+        let opened = Member::open(machine.disk.clone(), settings, founding, self.now);
+        let member = match opened {
+            Ok(member) => member,
+            Err(error) => {
+                assert!(machine.disk.inner().is_interrupted(), "{host} can't start: {error}");
+                self.end(host, "ended in its start");
+                return;
+            }
+        };
+        assert_outlasts_power_loss(host, &machine.disk);
         machine.member = Some(member);
         machine.run += 1;
         machine.held_inputs = None;
@@ -209,31 +235,51 @@
         self.machines.keys().copied().collect()
     }
 
-    /// Stops a process; its disk keeps synced data.
+    /// Ends a process; its disk keeps what was written.
     pub fn kill(&mut self, host: Host) {
-        self.lose_power(host, 0);
+        if self.is_up(host) {
+            self.end(host, "killed");
+        }
+    }
+
+    /// Ends a process within its writes, after so many steps of its disk; a write that is cut adds its
+    /// first `written` bytes. See [`topazmount_consensus::MemoryDisk::interrupt`].
+    pub fn kill_in_write(&mut self, host: Host, steps: u32, written: usize) {
+        if let Some(machine) = self.machines.get_mut(&host) {
+            machine.disk.inner().interrupt(steps, written);
+        }
+    }
+
+    /// Takes [`World::kill_in_write`] back where it has not happened yet.
+    pub fn kill_none_in_write(&mut self) {
+        self.machines.values().for_each(|machine| machine.disk.inner().end_process());
     }
 
     /// Stops a machine; its disk keeps synced data, and the first `torn` unsynced bytes of each file.
-    pub fn lose_power(&mut self, host: Host, torn: usize) {
+    /// `lost_names` chooses the names that are lost among those that were not synced.
+    pub fn lose_power(&mut self, host: Host, torn: usize, lost_names: u64) {
         let Some(machine) = self.machines.get_mut(&host) else { return };
-        if let Some(member) = machine.member.take() {
-            machine.disk = member.disk().clone();
-            machine.disk.lose_power(torn, 0);
-            machine.held_inputs = None;
-            self.log(host, "stopped".to_owned());
-        }
+        machine.disk.inner().lose_power(torn, lost_names);
+        self.end(host, "lost power");
+    }
+
+    fn end(&mut self, host: Host, how: &str) {
+        let Some(machine) = self.machines.get_mut(&host) else { return };
+        machine.disk.inner().end_process();
+        machine.member = None;
+        machine.held_inputs = None;
+        self.log(host, how.to_owned());
     }
 
     /// The disk of a machine whose process has stopped.
-    pub fn disk(&self, host: Host) -> MemoryDisk {
-        self.machines[&host].disk.clone()
+    pub fn disk(&self, host: Host) -> SharedDisk {
+        self.machines[&host].disk.copy()
     }
 
     /// Stops a process and empties its disk.
     pub fn wipe(&mut self, host: Host) {
         self.kill(host);
-        self.machines.get_mut(&host).unwrap().disk = MemoryDisk::default();
+        self.machines.get_mut(&host).unwrap().disk = SharedDisk::default();
         self.log(host, "disk lost".to_owned());
     }
 
@@ -308,8 +354,12 @@
             return;
         }
         let Some(member) = &mut machine.member else { return };
-        for output in member.step(clock, inputs).unwrap() {
-            self.perform(host, output);
+        match member.step(clock, inputs) {
+            Ok(outputs) => outputs.into_iter().for_each(|output| self.perform(host, output)),
+            Err(error) => {
+                assert!(machine.disk.inner().is_interrupted(), "{host} stopped: {error}");
+                self.end(host, "ended in a write");
+            }
         }
     }
 
@@ -419,7 +469,7 @@
         self.responses.remove(&token)
     }
 
-    pub fn member(&self, host: Host) -> Option<&Member<MemoryDisk>> {
+    pub fn member(&self, host: Host) -> Option<&Member<SharedDisk>> {
         self.machines.get(&host)?.member.as_ref()
     }
 
@@ -435,7 +485,7 @@
         };
         let Some(member) = self.member(host) else { return false };
         let id = member.identity().0;
-        let standing = |member: &Member<MemoryDisk>| member.replica().membership().status(id);
+        let standing = |member: &Member<SharedDisk>| member.replica().membership().status(id);
         standing(leader) == MembershipStatus::Voter && standing(member) == MembershipStatus::Voter
     }
 
--- a/crates/control/tests/membership_soak.rs
+++ b/crates/control/tests/membership_soak.rs
@@ -31,6 +31,8 @@
 #[derive(Clone, Copy, Debug)]
 enum Fault {
     Kill,
+    /// The process is killed within one of its next writes, and maybe in its start.
+    KillInWrite,
     KillAll,
     Wipe,
     Replace,
@@ -52,6 +54,24 @@
     Fault::Seeds,
 ];
 
+/// Faults with processes that end within their writes.
+const FAULTS_IN_WRITES: [Fault; 10] = [
+    Fault::KillInWrite,
+    Fault::KillInWrite,
+    Fault::KillInWrite,
+    Fault::Kill,
+    Fault::KillAll,
+    Fault::Wipe,
+    Fault::Replace,
+    Fault::Freeze,
+    Fault::Cut,
+    Fault::Seeds,
+];
+/// Steps of the disk after which such a process ends; more than a start takes.
+const MAX_STEPS: u32 = 14;
+/// Longest part of a write that is cut, in bytes.
+const MAX_WRITTEN: usize = 200;
+
 struct Soak {
     world: World,
     rng: ChaCha8Rng,
@@ -112,6 +132,11 @@
                 let down = self.random_time(4_000);
                 self.starts.insert(host, now + down);
             }
+            Fault::KillInWrite => {
+                let steps = self.rng.random_range(0..MAX_STEPS);
+                let written = self.rng.random_range(0..MAX_WRITTEN);
+                self.world.kill_in_write(host, steps, written);
+            }
             Fault::KillAll => {
                 for host in self.world.hosts() {
                     self.world.kill(host);
@@ -174,6 +199,7 @@
             for host in due(&mut self.starts, now) {
                 self.world.start(host);
             }
+            self.start_ended();
             for host in due(&mut self.thaws, now) {
                 self.world.thaw(host);
             }
@@ -186,6 +212,17 @@
         }
     }
 
+    /// Processes that ended within a write start again.
+    fn start_ended(&mut self) {
+        for host in self.world.hosts() {
+            if !self.world.is_up(host) && !self.starts.contains_key(&host) {
+                self.thaws.remove(&host);
+                let down = self.random_time(4_000);
+                self.starts.insert(host, self.world.now + down);
+            }
+        }
+    }
+
     /// A lost disk counts until there have been no faults for `CATCH_UP`.
     fn expire_lost_disks(&mut self) {
         let (now, is_calm) = (self.world.now, self.is_calm());
@@ -223,6 +260,7 @@
 
     /// Ends all faults, and checks that the group recovers.
     fn end_faults_and_check(&mut self) {
+        self.world.kill_none_in_write();
         while !self.is_calm() {
             self.pass(Duration::from_millis(100));
         }
@@ -264,10 +302,10 @@
     due
 }
 
-fn run_seed(seed: u64) {
+fn run_seed(seed: u64, faults: &[Fault]) {
     let mut soak = Soak::new(seed);
     for step in 0..STEPS {
-        let fault = *FAULTS.choose(&mut soak.rng).expect("the list is not empty");
+        let fault = *faults.choose(&mut soak.rng).expect("the list is not empty");
         soak.inject(fault);
         // Most faults begin before the last one is repaired.
         let pause = soak.random_time(if step % 4 == 3 { 6_000 } else { 1_500 });
@@ -285,11 +323,10 @@
     from..to
 }
 
-#[test]
-fn a_group_recovers_after_any_tolerable_fault_sequence() {
+fn run_seeds(faults: &[Fault]) {
     let failed: Vec<u64> = seeds()
         .filter(|seed| {
-            let result = std::panic::catch_unwind(|| run_seed(*seed));
+            let result = std::panic::catch_unwind(|| run_seed(*seed, faults));
             if let Err(panic) = &result {
                 let panic = panic.downcast_ref::<String>().map_or("", String::as_str);
                 eprintln!("seed {seed}: {panic}");
@@ -299,3 +336,14 @@
         .collect();
     assert!(failed.is_empty(), "seeds {failed:?}");
 }
+
+#[test]
+fn a_group_recovers_after_any_tolerable_fault_sequence() {
+    run_seeds(&FAULTS);
+}
+
+/// Members killed in their writes and starts come back, and lose nothing that was acknowledged.
+#[test]
+fn a_group_recovers_after_ends_within_writes() {
+    run_seeds(&FAULTS_IN_WRITES);
+}
