Simulator: members that are killed within a write, and starts judged against a loss of power

Cause: the simulator ended each member as by a loss of power, so that no member started from records without a sync.

Change: a member that stops keeps what was written, or loses power; three in ten crashes end it within one of its next writes; each start is judged (durability). Member::disk_mut lets a driver interrupt the disk.

--- a/crates/control/src/member.rs
+++ b/crates/control/src/member.rs
@@ -217,6 +217,11 @@
         self.wal.disk()
     }
 
+    /// The disk, for a driver that interrupts it.
+    pub fn disk_mut(&mut self) -> &mut D {
+        self.wal.disk_mut()
+    }
+
     /// Identity, name and address.
     pub fn identity(&self) -> (MemberId, &MemberInfo) {
         (self.replica.id(), &self.settings.info)
--- a/crates/lab/src/sim/faults.rs
+++ b/crates/lab/src/sim/faults.rs
@@ -13,6 +13,8 @@
 
 /// Pause between two looks at whether a repair is complete.
 const REPAIR_POLL: Duration = Duration::from_millis(200);
+/// Share of members' crashes that end a process within one of its writes.
+const KILLS_IN_WRITES: f64 = 0.3;
 
 macro_rules! fault_kinds {
     ($($(#[$meta:meta])* $kind:ident => $name:literal,)*) => {
@@ -267,7 +269,7 @@
         }
     }
 
-    fn start_later(&mut self, wait: Duration, place: Place) {
+    pub(crate) fn start_later(&mut self, wait: Duration, place: Place) {
         self.schedule.push(self.now + wait, Event::Later(Later::Start(place)));
     }
 
@@ -310,7 +312,10 @@
     }
 
     fn crash_member(&mut self, member: usize, lasts: Duration) {
-        self.stop_member(member, false);
+        match self.disk_rng.random_bool(KILLS_IN_WRITES) {
+            true => self.stop_member_in_write(member),
+            false => self.stop_member(member, false),
+        }
         self.start_later(lasts, Place::Member(member));
     }
 
@@ -344,6 +349,9 @@
             {
                 self.start_later(REPAIR_POLL, place);
             }
+            if let Place::Member(member) = place {
+                self.keep_member(member);
+            }
             return;
         }
         match place {
--- a/crates/lab/src/sim/members.rs
+++ b/crates/lab/src/sim/members.rs
@@ -9,7 +9,7 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::time::Duration;
-use topazmount_consensus::{Config, MemberInfo, MemoryDisk};
+use topazmount_consensus::{Config, MemberInfo, MemoryDisk, Wal};
 use topazmount_control::{Founding, Member, MemberInput, MemberOutput, MemberSettings, Token};
 use topazmount_node::NodeInput;
 use topazmount_types::Time;
@@ -21,6 +21,11 @@
 /// Unsynced bytes that a crash may leave behind.
 const MAX_TORN: usize = 200;
 
+/// Steps of a disk after which a process ends in a write: before the write, before its sync, after it.
+const MAX_STEPS: u32 = 3;
+/// Pause before a process that ended in a write starts again.
+const RESTART_DELAY: Duration = Duration::from_millis(500);
+
 /// Synced bytes that a planted violation loses.
 const LOST_BYTES: usize = 20_000;
 
@@ -49,6 +54,20 @@
     SocketAddr::from(([10, 0, 0, number as u8 + 1], 7_000))
 }
 
+/// Whether a loss of power leaves what a start of a member reads from this disk.
+fn outlasts_power_loss(disk: &MemoryDisk) -> bool {
+    let state = |disk: MemoryDisk| {
+        let (_, recovered) = Wal::open(disk).ok()?;
+        let log = recovered.log;
+        let entries = log.range(log.first_index(), log.last_index());
+        Some((recovered.hard_state, recovered.snapshot, entries))
+    };
+    let mut after = disk.clone();
+    after.lose_power(0, u64::MAX);
+    let before = state(disk.clone());
+    before.is_some() && before == state(after)
+}
+
 fn member_at(text: &str, members: usize) -> Option<usize> {
     (0..members).find(|number| address(*number).to_string() == text)
 }
@@ -102,6 +121,10 @@
                 return;
             }
         };
+        if !outlasts_power_loss(member.disk()) {
+            let detail = format!("member {number} started from what a loss of power takes away");
+            self.checks.violated(self.now, Invariant::Durability, detail);
+        }
         let run = self.processes.start(Place::Member(number));
         self.trace(|| format!("member {number} starts as {}", member.identity().0));
         let simulated = &mut self.members[number];
@@ -119,10 +142,15 @@
         }
         self.trace(|| format!("member {number} ends"));
         let torn = self.rng.random_range(0..MAX_TORN);
+        let has_power = self.disk_rng.random_bool(0.5);
+        let lost_names = self.disk_rng.random();
         let simulated = &mut self.members[number];
         let Some(member) = simulated.member.take() else { return };
         simulated.disk = member.disk().clone();
-        simulated.disk.lose_power(torn, 0);
+        match has_power {
+            true => simulated.disk.end_process(),
+            false => simulated.disk.lose_power(torn, lost_names),
+        }
         if loses_disk {
             simulated.disk = MemoryDisk::default();
         } else if self.settings.plant == Some(Plant::LostSyncs) {
@@ -131,6 +159,32 @@
         self.end_process(place, false);
     }
 
+    /// Ends a member's process within one of its next writes.
+    pub(crate) fn stop_member_in_write(&mut self, number: usize) {
+        let steps = self.disk_rng.random_range(0..MAX_STEPS);
+        let written = self.disk_rng.random_range(0..MAX_TORN);
+        if let Some(member) = &mut self.members[number].member {
+            member.disk_mut().interrupt(steps, written);
+        }
+    }
+
+    /// Takes [`World::stop_member_in_write`] back where it has not happened yet.
+    pub(crate) fn keep_member(&mut self, number: usize) {
+        if let Some(member) = &mut self.members[number].member {
+            member.disk_mut().end_process();
+        }
+    }
+
+    fn end_member_in_write(&mut self, number: usize) {
+        let simulated = &mut self.members[number];
+        let Some(member) = simulated.member.take() else { return };
+        simulated.disk = member.disk().clone();
+        simulated.disk.end_process();
+        self.trace(|| format!("member {number} ends in a write"));
+        self.end_process(Place::Member(number), false);
+        self.start_later(RESTART_DELAY, Place::Member(number));
+    }
+
     /// The member that leads with a valid lease.
     pub(crate) fn leader(&self) -> Option<usize> {
         (0..self.members.len()).find(|number| self.holds_lease(*number))
@@ -186,6 +240,7 @@
         let syncs = member.disk().syncs;
         let outputs = match member.step(now, [input]) {
             Ok(outputs) => outputs,
+            Err(_) if member.disk().is_interrupted() => return self.end_member_in_write(number),
             Err(error) => {
                 let detail = format!("member {number} stopped: {error}");
                 self.checks.violated(now, Invariant::Durability, detail);
--- a/crates/lab/src/sim/world.rs
+++ b/crates/lab/src/sim/world.rs
@@ -137,6 +137,8 @@
     pub(crate) seed_configuration: InForce,
     pub(crate) schedule: Schedule<Event>,
     pub(crate) rng: ChaCha8Rng,
+    /// Chooses what the disks of members do.
+    pub(crate) disk_rng: ChaCha8Rng,
     pub(crate) network: Network,
     pub(crate) processes: Processes,
     pub(crate) nodes: Vec<SimNode>,
@@ -168,6 +170,7 @@
             totals_at_warm_up: Totals::default(),
             schedule: Schedule::default(),
             rng: ChaCha8Rng::seed_from_u64(settings.seed),
+            disk_rng: ChaCha8Rng::seed_from_u64(!settings.seed),
             network,
             processes: Processes::default(),
             nodes: Vec::new(),
