Node: a start makes the name of its kept configuration durable

Callers saw (by reading, shown by a test): a node that was killed after the rename of its kept configuration and before the sync of the folder started with the new one; a loss of power then brought the older one back, so callers could see the configuration go back.

Cause: as in, a start took what it read for durable.

Change: loading syncs names before it reads. The content was synced before the rename.

--- a/crates/topazmount/src/configuration_file.rs
+++ b/crates/topazmount/src/configuration_file.rs
@@ -17,9 +17,17 @@
 /// # Errors
 /// When the disk fails.
 pub fn save(folder: &Path, configuration: &InForce) -> Result<()> {
+    save_to(&mut FileDisk::open(folder)?, configuration)
+}
+
+/// The same on a disk.
+///
+/// # Errors
+/// When the disk fails.
+pub fn save_to<D: Disk>(disk: &mut D, configuration: &InForce) -> Result<()> {
     let digest = configuration.source.digest();
     let bytes = encode_payload(&(configuration.revision, digest, &configuration.source))?;
-    FileDisk::open(folder)?.replace(FILE, &bytes)?;
+    disk.replace(FILE, &bytes)?;
     Ok(())
 }
 
@@ -28,8 +36,20 @@
 /// # Errors
 /// When the seed has problems and nothing else can be used, or the disk fails.
 pub fn load(folder: Option<&Path>, seed: SourceFiles) -> Result<InForce> {
-    let Some(folder) = folder else { return Ok(InForce::seed(seed)?) };
-    let Some(bytes) = FileDisk::open(folder)?.read(FILE)? else {
+    match folder {
+        Some(folder) => load_from(&mut FileDisk::open(folder)?, seed),
+        None => Ok(InForce::seed(seed)?),
+    }
+}
+
+/// The same from a disk. What it returns is durable: a process that was killed may have put a
+/// configuration in place whose name is not, and callers must not see an older one later.
+///
+/// # Errors
+/// When the seed has problems and nothing else can be used, or the disk fails.
+pub fn load_from<D: Disk>(disk: &mut D, seed: SourceFiles) -> Result<InForce> {
+    disk.sync_names()?;
+    let Some(bytes) = disk.read(FILE)? else {
         return Ok(InForce::seed(seed)?);
     };
     match decode(&bytes) {
