Node: an older configuration that is written late replaces no newer one

Callers saw (by reading, shown by a test): after two updates in quick succession a node could keep the older one on disk, and start with it later, behind what its callers had seen. Found while reading who else relies on the data folder.

Cause: each update is written by a task of its own; nothing ordered them, and they shared a temporary file.

Change: one Keeper per node writes one configuration at a time and skips those behind the newest.

--- a/crates/topazmount/src/configuration_file.rs
+++ b/crates/topazmount/src/configuration_file.rs
@@ -2,7 +2,8 @@
 
 use crate::file_disk::FileDisk;
 use eyre::Result;
-use std::path::Path;
+use std::path::{Path, PathBuf};
+use std::sync::Mutex;
 use topazmount_consensus::Disk;
 use topazmount_node::InForce;
 use topazmount_settings::SourceFiles;
@@ -12,15 +13,36 @@
 /// File in the node's data folder.
 const FILE: &str = "configuration";
 
-/// Puts a configuration in place, synced, all or nothing.
-///
-/// # Errors
-/// When the disk fails.
-pub fn save(folder: &Path, configuration: &InForce) -> Result<()> {
-    save_to(&mut FileDisk::open(folder)?, configuration)
+/// Keeps the newest configuration of a node.
+pub struct Keeper {
+    folder: Option<PathBuf>,
+    /// Newest revision on disk; held while a configuration is written.
+    newest: Mutex<Revision>,
 }
 
-/// The same on a disk.
+impl Keeper {
+    /// Keeps configurations in this folder, or nowhere, from this revision on.
+    pub fn new(folder: Option<PathBuf>, newest: Revision) -> Self {
+        Keeper { folder, newest: Mutex::new(newest) }
+    }
+
+    /// Puts a configuration in place, unless a newer one is there.
+    ///
+    /// # Errors
+    /// When the disk fails.
+    pub fn save(&self, configuration: &InForce) -> Result<()> {
+        let Some(folder) = &self.folder else { return Ok(()) };
+        let mut newest = self.newest.lock().unwrap();
+        if configuration.revision < *newest {
+            return Ok(());
+        }
+        save_to(&mut FileDisk::open(folder)?, configuration)?;
+        *newest = configuration.revision;
+        Ok(())
+    }
+}
+
+/// Puts a configuration in place, synced, all or nothing.
 ///
 /// # Errors
 /// When the disk fails.
--- a/crates/topazmount/src/node_process.rs
+++ b/crates/topazmount/src/node_process.rs
@@ -3,7 +3,7 @@
 use crate::Executor;
 use crate::callers;
 use crate::clock::Clock;
-use crate::configuration_file;
+use crate::configuration_file::{self, Keeper};
 use crate::control_client::ControlClient;
 use crate::engine_client;
 use crate::http_pool::HttpPool;
@@ -14,7 +14,6 @@
 use eyre::{Result, WrapErr};
 use std::collections::HashMap;
 use std::net::SocketAddr;
-use std::path::PathBuf;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
@@ -82,7 +81,7 @@
     pub executor: Executor,
     /// Clock of the core.
     pub clock: Clock,
-    data_folder: Option<PathBuf>,
+    keeper: Arc<Keeper>,
     controls: Vec<ControlClient>,
     pool: HttpPool,
     connections: AtomicUsize,
@@ -148,6 +147,7 @@
 pub async fn start(executor: &Executor, options: NodeOptions) -> Result<NodeHandle> {
     let NodeOptions { settings, source, key, tenant_share } = options;
     let seed = configuration_file::load(settings.data_folder.as_deref(), source)?;
+    let kept = seed.revision;
     let listener = TcpListener::bind(settings.callers_address)
         .await
         .wrap_err_with(|| format!("listening at {}", settings.callers_address))?;
@@ -175,7 +175,7 @@
         }),
         executor: executor.clone(),
         clock,
-        data_folder: settings.data_folder,
+        keeper: Arc::new(Keeper::new(settings.data_folder, kept)),
         controls,
         pool: HttpPool::default(),
         connections: AtomicUsize::new(0),
@@ -325,11 +325,8 @@
         let process = self.clone();
         let keeping = async move {
             let revision = configuration.revision;
-            let folder = process.data_folder.clone();
-            let saved = blocking::unblock(move || match folder {
-                Some(folder) => configuration_file::save(&folder, &configuration),
-                None => Ok(()),
-            });
+            let keeper = process.keeper.clone();
+            let saved = blocking::unblock(move || keeper.save(&configuration));
             match saved.await {
                 Ok(()) => process.feed(NodeInput::Kept(revision)),
                 Err(error) => log::error!("node: configuration {revision} not kept: {error}."),
