Tests: heads that are cut, at each reader of answers

The users' report (MIXED, ORDER): a replica stops in the middle of its answer's head and closes; clients got a 200 with an empty or short body.

Health checks read no answers, and watches go by frames of our own, not HTTP.

--- a/crates/topazmount/tests/back_end_answers.rs
+++ b/crates/topazmount/tests/back_end_answers.rs
@@ -152,6 +152,9 @@
 #[case::unknown_coding(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip\r\n\r\nbroken")]
 #[case::no_length(b"HTTP/1.1 200 OK\r\n\r\nbroken")]
 #[case::cut_in_the_head(b"HTTP/1.1 200 OK\r\nContent-Le")]
+#[case::cut_in_the_status(b"HTTP/1.1 20")]
+#[case::cut_in_the_length(b"HTTP/1.1 200 OK\r\nContent-Length: 1")]
+#[case::cut_before_the_last_line_feed(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r")]
 #[case::cut_in_the_body(b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nbroken")]
 #[case::cut_in_the_chunks(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n6\r\nbroken\r\n")]
 #[case::empty_chunk_size(
@@ -217,6 +220,10 @@
 #[case::blank_in_a_name(b"HTTP/1.1 200 OK\r\nA B: c\r\nContent-Length: 6\r\n\r\nbroken")]
 #[case::bare_line_feeds(b"HTTP/1.1 200 OK\nContent-Length: 14\n\ndata: [DONE]\n\n")]
 #[case::interim_head_alone(b"HTTP/1.1 100 Continue\r\n\r\n")]
+#[case::cut_in_the_status(b"HTTP/1.1 20")]
+#[case::cut_in_a_name(b"HTTP/1.1 200 OK\r\nEngine-Lo")]
+#[case::cut_in_the_length(b"HTTP/1.1 200 OK\r\nContent-Length: 1")]
+#[case::cut_before_the_last_line_feed(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r")]
 fn broken_answers_of_engines(#[case] answer: &[u8]) {
     let engine = StandIn::start(answer, b"");
     let inputs = attempt_at(engine.address);
@@ -261,6 +268,9 @@
 #[case::bare_line_feeds(b"HTTP/1.1 200 OK\nContent-Length: 6\n\nbroken")]
 #[case::cut_in_the_body(b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nbroken")]
 #[case::no_length(b"HTTP/1.1 200 OK\r\n\r\nbroken")]
+#[case::cut_in_the_status(b"HTTP/1.1 20")]
+#[case::cut_in_the_length(b"HTTP/1.1 200 OK\r\nContent-Length: 1")]
+#[case::cut_before_the_last_line_feed(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r")]
 fn broken_documents(#[case] answer: &[u8]) {
     let server = StandIn::start(answer, b"");
     let document = document_at(server.address);
