Gateways: one log line tells each rejection of a request as wrong, with what decided it

Cause: a request without an identifier was logged without status and configuration, one that could not be read with its status only, 403 without its policy, 400 for crashes in two lines without a revision.

Change: rejections before admission log request, status, reason, host, path, version of the configuration, number of routes, and whether a key was given or what could not be read, with its limit. 403 names the policy; event=rejected_for_crashes has status, reason, verdict, revision of the blocks and version.

--- a/crates/gateway/src/balancer/mod.rs
+++ b/crates/gateway/src/balancer/mod.rs
@@ -246,12 +246,17 @@
         self.stores.select_for_save(prompt, shard, &salt, now)
     }
 
-    /// Whether the routing policy admits the request.
-    pub fn admits(&self, request: &ChoiceRequest<'_>, policies: &mut PolicyTable) -> bool {
+    /// Name of the routing policy that rejects the request, if it does.
+    pub fn rejecting_policy(
+        &self,
+        request: &ChoiceRequest<'_>,
+        policies: &mut PolicyTable,
+    ) -> Option<String> {
         let prefix_hashes = request.prefix_hashes();
         let route_request = request.route_request(&prefix_hashes, self.sequence + 1);
         let policy = policies.assign(&route_request);
-        policies.admit(policy, &route_request)
+        let is_admitted = policies.admit(policy, &route_request);
+        (!is_admitted).then(|| policies.name(policy).to_owned())
     }
 
     /// Whether any replica is available for the request. Does not count as a routing decision.
--- a/crates/gateway/src/catalog.rs
+++ b/crates/gateway/src/catalog.rs
@@ -259,6 +259,11 @@
         self.parts.version
     }
 
+    /// Number of routes.
+    pub fn route_count(&self) -> usize {
+        self.parts.routes.len()
+    }
+
     /// Limits on clients.
     pub fn limits(&self) -> HttpLimits {
         self.parts.limits
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -245,9 +245,9 @@
         &mut self.policies
     }
 
-    /// Whether the routing policy admits the request.
-    pub fn is_admitted_by_policy(&mut self, request: &ChoiceRequest<'_>) -> bool {
-        self.balancer.admits(request, &mut self.policies)
+    /// Name of the routing policy that rejects the request, if it does.
+    pub fn rejecting_policy(&mut self, request: &ChoiceRequest<'_>) -> Option<String> {
+        self.balancer.rejecting_policy(request, &mut self.policies)
     }
 
     /// Records the first token of a request, `waited` after it was sent.
--- a/crates/topazmount/src/fleet/clients.rs
+++ b/crates/topazmount/src/fleet/clients.rs
@@ -4,7 +4,7 @@
 use super::exchange::{ClientResponse, Exchange, ResponseOutcome};
 use super::gateway::SharedState;
 use super::http_service::with_timeout;
-use super::request_reader::{ReadError, read_body, read_head};
+use super::request_reader::{ReadError, Rejection, read_body, read_head};
 use super::response::response_to;
 use super::stream_origin::{NotResumable, resumable_stream};
 use crate::Executor;
@@ -58,8 +58,8 @@
         let head = match read_head(&mut wire, || shared.read_limits()).await {
             Ok(head) => head,
             Err(ReadError::Disconnected) => return,
-            Err(ReadError::Rejected(kind)) => {
-                return send_error_and_close(&shared, &mut wire, kind).await;
+            Err(ReadError::Rejected(rejection)) => {
+                return reject_and_close(&shared, &mut wire, None, rejection).await;
             }
         };
         let _open = OpenRequest::new(&shared);
@@ -67,8 +67,8 @@
         let body = match read_body(&mut wire, &head, &shared.read_limits()).await {
             Ok(body) => body,
             Err(ReadError::Disconnected) => return,
-            Err(ReadError::Rejected(kind)) => {
-                return send_error_and_close(&shared, &mut wire, kind).await;
+            Err(ReadError::Rejected(rejection)) => {
+                return reject_and_close(&shared, &mut wire, Some(&head), rejection).await;
             }
         };
         let keeps_alive = head.keeps_alive() && !shared.is_stopping();
@@ -94,10 +94,9 @@
     let metadata = match shared.dialect.request_metadata(head) {
         Ok(metadata) => metadata,
         Err(problem) => {
-            log::info!("gateway: event=refused problem={problem:?}");
-            return Some(
-                send_error(shared, wire, head, ErrorKind::InvalidRequest, keeps_alive).await,
-            );
+            let kind = ErrorKind::InvalidRequest;
+            log_rejection(shared, Some(head), kind, &format!("problem={problem:?}"));
+            return Some(send_error(shared, wire, head, kind, keeps_alive).await);
         }
     };
     let host = head.host().unwrap_or_default();
@@ -110,14 +109,14 @@
     let mut admission = match admission {
         Ok(admission) => admission,
         Err(kind) => {
-            log_refusal(shared, &metadata, host, head.path(), kind);
+            log_refusal(shared, &metadata, head, kind);
             return Some(send_error(shared, wire, head, kind, keeps_alive).await);
         }
     };
     let stream = match resumable_stream(shared, &metadata, &mut admission).await {
         Ok(stream) => stream,
         Err(NotResumable { kind, retry_after }) => {
-            log_refusal(shared, &metadata, host, head.path(), kind);
+            log_refusal(shared, &metadata, head, kind);
             return Some(send_rejection(shared, wire, head, kind, retry_after, keeps_alive).await);
         }
     };
@@ -186,22 +185,39 @@
     parts.into_iter().map(part_digest).collect()
 }
 
+/// Logs the rejection of a request that was read and not admitted, with what admission looks at.
 fn log_refusal(
     shared: &SharedState,
     metadata: &RequestMetadata,
-    host: &str,
-    path: &str,
+    head: &RequestHead,
+    kind: ErrorKind,
+) {
+    let key = if metadata.api_key.is_some() { "given" } else { "none" };
+    log_rejection(shared, Some(head), kind, &format!("key={key}"));
+}
+
+/// Logs a request that is rejected before it is admitted: its status, the values that decided it, and
+/// the configuration in force. `head` is `None` if no head could be read.
+fn log_rejection(
+    shared: &SharedState,
+    head: Option<&RequestHead>,
     kind: ErrorKind,
+    decided_by: &str,
 ) {
     shared.metrics.record_response(kind.name(), Duration::ZERO);
     shared.event_log.info(|| {
-        let version = shared.gateway_state.lock().seen_versions().document;
+        let metadata = head.and_then(|head| shared.dialect.request_metadata(head).ok());
+        let catalog = shared.gateway_state.lock().catalog().cloned();
+        let (version, routes) =
+            catalog.map_or((0, 0), |catalog| (catalog.version(), catalog.route_count()));
         format!(
-            "gateway: event=answer request={} status={} reason={} host={host} path={path} \
-             version={version}",
-            metadata.id,
+            "gateway: event=answer request={} status={} reason={} host={} path={} version={version} \
+             routes={routes} {decided_by}",
+            metadata.as_ref().map_or("unknown", |metadata| &metadata.id),
             kind.status(),
-            kind.name()
+            kind.name(),
+            head.and_then(RequestHead::host).unwrap_or("unknown"),
+            head.map_or("unknown", RequestHead::path),
         )
     });
 }
@@ -233,8 +249,14 @@
 }
 
 /// Sends an error for a request that could not be read, and closes the connection.
-async fn send_error_and_close(shared: &SharedState, wire: &mut Wire, kind: ErrorKind) {
-    shared.metrics.record_response(kind.name(), Duration::ZERO);
+async fn reject_and_close(
+    shared: &SharedState,
+    wire: &mut Wire,
+    read: Option<&RequestHead>,
+    rejection: Rejection,
+) {
+    let Rejection { kind, problem } = rejection;
+    log_rejection(shared, read, kind, &format!("problem={problem:?}"));
     let response = shared.dialect.error_response(kind, None);
     let head = RequestHead {
         method: String::new(),
@@ -242,9 +264,6 @@
         minor_version: 1,
         headers: Default::default(),
     };
-    shared.event_log.info(|| {
-        format!("gateway: event=answer status={} reason={} unread", kind.status(), kind.name())
-    });
     let _ = wire.write_all(&response_to(&response, &head, false)).await;
     wire.finish();
     // Closing a socket with unread data would reset the connection and discard the response.
--- a/crates/topazmount/src/fleet/exchange/crash.rs
+++ b/crates/topazmount/src/fleet/exchange/crash.rs
@@ -79,13 +79,14 @@
         blocked: &Blocked,
         refusal: TrialRefusal,
     ) -> ResponseOutcome {
-        self.log_rejection(blocked);
         // For a while trials are left to requests that may be repeated.
         let waits_for_others = refusal.is_pause && !self.admission.route.is_retryable();
         let is_probable = blocked.verdict == CrashVerdict::Probable;
         if blocked.verdict == CrashVerdict::Confirmed || is_probable && waits_for_others {
+            self.log_rejection(blocked, ErrorKind::CrashesReplicas);
             return self.fail(plan, ErrorKind::CrashesReplicas).await;
         }
+        self.log_rejection(blocked, ErrorKind::SuspectedOfCrashes);
         self.send_error(plan, ErrorKind::SuspectedOfCrashes, Some(refusal.wait)).await
     }
 
@@ -102,15 +103,20 @@
         }
     }
 
-    fn log_rejection(&self, blocked: &Blocked) {
+    fn log_rejection(&self, blocked: &Blocked, kind: ErrorKind) {
         self.shared.event_log.info(|| {
             let digests: Vec<String> = blocked.digests.iter().map(ToString::to_string).collect();
             format!(
-                "gateway: event=rejected_for_crashes request={} digest={} blocked={} verdict={:?}",
+                "gateway: event=rejected_for_crashes request={} status={} reason={} digest={} blocked={} verdict={:?} \
+                 blocks_revision={} version={}",
                 self.metadata.id,
+                kind.status(),
+                kind.name(),
                 self.digest,
                 digests.join(","),
-                blocked.verdict
+                blocked.verdict,
+                blocked.revision,
+                self.admission.version
             )
         });
     }
--- a/crates/topazmount/src/fleet/exchange/mod.rs
+++ b/crates/topazmount/src/fleet/exchange/mod.rs
@@ -302,8 +302,8 @@
         let now = self.shared.clock.now();
         let service = self.admission.service.clone();
         self.shared.gateway_state.lock().record_request(&service, now);
-        if !self.is_admitted_by_policy(plan) {
-            return self.fail(plan, ErrorKind::RefusedByPolicy).await;
+        if let Some(policy) = self.rejecting_policy(plan) {
+            return self.reject_by_policy(plan, &policy).await;
         }
         if let Some(outcome) = self.begin_trial_if_blocked(plan).await {
             return outcome;
@@ -433,10 +433,10 @@
         }
     }
 
-    fn is_admitted_by_policy(&self, plan: &RequestPlan) -> bool {
+    fn rejecting_policy(&self, plan: &RequestPlan) -> Option<String> {
         let request = self.choice_request(plan);
-        let has_prompt = request.prompt.is_some();
-        !has_prompt || self.shared.gateway_state.lock().is_admitted_by_policy(&request)
+        request.prompt?;
+        self.shared.gateway_state.lock().rejecting_policy(&request)
     }
 
     /// Ends an attempt. Returns the error to respond with, or `None` if another attempt follows.
--- a/crates/topazmount/src/fleet/exchange/record.rs
+++ b/crates/topazmount/src/fleet/exchange/record.rs
@@ -277,7 +277,8 @@
         self.log_end_with(plan, status, reason, "");
     }
 
-    fn log_end_with(&self, plan: &RequestPlan, status: u16, reason: &str, extra: &str) {
+    /// Logs the end of a request; `extra` is added to the line.
+    pub(super) fn log_end_with(&self, plan: &RequestPlan, status: u16, reason: &str, extra: &str) {
         self.shared
             .metrics
             .record_response(reason, self.shared.clock.now().since(self.received_at));
--- a/crates/topazmount/src/fleet/exchange/responses.rs
+++ b/crates/topazmount/src/fleet/exchange/responses.rs
@@ -104,7 +104,29 @@
         kind: ErrorKind,
         retry_after: Option<Duration>,
     ) -> ResponseOutcome {
-        self.log_end(plan, kind.status(), kind.name());
+        self.send_logged_error(plan, kind, retry_after, "").await
+    }
+
+    /// Rejects a request that the routing policy of this name does not admit.
+    pub(super) async fn reject_by_policy(
+        &mut self,
+        plan: &RequestPlan,
+        policy: &str,
+    ) -> ResponseOutcome {
+        let kind = ErrorKind::RefusedByPolicy;
+        let wait = self.retry_after(plan, kind);
+        self.send_logged_error(plan, kind, wait, &format!(" policy={policy}")).await
+    }
+
+    /// Sends an error; `detail` is added to its log line.
+    async fn send_logged_error(
+        &mut self,
+        plan: &RequestPlan,
+        kind: ErrorKind,
+        retry_after: Option<Duration>,
+        detail: &str,
+    ) -> ResponseOutcome {
+        self.log_end_with(plan, kind.status(), kind.name(), detail);
         let response = self.shared.dialect.error_response(kind, retry_after);
         let bytes = response_to(&response, self.head, self.keeps_alive);
         self.send_whole(&bytes).await
--- a/crates/topazmount/src/fleet/exchange/trial.rs
+++ b/crates/topazmount/src/fleet/exchange/trial.rs
@@ -23,6 +23,8 @@
     pub(super) verdict: CrashVerdict,
     /// Those that are blocked.
     pub(super) digests: Vec<RequestDigest>,
+    /// Revision of the control group's list of blocked requests.
+    pub(super) revision: u64,
 }
 
 /// Permission to send a blocked request to one replica. Its coordinators learn the outcome when it is
@@ -95,6 +97,7 @@
     pub(super) fn blocked(&self) -> Option<Blocked> {
         let now = self.shared.clock.now();
         let mut gateway_state = self.shared.gateway_state.lock();
+        let revision = gateway_state.seen_versions().blocked;
         let crashes = gateway_state.crashes();
         let verdicts = std::iter::once(&self.digest)
             .chain(&self.parts)
@@ -103,7 +106,7 @@
             verdicts.filter(|(verdict, _)| *verdict != CrashVerdict::Clear).collect();
         let verdict = blocked.iter().map(|(verdict, _)| *verdict).max()?;
         let digests = blocked.into_iter().map(|(_, digest)| digest).collect();
-        Some(Blocked { verdict, digests })
+        Some(Blocked { verdict, digests, revision })
     }
 
     /// Asks for a trial of all blocked digests.
--- a/crates/topazmount/src/fleet/http_service.rs
+++ b/crates/topazmount/src/fleet/http_service.rs
@@ -66,7 +66,9 @@
         let (head, body) = match read_call(&mut wire).await {
             Ok(call) => call,
             Err(ReadError::Disconnected) => return,
-            Err(ReadError::Rejected(kind)) => return send_error(&mut wire, kind).await,
+            Err(ReadError::Rejected(rejection)) => {
+                return send_error(&mut wire, rejection.kind).await;
+            }
         };
         let keeps_alive = head.keeps_alive();
         let response = service.handle(head, body).await;
--- a/crates/topazmount/src/fleet/request_reader.rs
+++ b/crates/topazmount/src/fleet/request_reader.rs
@@ -21,12 +21,32 @@
 }
 
 /// Why a request could not be read.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub(super) enum ReadError {
     /// The peer disconnected or was idle too long.
     Disconnected,
-    /// The request is invalid; an error of this kind is sent and the connection closed.
-    Rejected(ErrorKind),
+    /// The request is invalid; an error is sent and the connection closed.
+    Rejected(Rejection),
+}
+
+/// An error for a request that could not be read.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(super) struct Rejection {
+    /// Kind of the error.
+    pub(super) kind: ErrorKind,
+    /// What is wrong, for the log, with the values that decided it.
+    pub(super) problem: String,
+}
+
+impl Rejection {
+    fn error(kind: ErrorKind, problem: impl Into<String>) -> ReadError {
+        ReadError::Rejected(Rejection { kind, problem: problem.into() })
+    }
+
+    fn large_head(read: usize, limit: usize) -> ReadError {
+        let problem = format!("a head of {read} bytes or more, at most {limit}");
+        Rejection::error(ErrorKind::HeaderTooLarge, problem)
+    }
 }
 
 /// Reads a request head. The limits are read again while the connection is idle, since they may change.
@@ -39,18 +59,20 @@
         let limits = limits();
         match RequestHead::parse(wire.buffered()) {
             Ok(Some((_, length))) if length > limits.max_head_bytes => {
-                return Err(ReadError::Rejected(ErrorKind::HeaderTooLarge));
+                return Err(Rejection::large_head(length, limits.max_head_bytes));
             }
             Ok(Some((head, length))) => {
                 wire.consume(length);
                 return Ok(head);
             }
             Ok(None) if wire.buffered().len() > limits.max_head_bytes => {
-                return Err(ReadError::Rejected(ErrorKind::HeaderTooLarge));
+                return Err(Rejection::large_head(wire.buffered().len(), limits.max_head_bytes));
             }
             Ok(None) => {}
-            Err(HeadError::Malformed | HeadError::Framing | HeadError::SwitchesProtocol) => {
-                return Err(ReadError::Rejected(ErrorKind::InvalidRequest));
+            Err(
+                error @ (HeadError::Malformed | HeadError::Framing | HeadError::SwitchesProtocol),
+            ) => {
+                return Err(Rejection::error(ErrorKind::InvalidRequest, error.to_string()));
             }
         }
         if !wire.buffered().is_empty() {
@@ -63,7 +85,8 @@
         match with_timeout(limit, wire.fill()).await {
             Some(Ok(read)) if read > 0 => {}
             None if first_byte.is_some() => {
-                return Err(ReadError::Rejected(ErrorKind::CallerTooSlow));
+                let problem = format!("no whole head within {:?}", limits.head_timeout);
+                return Err(Rejection::error(ErrorKind::CallerTooSlow, problem));
             }
             _ => return Err(ReadError::Disconnected),
         }
@@ -76,17 +99,24 @@
     head: &RequestHead,
     limits: &ReadLimits,
 ) -> Result<Vec<u8>, ReadError> {
-    let framing =
-        request_framing(head).map_err(|_| ReadError::Rejected(ErrorKind::InvalidRequest))?;
+    let framing = request_framing(head)
+        .map_err(|error| Rejection::error(ErrorKind::InvalidRequest, error.to_string()))?;
     if head.headers.has_word("expect", "100-continue") {
         let _ = wire.write_all(b"HTTP/1.1 100 Continue\r\n\r\n").await;
     }
     let mut reader = BodyReader::new(framing);
-    match with_timeout(limits.body_timeout, reader.read_all(wire, limits.max_body_bytes)).await {
-        Some(Ok(body)) => Ok(body),
-        Some(Err(BodyError::TooLarge)) => Err(ReadError::Rejected(ErrorKind::TooLarge)),
-        Some(Err(BodyError::Malformed)) => Err(ReadError::Rejected(ErrorKind::InvalidRequest)),
-        Some(Err(BodyError::Truncated)) => Err(ReadError::Disconnected),
-        None => Err(ReadError::Rejected(ErrorKind::CallerTooSlow)),
-    }
+    let body =
+        with_timeout(limits.body_timeout, reader.read_all(wire, limits.max_body_bytes)).await;
+    let Some(body) = body else {
+        let problem = format!("no whole body within {:?}", limits.body_timeout);
+        return Err(Rejection::error(ErrorKind::CallerTooSlow, problem));
+    };
+    body.map_err(|error| match error {
+        BodyError::TooLarge => {
+            let problem = format!("a body of over {} bytes", limits.max_body_bytes);
+            Rejection::error(ErrorKind::TooLarge, problem)
+        }
+        BodyError::Malformed => Rejection::error(ErrorKind::InvalidRequest, error.to_string()),
+        BodyError::Truncated => ReadError::Disconnected,
+    })
 }
