Control: attempts that began after the crash of their replica are no evidence

Cause: each attempt that broke off at a replica that crashed counted against its request, also one that went over a kept connection to a process that another request had ended before. A sound request that followed a bad one from replica to replica had as many crashes as that one, and from the fourth on both are blocked.

What members record of a command is as before, so builds may be mixed.

Evidence: control/tests/crashes.rs, two cases failed before (the sound request was blocked), all hold now.

--- a/crates/control/src/fleet/crashes.rs
+++ b/crates/control/src/fleet/crashes.rs
@@ -297,10 +297,16 @@
         }
     }
 
-    /// The part of a report that is worth recording. While the ledger is full, suspects older than
-    /// all others would be removed at once, and again with each repetition of the report.
+    /// The part of a report that is worth recording. Attempts that began after the crash of their
+    /// replica are no evidence. While the ledger is full, suspects older than all others would be
+    /// removed at once, and again with each repetition of the report.
     pub fn worth_recording(&self, now: Time, report: &CrashReport) -> CrashReport {
         let mut new = self.new_in(report);
+        let ended_at = self.replica_ends(now, &new);
+        new.crashes.retain(|crash| {
+            let began = now - crash.age - crash.ran_for;
+            ended_at.get(&crash.replica).is_none_or(|at| began < *at + SIMULTANEITY_WINDOW)
+        });
         if self.suspects.len() >= MAX_SUSPECTS {
             let unblocked = self.suspects.values().filter(|it| it.blocked_until.is_none());
             let oldest = unblocked.map(|suspect| suspect.changed_at).min();
@@ -312,6 +318,18 @@
         new
     }
 
+    /// When replicas crashed, by the earliest crash that is known or reported of each.
+    fn replica_ends(&self, now: Time, report: &CrashReport) -> BTreeMap<ReplicaId, Time> {
+        let known = self.host_crashes.iter().map(|crash| (crash.replica, crash.at));
+        let reported = report.crashes.iter().map(|crash| (crash.replica, now - crash.age));
+        let mut ends = BTreeMap::new();
+        for (replica, at) in known.chain(reported) {
+            let end = ends.entry(replica).or_insert(at);
+            *end = at.min(*end);
+        }
+        ends
+    }
+
     /// Records a gateway's report.
     pub fn record(&mut self, now: Time, report: &CrashReport) {
         let new = self.new_in(report);
--- a/crates/control/tests/crashes.rs
+++ b/crates/control/tests/crashes.rs
@@ -68,6 +68,13 @@
         self.ledger.record(self.now, &crashes(records));
     }
 
+    /// A gateway reports, some time after the last report, and the leader records what is worth it.
+    fn report(&mut self, report: &CrashReport) {
+        self.now = self.now + GAP;
+        let report = self.ledger.worth_recording(self.now, report);
+        self.ledger.record(self.now, &report);
+    }
+
     fn pass(&mut self, time: Duration) {
         self.now = self.now + time;
         self.ledger.expire(self.now);
@@ -116,6 +123,48 @@
         assert!(!scenario.is_blocked(CAUSE));
     }
 
+    /// Kept connections may outlast the process that served them: attempts over them break off later, at a
+    /// replica that another request has ended.
+    attempts_at_replicas_that_had_crashed_before_block_no_request => {
+        let mut scenario = Scenario::new();
+        for replica in 0..5 {
+            let host = HostKey(1 + replica as u16);
+            scenario.report(&crashes([CrashRecord { host, ..crash(CAUSE, replica) }]));
+            let late = CrashRecord { host, ran_for: Duration::ZERO, ..crash(OTHER, replica) };
+            scenario.report(&crashes([late]));
+        }
+        assert!(scenario.is_blocked(CAUSE));
+        assert!(!scenario.is_blocked(OTHER));
+    }
+
+    /// The same in one report: ages and run times tell which attempt began after the crash.
+    an_attempt_that_began_after_the_crash_of_its_replica_is_no_evidence => {
+        let mut scenario = Scenario::new();
+        for replica in 0..5 {
+            let host = HostKey(1 + replica as u16);
+            let age = Duration::from_millis(400);
+            let cause = CrashRecord { host, age, ..crash(CAUSE, replica) };
+            let late = CrashRecord { host, ran_for: Duration::ZERO, ..crash(OTHER, replica) };
+            scenario.report(&crashes([late, cause]));
+        }
+        assert!(scenario.is_blocked(CAUSE));
+        assert!(!scenario.is_blocked(OTHER));
+    }
+
+    /// A request that ran when its replica crashed is suspected with the others there.
+    a_run_that_began_before_the_crash_of_its_replica_counts => {
+        let mut scenario = Scenario::new();
+        for replica in 0..3 {
+            let host = HostKey(1 + replica as u16);
+            scenario.report(&crashes([CrashRecord { host, ..crash(OTHER, replica) }]));
+            // It is reported later than the other one, and began before.
+            let ran_for = GAP + RUN;
+            let cause = CrashRecord { host, ran_for, ..crash(CAUSE, replica) };
+            scenario.report(&crashes([cause]));
+        }
+        assert_eq!(scenario.ledger.suspect_count(), 2);
+    }
+
     a_completed_request_starts_again_without_crashes => {
         let mut scenario = Scenario::new();
         scenario.crash(0, &[CAUSE]);
