--- a/crates/topazmount/src/configuration_file.rs
+++ b/crates/topazmount/src/configuration_file.rs
@@ -70,10 +70,10 @@
 /// # Errors
 /// When the seed has problems and nothing else can be used, or the disk fails.
 pub fn load_from<D: Disk>(disk: &mut D, seed: SourceFiles) -> Result<InForce> {
-    disk.sync_names()?;
     let Some(bytes) = disk.read(FILE)? else {
         return Ok(InForce::seed(seed)?);
     };
+    disk.sync_names()?;
     match decode(&bytes) {
         Some(configuration) => Ok(configuration),
         None => {
